Add the message codec, log events and the messages of actions

Frames between routers and traces need one conversion; explain and report need one schema of log events. Routing now ends requests by an internal message, so that the keeper of actions can record outcomes.

--- a/damaskrill/actions/_pass_through.py
+++ b/damaskrill/actions/_pass_through.py
@@ -4,7 +4,14 @@
 
 from damaskrill.base import BaseDecider
 from damaskrill.kernel._registry import registry
-from damaskrill.messages import Member, Message, RequestArrived, RouteRequest
+from damaskrill.messages import (
+    AnswerCaller,
+    Member,
+    Message,
+    RequestArrived,
+    RequestEnded,
+    RouteRequest,
+)
 
 __all__ = ["PassThroughActions"]
 
@@ -21,12 +28,16 @@
         Not used.
     """
 
-    handles = (RequestArrived,)
+    handles = (RequestArrived, RequestEnded)
 
     def __init__(self, *, own: Member, random_state: int = 0) -> None:
         self._own = own
 
     def decide(self, message: Message, now_ms: int) -> Sequence[Message]:
-        """Pass the request on."""
-        assert isinstance(message, RequestArrived)
-        return (RouteRequest(request=message.request),)
+        """Pass a request on to routing, and its outcome to the caller."""
+        match message:
+            case RequestArrived(request=request):
+                return (RouteRequest(request=request),)
+            case RequestEnded(request_id=request_id, outcome=outcome):
+                return (AnswerCaller(request_id=request_id, outcome=outcome),)
+        return ()
--- /dev/null
+++ b/damaskrill/codec/__init__.py
@@ -0,0 +1,5 @@
+"""Conversion of messages to plain maps, for frames between routers and traces."""
+
+from damaskrill.codec._messages import message_from_map, message_to_map
+
+__all__ = ["message_from_map", "message_to_map"]
--- a/damaskrill/exceptions.py
+++ b/damaskrill/exceptions.py
@@ -15,6 +15,7 @@
     "DamaskrillError",
     "DuplicatePluginError",
     "InvalidParameterError",
+    "UndecodableMessageError",
     "UnknownPluginError",
 ]
 
@@ -92,3 +93,10 @@
 
     code = "clock_went_back"
     template = "the clock shows {now_ms} ms and cannot be set to {target_ms} ms"
+
+
+class UndecodableMessageError(DamaskrillError):
+    """A map is not a message of a known type."""
+
+    code = "undecodable_message"
+    template = "the content is not a known message: {reason}"
--- a/damaskrill/messages/__init__.py
+++ b/damaskrill/messages/__init__.py
@@ -1,5 +1,13 @@
 """Typed messages of the kernel; all are immutable ``attrs`` classes."""
 
+from damaskrill.messages._actions import (
+    ForwardedAnswer,
+    ForwardRequest,
+    OutcomeAsked,
+    PermitIssued,
+    PermitRequested,
+    RequestEnded,
+)
 from damaskrill.messages._attempts import (
     AttemptEnded,
     AttemptFailed,
@@ -19,6 +27,7 @@
     LoadSummary,
     MeanLoadKnown,
     OrderEngine,
+    OwnedLoad,
     ReadLoad,
 )
 from damaskrill.messages._base import (
@@ -27,6 +36,10 @@
     PeerPayload,
     Tick,
 )
+from damaskrill.messages._events import (
+    EventName,
+    LoggedEvent,
+)
 from damaskrill.messages._outcomes import (
     Cause,
     CauseCode,
@@ -85,13 +98,17 @@
     "CauseCode",
     "Completed",
     "DispatchAttempt",
+    "EventName",
     "FleetView",
     "FleetViewChanged",
+    "ForwardRequest",
+    "ForwardedAnswer",
     "HostEntry",
     "HostListRead",
     "InternalMessage",
     "LoadReported",
     "LoadSummary",
+    "LoggedEvent",
     "MeanLoadKnown",
     "Member",
     "MembersChanged",
@@ -100,16 +117,21 @@
     "OfferAttempt",
     "OrderEngine",
     "Outcome",
+    "OutcomeAsked",
+    "OwnedLoad",
     "PeerConnected",
     "PeerDelivered",
     "PeerLost",
     "PeerPayload",
+    "PermitIssued",
+    "PermitRequested",
     "ProcessPaused",
     "ReadHostList",
     "ReadLoad",
     "ReadText",
     "Request",
     "RequestArrived",
+    "RequestEnded",
     "RouteRequest",
     "SendToPeer",
     "StopRequested",
--- a/damaskrill/messages/_backends.py
+++ b/damaskrill/messages/_backends.py
@@ -10,6 +10,7 @@
     "LoadSummary",
     "MeanLoadKnown",
     "OrderEngine",
+    "OwnedLoad",
     "ReadLoad",
 ]
 
@@ -86,6 +87,25 @@
     n_servers: int
 
 
+@frozen(kw_only=True)
+class OwnedLoad(InternalMessage):
+    """Sum of the loads of the backend servers of a service that this router owns.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    load_sum : int
+        Sum of the loads, each the larger of reported and own count.
+    n_servers : int
+        How many backend servers the sum is over.
+    """
+
+    service: str
+    load_sum: int
+    n_servers: int
+
+
 @frozen(kw_only=True)
 class MeanLoadKnown(InternalMessage):
     """Mean load over all backend servers of a service, as far as it is known.
--- a/damaskrill/messages/_requests.py
+++ b/damaskrill/messages/_requests.py
@@ -91,7 +91,19 @@
 
 @frozen(kw_only=True)
 class AnswerCaller(Message):
-    """The request's one outcome; its answer's bytes went ahead of it."""
+    """Effect: the request's one outcome; its answer's bytes went ahead of it.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    outcome : Outcome
+        How it ended.
+    recorded_request_id : str
+        If not empty, the answer's bytes are those that this process kept of that
+        earlier request, an action that was asked for again.
+    """
 
     request_id: str
     outcome: Outcome
+    recorded_request_id: str = ""
--- a/damaskrill/routing/_entry.py
+++ b/damaskrill/routing/_entry.py
@@ -8,7 +8,6 @@
 from damaskrill.kernel._registry import registry
 from damaskrill.membership._ownership import owner_of_server
 from damaskrill.messages import (
-    AnswerCaller,
     AttemptEnded,
     AttemptFailed,
     AttemptRefused,
@@ -28,6 +27,7 @@
     PeerDelivered,
     PeerLost,
     Request,
+    RequestEnded,
     RouteRequest,
     SendToPeer,
     Unknown,
@@ -112,7 +112,7 @@
 
     def _refuse(self, request: Request, cause: Cause) -> Sequence[Message]:
         outcome = NotRun(causes=(cause,), retry_after_ms=1_000)
-        return (AnswerCaller(request_id=request.request_id, outcome=outcome),)
+        return (RequestEnded(request_id=request.request_id, outcome=outcome),)
 
     def _offer_next(self, state: _OpenRequest, now_ms: int) -> Sequence[Message]:
         assert self._view is not None
@@ -182,4 +182,4 @@
         request_id = state.request.request_id
         self._open.pop(request_id, None)
         self._request_of_attempt.pop(state.attempt_id, None)
-        return (AnswerCaller(request_id=request_id, outcome=outcome),)
+        return (RequestEnded(request_id=request_id, outcome=outcome),)
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -18,6 +18,7 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 FEATURE_TIMEOUT_S = 1200
 MAX_FEATURES_AT_ONCE = 4
+MAX_OUTPUT_CHARACTERS = 6_000
 
 LINT_STEPS = (
     ("ruff format", [sys.executable, "-m", "ruff", "format", "--check", "."]),
@@ -110,7 +111,7 @@
                     n_failed += 1
                     print(f"FAILED {name}: {scenario}: {status}")
             if any((name, each[0]) not in known_red for each in failing):
-                print(output)
+                print(output[-MAX_OUTPUT_CHARACTERS:])
             print(f"{name}: {len(results)} scenarios", flush=True)
     if n_scenarios == 0:
         print("no scenario ran")
