--- a/damaskrill/messages/_peers.py
+++ b/damaskrill/messages/_peers.py
@@ -10,6 +10,7 @@
     "PeerConnected",
     "PeerDelivered",
     "PeerLost",
+    "PeerUnreachable",
     "ProcessPaused",
     "SendToPeer",
     "StopRequested",
@@ -82,6 +83,22 @@
     peer: Member
 
 
+@frozen(kw_only=True)
+class PeerUnreachable(Message):
+    """A payload was given up before any of its bytes was sent.
+
+    Parameters
+    ----------
+    address : str
+        Peer address that it was meant for.
+    payload : PeerPayload
+        The payload.
+    """
+
+    address: str
+    payload: PeerPayload
+
+
 @frozen(kw_only=True)
 class ProcessPaused(InternalMessage):
     """The process has not run for longer than it should.
