Make a pause of the process known before the message that ends it

A woken process may get any message first, so looking for the gap on ticks alone would let an admission through on an outdated view. The kernel compares the time of each turn with that of the last one and hands ProcessPaused round first.

--- a/damaskrill/kernel/_router.py
+++ b/damaskrill/kernel/_router.py
@@ -12,6 +12,7 @@
     Member,
     Message,
     PeerDelivered,
+    ProcessPaused,
     SendToPeer,
 )
 
@@ -30,6 +31,9 @@
     "orders",
 )
 
+# A tick comes every 100 ms, so a longer gap means that the process did not run.
+PAUSE_BOUND_MS = 800
+
 
 class RouterKernel:
     """All deciders of one router behind one function.
@@ -47,11 +51,15 @@
     handed round inside until none is left; everything else is an effect and is
     returned in order. Peer payloads are matched by their own type, and arrive
     wrapped in ``PeerDelivered``.
+
+    A gap of more than ``PAUSE_BOUND_MS`` between two calls is made known to the
+    deciders by ``ProcessPaused`` before the message itself, whatever its type is.
     """
 
     def __init__(self, *, own: Member, deciders: Sequence[BaseDecider]) -> None:
         self._own = own
         self._deciders = tuple(deciders)
+        self._last_turn_ms: int | None = None
         self._subscribers: dict[type[Message], list[BaseDecider]] = {}
         for decider in self._deciders:
             for message_type in decider.handles:
@@ -83,6 +91,9 @@
             Effects, in the order in which they are to happen.
         """
         pending = deque([message])
+        paused = self._detect_pause(now_ms)
+        if paused is not None:
+            pending.appendleft(paused)
         effects: list[Message] = []
         while pending:
             current = pending.popleft()
@@ -91,6 +102,13 @@
                     self._sort_result(result, pending, effects)
         return effects
 
+    def _detect_pause(self, now_ms: int) -> ProcessPaused | None:
+        last_turn_ms = self._last_turn_ms
+        self._last_turn_ms = now_ms
+        if last_turn_ms is None or now_ms - last_turn_ms <= PAUSE_BOUND_MS:
+            return None
+        return ProcessPaused(duration_ms=now_ms - last_turn_ms)
+
     def _subscribers_of(self, message: Message) -> Sequence[BaseDecider]:
         if isinstance(message, PeerDelivered):
             return self._subscribers.get(type(message.payload), ())
--- a/features/kernel.feature
+++ b/features/kernel.feature
@@ -18,3 +18,8 @@
     Given a kernel of one router with a minimal text
     When a request for "dossier-review" arrives
     Then a second kernel with the same messages gives the same effects
+
+  Scenario: a gap between two turns is made known before the next message
+    Given a kernel with a decider that records what it gets
+    When a tick comes at 0, 100, 900 and 1701 ms
+    Then the recorder got ProcessPaused once, just before the last tick
--- a/features/steps/kernel_steps.py
+++ b/features/steps/kernel_steps.py
@@ -2,14 +2,17 @@
 
 from behave import given, then, when
 
-from damaskrill.kernel import build_kernel
+from damaskrill.base import BaseDecider
+from damaskrill.kernel import RouterKernel, build_kernel
 from damaskrill.messages import (
     AnswerCaller,
     BackendEnded,
     DispatchAttempt,
     HostListRead,
+    ProcessPaused,
     RequestArrived,
     TextRead,
+    Tick,
 )
 from features.support.builders import (
     MINIMAL_TEXT,
@@ -87,3 +90,37 @@
 def step_same_effects(context):
     second = build_kernel(own=build_member(1), random_state=1)
     assert feed(second, context.inputs) == context.effects
+
+
+class RecordingDecider(BaseDecider):
+    handles = (Tick, ProcessPaused)
+
+    def __init__(self):
+        self.received = []
+
+    def decide(self, message, now_ms):
+        self.received.append((type(message).__name__, now_ms))
+        return ()
+
+
+@given("a kernel with a decider that records what it gets")
+def step_recording_kernel(context):
+    context.recorder = RecordingDecider()
+    context.kernel = RouterKernel(own=build_member(1), deciders=[context.recorder])
+
+
+@when("a tick comes at 0, 100, 900 and 1701 ms")
+def step_ticks(context):
+    for at_ms in (0, 100, 900, 1701):
+        context.kernel.decide(Tick(), at_ms)
+
+
+@then("the recorder got ProcessPaused once, just before the last tick")
+def step_recorded_pause(context):
+    assert context.recorder.received == [
+        ("Tick", 0),
+        ("Tick", 100),
+        ("Tick", 900),
+        ("ProcessPaused", 1701),
+        ("Tick", 1701),
+    ], context.recorder.received
