--- a/damaskrill/messages/__init__.py
+++ b/damaskrill/messages/__init__.py
@@ -70,6 +70,10 @@
     TextReadFailed,
     TextRefused,
 )
+from damaskrill.messages._relay import (
+    AnswerHead,
+    AttemptProgress,
+)
 from damaskrill.messages._requests import (
     AnswerCaller,
     CallerGone,
@@ -84,8 +88,10 @@
 
 __all__ = [
     "AnswerCaller",
+    "AnswerHead",
     "AttemptEnded",
     "AttemptFailed",
+    "AttemptProgress",
     "AttemptRefused",
     "AttemptStarted",
     "BackendEnded",
