--- /dev/null
+++ b/features/support/invariants.py
@@ -0,0 +1,229 @@
+"""Checks the promises of the fleet against the stand-ins' own records.
+
+Each check returns plain sentences, one a violation.
+"""
+
+from damaskrill.messages import Completed, NotRun
+from features.support.pump import answer_digest
+
+ANSWER_SLACK_MS = 1_500
+PROPAGATION_MS = 7_000
+DATA_CENTRE_OUT_MS = 3_000
+STOP_BOUND_MS = 30_000
+LOAD_WINDOW_MS = 3_000
+MIN_COMPLETED_SHARE = 0.5
+
+
+def all_violations(pump, *, excused=frozenset()):
+    """Return the violations of all promises.
+
+    Parameters
+    ----------
+    pump : Pump
+        The fleet after its run.
+    excused : frozenset of str
+        Names of faults during which news cannot reach everybody in time.
+    """
+    checks = (
+        one_answer_each,
+        whole_answers,
+        truthful_refusals,
+        at_most_once,
+        no_overload,
+        no_fall,
+        texts_never_revert,
+        texts_in_force,
+        graceful_stops,
+        serves_most,
+    )
+    found = [violation for check in checks for violation in check(pump)]
+    return found + nothing_to_those_leaving(pump, excused)
+
+
+def serves_most(pump):
+    """Most requests complete; without this, refusing all would pass."""
+    n_completed = sum(
+        isinstance(each, Completed)
+        for sent in pump.requests.values()
+        for each in sent.outcomes
+    )
+    if n_completed < len(pump.requests) * MIN_COMPLETED_SHARE:
+        yield f"only {n_completed} of {len(pump.requests)} requests completed"
+
+
+def one_answer_each(pump):
+    """Every caller of a router that lives gets one outcome, in time."""
+    for sent in pump.requests.values():
+        request = sent.request
+        if len(sent.outcomes) > 1:
+            yield f"{request.request_id} got {len(sent.outcomes)} outcomes"
+        if sent.outcomes or not sent.router.alive:
+            continue
+        late_ms = pump.now_ms - request.deadline_ms
+        if late_ms > ANSWER_SLACK_MS and sent.router.paused_until_ms == 0:
+            yield f"{request.request_id} got no outcome {late_ms} ms after its deadline"
+
+
+def whole_answers(pump):
+    """A completed request has the answer to itself."""
+    for sent in pump.requests.values():
+        for outcome in sent.outcomes:
+            expected = answer_digest(sent.request)
+            if isinstance(outcome, Completed) and outcome.digest != expected:
+                yield f"{sent.request.request_id} got {outcome.digest}"
+
+
+def truthful_refusals(pump):
+    """What was refused as not run has not run and does not run later."""
+    started = {}
+    for dispatch in pump.dispatches:
+        request_id = dispatch.attempt.request.request_id
+        started.setdefault(request_id, dispatch.at_ms)
+    for sent in pump.requests.values():
+        request_id = sent.request.request_id
+        refused = any(isinstance(each, NotRun) for each in sent.outcomes)
+        if refused and request_id in started and not _all_refused(pump, request_id):
+            yield f"{request_id} was refused as not run, but was dispatched"
+
+
+def _all_refused(pump, request_id):
+    """Whether each dispatch of a request was refused by the server itself."""
+    for dispatch in pump.dispatches:
+        request = dispatch.attempt.request
+        if request.request_id == request_id:
+            plain = pump.plains.get(dispatch.attempt.backend_server)
+            key = request.idempotency_key or request.permit
+            if plain is None or plain.runs[key]:
+                return False
+    return True
+
+
+def at_most_once(pump):
+    """No key and no permit was run twice, over all servers of the service."""
+    runs = {}
+    for plain in pump.plains.values():
+        for key, n_runs in plain.runs.items():
+            runs[key] = runs.get(key, 0) + n_runs
+    for key, n_runs in runs.items():
+        if n_runs > 1:
+            yield f"{key} was run {n_runs} times"
+
+
+def no_overload(pump):
+    """No admission lifts a server above the set multiple of the mean load.
+
+    The mean is the highest of the last ``LOAD_WINDOW_MS``, since reports may be
+    2 s old and travel for up to 1 s.
+    """
+    limits = pump.latest_text.limits
+    for name, history in pump.loads.items():
+        server = pump.latest_text.backend_servers.get(name)
+        if server is None:
+            continue
+        peers = [
+            each.name
+            for each in pump.latest_text.backend_servers.values()
+            if each.service == server.service
+        ]
+        previous = 0
+        for at_ms, load in history:
+            if load > previous and load > limits.load_floor:
+                mean = _highest_mean(pump, peers, at_ms)
+                multiple = limits.load_multiple_percent * mean / 100
+                bound = min(
+                    server.bearable_load, max(limits.load_floor, -(-multiple // 1))
+                )
+                if load > bound:
+                    yield f"{name} had load {load} over {bound:g} at {at_ms} ms"
+            previous = load
+
+
+def _highest_mean(pump, names, at_ms):
+    times = [
+        each_ms
+        for name in names
+        for each_ms, _ in pump.loads.get(name, ())
+        if at_ms - LOAD_WINDOW_MS <= each_ms <= at_ms
+    ]
+    samples = [at_ms - LOAD_WINDOW_MS, *times]
+    return max(
+        sum(_load_at(pump, name, each_ms) for name in names) / len(names)
+        for each_ms in samples
+    )
+
+
+def _load_at(pump, name, at_ms):
+    load = 0
+    for each_ms, each in pump.loads.get(name, ()):
+        if each_ms > at_ms:
+            break
+        load = each
+    return load
+
+
+def no_fall(pump):
+    """No server was given more than it bears, cold or warm."""
+    for engine in pump.engines.values():
+        if engine.n_falls:
+            yield f"{engine.name} fell over {engine.n_falls} times"
+
+
+def texts_never_revert(pump):
+    """No process puts an older text in force."""
+    for router in [*pump.routers.values(), *pump.former_routers]:
+        if router.versions != sorted(router.versions):
+            yield f"{router.member.member_id} had versions {router.versions}"
+
+
+def texts_in_force(pump):
+    """At the end, with all faults over, the last text is in force everywhere."""
+    published_ms = pump.published[-1][0]
+    if pump.now_ms - published_ms < PROPAGATION_MS:
+        return
+    for router in pump.live_routers:
+        version = router.view.text.version
+        if version != pump.configuration.latest_version:
+            yield f"{router.member.member_id} is still on version {version}"
+
+
+def graceful_stops(pump):
+    """A process that was told to stop ends its requests and then stops."""
+    for router in [*pump.routers.values(), *pump.former_routers]:
+        stop_ms = router.stop_requested_at_ms
+        if stop_ms < 0 or not router.alive:
+            continue
+        if not router.has_stopped and pump.now_ms - stop_ms > STOP_BOUND_MS:
+            yield f"{router.member.member_id} has not stopped"
+        for sent in pump.requests.values():
+            cut_off = sent.router is router and not sent.outcomes
+            if router.has_stopped and cut_off and sent.sent_at_ms < stop_ms:
+                yield f"{sent.request.request_id} was cut off by a graceful stop"
+
+
+def nothing_to_those_leaving(pump, excused=frozenset()):
+    """Nothing new goes where the text or the host list says no, after 3 s."""
+    found = []
+    for dispatch in pump.dispatches:
+        text = _text_in_force(pump, dispatch.at_ms - DATA_CENTRE_OUT_MS)
+        if text is None or text is not _text_in_force(pump, dispatch.at_ms):
+            continue
+        server = text.backend_servers.get(dispatch.attempt.backend_server)
+        if server is None:
+            continue
+        centre = text.data_centres.get(server.data_centre)
+        out = server.leaving or (centre is not None and not centre.in_service)
+        knows = dispatch.router.view.text.version >= text.version
+        if out and (knows or not excused):
+            found.append(
+                f"{server.name} got {dispatch.attempt.attempt_id} at "
+                f"{dispatch.at_ms} ms though text {text.version} takes it out"
+            )
+    return found
+
+
+def _text_in_force(pump, at_ms):
+    in_force = None
+    for published_ms, text in pump.published:
+        if published_ms <= at_ms:
+            in_force = text
+    return in_force
--- /dev/null
+++ b/features/support/matrix.py
@@ -0,0 +1,68 @@
+"""Runs of the fault matrix: one or two faults over a fleet under load."""
+
+from damaskrill.utils import check_random_state
+from features.support.faults import (
+    DELAYING,
+    END_MS,
+    FAULT_MS,
+    FAULTS,
+    HEAL_MS,
+    LAST_FAULT_MS,
+    SETTLE_MS,
+    WORK_END_MS,
+    build_fleet_members,
+    build_fleet_text,
+    heal_everything,
+)
+from features.support.invariants import all_violations
+from features.support.pump import Pump
+from features.support.workload import Workload
+
+
+def run_faults(names, seed):
+    """Run the fleet with faults and return the pump after the run.
+
+    Parameters
+    ----------
+    names : sequence of str
+        Faults of ``FAULTS``; each comes once, at a time that the seed says.
+    seed : int
+        Seed of the whole run.
+    """
+    random = check_random_state(seed)
+    pump = Pump(
+        text=build_fleet_text(),
+        members=build_fleet_members(),
+        random_state=random.getrandbits(32),
+    )
+    workload = Workload(
+        pump=pump, random_state=random.getrandbits(32), end_ms=WORK_END_MS
+    )
+    workload.start(start_ms=SETTLE_MS)
+    for name in names:
+        at_ms = random.randint(FAULT_MS, LAST_FAULT_MS)
+        fault = FAULTS[name]
+        pump.at(at_ms, lambda fault=fault: fault(pump, workload, random))
+    pump.at(HEAL_MS, lambda: heal_everything(pump))
+    pump.run_until(END_MS)
+    return pump
+
+
+def violations_of(names, seed):
+    """Return the violations of one run, each with what brings it about again."""
+    pump = run_faults(names, seed)
+    excused = DELAYING.intersection(names)
+    where = f"faults {', '.join(names) or 'none'}; seed {seed}"
+    return [f"{where}: {each}" for each in all_violations(pump, excused=excused)]
+
+
+def main(arguments):
+    """Print the violations of ``SEED [FAULT ...]``, one a line."""
+    for line in violations_of(arguments[1:], int(arguments[0])):
+        print(line)
+
+
+if __name__ == "__main__":
+    import sys
+
+    main(sys.argv[1:])
