Add the messages of queueing, spilled chats and open work

The entry has to tell a silent owner from one that queues, and a stopping process has to know what is left to end; the fields that the offer gains leave old senders valid.

--- a/damaskrill/messages/__init__.py
+++ b/damaskrill/messages/__init__.py
@@ -11,6 +11,7 @@
 from damaskrill.messages._attempts import (
     AttemptEnded,
     AttemptFailed,
+    AttemptQueued,
     AttemptRefused,
     AttemptStarted,
     BackendEnded,
@@ -20,6 +21,7 @@
     CancelDispatch,
     DispatchAttempt,
     OfferAttempt,
+    SpillRecorded,
 )
 from damaskrill.messages._backends import (
     CacheEvents,
@@ -51,6 +53,7 @@
 from damaskrill.messages._peers import (
     Member,
     MembersChanged,
+    OpenWork,
     PeerConnected,
     PeerDelivered,
     PeerLost,
@@ -92,6 +95,7 @@
     "AttemptEnded",
     "AttemptFailed",
     "AttemptProgress",
+    "AttemptQueued",
     "AttemptRefused",
     "AttemptStarted",
     "BackendEnded",
@@ -122,6 +126,7 @@
     "Message",
     "NotRun",
     "OfferAttempt",
+    "OpenWork",
     "OrderEngine",
     "Outcome",
     "OutcomeAsked",
@@ -142,6 +147,7 @@
     "RequestEnded",
     "RouteRequest",
     "SendToPeer",
+    "SpillRecorded",
     "StopRequested",
     "StopServing",
     "TextAccepted",
--- a/damaskrill/messages/_attempts.py
+++ b/damaskrill/messages/_attempts.py
@@ -9,6 +9,7 @@
 __all__ = [
     "AttemptEnded",
     "AttemptFailed",
+    "AttemptQueued",
     "AttemptRefused",
     "AttemptStarted",
     "BackendEnded",
@@ -18,6 +19,7 @@
     "CancelDispatch",
     "DispatchAttempt",
     "OfferAttempt",
+    "SpillRecorded",
 ]
 
 
@@ -39,6 +41,13 @@
         Bytes of the answer that the entry already has.
     text_version : int
         Version of the text that the choice is based on.
+    max_wait_ms : int
+        Longest wait in the owner's queue, in milliseconds; -1 leaves it to the text,
+        0 asks for an answer at once.
+    elapsed_ms : int
+        Time that the request has spent at its entry, in milliseconds.
+    follows_spill : bool
+        Whether the owner may name another server that has the chat's cache.
     """
 
     attempt_id: str
@@ -47,13 +56,60 @@
     remaining_ms: int
     resume_offset: int = 0
     text_version: int = 0
+    max_wait_ms: int = -1
+    elapsed_ms: int = 0
+    follows_spill: bool = False
+
+
+@frozen(kw_only=True)
+class AttemptQueued(PeerPayload):
+    """The owner holds the attempt in its queue; nothing has been sent.
+
+    Parameters
+    ----------
+    attempt_id : str
+        The attempt.
+    expected_wait_ms : int
+        Estimate, in milliseconds.
+    """
+
+    attempt_id: str
+    expected_wait_ms: int = 0
 
 
 @frozen(kw_only=True)
 class AttemptStarted(PeerPayload):
-    """The owner has begun to send the request to the backend server."""
+    """The owner has begun to send the request to the backend server.
+
+    Parameters
+    ----------
+    attempt_id : str
+        The attempt.
+    wait_ms : int
+        Time that it spent in the queue, in milliseconds.
+    """
 
     attempt_id: str
+    wait_ms: int = 0
+
+
+@frozen(kw_only=True)
+class SpillRecorded(PeerPayload):
+    """A chat was served by another server than the first choice of its key.
+
+    Parameters
+    ----------
+    first_choice : str
+        Backend server whose owner is to remember it.
+    chat : str
+        The chat.
+    backend_server : str
+        Where it was served; empty if the first choice has it again.
+    """
+
+    first_choice: str
+    chat: str
+    backend_server: str = ""
 
 
 @frozen(kw_only=True)
@@ -70,12 +126,18 @@
         Load of the backend server that the owner saw.
     retry_after_ms : int
         When asking again may help, in milliseconds.
+    hint_server : str
+        Backend server that served the chat when this one was at its limit.
+    is_transient : bool
+        Whether the reason is the router's view and not the backend server's load.
     """
 
     attempt_id: str
     causes: tuple[Cause, ...]
     load: int = 0
     retry_after_ms: int = 0
+    hint_server: str = ""
+    is_transient: bool = False
 
 
 @frozen(kw_only=True)
@@ -92,12 +154,15 @@
         Digest of these bytes, in hexadecimal.
     status : int
         HTTP status of the backend server.
+    between_tokens_ms : int
+        Mean time between tokens, in milliseconds; 0 if unknown.
     """
 
     attempt_id: str
     n_bytes: int
     digest: str
     status: int = 200
+    between_tokens_ms: int = 0
 
 
 @frozen(kw_only=True)
--- a/damaskrill/messages/_outcomes.py
+++ b/damaskrill/messages/_outcomes.py
@@ -40,6 +40,7 @@
     ANSWER_DAMAGED = "answer_damaged"
     SURGE = "surge"
     CIRCUIT_OPEN = "circuit_open"
+    TAKEN_OVER = "taken_over"
 
 
 CAUSE_TEMPLATES: dict[CauseCode, str] = {
@@ -79,6 +80,9 @@
     CauseCode.REPLY_LOST: "the reply of {subject} was lost{detail}",
     CauseCode.ANSWER_DAMAGED: "the answer of {subject} was incomplete{detail}",
     CauseCode.SURGE: "team '{subject}' sends more than its share{detail}",
+    CauseCode.TAKEN_OVER: (
+        "{subject} has just been taken over and its load is not known yet{detail}"
+    ),
     CauseCode.CIRCUIT_OPEN: "{subject} failed repeatedly and is being rested{detail}",
 }
 
--- a/damaskrill/messages/_peers.py
+++ b/damaskrill/messages/_peers.py
@@ -7,6 +7,7 @@
 __all__ = [
     "Member",
     "MembersChanged",
+    "OpenWork",
     "PeerConnected",
     "PeerDelivered",
     "PeerLost",
@@ -117,6 +118,22 @@
     """The operators want a graceful stop."""
 
 
+@frozen(kw_only=True)
+class OpenWork(InternalMessage):
+    """What a part of a stopping process still has to end; sent at each tick.
+
+    Parameters
+    ----------
+    part : str
+        ``entry`` or ``owner``.
+    n_open : int
+        Requests or attempts that have not ended.
+    """
+
+    part: str
+    n_open: int
+
+
 @frozen(kw_only=True)
 class StopServing(Message):
     """Effect: all requests have ended and the peers know; the process may exit."""
