Add the transport between routers

websockets carry CBOR frames; both sides prove the fleet key by HMAC over fresh nonces, protocol version and incarnation stand in the greeting. Queues per peer are bounded in count and bytes, heartbeats run inside each connection on the given clock, silent connections are given up, idle ones parted from without loss, and connections are bounded. Tagged, nested, cut or unknown frames close the connection with a typed error. Bytes are counted by type of payload in both directions.

--- a/damaskrill/exceptions.py
+++ b/damaskrill/exceptions.py
@@ -15,6 +15,11 @@
     "DamaskrillError",
     "DuplicatePluginError",
     "InvalidParameterError",
+    "PeerFrameError",
+    "PeerMessageTooLargeError",
+    "PeerRefusedError",
+    "PeerSilentError",
+    "PeerUnreachableError",
     "UndecodableMessageError",
     "UnknownPluginError",
 ]
@@ -100,3 +105,38 @@
 
     code = "undecodable_message"
     template = "the content is not a known message: {reason}"
+
+
+class PeerFrameError(DamaskrillError):
+    """A frame from another router does not follow the protocol."""
+
+    code = "peer_frame"
+    template = "the frame from the other router is invalid: {reason}"
+
+
+class PeerMessageTooLargeError(DamaskrillError):
+    """A message to another router exceeds the size limit."""
+
+    code = "peer_message_too_large"
+    template = "a message of {n_bytes} bytes exceeds the limit of {limit} bytes"
+
+
+class PeerRefusedError(DamaskrillError):
+    """The greeting with another router failed."""
+
+    code = "peer_refused"
+    template = "the router at {address} was refused: {reason}"
+
+
+class PeerSilentError(DamaskrillError):
+    """Nothing came over a connection for too long."""
+
+    code = "peer_silent"
+    template = "the connection to {address} was silent for {silence_ms} ms"
+
+
+class PeerUnreachableError(DamaskrillError):
+    """No connection to another router can be made, or it was closed."""
+
+    code = "peer_unreachable"
+    template = "the router at {address} cannot be reached: {reason}"
--- /dev/null
+++ b/damaskrill/peers/__init__.py
@@ -0,0 +1,7 @@
+"""Transport between routers: ``websockets`` that carry CBOR frames."""
+
+from damaskrill.peers._counters import ByteCounters
+from damaskrill.peers._limits import PeerLimits
+from damaskrill.peers._network import PeerHandler, PeerNetwork
+
+__all__ = ["ByteCounters", "PeerHandler", "PeerLimits", "PeerNetwork"]
--- /dev/null
+++ b/damaskrill/peers/_greeting.py
@@ -0,0 +1,203 @@
+"""Mutual proof of the fleet key, without sending the key.
+
+Notes
+-----
+Both sides send a ``Greeting`` with a fresh nonce. The side that dialled proves first:
+HMAC-SHA256 under the fleet key over its role and both greetings. The listening side
+proves itself only to a peer that has done so. The role keeps a proof from being
+returned to its sender, and the nonces keep it from being used twice.
+
+References
+----------
+RFC 2104, HMAC: Keyed-Hashing for Message Authentication.
+"""
+
+import hashlib
+import hmac
+import secrets
+from typing import Any
+
+from websockets.exceptions import ConnectionClosed
+
+from damaskrill.exceptions import PeerFrameError, PeerRefusedError
+from damaskrill.messages import Member
+from damaskrill.peers._counters import ByteCounters
+from damaskrill.peers._frames import (
+    Frame,
+    Greeting,
+    Proof,
+    decode_frame,
+    encode_frame,
+    frame_name,
+)
+
+__all__ = ["PROTOCOL_VERSION", "greet_as_dialler", "greet_as_listener"]
+
+PROTOCOL_VERSION = 1
+NONCE_BYTES = 16
+MAX_GREETING_BYTES = 2048
+DIALLER_ROLE = b"dialler"
+LISTENER_ROLE = b"listener"
+
+
+class _GreetingLink:
+    """Sends and receives the frames of one greeting."""
+
+    def __init__(
+        self, connection: Any, counters: ByteCounters, peer_address: str
+    ) -> None:
+        self._connection = connection
+        self._counters = counters
+        self.peer_address = peer_address
+
+    async def send(self, frame: Frame) -> bytes:
+        content = encode_frame(frame)
+        self._counters.count_sent(frame_name(frame), len(content))
+        try:
+            await self._connection.send(content)
+        except ConnectionClosed as error:
+            raise self.refusal(_close_reason(error)) from error
+        return content
+
+    async def receive(self) -> tuple[Frame, bytes]:
+        try:
+            content = await self._connection.recv()
+        except ConnectionClosed as error:
+            raise self.refusal(_close_reason(error)) from error
+        if not isinstance(content, bytes) or len(content) > MAX_GREETING_BYTES:
+            raise PeerFrameError(reason="the greeting is not a short binary message")
+        frame = decode_frame(content)
+        self._counters.count_received(frame_name(frame), len(content))
+        return frame, content
+
+    def refusal(self, reason: str) -> PeerRefusedError:
+        return PeerRefusedError(address=self.peer_address, reason=reason)
+
+
+def _close_reason(error: ConnectionClosed) -> str:
+    if error.rcvd is not None and error.rcvd.reason:
+        return f"it closed the connection ({error.rcvd.reason})"
+    return "it closed the connection during the greeting"
+
+
+def _build_greeting(own: Member) -> Greeting:
+    return Greeting(
+        protocol=PROTOCOL_VERSION,
+        address=own.address,
+        data_centre=own.data_centre,
+        incarnation=own.incarnation,
+        nonce=secrets.token_bytes(NONCE_BYTES),
+    )
+
+
+def _proof(fleet_key: str, role: bytes, dialled: bytes, listened: bytes) -> bytes:
+    parts = (role, dialled, listened)
+    content = b"".join(len(part).to_bytes(4, "big") + part for part in parts)
+    return hmac.digest(fleet_key.encode(), content, hashlib.sha256)
+
+
+def _check_greeting(link: _GreetingLink, frame: Frame) -> Member:
+    if not isinstance(frame, Greeting):
+        raise PeerFrameError(reason="the first frame is not a greeting")
+    if frame.protocol != PROTOCOL_VERSION:
+        reason = f"it speaks protocol {frame.protocol}, not {PROTOCOL_VERSION}"
+        raise link.refusal(reason)
+    if len(frame.nonce) != NONCE_BYTES:
+        raise PeerFrameError(reason="the greeting's nonce has a wrong length")
+    return Member(
+        address=frame.address,
+        data_centre=frame.data_centre,
+        incarnation=frame.incarnation,
+    )
+
+
+def _check_proof(link: _GreetingLink, frame: Frame, expected: bytes) -> None:
+    if not isinstance(frame, Proof):
+        raise PeerFrameError(reason="the second frame is not a proof")
+    if not hmac.compare_digest(frame.digest, expected):
+        raise link.refusal("its fleet key differs")
+
+
+async def greet_as_dialler(
+    connection: Any,
+    *,
+    own: Member,
+    fleet_key: str,
+    address: str,
+    counters: ByteCounters,
+) -> Member:
+    """Greet the router that was dialled.
+
+    Parameters
+    ----------
+    connection : websockets connection
+        Just opened.
+    own : Member
+        This process.
+    fleet_key : str
+        Shared by all routers of the fleet.
+    address : str
+        Address that was dialled.
+    counters : ByteCounters
+        Where the greeting's bytes are counted.
+
+    Returns
+    -------
+    Member
+        The process at the other end.
+
+    Raises
+    ------
+    PeerRefusedError
+        If protocol, key or address differ, or the other side refuses.
+    PeerFrameError
+        If a frame is not what the protocol asks for.
+    """
+    link = _GreetingLink(connection, counters, address)
+    sent = await link.send(_build_greeting(own))
+    frame, received = await link.receive()
+    peer = _check_greeting(link, frame)
+    await link.send(Proof(digest=_proof(fleet_key, DIALLER_ROLE, sent, received)))
+    frame, _ = await link.receive()
+    _check_proof(link, frame, _proof(fleet_key, LISTENER_ROLE, sent, received))
+    if peer.address != address:
+        raise link.refusal(f"it calls itself {peer.address}")
+    return peer
+
+
+async def greet_as_listener(
+    connection: Any, *, own: Member, fleet_key: str, counters: ByteCounters
+) -> Member:
+    """Greet the router that dialled.
+
+    Parameters
+    ----------
+    connection, own, fleet_key, counters
+        As for ``greet_as_dialler``.
+
+    Returns
+    -------
+    Member
+        The process at the other end.
+
+    Raises
+    ------
+    PeerRefusedError
+        If protocol or key differ.
+    PeerFrameError
+        If a frame is not what the protocol asks for.
+    """
+    link = _GreetingLink(connection, counters, _remote_address(connection))
+    frame, received = await link.receive()
+    peer = _check_greeting(link, frame)
+    link.peer_address = peer.address
+    sent = await link.send(_build_greeting(own))
+    frame, _ = await link.receive()
+    _check_proof(link, frame, _proof(fleet_key, DIALLER_ROLE, received, sent))
+    await link.send(Proof(digest=_proof(fleet_key, LISTENER_ROLE, received, sent)))
+    return peer
+
+
+def _remote_address(connection: Any) -> str:
+    remote = connection.remote_address
+    return f"{remote[0]}:{remote[1]}" if remote else "an unknown address"
--- /dev/null
+++ b/damaskrill/peers/_link.py
@@ -0,0 +1,229 @@
+"""One greeted connection to another router: its writer, reader and silence check."""
+
+import asyncio
+import inspect
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from websockets.exceptions import ConnectionClosed, ConnectionClosedError
+
+from damaskrill.exceptions import (
+    DamaskrillError,
+    PeerFrameError,
+    PeerMessageTooLargeError,
+    PeerSilentError,
+    PeerUnreachableError,
+)
+from damaskrill.messages import Member
+from damaskrill.peers._counters import ByteCounters
+from damaskrill.peers._frames import (
+    Chunk,
+    Farewell,
+    Frame,
+    Greeting,
+    Heartbeat,
+    Payload,
+    Proof,
+    decode_frame,
+    encode_frame,
+    frame_name,
+)
+from damaskrill.peers._limits import PeerLimits
+from damaskrill.peers._outbox import Outbox, QueuedFrame
+from damaskrill.utils import Clock
+
+__all__ = ["PeerLink", "heartbeat_frame"]
+
+CLOSE_INVALID_FRAME = 1002
+CLOSE_TOO_LARGE = 1009
+
+DeliverFrame = Callable[[Member, Payload | Chunk], Awaitable[None] | None]
+
+
+def _queued(frame: Frame) -> QueuedFrame:
+    return QueuedFrame(name=frame_name(frame), content=encode_frame(frame))
+
+
+def heartbeat_frame() -> QueuedFrame:
+    """Return a heartbeat, ready for an outbox."""
+    return _queued(Heartbeat())
+
+
+class PeerLink:
+    """A greeted connection; ``run`` returns when it has ended.
+
+    Parameters
+    ----------
+    connection : websockets connection
+        The connection.
+    peer : Member
+        The process at the other end.
+    outbox : Outbox
+        Frames for it; the link is its only reader.
+    clock : Clock
+        Time for heartbeats and silence.
+    limits : PeerLimits
+        Bounds.
+    counters : ByteCounters
+        Where all bytes are counted.
+    deliver : callable
+        Called with the peer and each payload or chunk; when it returns an
+        awaitable, nothing more is read before that is done.
+    refuse : callable
+        Called with each queued frame that this process must not take.
+    """
+
+    def __init__(
+        self,
+        *,
+        connection: Any,
+        peer: Member,
+        outbox: Outbox,
+        clock: Clock,
+        limits: PeerLimits,
+        counters: ByteCounters,
+        deliver: DeliverFrame,
+        refuse: Callable[[QueuedFrame], None],
+    ) -> None:
+        self._connection = connection
+        self._peer = peer
+        self._outbox = outbox
+        self._clock = clock
+        self._limits = limits
+        self._counters = counters
+        self._deliver = deliver
+        self._refuse = refuse
+        now_ms = clock.now_ms
+        self._last_received_ms = now_ms
+        self._last_sent_ms = now_ms
+        self._last_used_ms = now_ms
+        self._farewell_received = False
+        self._error: DamaskrillError | None = None
+
+    @property
+    def peer(self) -> Member:
+        """The process at the other end."""
+        return self._peer
+
+    @property
+    def outbox(self) -> Outbox:
+        """Frames that wait for this link."""
+        return self._outbox
+
+    @property
+    def last_used_ms(self) -> int:
+        """When a payload or a chunk was last sent or received."""
+        return self._last_used_ms
+
+    @property
+    def error(self) -> DamaskrillError | None:
+        """Why the link broke; None while it stands or after a farewell."""
+        return self._error
+
+    async def run(self) -> None:
+        """Send and receive until the link ends; never raises for a peer's fault."""
+        writer = asyncio.create_task(self._write())
+        try:
+            await self._read()
+            # What was queued before the farewell came must still go out.
+            self.part()
+            await writer
+        except ConnectionClosed as error:
+            self._note_end(error)
+        except DamaskrillError as error:
+            self._error = error
+            await self._connection.close(CLOSE_INVALID_FRAME, error.code)
+        finally:
+            self._outbox.close()
+            writer.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
+            await self._connection.close()
+
+    def check(self, now_ms: int) -> None:
+        """Send a heartbeat if due, give up a silent link, part from an idle one."""
+        silence_ms = now_ms - self._last_received_ms
+        if silence_ms >= self._limits.silence_timeout_ms:
+            address = self._peer.address
+            self.abort(PeerSilentError(address=address, silence_ms=silence_ms))
+            return
+        if now_ms - self._last_used_ms >= self._limits.idle_timeout_ms:
+            self.part()
+        if now_ms - self._last_sent_ms >= self._limits.heartbeat_interval_ms:
+            self._outbox.put(heartbeat_frame())
+
+    def forgive_silence(self, now_ms: int) -> None:
+        """Start the silence anew, after this process itself was paused."""
+        self._last_received_ms = now_ms
+
+    def part(self, *, is_stopping: bool = False) -> None:
+        """Send what is queued and a farewell; the other side answers with its own."""
+        if not self._outbox.is_closed:
+            self._outbox.put(_queued(Farewell(is_stopping=is_stopping)))
+            self._outbox.close()
+
+    def abort(self, error: DamaskrillError) -> None:
+        """End the link at once, without waiting for the other side."""
+        if self._error is None:
+            self._error = error
+        self._outbox.close()
+        self._connection.transport.abort()
+
+    async def _write(self) -> None:
+        while (frame := await self._outbox.get()) is not None:
+            if frame.incarnation and frame.incarnation != self._peer.incarnation:
+                self._refuse(frame)
+                continue
+            self._note_sent(frame)
+            try:
+                await self._connection.send(frame.content)
+            except ConnectionClosed:
+                return
+
+    def _note_sent(self, frame: QueuedFrame) -> None:
+        now_ms = self._clock.now_ms
+        self._last_sent_ms = now_ms
+        if frame.name != Heartbeat.__name__:
+            self._last_used_ms = now_ms
+        self._counters.count_sent(frame.name, len(frame.content))
+
+    async def _read(self) -> None:
+        while not self._farewell_received:
+            content = await self._connection.recv()
+            if not isinstance(content, bytes):
+                raise PeerFrameError(reason="it is a text message")
+            frame = decode_frame(content)
+            self._last_received_ms = self._clock.now_ms
+            self._counters.count_received(frame_name(frame), len(content))
+            await self._take(frame)
+
+    async def _take(self, frame: Frame) -> None:
+        match frame:
+            case Payload() | Chunk():
+                self._last_used_ms = self._last_received_ms
+                pending = self._deliver(self._peer, frame)
+                if inspect.isawaitable(pending):
+                    await pending
+            case Farewell(is_stopping=is_stopping):
+                self._farewell_received = True
+                if is_stopping:
+                    self._error = PeerUnreachableError(
+                        address=self._peer.address, reason="it is stopping"
+                    )
+            case Greeting() | Proof():
+                raise PeerFrameError(reason="a second greeting came")
+
+    def _note_end(self, error: ConnectionClosed) -> None:
+        if self._error is not None or self._farewell_received:
+            return
+        sent = error.sent
+        if isinstance(error, ConnectionClosedError) and sent is not None:
+            if sent.code == CLOSE_TOO_LARGE:
+                limit = self._limits.max_message_bytes
+                self._error = PeerMessageTooLargeError(n_bytes="more", limit=limit)
+                return
+            if error.rcvd is None:
+                self._error = PeerFrameError(reason=sent.reason or "it was cut")
+                return
+        self._error = PeerUnreachableError(
+            address=self._peer.address, reason="the connection was closed"
+        )
--- /dev/null
+++ b/damaskrill/peers/_network.py
@@ -0,0 +1,424 @@
+"""All connections of one process to other routers."""
+
+import asyncio
+import inspect
+import logging
+from collections.abc import Awaitable
+from typing import Any, Protocol
+
+import attrs
+from loguru import logger
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import serve
+from websockets.exceptions import WebSocketException
+
+from damaskrill.exceptions import (
+    DamaskrillError,
+    PeerMessageTooLargeError,
+    PeerRefusedError,
+    PeerUnreachableError,
+)
+from damaskrill.messages import Member, PeerPayload
+from damaskrill.peers._counters import ByteCounters
+from damaskrill.peers._frames import Chunk, Payload, encode_frame, frame_name
+from damaskrill.peers._greeting import greet_as_dialler, greet_as_listener
+from damaskrill.peers._limits import PeerLimits
+from damaskrill.peers._link import PeerLink
+from damaskrill.peers._outbox import Outbox, QueuedFrame
+from damaskrill.utils import Clock
+
+__all__ = ["PeerHandler", "PeerNetwork"]
+
+CLOSE_POLICY = 1008
+CHECK_INTERVAL_S = 0.25
+CLOSE_TIMEOUT_S = 1.0
+PART_TIMEOUT_S = 2.0
+MAX_CLOSE_REASON_CHARACTERS = 100
+# A check that comes this much later than the last one shows that this process was
+# paused: the silence of the others then proves nothing.
+PAUSE_MS = 1_500
+
+# The library reports a peer's faults with a traceback; they are logged here instead.
+_quiet_logger = logging.getLogger("damaskrill.peers.websockets")
+_quiet_logger.addHandler(logging.NullHandler())
+_quiet_logger.propagate = False
+
+
+class PeerHandler(Protocol):
+    """What a process does with the events of its ``PeerNetwork``.
+
+    Notes
+    -----
+    All are called in the event loop's thread and must not block. The first two may
+    return an awaitable; nothing more is then read from that peer until it is done.
+    """
+
+    def payload_received(
+        self, sender: Member, payload: PeerPayload, body: bytes
+    ) -> Awaitable[None] | None:
+        """Take a payload and the body that came with it."""
+
+    def chunk_received(
+        self, sender: Member, stream_id: str, offset: int, data: bytes
+    ) -> Awaitable[None] | None:
+        """Take part of a stream's bytes."""
+
+    def peer_connected(self, member: Member) -> None:
+        """Note that a connection to a process stands."""
+
+    def peer_lost(self, member: Member) -> None:
+        """Note that a connection broke; what was sent may or may not have arrived."""
+
+    def peer_unreachable(self, address: str, payload: PeerPayload) -> None:
+        """Note that a queued payload was not sent, not even in part."""
+
+
+class PeerNetwork:
+    """Sends payloads and chunks to other routers, and takes theirs.
+
+    Parameters
+    ----------
+    own : Member
+        This process; port 0 in its address is replaced by the one that ``start``
+        binds.
+    fleet_key : str
+        Secret that all routers of the fleet share; proved, never sent.
+    clock : Clock
+        Time for heartbeats, silence and idleness.
+    limits : PeerLimits
+        Bounds.
+    handler : PeerHandler
+        Gets all events.
+
+    Notes
+    -----
+    A connection is made when there is something to send. What is sent to one address
+    goes over one connection at a time and arrives in the order in which it was sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        fleet_key: str,
+        clock: Clock,
+        limits: PeerLimits,
+        handler: PeerHandler,
+    ) -> None:
+        self._own = own
+        self._fleet_key = fleet_key
+        self._clock = clock
+        self._limits = limits
+        self._handler = handler
+        self._counters = ByteCounters()
+        self._outboxes: dict[str, list[Outbox]] = {}
+        self._links: dict[PeerLink, None] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: Any = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._last_check_ms = clock.now_ms
+        self._is_stopping = False
+
+    @property
+    def own(self) -> Member:
+        """Member that stands for this process, with the port that was bound."""
+        return self._own
+
+    @property
+    def counters(self) -> ByteCounters:
+        """Bytes sent and received by type of payload."""
+        return self._counters
+
+    @property
+    def n_links(self) -> int:
+        """Greeted connections that stand."""
+        return len(self._links)
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen for other routers.
+
+        Parameters
+        ----------
+        host : str
+            IP number to bind.
+        port : int
+            Port to bind; 0 picks a free one.
+
+        Returns
+        -------
+        int
+            The port that was bound.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._server = await serve(
+            self._accept, host, port, logger=_quiet_logger, **self._options()
+        )
+        bound_port = int(self._server.sockets[0].getsockname()[1])
+        own_host, _, own_port = self._own.address.rpartition(":")
+        if own_port == "0":
+            self._own = attrs.evolve(self._own, address=f"{own_host}:{bound_port}")
+        self._spawn(self._check_regularly())
+        return bound_port
+
+    async def stop(self) -> None:
+        """Send what is queued, part from all peers and close everything."""
+        self._is_stopping = True
+        if self._server is not None:
+            self._server.close(close_connections=False)
+        for link in list(self._links):
+            link.part(is_stopping=True)
+        waited_until = asyncio.get_running_loop().time() + PART_TIMEOUT_S
+        while self._links and asyncio.get_running_loop().time() < waited_until:
+            await asyncio.sleep(0.01)
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def send_payload(
+        self,
+        address: str,
+        payload: PeerPayload,
+        body: bytes = b"",
+        incarnation: str = "",
+    ) -> bool:
+        """Queue a payload; does not wait.
+
+        Parameters
+        ----------
+        address : str
+            Peer address of another router.
+        payload : PeerPayload
+            What to send.
+        body : bytes, default=b""
+            Delivered together with the payload.
+        incarnation : str, default=""
+            If not empty, the only process that may take it.
+
+        Returns
+        -------
+        bool
+            False if it was not queued, because the queue is full, the message too
+            large or this process is stopping; the handler is then not called. If
+            True, the payload is sent, or the handler hears ``peer_unreachable`` (not
+            sent) or ``peer_lost`` (perhaps sent).
+        """
+        frame = Payload(payload=payload, body=body)
+        content = encode_frame(frame)
+        if self._is_stopping or len(content) > self._limits.max_message_bytes:
+            return False
+        queued = QueuedFrame(
+            name=frame_name(frame),
+            content=content,
+            payload=payload,
+            incarnation=incarnation,
+        )
+        return self._outbox_to(address).put(queued)
+
+    async def send_chunk(
+        self, address: str, stream_id: str, offset: int, data: bytes
+    ) -> None:
+        """Queue a part of a stream, and wait while the queue is full.
+
+        Parameters
+        ----------
+        address : str
+            Peer address of another router.
+        stream_id : str
+            Attempt or hop that the bytes belong to.
+        offset : int
+            Position of the first byte in the stream.
+        data : bytes
+            The bytes.
+
+        Raises
+        ------
+        PeerUnreachableError
+            If the connection ended before there was room.
+        PeerMessageTooLargeError
+            If the chunk exceeds the message limit.
+        """
+        frame = Chunk(stream_id=stream_id, offset=offset, data=data)
+        content = encode_frame(frame)
+        limit = self._limits.max_message_bytes
+        if len(content) > limit:
+            raise PeerMessageTooLargeError(n_bytes=len(content), limit=limit)
+        outbox = self._outbox_to(address)
+        queued = QueuedFrame(name=frame_name(frame), content=content)
+        if self._is_stopping or not await outbox.put_when_room(queued):
+            raise PeerUnreachableError(address=address, reason="the connection ended")
+
+    def check_links(self) -> None:
+        """Send due heartbeats, and end silent and idle links; called regularly."""
+        now_ms = self._clock.now_ms
+        was_paused = now_ms - self._last_check_ms >= PAUSE_MS
+        self._last_check_ms = now_ms
+        for link in list(self._links):
+            if was_paused:
+                link.forgive_silence(now_ms)
+            link.check(now_ms)
+
+    def _options(self) -> dict[str, Any]:
+        return {
+            "compression": None,
+            "max_size": self._limits.max_message_bytes,
+            "max_queue": 16,
+            "open_timeout": self._limits.greeting_timeout_ms / 1000,
+            "close_timeout": CLOSE_TIMEOUT_S,
+            "ping_interval": None,
+        }
+
+    def _spawn(self, work: Any) -> None:
+        loop = self._loop or asyncio.get_running_loop()
+        task = loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.check_links()
+
+    def _outbox_to(self, address: str) -> Outbox:
+        for outbox in self._outboxes.get(address, ()):
+            if not outbox.is_closed:
+                return outbox
+        outbox = Outbox(limits=self._limits)
+        if self._is_stopping:
+            outbox.close()
+            return outbox
+        self._outboxes.setdefault(address, []).append(outbox)
+        self._spawn(self._dial(address, outbox))
+        return outbox
+
+    def _forget_outbox(self, address: str, outbox: Outbox) -> None:
+        outboxes = self._outboxes.get(address, [])
+        if outbox in outboxes:
+            outboxes.remove(outbox)
+        if not outboxes:
+            self._outboxes.pop(address, None)
+
+    async def _dial(self, address: str, outbox: Outbox) -> None:
+        try:
+            self._make_room_for_link()
+            async with asyncio.timeout(self._limits.greeting_timeout_ms / 1000):
+                connection = await connect(
+                    f"ws://{address}/",
+                    proxy=None,
+                    logger=_quiet_logger,
+                    **self._options(),
+                )
+                peer = await self._greet_dialled(connection, address)
+            await self._run_link(connection, peer, outbox)
+        except DamaskrillError as error:
+            self._log("peer_refused", error, address)
+        except (OSError, TimeoutError, WebSocketException, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            failure = PeerUnreachableError(address=address, reason=reason)
+            self._log("peer_unreachable", failure, address)
+        finally:
+            self._forget_outbox(address, outbox)
+            for frame in outbox.take_all():
+                self._report_unsent(address, frame)
+
+    async def _greet_dialled(self, connection: Any, address: str) -> Member:
+        try:
+            return await greet_as_dialler(
+                connection,
+                own=self._own,
+                fleet_key=self._fleet_key,
+                address=address,
+                counters=self._counters,
+            )
+        except BaseException as error:
+            # The other side waits for nothing more, and its close may never come.
+            connection.transport.abort()
+            raise error
+
+    async def _accept(self, connection: Any) -> None:
+        address = "an unknown address"
+        outbox = Outbox(limits=self._limits)
+        try:
+            self._make_room_for_link()
+            async with asyncio.timeout(self._limits.greeting_timeout_ms / 1000):
+                peer = await greet_as_listener(
+                    connection,
+                    own=self._own,
+                    fleet_key=self._fleet_key,
+                    counters=self._counters,
+                )
+            address = peer.address
+            self._outboxes.setdefault(address, []).append(outbox)
+            await self._run_link(connection, peer, outbox)
+        except DamaskrillError as error:
+            self._log("peer_refused", error, address)
+            reason = error.sentence[:MAX_CLOSE_REASON_CHARACTERS]
+            await connection.close(CLOSE_POLICY, reason)
+        except TimeoutError:
+            refusal = PeerRefusedError(address=address, reason="the greeting is slow")
+            self._log("peer_refused", refusal, address)
+            await connection.close(CLOSE_POLICY, "the greeting is too slow")
+        finally:
+            self._forget_outbox(address, outbox)
+            for frame in outbox.take_all():
+                self._report_unsent(address, frame)
+
+    def _make_room_for_link(self) -> None:
+        if len(self._links) < self._limits.max_links:
+            return
+        standing = [link for link in self._links if not link.outbox.is_closed]
+        idle_ms = self._limits.heartbeat_interval_ms
+        now_ms = self._clock.now_ms
+        idle = [each for each in standing if now_ms - each.last_used_ms > idle_ms]
+        if not idle:
+            reason = f"{self._limits.max_links} connections are in use"
+            raise PeerUnreachableError(address=self._own.address, reason=reason)
+        min(idle, key=lambda each: each.last_used_ms).part()
+
+    async def _run_link(self, connection: Any, peer: Member, outbox: Outbox) -> None:
+        link = PeerLink(
+            connection=connection,
+            peer=peer,
+            outbox=outbox,
+            clock=self._clock,
+            limits=self._limits,
+            counters=self._counters,
+            deliver=self._deliver,
+            refuse=lambda frame: self._report_unsent(peer.address, frame),
+        )
+        self._links[link] = None
+        self._handler.peer_connected(peer)
+        try:
+            await link.run()
+        finally:
+            del self._links[link]
+            if link.error is not None:
+                self._log("peer_lost", link.error, peer.address)
+                self._handler.peer_lost(peer)
+
+    async def _deliver(self, sender: Member, frame: Payload | Chunk) -> None:
+        try:
+            if isinstance(frame, Payload):
+                pending = self._handler.payload_received(
+                    sender, frame.payload, frame.body
+                )
+            else:
+                pending = self._handler.chunk_received(
+                    sender, frame.stream_id, frame.offset, frame.data
+                )
+            if inspect.isawaitable(pending):
+                await pending
+        except DamaskrillError as error:
+            # Belongs to this process, so that the peer's connection stays.
+            self._log("peer_message_not_handled", error, sender.address)
+
+    def _report_unsent(self, address: str, frame: QueuedFrame) -> None:
+        if frame.payload is not None:
+            self._handler.peer_unreachable(address, frame.payload)
+
+    def _log(self, event: str, error: DamaskrillError, address: str) -> None:
+        bound = logger.bind(event=event, code=error.code, peer=address)
+        bound.warning("{}", error.sentence)
--- /dev/null
+++ b/damaskrill/peers/_outbox.py
@@ -0,0 +1,113 @@
+"""Bounded queue of frames for one peer."""
+
+import asyncio
+from collections import deque
+
+from attrs import frozen
+
+from damaskrill.messages import PeerPayload
+from damaskrill.peers._limits import PeerLimits
+
+__all__ = ["Outbox", "QueuedFrame"]
+
+
+@frozen(kw_only=True)
+class QueuedFrame:
+    """An encoded frame that waits for its turn.
+
+    Parameters
+    ----------
+    name : str
+        Under which its bytes are counted.
+    content : bytes
+        The encoded frame.
+    payload : PeerPayload or None
+        The payload that it carries, to be reported if it cannot be sent.
+    incarnation : str
+        The only process that may take it; empty if any may.
+    """
+
+    name: str
+    content: bytes
+    payload: PeerPayload | None = None
+    incarnation: str = ""
+
+
+class Outbox:
+    """Frames for one peer, first in, first out, bounded in count and bytes.
+
+    Parameters
+    ----------
+    limits : PeerLimits
+        The bounds.
+    """
+
+    def __init__(self, *, limits: PeerLimits) -> None:
+        self._limits = limits
+        self._frames: deque[QueuedFrame] = deque()
+        self._n_bytes = 0
+        self._is_closed = False
+        self._filled = asyncio.Event()
+        self._drained = asyncio.Event()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing more is taken."""
+        return self._is_closed
+
+    @property
+    def n_frames(self) -> int:
+        """Frames that wait."""
+        return len(self._frames)
+
+    def has_room(self, n_bytes: int) -> bool:
+        """Whether a frame of that size may be added now."""
+        if not self._frames:
+            return True
+        if len(self._frames) >= self._limits.max_queued_messages:
+            return False
+        return self._n_bytes + n_bytes <= self._limits.max_queued_bytes
+
+    def put(self, frame: QueuedFrame) -> bool:
+        """Add a frame; return whether there was room."""
+        if self._is_closed or not self.has_room(len(frame.content)):
+            return False
+        self._frames.append(frame)
+        self._n_bytes += len(frame.content)
+        self._filled.set()
+        return True
+
+    async def put_when_room(self, frame: QueuedFrame) -> bool:
+        """Wait for room and add a frame; return False if closed meanwhile."""
+        while not self.put(frame):
+            if self._is_closed:
+                return False
+            self._drained.clear()
+            await self._drained.wait()
+        return True
+
+    async def get(self) -> QueuedFrame | None:
+        """Wait for the next frame; None once closed and empty."""
+        while not self._frames:
+            if self._is_closed:
+                return None
+            self._filled.clear()
+            await self._filled.wait()
+        frame = self._frames.popleft()
+        self._n_bytes -= len(frame.content)
+        self._drained.set()
+        return frame
+
+    def close(self) -> None:
+        """Take nothing more; what waits can still be got."""
+        self._is_closed = True
+        self._filled.set()
+        self._drained.set()
+
+    def take_all(self) -> list[QueuedFrame]:
+        """Close, and remove and return all that waits."""
+        self.close()
+        frames = list(self._frames)
+        self._frames.clear()
+        self._n_bytes = 0
+        return frames
