--- /dev/null
+++ b/damaskrill/traces/_expectations.py
@@ -0,0 +1,194 @@
+"""Outcomes that a trace states, as data classes.
+
+Notes
+-----
+A stated outcome is judged where it stands: over everything that came before its line.
+It follows from the operators' text and the product's promises; it is not copied from
+what a run gave.
+"""
+
+from typing import Any, ClassVar
+
+import cattrs
+from attrs import frozen
+
+__all__ = [
+    "EXPECTATION_TYPES",
+    "Expectation",
+    "ExpectedAnswerCount",
+    "ExpectedCause",
+    "ExpectedDispatchCount",
+    "ExpectedLoadAtMost",
+    "ExpectedNoDispatchTo",
+    "ExpectedOutcome",
+    "ExpectedSameServer",
+    "ExpectedTextVersion",
+    "expectation_from_map",
+    "expectation_to_map",
+]
+
+EXPECT_KEY = "expect"
+EXPECTATION_TYPES: dict[str, type["Expectation"]] = {}
+
+
+@frozen(kw_only=True)
+class Expectation:
+    """Base class of all stated outcomes.
+
+    Parameters
+    ----------
+    at_ms : int
+        Time at which it holds, in milliseconds.
+
+    Attributes
+    ----------
+    kind : str
+        Value of ``expect`` in the trace.
+    """
+
+    kind: ClassVar[str] = ""
+    at_ms: int
+
+    def __init_subclass__(cls, **kwargs: Any) -> None:
+        super().__init_subclass__(**kwargs)
+        # With slots, attrs builds the class a second time; the last one counts.
+        EXPECTATION_TYPES[cls.kind] = cls
+
+
+@frozen(kw_only=True)
+class ExpectedOutcome(Expectation):
+    """A request has ended in one of the named ways.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    outcome : str
+        ``completed``, ``not_run`` or ``unknown``.
+    alternatives : tuple of str
+        Further outcomes that are right as well.
+    """
+
+    kind: ClassVar[str] = "outcome"
+    request_id: str
+    outcome: str
+    alternatives: tuple[str, ...] = ()
+
+
+@frozen(kw_only=True)
+class ExpectedCause(Expectation):
+    """The chain of causes of a request's outcome holds a code."""
+
+    kind: ClassVar[str] = "cause"
+    request_id: str
+    code: str
+
+
+@frozen(kw_only=True)
+class ExpectedAnswerCount(Expectation):
+    """A caller has received exactly this many outcomes of a request."""
+
+    kind: ClassVar[str] = "answer_count"
+    request_id: str
+    exactly: int = 1
+
+
+@frozen(kw_only=True)
+class ExpectedDispatchCount(Expectation):
+    """A request or an action has been sent to backend servers this often.
+
+    Parameters
+    ----------
+    request_id, idempotency_key, permit : str
+        What is counted; one of them is given.
+    at_most, at_least : int
+        Bounds.
+    """
+
+    kind: ClassVar[str] = "dispatch_count"
+    at_most: int
+    at_least: int = 0
+    request_id: str = ""
+    idempotency_key: str = ""
+    permit: str = ""
+
+
+@frozen(kw_only=True)
+class ExpectedLoadAtMost(Expectation):
+    """A backend server has never had more attempts at once than this."""
+
+    kind: ClassVar[str] = "load_at_most"
+    backend_server: str
+    value: int
+
+
+@frozen(kw_only=True)
+class ExpectedNoDispatchTo(Expectation):
+    """Nothing has been sent to a place after a time.
+
+    Parameters
+    ----------
+    data_centre, backend_server : str
+        The place; one of them is given.
+    after_ms : int
+        Dispatches at a later time count, in milliseconds.
+    until_ms : int
+        Dispatches after this time do not count; 0 sets no end.
+    """
+
+    kind: ClassVar[str] = "no_dispatch_to"
+    after_ms: int
+    until_ms: int = 0
+    data_centre: str = ""
+    backend_server: str = ""
+
+
+@frozen(kw_only=True)
+class ExpectedSameServer(Expectation):
+    """The first dispatches of these requests went to the same backend server."""
+
+    kind: ClassVar[str] = "same_backend_server"
+    request_ids: tuple[str, ...]
+
+
+@frozen(kw_only=True)
+class ExpectedTextVersion(Expectation):
+    """A router has a text of at least this version in force."""
+
+    kind: ClassVar[str] = "text_version_at_least"
+    router: str
+    version: int
+
+
+_converter = cattrs.Converter(
+    forbid_extra_keys=True, detailed_validation=False, omit_if_default=True
+)
+
+
+def expectation_from_map(content: dict[str, Any]) -> Expectation:
+    """Convert a decoded line to a stated outcome.
+
+    Parameters
+    ----------
+    content : dict
+        The line.
+
+    Returns
+    -------
+    Expectation
+        The stated outcome.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError, Exception
+        If the kind is unknown or the fields do not fit; the reader adds the line.
+    """
+    fields = dict(content)
+    kind = fields.pop(EXPECT_KEY)
+    return _converter.structure(fields, EXPECTATION_TYPES[kind])
+
+
+def expectation_to_map(expectation: Expectation) -> dict[str, Any]:
+    """Convert a stated outcome to its line's content."""
+    fields = _converter.unstructure(expectation)
+    return {"at_ms": fields.pop("at_ms"), EXPECT_KEY: expectation.kind, **fields}
--- /dev/null
+++ b/damaskrill/traces/_recorder.py
@@ -0,0 +1,177 @@
+"""Records what a router's kernel is fed with."""
+
+from typing import Any, Protocol
+
+from damaskrill.codec import message_to_map
+from damaskrill.messages import (
+    HostListRead,
+    LoadReported,
+    Member,
+    Message,
+    PeerConnected,
+    PeerDelivered,
+    PeerLost,
+    TextRead,
+)
+from damaskrill.traces._format import (
+    TraceHeader,
+    TraceRouter,
+    dump_line,
+    header_to_map,
+)
+from damaskrill.utils import hash_to_int
+
+__all__ = ["TraceRecorder", "TraceSink", "request_id_of"]
+
+PERMILLE = 1_000
+
+
+class TraceSink(Protocol):
+    """Where a recorder writes its lines."""
+
+    def make_room(self, n_bytes: int) -> bool:
+        """Begin a new file if a line does not fit; return whether one has begun."""
+
+    def write(self, line: bytes) -> None:
+        """Write a line."""
+
+    def close(self) -> None:
+        """Write what is buffered and close the file."""
+
+
+class TraceRecorder:
+    """Writes each input of one kernel as a line of a trace.
+
+    Parameters
+    ----------
+    own : Member
+        The recording process.
+    random_state : int
+        Seed of its kernel.
+    sink : TraceSink
+        Where the lines go.
+    sample_permille : int, default=1000
+        Share of the requests that are recorded, in thousandths. All routers pick the
+        same requests, by a hash of the request's ID.
+
+    Notes
+    -----
+    Messages hold no bodies, so no body can be recorded. Inputs that belong to no
+    request are always recorded. When a new file begins, the header is written again,
+    and after it the last text, host list, connections and load reports, so that each
+    file can be replayed alone.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        random_state: int,
+        sink: TraceSink,
+        sample_permille: int = PERMILLE,
+    ) -> None:
+        self._router = own.member_id
+        self._sink = sink
+        self._sample_permille = sample_permille
+        self._standing: dict[tuple[str, str], Message] = {}
+        self._n_inputs = 0
+        router = TraceRouter(
+            name=self._router,
+            address=own.address,
+            data_centre=own.data_centre,
+            incarnation=own.incarnation,
+        )
+        header = TraceHeader(
+            seed=random_state, routers=(router,), sample_permille=sample_permille
+        )
+        self._header_line = dump_line(header_to_map(header))
+        self._sink.write(self._header_line)
+
+    @property
+    def n_inputs(self) -> int:
+        """Inputs that have been written."""
+        return self._n_inputs
+
+    def record_input(self, message: Message, at_ms: int) -> None:
+        """Write one input.
+
+        Parameters
+        ----------
+        message : Message
+            As it is handed to the kernel.
+        at_ms : int
+            Time that is handed to the kernel, in milliseconds.
+        """
+        if not self._is_sampled(message):
+            return
+        line = self._input_line(message, at_ms)
+        if self._sink.make_room(len(line)):
+            self._restate(at_ms)
+        self._sink.write(line)
+        self._keep_standing(message)
+        self._n_inputs += 1
+
+    def close(self) -> None:
+        """Write what is buffered and close the file."""
+        self._sink.close()
+
+    def _is_sampled(self, message: Message) -> bool:
+        if self._sample_permille >= PERMILLE:
+            return True
+        request_id = request_id_of(message)
+        if not request_id:
+            return True
+        return hash_to_int(request_id) % PERMILLE < self._sample_permille
+
+    def _input_line(self, message: Message, at_ms: int) -> bytes:
+        return dump_line(
+            {
+                "at_ms": at_ms,
+                "router": self._router,
+                "message": message_to_map(message),
+            }
+        )
+
+    def _keep_standing(self, message: Message) -> None:
+        match message:
+            case TextRead() | HostListRead():
+                self._standing[type(message).__name__, ""] = message
+            case PeerConnected(peer=peer):
+                self._standing["PeerConnected", peer.address] = message
+            case PeerLost(peer=peer):
+                self._standing.pop(("PeerConnected", peer.address), None)
+            case LoadReported(backend_server=backend_server):
+                self._standing["LoadReported", backend_server] = message
+
+    def _restate(self, at_ms: int) -> None:
+        self._sink.write(self._header_line)
+        for message in self._standing.values():
+            self._sink.write(self._input_line(message, at_ms))
+
+
+def request_id_of(message: Message) -> str:
+    """Return the request that a message belongs to.
+
+    Parameters
+    ----------
+    message : Message
+        Any input.
+
+    Returns
+    -------
+    str
+        The request's ID; empty if the message belongs to none.
+
+    Notes
+    -----
+    An attempt's ID is its request's ID, a point and a number.
+    """
+    content: Any = message.payload if isinstance(message, PeerDelivered) else message
+    request = getattr(content, "request", None)
+    if request is not None:
+        return request.request_id
+    request_id = getattr(content, "request_id", "")
+    if request_id:
+        return request_id
+    attempt_id = getattr(content, "attempt_id", "") or getattr(content, "hop_id", "")
+    return attempt_id.rpartition(".")[0] or attempt_id
--- /dev/null
+++ b/damaskrill/traces/_sinks.py
@@ -0,0 +1,91 @@
+"""Places that a recorder writes to: a stream, or files of bounded size."""
+
+from pathlib import Path
+from typing import BinaryIO
+
+from attrs import define, field, validators
+
+__all__ = ["RotatingFileSink", "StreamSink"]
+
+DEFAULT_MAX_BYTES = 16_000_000
+DEFAULT_N_FILES = 4
+
+
+@define(kw_only=True)
+class StreamSink:
+    """Writes to an open binary stream, such as standard output.
+
+    Parameters
+    ----------
+    stream : binary stream
+        Not closed by the sink.
+    """
+
+    stream: BinaryIO
+
+    def make_room(self, n_bytes: int) -> bool:
+        """Return False; a stream never begins anew."""
+        return False
+
+    def write(self, line: bytes) -> None:
+        """Write a line."""
+        self.stream.write(line)
+
+    def close(self) -> None:
+        """Write what is buffered."""
+        self.stream.flush()
+
+
+@define(kw_only=True)
+class RotatingFileSink:
+    """Writes to a file and puts it aside when it has grown too large.
+
+    Parameters
+    ----------
+    path : str
+        The present file; older ones have ``.1``, ``.2`` and so on appended.
+    max_bytes : int
+        Bytes of inputs at which a new file begins; what is written between
+        ``make_room`` returning True and its next call does not count.
+    n_files : int
+        Files that are kept, the present one included.
+    """
+
+    path: str
+    max_bytes: int = field(default=DEFAULT_MAX_BYTES, validator=validators.ge(1))
+    n_files: int = field(default=DEFAULT_N_FILES, validator=validators.ge(1))
+    _stream: BinaryIO | None = field(default=None, init=False)
+    _n_counted_bytes: int = field(default=0, init=False)
+
+    def make_room(self, n_bytes: int) -> bool:
+        """Begin a new file if a line does not fit; return whether one has begun."""
+        is_full = self._n_counted_bytes + n_bytes > self.max_bytes
+        if self._stream is None or not is_full or self._n_counted_bytes == 0:
+            self._n_counted_bytes += n_bytes
+            return False
+        self._rotate()
+        self._n_counted_bytes = n_bytes
+        return True
+
+    def write(self, line: bytes) -> None:
+        """Write a line."""
+        if self._stream is None:
+            self._stream = Path(self.path).open("wb")
+        self._stream.write(line)
+
+    def close(self) -> None:
+        """Write what is buffered and close the file."""
+        if self._stream is not None:
+            self._stream.close()
+
+    def _rotate(self) -> None:
+        assert self._stream is not None
+        self._stream.close()
+        for n in range(self.n_files - 1, 0, -1):
+            source = self._numbered(n - 1)
+            if source.exists():
+                source.replace(self._numbered(n))
+        self._stream = Path(self.path).open("wb")
+
+    def _numbered(self, n: int) -> Path:
+        return Path(f"{self.path}.{n}" if n else self.path)
--- a/features/support/pump.py
+++ b/features/support/pump.py
@@ -254,14 +254,16 @@
         previous = self.routers.get(member.address)
         if previous is not None:
             self.former_routers.append(previous)
-        kernel = build_kernel(own=member, random_state=self.random.getrandbits(32))
-        router = RouterProcess(member=member, kernel=kernel)
+        router = RouterProcess(member=member, kernel=self._build_kernel(member))
         self.routers[member.address] = router
         self._update_host_list()
         self.deliver(router, self.hosts.read(self.now_ms))
         self._tick(router)
         return router
 
+    def _build_kernel(self, member):
+        return build_kernel(own=member, random_state=self.random.getrandbits(32))
+
     def kill_router(self, address):
         """End a process at once; its peers see the connections reset."""
         router = self.routers[address]
