Run each action at most once, by permits bound to one process

Cause: every request was passed on to routing, so that an action sent through two routers was run twice. A permit now names the process that issued it and can only be spent there; a key is run by its owner only if its creation time is later than the owner's ownership. Outcomes are recorded, joined by duplicates, and handed over on a graceful stop.

--- a/damaskrill/actions/__init__.py
+++ b/damaskrill/actions/__init__.py
@@ -1,5 +1,15 @@
 """Actions that may not be repeated."""
 
-from damaskrill.actions._pass_through import PassThroughActions
+from damaskrill.actions._decider import ActionsDecider, record_key_of
+from damaskrill.actions._key_time import read_key_time
+from damaskrill.actions._permits import PermitMint, parse_permit
+from damaskrill.actions._records import RecordStore
 
-__all__ = ["PassThroughActions"]
+__all__ = [
+    "ActionsDecider",
+    "PermitMint",
+    "RecordStore",
+    "parse_permit",
+    "read_key_time",
+    "record_key_of",
+]
--- /dev/null
+++ b/damaskrill/actions/_decider.py
@@ -0,0 +1,607 @@
+"""Runs each action at most once, however often and wherever it is sent."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from damaskrill.actions._forwards import Forward, ForwardTable
+from damaskrill.actions._hand_over import build_hand_over
+from damaskrill.actions._key_ownership import KeyOwnership
+from damaskrill.actions._key_time import read_key_time
+from damaskrill.actions._permits import (
+    PERMIT_LIFETIME_MS,
+    Permit,
+    PermitMint,
+    parse_permit,
+)
+from damaskrill.actions._records import RecordStore, StoredAction
+from damaskrill.actions._waiters import PeerWaiter, Waiter, answer_waiter
+from damaskrill.base import BaseDecider
+from damaskrill.kernel._registry import registry
+from damaskrill.messages import (
+    ActionRecord,
+    CallerGone,
+    Cause,
+    CauseCode,
+    EventName,
+    FleetView,
+    FleetViewChanged,
+    ForwardedAnswer,
+    ForwardRequest,
+    HostListRead,
+    LoggedEvent,
+    Member,
+    Message,
+    NotRun,
+    Outcome,
+    OutcomeAsked,
+    PeerDelivered,
+    PermitIssued,
+    PermitRequested,
+    ProcessPaused,
+    RecordsHandedOver,
+    Request,
+    RequestArrived,
+    RequestEnded,
+    RouteRequest,
+    StopRequested,
+    Tick,
+    Unknown,
+)
+
+__all__ = ["ActionsDecider", "record_key_of"]
+
+MAX_HOPS = 3
+# How far clocks of callers and routers, and the routers' host lists, may differ.
+KEY_TIME_MARGIN_MS = 30_000
+# How long after its deadline an action may still report its outcome.
+OUTCOME_GRACE_MS = 5_000
+
+
+def record_key_of(request: Request) -> str:
+    """Return what two sendings of the same action have in common.
+
+    Parameters
+    ----------
+    request : Request
+        A request with a permit or an idempotency key.
+
+    Returns
+    -------
+    str
+        Key of its record; empty if the request has neither.
+    """
+    if request.permit:
+        return f"permit:{request.permit}"
+    if request.idempotency_key:
+        return "\x00".join(
+            ["key", request.service, request.team, request.idempotency_key]
+        )
+    return ""
+
+
+@registry.register("decider", "actions")
+class ActionsDecider(BaseDecider):
+    """Checks actions that may not be repeated before they are routed.
+
+    Parameters
+    ----------
+    own : Member
+        This process.
+    random_state : int
+        Seed of the secret that permits are authenticated with.
+
+    Notes
+    -----
+    Every outcome of an action is final for its permit or key, "not run" included: a
+    sending that is still under way could else run it after the caller was told that
+    it will not be run.
+    """
+
+    handles = (
+        FleetViewChanged,
+        HostListRead,
+        ProcessPaused,
+        RequestArrived,
+        OutcomeAsked,
+        PermitRequested,
+        ForwardRequest,
+        ForwardedAnswer,
+        RecordsHandedOver,
+        RequestEnded,
+        CallerGone,
+        StopRequested,
+        Tick,
+    )
+
+    def __init__(self, *, own: Member, random_state: int = 0) -> None:
+        self._own = own
+        self._view: FleetView | None = None
+        self._mint = PermitMint(member_id=own.member_id, random_state=random_state)
+        self._ownership = KeyOwnership(own=own)
+        self._records = RecordStore()
+        self._forwards = ForwardTable(name=own.member_id)
+        self._running: dict[str, StoredAction] = {}
+        self._handed_keys: dict[str, set[str]] = {}
+        self._stopping = False
+
+    @property
+    def n_records(self) -> int:
+        """How many actions are on record."""
+        return len(self._records)
+
+    def decide(self, message: Message, now_ms: int) -> Sequence[Message]:
+        """Take one message."""
+        match message:
+            case RequestArrived(request=request):
+                return self._take_request(request, now_ms)
+            case RequestEnded(request_id=request_id, outcome=outcome):
+                return self._end(request_id, outcome, now_ms)
+            case Tick():
+                return self._take_tick(now_ms)
+            case PeerDelivered():
+                return self._take_peer_message(message, now_ms)
+            case PermitRequested():
+                return self._issue_permit(message, now_ms)
+            case OutcomeAsked(request=request):
+                waiter = Waiter(
+                    request_id=request.request_id, deadline_ms=request.deadline_ms
+                )
+                return self._take_action(request, waiter, now_ms, only_outcome=True)
+            case CallerGone(request_id=request_id):
+                self._forwards.drop_caller(request_id)
+                return ()
+            case StopRequested():
+                return self._stop(now_ms)
+        return self._take_view_message(message, now_ms)
+
+    def _take_view_message(self, message: Message, now_ms: int) -> Sequence[Message]:
+        match message:
+            case FleetViewChanged(view=view):
+                self._view = view
+                for member in view.members:
+                    self._ownership.see_member(member)
+                return self._give_up_unreachable(now_ms)
+            case HostListRead(hosts=hosts):
+                self._ownership.take_host_list(hosts, now_ms)
+            case ProcessPaused():
+                self._ownership.forget_before(now_ms)
+        return ()
+
+    def _take_peer_message(
+        self, delivery: PeerDelivered, now_ms: int
+    ) -> Sequence[Message]:
+        sender = delivery.sender
+        match delivery.payload:
+            case ForwardRequest() as forwarded:
+                request = attrs.evolve(
+                    forwarded.request, deadline_ms=now_ms + forwarded.remaining_ms
+                )
+                waiter = PeerWaiter(
+                    request_id=request.request_id,
+                    deadline_ms=request.deadline_ms,
+                    address=sender.address,
+                    incarnation=sender.incarnation,
+                    hop_id=forwarded.hop_id,
+                )
+                return self._take_action(
+                    request, waiter, now_ms, only_outcome=forwarded.only_outcome
+                )
+            case ForwardedAnswer() as answer:
+                return self._take_answer(answer)
+            case RecordsHandedOver() as hand_over:
+                return self._take_hand_over(hand_over, sender, now_ms)
+        return ()
+
+    # Requests
+
+    def _take_request(self, request: Request, now_ms: int) -> Sequence[Message]:
+        if not self._may_repeat(request):
+            request = attrs.evolve(request, repeatable=False)
+        if request.repeatable or not record_key_of(request):
+            return (RouteRequest(request=request),)
+        waiter = Waiter(request_id=request.request_id, deadline_ms=request.deadline_ms)
+        return self._take_action(request, waiter, now_ms, only_outcome=False)
+
+    def _may_repeat(self, request: Request) -> bool:
+        if not request.repeatable:
+            return False
+        service = self._view and self._view.text.services.get(request.service)
+        return service.repeatable if service else True
+
+    def _take_action(
+        self, request: Request, waiter: Waiter, now_ms: int, *, only_outcome: bool
+    ) -> Sequence[Message]:
+        request = attrs.evolve(request, repeatable=False)
+        record = self._records.get(record_key_of(request))
+        if record is not None:
+            return self._join(record, waiter)
+        if not record_key_of(request):
+            cause = Cause(
+                code=CauseCode.KEY_NOT_PROVABLY_NEW,
+                subject=self._own.address,
+                detail="it has neither a permit nor an idempotency key",
+            )
+            return self._answer(request, waiter, Unknown(causes=(cause,)))
+        if request.permit:
+            return self._take_permit(request, waiter, now_ms, only_outcome)
+        return self._take_key(request, waiter, now_ms, only_outcome)
+
+    def _join(self, record: StoredAction, waiter: Waiter) -> Sequence[Message]:
+        if record.outcome is None:
+            record.waiters.append(waiter)
+            return ()
+        return (answer_waiter(waiter, record.outcome, record.request_id),)
+
+    def _take_permit(
+        self, request: Request, waiter: Waiter, now_ms: int, only_outcome: bool
+    ) -> Sequence[Message]:
+        permit = parse_permit(request.permit)
+        if permit is None:
+            return self._refuse_foreign_permit(request, waiter)
+        if (permit.address, permit.incarnation) != (
+            self._own.address,
+            self._own.incarnation,
+        ):
+            return self._forward_permit(request, permit, waiter, now_ms, only_outcome)
+        if not self._mint.is_own(permit, service=request.service, team=request.team):
+            return self._refuse_foreign_permit(request, waiter)
+        age_ms = now_ms - permit.issued_at_ms
+        if age_ms > self._records.retention_ms:
+            cause = Cause(
+                code=CauseCode.PERMIT_DEAD,
+                subject=self._own.address,
+                detail="it is older than the records of this router",
+            )
+            return self._answer(request, waiter, Unknown(causes=(cause,)))
+        if age_ms > PERMIT_LIFETIME_MS:
+            return self._kill(request, waiter, now_ms, "the permit has expired")
+        return self._spend(request, waiter, now_ms, only_outcome)
+
+    def _refuse_foreign_permit(
+        self, request: Request, waiter: Waiter
+    ) -> Sequence[Message]:
+        cause = Cause(
+            code=CauseCode.PERMIT_DEAD,
+            detail="no router has issued it for this service and team",
+        )
+        return self._answer(request, waiter, Unknown(causes=(cause,)))
+
+    def _take_key(
+        self, request: Request, waiter: Waiter, now_ms: int, only_outcome: bool
+    ) -> Sequence[Message]:
+        record_key = record_key_of(request)
+        owner = self._ownership.owner_address(record_key)
+        if not owner:
+            return self._refuse_key(request, waiter, "it has no list of routers")
+        if owner != self._own.address:
+            forward = Forward(
+                request=request,
+                waiter=waiter,
+                address=owner,
+                incarnation="",
+                only_outcome=only_outcome,
+            )
+            return self._forward(forward, now_ms)
+        reason = self._reason_key_may_be_old(request, now_ms)
+        if reason:
+            return self._refuse_key(request, waiter, reason)
+        return self._spend(request, waiter, now_ms, only_outcome)
+
+    def _reason_key_may_be_old(self, request: Request, now_ms: int) -> str:
+        key_time_ms = read_key_time(request.idempotency_key)
+        if key_time_ms is None:
+            return "the key carries no creation time; ask for a permit instead"
+        if key_time_ms > now_ms + KEY_TIME_MARGIN_MS:
+            return "the key's creation time lies in the future"
+        if now_ms - key_time_ms > self._records.retention_ms - KEY_TIME_MARGIN_MS:
+            return "the key is older than the records of this router"
+        since_ms = self._ownership.owned_since(record_key_of(request), now_ms)
+        if since_ms is None:
+            return "its list of routers is too old"
+        if self._view is None or not self._view.trusted:
+            return "its view of the fleet is not fresh"
+        if key_time_ms <= since_ms + KEY_TIME_MARGIN_MS:
+            return "the key may be older than its ownership"
+        return ""
+
+    def _refuse_key(
+        self, request: Request, waiter: Waiter, reason: str
+    ) -> Sequence[Message]:
+        cause = Cause(
+            code=CauseCode.KEY_NOT_PROVABLY_NEW,
+            subject=self._own.address,
+            detail=reason,
+        )
+        return self._answer(request, waiter, Unknown(causes=(cause,)))
+
+    def _spend(
+        self, request: Request, waiter: Waiter, now_ms: int, only_outcome: bool
+    ) -> Sequence[Message]:
+        if only_outcome:
+            detail = "its outcome was asked for before it was used"
+            return self._kill(request, waiter, now_ms, detail)
+        if self._stopping:
+            return self._kill(request, waiter, now_ms, "its router is stopping")
+        if self._records.is_full:
+            return self._kill(request, waiter, now_ms, "the record of actions is full")
+        record = StoredAction(
+            record_key=record_key_of(request),
+            request_id=request.request_id,
+            since_ms=now_ms,
+            runner=self._own.member_id,
+            waiters=[waiter],
+        )
+        self._records.add(record)
+        self._running[request.request_id] = record
+        return (RouteRequest(request=request),)
+
+    def _refuse_unrecorded(self, request: Request, waiter: Waiter) -> Sequence[Message]:
+        # Without a record a later sending of the same action might be run, so that
+        # "not run" would not stay true.
+        cause = Cause(
+            code=CauseCode.AT_LIMIT,
+            subject=f"the record of actions of router {self._own.address}",
+        )
+        return self._answer(request, waiter, Unknown(causes=(cause,)))
+
+    def _kill(
+        self, request: Request, waiter: Waiter, now_ms: int, detail: str
+    ) -> Sequence[Message]:
+        """Refuse an action that was never run, for good."""
+        if self._records.is_exhausted:
+            return self._refuse_unrecorded(request, waiter)
+        cause = Cause(
+            code=CauseCode.PERMIT_DEAD, subject=self._own.address, detail=detail
+        )
+        outcome = NotRun(causes=(cause,))
+        record = StoredAction(
+            record_key=record_key_of(request),
+            request_id=request.request_id,
+            since_ms=now_ms,
+            runner=self._own.member_id,
+            outcome=outcome,
+        )
+        self._records.add(record)
+        answer = self._answer(request, waiter, outcome)
+        return [*answer, *self._hand_over_late(record, now_ms)]
+
+    def _answer(
+        self, request: Request, waiter: Waiter, outcome: Outcome
+    ) -> Sequence[Message]:
+        return (
+            answer_waiter(waiter, outcome),
+            LoggedEvent(
+                name=EventName.REQUEST_ENDED,
+                request_id=request.request_id,
+                service=request.service,
+                team=request.team,
+                outcome=outcome.name,
+                causes=outcome.causes,
+            ),
+        )
+
+    # Outcomes
+
+    def _end(self, request_id: str, outcome: Outcome, now_ms: int) -> Sequence[Message]:
+        record = self._running.pop(request_id, None)
+        if record is None:
+            waiter = Waiter(request_id=request_id, deadline_ms=0)
+            return (answer_waiter(waiter, outcome),)
+        return self._close_record(record, outcome, now_ms)
+
+    def _close_record(
+        self, record: StoredAction, outcome: Outcome, now_ms: int
+    ) -> Sequence[Message]:
+        record.outcome = outcome
+        waiters = record.waiters
+        record.waiters = []
+        answers = [answer_waiter(each, outcome, record.request_id) for each in waiters]
+        return [*answers, *self._hand_over_late(record, now_ms)]
+
+    # Permits
+
+    def _issue_permit(self, asked: PermitRequested, now_ms: int) -> Sequence[Message]:
+        if self._stopping or self._records.is_full:
+            return (PermitIssued(request_id=asked.request_id, permit=""),)
+        permit = self._mint.issue(service=asked.service, team=asked.team, now_ms=now_ms)
+        issued = PermitIssued(
+            request_id=asked.request_id,
+            permit=permit,
+            expires_in_ms=PERMIT_LIFETIME_MS,
+        )
+        event = LoggedEvent(
+            name=EventName.PERMIT_ISSUED,
+            request_id=asked.request_id,
+            service=asked.service,
+            team=asked.team,
+        )
+        return (issued, event)
+
+    # Forwarding
+
+    def _forward_permit(
+        self,
+        request: Request,
+        permit: Permit,
+        waiter: Waiter,
+        now_ms: int,
+        only_outcome: bool,
+    ) -> Sequence[Message]:
+        forward = Forward(
+            request=request,
+            waiter=waiter,
+            address=permit.address,
+            incarnation=permit.incarnation,
+            only_outcome=only_outcome,
+        )
+        return self._forward(forward, now_ms)
+
+    def _forward(self, forward: Forward, now_ms: int) -> Sequence[Message]:
+        request = forward.request
+        if request.n_hops >= MAX_HOPS:
+            cause = Cause(code=CauseCode.HOP_LIMIT, detail=f"{MAX_HOPS} times")
+            return self._answer(request, forward.waiter, Unknown(causes=(cause,)))
+        if self._is_gone(forward.address, forward.incarnation):
+            return self._ask_heir(forward, now_ms)
+        forward.request = attrs.evolve(request, n_hops=request.n_hops + 1)
+        event = LoggedEvent(
+            name=EventName.REQUEST_FORWARDED,
+            request_id=request.request_id,
+            service=request.service,
+            team=request.team,
+            peer=forward.address,
+        )
+        return (event, self._forwards.send(forward, now_ms))
+
+    def _is_gone(self, address: str, incarnation: str) -> bool:
+        if self._view is None:
+            return True
+        for member in self._view.members:
+            if member.address == address:
+                is_other = bool(incarnation) and bool(member.incarnation)
+                return is_other and member.incarnation != incarnation
+        return True
+
+    def _ask_heir(self, forward: Forward, now_ms: int) -> Sequence[Message]:
+        """Ask the router to which a gone one would have handed its records."""
+        record_key = record_key_of(forward.request)
+        heir = self._ownership.owner_address(record_key, without=forward.address)
+        can_ask = heir not in ("", self._own.address)
+        if forward.is_last_resort or not can_ask or self._is_gone(heir, ""):
+            return self._give_up(forward, "it is gone")
+        forward.address = heir
+        forward.incarnation = ""
+        forward.only_outcome = True
+        forward.is_last_resort = True
+        return self._forward(forward, now_ms)
+
+    def _give_up(self, forward: Forward, detail: str) -> Sequence[Message]:
+        request = forward.request
+        code = CauseCode.PERMIT_DEAD if request.permit else CauseCode.PEER_LOST
+        cause = Cause(code=code, subject=forward.address, detail=detail)
+        return self._answer(request, forward.waiter, Unknown(causes=(cause,)))
+
+    def _give_up_unreachable(self, now_ms: int) -> Sequence[Message]:
+        results: list[Message] = []
+        for forward in self._forwards.take_unreachable(self._is_gone):
+            results.extend(self._ask_heir(forward, now_ms))
+        return results
+
+    def _take_answer(self, answer: ForwardedAnswer) -> Sequence[Message]:
+        forward = self._forwards.take_answer(answer)
+        if forward is None:
+            return ()
+        recorded = answer.recorded_request_id
+        request = forward.request
+        event = LoggedEvent(
+            name=EventName.REQUEST_ENDED,
+            request_id=request.request_id,
+            service=request.service,
+            team=request.team,
+            peer=forward.address,
+            outcome=answer.outcome.name,
+            causes=answer.outcome.causes,
+        )
+        return (answer_waiter(forward.waiter, answer.outcome, recorded), event)
+
+    # Time
+
+    def _take_tick(self, now_ms: int) -> Sequence[Message]:
+        self._records.forget_expired(now_ms)
+        results: list[Message] = []
+        if self._forwards:
+            for forward in self._forwards.take_expired(now_ms):
+                detail = "no answer until the deadline"
+                results.extend(self._give_up(forward, detail))
+            for forward in self._forwards.due(now_ms):
+                results.append(self._forwards.send(forward, now_ms))
+        for record in self._records.running():
+            if record.outcome is None and self._is_overdue(record, now_ms):
+                cause = Cause(code=CauseCode.REPLY_LOST, subject=record.runner)
+                unknown = Unknown(causes=(cause,))
+                results.extend(self._close_record(record, unknown, now_ms))
+        return results
+
+    def _is_overdue(self, record: StoredAction, now_ms: int) -> bool:
+        deadline_ms = max(
+            (each.deadline_ms for each in record.waiters), default=record.since_ms
+        )
+        return now_ms > deadline_ms + OUTCOME_GRACE_MS
+
+    # Graceful stop
+
+    def _stop(self, now_ms: int) -> Sequence[Message]:
+        if self._stopping:
+            return ()
+        self._stopping = True
+        complete_for_ms = self._ownership.complete_for(now_ms)
+        self._ownership.renounce(self._own, since_ms=now_ms)
+        return build_hand_over(
+            records=list(self._records),
+            ownership=self._ownership,
+            complete_for_ms=complete_for_ms,
+            now_ms=now_ms,
+        )
+
+    def _hand_over_late(self, record: StoredAction, now_ms: int) -> Sequence[Message]:
+        """Tell the new owner of an action that ended after the hand-over."""
+        if not self._stopping:
+            return ()
+        return build_hand_over(
+            records=[record],
+            ownership=self._ownership,
+            complete_for_ms=0,
+            now_ms=now_ms,
+        )
+
+    def _take_hand_over(
+        self, hand_over: RecordsHandedOver, sender: Member, now_ms: int
+    ) -> Sequence[Message]:
+        if hand_over.complete_for_ms and not self._is_replaced(sender):
+            self._note_renounced(hand_over, sender, now_ms)
+        results: list[Message] = []
+        for record in hand_over.records:
+            results.extend(self._take_record(record, sender, now_ms))
+        return results
+
+    def _is_replaced(self, process: Member) -> bool:
+        members = self._view.members if self._view else ()
+        return any(
+            each.address == process.address
+            and each.incarnation not in ("", process.incarnation)
+            for each in members
+        )
+
+    def _note_renounced(
+        self, hand_over: RecordsHandedOver, sender: Member, now_ms: int
+    ) -> None:
+        received = self._handed_keys.setdefault(sender.member_id, set())
+        received.update(each.record_key for each in hand_over.records)
+        ownership = self._ownership
+        ownership.renounce(sender, since_ms=now_ms)
+        # Only under the same list of routers did the sender send all records of the
+        # keys that this process gains.
+        same_list = ownership.listed_digest == hand_over.listed_digest
+        if same_list and len(received) == hand_over.n_records:
+            since_ms = now_ms - hand_over.complete_for_ms
+            ownership.renounce(sender, since_ms=since_ms)
+            del self._handed_keys[sender.member_id]
+
+    def _take_record(
+        self, handed: ActionRecord, sender: Member, now_ms: int
+    ) -> Sequence[Message]:
+        record = self._records.get(handed.record_key)
+        if record is None:
+            record = StoredAction(
+                record_key=handed.record_key,
+                request_id=handed.request_id,
+                since_ms=now_ms - handed.age_ms,
+                runner=sender.member_id,
+                outcome=handed.outcome,
+            )
+            self._records.add(record)
+            return ()
+        if record.runner != sender.member_id or handed.outcome is None:
+            return ()
+        return self._close_record(record, handed.outcome, now_ms)
--- /dev/null
+++ b/damaskrill/actions/_hand_over.py
@@ -0,0 +1,74 @@
+"""Hand-over of records when a router stops gracefully."""
+
+from collections.abc import Sequence
+
+from damaskrill.actions._key_ownership import KeyOwnership
+from damaskrill.actions._records import StoredAction
+from damaskrill.messages import ActionRecord, RecordsHandedOver, SendToPeer
+
+__all__ = ["build_hand_over"]
+
+MAX_RECORDS_PER_MESSAGE = 64
+
+
+def build_hand_over(
+    *,
+    records: Sequence[StoredAction],
+    ownership: KeyOwnership,
+    complete_for_ms: int,
+    now_ms: int,
+) -> list[SendToPeer]:
+    """Return the messages that hand records to their new owners.
+
+    Parameters
+    ----------
+    records : sequence of StoredAction
+        What is to be handed over.
+    ownership : KeyOwnership
+        Ownership of keys without this process.
+    complete_for_ms : int
+        How far back these are all records of this process's keys, in milliseconds;
+        0 if others were or will be handed over.
+    now_ms : int
+        Present time in milliseconds.
+
+    Returns
+    -------
+    list of SendToPeer
+        To every listed router if the hand-over is complete; else to the new owners
+        alone.
+    """
+    by_owner: dict[str, list[ActionRecord]] = {}
+    if complete_for_ms:
+        by_owner = {address: [] for address in ownership.listed}
+    for record in records:
+        owner = ownership.owner_address(record.record_key)
+        if owner:
+            by_owner.setdefault(owner, []).append(_to_message(record, now_ms))
+    messages: list[SendToPeer] = []
+    for address, owned in by_owner.items():
+        pieces = _split(owned)
+        for piece in pieces:
+            payload = RecordsHandedOver(
+                records=piece,
+                complete_for_ms=complete_for_ms,
+                n_records=len(owned),
+                listed_digest=ownership.listed_digest,
+            )
+            messages.append(SendToPeer(address=address, payload=payload))
+    return messages
+
+
+def _to_message(record: StoredAction, now_ms: int) -> ActionRecord:
+    return ActionRecord(
+        record_key=record.record_key,
+        request_id=record.request_id,
+        age_ms=now_ms - record.since_ms,
+        outcome=record.outcome,
+    )
+
+
+def _split(records: list[ActionRecord]) -> list[tuple[ActionRecord, ...]]:
+    size = MAX_RECORDS_PER_MESSAGE
+    pieces = [tuple(records[n : n + size]) for n in range(0, len(records), size)]
+    return pieces or [()]
--- /dev/null
+++ b/damaskrill/actions/_permits.py
@@ -0,0 +1,104 @@
+"""Permits that only the process that issued them can spend."""
+
+import hashlib
+
+from attrs import frozen
+
+__all__ = ["Permit", "PermitMint", "parse_permit"]
+
+SEPARATOR = "!"
+TAIL_LENGTH = 24
+PERMIT_LIFETIME_MS = 600_000
+
+
+@frozen(kw_only=True)
+class Permit:
+    """Parts of a permit.
+
+    Parameters
+    ----------
+    text : str
+        The permit as callers send it.
+    address, incarnation : str
+        Process that issued it.
+    issued_at_ms : int
+        When, in milliseconds on that process's clock.
+    serial : int
+        Number within that process.
+    tail : str
+        Authentication code, known to that process alone.
+    """
+
+    text: str
+    address: str
+    incarnation: str
+    issued_at_ms: int
+    serial: int
+    tail: str
+
+
+def parse_permit(text: str) -> Permit | None:
+    """Split a permit into its parts.
+
+    Parameters
+    ----------
+    text : str
+        As a caller sent it.
+
+    Returns
+    -------
+    Permit or None
+        None if it does not have the form of a permit.
+    """
+    parts = text.split(SEPARATOR)
+    if len(parts) != 4 or "/" not in parts[0]:
+        return None
+    address, _, incarnation = parts[0].partition("/")
+    if not (parts[1].isdecimal() and parts[2].isdecimal()):
+        return None
+    return Permit(
+        text=text,
+        address=address,
+        incarnation=incarnation,
+        issued_at_ms=int(parts[1]),
+        serial=int(parts[2]),
+        tail=parts[3],
+    )
+
+
+class PermitMint:
+    """Issues permits and recognises its own.
+
+    Parameters
+    ----------
+    member_id : str
+        Address and incarnation of this process.
+    random_state : int
+        Seed of the secret; the process takes it from the system's generator.
+
+    Notes
+    -----
+    An issued permit takes no memory until it is spent: its authentication code is
+    computed from its other parts.
+    """
+
+    def __init__(self, *, member_id: str, random_state: int) -> None:
+        self._member_id = member_id
+        seed = f"permits:{member_id}:{random_state}"
+        self._secret = hashlib.blake2b(seed.encode(), digest_size=32).digest()
+        self._n_issued = 0
+
+    def issue(self, *, service: str, team: str, now_ms: int) -> str:
+        """Return a new permit for one action of a service and a team."""
+        self._n_issued += 1
+        head = SEPARATOR.join([self._member_id, str(now_ms), str(self._n_issued)])
+        return head + SEPARATOR + self._tail(head, service, team)
+
+    def is_own(self, permit: Permit, *, service: str, team: str) -> bool:
+        """Whether this process issued the permit for that service and team."""
+        head, _, tail = permit.text.rpartition(SEPARATOR)
+        return tail == self._tail(head, service, team)
+
+    def _tail(self, head: str, service: str, team: str) -> str:
+        content = "\x00".join([head, service, team]).encode()
+        return hashlib.blake2b(content, key=self._secret).hexdigest()[:TAIL_LENGTH]
--- a/damaskrill/messages/__init__.py
+++ b/damaskrill/messages/__init__.py
@@ -1,11 +1,13 @@
 """Typed messages of the kernel; all are immutable ``attrs`` classes."""
 
 from damaskrill.messages._actions import (
+    ActionRecord,
     ForwardedAnswer,
     ForwardRequest,
     OutcomeAsked,
     PermitIssued,
     PermitRequested,
+    RecordsHandedOver,
     RequestEnded,
 )
 from damaskrill.messages._attempts import (
@@ -90,6 +92,7 @@
 )
 
 __all__ = [
+    "ActionRecord",
     "AnswerCaller",
     "AnswerHead",
     "AttemptEnded",
@@ -142,6 +145,7 @@
     "ReadHostList",
     "ReadLoad",
     "ReadText",
+    "RecordsHandedOver",
     "Request",
     "RequestArrived",
     "RequestEnded",
--- a/damaskrill/messages/_actions.py
+++ b/damaskrill/messages/_actions.py
@@ -7,11 +7,13 @@
 from damaskrill.messages._requests import Request
 
 __all__ = [
+    "ActionRecord",
     "ForwardRequest",
     "ForwardedAnswer",
     "OutcomeAsked",
     "PermitIssued",
     "PermitRequested",
+    "RecordsHandedOver",
     "RequestEnded",
 ]
 
@@ -79,7 +81,64 @@
 
 @frozen(kw_only=True)
 class ForwardedAnswer(PeerPayload):
-    """Outcome of a forwarded request; its answer's bytes went ahead of it."""
+    """Outcome of a forwarded request; its answer's bytes went ahead of it.
+
+    Parameters
+    ----------
+    hop_id : str
+        Correlation ID of the hop that it answers.
+    outcome : Outcome
+        How the request ended.
+    recorded_request_id : str
+        If not empty, the bytes are those that the sender kept of that earlier
+        request.
+    """
 
     hop_id: str
     outcome: Outcome
+    recorded_request_id: str = ""
+
+
+@frozen(kw_only=True)
+class ActionRecord:
+    """What one process knows of one action.
+
+    Parameters
+    ----------
+    record_key : str
+        The permit, or service, team and idempotency key.
+    request_id : str
+        Request that spent the permit or the key.
+    age_ms : int
+        Time since then, in milliseconds.
+    outcome : Outcome or None
+        How it ended; None while it is running.
+    """
+
+    record_key: str
+    request_id: str
+    age_ms: int
+    outcome: Outcome | None = None
+
+
+@frozen(kw_only=True)
+class RecordsHandedOver(PeerPayload):
+    """A stopping router renounces all keys and hands its records to a new owner.
+
+    Parameters
+    ----------
+    records : tuple of ActionRecord
+        Records whose new owner the receiver is.
+    complete_for_ms : int
+        How far back the sender's records of its keys are complete, in milliseconds;
+        0 if they are not to be completed by this hand-over.
+    n_records : int
+        Records that the receiver gets altogether, in this and other messages.
+    listed_digest : int
+        Hash of the routers that the sender takes for listed, itself left out.
+    """
+
+    records: tuple[ActionRecord, ...] = ()
+    complete_for_ms: int = 0
+    n_records: int = 0
+    listed_digest: int = 0
--- /dev/null
+++ b/features/steps/actions_steps.py
@@ -0,0 +1,216 @@
+"""Steps on actions that may not be repeated."""
+
+from behave import given, then, when
+
+from damaskrill.actions import RecordStore, read_key_time
+from features.support.actions import (
+    ask_permit,
+    build_timed_key,
+    key_owner_number,
+    n_runs,
+    router_at,
+    send_action,
+    start_fleet,
+)
+
+
+def actions_decider(pump, n):
+    deciders = router_at(pump, n).kernel.deciders
+    return next(each for each in deciders if type(each).__name__ == "ActionsDecider")
+
+
+def send(context, n, **fields):
+    identity = {context.identity_field: context.identity}
+    sent = send_action(context.pump, n, **identity, **fields)
+    context.sent.append(sent)
+
+
+def outcomes(context):
+    return [[each.name for each in sent.outcomes] for sent in context.sent]
+
+
+def start(context, seed):
+    context.pump = start_fleet(seed)
+    context.sent = []
+
+
+@given("five routers that know each other, seed {seed:d}")
+def step_five_routers(context, seed):
+    start(context, seed)
+
+
+@given("a permit of router {n:d}")
+def step_permit(context, n):
+    context.identity_field = "permit"
+    context.identity = ask_permit(context.pump, n)
+
+
+@given("a permit that no router has issued")
+def step_forged_permit(context):
+    context.identity_field = "permit"
+    context.identity = ask_permit(context.pump, 1)[:-4] + "0000"
+
+
+@given("a new idempotency key with its creation time")
+def step_timed_key(context):
+    context.identity_field = "idempotency_key"
+    context.identity = build_timed_key(context.pump.now_ms, len(context.sent))
+    context.owner = key_owner_number(context.pump, context.identity)
+
+
+@given("an idempotency key without a time")
+def step_plain_key(context):
+    context.identity_field = "idempotency_key"
+    context.identity = "registration-7"
+
+
+@given("a record of actions with room for none on router {n:d}")
+def step_no_room(context, n):
+    actions_decider(context.pump, n)._records = RecordStore(max_records=1)
+
+
+@when("the action is sent to router {n:d}")
+def step_send_action(context, n):
+    send(context, n)
+
+
+@when("the action is sent to another router than the key's owner")
+def step_send_to_other(context):
+    send(context, context.owner % 5 + 1)
+
+
+@when("the action is sent to the two routers after the key's owner")
+def step_send_after_owner(context):
+    for n in (1, 2):
+        send(context, (context.owner - 1 + n) % 5 + 1)
+
+
+@when("the action has been passed on 3 times and reaches router {n:d}")
+def step_send_with_hops(context, n):
+    send(context, n, n_hops=3)
+
+
+@when("the outcome of the action is asked of router {n:d}")
+def step_ask_outcome(context, n):
+    send(context, n, only_outcome=True)
+
+
+@when("{duration_ms:d} ms of the actions' fleet pass")
+def step_time_passes(context, duration_ms):
+    context.pump.run_until(context.pump.now_ms + duration_ms)
+
+
+@when("router {n:d} is killed")
+def step_kill(context, n):
+    context.pump.kill_router(router_at(context.pump, n).member.address)
+
+
+@when("the key's owner is killed")
+def step_kill_owner(context):
+    context.pump.kill_router(router_at(context.pump, context.owner).member.address)
+
+
+@when("router {n:d} is stopped gracefully")
+def step_stop(context, n):
+    context.pump.stop_router(router_at(context.pump, n).member.address)
+
+
+@when("the key's owner is stopped gracefully")
+def step_stop_owner(context):
+    context.pump.stop_router(router_at(context.pump, context.owner).member.address)
+
+
+@when("router {n:d} is paused for {duration_ms:d} ms")
+def step_pause(context, n, duration_ms):
+    context.pump.pause_router(router_at(context.pump, n).member.address, duration_ms)
+
+
+@when("router {n:d} is cut off from the others")
+def step_cut(context, n):
+    context.pump.cut_apart([router_at(context.pump, n).member.address])
+
+
+@when("the cut is healed")
+def step_heal(context):
+    context.pump.heal()
+
+
+@then('the outcomes of all sendings are "{names}"')
+def step_outcomes_are(context, names):
+    expected = [[each.strip()] for each in names.split(",")]
+    details = [each.outcomes for each in context.sent]
+    assert outcomes(context) == expected, (outcomes(context), details)
+
+
+@then('the last outcome is "{name}", said because "{words}"')
+def step_last_outcome(context, name, words):
+    (outcome,) = context.sent[-1].outcomes
+    assert outcome.name == name, outcome
+    assert words in outcome.sentence, outcome.sentence
+
+
+@then("each sending has one outcome")
+def step_one_outcome(context):
+    assert all(len(each) == 1 for each in outcomes(context)), outcomes(context)
+
+
+@then("the action was run {n:d} times")
+def step_run_times(context, n):
+    assert n_runs(context.pump, context.identity) == n, outcomes(context)
+
+
+@then("the action was run at most once")
+def step_at_most_once(context):
+    assert n_runs(context.pump, context.identity) <= 1, outcomes(context)
+
+
+@then('the creation time in "{key}" is {at_ms:d} ms')
+def step_key_time(context, key, at_ms):
+    assert read_key_time(key) == at_ms, read_key_time(key)
+
+
+@then('there is no creation time in "{key}"')
+def step_no_key_time(context, key):
+    assert read_key_time(key) is None
+
+
+def run_seeded_story(seed, story):
+    """Run a story with 40 actions, one of them each 150 ms; count the runs."""
+    pump = start_fleet(seed)
+    identities = []
+    for n in range(40):
+        numbers = [each for each in range(1, 6) if router_at(pump, each).alive]
+        asked = numbers[pump.random.randrange(len(numbers))]
+        fields = {"idempotency_key": build_timed_key(pump.now_ms, n)}
+        if n % 2 and pump.now_ms >= router_at(pump, asked).paused_until_ms:
+            permit = ask_permit(pump, asked)
+            if permit:
+                fields = {"permit": permit}
+        identities.extend(fields.values())
+        for _ in range(pump.random.randint(1, 3)):
+            send_action(pump, pump.random.choice(numbers), **fields)
+        if n == 10:
+            story(pump)
+        pump.run_until(pump.now_ms + pump.random.randint(1, 300))
+    pump.run_until(pump.now_ms + 30_000)
+    return pump, identities
+
+
+STORIES = {
+    "a kill": lambda pump: pump.kill_router("10.0.0.2:7000"),
+    "a graceful stop": lambda pump: pump.stop_router("10.0.0.2:7000"),
+    "a pause": lambda pump: pump.pause_router("10.0.0.2:7000", 12_000),
+    "a cut": lambda pump: pump.cut_apart(["10.0.0.2:7000", "10.0.0.3:7000"]),
+}
+
+
+@then("over {n_seeds:d} seeds of {story} no action is run twice")
+def step_seeded_story(context, n_seeds, story):
+    for seed in range(n_seeds):
+        pump, identities = run_seeded_story(seed, STORIES[story])
+        repeated = [each for each in identities if n_runs(pump, each) > 1]
+        assert not repeated, (seed, repeated)
+        n_run = sum(n_runs(pump, each) for each in identities)
+        assert n_run >= len(identities) // 2, (seed, n_run)
+        doubled = [each for each in pump.requests.values() if len(each.outcomes) > 1]
+        assert not doubled, (seed, doubled)
