Add the explanation of one request from the logs of several routers

Lines of the request are found by its ID, also on its attempts; events of the fleet that concern the routers, servers, data centres and text versions it met are told with it. Damaged lines are counted and named.

--- a/damaskrill/exceptions.py
+++ b/damaskrill/exceptions.py
@@ -20,8 +20,10 @@
     "PeerRefusedError",
     "PeerSilentError",
     "PeerUnreachableError",
+    "RequestNotLoggedError",
     "UndecodableMessageError",
     "UnknownPluginError",
+    "UnreadableLogError",
 ]
 
 ERROR_TYPES: dict[str, type["DamaskrillError"]] = {}
@@ -140,3 +142,17 @@
 
     code = "peer_unreachable"
     template = "the router at {address} cannot be reached: {reason}"
+
+
+class UnreadableLogError(DamaskrillError):
+    """A log file cannot be opened or read."""
+
+    code = "log_unreadable"
+    template = "the log file {path} cannot be read: {reason}"
+
+
+class RequestNotLoggedError(DamaskrillError):
+    """No line of the given logs belongs to the request."""
+
+    code = "request_not_logged"
+    template = "no line of the given logs belongs to request {request_id!r}"
--- /dev/null
+++ b/damaskrill/explain/_chain.py
@@ -0,0 +1,138 @@
+"""Collects the log lines that belong to one request and those that bear on it."""
+
+from collections.abc import Sequence
+
+from attrs import field, frozen
+
+from damaskrill.exceptions import RequestNotLoggedError
+from damaskrill.logs import DamagedLines, LogLine, LogReader
+
+__all__ = ["RequestChain", "collect_chain"]
+
+# Events of the fleet this long before a request may still bear on it.
+BACKGROUND_MS = 600_000
+MAX_BACKGROUND_LINES = 40
+BACKGROUND_EVENTS = frozenset(
+    (
+        "server_cold",
+        "server_leaving",
+        "circuit_opened",
+        "circuit_closed",
+        "data_centre_out",
+        "data_centre_back",
+        "process_paused",
+        "partition_suspected",
+        "peer_lost",
+        "text_refused",
+    )
+)
+
+
+@frozen(kw_only=True)
+class RequestChain:
+    """All that the logs say on one request.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    lines : tuple of LogLine
+        Lines of the request, by time.
+    background : tuple of LogLine
+        Events of the fleet that concern routers, backend servers, data centres or
+        text versions that the request met, by time.
+    damaged : DamagedLines
+        Lines that could not be read.
+    """
+
+    request_id: str
+    lines: tuple[LogLine, ...]
+    background: tuple[LogLine, ...] = ()
+    damaged: DamagedLines = field(factory=DamagedLines)
+
+
+def collect_chain(request_id: str, paths: Sequence[str]) -> RequestChain:
+    """Read logs for one request.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    paths : sequence of str
+        Log files of one or several routers.
+
+    Returns
+    -------
+    RequestChain
+        Its lines and their background.
+
+    Raises
+    ------
+    RequestNotLoggedError
+        If no line belongs to the request.
+    UnreadableLogError
+        If a file cannot be read.
+    """
+    reader = LogReader(paths=paths, containing=request_id.encode())
+    lines = [line for line in reader if _belongs_to(line, request_id)]
+    if not request_id or not lines:
+        raise RequestNotLoggedError(request_id=request_id)
+    lines.sort(key=lambda line: line.at_ms)
+    whole_reader = LogReader(paths=paths)
+    background = _collect_background(lines, whole_reader)
+    return RequestChain(
+        request_id=request_id,
+        lines=tuple(lines),
+        background=background,
+        damaged=whole_reader.damaged,
+    )
+
+
+def _belongs_to(line: LogLine, request_id: str) -> bool:
+    if line.request_id:
+        return line.request_id == request_id
+    return line.attempt_id.rpartition(".")[0] == request_id
+
+
+def _collect_background(
+    lines: Sequence[LogLine], reader: LogReader
+) -> tuple[LogLine, ...]:
+    first_ms, last_ms = lines[0].at_ms, lines[-1].at_ms
+    routers = {line.router for line in lines}
+    servers = {line.backend_server for line in lines if line.backend_server}
+    subjects = {cause.subject for line in lines for cause in line.causes}
+    versions = {cause.text_version for line in lines for cause in line.causes}
+    subjects.discard("")
+    versions.discard(0)
+    found: list[LogLine] = []
+    seen: set[tuple[str, str, int]] = set()
+    for line in reader:
+        if line.event not in BACKGROUND_EVENTS or line.request_id:
+            continue
+        if not _concerns(line, routers, servers, subjects, versions):
+            continue
+        is_near = first_ms - BACKGROUND_MS <= line.at_ms <= last_ms
+        is_cause = line.text_version in versions and bool(line.data_centre)
+        if not is_near and not is_cause:
+            continue
+        key = (line.event, line.backend_server or line.data_centre, line.text_version)
+        # Every router logs a change of the text; one line of them is enough.
+        if line.data_centre and key in seen:
+            continue
+        seen.add(key)
+        found.append(line)
+    return tuple(found[-MAX_BACKGROUND_LINES:])
+
+
+def _concerns(
+    line: LogLine,
+    routers: set[str],
+    servers: set[str],
+    subjects: set[str],
+    versions: set[int],
+) -> bool:
+    if line.backend_server:
+        return line.backend_server in servers or line.backend_server in subjects
+    if line.data_centre:
+        return line.data_centre in subjects or line.text_version in versions
+    return line.router in routers
--- /dev/null
+++ b/damaskrill/explain/_command.py
@@ -0,0 +1,54 @@
+"""The command ``damaskrill explain``."""
+
+import sys
+from collections.abc import Sequence
+from typing import TextIO
+
+from damaskrill.exceptions import RequestNotLoggedError, UnreadableLogError
+from damaskrill.explain._chain import collect_chain
+from damaskrill.explain._sentences import tell_chain
+
+__all__ = ["explain_request"]
+
+EXIT_TOLD = 0
+EXIT_NOT_LOGGED = 1
+EXIT_UNREADABLE = 2
+
+
+def explain_request(
+    request_id: str,
+    paths: Sequence[str],
+    *,
+    output: TextIO | None = None,
+    errors: TextIO | None = None,
+) -> int:
+    """Print the chain of causes of one request.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    paths : sequence of str
+        Log files of one or several routers.
+    output, errors : text stream, optional
+        Standard output and standard error by default.
+
+    Returns
+    -------
+    int
+        0 if it was told, 1 if the logs do not hold the request, 2 if a file cannot
+        be read.
+    """
+    output = output if output is not None else sys.stdout
+    errors = errors if errors is not None else sys.stderr
+    try:
+        chain = collect_chain(request_id, paths)
+    except RequestNotLoggedError as error:
+        print(error, file=errors)
+        return EXIT_NOT_LOGGED
+    except UnreadableLogError as error:
+        print(error, file=errors)
+        return EXIT_UNREADABLE
+    for line in tell_chain(chain):
+        print(line, file=output)
+    return EXIT_TOLD
--- /dev/null
+++ b/damaskrill/explain/_sentences.py
@@ -0,0 +1,245 @@
+"""Turns log lines into sentences for readers without a technical background."""
+
+from collections.abc import Sequence
+from datetime import UTC, datetime
+
+from damaskrill.explain._chain import RequestChain
+from damaskrill.logs import LoggedCause, LogLine
+
+__all__ = ["tell_chain"]
+
+MS_PER_S = 1_000
+OUTCOME_MEANINGS = {
+    "completed": "the whole answer was received",
+    "not_run": (
+        "refused; no backend server has run the request, so it may be sent again"
+    ),
+    "unknown": (
+        "it cannot be known whether a backend server has run the request; ask for its "
+        "recorded outcome before anything is sent again"
+    ),
+}
+
+
+def tell_chain(chain: RequestChain) -> list[str]:
+    """Tell what happened to a request, a sentence a line.
+
+    Parameters
+    ----------
+    chain : RequestChain
+        Its log lines.
+
+    Returns
+    -------
+    list of str
+        Lines of text without line feeds.
+    """
+    start_ms = chain.lines[0].at_ms
+    lines = [
+        f"Request {chain.request_id}, {_format_date(start_ms)} (UTC)",
+        "",
+        *_tell_events(chain),
+        "",
+        _tell_end(chain),
+        *_tell_causes(chain),
+    ]
+    if chain.damaged.sentence:
+        lines += ["", f"Note: {chain.damaged.sentence}."]
+    return lines
+
+
+def _tell_events(chain: RequestChain) -> list[str]:
+    first_ms = chain.lines[0].at_ms
+    before = [each for each in chain.background if each.at_ms < first_ms]
+    during = [each for each in chain.background if each.at_ms >= first_ms]
+    lines = [f"  {_format_time(each)}  (before) {_tell(each)}" for each in before]
+    merged = sorted([*chain.lines, *during], key=lambda line: line.at_ms)
+    previous = ""
+    for each in merged:
+        sentence = f"  {_format_time(each)}  {_tell(each)}"
+        if sentence != previous:
+            lines.append(sentence)
+        previous = sentence
+    return lines
+
+
+def _tell(line: LogLine) -> str:
+    """Return one event as a sentence."""
+    return _tell_request_event(line) or _tell_fleet_event(line) or _tell_other(line)
+
+
+def _tell_request_event(line: LogLine) -> str:
+    server = line.backend_server or "the backend server"
+    match line.event:
+        case "request_arrived":
+            team = f" from team '{line.team}'" if line.team else ""
+            return (
+                f"Router {line.router} took the request{team} "
+                f"for service '{line.service}'.{_and_detail(line)}"
+            )
+        case "request_forwarded":
+            return (
+                f"Router {line.router} passed the request on to router {line.peer}"
+                f"{_because(line)}.{_and_detail(line)}"
+            )
+        case "attempt_offered":
+            owner = f", whose owner is router {line.peer}" if line.peer else ""
+            return (
+                f"Router {line.router} chose {server}{owner}"
+                f"{_try_number(line)}{_because(line)}.{_and_detail(line)}"
+            )
+        case "attempt_queued":
+            return (
+                f"Router {line.router} let it wait in the queue of {server}"
+                f"{_with_load(line)}{_because(line)}.{_and_detail(line)}"
+            )
+        case "attempt_dispatched":
+            return (
+                f"Router {line.router}, the owner of {server}, sent it there"
+                f"{_after_wait(line)}{_with_load(line)}.{_and_detail(line)}"
+            )
+        case "attempt_refused":
+            return (
+                f"Router {line.router} did not send it to {server}"
+                f"{_with_load(line)}{_because(line)}.{_and_detail(line)}"
+            )
+        case "attempt_failed":
+            return f"The try at {server} failed{_because(line)}.{_and_detail(line)}"
+        case "attempt_retried":
+            return (
+                f"Router {line.router} tried again{_try_number(line)}"
+                f"{_because(line)}.{_and_detail(line)}"
+            )
+        case "first_token":
+            after = f", {_format_s(line.latency_ms)} later" if line.latency_ms else ""
+            return f"The first part of the answer came{after}."
+        case "late_answer_dropped":
+            return (
+                "An answer to a try that had been given up came late and was "
+                f"dropped.{_and_detail(line)}"
+            )
+        case "request_ended":
+            after = f" after {_format_s(line.latency_ms)}" if line.latency_ms else ""
+            return f"The request ended{after}: {line.outcome.replace('_', ' ')}."
+    return ""
+
+
+def _tell_fleet_event(line: LogLine) -> str:
+    server = line.backend_server or "a backend server"
+    place = line.data_centre
+    match line.event:
+        case "server_cold":
+            return (
+                f"{server} had just started and could bear only part of its load"
+                f"{_with_load(line)}."
+            )
+        case "server_leaving":
+            return f"{server} was leaving and received no new work."
+        case "circuit_opened":
+            return f"{server} had failed repeatedly and was rested."
+        case "circuit_closed":
+            return f"{server} received work again after its rest."
+        case "data_centre_out":
+            return (
+                f"Operators took data centre '{place}' out of service with text "
+                f"version {line.text_version}."
+            )
+        case "data_centre_back":
+            return (
+                f"Operators brought data centre '{place}' back with text version "
+                f"{line.text_version}."
+            )
+        case "process_paused":
+            return f"Router {line.router} did not run for a while.{_and_detail(line)}"
+        case "partition_suspected":
+            return f"Router {line.router} reached only part of the fleet."
+        case "peer_lost":
+            return f"Router {line.router} lost its connection to router {line.peer}."
+        case "text_refused":
+            return (
+                f"Router {line.router} refused text version {line.text_version} as "
+                "not valid and kept the one before."
+            )
+    return ""
+
+
+def _tell_other(line: LogLine) -> str:
+    name = line.event.replace("_", " ")
+    return f"Router {line.router}: {name}{_because(line)}.{_and_detail(line)}"
+
+
+def _tell_end(chain: RequestChain) -> str:
+    ended = [each for each in chain.lines if each.event == "request_ended"]
+    if not ended:
+        return (
+            "Outcome: the given logs do not hold its end. It may still be running, or "
+            "the log of the router that took it is missing."
+        )
+    last = ended[-1]
+    meaning = OUTCOME_MEANINGS.get(last.outcome, "")
+    took = _format_s(last.at_ms - chain.lines[0].at_ms)
+    tries = f", {last.n_attempts} tries" if last.n_attempts > 1 else ""
+    return (
+        f"Outcome: {last.outcome.replace('_', ' ')}, after {took}{tries}. "
+        f"This means: {meaning or 'not known to this release'}."
+    )
+
+
+def _tell_causes(chain: RequestChain) -> list[str]:
+    ended = [each for each in chain.lines if each.event == "request_ended"]
+    causes = ended[-1].causes if ended else ()
+    if not causes:
+        return []
+    lines = ["Why, from the nearest cause to the root:"]
+    lines += [
+        f"  {number}. {_sentence_of(cause)}"
+        for number, cause in enumerate(causes, start=1)
+    ]
+    return lines
+
+
+def _sentence_of(cause: LoggedCause) -> str:
+    sentence = cause.sentence or cause.code.replace("_", " ")
+    return f"{sentence[0].upper()}{sentence[1:]}."
+
+
+def _because(line: LogLine) -> str:
+    sentences = [cause.sentence or cause.code for cause in line.causes]
+    return _join_causes(sentences)
+
+
+def _join_causes(sentences: Sequence[str]) -> str:
+    return f", because {', because '.join(sentences)}" if sentences else ""
+
+
+def _and_detail(line: LogLine) -> str:
+    return f" ({line.detail})" if line.detail else ""
+
+
+def _try_number(line: LogLine) -> str:
+    return f" (try {line.n_attempts})" if line.n_attempts > 0 else ""
+
+
+def _with_load(line: LogLine) -> str:
+    if line.load_bound:
+        return f" ({line.load} of at most {line.load_bound} requests at once)"
+    return ""
+
+
+def _after_wait(line: LogLine) -> str:
+    return f" after {_format_s(line.wait_ms)} in its queue" if line.wait_ms else ""
+
+
+def _format_s(duration_ms: int) -> str:
+    if duration_ms < MS_PER_S:
+        return f"{duration_ms} ms"
+    return f"{duration_ms / MS_PER_S:.1f} s"
+
+
+def _format_date(at_ms: int) -> str:
+    return datetime.fromtimestamp(at_ms / MS_PER_S, tz=UTC).strftime("%Y-%m-%d")
+
+
+def _format_time(line: LogLine) -> str:
+    moment = datetime.fromtimestamp(line.at_ms / MS_PER_S, tz=UTC)
+    return moment.strftime("%H:%M:%S.") + f"{line.at_ms % MS_PER_S:03d}"
--- /dev/null
+++ b/damaskrill/logs/_line.py
@@ -0,0 +1,135 @@
+"""One log line as a data class."""
+
+from typing import Any
+
+from attrs import frozen
+
+__all__ = ["LogLine", "LoggedCause", "line_from_map"]
+
+MAX_AT_MS = 253_402_300_799_000
+
+
+@frozen(kw_only=True)
+class LoggedCause:
+    """One link in a chain of causes, as it was logged.
+
+    Parameters
+    ----------
+    code, sentence, subject : str
+        As in ``Cause``.
+    text_version : int
+        Version of the operators' text that brought it about; 0 if none.
+    """
+
+    code: str
+    sentence: str = ""
+    subject: str = ""
+    text_version: int = 0
+
+
+@frozen(kw_only=True)
+class LogLine:
+    """One line of a router's log; the fields are those of ``LoggedEvent``."""
+
+    event: str
+    at_ms: int
+    router: str = ""
+    request_id: str = ""
+    attempt_id: str = ""
+    service: str = ""
+    team: str = ""
+    backend_server: str = ""
+    data_centre: str = ""
+    peer: str = ""
+    outcome: str = ""
+    causes: tuple[LoggedCause, ...] = ()
+    load: int = 0
+    load_bound: int = 0
+    wait_ms: int = 0
+    latency_ms: int = 0
+    between_tokens_ms: int = 0
+    n_bytes: int = 0
+    n_attempts: int = 0
+    text_version: int = 0
+    detail: str = ""
+
+
+TEXT_FIELDS = (
+    "router",
+    "request_id",
+    "attempt_id",
+    "service",
+    "team",
+    "backend_server",
+    "data_centre",
+    "peer",
+    "outcome",
+    "detail",
+)
+NUMBER_FIELDS = (
+    "load",
+    "load_bound",
+    "wait_ms",
+    "latency_ms",
+    "between_tokens_ms",
+    "n_bytes",
+    "n_attempts",
+    "text_version",
+)
+
+
+def line_from_map(content: Any) -> LogLine | None:
+    """Convert a decoded line.
+
+    Parameters
+    ----------
+    content : object
+        What the line's JSON stands for.
+
+    Returns
+    -------
+    LogLine or None
+        The line; None if it is damaged. Fields that are not known are left out.
+    """
+    if not isinstance(content, dict):
+        return None
+    event, at_ms = content.get("event"), content.get("at_ms")
+    if not isinstance(event, str) or type(at_ms) is not int:
+        return None
+    if not 0 <= at_ms <= MAX_AT_MS:
+        return None
+    fields: dict[str, Any] = {}
+    for name in TEXT_FIELDS:
+        if name in content:
+            if not isinstance(content[name], str):
+                return None
+            fields[name] = content[name]
+    for name in NUMBER_FIELDS:
+        if name in content:
+            if type(content[name]) is not int:
+                return None
+            fields[name] = content[name]
+    if "causes" in content:
+        causes = _causes_from_list(content["causes"])
+        if causes is None:
+            return None
+        fields["causes"] = causes
+    return LogLine(event=event, at_ms=at_ms, **fields)
+
+
+def _causes_from_list(content: Any) -> tuple[LoggedCause, ...] | None:
+    if not isinstance(content, list):
+        return None
+    causes = []
+    for each in content:
+        if not isinstance(each, dict) or not isinstance(each.get("code"), str):
+            return None
+        text_version = each.get("text_version", 0)
+        cause = LoggedCause(
+            code=each["code"],
+            sentence=str(each.get("sentence", "")),
+            subject=str(each.get("subject", "")),
+            text_version=text_version if type(text_version) is int else 0,
+        )
+        causes.append(cause)
+    return tuple(causes)
--- /dev/null
+++ b/features/explain.feature
@@ -0,0 +1,55 @@
+Feature: The cause chain of one request is told from the logs of several routers
+  Readers have no technical background; every step has its time.
+
+  Scenario: a chat that met a cold engine, waited and was completed
+    Given the logs of two routers on a chat that waited for a cold engine
+    When "request-7" is explained
+    Then the explanation's exit status is 0
+    And its sentences come in this order:
+      | words |
+      | (before) engine-2 had just started and could bear only part of its load (0 of at most 2 |
+      | Router 10.0.0.1:7000 took the request from team 'licensing' for service 'dossier-review' |
+      | Router 10.0.0.1:7000 chose engine-2, whose owner is router 10.0.0.2:7000 (try 1). (first choice of dossier dossier-1) |
+      | Router 10.0.0.2:7000 let it wait in the queue of engine-2 (2 of at most 2 requests at once), because engine-2 has just started |
+      | Router 10.0.0.2:7000, the owner of engine-2, sent it there after 1.5 s in its queue |
+      | The first part of the answer came, 1.9 s later |
+      | The request ended after 2.4 s: completed |
+      | Outcome: completed, after 2.4 s. This means: the whole answer was received. |
+
+  Scenario: a refused chat is traced to the text version at the root
+    Given the log of a chat that was refused because data centre "bole" is out
+    When "request-8" is explained
+    Then its sentences come in this order:
+      | words |
+      | (before) Operators took data centre 'bole' out of service with text version 812 |
+      | Outcome: not run |
+      | no backend server has run the request |
+      | 1. No backend server of 'dossier-review' is in service |
+      | 2. Data centre 'bole' was taken out by text version 812 |
+    And data centre "bole" is named once as taken out before
+
+  Scenario: a request that the logs do not hold
+    Given the log of a chat that was refused because data centre "bole" is out
+    When "request-99" is explained
+    Then the explanation's exit status is 1
+    And one line says "request_not_logged"
+
+  Scenario: a request whose ID begins with another one's
+    Given the log of a chat that was refused because data centre "bole" is out
+    When "request" is explained
+    Then the explanation's exit status is 1
+
+  Scenario: a log that cannot be read
+    When "request-1" is explained from a file that does not exist
+    Then the explanation's exit status is 2
+    And one line says "log_unreadable"
+
+  Scenario: damaged lines are named and harm nothing
+    Given the log of a chat that was refused because data centre "bole" is out
+    And damaged lines in that log
+    When "request-8" is explained
+    Then the explanation's exit status is 0
+    And its sentences come in this order:
+      | words |
+      | Outcome: not run |
+      | 3 damaged lines left out |
