Add the settings of a process and their declared keys

Every key is declared once with type, unit, range and sentence; validation comes from the declarations. All faults are reported at once with line and code.

--- /dev/null
+++ b/damaskrill/configuration/_faults.py
@@ -0,0 +1,162 @@
+"""Faults of an INI file, each with its line, a stable code and a sentence."""
+
+from collections.abc import Sequence
+from enum import Enum
+
+from attrs import frozen
+
+from damaskrill.exceptions import DamaskrillError
+
+__all__ = [
+    "FAULT_TEMPLATES",
+    "Fault",
+    "FaultCode",
+    "FaultList",
+    "InvalidConfigurationError",
+]
+
+MAX_FAULTS = 1_000
+
+
+class FaultCode(Enum):
+    """Stable codes of faults; ``FAULT_TEMPLATES`` has their sentences."""
+
+    NOT_UTF8 = "not_utf8"
+    TOO_LARGE = "too_large"
+    INVALID_LINE = "invalid_line"
+    KEY_OUTSIDE_SECTION = "key_outside_section"
+    UNKNOWN_SECTION = "unknown_section"
+    DUPLICATE_SECTION = "duplicate_section"
+    INVALID_NAME = "invalid_name"
+    UNKNOWN_KEY = "unknown_key"
+    DUPLICATE_KEY = "duplicate_key"
+    MISSING_KEY = "missing_key"
+    MISSING_SECTION = "missing_section"
+    WRONG_VALUE = "wrong_value"
+    WRONG_UNIT = "wrong_unit"
+    OUT_OF_RANGE = "out_of_range"
+    UNKNOWN_REFERENCE = "unknown_reference"
+    DUPLICATE_ADDRESS = "duplicate_address"
+    DEPENDENCY_CYCLE = "dependency_cycle"
+    TOO_MANY_FAULTS = "too_many_faults"
+
+
+FAULT_TEMPLATES: dict[FaultCode, str] = {
+    FaultCode.NOT_UTF8: "byte {position} is not valid UTF-8",
+    FaultCode.TOO_LARGE: "the file has {n_bytes} bytes; at most {limit} are allowed",
+    FaultCode.INVALID_LINE: (
+        "the line is neither a [section], nor a 'key = value', nor a comment"
+    ),
+    FaultCode.KEY_OUTSIDE_SECTION: "the key '{key}' stands before the first section",
+    FaultCode.UNKNOWN_SECTION: (
+        "there is no kind of section '{header}'; known are {known}"
+    ),
+    FaultCode.DUPLICATE_SECTION: (
+        "section [{header}] stands already in line {first_line}"
+    ),
+    FaultCode.INVALID_NAME: (
+        "'{name}' is not a valid name: letters, digits, '.', '_' and '-', at most "
+        "{limit} characters, the first one a letter or a digit"
+    ),
+    FaultCode.UNKNOWN_KEY: "section [{header}] has no key '{key}'; known are {known}",
+    FaultCode.DUPLICATE_KEY: "the key '{key}' stands already in line {first_line}",
+    FaultCode.MISSING_KEY: "section [{header}] lacks the key '{key}'",
+    FaultCode.MISSING_SECTION: "section [{header}] is missing; it needs {keys}",
+    FaultCode.WRONG_VALUE: "'{key}' is '{value}', but must be {expected}",
+    FaultCode.WRONG_UNIT: "'{key}' is '{value}', but its unit must be {expected}",
+    FaultCode.OUT_OF_RANGE: "'{key}' is {value}, but must be {expected}",
+    FaultCode.UNKNOWN_REFERENCE: (
+        "[{header}] names the {kind} '{name}', which this text does not have"
+    ),
+    FaultCode.DUPLICATE_ADDRESS: "[{header}] has the address {address} of [{other}]",
+    FaultCode.DEPENDENCY_CYCLE: "services depend on each other in a circle: {path}",
+    FaultCode.TOO_MANY_FAULTS: "{n_more} more faults are not shown",
+}
+
+
+@frozen(kw_only=True)
+class Fault:
+    """One fault.
+
+    Parameters
+    ----------
+    line : int
+        Line of the file, from 1; 0 where it concerns the whole file.
+    code : FaultCode
+        What kind of fault.
+    sentence : str
+        The fault in plain words, without a full stop.
+    section : str
+        Header of the section, where the text came in sections and lines count from
+        the section's first line; else empty.
+    """
+
+    line: int
+    code: FaultCode
+    sentence: str
+    section: str = ""
+
+    def describe(self, file: str) -> str:
+        """Return ``FILE:LINE: CODE: sentence``."""
+        return f"{file}:{self.line}: {self.code.value}: {self.sentence}"
+
+
+class InvalidConfigurationError(DamaskrillError):
+    """A text or a settings file is refused whole.
+
+    Parameters
+    ----------
+    faults : sequence of Fault
+        All faults, by line.
+    """
+
+    code = "invalid_configuration"
+    template = "{n_faults} faults were found; the first is in line {line}: {sentence}"
+
+    def __init__(self, *, faults: Sequence[Fault]) -> None:
+        self._faults = tuple(faults)
+        first = self._faults[0]
+        super().__init__(
+            n_faults=len(self._faults), line=first.line, sentence=first.sentence
+        )
+
+    @property
+    def faults(self) -> tuple[Fault, ...]:
+        """All faults, by line."""
+        return self._faults
+
+
+class FaultList:
+    """Collects faults while a file is read; bounded."""
+
+    def __init__(self) -> None:
+        self._faults: list[Fault] = []
+        self._n_more = 0
+
+    def add(self, line: int, code: FaultCode, **details: object) -> None:
+        """Note a fault; ``details`` fill its sentence's fields."""
+        if len(self._faults) >= MAX_FAULTS:
+            self._n_more += 1
+            return
+        sentence = FAULT_TEMPLATES[code].format(**details)
+        self._faults.append(Fault(line=line, code=code, sentence=sentence))
+
+    def __bool__(self) -> bool:
+        return bool(self._faults)
+
+    def raise_if_any(self) -> None:
+        """Raise all that was noted.
+
+        Raises
+        ------
+        InvalidConfigurationError
+            If there is any fault.
+        """
+        if not self._faults:
+            return
+        faults = sorted(self._faults, key=lambda each: each.line)
+        if self._n_more:
+            code = FaultCode.TOO_MANY_FAULTS
+            sentence = FAULT_TEMPLATES[code].format(n_more=self._n_more)
+            faults.append(Fault(line=0, code=code, sentence=sentence))
+        raise InvalidConfigurationError(faults=faults)
--- /dev/null
+++ b/damaskrill/configuration/_settings.py
@@ -0,0 +1,391 @@
+"""Settings of one process, and the declaration of all their keys."""
+
+from pathlib import Path
+from typing import Any
+
+from attrs import field, frozen
+
+from damaskrill.configuration._faults import FaultCode, FaultList
+from damaskrill.configuration._ini import decode_content, read_lines, read_values
+from damaskrill.configuration._peer_limits import PeerLimits
+from damaskrill.configuration._schema import FileSchema, Key, SectionSchema
+from damaskrill.configuration._values import (
+    Address,
+    Choice,
+    Duration,
+    Integer,
+    Name,
+    Secret,
+    Size,
+    Url,
+    Words,
+    shorten_value,
+)
+from damaskrill.exceptions import DamaskrillError
+
+__all__ = [
+    "SETTINGS_SCHEMA",
+    "Settings",
+    "UnreadableFileError",
+    "parse_settings",
+    "read_settings",
+]
+
+MAX_SETTINGS_BYTES = 65_536
+MIN_FLEET_KEY_LENGTH = 8
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+MINUTE_MS = 60_000
+HOUR_MS = 60 * MINUTE_MS
+GIBIBYTE = 1_073_741_824
+
+
+class UnreadableFileError(DamaskrillError):
+    """A file that was named cannot be read."""
+
+    code = "unreadable_file"
+    template = "the file {path} cannot be read: {reason}"
+
+
+@frozen(kw_only=True)
+class Settings:
+    """What a process learns from its settings file.
+
+    Parameters
+    ----------
+    data_centre : str
+        Where the process runs, as in the operators' text.
+    caller_address, peer_address : str
+        ``IP:port`` to listen on for callers and for other routers; the latter is
+        also where other routers reach this one.
+    fleet_key : str
+        Secret that all routers share.
+    configuration_service_url, host_list_url : str
+        Where the platform publishes the text and the list of hosts.
+    log_level : str
+        Least severe level of the log lines that are written.
+    stop_timeout_ms : int
+        Longest graceful stop, in milliseconds.
+    max_body_bytes, max_header_bytes : int
+        Largest body and header of a caller's request, in bytes.
+    max_connections : int
+        Connections of callers that are served at once.
+    header_timeout_ms, body_timeout_ms, idle_timeout_ms : int
+        Longest time for a caller's header, for its body, and between two requests on
+        one connection, in milliseconds.
+    connect_timeout_ms, progress_timeout_ms : int
+        Longest time to connect to a backend server, and without a byte from it during
+        an answer, in milliseconds.
+    trace_output : str
+        File for recorded inputs, ``-`` for standard output, empty for none.
+    trace_sample_permille : int
+        Share of requests that are recorded, in thousandths.
+    trace_rotate_bytes : int
+        Size after which a trace file is replaced by a new one, in bytes.
+    peer_limits : PeerLimits
+        Bounds of the transport between routers.
+    """
+
+    data_centre: str
+    caller_address: str
+    peer_address: str
+    fleet_key: str = field(repr=False)
+    configuration_service_url: str
+    host_list_url: str
+    log_level: str = "INFO"
+    stop_timeout_ms: int = 120_000
+    max_body_bytes: int = 8 * 1024 * 1024
+    max_header_bytes: int = 16 * 1024
+    max_connections: int = 4_096
+    header_timeout_ms: int = 5_000
+    body_timeout_ms: int = 30_000
+    idle_timeout_ms: int = 75_000
+    connect_timeout_ms: int = 1_000
+    progress_timeout_ms: int = 20_000
+    trace_output: str = ""
+    trace_sample_permille: int = 1_000
+    trace_rotate_bytes: int = 64 * 1024 * 1024
+    peer_limits: PeerLimits = field(factory=PeerLimits)
+
+
+SETTINGS_SCHEMA = FileSchema(
+    title="Settings",
+    introduction=(
+        "Each process reads its settings once, when it starts. They say where it runs "
+        "and what it may use; what the fleet does is said by the operators' text."
+    ),
+    max_bytes=MAX_SETTINGS_BYTES,
+    sections=(
+        SectionSchema(
+            kind="process",
+            target=Settings,
+            sentence="Where the process runs.",
+            keys=(
+                Key(
+                    name="data_centre",
+                    value_type=Name(),
+                    sentence="Data centre of the host, as named in the text.",
+                ),
+                Key(
+                    name="log_level",
+                    value_type=Choice(options={name: name for name in LOG_LEVELS}),
+                    sentence="Least severe log lines that are written.",
+                ),
+                Key(
+                    name="stop_timeout_ms",
+                    value_type=Duration(minimum=1_000, maximum=HOUR_MS),
+                    sentence=(
+                        "Longest graceful stop; running answers are cut after it."
+                    ),
+                ),
+            ),
+        ),
+        SectionSchema(
+            kind="callers",
+            target=Settings,
+            sentence="The interface for callers.",
+            keys=(
+                Key(
+                    name="caller_address",
+                    value_type=Address(),
+                    sentence="Where it listens for callers; port 0 picks a free one.",
+                ),
+                Key(
+                    name="max_body_bytes",
+                    value_type=Size(minimum=1_024, maximum=GIBIBYTE),
+                    sentence="Largest body of a request.",
+                ),
+                Key(
+                    name="max_header_bytes",
+                    value_type=Size(minimum=1_024, maximum=1_048_576),
+                    sentence="Largest header of a request.",
+                ),
+                Key(
+                    name="max_connections",
+                    value_type=Integer(minimum=1, maximum=1_000_000),
+                    sentence="Connections of callers that are served at once.",
+                ),
+                Key(
+                    name="header_timeout_ms",
+                    value_type=Duration(minimum=100, maximum=HOUR_MS),
+                    sentence="Longest time in which a header must have come whole.",
+                ),
+                Key(
+                    name="body_timeout_ms",
+                    value_type=Duration(minimum=100, maximum=HOUR_MS),
+                    sentence="Longest time in which a body must have come whole.",
+                ),
+                Key(
+                    name="idle_timeout_ms",
+                    value_type=Duration(minimum=100, maximum=HOUR_MS),
+                    sentence="Longest time between two requests on a connection.",
+                ),
+            ),
+        ),
+        SectionSchema(
+            kind="peers",
+            target=Settings,
+            sentence="The interface for other routers.",
+            keys=(
+                Key(
+                    name="peer_address",
+                    value_type=Address(),
+                    sentence="Where other routers reach this one, and it listens.",
+                ),
+                Key(
+                    name="fleet_key",
+                    value_type=Secret(minimum_length=MIN_FLEET_KEY_LENGTH),
+                    sentence="Secret that all routers of the fleet share.",
+                ),
+            ),
+        ),
+        SectionSchema(
+            kind="peer_limits",
+            target=PeerLimits,
+            sentence="Bounds of the transport between routers; the same on all.",
+            keys=(
+                Key(
+                    name="max_message_bytes",
+                    value_type=Size(minimum=65_536, maximum=GIBIBYTE),
+                    sentence=(
+                        "Largest message; must exceed the largest body of a request."
+                    ),
+                ),
+                Key(
+                    name="max_queued_messages",
+                    value_type=Integer(minimum=1, maximum=1_000_000),
+                    sentence="Messages that may wait for one router.",
+                ),
+                Key(
+                    name="max_queued_bytes",
+                    value_type=Size(minimum=65_536, maximum=GIBIBYTE),
+                    sentence="Bytes that may wait for one router.",
+                ),
+                Key(
+                    name="max_links",
+                    value_type=Integer(minimum=2, maximum=65_536),
+                    sentence="Connections to other routers at once.",
+                ),
+                Key(
+                    name="greeting_timeout_ms",
+                    value_type=Duration(minimum=100, maximum=MINUTE_MS),
+                    sentence="Longest time to connect and greet.",
+                ),
+                Key(
+                    name="heartbeat_interval_ms",
+                    value_type=Duration(minimum=100, maximum=MINUTE_MS),
+                    sentence="Longest time without sending on a connection.",
+                ),
+                Key(
+                    name="silence_timeout_ms",
+                    value_type=Duration(minimum=300, maximum=10 * MINUTE_MS),
+                    sentence="Silence after which a connection is given up.",
+                ),
+                Key(
+                    name="idle_timeout_ms",
+                    value_type=Duration(minimum=1_000, maximum=24 * HOUR_MS),
+                    sentence="Time without use after which a connection is closed.",
+                ),
+            ),
+        ),
+        SectionSchema(
+            kind="platform",
+            target=Settings,
+            sentence="Where the platform publishes.",
+            keys=(
+                Key(
+                    name="configuration_service_url",
+                    value_type=Url(),
+                    sentence="Configuration service's value with the text.",
+                ),
+                Key(
+                    name="host_list_url",
+                    value_type=Url(),
+                    sentence="List of live and leaving hosts.",
+                ),
+            ),
+        ),
+        SectionSchema(
+            kind="backend_servers",
+            target=Settings,
+            sentence="Connections to backend servers.",
+            keys=(
+                Key(
+                    name="connect_timeout_ms",
+                    value_type=Duration(minimum=10, maximum=MINUTE_MS),
+                    sentence="Longest time to connect to a backend server.",
+                ),
+                Key(
+                    name="progress_timeout_ms",
+                    value_type=Duration(minimum=100, maximum=HOUR_MS),
+                    sentence=(
+                        "Longest time without a byte from a backend server that "
+                        "answers."
+                    ),
+                ),
+            ),
+        ),
+        SectionSchema(
+            kind="trace",
+            target=Settings,
+            sentence="Recording of inputs for replay.",
+            keys=(
+                Key(
+                    name="trace_output",
+                    value_type=Words(),
+                    sentence="File, `-` for standard output, or empty for none.",
+                ),
+                Key(
+                    name="trace_sample_permille",
+                    value_type=Integer(minimum=0, maximum=1_000, unit="permille"),
+                    sentence="Share of requests that are recorded.",
+                ),
+                Key(
+                    name="trace_rotate_bytes",
+                    value_type=Size(minimum=65_536, maximum=GIBIBYTE),
+                    sentence="Size after which a new trace file is begun.",
+                ),
+            ),
+        ),
+    ),
+)
+
+
+def read_settings(path: str | Path) -> Settings:
+    """Read a settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        The file.
+
+    Returns
+    -------
+    Settings
+        The settings, with defaults where the file says nothing.
+
+    Raises
+    ------
+    UnreadableFileError
+        If the file cannot be read.
+    InvalidConfigurationError
+        If it has faults; carries all of them.
+    """
+    try:
+        with open(path, "rb") as file:
+            content = file.read(MAX_SETTINGS_BYTES + 1)
+    except (OSError, ValueError) as error:
+        raise UnreadableFileError(path=path, reason=_reason(error)) from error
+    return parse_settings(content)
+
+
+def _reason(error: Exception) -> str:
+    return getattr(error, "strerror", None) or str(error)
+
+
+def parse_settings(content: bytes) -> Settings:
+    """Convert the content of a settings file.
+
+    Parameters
+    ----------
+    content : bytes
+        The file, in UTF-8.
+
+    Returns
+    -------
+    Settings
+        The settings.
+
+    Raises
+    ------
+    InvalidConfigurationError
+        If it has faults; carries all of them.
+    """
+    faults = FaultList()
+    text = decode_content(content, SETTINGS_SCHEMA.max_bytes, faults)
+    faults.raise_if_any()
+    values: dict[type, dict[str, Any]] = {Settings: {}, PeerLimits: {}}
+    schemas = SETTINGS_SCHEMA.sections_by_kind
+    kinds_found = set()
+    for raw in read_lines(text.split("\n"), faults):
+        schema = schemas.get(raw.kind)
+        if schema is None:
+            known = ", ".join(f"[{kind}]" for kind in schemas)
+            header = shorten_value(raw.header)
+            code = FaultCode.UNKNOWN_SECTION
+            faults.add(raw.line, code, header=header, known=known)
+            continue
+        kinds_found.add(raw.kind)
+        values[schema.target].update(read_values(raw, schema, faults) or {})
+    _check_sections_present(kinds_found, faults)
+    faults.raise_if_any()
+    peer_limits = PeerLimits(**values[PeerLimits])
+    return Settings(peer_limits=peer_limits, **values[Settings])
+
+
+def _check_sections_present(kinds_found: set[str], faults: FaultList) -> None:
+    for schema in SETTINGS_SCHEMA.sections:
+        names = schema.required_names
+        if names and schema.kind not in kinds_found:
+            keys = ", ".join(names)
+            code = FaultCode.MISSING_SECTION
+            faults.add(0, code, header=schema.kind, keys=keys)
--- a/damaskrill/peers/__init__.py
+++ b/damaskrill/peers/__init__.py
@@ -1,7 +1,7 @@
 """Transport between routers: ``websockets`` that carry CBOR frames."""
 
+from damaskrill.configuration._peer_limits import PeerLimits
 from damaskrill.peers._counters import ByteCounters
-from damaskrill.peers._limits import PeerLimits
 from damaskrill.peers._network import PeerHandler, PeerNetwork
 
 __all__ = ["ByteCounters", "PeerHandler", "PeerLimits", "PeerNetwork"]
--- a/damaskrill/peers/_link.py
+++ b/damaskrill/peers/_link.py
@@ -7,6 +7,7 @@
 
 from websockets.exceptions import ConnectionClosed, ConnectionClosedError
 
+from damaskrill.configuration._peer_limits import PeerLimits
 from damaskrill.exceptions import (
     DamaskrillError,
     PeerFrameError,
@@ -28,7 +29,6 @@
     encode_frame,
     frame_name,
 )
-from damaskrill.peers._limits import PeerLimits
 from damaskrill.peers._outbox import Outbox, QueuedFrame
 from damaskrill.utils import Clock
 
--- a/damaskrill/peers/_network.py
+++ b/damaskrill/peers/_network.py
@@ -12,6 +12,7 @@
 from websockets.asyncio.server import serve
 from websockets.exceptions import WebSocketException
 
+from damaskrill.configuration._peer_limits import PeerLimits
 from damaskrill.exceptions import (
     DamaskrillError,
     PeerMessageTooLargeError,
@@ -22,7 +23,6 @@
 from damaskrill.peers._counters import ByteCounters
 from damaskrill.peers._frames import Chunk, Payload, encode_frame, frame_name
 from damaskrill.peers._greeting import greet_as_dialler, greet_as_listener
-from damaskrill.peers._limits import PeerLimits
 from damaskrill.peers._link import PeerLink
 from damaskrill.peers._outbox import Outbox, QueuedFrame
 from damaskrill.utils import Clock
--- a/damaskrill/peers/_outbox.py
+++ b/damaskrill/peers/_outbox.py
@@ -5,8 +5,8 @@
 
 from attrs import frozen
 
+from damaskrill.configuration._peer_limits import PeerLimits
 from damaskrill.messages import PeerPayload
-from damaskrill.peers._limits import PeerLimits
 
 __all__ = ["Outbox", "QueuedFrame"]
 
--- a/features/support/builders.py
+++ b/features/support/builders.py
@@ -123,3 +123,19 @@
 address = 10.1.0.2:8000
 data_centre = bole
 """
+
+MINIMAL_SETTINGS = b"""\
+[process]
+data_centre = bole
+
+[callers]
+caller_address = 127.0.0.1:0
+
+[peers]
+peer_address = 127.0.0.1:0
+fleet_key = a-key-for-tests-only
+
+[platform]
+configuration_service_url = http://127.0.0.1:8500/text
+host_list_url = http://127.0.0.1:8500/hosts
+"""
