--- /dev/null
+++ b/damaskrill/admission/_means.py
@@ -0,0 +1,93 @@
+"""Mean load of each service, from the fleet's sums and the own servers."""
+
+from attrs import define, frozen
+
+from damaskrill.messages import MeanLoadKnown, OwnedLoad
+
+__all__ = ["LoadSum", "MeanLoads"]
+
+KNOWN_VALID_MS = 5_000
+MIN_EMIT_INTERVAL_MS = 200
+MAX_EMIT_INTERVAL_MS = 1_000
+CHANGE_TO_EMIT_PERCENT = 20
+
+
+@frozen(kw_only=True)
+class LoadSum:
+    """Sum of loads and the number of servers that it is over."""
+
+    load_sum: int = 0
+    n_servers: int = 0
+
+
+@define(kw_only=True)
+class _ServiceMeans:
+    elsewhere: LoadSum = LoadSum()
+    known_at_ms: int = -KNOWN_VALID_MS
+    emitted: LoadSum = LoadSum()
+    emitted_at_ms: int = -MAX_EMIT_INTERVAL_MS
+
+
+class MeanLoads:
+    """What is known of the load of each service's servers, own and others'.
+
+    Notes
+    -----
+    The fleet's sum is some hundred milliseconds old. The part of it that this
+    router reported itself is replaced by its present sum, so that only the loads
+    elsewhere lag.
+    """
+
+    def __init__(self) -> None:
+        self._services: dict[str, _ServiceMeans] = {}
+
+    def take_known(self, known: MeanLoadKnown, now_ms: int) -> None:
+        """Take the fleet's sum for a service."""
+        state = self._services.setdefault(known.service, _ServiceMeans())
+        state.elsewhere = LoadSum(
+            load_sum=max(0, known.load_sum - state.emitted.load_sum),
+            n_servers=max(0, known.n_servers - state.emitted.n_servers),
+        )
+        state.known_at_ms = now_ms
+
+    def join(self, service: str, own: LoadSum, now_ms: int) -> LoadSum:
+        """Return the sum over all servers of a service that are known.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        own : LoadSum
+            Present loads of the servers that this router owns.
+        now_ms : int
+            Present time in milliseconds.
+        """
+        state = self._services.get(service)
+        if state is None or now_ms - state.known_at_ms > KNOWN_VALID_MS:
+            return own
+        return LoadSum(
+            load_sum=own.load_sum + state.elsewhere.load_sum,
+            n_servers=own.n_servers + state.elsewhere.n_servers,
+        )
+
+    def emit(self, service: str, own: LoadSum, now_ms: int) -> OwnedLoad | None:
+        """Return what the fleet is to be told, if it is due.
+
+        Notes
+        -----
+        It is due once a second, and sooner after a change by a fifth.
+        """
+        state = self._services.setdefault(service, _ServiceMeans())
+        age_ms = now_ms - state.emitted_at_ms
+        if age_ms < MIN_EMIT_INTERVAL_MS:
+            return None
+        change = abs(own.load_sum - state.emitted.load_sum)
+        is_large = change * 100 > CHANGE_TO_EMIT_PERCENT * state.emitted.load_sum
+        is_changed = is_large or own.n_servers != state.emitted.n_servers
+        if age_ms < MAX_EMIT_INTERVAL_MS and not (is_changed and change):
+            return None
+        state.emitted = own
+        state.emitted_at_ms = now_ms
+        return OwnedLoad(
+            service=service, load_sum=own.load_sum, n_servers=own.n_servers
+        )
--- a/damaskrill/admission/_owner.py
+++ b/damaskrill/admission/_owner.py
@@ -4,157 +4,679 @@
 
 import attrs
 
+from damaskrill.admission._bound import LoadBound
+from damaskrill.admission._means import LoadSum, MeanLoads
+from damaskrill.admission._ramp import ColdReason
+from damaskrill.admission._refusals import causes_of_bound, find_view_refusal
+from damaskrill.admission._seen import SeenAttempts
+from damaskrill.admission._server import OwnedServer, RunningAttempt
+from damaskrill.admission._servers import OwnedServers
 from damaskrill.base import BaseDecider
+from damaskrill.configuration import TeamSpec
+from damaskrill.dependencies import OutageTracker
+from damaskrill.fairness import QueuedAttempt
 from damaskrill.kernel._registry import registry
-from damaskrill.membership._ownership import owner_of_server
 from damaskrill.messages import (
     AttemptEnded,
     AttemptFailed,
+    AttemptQueued,
     AttemptRefused,
     AttemptStarted,
     BackendEnded,
     BackendFailed,
+    BackendFirstToken,
+    CacheEvents,
     CancelAttempt,
     CancelDispatch,
     Cause,
     CauseCode,
     DispatchAttempt,
+    EventName,
     FleetView,
     FleetViewChanged,
+    LoadReported,
+    LoggedEvent,
+    MeanLoadKnown,
     Member,
     Message,
     OfferAttempt,
+    OpenWork,
     PeerDelivered,
+    PeerLost,
+    ReadLoad,
     SendToPeer,
+    SpillRecorded,
+    StopRequested,
+    Tick,
 )
+from damaskrill.placement._spill_memory import SpillMemory
+from damaskrill.utils import check_random_state
 
 __all__ = ["OwnerDecider"]
 
-
-@attrs.define(kw_only=True)
-class _RunningAttempt:
-    entry: Member
-    backend_server: str
+MIN_RETRY_AFTER_MS = 200
+MAX_RETRY_AFTER_MS = 10_000
+TRANSIENT_RETRY_AFTER_MS = 300
+READ_INTERVAL_MS = 500
+# Bounds the control traffic of a router that owns many servers.
+READS_PER_S = 10
 
 
 @registry.register("decider", "owner")
 class OwnerDecider(BaseDecider):
-    """Owner's side of each attempt.
+    """Owner's side of each attempt: admission, queue and what became of it.
 
     Parameters
     ----------
     own : Member
         This process.
     random_state : int
-        Seed.
+        Seed of the jitter.
     """
 
     handles = (
         FleetViewChanged,
         OfferAttempt,
         CancelAttempt,
+        SpillRecorded,
+        BackendFirstToken,
         BackendEnded,
         BackendFailed,
+        LoadReported,
+        CacheEvents,
+        MeanLoadKnown,
+        PeerLost,
+        StopRequested,
+        Tick,
     )
 
     def __init__(self, *, own: Member, random_state: int = 0) -> None:
         self._own = own
+        self._random = check_random_state(random_state)
         self._view: FleetView | None = None
-        self._running: dict[str, _RunningAttempt] = {}
+        self._servers = OwnedServers(own=own)
+        self._means = MeanLoads()
+        self._outages = OutageTracker()
+        self._spills = SpillMemory()
+        self._seen = SeenAttempts()
+        self._server_of_attempt: dict[str, OwnedServer] = {}
+        self._is_stopping = False
 
     def decide(self, message: Message, now_ms: int) -> Sequence[Message]:
         """Take one message."""
         match message:
+            case PeerDelivered(sender=sender, payload=payload):
+                return self._take_payload(payload, sender, now_ms)
             case FleetViewChanged(view=view):
-                self._view = view
-                return ()
-            case PeerDelivered(sender=sender, payload=OfferAttempt() as offer):
-                return self._admit(offer, sender, now_ms)
-            case PeerDelivered(payload=CancelAttempt(attempt_id=attempt_id)):
-                if self._running.pop(attempt_id, None) is None:
-                    return ()
-                return (CancelDispatch(attempt_id=attempt_id),)
+                return self._take_view(view, now_ms)
+            case BackendFirstToken():
+                return self._take_first_token(message, now_ms)
             case BackendEnded():
-                return self._reply(
-                    message.attempt_id,
-                    AttemptEnded(
-                        attempt_id=message.attempt_id,
-                        n_bytes=message.n_bytes,
-                        digest=message.digest,
-                        status=message.status,
-                    ),
-                )
+                return self._end(message, now_ms)
             case BackendFailed():
                 return self._fail(message, now_ms)
+            case LoadReported():
+                return self._take_report(message, now_ms)
+            case MeanLoadKnown():
+                self._means.take_known(message, now_ms)
+                return self._drain_service(message.service, now_ms)
+            case CacheEvents():
+                server = self._servers.find(message.backend_server)
+                if server is not None:
+                    server.cache.take_events(message)
+            case PeerLost(peer=peer):
+                return self._lose_entry(peer, now_ms)
+            case StopRequested():
+                self._is_stopping = True
+            case Tick():
+                return self._tick(now_ms)
         return ()
 
-    def _admit(
+    def _take_payload(
+        self, payload: Message, sender: Member, now_ms: int
+    ) -> Sequence[Message]:
+        match payload:
+            case OfferAttempt():
+                return self._take_offer(payload, sender, now_ms)
+            case CancelAttempt(attempt_id=attempt_id):
+                return self._cancel(attempt_id, now_ms)
+            case SpillRecorded():
+                self._spills.note(payload.chat, payload.backend_server)
+        return ()
+
+    # The view
+
+    def _take_view(self, view: FleetView, now_ms: int) -> Sequence[Message]:
+        self._view = view
+        self._outages.take_view(view, now_ms)
+        results: list[Message] = []
+        for server in self._servers.take_view(view, now_ms):
+            results.extend(self._refuse_all_waiting(server, now_ms))
+        for server in self._servers:
+            results.extend(self._drain(server, now_ms))
+        return results
+
+    def _refuse_all_waiting(
+        self, server: OwnedServer, now_ms: int
+    ) -> Sequence[Message]:
+        results: list[Message] = []
+        for waiting in server.queue.waiting:
+            server.queue.remove(waiting.attempt_id)
+            cause = find_view_refusal(waiting.offer, self._view, self._own)
+            cause = cause or self._not_owner
+            results.extend(
+                self._refuse(
+                    waiting, self._with_root(waiting, (cause,)), transient=True
+                )
+            )
+        return results
+
+    @property
+    def _not_owner(self) -> Cause:
+        return Cause(code=CauseCode.NOT_OWNER, subject=self._own.address)
+
+    def _with_root(
+        self, waiting: QueuedAttempt, causes: tuple[Cause, ...]
+    ) -> tuple[Cause, ...]:
+        root = self._outages.causes_of_missing(waiting.offer.request.service)
+        return (*causes, *root)
+
+    # Admission
+
+    def _take_offer(
+        self, offer: OfferAttempt, entry: Member, now_ms: int
+    ) -> Sequence[Message]:
+        if not self._seen.add(offer.attempt_id):
+            return ()
+        waiting = self._as_waiting(offer, entry, now_ms)
+        cause = find_view_refusal(offer, self._view, self._own)
+        server = self._servers.find(offer.backend_server)
+        if cause is None and server is None:
+            cause = self._not_owner
+        if cause is None and self._is_stopping:
+            cause = Cause(code=CauseCode.STOPPING, subject=self._own.address)
+        if cause is not None or server is None:
+            causes = self._with_root(waiting, (cause,) if cause is not None else ())
+            return self._refuse(waiting, causes, transient=True)
+        hint = self._find_spill(offer)
+        if hint:
+            return self._refuse(waiting, (), hint=hint)
+        return self._admit(server, waiting, now_ms)
+
+    def _as_waiting(
         self, offer: OfferAttempt, entry: Member, now_ms: int
+    ) -> QueuedAttempt:
+        request = offer.request
+        team = TeamSpec(name=request.team)
+        max_wait_ms = offer.max_wait_ms
+        if self._view is not None:
+            team = self._view.text.team(request.team)
+            if max_wait_ms < 0:
+                max_wait_ms = self._view.text.limits.max_queue_wait_ms
+            max_wait_ms = min(max_wait_ms, self._view.text.limits.max_queue_wait_ms)
+        if request.priority >= 0:
+            team = attrs.evolve(team, priority=request.priority)
+        return QueuedAttempt(
+            offer=offer,
+            entry=entry,
+            team=team,
+            queued_at_ms=now_ms,
+            expires_at_ms=now_ms + min(max_wait_ms, offer.remaining_ms),
+            deadline_ms=now_ms + offer.remaining_ms,
+        )
+
+    def _find_spill(self, offer: OfferAttempt) -> str:
+        if not offer.follows_spill or not offer.request.chat:
+            return ""
+        hint = self._spills.find(offer.request.chat)
+        return hint if hint != offer.backend_server else ""
+
+    def _admit(
+        self, server: OwnedServer, waiting: QueuedAttempt, now_ms: int
     ) -> Sequence[Message]:
-        cause = self._refusal_cause(offer)
-        if cause is not None:
-            refusal = AttemptRefused(attempt_id=offer.attempt_id, causes=(cause,))
-            return (SendToPeer(address=entry.address, payload=refusal),)
+        bound = self._bound(server, now_ms)
+        if not server.queue and self._can_take(server, waiting.team, bound, now_ms):
+            return self._dispatch(server, waiting, bound, now_ms)
+        causes = self._causes_of_wait(server, waiting.team, bound, now_ms)
+        wait_ms = self._expected_wait_ms(server, waiting.team, bound, now_ms)
+        if now_ms + wait_ms > waiting.expires_at_ms or (
+            waiting.expires_at_ms <= now_ms
+        ):
+            if waiting.expires_at_ms >= waiting.deadline_ms:
+                causes = (self._deadline_cause(wait_ms), *causes)
+            return self._refuse(
+                waiting,
+                self._with_root(waiting, causes),
+                server=server,
+                wait_ms=wait_ms,
+            )
+        return self._enqueue(server, waiting, causes, wait_ms, now_ms)
+
+    def _deadline_cause(self, wait_ms: int) -> Cause:
+        detail = f"the queue wait is about {wait_ms} ms"
+        return Cause(code=CauseCode.DEADLINE, detail=detail)
+
+    def _enqueue(
+        self,
+        server: OwnedServer,
+        waiting: QueuedAttempt,
+        causes: tuple[Cause, ...],
+        wait_ms: int,
+        now_ms: int,
+    ) -> Sequence[Message]:
+        victim = server.queue.push(waiting)
+        results: list[Message] = []
+        if victim is not None:
+            full = Cause(
+                code=CauseCode.QUEUE_FULL,
+                subject=server.spec.name,
+                detail=f"{len(server.queue)} requests wait",
+            )
+            surge = Cause(code=CauseCode.SURGE, subject=victim.team.name)
+            has_more = server.queue.n_waiting(victim.team) > 1
+            chain = (full, surge) if has_more else (full, *causes)
+            results.extend(
+                self._refuse(
+                    victim,
+                    self._with_root(victim, chain),
+                    server=server,
+                    wait_ms=wait_ms,
+                )
+            )
+        if waiting.attempt_id in server.queue:
+            self._server_of_attempt[waiting.attempt_id] = server
+            queued = AttemptQueued(
+                attempt_id=waiting.attempt_id, expected_wait_ms=wait_ms
+            )
+            results.append(SendToPeer(address=waiting.entry.address, payload=queued))
+            results.append(
+                self._event(EventName.ATTEMPT_QUEUED, waiting.offer, causes=causes)
+            )
+        results.extend(self._drain(server, now_ms))
+        return results
+
+    def _bound(self, server: OwnedServer, now_ms: int) -> LoadBound:
         assert self._view is not None
-        server = self._view.text.backend_servers[offer.backend_server]
-        self._running[offer.attempt_id] = _RunningAttempt(
-            entry=entry, backend_server=server.name
+        sums = self._service_sum(server.spec.service, now_ms)
+        return server.bound(sums, self._view.text.limits, now_ms)
+
+    def _service_sum(self, service: str, now_ms: int) -> LoadSum:
+        own = self._servers.sum_of(service, now_ms)
+        return self._means.join(service, own, now_ms)
+
+    def _can_take(
+        self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
+    ) -> bool:
+        view = self._view
+        assert view is not None
+        if not view.trusted or server.waits_for_report(now_ms):
+            return False
+        if server.circuit.remaining_rest_ms(now_ms) > 0:
+            return False
+        load = server.load.load_at(now_ms)
+        if not bound.admits(
+            load=load,
+            own_load=server.load.n_own,
+            n_reachable=view.n_reachable,
+            n_listed=view.n_listed,
+        ):
+            return False
+        return server.shares.may_take(
+            team, n_free=bound.value - load, capacity=bound.value, now_ms=now_ms
         )
-        started = AttemptStarted(attempt_id=offer.attempt_id)
-        request = attrs.evolve(offer.request, deadline_ms=now_ms + offer.remaining_ms)
+
+    def _causes_of_wait(
+        self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
+    ) -> tuple[Cause, ...]:
+        assert self._view is not None
+        name = server.spec.name
+        if server.waits_for_report(now_ms):
+            return (Cause(code=CauseCode.TAKEN_OVER, subject=name),)
+        if server.circuit.remaining_rest_ms(now_ms) > 0:
+            return (
+                Cause(code=CauseCode.CIRCUIT_OPEN, subject=name),
+                Cause(code=CauseCode.BACKEND_SERVER_FAILED, subject=name),
+            )
+        load = server.load.load_at(now_ms)
+        if load + 1 <= bound.value and server.shares.n_running(team.name) > 0:
+            limit = Cause(code=CauseCode.AT_LIMIT, subject=name)
+            return (limit, Cause(code=CauseCode.SURGE, subject=team.name))
+        return causes_of_bound(server, bound, self._view, load=load)
+
+    def _expected_wait_ms(
+        self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
+    ) -> int:
+        rest_ms = server.circuit.remaining_rest_ms(now_ms)
+        if server.waits_for_report(now_ms):
+            return TRANSIENT_RETRY_AFTER_MS
+        return rest_ms + server.expected_wait_ms(team, bound.value)
+
+    # Dispatch
+
+    def _dispatch(
+        self,
+        server: OwnedServer,
+        waiting: QueuedAttempt,
+        bound: LoadBound,
+        now_ms: int,
+    ) -> Sequence[Message]:
+        assert self._view is not None
+        offer = waiting.offer
+        running = server.begin(waiting, now_ms)
+        self._server_of_attempt[offer.attempt_id] = server
+        started = AttemptStarted(attempt_id=offer.attempt_id, wait_ms=running.wait_ms)
+        request = attrs.evolve(offer.request, deadline_ms=waiting.deadline_ms)
         return (
-            SendToPeer(address=entry.address, payload=started),
+            SendToPeer(address=waiting.entry.address, payload=started),
             DispatchAttempt(
                 attempt_id=offer.attempt_id,
                 request=request,
-                backend_server=server.name,
-                address=server.address,
+                backend_server=server.spec.name,
+                address=server.spec.address,
                 resume_offset=offer.resume_offset,
                 fencing_number=self._view.text.version,
             ),
+            self._event(
+                EventName.ATTEMPT_DISPATCHED,
+                offer,
+                load=server.load.load_at(now_ms),
+                load_bound=bound.value,
+                wait_ms=running.wait_ms,
+            ),
         )
 
-    def _refusal_cause(self, offer: OfferAttempt) -> Cause | None:
-        view = self._view
-        if view is None or view.text.version == 0:
-            return Cause(code=CauseCode.NO_TEXT)
-        server = view.text.backend_servers.get(offer.backend_server)
-        if server is None:
-            return Cause(
-                code=CauseCode.NO_BACKEND_SERVER, subject=offer.request.service
-            )
-        if owner_of_server(server, view.members).address != self._own.address:
-            return Cause(code=CauseCode.NOT_OWNER, subject=self._own.address)
-        load = sum(
-            each.backend_server == server.name for each in self._running.values()
+    def _drain_service(self, service: str, now_ms: int) -> Sequence[Message]:
+        results: list[Message] = []
+        for server in self._servers.by_service.get(service, ()):
+            results.extend(self._drain(server, now_ms))
+        return results
+
+    def _drain(self, server: OwnedServer, now_ms: int) -> Sequence[Message]:
+        if self._servers.find(server.spec.name) is not server:
+            return ()
+        results: list[Message] = []
+        while server.queue:
+            bound = self._bound(server, now_ms)
+            waiting = self._pop_next(server, bound, now_ms)
+            if waiting is None:
+                break
+            results.extend(self._dispatch(server, waiting, bound, now_ms))
+        return results
+
+    def _pop_next(
+        self, server: OwnedServer, bound: LoadBound, now_ms: int
+    ) -> QueuedAttempt | None:
+        return server.queue.pop(
+            n_running=server.shares.n_running,
+            may_take=lambda team: self._can_take(server, team, bound, now_ms),
         )
-        if load >= server.bearable_load:
-            return Cause(code=CauseCode.AT_LIMIT, subject=server.name)
-        return None
+
+    # What becomes of an attempt
+
+    def _take_first_token(
+        self, first: BackendFirstToken, now_ms: int
+    ) -> Sequence[Message]:
+        server = self._server_of_attempt.get(first.attempt_id)
+        running = server.running.get(first.attempt_id) if server is not None else None
+        if server is None or running is None:
+            return ()
+        n_prompt_tokens = running.offer.request.n_prompt_tokens
+        server.limit.note_first_token(
+            latency_ms=first.latency_ms, n_prompt_tokens=n_prompt_tokens
+        )
+        reason = server.ramp.note_first_token(
+            latency_ms=first.latency_ms,
+            n_prompt_tokens=n_prompt_tokens,
+            now_ms=now_ms,
+        )
+        total_ms = running.offer.elapsed_ms + running.wait_ms + first.latency_ms
+        event = self._event(
+            EventName.FIRST_TOKEN,
+            running.offer,
+            latency_ms=total_ms,
+            wait_ms=running.wait_ms,
+        )
+        return (event, *self._log_cold(server, reason))
+
+    def _end(self, ended: BackendEnded, now_ms: int) -> Sequence[Message]:
+        server = self._server_of_attempt.pop(ended.attempt_id, None)
+        if server is None or ended.attempt_id not in server.running:
+            return ()
+        running = server.end(ended.attempt_id, now_ms)
+        server.note_finished(running, now_ms)
+        server.limit.note_end(between_tokens_ms=ended.between_tokens_ms)
+        results = self._log_closed(server, ended.attempt_id)
+        payload = AttemptEnded(
+            attempt_id=ended.attempt_id,
+            n_bytes=ended.n_bytes,
+            digest=ended.digest,
+            status=ended.status,
+            between_tokens_ms=ended.between_tokens_ms,
+        )
+        results.append(SendToPeer(address=running.entry.address, payload=payload))
+        results.extend(self._drain(server, now_ms))
+        return results
+
+    def _log_closed(self, server: OwnedServer, attempt_id: str) -> list[Message]:
+        if not server.circuit.note_success(attempt_id):
+            return []
+        return [
+            LoggedEvent(
+                name=EventName.CIRCUIT_CLOSED,
+                backend_server=server.spec.name,
+                service=server.spec.service,
+            )
+        ]
 
     def _fail(self, failure: BackendFailed, now_ms: int) -> Sequence[Message]:
-        attempt = self._running.get(failure.attempt_id)
-        if attempt is None:
+        server = self._server_of_attempt.pop(failure.attempt_id, None)
+        if server is None or failure.attempt_id not in server.running:
             return ()
+        running = server.end(failure.attempt_id, now_ms)
+        results = self._note_failure(server, running, failure, now_ms)
+        code = CauseCode.BACKEND_SERVER_FAILED
+        if failure.refused_by_server:
+            code = CauseCode.BACKEND_SERVER_REFUSED
         cause = Cause(
-            code=CauseCode.BACKEND_SERVER_FAILED,
-            subject=attempt.backend_server,
-            detail=failure.reason,
-            at_ms=now_ms,
+            code=code, subject=server.spec.name, detail=failure.reason, at_ms=now_ms
         )
-        not_run = failure.n_bytes_sent == 0 or failure.refused_by_server
         payload = AttemptFailed(
             attempt_id=failure.attempt_id,
             causes=(cause,),
             n_bytes=failure.n_bytes,
-            not_run=not_run,
+            not_run=failure.n_bytes_sent == 0 or failure.refused_by_server,
+        )
+        results.append(SendToPeer(address=running.entry.address, payload=payload))
+        results.append(
+            self._event(EventName.ATTEMPT_FAILED, running.offer, causes=(cause,))
+        )
+        results.extend(self._drain(server, now_ms))
+        return results
+
+    def _note_failure(
+        self,
+        server: OwnedServer,
+        running: RunningAttempt,
+        failure: BackendFailed,
+        now_ms: int,
+    ) -> list[Message]:
+        results: list[Message] = []
+        if failure.connection_reset:
+            results.extend(self._log_cold(server, server.ramp.note_reset(now_ms)))
+            server.turn_cold()
+        opened = server.circuit.note_failure(
+            failure.attempt_id, started_at_ms=running.started_at_ms, now_ms=now_ms
+        )
+        if opened:
+            results.append(
+                LoggedEvent(
+                    name=EventName.CIRCUIT_OPENED,
+                    backend_server=server.spec.name,
+                    service=server.spec.service,
+                    detail=failure.reason,
+                )
+            )
+        return results
+
+    def _cancel(self, attempt_id: str, now_ms: int) -> Sequence[Message]:
+        # An offer that arrives after its cancellation must not be taken.
+        self._seen.add(attempt_id)
+        server = self._server_of_attempt.pop(attempt_id, None)
+        if server is None:
+            return ()
+        if server.queue.remove(attempt_id) is not None:
+            return self._drain(server, now_ms)
+        if attempt_id not in server.running:
+            return ()
+        server.end(attempt_id, now_ms)
+        server.circuit.note_cancelled(attempt_id)
+        return (
+            CancelDispatch(attempt_id=attempt_id),
+            *self._drain(server, now_ms),
         )
-        return self._reply(failure.attempt_id, payload)
 
-    def _reply(
-        self, attempt_id: str, payload: AttemptEnded | AttemptFailed
+    def _lose_entry(self, peer: Member, now_ms: int) -> Sequence[Message]:
+        results: list[Message] = []
+        for server in self._servers.with_work:
+            for waiting in server.queue.waiting:
+                if waiting.entry == peer:
+                    results.extend(self._cancel(waiting.attempt_id, now_ms))
+            # Work that may not be repeated runs to its end: a cancellation half-way
+            # would leave it unknown what was done.
+            for attempt_id, running in list(server.running.items()):
+                if running.entry == peer and running.offer.request.repeatable:
+                    results.extend(self._cancel(attempt_id, now_ms))
+        return results
+
+    # Reports and time
+
+    def _take_report(self, report: LoadReported, now_ms: int) -> Sequence[Message]:
+        server = self._servers.find(report.backend_server)
+        if server is None:
+            return ()
+        reason = server.take_report(report, now_ms)
+        return (*self._log_cold(server, reason), *self._drain(server, now_ms))
+
+    def _log_cold(
+        self, server: OwnedServer, reason: ColdReason | None
     ) -> Sequence[Message]:
-        attempt = self._running.pop(attempt_id, None)
-        if attempt is None:
+        if reason is None:
             return ()
-        return (SendToPeer(address=attempt.entry.address, payload=payload),)
+        return (
+            LoggedEvent(
+                name=EventName.SERVER_COLD,
+                backend_server=server.spec.name,
+                service=server.spec.service,
+                data_centre=server.spec.data_centre,
+                detail=reason.value,
+            ),
+        )
+
+    def _tick(self, now_ms: int) -> Sequence[Message]:
+        results: list[Message] = []
+        for server in list(self._servers):
+            results.extend(self._expire(server, now_ms))
+            results.extend(self._drain(server, now_ms))
+        results.extend(self._read_loads(now_ms))
+        for service in self._servers.by_service:
+            own = self._servers.sum_of(service, now_ms)
+            owned = self._means.emit(service, own, now_ms)
+            if owned is not None:
+                results.append(owned)
+        self._servers.forget_idle()
+        if self._is_stopping:
+            results.append(OpenWork(part="owner", n_open=self._n_open))
+        return results
+
+    @property
+    def _n_open(self) -> int:
+        return sum(
+            len(each.running) + len(each.queue) for each in self._servers.with_work
+        )
+
+    def _expire(self, server: OwnedServer, now_ms: int) -> Sequence[Message]:
+        results: list[Message] = []
+        for waiting in server.queue.remove_expired(now_ms):
+            bound = self._bound(server, now_ms)
+            causes = self._causes_of_wait(server, waiting.team, bound, now_ms)
+            waited_ms = now_ms - waiting.queued_at_ms
+            detail = f"it waited {waited_ms} ms"
+            full = Cause(
+                code=CauseCode.QUEUE_FULL, subject=server.spec.name, detail=detail
+            )
+            causes = self._with_root(waiting, (full, *causes))
+            wait_ms = self._expected_wait_ms(server, waiting.team, bound, now_ms)
+            results.extend(
+                self._refuse(waiting, causes, server=server, wait_ms=wait_ms)
+            )
+        return results
+
+    def _read_loads(self, now_ms: int) -> Sequence[Message]:
+        interval_ms = max(READ_INTERVAL_MS, len(self._servers) * 1_000 // READS_PER_S)
+        results: list[Message] = []
+        for server in self._servers:
+            if server.next_read_ms <= now_ms:
+                jitter_ms = self._random.randrange(interval_ms // 5)
+                server.next_read_ms = now_ms + interval_ms - jitter_ms
+                results.append(
+                    ReadLoad(
+                        backend_server=server.spec.name, address=server.spec.address
+                    )
+                )
+        return results
+
+    # Replies
+
+    def _refuse(
+        self,
+        waiting: QueuedAttempt,
+        causes: tuple[Cause, ...],
+        *,
+        server: OwnedServer | None = None,
+        wait_ms: int = TRANSIENT_RETRY_AFTER_MS,
+        hint: str = "",
+        transient: bool = False,
+    ) -> Sequence[Message]:
+        offer = waiting.offer
+        self._server_of_attempt.pop(offer.attempt_id, None)
+        load = server.load.n_own + len(server.queue) if server is not None else 0
+        wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
+        refusal = AttemptRefused(
+            attempt_id=offer.attempt_id,
+            causes=causes,
+            load=load,
+            retry_after_ms=wait_ms + self._random.randrange(wait_ms // 4 + 1),
+            hint_server=hint,
+            is_transient=transient,
+        )
+        return (
+            SendToPeer(address=waiting.entry.address, payload=refusal),
+            self._event(EventName.ATTEMPT_REFUSED, offer, causes=causes, load=load),
+        )
+
+    def _event(
+        self,
+        name: EventName,
+        offer: OfferAttempt,
+        *,
+        causes: tuple[Cause, ...] = (),
+        load: int = 0,
+        load_bound: int = 0,
+        wait_ms: int = 0,
+        latency_ms: int = 0,
+    ) -> LoggedEvent:
+        request = offer.request
+        return LoggedEvent(
+            name=name,
+            request_id=request.request_id,
+            attempt_id=offer.attempt_id,
+            service=request.service,
+            team=request.team,
+            backend_server=offer.backend_server,
+            causes=causes,
+            load=load,
+            load_bound=load_bound,
+            wait_ms=wait_ms,
+            latency_ms=latency_ms,
+            text_version=offer.text_version,
+        )
--- /dev/null
+++ b/damaskrill/admission/_ramp.py
@@ -0,0 +1,186 @@
+"""Cold start of a backend server: its bound grows with finished work."""
+
+from enum import Enum
+
+from damaskrill.messages import LoadReported
+
+__all__ = ["ColdReason", "ColdStartRamp"]
+
+FINISHED_PER_STEP = 4
+MAX_DOUBLINGS = 4
+TURN_MEMORY_MS = 600_000
+N_SLOW_FIRST_TOKENS = 3
+SLOW_FACTOR = 4
+PEAK_DECAY = 0.98
+PROMPT_TOKENS_OFFSET = 200
+
+
+class ColdReason(Enum):
+    """What has shown that a backend server is cold again."""
+
+    START_ID = "its start ID has changed"
+    FINISHED_FELL = "its count of finished requests fell"
+    LOAD_FELL = "its reported load fell to nothing"
+    RESET = "its connection was reset"
+    FIRST_TOKEN_TIMES = "its first tokens are late"
+
+
+class ColdStartRamp:
+    """Load that one backend server's finished work shows that it bears.
+
+    Parameters
+    ----------
+    bearable_load : int
+        What it bears when warm.
+    cold_load : int
+        What it bears just after a start.
+
+    Notes
+    -----
+    Each step up needs ``FINISHED_PER_STEP`` finished requests, and twice as many
+    after each cold turn of the last ``TURN_MEMORY_MS``.
+    """
+
+    def __init__(self, *, bearable_load: int, cold_load: int) -> None:
+        self.bearable_load = bearable_load
+        self.cold_load = cold_load
+        self._start_id = ""
+        self._reset_pending = False
+        self._cold_at_ms = -1
+        self._turns_ms: list[int] = []
+        self._n_finished = 0
+        self._n_reported = 0
+        self._n_reported_base = 0
+        self._reported_load = 0
+        self._peak_pace = 0.0
+        self._n_slow = 0
+
+    @property
+    def cold_at_ms(self) -> int:
+        """Time of the last cold turn, in milliseconds; -1 if there was none."""
+        return self._cold_at_ms
+
+    def bound_at(self, now_ms: int) -> int:
+        """Return the load that may be put on the server, in requests."""
+        finished = max(self._n_finished, self._n_reported)
+        earned = self.bound_of(finished, now_ms)
+        return min(self.bearable_load, max(earned, self._reported_load))
+
+    def bound_of(self, n_finished: int, now_ms: int) -> int:
+        """Return the load that a number of finished requests earns."""
+        n_turns = sum(now_ms - each < TURN_MEMORY_MS for each in self._turns_ms)
+        per_step = FINISHED_PER_STEP << min(max(0, n_turns - 1), MAX_DOUBLINGS)
+        return min(self.bearable_load, self.cold_load + n_finished // per_step)
+
+    def note_finished(self, started_at_ms: int) -> None:
+        """Count a request that the server has finished.
+
+        Parameters
+        ----------
+        started_at_ms : int
+            When it was sent; work from before a cold turn does not count.
+        """
+        if started_at_ms > self._cold_at_ms:
+            self._n_finished += 1
+
+    def note_reset(self, now_ms: int) -> ColdReason | None:
+        """Take a reset connection for a restart, until a report disproves it.
+
+        Returns
+        -------
+        ColdReason or None
+            The reason, if this is the first reset since the last report.
+        """
+        if self._reset_pending:
+            return None
+        self._reset_pending = True
+        return self._turn_cold(ColdReason.RESET, now_ms)
+
+    def note_first_token(
+        self, *, latency_ms: int, n_prompt_tokens: int, now_ms: int
+    ) -> ColdReason | None:
+        """Compare a first-token time with those seen so far.
+
+        Returns
+        -------
+        ColdReason or None
+            The reason, if the server is taken for cold from now on.
+
+        Notes
+        -----
+        The time is divided by the prompt's length, since prompts that are not in
+        the cache take that much longer; the decaying peak of this pace includes
+        such prompts.
+        """
+        pace = latency_ms / (n_prompt_tokens + PROMPT_TOKENS_OFFSET)
+        is_slow = 0 < SLOW_FACTOR * self._peak_pace < pace
+        self._n_slow = self._n_slow + 1 if is_slow else 0
+        if self._n_slow >= N_SLOW_FIRST_TOKENS:
+            self._n_slow = 0
+            self._peak_pace = pace
+            self._n_reported_base += self._n_reported
+            return self._turn_cold(ColdReason.FIRST_TOKEN_TIMES, now_ms)
+        if not is_slow:
+            self._peak_pace = max(pace, self._peak_pace * PEAK_DECAY)
+        return None
+
+    def take_report(
+        self, report: LoadReported, *, min_own_load: int, now_ms: int
+    ) -> ColdReason | None:
+        """Take what a report shows.
+
+        Parameters
+        ----------
+        report : LoadReported
+            The report.
+        min_own_load : int
+            Requests that the server must have had by the owner's count.
+        now_ms : int
+            Present time in milliseconds.
+
+        Returns
+        -------
+        ColdReason or None
+            The reason, if the report shows a cold turn.
+        """
+        if report.measured_at_ms <= self._cold_at_ms and self._is_same(report):
+            return None
+        reason = self._find_turn(report, min_own_load)
+        if reason is not None:
+            self._turn_cold(reason, now_ms)
+            is_same_process = reason is ColdReason.LOAD_FELL
+            self._n_reported_base = report.n_finished if is_same_process else 0
+        elif self._reset_pending and self._is_same(report):
+            self._turns_ms.pop()
+        is_announced = reason is not None and self._reset_pending
+        self._reset_pending = False
+        self._start_id = report.start_id
+        n_reported = max(0, report.n_finished - self._n_reported_base)
+        self._n_reported = n_reported
+        if reason is None:
+            self._reported_load = max(self._reported_load, report.load)
+        if is_announced:
+            self._turns_ms.pop()
+            return None
+        return reason
+
+    def _is_same(self, report: LoadReported) -> bool:
+        return report.start_id == self._start_id
+
+    def _find_turn(self, report: LoadReported, min_own_load: int) -> ColdReason | None:
+        if self._start_id and not self._is_same(report):
+            return ColdReason.START_ID
+        if report.n_finished < self._n_reported + self._n_reported_base:
+            return ColdReason.FINISHED_FELL
+        if report.load == 0 and min_own_load > 1:
+            return ColdReason.LOAD_FELL
+        return None
+
+    def _turn_cold(self, reason: ColdReason, now_ms: int) -> ColdReason:
+        self._cold_at_ms = now_ms
+        recent = [each for each in self._turns_ms if now_ms - each < TURN_MEMORY_MS]
+        self._turns_ms = [*recent[-MAX_DOUBLINGS:], now_ms]
+        self._n_finished = 0
+        self._n_reported = 0
+        self._reported_load = 0
+        return reason
--- /dev/null
+++ b/damaskrill/admission/_server.py
@@ -0,0 +1,176 @@
+"""All that an owner knows of one backend server."""
+
+from attrs import define, field, frozen
+
+from damaskrill.admission._bound import LoadBound, multiple_of_mean
+from damaskrill.admission._circuit import CircuitBreaker
+from damaskrill.admission._concurrency import ConcurrencyLimit
+from damaskrill.admission._load import ServerLoad
+from damaskrill.admission._means import LoadSum
+from damaskrill.admission._ramp import ColdReason, ColdStartRamp
+from damaskrill.configuration import BackendServerSpec, LimitSpec, ServiceSpec, TeamSpec
+from damaskrill.fairness import FairQueue, QueuedAttempt, TeamShares
+from damaskrill.messages import LoadReported, Member, OfferAttempt
+from damaskrill.placement._cache_index import CacheIndex
+
+__all__ = ["OwnedServer", "RunningAttempt"]
+
+# Longest wait for a report that shows what a former owner has left running.
+TAKE_OVER_WAIT_MS = 2_500
+FIRST_SERVICE_MS = 1_000
+SERVICE_TIME_WEIGHT = 0.1
+REPORT_TRAVEL_MS = 500
+
+
+@frozen(kw_only=True)
+class RunningAttempt:
+    """An attempt that was sent to the backend server."""
+
+    offer: OfferAttempt
+    entry: Member
+    team: TeamSpec
+    wait_ms: int
+    started_at_ms: int
+
+
+@define(kw_only=True, slots=False)
+class OwnedServer:
+    """State of one backend server at its owner.
+
+    Parameters
+    ----------
+    spec : BackendServerSpec
+        Its section in the text.
+    service : ServiceSpec
+        Its service's section.
+    max_queue_length : int
+        Attempts that may wait for it.
+    gained_at_ms : int
+        When this router became its owner, in milliseconds.
+    awaits_report : bool
+        Whether a former owner may have left work there that only a report shows.
+    """
+
+    spec: BackendServerSpec
+    service: ServiceSpec
+    max_queue_length: int
+    gained_at_ms: int = 0
+    awaits_report: bool = False
+    running: dict[str, RunningAttempt] = field(factory=dict, init=False)
+    mean_service_ms: float = field(default=FIRST_SERVICE_MS, init=False)
+    next_read_ms: int = field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.load = ServerLoad()
+        self.ramp = ColdStartRamp(
+            bearable_load=self.spec.bearable_load, cold_load=self.spec.cold_load
+        )
+        self.limit = ConcurrencyLimit(
+            cap=self.spec.bearable_load,
+            first_token_objective_ms=self.service.first_token_objective_ms,
+            between_tokens_objective_ms=self.service.between_tokens_objective_ms,
+        )
+        self.circuit = CircuitBreaker()
+        self.queue = FairQueue(max_length=self.max_queue_length)
+        self.shares = TeamShares()
+        self.cache = CacheIndex()
+        self._n_finished_busy = 0
+
+    def update(self, spec: BackendServerSpec, limits: LimitSpec) -> None:
+        """Take the server's section and the limits of a new text."""
+        self.spec = spec
+        self.ramp.bearable_load = spec.bearable_load
+        self.ramp.cold_load = spec.cold_load
+        self.limit.cap = spec.bearable_load
+        self.queue.max_length = limits.max_queue_length
+
+    def waits_for_report(self, now_ms: int) -> bool:
+        """Whether nothing may be sent before a load report has come."""
+        if not self.awaits_report:
+            return False
+        report = self.load.report
+        has_report = report is not None and report.measured_at_ms >= self.gained_at_ms
+        if has_report or now_ms - self.gained_at_ms >= TAKE_OVER_WAIT_MS:
+            self.awaits_report = False
+        return self.awaits_report
+
+    def bound(
+        self, sum_of_service: LoadSum, limits: LimitSpec, now_ms: int
+    ) -> LoadBound:
+        """Return the bound on the load at an admission."""
+        return LoadBound(
+            bearable_load=self.spec.bearable_load,
+            mean_bound=multiple_of_mean(
+                load_sum=sum_of_service.load_sum,
+                n_servers=sum_of_service.n_servers,
+                multiple_percent=limits.load_multiple_percent,
+                floor=limits.load_floor,
+            ),
+            ramp_bound=self._ramp_bound(now_ms),
+            concurrency_bound=self.limit.limit,
+        )
+
+    def begin(self, waiting: QueuedAttempt, now_ms: int) -> RunningAttempt:
+        """Count an attempt that is being sent."""
+        if self.load.n_own == 0:
+            self._n_finished_busy = 0
+        running = RunningAttempt(
+            offer=waiting.offer,
+            entry=waiting.entry,
+            team=waiting.team,
+            wait_ms=now_ms - waiting.queued_at_ms,
+            started_at_ms=now_ms,
+        )
+        self.running[waiting.attempt_id] = running
+        self.load.begin(now_ms)
+        self.shares.begin(waiting.team, now_ms)
+        self.circuit.note_start(waiting.attempt_id)
+        self.cache.note_sent(waiting.offer.request.prefix_blocks)
+        return running
+
+    def end(self, attempt_id: str, now_ms: int) -> RunningAttempt:
+        """Count an attempt that has ended in any way."""
+        running = self.running.pop(attempt_id)
+        self.load.end(now_ms)
+        self.shares.end(running.team.name, now_ms)
+        return running
+
+    def note_finished(self, running: RunningAttempt, now_ms: int) -> None:
+        """Count finished work as evidence of what the server bears."""
+        self.ramp.note_finished(running.started_at_ms)
+        self._n_finished_busy += 1
+        duration_ms = now_ms - running.started_at_ms
+        self.mean_service_ms += SERVICE_TIME_WEIGHT * (
+            duration_ms - self.mean_service_ms
+        )
+
+    def take_report(self, report: LoadReported, now_ms: int) -> ColdReason | None:
+        """Take a load report; return the reason if it shows a cold turn."""
+        self.load.take_report(report)
+        settled = self.load.min_own_between(
+            report.measured_at_ms - REPORT_TRAVEL_MS, report.measured_at_ms
+        )
+        reason = self.ramp.take_report(report, min_own_load=settled, now_ms=now_ms)
+        if reason is not None:
+            self.turn_cold()
+        return reason
+
+    def turn_cold(self) -> None:
+        """Forget what was known of a process that has ended."""
+        self._n_finished_busy = 0
+        self.cache.clear()
+
+    def expected_wait_ms(self, team: TeamSpec, bound: int) -> int:
+        """Estimate the queue wait of a new request of a team, in milliseconds."""
+        n_ahead = self.queue.n_ahead(team) + 1
+        return int(n_ahead * self.mean_service_ms / max(1, bound))
+
+    def _ramp_bound(self, now_ms: int) -> int:
+        # While nothing runs there, a restart shows in no connection. Work that was
+        # finished before counts again once a report made since then confirms it.
+        report = self.load.report
+        is_busy = self.load.n_own > 0
+        if is_busy and report is not None:
+            if report.measured_at_ms >= self.load.last_idle_ms:
+                return self.ramp.bound_at(now_ms)
+        return self.ramp.bound_of(self._n_finished_busy if is_busy else 0, now_ms)
--- /dev/null
+++ b/damaskrill/admission/_servers.py
@@ -0,0 +1,113 @@
+"""The backend servers that this router owns under the present view."""
+
+from collections.abc import Iterator
+
+from damaskrill.admission._means import LoadSum
+from damaskrill.admission._server import OwnedServer
+from damaskrill.configuration import BackendServerSpec
+from damaskrill.membership._owner_index import OwnerIndex
+from damaskrill.messages import FleetView, Member
+
+__all__ = ["OwnedServers"]
+
+
+class OwnedServers:
+    """Gains and loses servers with the view.
+
+    Parameters
+    ----------
+    own : Member
+        This process.
+
+    Notes
+    -----
+    A server that was lost is kept until its last attempt has ended, so that its
+    answers still reach their entries.
+    """
+
+    def __init__(self, *, own: Member) -> None:
+        self._own = own
+        self._owners = OwnerIndex()
+        self._owned: dict[str, OwnedServer] = {}
+        self._lost: dict[str, OwnedServer] = {}
+        self._by_service: dict[str, list[OwnedServer]] = {}
+
+    def __iter__(self) -> Iterator[OwnedServer]:
+        return iter(self._owned.values())
+
+    def __len__(self) -> int:
+        return len(self._owned)
+
+    @property
+    def with_work(self) -> list[OwnedServer]:
+        """Owned servers, and lost ones that still have attempts."""
+        return [*self._owned.values(), *self._lost.values()]
+
+    @property
+    def by_service(self) -> dict[str, list[OwnedServer]]:
+        """Owned servers in service, by their service."""
+        return self._by_service
+
+    def find(self, name: str) -> OwnedServer | None:
+        """Return an owned server; None if this router does not own it."""
+        return self._owned.get(name)
+
+    def sum_of(self, service: str, now_ms: int) -> LoadSum:
+        """Return the sum of the loads of the owned servers of a service."""
+        servers = self._by_service.get(service, ())
+        return LoadSum(
+            load_sum=sum(each.load.load_at(now_ms) for each in servers),
+            n_servers=len(servers),
+        )
+
+    def take_view(self, view: FleetView, now_ms: int) -> list[OwnedServer]:
+        """Gain and lose servers as the view says.
+
+        Returns
+        -------
+        list of OwnedServer
+            Servers that were lost.
+        """
+        self._owners.take_view(view)
+        self._by_service = {}
+        kept: dict[str, OwnedServer] = {}
+        for service, specs in view.servers_by_service.items():
+            for spec in specs:
+                if self._owners.owner_of(spec).address != self._own.address:
+                    continue
+                server = self._keep_or_gain(spec, view, now_ms)
+                kept[spec.name] = server
+                self._by_service.setdefault(service, []).append(server)
+        lost = [each for name, each in self._owned.items() if name not in kept]
+        self._owned = kept
+        for server in lost:
+            self._lost[server.spec.name] = server
+        self.forget_idle()
+        return lost
+
+    def forget_idle(self) -> None:
+        """Drop lost servers without attempts."""
+        for name in [name for name, each in self._lost.items() if not each.running]:
+            del self._lost[name]
+
+    def _keep_or_gain(
+        self, spec: BackendServerSpec, view: FleetView, now_ms: int
+    ) -> OwnedServer:
+        limits = view.text.limits
+        server = self._owned.get(spec.name)
+        if server is not None and server.spec.address == spec.address:
+            server.update(spec, limits)
+            return server
+        back = self._lost.pop(spec.name, None)
+        if back is not None and back.spec.address == spec.address:
+            back.update(spec, limits)
+            back.gained_at_ms = now_ms
+            back.awaits_report = True
+            return back
+        return OwnedServer(
+            spec=spec,
+            service=view.text.services[spec.service],
+            max_queue_length=limits.max_queue_length,
+            gained_at_ms=now_ms,
+            awaits_report=view.n_listed > 1 or len(view.members) > 1,
+        )
--- /dev/null
+++ b/damaskrill/dependencies/__init__.py
@@ -0,0 +1,6 @@
+"""Outages and the causes that follow from the declared graph of services."""
+
+from damaskrill.dependencies._graph import find_outage
+from damaskrill.dependencies._outages import OutageTracker
+
+__all__ = ["OutageTracker", "find_outage"]
--- /dev/null
+++ b/damaskrill/fairness/_fair_queue.py
@@ -0,0 +1,225 @@
+"""Queue before one backend server: priorities, then max-min fair shares."""
+
+from collections import deque
+from collections.abc import Callable
+
+from attrs import define, field
+
+from damaskrill.configuration import TeamSpec
+from damaskrill.messages import Member, OfferAttempt
+
+__all__ = ["FairQueue", "QueuedAttempt"]
+
+
+@define(kw_only=True)
+class QueuedAttempt:
+    """An attempt that waits for a slot.
+
+    Parameters
+    ----------
+    offer : OfferAttempt
+        The offer.
+    entry : Member
+        Router that has made it.
+    team : TeamSpec
+        Team, with its share and the request's own priority.
+    queued_at_ms, expires_at_ms : int
+        Start and latest end of its wait, in milliseconds.
+    deadline_ms : int
+        Deadline of the request on this process's clock, in milliseconds.
+    """
+
+    offer: OfferAttempt
+    entry: Member
+    team: TeamSpec
+    queued_at_ms: int
+    expires_at_ms: int
+    deadline_ms: int
+
+    @property
+    def attempt_id(self) -> str:
+        """ID of the attempt."""
+        return self.offer.attempt_id
+
+
+@define(kw_only=True)
+class _TeamQueue:
+    waiting: deque[QueuedAttempt] = field(factory=deque)
+    # Start tag of the team's next request in start-time fair queueing.
+    next_start: float = 0.0
+
+
+@define(kw_only=True)
+class _Level:
+    teams: dict[str, _TeamQueue] = field(factory=dict)
+    virtual_time: float = 0.0
+
+
+class FairQueue:
+    """Bounded queue whose next entry depends on priorities, shares and use.
+
+    Parameters
+    ----------
+    max_length : int
+        Entries that it holds at most.
+
+    Notes
+    -----
+    Within a priority the team with the fewest slots for its share goes first, and
+    between equal ones the team with the lowest start tag (start-time fair
+    queueing). A team's tag is forgotten once the virtual time has passed it, so the
+    memory is bounded by the queue's length and not by the number of teams.
+
+    References
+    ----------
+    P. Goyal, H. M. Vin, H. Cheng, "Start-time fair queueing", SIGCOMM 1996.
+    """
+
+    def __init__(self, *, max_length: int) -> None:
+        self.max_length = max_length
+        self._levels: dict[int, _Level] = {}
+        self._by_id: dict[str, QueuedAttempt] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __contains__(self, attempt_id: str) -> bool:
+        return attempt_id in self._by_id
+
+    @property
+    def waiting(self) -> tuple[QueuedAttempt, ...]:
+        """All entries, in the order in which they came."""
+        return tuple(self._by_id.values())
+
+    def push(self, entry: QueuedAttempt) -> QueuedAttempt | None:
+        """Add an entry.
+
+        Returns
+        -------
+        QueuedAttempt or None
+            If the queue was full, the entry that has to leave for it: the newest
+            of the team with the most entries for its share, among those of the
+            lowest priority. It may be the added one.
+        """
+        level = self._levels.setdefault(entry.team.priority, _Level())
+        queue = level.teams.get(entry.team.name)
+        if queue is None:
+            queue = _TeamQueue(next_start=level.virtual_time)
+            level.teams[entry.team.name] = queue
+        if not queue.waiting:
+            queue.next_start = max(queue.next_start, level.virtual_time)
+        queue.waiting.append(entry)
+        self._by_id[entry.attempt_id] = entry
+        if len(self._by_id) <= self.max_length:
+            return None
+        victim = self._choose_victim()
+        self.remove(victim.attempt_id)
+        return victim
+
+    def pop(
+        self,
+        *,
+        n_running: Callable[[str], int],
+        may_take: Callable[[TeamSpec], bool],
+    ) -> QueuedAttempt | None:
+        """Take out the next entry.
+
+        Parameters
+        ----------
+        n_running : callable
+            Slots that a team has, by its name.
+        may_take : callable
+            Whether a team may have one more slot.
+
+        Returns
+        -------
+        QueuedAttempt or None
+            None if no waiting team may have a slot.
+        """
+        for priority in sorted(self._levels):
+            level = self._levels[priority]
+            names = [
+                name
+                for name, queue in level.teams.items()
+                if queue.waiting and may_take(queue.waiting[0].team)
+            ]
+            if names:
+                name = min(names, key=lambda each: _rank(level, each, n_running))
+                return self._take(level, name)
+        return None
+
+    def remove(self, attempt_id: str) -> QueuedAttempt | None:
+        """Take out an entry by its attempt's ID; return None if it is not there."""
+        entry = self._by_id.pop(attempt_id, None)
+        if entry is None:
+            return None
+        level = self._levels[entry.team.priority]
+        level.teams[entry.team.name].waiting.remove(entry)
+        self._forget_passed(entry.team.priority)
+        return entry
+
+    def remove_expired(self, now_ms: int) -> list[QueuedAttempt]:
+        """Take out the entries whose wait has come to its end."""
+        expired = [
+            each for each in self._by_id.values() if each.expires_at_ms <= now_ms
+        ]
+        for entry in expired:
+            self.remove(entry.attempt_id)
+        return expired
+
+    def n_ahead(self, team: TeamSpec) -> int:
+        """Return how many entries would be served before a new one of a team."""
+        n_ahead = 0
+        n_own = 1
+        level = self._levels.get(team.priority)
+        if level is not None and team.name in level.teams:
+            n_own += len(level.teams[team.name].waiting)
+        for priority, each in self._levels.items():
+            for queue in each.teams.values():
+                if priority < team.priority:
+                    n_ahead += len(queue.waiting)
+                elif priority == team.priority:
+                    n_ahead += min(len(queue.waiting), n_own)
+        return n_ahead
+
+    def n_waiting(self, team: TeamSpec) -> int:
+        """Return how many entries of a team wait in its priority."""
+        level = self._levels.get(team.priority)
+        queue = level.teams.get(team.name) if level is not None else None
+        return len(queue.waiting) if queue is not None else 0
+
+    def _take(self, level: _Level, name: str) -> QueuedAttempt:
+        queue = level.teams[name]
+        entry = queue.waiting.popleft()
+        del self._by_id[entry.attempt_id]
+        level.virtual_time = max(level.virtual_time, queue.next_start)
+        queue.next_start += 1 / entry.team.share
+        self._forget_passed(entry.team.priority)
+        return entry
+
+    def _forget_passed(self, priority: int) -> None:
+        level = self._levels[priority]
+        if not any(queue.waiting for queue in level.teams.values()):
+            del self._levels[priority]
+            return
+        for name in list(level.teams):
+            queue = level.teams[name]
+            if not queue.waiting and queue.next_start <= level.virtual_time:
+                del level.teams[name]
+
+    def _choose_victim(self) -> QueuedAttempt:
+        level = self._levels[max(self._levels)]
+        queues = [queue.waiting for queue in level.teams.values() if queue.waiting]
+        longest = max(
+            queues,
+            key=lambda each: (len(each) / each[-1].team.share, each[-1].team.name),
+        )
+        return longest[-1]
+
+
+def _rank(
+    level: _Level, name: str, n_running: Callable[[str], int]
+) -> tuple[float, float, str]:
+    queue = level.teams[name]
+    share = queue.waiting[0].team.share
+    return (n_running(name) / share, queue.next_start, name)
--- /dev/null
+++ b/damaskrill/membership/_owner_index.py
@@ -0,0 +1,42 @@
+"""Remembers which member owns which backend server while the members stay."""
+
+from damaskrill.configuration import BackendServerSpec
+from damaskrill.membership._ownership import owner_of_server
+from damaskrill.messages import FleetView, Member
+
+__all__ = ["OwnerIndex"]
+
+
+class OwnerIndex:
+    """Owners of backend servers under one view, found once for each server.
+
+    Notes
+    -----
+    A change of the text leaves what is known of unchanged servers in place; a
+    change of the members forgets all.
+    """
+
+    def __init__(self) -> None:
+        self._members: tuple[Member, ...] = ()
+        self._near: dict[str, tuple[Member, ...]] = {}
+        self._owners: dict[tuple[str, str], Member] = {}
+
+    def take_view(self, view: FleetView) -> None:
+        """Use the members of a view from now on."""
+        if view.members == self._members:
+            return
+        self._members = view.members
+        self._owners = {}
+        near: dict[str, list[Member]] = {}
+        for member in view.members:
+            near.setdefault(member.data_centre, []).append(member)
+        self._near = {name: tuple(members) for name, members in near.items()}
+
+    def owner_of(self, server: BackendServerSpec) -> Member:
+        """Return the member that owns a backend server."""
+        key = (server.name, server.data_centre)
+        owner = self._owners.get(key)
+        if owner is None:
+            members = self._near.get(server.data_centre, self._members)
+            owner = self._owners[key] = owner_of_server(server, members)
+        return owner
--- /dev/null
+++ b/damaskrill/placement/_affinity.py
@@ -0,0 +1,91 @@
+"""The product's placement: rendezvous order of the affinity key, near regions first."""
+
+from collections import OrderedDict
+
+import xxhash
+
+from damaskrill.configuration import BackendServerSpec
+from damaskrill.kernel._registry import registry
+from damaskrill.messages import FleetView, Request
+from damaskrill.placement._base import BasePlacementPolicy
+
+__all__ = ["AffinityPlacement"]
+
+MAX_CHOICES = 8
+MAX_CACHED_ORDERS = 2_048
+
+
+@registry.register("placement", "affinity")
+class AffinityPlacement(BasePlacementPolicy):
+    """Same order for the same key at every entry of a region.
+
+    Parameters
+    ----------
+    random_state : int
+        Not used.
+    max_choices : int, default=8
+        Length of the order.
+
+    Notes
+    -----
+    The order must not depend on the entry's data centre, because the balancer
+    brings a returning chat to any entry; only the region, within which data centres
+    are less than a millisecond apart, is preferred. When a server comes or goes,
+    only the keys move that it takes or had.
+    """
+
+    def __init__(
+        self, *, random_state: int = 0, max_choices: int = MAX_CHOICES
+    ) -> None:
+        self.random_state = random_state
+        self.max_choices = max_choices
+        self._servers: dict[str, tuple[BackendServerSpec, ...]] = {}
+        self._nodes: dict[str, list[tuple[bool, bytes, str]]] = {}
+        self._orders: OrderedDict[tuple[str, str], list[str]] = OrderedDict()
+
+    def rank(self, request: Request, view: FleetView) -> list[str]:
+        """Order the candidates for a request."""
+        service = request.service
+        servers = view.servers_by_service.get(service, ())
+        if self._servers.get(service) is not servers:
+            self._take_servers(service, servers, view)
+        key = (service, request.affinity_key)
+        order = self._orders.get(key)
+        if order is None:
+            order = self._orders[key] = self._find_order(service, request.affinity_key)
+            if len(self._orders) > MAX_CACHED_ORDERS:
+                self._orders.popitem(last=False)
+        else:
+            self._orders.move_to_end(key)
+        return list(order)
+
+    def _take_servers(
+        self, service: str, servers: tuple[BackendServerSpec, ...], view: FleetView
+    ) -> None:
+        if self._servers.get(service) != servers:
+            self._nodes[service] = [
+                (_is_near(each, view), f"\x00{each.name}".encode(), each.name)
+                for each in servers
+            ]
+            for key in [key for key in self._orders if key[0] == service]:
+                del self._orders[key]
+        self._servers[service] = servers
+
+    def _find_order(self, service: str, affinity_key: str) -> list[str]:
+        prefix = affinity_key.encode()
+        digest = xxhash.xxh3_64_intdigest
+        scored = [
+            (is_near, digest(prefix + node), name)
+            for is_near, node, name in self._nodes[service]
+        ]
+        scored.sort(reverse=True)
+        return [name for _, _, name in scored[: self.max_choices]]
+
+
+def _is_near(server: BackendServerSpec, view: FleetView) -> bool:
+    centres = view.text.data_centres
+    own = centres.get(view.own.data_centre)
+    there = centres.get(server.data_centre)
+    if own is None or there is None:
+        return True
+    return own.region == there.region
--- a/damaskrill/placement/_base.py
+++ b/damaskrill/placement/_base.py
@@ -26,3 +26,14 @@
         list of str
             Names of backend servers, the best first; empty if there is none.
         """
+
+    def note_load(self, backend_server: str, load: int) -> None:  # noqa: B027
+        """Take a load that was seen; policies without use for it do nothing.
+
+        Parameters
+        ----------
+        backend_server : str
+            Name of the backend server.
+        load : int
+            Its load.
+        """
--- a/damaskrill/routing/_entry.py
+++ b/damaskrill/routing/_entry.py
@@ -1,15 +1,16 @@
 """Entry's side of each request: choices, retries and the one outcome."""
 
-from collections.abc import Sequence
-
-import attrs
+from collections.abc import Callable, Sequence
 
 from damaskrill.base import BaseDecider
+from damaskrill.dependencies import OutageTracker, find_outage
 from damaskrill.kernel._registry import registry
-from damaskrill.membership._ownership import owner_of_server
+from damaskrill.membership._owner_index import OwnerIndex
 from damaskrill.messages import (
     AttemptEnded,
     AttemptFailed,
+    AttemptProgress,
+    AttemptQueued,
     AttemptRefused,
     AttemptStarted,
     CallerGone,
@@ -17,46 +18,64 @@
     Cause,
     CauseCode,
     Completed,
+    EventName,
     FleetView,
     FleetViewChanged,
+    LoadReported,
+    LoggedEvent,
     Member,
     Message,
-    NotRun,
     OfferAttempt,
+    OpenWork,
     Outcome,
     PeerDelivered,
     PeerLost,
+    PeerUnreachable,
     Request,
     RequestEnded,
     RouteRequest,
     SendToPeer,
-    Unknown,
+    SpillRecorded,
+    StopRequested,
+    Tick,
+)
+from damaskrill.routing._open_request import Choice, OpenAttempt, OpenRequest, Stage
+from damaskrill.routing._outcome import outcome_event, outcome_without_answer
+from damaskrill.routing._plan import (
+    plan_after_failure,
+    plan_first,
+    plan_hint,
+    plan_waiting,
 )
+from damaskrill.routing._resting import RestingServers
+from damaskrill.routing._retry_budget import RetryBudget
+from damaskrill.utils import check_random_state
 
 __all__ = ["EntryDecider"]
 
-
-@attrs.define(kw_only=True)
-class _OpenRequest:
-    request: Request
-    choices: list[str]
-    n_attempts: int = 0
-    attempt_id: str = ""
-    owner: str = ""
-    causes: tuple[Cause, ...] = ()
+MAX_HOPS = 4
+MAX_TRIES = 4
+MAX_OFFERS = 24
+MAX_ROUNDS = 6
+# An owner that holds an offer says so at once, so that silence means a lost message.
+OFFER_REPLY_TIMEOUT_MS = 1_000
+# The owner ends an attempt at its deadline; its reply may take this long.
+DEADLINE_GRACE_MS = 300
+ROUND_DELAY_MS = 200
+RETRY_DELAY_MS = 50
 
 
 @registry.register("decider", "entry")
 class EntryDecider(BaseDecider):
-    """Finds the owner of the best backend server, and the next one on refusal.
+    """Offers each request to owners of backend servers until one has answered.
 
     Parameters
     ----------
     own : Member
         This process.
     random_state : int
-        Seed.
-    placement : str, default="rendezvous"
+        Seed of the jitter and of the placement policy.
+    placement : str, default="affinity"
         Registered placement policy.
     """
 
@@ -64,122 +83,497 @@
         FleetViewChanged,
         RouteRequest,
         CallerGone,
+        AttemptQueued,
         AttemptStarted,
         AttemptRefused,
         AttemptEnded,
         AttemptFailed,
+        AttemptProgress,
+        LoadReported,
         PeerLost,
+        PeerUnreachable,
+        StopRequested,
+        Tick,
     )
 
     def __init__(
-        self, *, own: Member, random_state: int = 0, placement: str = "rendezvous"
+        self, *, own: Member, random_state: int = 0, placement: str = "affinity"
     ) -> None:
         self._own = own
+        self._random = check_random_state(random_state)
         self._view: FleetView | None = None
         self._placement = registry.create(
             "placement", placement, random_state=random_state
         )
-        self._open: dict[str, _OpenRequest] = {}
+        self._owners = OwnerIndex()
+        self._outages = OutageTracker()
+        self._resting = RestingServers()
+        self._budgets: dict[str, RetryBudget] = {}
+        self._open: dict[str, OpenRequest] = {}
         self._request_of_attempt: dict[str, str] = {}
+        self._is_stopping = False
+        self._n_late_answers = 0
+
+    @property
+    def n_late_answers(self) -> int:
+        """Answers to ended attempts, which were dropped."""
+        return self._n_late_answers
 
     def decide(self, message: Message, now_ms: int) -> Sequence[Message]:
         """Take one message."""
         match message:
-            case FleetViewChanged(view=view):
-                self._view = view
-                return ()
+            case PeerDelivered(sender=sender, payload=payload):
+                return self._take_reply(payload, sender, now_ms)
             case RouteRequest(request=request):
                 return self._open_request(request, now_ms)
+            case FleetViewChanged(view=view):
+                self._view = view
+                self._owners.take_view(view)
+                self._outages.take_view(view, now_ms)
             case CallerGone(request_id=request_id):
-                return self._drop(request_id)
+                return self._drop(request_id, now_ms)
             case PeerLost(peer=peer):
-                return self._lose_owner(peer)
-            case PeerDelivered(payload=payload):
-                return self._take_reply(payload, now_ms)
+                return self._lose_owner(peer, now_ms)
+            case PeerUnreachable(payload=OfferAttempt() as offer, address=address):
+                return self._take_unsent(offer, address, now_ms)
+            case AttemptProgress(attempt_id=attempt_id, n_bytes=n_bytes):
+                state = self._find(attempt_id)
+                if state is not None and state.attempt is not None:
+                    state.attempt.n_bytes = max(state.attempt.n_bytes, n_bytes)
+            case LoadReported():
+                self._placement.note_load(message.backend_server, message.load)
+            case StopRequested():
+                self._is_stopping = True
+            case Tick():
+                return self._tick(now_ms)
         return ()
 
+    # A new request
+
     def _open_request(self, request: Request, now_ms: int) -> Sequence[Message]:
-        view = self._view
-        if view is None or view.text.version == 0:
-            return self._refuse(request, Cause(code=CauseCode.NO_TEXT))
-        if request.service not in view.text.services:
-            cause = Cause(code=CauseCode.UNKNOWN_SERVICE, subject=request.service)
-            return self._refuse(request, cause)
-        choices = self._placement.rank(request, view)
-        state = _OpenRequest(request=request, choices=choices)
+        state = OpenRequest(request=request, arrived_at_ms=now_ms)
         self._open[request.request_id] = state
+        state.causes = self._find_obstacle(request, now_ms)
+        if state.causes:
+            return self._give_up(state, now_ms)
+        assert self._view is not None
+        ranked = self._placement.rank(request, self._view)
+        state.plan = plan_first(request, ranked, self._resting_at(now_ms))
+        state.first_choice = ranked[0]
+        budget = self._budgets.setdefault(request.service, RetryBudget())
+        budget.note_first_try(self._view.text.limits.retry_budget_percent)
         return self._offer_next(state, now_ms)
 
-    def _refuse(self, request: Request, cause: Cause) -> Sequence[Message]:
-        outcome = NotRun(causes=(cause,), retry_after_ms=1_000)
-        return (RequestEnded(request_id=request.request_id, outcome=outcome),)
+    def _find_obstacle(self, request: Request, now_ms: int) -> tuple[Cause, ...]:
+        view = self._view
+        service = request.service
+        if self._is_stopping:
+            return (Cause(code=CauseCode.STOPPING, subject=self._own.address),)
+        if view is None or view.text.version == 0:
+            return (Cause(code=CauseCode.NO_TEXT),)
+        if service not in view.text.services:
+            return (Cause(code=CauseCode.UNKNOWN_SERVICE, subject=service),)
+        if request.n_hops > MAX_HOPS:
+            return (Cause(code=CauseCode.HOP_LIMIT, detail=f"{MAX_HOPS} times"),)
+        if request.deadline_ms <= now_ms:
+            return (Cause(code=CauseCode.DEADLINE, at_ms=request.deadline_ms),)
+        if service not in view.servers_by_service:
+            return self._causes_of_outage(service, now_ms)
+        return find_outage(
+            service, view, lambda name: self._causes_of_outage(name, now_ms)
+        )
+
+    def _causes_of_outage(self, service: str, now_ms: int) -> tuple[Cause, ...]:
+        assert self._view is not None
+        servers = self._view.servers_by_service.get(service, ())
+        if not servers:
+            none_left = Cause(code=CauseCode.NO_BACKEND_SERVER, subject=service)
+            return (none_left, *self._outages.causes_of_missing(service))
+        if not all(self._resting.is_resting(each.name, now_ms) for each in servers):
+            return ()
+        detail = f"all {len(servers)} failed repeatedly"
+        none_left = Cause(
+            code=CauseCode.NO_BACKEND_SERVER, subject=service, detail=detail
+        )
+        return (none_left, Cause(code=CauseCode.CIRCUIT_OPEN, subject=servers[0].name))
+
+    def _resting_at(self, now_ms: int) -> Callable[[str], bool]:
+        return lambda name: self._resting.is_resting(name, now_ms)
 
-    def _offer_next(self, state: _OpenRequest, now_ms: int) -> Sequence[Message]:
+    # Offers
+
+    def _offer_next(self, state: OpenRequest, now_ms: int) -> Sequence[Message]:
+        view = self._view
+        assert view is not None
+        state.attempt = None
+        if not state.plan:
+            state.plan = plan_waiting(state)
+        while state.plan and state.n_offers < MAX_OFFERS:
+            choice = state.plan.pop(0)
+            if choice.backend_server in view.text.backend_servers:
+                return self._offer(state, choice, now_ms)
+        return self._begin_round(state, now_ms)
+
+    def _offer(
+        self, state: OpenRequest, choice: Choice, now_ms: int
+    ) -> Sequence[Message]:
         assert self._view is not None
         request = state.request
-        if not state.choices:
-            causes = state.causes or (
-                Cause(code=CauseCode.NO_BACKEND_SERVER, subject=request.service),
-            )
-            return self._close(state, NotRun(causes=causes, retry_after_ms=1_000))
-        name = state.choices.pop(0)
-        server = self._view.text.backend_servers[name]
-        owner = owner_of_server(server, self._view.members)
-        state.n_attempts += 1
-        state.attempt_id = f"{request.request_id}.{state.n_attempts}"
-        state.owner = owner.address
-        self._request_of_attempt[state.attempt_id] = request.request_id
+        server = self._view.text.backend_servers[choice.backend_server]
+        owner = self._owners.owner_of(server)
+        state.n_offers += 1
+        attempt = OpenAttempt(
+            attempt_id=self._make_attempt_id(state),
+            backend_server=server.name,
+            owner=owner,
+            offered_at_ms=now_ms,
+            resume_offset=state.n_bytes,
+        )
+        state.attempt = attempt
+        self._request_of_attempt[attempt.attempt_id] = request.request_id
         offer = OfferAttempt(
-            attempt_id=state.attempt_id,
+            attempt_id=attempt.attempt_id,
             request=request,
-            backend_server=name,
+            backend_server=server.name,
             remaining_ms=request.deadline_ms - now_ms,
+            resume_offset=attempt.resume_offset,
             text_version=self._view.text.version,
+            max_wait_ms=choice.max_wait_ms,
+            elapsed_ms=now_ms - state.arrived_at_ms,
+            follows_spill=choice.follows_spill,
+        )
+        return (
+            SendToPeer(address=owner.address, payload=offer),
+            self._event(EventName.ATTEMPT_OFFERED, state),
         )
-        return (SendToPeer(address=owner.address, payload=offer),)
 
-    def _take_reply(self, payload: Message, now_ms: int) -> Sequence[Message]:
-        attempt_id = getattr(payload, "attempt_id", "")
-        request_id = self._request_of_attempt.get(attempt_id, "")
-        state = self._open.get(request_id)
-        if state is None or state.attempt_id != attempt_id:
-            return ()
+    def _make_attempt_id(self, state: OpenRequest) -> str:
+        parts = [state.request.request_id, self._own.incarnation, str(state.n_offers)]
+        return ".".join(part for part in parts if part)
+
+    def _begin_round(self, state: OpenRequest, now_ms: int) -> Sequence[Message]:
+        """Wait for the views to agree, if only they stood in the way."""
+        state.n_rounds += 1
+        if not state.is_transient or state.n_rounds > MAX_ROUNDS:
+            return self._give_up(state, now_ms)
+        delay_ms = ROUND_DELAY_MS + self._random.randrange(ROUND_DELAY_MS)
+        state.next_offer_at_ms = now_ms + delay_ms
+        return ()
+
+    def _offer_again(self, state: OpenRequest, now_ms: int) -> Sequence[Message]:
+        view = self._view
+        assert view is not None
+        state.next_offer_at_ms = 0
+        state.is_transient = False
+        state.has_waited = False
+        state.refused.clear()
+        ranked = self._placement.rank(state.request, view)
+        state.plan = plan_after_failure(state, ranked, self._resting_at(now_ms))
+        if not state.plan:
+            state.causes = self._causes_of_outage(state.request.service, now_ms)
+        return self._offer_next(state, now_ms)
+
+    # Replies
+
+    def _find(self, attempt_id: str) -> OpenRequest | None:
+        state = self._open.get(self._request_of_attempt.get(attempt_id, ""))
+        if state is None or state.attempt is None:
+            return None
+        return state if state.attempt.attempt_id == attempt_id else None
+
+    def _take_reply(
+        self, payload: Message, sender: Member, now_ms: int
+    ) -> Sequence[Message]:
+        attempt_id: str = getattr(payload, "attempt_id", "")
+        state = self._find(attempt_id)
+        if state is None or state.attempt is None:
+            return self._drop_late(payload, attempt_id, sender)
         match payload:
-            case AttemptRefused(causes=causes):
-                state.causes = causes
-                return self._offer_next(state, now_ms)
+            case AttemptQueued():
+                if state.attempt.stage is Stage.OFFERED:
+                    state.attempt.stage = Stage.QUEUED
+            case AttemptStarted(wait_ms=wait_ms):
+                if state.attempt.stage is not Stage.STARTED:
+                    state.n_tries += 1
+                    state.wait_ms += wait_ms
+                state.attempt.stage = Stage.STARTED
+            case AttemptRefused():
+                return self._take_refusal(state, payload, now_ms)
             case AttemptEnded():
-                outcome = Completed(
-                    n_bytes=payload.n_bytes,
-                    digest=payload.digest,
-                    status=payload.status,
+                return self._complete(state, payload, now_ms)
+            case AttemptFailed():
+                state.attempt.n_bytes = payload.n_bytes
+                return self._take_failure(
+                    state, payload.causes, not_run=payload.not_run, now_ms=now_ms
                 )
-                return self._close(state, outcome)
-            case AttemptFailed(causes=causes, not_run=True):
-                state.causes = causes
-                return self._offer_next(state, now_ms)
-            case AttemptFailed(causes=causes):
-                return self._close(state, Unknown(causes=causes))
         return ()
 
-    def _lose_owner(self, peer: Member) -> Sequence[Message]:
+    def _drop_late(
+        self, payload: Message, attempt_id: str, sender: Member
+    ) -> Sequence[Message]:
+        self._n_late_answers += 1
+        event = LoggedEvent(
+            name=EventName.LATE_ANSWER_DROPPED,
+            attempt_id=attempt_id,
+            peer=sender.address,
+            detail=type(payload).__name__,
+        )
+        if not isinstance(payload, AttemptQueued | AttemptStarted):
+            return (event,)
+        cancel = CancelAttempt(attempt_id=attempt_id)
+        return (event, SendToPeer(address=sender.address, payload=cancel))
+
+    def _take_refusal(
+        self, state: OpenRequest, refusal: AttemptRefused, now_ms: int
+    ) -> Sequence[Message]:
+        assert state.attempt is not None and self._view is not None
+        name = state.attempt.backend_server
+        self._request_of_attempt.pop(refusal.attempt_id, None)
+        if refusal.hint_server:
+            plan_hint(state, refusal, self._view)
+            return self._offer_next(state, now_ms)
+        self._placement.note_load(name, refusal.load)
+        state.causes = refusal.causes
+        state.retry_after_ms = refusal.retry_after_ms
+        if refusal.is_transient:
+            state.is_transient = True
+        else:
+            state.refused[name] = refusal.retry_after_ms
+        if refusal.causes and refusal.causes[0].code is CauseCode.CIRCUIT_OPEN:
+            self._resting.note_refusal(
+                name, rest_ms=refusal.retry_after_ms, now_ms=now_ms
+            )
+        return self._offer_next(state, now_ms)
+
+    def _complete(
+        self, state: OpenRequest, ended: AttemptEnded, now_ms: int
+    ) -> Sequence[Message]:
+        assert state.attempt is not None
+        self._resting.note_answer(state.attempt.backend_server)
+        state.n_tries = max(1, state.n_tries)
+        state.n_bytes = state.attempt.resume_offset + ended.n_bytes
+        outcome = Completed(
+            n_bytes=state.n_bytes, digest=ended.digest, status=ended.status
+        )
+        return (
+            *self._record_spill(state),
+            *self._close(
+                state, outcome, now_ms, between_tokens_ms=ended.between_tokens_ms
+            ),
+        )
+
+    def _record_spill(self, state: OpenRequest) -> Sequence[Message]:
+        attempt = state.attempt
+        view = self._view
+        chat = state.request.chat
+        if attempt is None or view is None or not chat or not state.n_offers:
+            return ()
+        is_at_first_choice = attempt.backend_server == state.first_choice
+        first = view.text.backend_servers.get(state.first_choice)
+        # A chat that was served at once by its first choice has nothing to record.
+        if first is None or (is_at_first_choice and state.n_offers == 1):
+            return ()
+        record = SpillRecorded(
+            first_choice=first.name,
+            chat=chat,
+            backend_server="" if is_at_first_choice else attempt.backend_server,
+        )
+        owner = self._owners.owner_of(first)
+        return (SendToPeer(address=owner.address, payload=record),)
+
+    # Failures
+
+    def _take_failure(
+        self,
+        state: OpenRequest,
+        causes: tuple[Cause, ...],
+        *,
+        not_run: bool,
+        now_ms: int,
+        from_budget: bool = True,
+    ) -> Sequence[Message]:
+        attempt = state.attempt
+        assert attempt is not None
+        state.causes = causes
+        state.failed.add(attempt.backend_server)
+        self._request_of_attempt.pop(attempt.attempt_id, None)
+        if not not_run:
+            state.may_have_run = True
+            state.n_bytes = attempt.resume_offset + attempt.n_bytes
+            if not self._is_repeatable(state.request):
+                return self._give_up(state, now_ms)
+        if state.n_tries >= MAX_TRIES or now_ms >= state.request.deadline_ms:
+            return self._give_up(state, now_ms)
+        budget = self._budgets.setdefault(state.request.service, RetryBudget())
+        if from_budget and not budget.spend():
+            state.causes = (Cause(code=CauseCode.RETRY_BUDGET), *causes)
+            return self._give_up(state, now_ms)
+        return self._retry(state, now_ms)
+
+    def _retry(self, state: OpenRequest, now_ms: int) -> Sequence[Message]:
+        event = self._event(EventName.ATTEMPT_RETRIED, state, causes=state.causes)
+        state.attempt = None
+        if state.n_tries <= 1:
+            return (event, *self._offer_again(state, now_ms))
+        spread_ms = RETRY_DELAY_MS << state.n_tries
+        delay_ms = RETRY_DELAY_MS + self._random.randrange(spread_ms)
+        state.next_offer_at_ms = now_ms + delay_ms
+        return (event,)
+
+    def _is_repeatable(self, request: Request) -> bool:
+        view = self._view
+        spec = view.text.services.get(request.service) if view is not None else None
+        return request.repeatable and (spec is None or spec.repeatable)
+
+    def _lose_owner(self, peer: Member, now_ms: int) -> Sequence[Message]:
+        results: list[Message] = []
+        cause = Cause(code=CauseCode.PEER_LOST, subject=peer.address, at_ms=now_ms)
+        for state in list(self._open.values()):
+            if state.attempt is not None and _is_same(state.attempt.owner, peer):
+                results.extend(self._lose_attempt(state, cause, now_ms))
+        return results
+
+    def _lose_attempt(
+        self, state: OpenRequest, cause: Cause, now_ms: int
+    ) -> Sequence[Message]:
+        attempt = state.attempt
+        assert attempt is not None
+        cancel = CancelAttempt(attempt_id=attempt.attempt_id)
+        # The loss of a router is no sign of overload, so that the budget, which
+        # guards the backend servers, is left alone.
+        return (
+            SendToPeer(address=attempt.owner.address, payload=cancel),
+            *self._take_failure(
+                state, (cause,), not_run=False, now_ms=now_ms, from_budget=False
+            ),
+        )
+
+    def _take_unsent(
+        self, offer: OfferAttempt, address: str, now_ms: int
+    ) -> Sequence[Message]:
+        state = self._find(offer.attempt_id)
+        if state is None:
+            return ()
+        self._request_of_attempt.pop(offer.attempt_id, None)
+        state.causes = (Cause(code=CauseCode.PEER_LOST, subject=address, at_ms=now_ms),)
+        state.is_transient = True
+        return self._offer_next(state, now_ms)
+
+    # Time
+
+    def _tick(self, now_ms: int) -> Sequence[Message]:
         results: list[Message] = []
-        cause = Cause(code=CauseCode.PEER_LOST, subject=peer.address)
         for state in list(self._open.values()):
-            if state.owner == peer.address:
-                results.extend(self._close(state, Unknown(causes=(cause,))))
+            results.extend(self._check_time(state, now_ms))
+        if self._is_stopping:
+            results.append(OpenWork(part="entry", n_open=len(self._open)))
         return results
 
-    def _drop(self, request_id: str) -> Sequence[Message]:
-        state = self._open.pop(request_id, None)
+    def _check_time(self, state: OpenRequest, now_ms: int) -> Sequence[Message]:
+        attempt = state.attempt
+        if attempt is None:
+            if now_ms >= state.request.deadline_ms:
+                return self._miss_deadline(state, now_ms)
+            if state.next_offer_at_ms and now_ms >= state.next_offer_at_ms:
+                return self._offer_again(state, now_ms)
+            return ()
+        if now_ms >= state.request.deadline_ms + DEADLINE_GRACE_MS:
+            return self._miss_deadline(state, now_ms)
+        is_silent = now_ms - attempt.offered_at_ms >= OFFER_REPLY_TIMEOUT_MS
+        if attempt.stage is not Stage.OFFERED or not is_silent:
+            return ()
+        # A lost offer of an action can't be told from a lost reply to it.
+        if not self._is_repeatable(state.request) or state.n_tries >= MAX_TRIES:
+            return ()
+        detail = f"no reply for {OFFER_REPLY_TIMEOUT_MS} ms"
+        cause = Cause(
+            code=CauseCode.PEER_LOST, subject=attempt.owner.address, detail=detail
+        )
+        return self._lose_attempt(state, cause, now_ms)
+
+    def _miss_deadline(self, state: OpenRequest, now_ms: int) -> Sequence[Message]:
+        deadline = Cause(code=CauseCode.DEADLINE, at_ms=state.request.deadline_ms)
+        state.causes = (deadline, *state.causes)
+        if state.attempt is None:
+            return self._give_up(state, now_ms)
+        state.may_have_run = True
+        attempt = state.attempt
+        cancel = CancelAttempt(attempt_id=attempt.attempt_id)
+        return (
+            SendToPeer(address=attempt.owner.address, payload=cancel),
+            *self._give_up(state, now_ms),
+        )
+
+    # The end
+
+    def _drop(self, request_id: str, now_ms: int) -> Sequence[Message]:
+        state = self._open.get(request_id)
         if state is None:
             return ()
-        self._request_of_attempt.pop(state.attempt_id, None)
-        cancel = CancelAttempt(attempt_id=state.attempt_id)
-        return (SendToPeer(address=state.owner, payload=cancel),)
+        state.causes = (Cause(code=CauseCode.CALLER_GONE, at_ms=now_ms),)
+        results: list[Message] = []
+        if state.attempt is not None:
+            state.may_have_run = True
+            # An action that has begun runs to its end, so that its outcome can be
+            # recorded for the caller's next question.
+            if not self._is_repeatable(state.request):
+                return ()
+            cancel = CancelAttempt(attempt_id=state.attempt.attempt_id)
+            owner = state.attempt.owner
+            results.append(SendToPeer(address=owner.address, payload=cancel))
+        return (*results, *self._give_up(state, now_ms))
 
-    def _close(self, state: _OpenRequest, outcome: Outcome) -> Sequence[Message]:
+    def _give_up(self, state: OpenRequest, now_ms: int) -> Sequence[Message]:
+        return self._close(state, outcome_without_answer(state, self._view), now_ms)
+
+    def _close(
+        self,
+        state: OpenRequest,
+        outcome: Outcome,
+        now_ms: int,
+        *,
+        between_tokens_ms: int = 0,
+    ) -> Sequence[Message]:
         request_id = state.request.request_id
         self._open.pop(request_id, None)
-        self._request_of_attempt.pop(state.attempt_id, None)
-        return (RequestEnded(request_id=request_id, outcome=outcome),)
+        if state.attempt is not None:
+            self._request_of_attempt.pop(state.attempt.attempt_id, None)
+        event = outcome_event(
+            state,
+            outcome,
+            self._view,
+            now_ms=now_ms,
+            between_tokens_ms=between_tokens_ms,
+        )
+        return (RequestEnded(request_id=request_id, outcome=outcome), event)
+
+    def _event(
+        self,
+        name: EventName,
+        state: OpenRequest,
+        *,
+        causes: tuple[Cause, ...] = (),
+    ) -> LoggedEvent:
+        request = state.request
+        attempt = state.attempt
+        return LoggedEvent(
+            name=name,
+            request_id=request.request_id,
+            attempt_id=attempt.attempt_id if attempt is not None else "",
+            service=request.service,
+            team=request.team,
+            backend_server=attempt.backend_server if attempt is not None else "",
+            peer=attempt.owner.address if attempt is not None else "",
+            causes=causes,
+            n_attempts=state.n_tries,
+            text_version=self._view.text.version if self._view is not None else 0,
+        )
+
+
+def _is_same(owner: Member, peer: Member) -> bool:
+    """Whether a lost peer is the process that an offer went to."""
+    if owner.address != peer.address:
+        return False
+    if not owner.incarnation or not peer.incarnation:
+        return True
+    return owner.incarnation == peer.incarnation
--- /dev/null
+++ b/damaskrill/routing/_open_request.py
@@ -0,0 +1,81 @@
+"""State of one request at its entry."""
+
+from enum import Enum
+
+from attrs import define, field
+
+from damaskrill.messages import Cause, Member, Request
+
+__all__ = ["Choice", "OpenAttempt", "OpenRequest", "Stage"]
+
+
+class Stage(Enum):
+    """How far an attempt has come, as the entry knows it."""
+
+    OFFERED = "offered"
+    QUEUED = "queued"
+    STARTED = "started"
+
+
+@define(kw_only=True)
+class Choice:
+    """A backend server to offer the request to.
+
+    Parameters
+    ----------
+    backend_server : str
+        Its name.
+    max_wait_ms : int
+        Longest wait in its owner's queue, in milliseconds.
+    follows_spill : bool
+        Whether its owner may name another server.
+    """
+
+    backend_server: str
+    max_wait_ms: int = 0
+    follows_spill: bool = False
+
+
+@define(kw_only=True)
+class OpenAttempt:
+    """The attempt that the request waits for."""
+
+    attempt_id: str
+    backend_server: str
+    owner: Member
+    offered_at_ms: int
+    resume_offset: int
+    stage: Stage = Stage.OFFERED
+    n_bytes: int = 0
+
+
+@define(kw_only=True)
+class OpenRequest:
+    """A request without an outcome.
+
+    Parameters
+    ----------
+    request : Request
+        The request.
+    arrived_at_ms : int
+        When it came to routing, in milliseconds.
+    """
+
+    request: Request
+    arrived_at_ms: int
+    plan: list[Choice] = field(factory=list)
+    first_choice: str = ""
+    attempt: OpenAttempt | None = None
+    next_offer_at_ms: int = 0
+    n_offers: int = 0
+    n_tries: int = 0
+    n_rounds: int = 0
+    has_waited: bool = False
+    n_bytes: int = 0
+    may_have_run: bool = False
+    wait_ms: int = 0
+    causes: tuple[Cause, ...] = ()
+    retry_after_ms: int = 0
+    is_transient: bool = False
+    refused: dict[str, int] = field(factory=dict)
+    failed: set[str] = field(factory=set)
--- /dev/null
+++ b/damaskrill/routing/_plan.py
@@ -0,0 +1,108 @@
+"""Which backend servers a request is offered to, and in which order."""
+
+from collections.abc import Callable, Sequence
+
+from damaskrill.messages import AttemptRefused, FleetView, Request
+from damaskrill.routing._open_request import Choice, OpenRequest
+
+__all__ = ["plan_after_failure", "plan_first", "plan_hint", "plan_waiting"]
+
+N_SPILL_CHOICES = 5
+# Waiting at the first choice saves the processing of the cached part of the prompt.
+PATIENCE_US_PER_PROMPT_TOKEN = 50
+MAX_PATIENCE_MS = 1_000
+US_PER_MS = 1_000
+
+
+def plan_first(
+    request: Request,
+    ranked: Sequence[str],
+    is_resting: Callable[[str], bool],
+) -> list[Choice]:
+    """Return the choices of a new request.
+
+    Parameters
+    ----------
+    request : Request
+        The request.
+    ranked : sequence of str
+        Backend servers in the order of the placement policy.
+    is_resting : callable
+        Whether a server's circuit is known to be open.
+
+    Returns
+    -------
+    list of Choice
+        The first choice may queue the request for a short time; the next ones
+        have to take or refuse it at once.
+    """
+    active = [name for name in ranked if not is_resting(name)] or list(ranked)
+    if not active:
+        return []
+    patience_us = request.n_prompt_tokens * PATIENCE_US_PER_PROMPT_TOKEN
+    patience_ms = min(MAX_PATIENCE_MS, patience_us // US_PER_MS)
+    first = Choice(
+        backend_server=active[0], max_wait_ms=patience_ms, follows_spill=True
+    )
+    return [
+        first,
+        *(Choice(backend_server=name) for name in active[1 : 1 + N_SPILL_CHOICES]),
+    ]
+
+
+def plan_hint(state: OpenRequest, refusal: AttemptRefused, view: FleetView) -> None:
+    """Put the server that a refusal names before the other choices.
+
+    Parameters
+    ----------
+    state : OpenRequest
+        The refused request.
+    refusal : AttemptRefused
+        The refusal.
+    view : FleetView
+        View in force.
+    """
+    attempt = state.attempt
+    if attempt is None:
+        return
+    again = Choice(backend_server=attempt.backend_server)
+    servers = view.servers_by_service.get(state.request.service, ())
+    if any(each.name == refusal.hint_server for each in servers):
+        hint = Choice(backend_server=refusal.hint_server)
+        others = [
+            each for each in state.plan if each.backend_server != refusal.hint_server
+        ]
+        state.plan = [hint, again, *others]
+    else:
+        state.plan.insert(0, again)
+
+
+def plan_waiting(state: OpenRequest) -> list[Choice]:
+    """Return the choice whose owner may queue a request that all have refused."""
+    if state.has_waited or not state.refused:
+        return []
+    state.has_waited = True
+    name = min(state.refused, key=lambda each: state.refused[each])
+    return [Choice(backend_server=name, max_wait_ms=-1)]
+
+
+def plan_after_failure(
+    state: OpenRequest,
+    ranked: Sequence[str],
+    is_resting: Callable[[str], bool],
+) -> list[Choice]:
+    """Return the choices for another try, those that have failed last.
+
+    Parameters
+    ----------
+    state : OpenRequest
+        The request.
+    ranked : sequence of str
+        Backend servers in the order of the placement policy.
+    is_resting : callable
+        Whether a server's circuit is known to be open.
+    """
+    fresh = [name for name in ranked if name not in state.failed]
+    active = [name for name in fresh if not is_resting(name)]
+    names = active or fresh or list(ranked)
+    return [Choice(backend_server=name) for name in names[: 1 + N_SPILL_CHOICES]]
