Find out by probes which routers are alive

Cause: every listed router was taken for alive, so that an owner that had died kept its backend servers for as long as the host list lagged. Each router now probes one other a second, asks others before it suspects, lets the suspected process refute, and tells what it finds on its probes. Processes at one address are told apart by contact; a woken process distrusts its view until a peer has told it the members.

--- /dev/null
+++ b/damaskrill/membership/_decider.py
@@ -0,0 +1,431 @@
+"""Membership by probes whose traffic does not grow with the fleet."""
+
+import math
+from collections.abc import Sequence
+
+from damaskrill.base import BaseDecider
+from damaskrill.kernel._registry import registry
+from damaskrill.membership._dissemination import NewsQueue
+from damaskrill.membership._probing import OpenProbe, ProbeRotation
+from damaskrill.membership._table import PeerTable
+from damaskrill.messages import (
+    EventName,
+    HostListRead,
+    LoggedEvent,
+    Member,
+    MemberNews,
+    MembersChanged,
+    MemberState,
+    MembersTold,
+    Message,
+    PeerConnected,
+    PeerDelivered,
+    PeerLost,
+    PeerUnreachable,
+    Probe,
+    ProbeAnswer,
+    ProbeRequest,
+    ProcessPaused,
+    ReadHostList,
+    SendToPeer,
+    StopRequested,
+    TextHeld,
+    Tick,
+)
+from damaskrill.utils import check_random_state
+
+__all__ = ["ProbingMembership"]
+
+PROBE_INTERVAL_MS = 1_000
+DIRECT_TIMEOUT_MS = 400
+PROBE_TIMEOUT_MS = 1_000
+N_INDIRECT_PROBES = 3
+N_JOIN_PROBES = 3
+MIN_SUSPICION_MS = 2_000
+SUSPICION_PER_DOUBLING_MS = 400
+# How long a woken process waits for a peer before it counts itself as cut off.
+RELEARN_TIMEOUT_MS = 3_000
+HOST_LIST_INTERVAL_MS = 2_000
+N_MEMBERS_PER_PIECE = 24
+MAX_OPEN_PROBES = 64
+PUBLISH_INTERVAL_MS = 500
+
+
+@registry.register("decider", "membership")
+class ProbingMembership(BaseDecider):
+    """Probes one router a second, and spreads what it finds on the probes.
+
+    Parameters
+    ----------
+    own : Member
+        This process.
+    random_state : int
+        Seed of the order of probes.
+
+    Notes
+    -----
+    After SWIM (Das, Gupta and Motivala, 2002): round-robin probes, indirect probes,
+    suspicion before death, refutation by a number that only the suspected process
+    raises. The platform's host list names addresses; processes at them are told apart
+    by incarnations, which are learnt by contact.
+    """
+
+    handles = (
+        HostListRead,
+        PeerConnected,
+        PeerLost,
+        PeerUnreachable,
+        Probe,
+        ProbeAnswer,
+        ProbeRequest,
+        MembersTold,
+        ProcessPaused,
+        StopRequested,
+        TextHeld,
+        Tick,
+    )
+
+    def __init__(self, *, own: Member, random_state: int = 0) -> None:
+        self._own = own
+        self._number = 0
+        self._left = False
+        self._own_leaving = False
+        self._table = PeerTable(own=own)
+        self._news = NewsQueue()
+        self._rotation = ProbeRotation(
+            table=self._table,
+            random_state=check_random_state(random_state),
+        )
+        self._open: dict[int, OpenProbe] = {}
+        self._n_probes = 0
+        self._next_probe_ms = 0
+        self._next_list_ms = 0
+        self._untrusted_since_ms: int | None = None
+        self._has_joined = False
+        self._text = TextHeld(version=0, digest=0)
+        self._published: MembersChanged | None = None
+        self._published_state = (False, False, -1)
+        self._published_at_ms = -PUBLISH_INTERVAL_MS
+
+    def decide(self, message: Message, now_ms: int) -> Sequence[Message]:
+        """Take one message and tell if the members have changed."""
+        results = list(self._take(message, now_ms))
+        results.extend(self._publish(now_ms))
+        return results
+
+    def _take(self, message: Message, now_ms: int) -> Sequence[Message]:
+        match message:
+            case Tick():
+                return self._take_tick(now_ms)
+            case PeerDelivered(sender=sender, payload=payload):
+                self._note_contact(sender, now_ms)
+                return self._take_payload(payload, sender, now_ms)
+            case HostListRead(hosts=hosts):
+                self._table.take_host_list(hosts, now_ms)
+                self._own_leaving = any(
+                    each.leaving and each.address == self._own.address for each in hosts
+                )
+                return self._join(now_ms)
+            case PeerConnected(peer=peer):
+                self._note_contact(peer, now_ms)
+            case PeerLost(peer=peer):
+                self._rotation.hurry(peer.address)
+            case PeerUnreachable(payload=Probe() as probe):
+                return self._probe_indirectly(self._open.get(probe.sequence))
+            case ProcessPaused():
+                return self._relearn(now_ms)
+            case TextHeld():
+                self._text = message
+            case StopRequested():
+                return self._leave()
+        return ()
+
+    def _take_payload(
+        self, payload: Message, sender: Member, now_ms: int
+    ) -> Sequence[Message]:
+        match payload:
+            case Probe():
+                self._take_news(payload.news, now_ms)
+                return self._answer(payload, sender)
+            case ProbeAnswer():
+                self._take_news(payload.news, now_ms)
+                return self._take_answer(payload, sender, now_ms)
+            case ProbeRequest():
+                self._take_news(payload.news, now_ms)
+                probe = OpenProbe(
+                    sequence=0,
+                    target=payload.target,
+                    sent_at_ms=now_ms,
+                    is_indirect=True,
+                    asked_by=sender.address,
+                    asked_sequence=payload.sequence,
+                )
+                return (self._send_probe(probe),)
+            case MembersTold():
+                self._take_news(payload.news, now_ms)
+                if payload.is_last:
+                    self._untrusted_since_ms = None
+        return ()
+
+    # Probes
+
+    def _take_tick(self, now_ms: int) -> Sequence[Message]:
+        results: list[Message] = []
+        if now_ms >= self._next_list_ms:
+            self._next_list_ms = now_ms + HOST_LIST_INTERVAL_MS
+            results.append(ReadHostList())
+        for probe in list(self._open.values()):
+            results.extend(self._check_probe(probe, now_ms))
+        if now_ms >= self._next_probe_ms and not self._left:
+            self._next_probe_ms = now_ms + PROBE_INTERVAL_MS
+            results.extend(self._probe_next(now_ms))
+        for news in self._table.bury_suspects(self._suspicion_ms, now_ms):
+            self._news.add(news)
+        return results
+
+    @property
+    def _suspicion_ms(self) -> int:
+        doublings = math.log2(len(self._table) + 2)
+        return max(MIN_SUSPICION_MS, round(SUSPICION_PER_DOUBLING_MS * doublings))
+
+    def _probe_next(self, now_ms: int, *, wants_members: bool = False) -> list[Message]:
+        target = self._rotation.take_next()
+        if not target:
+            return []
+        return [self._probe(target, now_ms, wants_members=wants_members)]
+
+    def _probe(
+        self, target: str, now_ms: int, *, wants_members: bool = False
+    ) -> SendToPeer:
+        probe = OpenProbe(sequence=0, target=target, sent_at_ms=now_ms)
+        return self._send_probe(probe, wants_members=wants_members)
+
+    def _send_probe(
+        self, probe: OpenProbe, *, wants_members: bool = False
+    ) -> SendToPeer:
+        self._n_probes += 1
+        probe.sequence = self._n_probes
+        self._open[probe.sequence] = probe
+        if len(self._open) > MAX_OPEN_PROBES:
+            del self._open[next(iter(self._open))]
+        payload = Probe(
+            sequence=probe.sequence,
+            news=self._take_queued_news(),
+            wants_members=wants_members,
+            text_version=self._text.version,
+            text_digest=self._text.digest,
+        )
+        return SendToPeer(address=probe.target, payload=payload)
+
+    def _check_probe(self, probe: OpenProbe, now_ms: int) -> Sequence[Message]:
+        age_ms = now_ms - probe.sent_at_ms
+        if age_ms >= PROBE_TIMEOUT_MS:
+            del self._open[probe.sequence]
+            if not probe.asked_by:
+                self._suspect(probe.target, now_ms)
+            return ()
+        if age_ms >= DIRECT_TIMEOUT_MS:
+            return self._probe_indirectly(probe)
+        return ()
+
+    def _probe_indirectly(self, probe: OpenProbe | None) -> Sequence[Message]:
+        if probe is None or probe.is_indirect:
+            return ()
+        probe.is_indirect = True
+        others = self._rotation.choose_others(N_INDIRECT_PROBES, without=probe.target)
+        return [
+            SendToPeer(
+                address=other,
+                payload=ProbeRequest(
+                    sequence=probe.sequence,
+                    target=probe.target,
+                    news=self._take_queued_news(),
+                ),
+            )
+            for other in others
+        ]
+
+    def _answer(self, probe: Probe, sender: Member) -> list[Message]:
+        answer = ProbeAnswer(
+            sequence=probe.sequence,
+            news=self._take_queued_news(),
+            text_version=self._text.version,
+            text_digest=self._text.digest,
+        )
+        results: list[Message] = [SendToPeer(address=sender.address, payload=answer)]
+        if probe.wants_members:
+            results.extend(self._tell_members(sender))
+        return results
+
+    def _take_answer(
+        self, answer: ProbeAnswer, sender: Member, now_ms: int
+    ) -> Sequence[Message]:
+        probe = self._open.pop(answer.sequence, None)
+        if probe is None:
+            return ()
+        if probe.asked_by:
+            relayed = ProbeAnswer(
+                sequence=probe.asked_sequence,
+                target=probe.target,
+                text_version=self._text.version,
+                text_digest=self._text.digest,
+            )
+            return (SendToPeer(address=probe.asked_by, payload=relayed),)
+        if answer.target:
+            self._clear_suspicion(probe.target, now_ms)
+        return ()
+
+    def _clear_suspicion(self, address: str, now_ms: int) -> None:
+        entry = self._table.get(address)
+        if entry is not None and entry.state is not MemberState.DEAD:
+            news = self._table.contact(entry.member, now_ms)
+            if news is not None:
+                self._news.add(news)
+
+    def _suspect(self, address: str, now_ms: int) -> None:
+        news = self._table.suspect(address, now_ms)
+        if news is not None:
+            self._news.add(news)
+
+    # News
+
+    def _take_queued_news(self) -> tuple[MemberNews, ...]:
+        return self._news.take(len(self._table) + 1)
+
+    def _note_contact(self, peer: Member, now_ms: int) -> None:
+        news = self._table.contact(peer, now_ms)
+        if news is not None:
+            self._news.add(news)
+
+    def _take_news(self, all_news: Sequence[MemberNews], now_ms: int) -> None:
+        for news in all_news:
+            if news.address == self._own.address:
+                self._refute(news)
+            elif self._table.take_news(news, now_ms):
+                self._news.add(news)
+            else:
+                self._check_other_process(news)
+
+    def _check_other_process(self, news: MemberNews) -> None:
+        entry = self._table.get(news.address)
+        is_other = entry is not None and entry.incarnation != news.incarnation
+        if is_other and news.state is MemberState.ALIVE:
+            self._rotation.hurry(news.address)
+
+    def _refute(self, news: MemberNews) -> None:
+        is_doubted = news.state in (MemberState.SUSPECT, MemberState.DEAD)
+        is_own = news.incarnation == self._own.incarnation
+        if is_own and is_doubted and news.number >= self._number and not self._left:
+            self._number = news.number + 1
+            self._news.add(self._own_news(MemberState.ALIVE))
+
+    def _own_news(self, state: MemberState) -> MemberNews:
+        return MemberNews(
+            address=self._own.address,
+            data_centre=self._own.data_centre,
+            incarnation=self._own.incarnation,
+            state=state,
+            number=self._number,
+        )
+
+    def _tell_members(self, peer: Member) -> list[Message]:
+        known = [each.news for each in self._table if each.incarnation]
+        size = N_MEMBERS_PER_PIECE
+        pieces = [known[n : n + size] for n in range(0, len(known), size)] or [[]]
+        return [
+            SendToPeer(
+                address=peer.address,
+                payload=MembersTold(news=tuple(piece), is_last=piece is pieces[-1]),
+            )
+            for piece in pieces
+        ]
+
+    # Joining, leaving, waking
+
+    def _join(self, now_ms: int) -> Sequence[Message]:
+        if self._has_joined or not len(self._table):
+            return ()
+        self._has_joined = True
+        self._news.add(self._own_news(MemberState.ALIVE))
+        return self._ask_for_members(now_ms)
+
+    def _ask_for_members(self, now_ms: int) -> list[Message]:
+        targets = self._rotation.choose_others(N_JOIN_PROBES)
+        return [self._probe(each, now_ms, wants_members=True) for each in targets]
+
+    def _relearn(self, now_ms: int) -> Sequence[Message]:
+        self._open.clear()
+        self._table.distrust(now_ms)
+        self._next_probe_ms = now_ms + PROBE_INTERVAL_MS
+        self._next_list_ms = now_ms + HOST_LIST_INTERVAL_MS
+        if not any(each.is_counted for each in self._table):
+            return (ReadHostList(),)
+        self._untrusted_since_ms = now_ms
+        return [ReadHostList(), *self._ask_for_members(now_ms)]
+
+    def _leave(self) -> Sequence[Message]:
+        if self._left:
+            return ()
+        self._left = True
+        news = self._own_news(MemberState.LEFT)
+        return [
+            SendToPeer(address=each.address, payload=MembersTold(news=(news,)))
+            for each in self._table
+            if each.is_member
+        ]
+
+    # The view
+
+    def _publish(self, now_ms: int) -> Sequence[Message]:
+        if not self._must_publish(now_ms):
+            return ()
+        self._published_state = self._view_state(now_ms)
+        self._published_at_ms = now_ms
+        current = self._members_changed(now_ms)
+        if current == self._published:
+            return ()
+        self._published = current
+        event = LoggedEvent(
+            name=EventName.MEMBERS_CHANGED,
+            detail=(
+                f"{current.n_reachable} of {current.n_listed} routers reachable, "
+                f"{len(current.members)} members"
+            ),
+        )
+        return (current, event)
+
+    def _view_state(self, now_ms: int) -> tuple[bool, bool, int]:
+        leaving = self._left or self._own_leaving
+        return (self._is_trusted(now_ms), leaving, self._table.n_changes)
+
+    def _must_publish(self, now_ms: int) -> bool:
+        state = self._view_state(now_ms)
+        if state == self._published_state:
+            return False
+        # Other changes of a second are published at once, for the owners of all
+        # backend servers are worked out anew; a loss of trust can't wait.
+        is_soon = now_ms - self._published_at_ms < PUBLISH_INTERVAL_MS
+        same_trust = state[:2] == self._published_state[:2]
+        return not (is_soon and same_trust)
+
+    def _members_changed(self, now_ms: int) -> MembersChanged:
+        entries = [each for each in self._table if each.is_counted]
+        members = [each.member for each in entries if each.is_member]
+        if not members or not (self._left or self._own_leaving):
+            members.append(self._own)
+        n_alive = sum(each.state is MemberState.ALIVE for each in entries)
+        return MembersChanged(
+            members=tuple(sorted(members)),
+            n_listed=len(entries) + 1,
+            n_reachable=n_alive + 1,
+            trusted=self._is_trusted(now_ms),
+        )
+
+    def _is_trusted(self, now_ms: int) -> bool:
+        since_ms = self._untrusted_since_ms
+        if since_ms is None:
+            return True
+        if now_ms - since_ms < RELEARN_TIMEOUT_MS:
+            return False
+        self._untrusted_since_ms = None
+        return True
--- a/damaskrill/membership/_listed.py
+++ b/damaskrill/membership/_listed.py
@@ -9,7 +9,7 @@
 __all__ = ["ListedMembership"]
 
 
-@registry.register("decider", "membership")
+@registry.register("decider", "listed_membership")
 class ListedMembership(BaseDecider):
     """Takes every router on the host list that is not leaving for alive.
 
--- /dev/null
+++ b/damaskrill/membership/_table.py
@@ -0,0 +1,246 @@
+"""What one router knows of each other router."""
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from damaskrill.messages import HostEntry, Member, MemberNews, MemberState
+
+__all__ = ["PeerEntry", "PeerTable"]
+
+MAX_RETIRED_INCARNATIONS = 8
+FORGET_AFTER_MS = 60_000
+
+SEVERITY = {
+    MemberState.UNVERIFIED: 0,
+    MemberState.ALIVE: 1,
+    MemberState.SUSPECT: 2,
+    MemberState.DEAD: 3,
+    MemberState.LEFT: 4,
+}
+
+
+@attrs.define(kw_only=True)
+class PeerEntry:
+    """One address and the process that is thought to run there.
+
+    Parameters
+    ----------
+    address, data_centre, incarnation : str
+        The process; its incarnation is empty until it is known.
+    state : MemberState
+        Its state.
+    number : int
+        Highest number that the process has given itself.
+    since_ms : int
+        When it came into that state, in milliseconds.
+    listed, leaving : bool
+        Whether the host list names it, and as leaving.
+    retired : list of str
+        Earlier processes at the address, which can't come back.
+    """
+
+    address: str
+    data_centre: str
+    incarnation: str = ""
+    state: MemberState = MemberState.UNVERIFIED
+    number: int = 0
+    since_ms: int = 0
+    listed: bool = False
+    leaving: bool = False
+    retired: list[str] = attrs.field(factory=list)
+
+    @property
+    def member(self) -> Member:
+        """The process as a member."""
+        return Member(
+            address=self.address,
+            data_centre=self.data_centre,
+            incarnation=self.incarnation,
+        )
+
+    @property
+    def news(self) -> MemberNews:
+        """The entry as news for others."""
+        return MemberNews(
+            address=self.address,
+            data_centre=self.data_centre,
+            incarnation=self.incarnation,
+            state=self.state,
+            number=self.number,
+        )
+
+    @property
+    def is_member(self) -> bool:
+        """Whether it may own backend servers."""
+        return not self.leaving and self.state not in (
+            MemberState.DEAD,
+            MemberState.LEFT,
+        )
+
+    @property
+    def is_counted(self) -> bool:
+        """Whether it stands for a part of the fleet, reachable or not."""
+        if self.leaving or self.state is MemberState.LEFT:
+            return False
+        return self.listed or self.state is not MemberState.DEAD
+
+
+class PeerTable:
+    """Entries by address, without this process's own.
+
+    Parameters
+    ----------
+    own : Member
+        This process.
+    """
+
+    def __init__(self, *, own: Member) -> None:
+        self._own = own
+        self._entries: dict[str, PeerEntry] = {}
+        self._n_changes = 0
+
+    @property
+    def n_changes(self) -> int:
+        """How often anything has changed; tells whether a view must be rebuilt."""
+        return self._n_changes
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __iter__(self) -> Iterator[PeerEntry]:
+        return iter(list(self._entries.values()))
+
+    def get(self, address: str) -> PeerEntry | None:
+        """Return the entry of an address, if there is one."""
+        return self._entries.get(address)
+
+    def take_host_list(self, hosts: Iterable[HostEntry], now_ms: int) -> None:
+        """Take the host list: it names addresses, but no processes."""
+        listed = {each.address: each for each in hosts if each.role == "router"}
+        listed.pop(self._own.address, None)
+        for address, host in listed.items():
+            entry = self._entries.get(address)
+            if entry is None:
+                entry = PeerEntry(
+                    address=address, data_centre=host.data_centre, since_ms=now_ms
+                )
+                self._entries[address] = entry
+            self._set_listed(entry, listed=True, leaving=host.leaving)
+        for address, entry in list(self._entries.items()):
+            if address not in listed:
+                self._set_listed(entry, listed=False, leaving=False)
+                self._forget_if_old(entry, now_ms)
+
+    def contact(self, peer: Member, now_ms: int) -> MemberNews | None:
+        """Note that a process has been heard directly.
+
+        Returns
+        -------
+        MemberNews or None
+            News for others if anything changed.
+        """
+        if peer.address == self._own.address or not peer.incarnation:
+            return None
+        entry = self._entries.get(peer.address)
+        if entry is None:
+            entry = PeerEntry(address=peer.address, data_centre=peer.data_centre)
+            self._entries[peer.address] = entry
+        if peer.incarnation in entry.retired:
+            return None
+        if entry.incarnation != peer.incarnation:
+            self._replace(entry, peer.incarnation)
+        elif entry.state in (MemberState.ALIVE, MemberState.LEFT):
+            return None
+        entry.data_centre = peer.data_centre
+        self._set_state(entry, MemberState.ALIVE, now_ms)
+        return entry.news
+
+    def take_news(self, news: MemberNews, now_ms: int) -> bool:
+        """Take hearsay; return whether it was new.
+
+        Notes
+        -----
+        Processes at one address have no order, so that another process than the known
+        one is believed only if the known one has not been found alive.
+        """
+        entry = self._entries.get(news.address)
+        if entry is None:
+            if news.state in (MemberState.DEAD, MemberState.LEFT):
+                return False
+            entry = PeerEntry(address=news.address, data_centre=news.data_centre)
+            self._entries[news.address] = entry
+        if not news.incarnation or news.incarnation in entry.retired:
+            return False
+        if entry.incarnation != news.incarnation:
+            if entry.incarnation and entry.state is MemberState.ALIVE:
+                return False
+            self._replace(entry, news.incarnation)
+        elif not self._is_newer(news, entry):
+            return False
+        entry.number = news.number
+        entry.data_centre = news.data_centre
+        self._set_state(entry, news.state, now_ms)
+        return True
+
+    def suspect(self, address: str, now_ms: int) -> MemberNews | None:
+        """Suspect a router that has not answered; return the news."""
+        entry = self._entries.get(address)
+        if entry is None or entry.state not in (
+            MemberState.ALIVE,
+            MemberState.UNVERIFIED,
+        ):
+            return None
+        self._set_state(entry, MemberState.SUSPECT, now_ms)
+        return entry.news
+
+    def bury_suspects(self, timeout_ms: int, now_ms: int) -> list[MemberNews]:
+        """Take routers for dead that were suspected for too long."""
+        news = []
+        for entry in self._entries.values():
+            overdue = now_ms - entry.since_ms >= timeout_ms
+            if entry.state is MemberState.SUSPECT and overdue:
+                self._set_state(entry, MemberState.DEAD, now_ms)
+                news.append(entry.news)
+        return news
+
+    def distrust(self, now_ms: int) -> None:
+        """Hold no router for alive that is not found to be alive again."""
+        for entry in self._entries.values():
+            if entry.state in (MemberState.ALIVE, MemberState.SUSPECT):
+                self._set_state(entry, MemberState.UNVERIFIED, now_ms)
+
+    def _set_listed(self, entry: PeerEntry, *, listed: bool, leaving: bool) -> None:
+        if (entry.listed, entry.leaving) != (listed, leaving):
+            entry.listed = listed
+            entry.leaving = leaving
+            self._n_changes += 1
+
+    def _is_newer(self, news: MemberNews, entry: PeerEntry) -> bool:
+        if entry.state is MemberState.LEFT:
+            return False
+        if news.state is MemberState.LEFT:
+            return True
+        if news.number != entry.number:
+            return news.number > entry.number
+        return SEVERITY[news.state] > SEVERITY[entry.state]
+
+    def _replace(self, entry: PeerEntry, incarnation: str) -> None:
+        if entry.incarnation:
+            entry.retired.append(entry.incarnation)
+            del entry.retired[:-MAX_RETIRED_INCARNATIONS]
+        entry.incarnation = incarnation
+        entry.number = 0
+        self._n_changes += 1
+
+    def _set_state(self, entry: PeerEntry, state: MemberState, now_ms: int) -> None:
+        if entry.state is not state:
+            entry.state = state
+            entry.since_ms = now_ms
+            self._n_changes += 1
+
+    def _forget_if_old(self, entry: PeerEntry, now_ms: int) -> None:
+        gone = entry.state not in (MemberState.ALIVE, MemberState.SUSPECT)
+        if gone and now_ms - entry.since_ms > FORGET_AFTER_MS:
+            del self._entries[entry.address]
+            self._n_changes += 1
