Read the operators' text by declared keys, whole and by section

Cause: the first parser stopped at the first fault, lost line numbers and would have had to read a whole text for each change. Change: blocks are read with line numbers, keys come from one declaration, all faults are reported at once, references and cycles are checked. [teams] has a line a team and is held in buckets; split_sections and apply_sections carry a change at the cost of its own size. Backend servers can be found on the host list. An invalid text gives TextRefused and the last one stays.

--- a/damaskrill/configuration/_faults.py
+++ b/damaskrill/configuration/_faults.py
@@ -36,6 +36,8 @@
     WRONG_UNIT = "wrong_unit"
     OUT_OF_RANGE = "out_of_range"
     UNKNOWN_REFERENCE = "unknown_reference"
+    NO_SERVICE = "no_service"
+    MISPLACED_TEAM = "misplaced_team"
     DUPLICATE_ADDRESS = "duplicate_address"
     DEPENDENCY_CYCLE = "dependency_cycle"
     TOO_MANY_FAULTS = "too_many_faults"
@@ -68,6 +70,8 @@
     FaultCode.UNKNOWN_REFERENCE: (
         "[{header}] names the {kind} '{name}', which this text does not have"
     ),
+    FaultCode.NO_SERVICE: "the text has no section [service NAME]",
+    FaultCode.MISPLACED_TEAM: "team '{name}' does not belong into [{header}]",
     FaultCode.DUPLICATE_ADDRESS: "[{header}] has the address {address} of [{other}]",
     FaultCode.DEPENDENCY_CYCLE: "services depend on each other in a circle: {path}",
     FaultCode.TOO_MANY_FAULTS: "{n_more} more faults are not shown",
@@ -98,7 +102,8 @@
 
     def describe(self, file: str) -> str:
         """Return ``FILE:LINE: CODE: sentence``."""
-        return f"{file}:{self.line}: {self.code.value}: {self.sentence}"
+        place = f"{file}:[{self.section}]" if self.section else file
+        return f"{place}:{self.line}: {self.code.value}: {self.sentence}"
 
 
 class InvalidConfigurationError(DamaskrillError):
@@ -127,9 +132,16 @@
 
 
 class FaultList:
-    """Collects faults while a file is read; bounded."""
+    """Collects faults while a file is read; bounded.
+
+    Attributes
+    ----------
+    section : str
+        Header that the faults noted from now on belong to; empty for a whole file.
+    """
 
     def __init__(self) -> None:
+        self.section = ""
         self._faults: list[Fault] = []
         self._n_more = 0
 
@@ -139,7 +151,8 @@
             self._n_more += 1
             return
         sentence = FAULT_TEMPLATES[code].format(**details)
-        self._faults.append(Fault(line=line, code=code, sentence=sentence))
+        fault = Fault(line=line, code=code, sentence=sentence, section=self.section)
+        self._faults.append(fault)
 
     def __bool__(self) -> bool:
         return bool(self._faults)
--- a/damaskrill/configuration/_ini.py
+++ b/damaskrill/configuration/_ini.py
@@ -1,4 +1,4 @@
-"""Reads INI lines into sections, with line numbers and all faults.
+"""Reads INI text into sections, with line numbers and all faults.
 
 Notes
 -----
@@ -6,9 +6,10 @@
 the line numbers of values, and takes several times as long for a text of 1 MB.
 """
 
+import re
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import frozen
 
 from damaskrill.configuration._faults import FaultCode, FaultList
 from damaskrill.configuration._schema import Key, SectionSchema
@@ -22,15 +23,17 @@
 )
 
 __all__ = [
+    "Block",
     "Entry",
-    "RawSection",
     "build_section",
     "decode_content",
-    "read_lines",
+    "read_blocks",
     "read_values",
 ]
 
 COMMENT_MARKS = ("#", ";")
+MAX_HEADER_LENGTH = 2 * MAX_NAME_LENGTH
+HEADER_START_PATTERN = re.compile(r"^[ \t]*\[", re.MULTILINE)
 
 
 @frozen(kw_only=True)
@@ -41,9 +44,9 @@
     value: str
 
 
-@define(kw_only=True)
-class RawSection:
-    """A section whose values are not converted yet.
+@frozen(kw_only=True)
+class Block:
+    """A section as it stands in the file.
 
     Parameters
     ----------
@@ -51,13 +54,13 @@
         Content of the brackets, with single spaces.
     line : int
         Line of the header.
-    entries : dict of str to Entry
-        Values by key.
+    body : str
+        The lines below the header.
     """
 
     header: str
     line: int
-    entries: dict[str, Entry] = field(factory=dict)
+    body: str
 
     @property
     def kind(self) -> str:
@@ -98,79 +101,103 @@
         return ""
 
 
-def read_lines(
-    lines: list[str], faults: FaultList, first_line: int = 1
-) -> list[RawSection]:
-    """Read sections.
+def read_blocks(text: str, faults: FaultList) -> list[Block]:
+    """Divide a text at its headers.
 
     Parameters
     ----------
-    lines : list of str
-        Lines without their ends.
+    text : str
+        The whole text.
     faults : FaultList
         Where faults of structure are noted.
-    first_line : int, default=1
-        Number of the first of these lines.
 
     Returns
     -------
-    list of RawSection
+    list of Block
         In the order of the file; of duplicates only the first.
     """
-    sections: list[RawSection] = []
+    starts = [found.start() for found in HEADER_START_PATTERN.finditer(text)]
+    _check_preamble(text[: starts[0]] if starts else text, faults)
+    blocks: list[Block] = []
     lines_by_header: dict[str, int] = {}
-    current: RawSection | None = None
-    for number, raw_line in enumerate(lines, first_line):
+    line, counted_to = 1, 0
+    for start, end in zip(starts, [*starts[1:], len(text)]):
+        line += text.count("\n", counted_to, start)
+        counted_to = start
+        header_line, _, body = text[start:end].partition("\n")
+        header = _read_header(header_line.strip(), line, faults)
+        first_line = lines_by_header.setdefault(header, line)
+        if first_line == line:
+            blocks.append(Block(header=header, line=line, body=body))
+            continue
+        code = FaultCode.DUPLICATE_SECTION
+        shown = shorten_value(header)
+        faults.add(line, code, header=shown, first_line=first_line)
+    return blocks
+
+
+def _read_header(line: str, number: int, faults: FaultList) -> str:
+    header = " ".join(line[1:].removesuffix("]").split())
+    is_closed = line.endswith("]") and len(line) <= MAX_HEADER_LENGTH
+    if not is_closed or "[" in header or "]" in header:
+        faults.add(number, FaultCode.INVALID_LINE)
+    return header
+
+
+def _check_preamble(text: str, faults: FaultList) -> None:
+    for number, raw_line in enumerate(text.split("\n"), 1):
         line = raw_line.strip()
         if not line or line.startswith(COMMENT_MARKS):
             continue
-        if line.startswith("["):
-            current = _read_header(line, number, faults)
-            first = lines_by_header.setdefault(current.header, number)
-            if first == number:
-                sections.append(current)
-                continue
-            header = shorten_value(current.header)
-            code = FaultCode.DUPLICATE_SECTION
-            faults.add(number, code, header=header, first_line=first)
+        key, separator, _ = line.partition("=")
+        if separator and key.strip():
+            shown = shorten_value(key.strip())
+            faults.add(number, FaultCode.KEY_OUTSIDE_SECTION, key=shown)
         else:
-            _read_entry(line, number, current, faults)
-    return sections
+            faults.add(number, FaultCode.INVALID_LINE)
 
 
-def _read_header(line: str, number: int, faults: FaultList) -> RawSection:
-    if not line.endswith("]") or len(line) > 3 * MAX_NAME_LENGTH:
-        faults.add(number, FaultCode.INVALID_LINE)
-    header = " ".join(line.strip("[]").split())
-    return RawSection(header=header, line=number)
+def read_entries(block: Block, faults: FaultList) -> dict[str, Entry]:
+    """Read the lines ``key = value`` of a block.
 
+    Parameters
+    ----------
+    block : Block
+        The block.
+    faults : FaultList
+        Where faults are noted.
 
-def _read_entry(
-    line: str, number: int, section: RawSection | None, faults: FaultList
-) -> None:
-    key, separator, value = line.partition("=")
-    key = key.rstrip()
-    if not separator or not key:
-        faults.add(number, FaultCode.INVALID_LINE)
-        return
-    if section is None:
-        faults.add(number, FaultCode.KEY_OUTSIDE_SECTION, key=shorten_value(key))
-        return
-    entry = Entry(line=number, value=value.strip())
-    known = section.entries.setdefault(key, entry)
-    if known is not entry:
-        code = FaultCode.DUPLICATE_KEY
-        faults.add(number, code, key=shorten_value(key), first_line=known.line)
+    Returns
+    -------
+    dict of str to Entry
+        Values by key; of duplicates only the first.
+    """
+    entries: dict[str, Entry] = {}
+    for number, raw_line in enumerate(block.body.split("\n"), block.line + 1):
+        line = raw_line.strip()
+        if not line or line.startswith(COMMENT_MARKS):
+            continue
+        key, separator, value = line.partition("=")
+        key = key.rstrip()
+        if not separator or not key:
+            faults.add(number, FaultCode.INVALID_LINE)
+            continue
+        entry = Entry(line=number, value=value.strip())
+        known = entries.setdefault(key, entry)
+        if known is not entry:
+            code = FaultCode.DUPLICATE_KEY
+            faults.add(number, code, key=shorten_value(key), first_line=known.line)
+    return entries
 
 
 def read_values(
-    raw: RawSection, schema: SectionSchema, faults: FaultList
-) -> dict[str, Any] | None:
+    block: Block, schema: SectionSchema, faults: FaultList
+) -> dict[str, Any]:
     """Convert the values of a section.
 
     Parameters
     ----------
-    raw : RawSection
+    block : Block
         The section.
     schema : SectionSchema
         Its declaration.
@@ -179,57 +206,57 @@
 
     Returns
     -------
-    dict or None
-        Values by field of the schema's class; None if the section has faults.
+    dict
+        Values by field of the schema's class; those with faults are left out.
     """
-    is_valid = _check_name(raw, schema, faults)
+    _check_name(block, schema, faults)
+    entries = read_entries(block, faults)
     values: dict[str, Any] = {}
     if schema.name_field:
-        values[schema.name_field] = raw.name
+        values[schema.name_field] = block.name
     keys = schema.keys_by_name
-    for name, entry in raw.entries.items():
+    for name, entry in entries.items():
         key = keys.get(name)
         if key is None:
-            _note_unknown_key(raw, name, keys, faults)
-            is_valid = False
+            _note_unknown_key(block, name, entry, keys, faults)
             continue
         try:
             values[name] = convert_value(key.value_type, entry.value)
         except InvalidValue as error:
             _note_invalid_value(key, entry, error, faults)
-            is_valid = False
     for name in schema.required_names:
-        if name not in raw.entries:
-            header = shorten_value(raw.header)
-            faults.add(raw.line, FaultCode.MISSING_KEY, header=header, key=name)
-            is_valid = False
-    return values if is_valid else None
+        if name not in entries:
+            header = shorten_value(block.header)
+            faults.add(block.line, FaultCode.MISSING_KEY, header=header, key=name)
+    return values
 
 
-def build_section(raw: RawSection, schema: SectionSchema, faults: FaultList) -> Any:
+def build_section(block: Block, schema: SectionSchema, faults: FaultList) -> Any:
     """Build the class of a section.
 
     Parameters
     ----------
-    raw, schema, faults
+    block, schema, faults
         As for ``read_values``.
 
     Returns
     -------
-    object or None
-        Instance of the schema's class; None if the section has faults.
+    object
+        Instance of the schema's class. Where values have faults it holds defaults or
+        empty text, so that what is right in it can still be checked.
     """
-    values = read_values(raw, schema, faults)
-    return None if values is None else schema.target(**values)
+    values = dict.fromkeys(schema.required_names, "")
+    values.update(read_values(block, schema, faults))
+    return schema.target(**values)
 
 
 def _note_unknown_key(
-    raw: RawSection, name: str, keys: dict[str, Key], faults: FaultList
+    block: Block, name: str, entry: Entry, keys: dict[str, Key], faults: FaultList
 ) -> None:
     faults.add(
-        raw.entries[name].line,
+        entry.line,
         FaultCode.UNKNOWN_KEY,
-        header=shorten_value(raw.header),
+        header=shorten_value(block.header),
         key=shorten_value(name),
         known=", ".join(keys),
     )
@@ -244,17 +271,14 @@
     faults.add(entry.line, error.code, key=key.name, value=shown, expected=expected)
 
 
-def _check_name(raw: RawSection, schema: SectionSchema, faults: FaultList) -> bool:
-    name = raw.name
-    if not schema.name_field and not name:
-        return True
-    if schema.name_field and is_valid_name(name):
-        return True
-    if not schema.name_field:
+def _check_name(block: Block, schema: SectionSchema, faults: FaultList) -> None:
+    name = block.name
+    if not schema.name_field and name:
         known = f"[{schema.kind}], without a name"
-        shown = shorten_value(raw.header)
-        faults.add(raw.line, FaultCode.UNKNOWN_SECTION, header=shown, known=known)
-        return False
-    shown = shorten_value(name)
-    faults.add(raw.line, FaultCode.INVALID_NAME, name=shown, limit=MAX_NAME_LENGTH)
-    return False
+        shown = shorten_value(block.header)
+        code = FaultCode.UNKNOWN_SECTION
+        faults.add(block.line, code, header=shown, known=known)
+    elif schema.name_field and not is_valid_name(name):
+        shown = shorten_value(name)
+        limit = MAX_NAME_LENGTH
+        faults.add(block.line, FaultCode.INVALID_NAME, name=shown, limit=limit)
--- a/damaskrill/configuration/_model.py
+++ b/damaskrill/configuration/_model.py
@@ -1,10 +1,12 @@
 """Data classes of a parsed operators' text."""
 
+from collections.abc import Mapping
 from enum import Enum
 
 from attrs import field, frozen
 
 __all__ = [
+    "BackendServerSearch",
     "BackendServerSpec",
     "DataCentreSpec",
     "FencingCheck",
@@ -98,6 +100,26 @@
     leaving: bool = False
 
 
+@frozen(kw_only=True)
+class BackendServerSearch:
+    """How the backend servers of a service are found, and what they have in common.
+
+    Parameters
+    ----------
+    service : str
+        Service whose backend servers are found.
+    find : str
+        Where: ``host_list`` takes the hosts that the platform lists for the service.
+    bearable_load, cold_load : int
+        As for ``BackendServerSpec``.
+    """
+
+    service: str
+    find: str
+    bearable_load: int = 16
+    cold_load: int = 2
+
+
 @frozen(kw_only=True)
 class DataCentreSpec:
     """One data centre.
@@ -181,18 +203,23 @@
     ----------
     version : int
         The platform's version number; 0 means that there is no text.
-    services, backend_servers, data_centres, teams : dict
+    services, backend_servers, data_centres : dict
         Sections by name.
+    teams : mapping of str to TeamSpec
+        Teams that differ from the defaults.
     limits : LimitSpec
         Bounds for the whole fleet.
+    backend_server_searches : dict of str to BackendServerSearch
+        How further backend servers are found, by service.
     """
 
     version: int = 0
     services: dict[str, ServiceSpec] = field(factory=dict)
     backend_servers: dict[str, BackendServerSpec] = field(factory=dict)
     data_centres: dict[str, DataCentreSpec] = field(factory=dict)
-    teams: dict[str, TeamSpec] = field(factory=dict)
+    teams: Mapping[str, TeamSpec] = field(factory=dict)
     limits: LimitSpec = field(factory=LimitSpec)
+    backend_server_searches: dict[str, BackendServerSearch] = field(factory=dict)
 
     def team(self, name: str) -> TeamSpec:
         """Return a team's section, or the defaults under its name."""
--- /dev/null
+++ b/damaskrill/configuration/_sections.py
@@ -0,0 +1,173 @@
+"""Division of a text into sections, and changes of a text by section.
+
+Notes
+-----
+The sections of a text are its INI sections, but for ``[teams]``, which is divided by a
+hash of the team's name into parts with headers from ``teams 0`` on. One changed team
+thus changes one part of about a thousandth of the section.
+"""
+
+from collections.abc import Iterable, Mapping
+from itertools import chain
+
+import xxhash
+
+from damaskrill.configuration._draft import TextDraft, note_unknown_section
+from damaskrill.configuration._faults import FaultCode, FaultList
+from damaskrill.configuration._ini import Block, decode_content, read_blocks
+from damaskrill.configuration._model import FleetText
+from damaskrill.configuration._teams import (
+    COMMENT_MARKS,
+    N_TEAM_BUCKETS,
+    TeamBucket,
+    bucket_of_team,
+    read_team_lines,
+)
+from damaskrill.configuration._text_schema import MAX_TEXT_BYTES, TEAMS_KIND
+from damaskrill.configuration._values import shorten_value
+
+__all__ = ["apply_sections", "digest_section", "split_sections"]
+
+
+def digest_section(content: bytes) -> str:
+    """Return a short digest of a section's content, in hexadecimal."""
+    return xxhash.xxh3_64_hexdigest(content)
+
+
+def split_sections(content: bytes) -> dict[str, bytes]:
+    """Divide a text into sections that can be replaced one by one.
+
+    Parameters
+    ----------
+    content : bytes
+        The text, in UTF-8.
+
+    Returns
+    -------
+    dict of str to bytes
+        Content by header, the header's line included; without comments and blank
+        lines, so that these alone change nothing.
+
+    Raises
+    ------
+    InvalidConfigurationError
+        If the text cannot be divided. Values are not checked.
+    """
+    faults = FaultList()
+    text = decode_content(content, MAX_TEXT_BYTES, faults)
+    sections: dict[str, bytes] = {}
+    for block in read_blocks(text, faults):
+        lines = _content_lines(block.body)
+        if block.kind == TEAMS_KIND and block.name:
+            # Only the parts of a divided text have such headers.
+            note_unknown_section(block, faults)
+        elif block.header == TEAMS_KIND:
+            sections.update(_split_teams(lines))
+        else:
+            sections[block.header] = _join_lines(block.header, lines)
+    faults.raise_if_any()
+    return sections
+
+
+def _content_lines(body: str) -> list[str]:
+    stripped = map(str.strip, body.split("\n"))
+    return [line for line in stripped if line and not line.startswith(COMMENT_MARKS)]
+
+
+def _join_lines(header: str, lines: list[str]) -> bytes:
+    return "\n".join([f"[{header}]", *lines, ""]).encode()
+
+
+def _split_teams(lines: list[str]) -> dict[str, bytes]:
+    parts: list[list[str]] = [[] for _ in range(N_TEAM_BUCKETS)]
+    digest = xxhash.xxh3_64_intdigest
+    for line in lines:
+        name = line.partition("=")[0].rstrip()
+        parts[digest(name.encode()) % N_TEAM_BUCKETS].append(line)
+    return {
+        f"{TEAMS_KIND} {number}": _join_lines(f"{TEAMS_KIND} {number}", part)
+        for number, part in enumerate(parts)
+        if part
+    }
+
+
+def apply_sections(
+    text: FleetText,
+    changed: Mapping[str, bytes],
+    removed: Iterable[str],
+    version: int,
+) -> FleetText:
+    """Return a text with some sections replaced, added or removed.
+
+    Parameters
+    ----------
+    text : FleetText
+        The text that the change starts from; stays as it is.
+    changed : mapping of str to bytes
+        New content by header, as from ``split_sections``.
+    removed : iterable of str
+        Headers of removed sections.
+    version : int
+        The platform's version number of the new text.
+
+    Returns
+    -------
+    FleetText
+        The new text; what has not changed is shared with the old one.
+
+    Raises
+    ------
+    InvalidConfigurationError
+        If the new text would have faults. Their lines count from the section's header.
+
+    Notes
+    -----
+    Changed sections are converted, and references between sections are checked whole
+    unless only teams have changed. The cost does not grow with the number of teams.
+    """
+    faults = FaultList()
+    draft = TextDraft(text)
+    for header in removed:
+        kind, _, name = header.partition(" ")
+        if kind == TEAMS_KIND:
+            _put_team_part(draft, Block(header=header, line=1, body=""), faults)
+        else:
+            draft.remove(kind, name)
+    for header, content in changed.items():
+        faults.section = header
+        block = _read_single_block(header, content, faults)
+        if block is None:
+            continue
+        if block.kind == TEAMS_KIND:
+            _put_team_part(draft, block, faults)
+        else:
+            draft.put(block, faults)
+    faults.section = ""
+    if draft.references_changed:
+        draft.check_references(faults, lambda header: 0)
+    faults.raise_if_any()
+    return draft.build(version)
+
+
+def _read_single_block(header: str, content: bytes, faults: FaultList) -> Block | None:
+    blocks = read_blocks(decode_content(content, MAX_TEXT_BYTES, faults), faults)
+    if len(blocks) == 1 and blocks[0].header == header:
+        return blocks[0]
+    faults.add(1, FaultCode.INVALID_LINE)
+    return None
+
+
+def _put_team_part(draft: TextDraft, block: Block, faults: FaultList) -> None:
+    number = int(block.name) if block.name.isascii() and block.name.isdigit() else -1
+    if not 0 <= number < N_TEAM_BUCKETS:
+        known = f"[{TEAMS_KIND} 0] to [{TEAMS_KIND} {N_TEAM_BUCKETS - 1}]"
+        header = shorten_value(block.header)
+        faults.add(block.line, FaultCode.UNKNOWN_SECTION, header=header, known=known)
+        return
+    buckets: list[TeamBucket] = [{} for _ in range(N_TEAM_BUCKETS)]
+    read_team_lines(block.body.split("\n"), block.line + 1, buckets, faults)
+    draft.buckets[number] = buckets[number]
+    misplaced = [name for name in chain(*buckets) if bucket_of_team(name) != number]
+    if misplaced:
+        code = FaultCode.MISPLACED_TEAM
+        faults.add(block.line, code, header=block.header, name=misplaced[0])
--- a/damaskrill/configuration/_settings.py
+++ b/damaskrill/configuration/_settings.py
@@ -6,7 +6,7 @@
 from attrs import field, frozen
 
 from damaskrill.configuration._faults import FaultCode, FaultList
-from damaskrill.configuration._ini import decode_content, read_lines, read_values
+from damaskrill.configuration._ini import decode_content, read_blocks, read_values
 from damaskrill.configuration._peer_limits import PeerLimits
 from damaskrill.configuration._schema import FileSchema, Key, SectionSchema
 from damaskrill.configuration._values import (
@@ -366,16 +366,16 @@
     values: dict[type, dict[str, Any]] = {Settings: {}, PeerLimits: {}}
     schemas = SETTINGS_SCHEMA.sections_by_kind
     kinds_found = set()
-    for raw in read_lines(text.split("\n"), faults):
-        schema = schemas.get(raw.kind)
+    for block in read_blocks(text, faults):
+        schema = schemas.get(block.kind)
         if schema is None:
             known = ", ".join(f"[{kind}]" for kind in schemas)
-            header = shorten_value(raw.header)
+            header = shorten_value(block.header)
             code = FaultCode.UNKNOWN_SECTION
-            faults.add(raw.line, code, header=header, known=known)
+            faults.add(block.line, code, header=header, known=known)
             continue
-        kinds_found.add(raw.kind)
-        values[schema.target].update(read_values(raw, schema, faults) or {})
+        kinds_found.add(block.kind)
+        values[schema.target].update(read_values(block, schema, faults))
     _check_sections_present(kinds_found, faults)
     faults.raise_if_any()
     peer_limits = PeerLimits(**values[PeerLimits])
--- /dev/null
+++ b/damaskrill/configuration/_teams.py
@@ -0,0 +1,173 @@
+"""Compact table of the teams that differ from the defaults.
+
+Notes
+-----
+At the target 44,000 teams stand in the text and a change concerns a few of them. The
+table is an immutable tuple of buckets; a change copies the tuple and replaces only the
+buckets that it touches. Within a bucket a team is one packed integer.
+"""
+
+import re
+from collections.abc import Iterator, Mapping, Sequence
+from itertools import chain
+
+import xxhash
+
+from damaskrill.configuration._faults import FaultCode, FaultList
+from damaskrill.configuration._model import TeamSpec
+from damaskrill.configuration._values import (
+    MAX_NAME_LENGTH,
+    is_valid_name,
+    shorten_value,
+)
+
+__all__ = [
+    "MAX_TEAM_SHARE",
+    "N_TEAM_BUCKETS",
+    "TeamBucket",
+    "TeamTable",
+    "bucket_of_team",
+    "pack_teams",
+    "read_team_lines",
+    "unpack_team",
+]
+
+N_TEAM_BUCKETS = 1_024
+N_PRIORITIES = 10
+MAX_TEAM_SHARE = 9_999
+COMMENT_MARKS = ("#", ";")
+EXPECTED = f"a share from 1 to {MAX_TEAM_SHARE} and a priority from 0 to 9"
+TEAM_LINE_PATTERN = re.compile(
+    rf"([A-Za-z0-9][A-Za-z0-9._-]{{0,{MAX_NAME_LENGTH - 1}}})[ \t]*=[ \t]*"
+    r"([1-9][0-9]{0,3})[ \t]+([0-9])"
+)
+
+# Share times ``N_PRIORITIES`` plus priority, by team name.
+TeamBucket = dict[str, int]
+
+
+def bucket_of_team(name: str) -> int:
+    """Return the number of the bucket that holds a team."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % N_TEAM_BUCKETS
+
+
+def unpack_team(packed: int) -> tuple[int, int]:
+    """Return share and priority."""
+    return divmod(packed, N_PRIORITIES)
+
+
+def read_team_lines(
+    lines: list[str],
+    first_line: int,
+    buckets: list[TeamBucket],
+    faults: FaultList,
+) -> None:
+    """Read lines ``name = share priority`` into buckets.
+
+    Parameters
+    ----------
+    lines : list of str
+        The lines.
+    first_line : int
+        Number of the first one.
+    buckets : list of dict
+        One for each bucket number; teams are added to them.
+    faults : FaultList
+        Where faults are noted.
+    """
+    match_line = TEAM_LINE_PATTERN.fullmatch
+    digest = xxhash.xxh3_64_intdigest
+    repeated: list[tuple[int, str]] = []
+    for number, line in enumerate(lines, first_line):
+        found = match_line(line) or _match_unusual_line(line, number, faults)
+        if found is None:
+            continue
+        name, share, priority = found.groups()
+        bucket = buckets[digest(name.encode()) % N_TEAM_BUCKETS]
+        if name in bucket:
+            repeated.append((number, name))
+            continue
+        bucket[name] = int(share) * N_PRIORITIES + int(priority)
+    if repeated:
+        _note_repeated(repeated, lines, first_line, faults)
+
+
+def _match_unusual_line(
+    line: str, number: int, faults: FaultList
+) -> re.Match[str] | None:
+    stripped = line.strip()
+    if not stripped or stripped.startswith(COMMENT_MARKS):
+        return None
+    found = TEAM_LINE_PATTERN.fullmatch(stripped)
+    if found is None:
+        _note_invalid_line(stripped, number, faults)
+    return found
+
+
+def _note_invalid_line(line: str, number: int, faults: FaultList) -> None:
+    name, separator, value = (part.strip() for part in line.partition("="))
+    shown = shorten_value(name)
+    if not separator:
+        faults.add(number, FaultCode.INVALID_LINE)
+    elif not is_valid_name(name):
+        limit = MAX_NAME_LENGTH
+        faults.add(number, FaultCode.INVALID_NAME, name=shown, limit=limit)
+    else:
+        code = FaultCode.WRONG_VALUE
+        value = shorten_value(value)
+        faults.add(number, code, key=shown, value=value, expected=EXPECTED)
+
+
+def _note_repeated(
+    repeated: list[tuple[int, str]],
+    lines: list[str],
+    first_line: int,
+    faults: FaultList,
+) -> None:
+    first_lines: dict[str, int] = {}
+    for number, line in enumerate(lines, first_line):
+        first_lines.setdefault(line.partition("=")[0].strip(), number)
+    for number, name in repeated:
+        code = FaultCode.DUPLICATE_KEY
+        faults.add(number, code, key=name, first_line=first_lines[name])
+
+
+def pack_teams(teams: Mapping[str, TeamSpec]) -> list[TeamBucket]:
+    """Return teams in buckets."""
+    buckets: list[TeamBucket] = [{} for _ in range(N_TEAM_BUCKETS)]
+    for name, spec in teams.items():
+        packed = spec.share * N_PRIORITIES + spec.priority
+        buckets[bucket_of_team(name)][name] = packed
+    return buckets
+
+
+class TeamTable(Mapping[str, TeamSpec]):
+    """Teams by name; immutable.
+
+    Parameters
+    ----------
+    buckets : sequence of dict
+        ``N_TEAM_BUCKETS`` of them; must not be changed afterwards.
+    """
+
+    def __init__(self, buckets: Sequence[TeamBucket]) -> None:
+        self._buckets = tuple(buckets)
+
+    @property
+    def buckets(self) -> tuple[TeamBucket, ...]:
+        """Teams by bucket number."""
+        return self._buckets
+
+    def __getitem__(self, name: str) -> TeamSpec:
+        packed = self._buckets[bucket_of_team(name)][name]
+        share, priority = unpack_team(packed)
+        return TeamSpec(name=name, share=share, priority=priority)
+
+    def __iter__(self) -> Iterator[str]:
+        return chain.from_iterable(self._buckets)
+
+    def __len__(self) -> int:
+        return sum(map(len, self._buckets))
+
+    def __repr__(self) -> str:
+        return f"TeamTable(n_teams={len(self)})"
--- a/damaskrill/configuration/_text.py
+++ b/damaskrill/configuration/_text.py
@@ -1,17 +1,11 @@
 """Parses an operators' text (INI) into a ``FleetText``."""
 
-import configparser
-
-from damaskrill.configuration._model import (
-    BackendServerSpec,
-    DataCentreSpec,
-    FencingCheck,
-    FleetText,
-    LimitSpec,
-    ServiceKind,
-    ServiceSpec,
-    TeamSpec,
-)
+from damaskrill.configuration._draft import TextDraft
+from damaskrill.configuration._faults import FaultList
+from damaskrill.configuration._ini import decode_content, read_blocks
+from damaskrill.configuration._model import FleetText
+from damaskrill.configuration._teams import N_TEAM_BUCKETS, read_team_lines
+from damaskrill.configuration._text_schema import MAX_TEXT_BYTES, TEAMS_KIND
 
 __all__ = ["parse_text"]
 
@@ -30,52 +24,25 @@
     -------
     FleetText
         The sections of the text.
+
+    Raises
+    ------
+    InvalidConfigurationError
+        If the text has faults; carries all of them.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    parser.read_string(content.decode("utf-8"))
-    services, servers, centres, teams = {}, {}, {}, {}
-    limits = LimitSpec()
-    for section in parser.sections():
-        kind, _, name = section.partition(" ")
-        values = parser[section]
-        match kind:
-            case "service":
-                services[name] = ServiceSpec(
-                    name=name,
-                    kind=ServiceKind(values.get("kind", "engine")),
-                    depends_on=tuple(values.get("depends_on", "").split()),
-                    repeatable=values.getboolean("repeatable", True),
-                    fencing_check=FencingCheck(values.get("fencing_check", "ignored")),
-                )
-            case "backend_server":
-                servers[name] = BackendServerSpec(
-                    name=name,
-                    service=values["service"],
-                    address=values["address"],
-                    data_centre=values["data_centre"],
-                    bearable_load=values.getint("bearable_load", 16),
-                    cold_load=values.getint("cold_load", 2),
-                    leaving=values.getboolean("leaving", False),
-                )
-            case "data_centre":
-                centres[name] = DataCentreSpec(
-                    name=name,
-                    region=values.get("region", ""),
-                    in_service=values.getboolean("in_service", True),
-                )
-            case "team":
-                teams[name] = TeamSpec(
-                    name=name,
-                    share=values.getint("share", 1),
-                    priority=values.getint("priority", 5),
-                )
-            case "limits":
-                limits = LimitSpec(**{key: int(value) for key, value in values.items()})
-    return FleetText(
-        version=version,
-        services=services,
-        backend_servers=servers,
-        data_centres=centres,
-        teams=teams,
-        limits=limits,
-    )
+    faults = FaultList()
+    text = decode_content(content, MAX_TEXT_BYTES, faults)
+    faults.raise_if_any()
+    draft = TextDraft(FleetText())
+    draft.buckets[:] = [{} for _ in range(N_TEAM_BUCKETS)]
+    lines: dict[str, int] = {}
+    for block in read_blocks(text, faults):
+        lines[block.header] = block.line
+        if block.header == TEAMS_KIND:
+            team_lines = block.body.split("\n")
+            read_team_lines(team_lines, block.line + 1, draft.buckets, faults)
+        else:
+            draft.put(block, faults)
+    draft.check_references(faults, lambda header: lines.get(header, 0))
+    faults.raise_if_any()
+    return draft.build(version)
--- a/damaskrill/kernel/_view.py
+++ b/damaskrill/kernel/_view.py
@@ -9,6 +9,7 @@
 from damaskrill.messages import (
     FleetView,
     FleetViewChanged,
+    HostEntry,
     HostListRead,
     Member,
     MembersChanged,
@@ -16,7 +17,7 @@
     TextAccepted,
 )
 
-__all__ = ["FleetViewDecider"]
+__all__ = ["FleetViewDecider", "find_backend_servers"]
 
 
 class FleetViewDecider(BaseDecider):
@@ -31,7 +32,9 @@
     handles = (HostListRead, MembersChanged, TextAccepted)
 
     def __init__(self, *, own: Member) -> None:
-        self._view = FleetView(text=FleetText(), own=own, members=(own,))
+        self._text = FleetText()
+        self._hosts: tuple[HostEntry, ...] = ()
+        self._view = FleetView(text=self._text, own=own, members=(own,))
 
     @property
     def view(self) -> FleetView:
@@ -43,13 +46,11 @@
         previous = self._view
         match message:
             case TextAccepted(text=text):
-                self._view = attrs.evolve(previous, text=text)
+                self._text = text
+                self._select_servers()
+            case HostListRead(hosts=hosts) if hosts != self._hosts:
+                self._hosts = hosts
                 self._select_servers()
-            case HostListRead(hosts=hosts):
-                leaving = frozenset(host.address for host in hosts if host.leaving)
-                if leaving != previous.leaving_addresses:
-                    self._view = attrs.evolve(previous, leaving_addresses=leaving)
-                    self._select_servers()
             case MembersChanged():
                 self._view = attrs.evolve(
                     previous,
@@ -63,18 +64,64 @@
         return (FleetViewChanged(view=self._view),)
 
     def _select_servers(self) -> None:
-        view = self._view
+        leaving = frozenset(host.address for host in self._hosts if host.leaving)
+        text = self._text
+        found = find_backend_servers(text, self._hosts)
+        if found:
+            servers = {**text.backend_servers, **found}
+            text = attrs.evolve(text, backend_servers=servers)
+        view = attrs.evolve(self._view, text=text, leaving_addresses=leaving)
         by_service: dict[str, list[BackendServerSpec]] = {}
-        for server in view.text.backend_servers.values():
-            if self._takes_new_work(server):
+        for server in text.backend_servers.values():
+            if _takes_new_work(server, view):
                 by_service.setdefault(server.service, []).append(server)
-        servers = {name: tuple(specs) for name, specs in by_service.items()}
-        self._view = attrs.evolve(view, servers_by_service=servers)
-
-    def _takes_new_work(self, server: BackendServerSpec) -> bool:
-        data_centre = self._view.text.data_centres.get(server.data_centre)
-        if data_centre is not None and not data_centre.in_service:
-            return False
-        if server.leaving:
-            return False
-        return server.address not in self._view.leaving_addresses
+        selected = {name: tuple(specs) for name, specs in by_service.items()}
+        view = attrs.evolve(view, servers_by_service=selected)
+        if view != self._view:
+            self._view = view
+
+
+def _takes_new_work(server: BackendServerSpec, view: FleetView) -> bool:
+    data_centre = view.text.data_centres.get(server.data_centre)
+    if data_centre is not None and not data_centre.in_service:
+        return False
+    return not server.leaving and server.address not in view.leaving_addresses
+
+
+def find_backend_servers(
+    text: FleetText, hosts: Sequence[HostEntry]
+) -> dict[str, BackendServerSpec]:
+    """Return the backend servers that a text finds on the host list, by name.
+
+    Parameters
+    ----------
+    text : FleetText
+        Says for which services the list is searched.
+    hosts : sequence of HostEntry
+        The list.
+
+    Returns
+    -------
+    dict of str to BackendServerSpec
+        One for each listed host of these services that no section of the text names;
+        its name is made of service and address.
+    """
+    if not text.backend_server_searches:
+        return {}
+    named = {server.address for server in text.backend_servers.values()}
+    found: dict[str, BackendServerSpec] = {}
+    for host in hosts:
+        search = text.backend_server_searches.get(host.role)
+        if search is None or host.address in named:
+            continue
+        name = f"{search.service}/{host.address}"
+        found[name] = BackendServerSpec(
+            name=name,
+            service=search.service,
+            address=host.address,
+            data_centre=host.data_centre,
+            bearable_load=search.bearable_load,
+            cold_load=search.cold_load,
+            leaving=host.leaving,
+        )
+    return found
--- a/damaskrill/propagation/_replica.py
+++ b/damaskrill/propagation/_replica.py
@@ -3,9 +3,9 @@
 from collections.abc import Sequence
 
 from damaskrill.base import BaseDecider
-from damaskrill.configuration._text import parse_text
+from damaskrill.configuration import InvalidConfigurationError, parse_text
 from damaskrill.kernel._registry import registry
-from damaskrill.messages import Member, Message, TextAccepted, TextRead
+from damaskrill.messages import Member, Message, TextAccepted, TextRead, TextRefused
 
 __all__ = ["TextReplica"]
 
@@ -26,12 +26,20 @@
 
     def __init__(self, *, own: Member, random_state: int = 0) -> None:
         self._version = 0
+        self._refused_version = 0
 
     def decide(self, message: Message, now_ms: int) -> Sequence[Message]:
         """Take a text from the platform."""
         assert isinstance(message, TextRead)
         if message.version <= self._version:
             return ()
-        text = parse_text(message.content, version=message.version)
+        if message.version == self._refused_version:
+            return ()
+        try:
+            text = parse_text(message.content, version=message.version)
+        except InvalidConfigurationError as error:
+            self._refused_version = message.version
+            faults = tuple(fault.describe("text") for fault in error.faults)
+            return (TextRefused(version=message.version, faults=faults),)
         self._version = message.version
         return (TextAccepted(text=text),)
--- a/features/support/builders.py
+++ b/features/support/builders.py
@@ -139,3 +139,12 @@
 configuration_service_url = http://127.0.0.1:8500/text
 host_list_url = http://127.0.0.1:8500/hosts
 """
+
+
+def build_text_with_teams(n_teams, random):
+    """Return a text with that many teams in one section."""
+    lines = [
+        f"team-{n} = {random.randint(1, 99)} {random.randint(0, 9)}"
+        for n in range(n_teams)
+    ]
+    return MINIMAL_TEXT + "\n".join(["[teams]", *lines, ""]).encode()
