--- /dev/null
+++ b/damaskrill/backends/__init__.py
@@ -0,0 +1,12 @@
+"""HTTP towards backend servers: dispatches, load reports, cache events, orders."""
+
+from damaskrill.backends._client import BackendClient, BackendLimits
+from damaskrill.backends._errors import BackendUnreachableError
+from damaskrill.backends._reports import ReportReader
+
+__all__ = [
+    "BackendClient",
+    "BackendLimits",
+    "BackendUnreachableError",
+    "ReportReader",
+]
--- /dev/null
+++ b/damaskrill/backends/_agent.py
@@ -0,0 +1,88 @@
+"""HTTP agent whose connection failures tell that not a byte was sent."""
+
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet.endpoints import HostnameEndpoint
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.python.failure import Failure
+from twisted.web.client import URI, Agent, HTTPConnectionPool
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
+
+from damaskrill.backends._errors import BackendUnreachableError
+
+__all__ = ["build_agent", "build_pool"]
+
+MAX_IDLE_CONNECTIONS_PER_HOST = 32
+IDLE_CONNECTION_TIMEOUT_S = 20
+
+
+@implementer(IStreamClientEndpoint)
+class _MarkedEndpoint:
+    """Endpoint that turns each failure to connect into one type."""
+
+    def __init__(self, endpoint: Any, address: str) -> None:
+        self._endpoint = endpoint
+        self._address = address
+
+    def connect(self, factory: Any) -> defer.Deferred[Any]:
+        """Connect; fails with ``BackendUnreachableError`` only."""
+        connecting: defer.Deferred[Any] = self._endpoint.connect(factory)
+        connecting.addErrback(self._mark)
+        return connecting
+
+    def _mark(self, failure: Failure) -> None:
+        reason = failure.getErrorMessage()
+        raise BackendUnreachableError(address=self._address, reason=reason)
+
+
+@implementer(IAgentEndpointFactory)
+class _MarkedEndpointFactory:
+    def __init__(self, reactor: Any, connect_timeout_s: float) -> None:
+        self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_s
+
+    def endpointForURI(self, uri: URI) -> _MarkedEndpoint:
+        """Return the endpoint for a URL of a backend server."""
+        host = uri.host.decode("ascii")
+        endpoint = HostnameEndpoint(
+            self._reactor, host, uri.port, timeout=self._connect_timeout_s
+        )
+        return _MarkedEndpoint(endpoint, f"{host}:{uri.port}")
+
+
+def build_pool(reactor: Any, *, persistent: bool) -> HTTPConnectionPool:
+    """Return a pool of connections.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    persistent : bool
+        Whether connections are used again. A request that may not be repeated takes
+        a fresh one, since the server may be about to close a used one.
+    """
+    pool = HTTPConnectionPool(reactor, persistent=persistent)
+    pool.retryAutomatically = False
+    pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
+    pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
+    return pool
+
+
+def build_agent(
+    reactor: Any, pool: HTTPConnectionPool, *, connect_timeout_ms: int
+) -> Agent:
+    """Return an agent that uses a pool.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    pool : HTTPConnectionPool
+        Connections.
+    connect_timeout_ms : int
+        Longest time to connect, in milliseconds.
+    """
+    factory = _MarkedEndpointFactory(reactor, connect_timeout_ms / 1_000)
+    return Agent.usingEndpointFactory(reactor, factory, pool=pool)
--- /dev/null
+++ b/damaskrill/backends/_answer.py
@@ -0,0 +1,158 @@
+"""Receives the body of a backend server's answer and passes it on in chunks."""
+
+import asyncio
+from typing import Any
+
+import xxhash
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+
+from damaskrill.relay import OutgoingStream
+from damaskrill.utils import Clock
+
+__all__ = ["EVENT_STREAM", "AnswerReceiver"]
+
+EVENT_STREAM = "text/event-stream"
+# The last event of a chat's stream; without it the answer is not whole.
+END_OF_EVENTS = b"data: [DONE]"
+MAX_TAIL_BYTES = 64
+CONGESTION_POLL_S = 0.02
+
+
+class AnswerReceiver(Protocol):
+    """Joins the tokens of one answer for a few milliseconds before it sends them.
+
+    Parameters
+    ----------
+    stream : OutgoingStream
+        Where the bytes go.
+    clock : Clock
+        Time.
+    coalesce_ms : int
+        How long bytes may wait for more, in milliseconds; the first never wait.
+    max_chunk_bytes : int
+        Bytes that are sent at once without waiting for more.
+    needs_end_event : bool
+        Whether the answer must end with the end event of a chat's stream.
+
+    Notes
+    -----
+    ``done`` ends with None for a whole answer and with a plain reason otherwise. The
+    end of the connection is an end of the answer only where HTTP's own framing says
+    so (its length, or its last chunk).
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: OutgoingStream,
+        clock: Clock,
+        coalesce_ms: int,
+        max_chunk_bytes: int,
+        needs_end_event: bool,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._stream = stream
+        self._clock = clock
+        self._coalesce_s = coalesce_ms / 1_000
+        self._max_chunk_bytes = max_chunk_bytes
+        self._needs_end_event = needs_end_event
+        self._waiting: list[bytes] = []
+        self._n_waiting_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._digest = xxhash.xxh3_128()
+        self._tail = b""
+        self._n_events = 0
+        self._is_paused = False
+        self.n_bytes = 0
+        self.first_at_ms = 0
+        self.last_at_ms = 0
+        self.first_byte: asyncio.Future[None] = self._loop.create_future()
+        self.done: asyncio.Future[str | None] = self._loop.create_future()
+
+    @property
+    def digest(self) -> str:
+        """Digest of the bytes so far, in hexadecimal."""
+        return self._digest.hexdigest()
+
+    @property
+    def between_tokens_ms(self) -> int:
+        """Mean time between events, in milliseconds; 0 if there were fewer than 2."""
+        if self._n_events < 2:
+            return 0
+        return (self.last_at_ms - self.first_at_ms) // (self._n_events - 1)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes from the connection."""
+        now_ms = self._clock.now_ms
+        self.last_at_ms = now_ms
+        self.n_bytes += len(data)
+        self._digest.update(data)
+        self._n_events += data.count(b"\n\n")
+        if self._needs_end_event:
+            self._tail = (self._tail + data)[-MAX_TAIL_BYTES:]
+        self._waiting.append(data)
+        self._n_waiting_bytes += len(data)
+        if not self.first_byte.done():
+            self.first_at_ms = now_ms
+            self.first_byte.set_result(None)
+            self._flush()
+        elif self._n_waiting_bytes >= self._max_chunk_bytes:
+            self._flush()
+        elif self._timer is None:
+            self._timer = self._loop.call_later(self._coalesce_s, self._flush)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Take the end of the answer or of the connection."""
+        self._flush()
+        if self.done.done():
+            return
+        if not reason.check(ResponseDone):
+            self.done.set_result(f"its connection broke: {reason.type.__name__}")
+        elif self._needs_end_event and END_OF_EVENTS not in self._tail:
+            self.done.set_result("its stream stopped without the end event")
+        else:
+            self.done.set_result(None)
+
+    def stop(self) -> None:
+        """Close the connection and pass nothing more on."""
+        self._waiting.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+        transport: Any = self.transport
+        if transport is not None and not self.done.done():
+            self.done.set_result("the dispatch was cancelled")
+            transport.loseConnection()
+
+    def _flush(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if not self._waiting:
+            return
+        data = b"".join(self._waiting)
+        self._waiting.clear()
+        self._n_waiting_bytes = 0
+        self._stream.write(data)
+        if self._stream.is_congested and not self._is_paused:
+            self._pause()
+
+    def _pause(self) -> None:
+        transport: Any = self.transport
+        if transport is None:
+            return
+        self._is_paused = True
+        transport.pauseProducing()
+        self._loop.call_later(CONGESTION_POLL_S, self._resume_when_free)
+
+    def _resume_when_free(self) -> None:
+        transport: Any = self.transport
+        if transport is None or self.done.done():
+            return
+        if self._stream.is_congested:
+            self._loop.call_later(CONGESTION_POLL_S, self._resume_when_free)
+            return
+        self._is_paused = False
+        self.last_at_ms = self._clock.now_ms
+        transport.resumeProducing()
--- /dev/null
+++ b/damaskrill/callers/__init__.py
@@ -0,0 +1,16 @@
+"""HTTP interface for callers and operators."""
+
+from damaskrill.callers._answer import CallerAnswer
+from damaskrill.callers._errors import CallerError
+from damaskrill.callers._limits import CallerLimits
+from damaskrill.callers._parse import CallerRequest
+from damaskrill.callers._port import CallerPort, RequestDesk
+
+__all__ = [
+    "CallerAnswer",
+    "CallerError",
+    "CallerLimits",
+    "CallerPort",
+    "CallerRequest",
+    "RequestDesk",
+]
--- /dev/null
+++ b/damaskrill/callers/_port.py
@@ -0,0 +1,220 @@
+"""Routes HTTP requests to the desk that the process provides."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+from urllib.parse import parse_qsl, unquote
+
+from damaskrill.callers._answer import CallerAnswer
+from damaskrill.callers._errors import (
+    CallerError,
+    InvalidFieldError,
+    MethodNotAllowedError,
+    UnknownPathError,
+)
+from damaskrill.callers._limits import CallerLimits
+from damaskrill.callers._parse import (
+    CallerRequest,
+    parse_action_query,
+    parse_chat,
+    parse_permit_request,
+    parse_service_call,
+)
+from damaskrill.callers._replies import encode_json
+from damaskrill.callers._site import BoundedRequest, BoundedSite
+from damaskrill.messages import Request
+from damaskrill.utils import Clock
+
+__all__ = ["CallerPort", "RequestDesk"]
+
+SERVICE_PREFIX = "/v1/services/"
+TEXT = "text/plain; charset=utf-8"
+MAX_QUERY_FIELDS = 20
+
+
+class RequestDesk(Protocol):
+    """What the caller interface needs from the process."""
+
+    def next_request_id(self) -> str:
+        """Return an ID that is unique within the fleet."""
+
+    def open_request(self, call: CallerRequest, answer: CallerAnswer) -> None:
+        """Take a request; raises ``RouterBusyError`` if there is no room."""
+
+    def ask_outcome(self, request: Request, answer: CallerAnswer) -> None:
+        """Take a question for a recorded outcome."""
+
+    def ask_permit(self, service: str, team: str, answer: CallerAnswer) -> None:
+        """Take a question for a permit."""
+
+    def drop_request(self, request_id: str) -> None:
+        """Take note that a caller has gone."""
+
+    def readiness(self) -> tuple[bool, str]:
+        """Return whether new work is taken, and why or why not."""
+
+    def status_text(self) -> str:
+        """Return the operators' page."""
+
+    def metrics_text(self) -> bytes:
+        """Return the metrics in the text format that scrapers read."""
+
+
+class CallerPort:
+    """HTTP interface of one router.
+
+    Parameters
+    ----------
+    desk : RequestDesk
+        Takes the requests.
+    clock : Clock
+        Time.
+    limits : CallerLimits
+        Bounds.
+    reactor : object
+        Twisted's reactor.
+    """
+
+    def __init__(
+        self, *, desk: RequestDesk, clock: Clock, limits: CallerLimits, reactor: Any
+    ) -> None:
+        self._desk = desk
+        self._clock = clock
+        self._limits = limits
+        self._reactor = reactor
+        self._site = BoundedSite(handle=self._handle, limits=limits, reactor=reactor)
+        self._listener: Any = None
+
+    def start(self, host: str, port: int) -> int:
+        """Listen; return the port, which differs from 0."""
+        self._listener = self._reactor.listenTCP(port, self._site, interface=host)
+        return int(self._listener.getHost().port)
+
+    async def stop_listening(self) -> None:
+        """Take no new connections; open ones go on."""
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            await listener.stopListening()
+
+    def close_connections(self) -> None:
+        """Close all connections that are left."""
+        for channel in list(self._site.connections):
+            channel.loseConnection()
+
+    def _handle(self, http_request: BoundedRequest) -> None:
+        answer = CallerAnswer(
+            http_request=http_request,
+            request_id=self._desk.next_request_id(),
+            limits=self._limits,
+            on_gone=self._desk.drop_request,
+        )
+        try:
+            path, fields = _split_target(http_request.uri)
+            route = self._find_route(http_request, path, fields, answer)
+            route()
+        except CallerError as error:
+            answer.refuse(error)
+
+    def _find_route(
+        self,
+        http_request: BoundedRequest,
+        path: str,
+        fields: dict[str, str],
+        answer: CallerAnswer,
+    ) -> Callable[[], None]:
+        method = http_request.method.decode("ascii", "replace")
+        match path:
+            case "/v1/chat/completions":
+                _check_method(method, "POST")
+                return lambda: self._take_chat(http_request, answer)
+            case "/v1/permits":
+                _check_method(method, "POST")
+                return lambda: self._take_permit_request(http_request, answer)
+            case "/v1/outcomes":
+                _check_method(method, "GET")
+                return lambda: self._take_outcome_query(fields, answer)
+            case "/healthz":
+                _check_method(method, "GET")
+                return lambda: answer.send_page(200, TEXT, b"this process runs\n")
+            case "/readyz":
+                _check_method(method, "GET")
+                return lambda: self._send_readiness(answer)
+            case "/status":
+                _check_method(method, "GET")
+                return lambda: answer.send_page(
+                    200, TEXT, self._desk.status_text().encode()
+                )
+            case "/metrics":
+                _check_method(method, "GET")
+                return lambda: answer.send_page(200, TEXT, self._desk.metrics_text())
+        if path.startswith(SERVICE_PREFIX):
+            _check_method(method, "POST")
+            service = path.removeprefix(SERVICE_PREFIX)
+            return lambda: self._take_service_call(http_request, service, answer)
+        raise UnknownPathError()
+
+    def _take_chat(self, http_request: BoundedRequest, answer: CallerAnswer) -> None:
+        call = parse_chat(
+            request_id=answer.request_id,
+            body=http_request.content.read(),
+            header=http_request.read_header,
+            now_ms=self._clock.now_ms,
+            limits=self._limits,
+        )
+        if call.is_stream:
+            answer.prefer_stream()
+        self._desk.open_request(call, answer)
+
+    def _take_service_call(
+        self, http_request: BoundedRequest, service: str, answer: CallerAnswer
+    ) -> None:
+        call = parse_service_call(
+            request_id=answer.request_id,
+            service=service,
+            body=http_request.content.read(),
+            header=http_request.read_header,
+            now_ms=self._clock.now_ms,
+            limits=self._limits,
+        )
+        self._desk.open_request(call, answer)
+
+    def _take_permit_request(
+        self, http_request: BoundedRequest, answer: CallerAnswer
+    ) -> None:
+        service, team = parse_permit_request(
+            http_request.content.read(), http_request.read_header
+        )
+        self._desk.ask_permit(service, team, answer)
+
+    def _take_outcome_query(self, fields: dict[str, str], answer: CallerAnswer) -> None:
+        request = parse_action_query(
+            request_id=answer.request_id,
+            fields=fields,
+            now_ms=self._clock.now_ms,
+            limits=self._limits,
+        )
+        self._desk.ask_outcome(request, answer)
+
+    def _send_readiness(self, answer: CallerAnswer) -> None:
+        is_ready, sentence = self._desk.readiness()
+        content = {"ready": is_ready, "sentence": sentence}
+        status = 200 if is_ready else 503
+        answer.send_page(status, "application/json", encode_json(content))
+
+
+def _split_target(target: bytes) -> tuple[str, dict[str, str]]:
+    path, _, query = target.partition(b"?")
+    try:
+        pairs = parse_qsl(
+            query.decode("ascii"),
+            keep_blank_values=True,
+            max_num_fields=MAX_QUERY_FIELDS,
+        )
+        return unquote(path.decode("ascii"), errors="strict"), dict(pairs)
+    except ValueError as error:
+        expected = f"ASCII with at most {MAX_QUERY_FIELDS} query fields"
+        raise InvalidFieldError(name="the request target", expected=expected) from error
+
+
+def _check_method(method: str, allowed: str) -> None:
+    if method != allowed:
+        raise MethodNotAllowedError(allowed=allowed)
--- /dev/null
+++ b/damaskrill/callers/_site.py
@@ -0,0 +1,179 @@
+"""HTTP server with bounds on headers, bodies, time and connections."""
+
+from collections.abc import Callable
+from io import BytesIO
+from typing import Any
+
+from twisted.internet import interfaces
+from twisted.web.http import HTTPChannel
+from twisted.web.server import Request, Site
+
+from damaskrill.callers._errors import (
+    BodyTooLargeError,
+    CallerError,
+    InvalidBodyError,
+    MalformedHttpError,
+    SlowSenderError,
+)
+from damaskrill.callers._limits import CallerLimits
+from damaskrill.callers._replies import encode_json, refusal_body, refusal_headers
+
+__all__ = ["BoundedRequest", "BoundedSite"]
+
+ABORT_TIMEOUT_S = 2
+STATUS_WORDS = {400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large"}
+
+
+class BoundedChannel(HTTPChannel):
+    """One connection of a caller; cut when a request takes too long to arrive."""
+
+    abortTimeout = ABORT_TIMEOUT_S
+    _receive_timer: interfaces.IDelayedCall | None = None
+    _is_refused = False
+
+    def connectionMade(self) -> None:
+        """Set the bounds and count the connection."""
+        limits = self.site.limits
+        self.maxHeaders = limits.max_headers
+        self.totalHeadersSize = limits.max_header_bytes
+        super().connectionMade()
+        self.site.connections.add(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes; the first of a request start its timer."""
+        if self._is_refused:
+            return
+        if self._receive_timer is None and not self._handlingRequest:
+            delay_s = self.site.limits.receive_timeout_ms / 1_000
+            self._receive_timer = self.callLater(delay_s, self._cut_slow_sender)
+        super().dataReceived(data)
+
+    def allContentReceived(self) -> None:
+        """Stop the request's timer: all of it is here."""
+        self._stop_timer()
+        super().allContentReceived()
+
+    def connectionLost(self, reason: Any) -> None:
+        """Forget the connection."""
+        self._stop_timer()
+        self.site.connections.discard(self)
+        super().connectionLost(reason)
+
+    def refuse(self, error: CallerError) -> None:
+        """Answer with an error and close, without reading the rest."""
+        if self._is_refused:
+            return
+        self._is_refused = True
+        self._stop_timer()
+        body = encode_json(refusal_body("", error))
+        headers = refusal_headers("", error)
+        headers.pop("Damaskrill-Request-Id")
+        headers["Content-Type"] = "application/json"
+        headers["Content-Length"] = str(len(body))
+        headers["Connection"] = "close"
+        lines = [f"HTTP/1.1 {error.status} {STATUS_WORDS.get(error.status, 'Refused')}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(lines).encode("ascii", "replace")
+        self.transport.write(head + b"\r\n\r\n" + body)
+        self.loseConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        # The base class calls this for whatever is not HTTP; its answer has no body.
+        self.refuse(MalformedHttpError())
+
+    def _cut_slow_sender(self) -> None:
+        self._receive_timer = None
+        self.refuse(SlowSenderError(limit_ms=self.site.limits.receive_timeout_ms))
+
+    def _stop_timer(self) -> None:
+        timer, self._receive_timer = self._receive_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+
+class BoundedRequest(Request):
+    """A request whose body stays in memory and below its limit."""
+
+    _n_content_bytes = 0
+
+    def gotLength(self, length: int | None) -> None:
+        """Refuse a body that is announced as too long."""
+        self.content = BytesIO()
+        if length is not None and length > self._limit:
+            self.channel.refuse(BodyTooLargeError(limit=self._limit))
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Take part of the body."""
+        self._n_content_bytes += len(data)
+        if self._n_content_bytes > self._limit:
+            self.channel.refuse(BodyTooLargeError(limit=self._limit))
+            return
+        super().handleContentChunk(data)
+
+    def process(self) -> None:
+        """Hand the request to the caller interface."""
+        self.site = self.channel.site
+        if self.channel._is_refused:
+            return
+        self.site.handle(self)
+
+    def read_header(self, name: str) -> str:
+        """Return a header's value; an empty string if there is none.
+
+        Raises
+        ------
+        InvalidBodyError
+            If the header occurs more than once.
+        """
+        values = self.requestHeaders.getRawHeaders(name) or [""]
+        if len(values) > 1:
+            raise InvalidBodyError(reason=f"the header {name} occurs more than once")
+        return str(values[0]).strip()
+
+    @property
+    def _limit(self) -> int:
+        limit: int = self.channel.site.limits.max_body_bytes
+        return limit
+
+
+class BoundedSite(Site):
+    """Makes a channel for each connection, up to a limit.
+
+    Parameters
+    ----------
+    handle : callable
+        Takes each request once its body is here.
+    limits : CallerLimits
+        Bounds.
+    reactor : object
+        Twisted's reactor.
+    """
+
+    protocol = BoundedChannel
+
+    def __init__(
+        self,
+        *,
+        handle: Callable[[BoundedRequest], None],
+        limits: CallerLimits,
+        reactor: Any,
+    ) -> None:
+        super().__init__(
+            None,
+            requestFactory=BoundedRequest,
+            timeout=limits.idle_timeout_ms / 1_000,
+            reactor=reactor,
+            parsePOSTFormSubmission=False,
+        )
+        self.handle = handle
+        self.limits = limits
+        self.connections: set[BoundedChannel] = set()
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Return a channel; None, which closes the connection, above the limit."""
+        if len(self.connections) >= self.limits.max_connections:
+            return None
+        return super().buildProtocol(addr)
+
+    def log(self, request: Request) -> None:
+        """Write no access log; the kernel's events tell each request's way."""
--- /dev/null
+++ b/damaskrill/relay/__init__.py
@@ -0,0 +1,18 @@
+"""Bodies of requests and bytes of answers, kept and passed on beside the kernel."""
+
+from damaskrill.relay._bodies import BodyStore
+from damaskrill.relay._entry import AnswerSink, AnswerTotals, EntryRelay
+from damaskrill.relay._kept import KeptAnswer, KeptAnswers
+from damaskrill.relay._outgoing import LocalStream, OutgoingStream, PeerStream
+
+__all__ = [
+    "AnswerSink",
+    "AnswerTotals",
+    "BodyStore",
+    "EntryRelay",
+    "KeptAnswer",
+    "KeptAnswers",
+    "LocalStream",
+    "OutgoingStream",
+    "PeerStream",
+]
--- /dev/null
+++ b/damaskrill/relay/_entry.py
@@ -0,0 +1,288 @@
+"""Entry's side of the relay: joins the bytes of attempts into one answer."""
+
+from typing import Protocol
+
+import attrs
+import xxhash
+
+from damaskrill.messages import (
+    AnswerHead,
+    AttemptEnded,
+    AttemptFailed,
+    AttemptProgress,
+    Cause,
+    CauseCode,
+)
+from damaskrill.relay._kept import KeptAnswer, KeptAnswers
+
+__all__ = ["AnswerSink", "AnswerTotals", "EntryRelay"]
+
+
+class AnswerSink(Protocol):
+    """Where the bytes of one answer go."""
+
+    def begin(self, status: int, content_type: str) -> None:
+        """Take status and media type, once, before the first byte."""
+
+    def write(self, data: bytes) -> None:
+        """Take the next bytes."""
+
+
+@attrs.frozen(kw_only=True)
+class AnswerTotals:
+    """What has been passed on of one answer.
+
+    Parameters
+    ----------
+    n_bytes : int
+        Length.
+    digest : str
+        Digest, in hexadecimal.
+    """
+
+    n_bytes: int = 0
+    digest: str = ""
+
+
+@attrs.define(kw_only=True)
+class _Stream:
+    request_id: str
+    sink: AnswerSink
+    kept: list[bytes] | None = None
+    status: int = 200
+    content_type: str = ""
+    has_begun: bool = False
+    n_bytes: int = 0
+    whole: xxhash.xxh3_128 = attrs.field(factory=xxhash.xxh3_128)
+    # The attempt, or the hop to another entry, whose bytes are wanted now.
+    stream_id: str = ""
+    peer: str = ""
+    n_stream_bytes: int = 0
+    n_to_skip: int = 0
+    is_damaged: bool = False
+    partial: xxhash.xxh3_128 = attrs.field(factory=xxhash.xxh3_128)
+
+
+class EntryRelay:
+    """Answers of the requests whose entry this process is.
+
+    Parameters
+    ----------
+    kept_answers : KeptAnswers
+        Where the answers of actions are kept.
+
+    Notes
+    -----
+    Only bytes of a request's present attempt are passed on. What comes for any other
+    attempt is dropped and counted in ``n_dropped_chunks``, so that late or crossed
+    answers never reach a caller.
+    """
+
+    def __init__(self, *, kept_answers: KeptAnswers) -> None:
+        self._kept_answers = kept_answers
+        self._streams: dict[str, _Stream] = {}
+        self._by_stream_id: dict[str, _Stream] = {}
+        self._n_dropped_chunks = 0
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    @property
+    def n_dropped_chunks(self) -> int:
+        """Chunks that came for an attempt that is not wanted."""
+        return self._n_dropped_chunks
+
+    def open_request(
+        self, request_id: str, sink: AnswerSink, *, keep: bool = False
+    ) -> None:
+        """Expect an answer.
+
+        Parameters
+        ----------
+        request_id : str
+            The request.
+        sink : AnswerSink
+            Where the answer goes.
+        keep : bool, default=False
+            Whether the whole answer is kept for callers that ask again.
+        """
+        self._streams[request_id] = _Stream(
+            request_id=request_id, sink=sink, kept=[] if keep else None
+        )
+
+    def has_request(self, request_id: str) -> bool:
+        """Return whether an answer to the request is expected."""
+        return request_id in self._streams
+
+    def bind(
+        self, request_id: str, stream_id: str, *, peer: str = "", resume_offset: int = 0
+    ) -> None:
+        """Make an attempt or hop the only one whose bytes are wanted.
+
+        Parameters
+        ----------
+        request_id : str
+            The request.
+        stream_id : str
+            ID of the attempt or hop.
+        peer : str
+            Address of the router that sends the bytes; empty for this process.
+        resume_offset : int
+            Offset in the answer at which the attempt starts.
+        """
+        stream = self._streams.get(request_id)
+        if stream is None:
+            return
+        self._by_stream_id.pop(stream.stream_id, None)
+        stream.stream_id = stream_id
+        stream.peer = peer
+        stream.n_stream_bytes = 0
+        stream.n_to_skip = stream.n_bytes - resume_offset
+        stream.is_damaged = stream.n_to_skip < 0
+        stream.partial = xxhash.xxh3_128()
+        self._by_stream_id[stream_id] = stream
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Take status and media type of an attempt's answer."""
+        stream = self._by_stream_id.get(head.stream_id)
+        if stream is None or stream.has_begun:
+            return
+        stream.has_begun = True
+        stream.status = head.status
+        stream.content_type = head.content_type
+        stream.sink.begin(head.status, head.content_type)
+
+    def take_chunk(self, stream_id: str, offset: int, data: bytes) -> bool:
+        """Take bytes of an attempt.
+
+        Parameters
+        ----------
+        stream_id : str
+            ID of the attempt or hop.
+        offset : int
+            Offset of the first byte from the attempt's start.
+        data : bytes
+            The bytes.
+
+        Returns
+        -------
+        bool
+            Whether the bytes were wanted.
+        """
+        stream = self._by_stream_id.get(stream_id)
+        if stream is None:
+            self._n_dropped_chunks += 1
+            return False
+        if offset != stream.n_stream_bytes or stream.is_damaged:
+            stream.is_damaged = True
+            return False
+        stream.n_stream_bytes += len(data)
+        stream.partial.update(data)
+        if stream.n_to_skip > 0:
+            n_skipped = min(stream.n_to_skip, len(data))
+            stream.n_to_skip -= n_skipped
+            data = data[n_skipped:]
+        if data:
+            self._pass_on(stream, data)
+        return True
+
+    def check_end(self, ended: AttemptEnded) -> AttemptEnded | AttemptFailed:
+        """Hold the bytes received against the owner's length and digest.
+
+        Parameters
+        ----------
+        ended : AttemptEnded
+            What the owner says.
+
+        Returns
+        -------
+        AttemptEnded or AttemptFailed
+            The same message if all bytes are here unharmed; else a failure.
+        """
+        stream = self._by_stream_id.get(ended.attempt_id)
+        if stream is None or self._matches(stream, ended.n_bytes, ended.digest):
+            return ended
+        cause = Cause(
+            code=CauseCode.ANSWER_DAMAGED,
+            subject=stream.peer or "this router",
+            detail=f"{stream.n_stream_bytes} of {ended.n_bytes} bytes arrived unharmed",
+        )
+        return AttemptFailed(
+            attempt_id=ended.attempt_id, causes=(cause,), n_bytes=stream.n_stream_bytes
+        )
+
+    def correct_failure(self, failed: AttemptFailed) -> AttemptFailed:
+        """Put in the number of bytes that have arrived here."""
+        stream = self._by_stream_id.get(failed.attempt_id)
+        if stream is None:
+            return failed
+        return attrs.evolve(failed, n_bytes=stream.n_stream_bytes)
+
+    def matches_hop(self, hop_id: str, n_bytes: int, digest: str) -> bool:
+        """Return whether a hop's bytes have the length and digest given."""
+        stream = self._by_stream_id.get(hop_id)
+        return stream is None or self._matches(stream, n_bytes, digest)
+
+    def progress_from(self, peer: str) -> list[AttemptProgress]:
+        """Return how far the attempts at another router have come."""
+        return [
+            AttemptProgress(attempt_id=each.stream_id, n_bytes=each.n_stream_bytes)
+            for each in self._streams.values()
+            if each.peer == peer
+        ]
+
+    def totals(self, request_id: str) -> AnswerTotals:
+        """Return what has been passed on of a request's answer."""
+        stream = self._streams.get(request_id)
+        if stream is None:
+            return AnswerTotals()
+        return AnswerTotals(n_bytes=stream.n_bytes, digest=stream.whole.hexdigest())
+
+    def replay_kept(self, request_id: str, answer: KeptAnswer) -> None:
+        """Pass a kept answer on as the answer to a request."""
+        stream = self._streams.get(request_id)
+        if stream is None or stream.has_begun:
+            return
+        stream.has_begun = True
+        stream.kept = None
+        stream.sink.begin(answer.status, answer.content_type)
+        self._pass_on(stream, answer.content)
+
+    def close_request(self, request_id: str, *, is_complete: bool = False) -> None:
+        """Expect no more bytes for a request.
+
+        Parameters
+        ----------
+        request_id : str
+            The request.
+        is_complete : bool, default=False
+            Whether its answer is whole and may be kept.
+        """
+        stream = self._streams.pop(request_id, None)
+        if stream is None:
+            return
+        self._by_stream_id.pop(stream.stream_id, None)
+        if is_complete and stream.kept is not None:
+            answer = KeptAnswer(
+                status=stream.status,
+                content_type=stream.content_type,
+                content=b"".join(stream.kept),
+                digest=stream.whole.hexdigest(),
+            )
+            self._kept_answers.put(request_id, answer)
+
+    @staticmethod
+    def _matches(stream: _Stream, n_bytes: int, digest: str) -> bool:
+        if stream.is_damaged or stream.n_to_skip > 0:
+            return False
+        if n_bytes != stream.n_stream_bytes:
+            return False
+        return digest == stream.partial.hexdigest()
+
+    @staticmethod
+    def _pass_on(stream: _Stream, data: bytes) -> None:
+        stream.n_bytes += len(data)
+        stream.whole.update(data)
+        if stream.kept is not None:
+            stream.kept.append(data)
+        stream.sink.write(data)
--- /dev/null
+++ b/damaskrill/relay/_kept.py
@@ -0,0 +1,80 @@
+"""Answers of actions, kept for callers that ask again."""
+
+from collections import OrderedDict
+
+from attrs import frozen
+
+__all__ = ["KeptAnswer", "KeptAnswers"]
+
+MAX_KEPT_BYTES = 8 * 1024 * 1024
+MAX_KEPT_ANSWER_BYTES = 256 * 1024
+
+
+@frozen(kw_only=True)
+class KeptAnswer:
+    """The answer of one action.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the backend server.
+    content_type : str
+        Media type.
+    content : bytes
+        The whole answer.
+    digest : str
+        Its digest, in hexadecimal.
+    """
+
+    status: int
+    content_type: str
+    content: bytes
+    digest: str
+
+
+class KeptAnswers:
+    """Answers by request ID, the oldest freed first.
+
+    Parameters
+    ----------
+    max_n_bytes : int
+        Bytes that all answers together may take.
+    """
+
+    def __init__(self, *, max_n_bytes: int = MAX_KEPT_BYTES) -> None:
+        self._max_n_bytes = max_n_bytes
+        self._answers: OrderedDict[str, KeptAnswer] = OrderedDict()
+        self._request_by_digest: dict[str, str] = {}
+        self._n_bytes = 0
+
+    @property
+    def n_bytes(self) -> int:
+        """Bytes of all answers together."""
+        return self._n_bytes
+
+    def put(self, request_id: str, answer: KeptAnswer) -> None:
+        """Keep an answer; one that is too large is not kept."""
+        if len(answer.content) > MAX_KEPT_ANSWER_BYTES:
+            return
+        self._forget(request_id)
+        self._answers[request_id] = answer
+        self._request_by_digest[answer.digest] = request_id
+        self._n_bytes += len(answer.content)
+        while self._n_bytes > self._max_n_bytes:
+            self._forget(next(iter(self._answers)))
+
+    def get(self, request_id: str) -> KeptAnswer | None:
+        """Return the answer of a request; None if it is not kept."""
+        return self._answers.get(request_id)
+
+    def find(self, digest: str) -> KeptAnswer | None:
+        """Return an answer with a digest; None if none is kept."""
+        return self._answers.get(self._request_by_digest.get(digest, ""))
+
+    def _forget(self, request_id: str) -> None:
+        answer = self._answers.pop(request_id, None)
+        if answer is None:
+            return
+        self._n_bytes -= len(answer.content)
+        if self._request_by_digest.get(answer.digest) == request_id:
+            del self._request_by_digest[answer.digest]
--- /dev/null
+++ b/damaskrill/relay/_outgoing.py
@@ -0,0 +1,157 @@
+"""Owner's side of the relay: sends an attempt's bytes to its entry."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import Protocol
+
+from damaskrill.messages import AnswerHead, PeerPayload
+from damaskrill.relay._entry import EntryRelay
+
+__all__ = ["LocalStream", "OutgoingStream", "PeerSender", "PeerStream"]
+
+# Bytes of one stream that may wait for the peer before its source is paused.
+HIGH_WATER_BYTES = 256 * 1024
+
+
+class PeerSender(Protocol):
+    """The part of the peer transport that the relay needs."""
+
+    def send_payload(
+        self, address: str, payload: PeerPayload, body: bytes = b""
+    ) -> bool:
+        """Queue a payload; return whether there was room for it."""
+
+    async def send_chunk(
+        self, address: str, stream_id: str, offset: int, data: bytes
+    ) -> None:
+        """Send bytes of an answer; waits while the peer takes no more."""
+
+
+class OutgoingStream(ABC):
+    """Bytes of one attempt on their way to its entry."""
+
+    @abstractmethod
+    def begin(self, status: int, content_type: str) -> None:
+        """Send status and media type."""
+
+    @abstractmethod
+    def write(self, data: bytes) -> None:
+        """Send the next bytes."""
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether the source should pause."""
+        return False
+
+    @abstractmethod
+    async def drain(self) -> None:
+        """Wait until all that was written has been handed to the connection."""
+
+    def abandon(self) -> None:  # noqa: B027
+        """Send no more."""
+
+
+class LocalStream(OutgoingStream):
+    """An attempt whose entry is this process.
+
+    Parameters
+    ----------
+    relay : EntryRelay
+        The entry's side.
+    stream_id : str
+        ID of the attempt.
+    """
+
+    def __init__(self, *, relay: EntryRelay, stream_id: str) -> None:
+        self._relay = relay
+        self._stream_id = stream_id
+        self._offset = 0
+
+    def begin(self, status: int, content_type: str) -> None:
+        """Hand over status and media type."""
+        self._relay.take_head(
+            AnswerHead(
+                stream_id=self._stream_id, status=status, content_type=content_type
+            )
+        )
+
+    def write(self, data: bytes) -> None:
+        """Hand over the next bytes."""
+        offset = self._offset
+        self._offset += len(data)
+        self._relay.take_chunk(self._stream_id, offset, data)
+
+    async def drain(self) -> None:
+        """Return at once."""
+
+
+class PeerStream(OutgoingStream):
+    """An attempt or hop whose entry is another router.
+
+    Parameters
+    ----------
+    sender : PeerSender
+        The peer transport.
+    address : str
+        The entry's peer address.
+    stream_id : str
+        ID of the attempt or hop.
+
+    Notes
+    -----
+    What is written while the peer takes no more is joined into one chunk.
+    """
+
+    def __init__(self, *, sender: PeerSender, address: str, stream_id: str) -> None:
+        self._sender = sender
+        self._address = address
+        self._stream_id = stream_id
+        self._offset = 0
+        self._waiting: list[bytes] = []
+        self._n_waiting_bytes = 0
+        self._pump: asyncio.Task[None] | None = None
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether the source should pause."""
+        return self._n_waiting_bytes > HIGH_WATER_BYTES
+
+    def begin(self, status: int, content_type: str) -> None:
+        """Send status and media type."""
+        head = AnswerHead(
+            stream_id=self._stream_id, status=status, content_type=content_type
+        )
+        self._sender.send_payload(self._address, head)
+
+    def write(self, data: bytes) -> None:
+        """Send the next bytes."""
+        self._waiting.append(data)
+        self._n_waiting_bytes += len(data)
+        if self._pump is None:
+            self._pump = asyncio.get_running_loop().create_task(self._send_waiting())
+
+    async def drain(self) -> None:
+        """Wait until all bytes have been handed to the connection."""
+        while self._pump is not None:
+            await asyncio.wait([self._pump])
+
+    def abandon(self) -> None:
+        """Send no more."""
+        self._waiting.clear()
+        self._n_waiting_bytes = 0
+        if self._pump is not None:
+            self._pump.cancel()
+
+    async def _send_waiting(self) -> None:
+        try:
+            while self._waiting:
+                data = b"".join(self._waiting)
+                self._waiting.clear()
+                offset = self._offset
+                self._offset += len(data)
+                await self._sender.send_chunk(
+                    self._address, self._stream_id, offset, data
+                )
+                self._n_waiting_bytes -= len(data)
+        finally:
+            self._pump = None
--- a/damaskrill/utils/__init__.py
+++ b/damaskrill/utils/__init__.py
@@ -2,6 +2,7 @@
 
 from damaskrill.utils._clock import Clock, FakeClock, SystemClock
 from damaskrill.utils._hashing import hash_to_int, rank_by_rendezvous, rendezvous_score
+from damaskrill.utils._prefix import count_prompt_tokens, hash_prefix_blocks
 from damaskrill.utils._random import check_random_state
 
 __all__ = [
@@ -9,6 +10,8 @@
     "FakeClock",
     "SystemClock",
     "check_random_state",
+    "count_prompt_tokens",
+    "hash_prefix_blocks",
     "hash_to_int",
     "rank_by_rendezvous",
     "rendezvous_score",
