--- a/damaskrill/backends/_answer.py
+++ b/damaskrill/backends/_answer.py
@@ -109,7 +109,8 @@
         if self.done.done():
             return
         if not reason.check(ResponseDone):
-            self.done.set_result(f"its connection broke: {reason.type.__name__}")
+            name = getattr(reason.type, "__name__", "unknown")
+            self.done.set_result(f"its connection broke: {name}")
         elif self._needs_end_event and END_OF_EVENTS not in self._tail:
             self.done.set_result("its stream stopped without the end event")
         else:
--- a/damaskrill/backends/_client.py
+++ b/damaskrill/backends/_client.py
@@ -201,9 +201,8 @@
         is_chat = kind is ServiceKind.ENGINE
         path = CHAT_PATH if is_chat else SERVICE_PATH + request.service
         url = f"http://{effect.address}{path}".encode("ascii")
-        sending = agent.request(
-            b"POST", url, self._headers(effect), FileBodyProducer(BytesIO(body))
-        )
+        producer: Any = FileBodyProducer(BytesIO(body))
+        sending = agent.request(b"POST", url, self._headers(effect), producer)
         remaining_ms = request.deadline_ms - self._clock.now_ms
         future = sending.asFuture(asyncio.get_running_loop())
         return await asyncio.wait_for(future, max(remaining_ms, 1) / 1_000)
--- a/damaskrill/callers/__init__.py
+++ b/damaskrill/callers/__init__.py
@@ -1,7 +1,7 @@
 """HTTP interface for callers and operators."""
 
 from damaskrill.callers._answer import CallerAnswer
-from damaskrill.callers._errors import CallerError
+from damaskrill.callers._errors import CallerError, RouterBusyError
 from damaskrill.callers._limits import CallerLimits
 from damaskrill.callers._parse import CallerRequest
 from damaskrill.callers._port import CallerPort, RequestDesk
@@ -13,4 +13,5 @@
     "CallerPort",
     "CallerRequest",
     "RequestDesk",
+    "RouterBusyError",
 ]
--- a/damaskrill/callers/_port.py
+++ b/damaskrill/callers/_port.py
@@ -24,7 +24,7 @@
 from damaskrill.messages import Request
 from damaskrill.utils import Clock
 
-__all__ = ["CallerPort", "RequestDesk"]
+__all__ = ["CallerPort", "OperatorPages", "RequestDesk"]
 
 SERVICE_PREFIX = "/v1/services/"
 TEXT = "text/plain; charset=utf-8"
@@ -49,6 +49,10 @@
     def drop_request(self, request_id: str) -> None:
         """Take note that a caller has gone."""
 
+
+class OperatorPages(Protocol):
+    """What the process tells operators and the platform about itself."""
+
     def readiness(self) -> tuple[bool, str]:
         """Return whether new work is taken, and why or why not."""
 
@@ -66,6 +70,8 @@
     ----------
     desk : RequestDesk
         Takes the requests.
+    pages : OperatorPages
+        Content of the pages for operators.
     clock : Clock
         Time.
     limits : CallerLimits
@@ -75,9 +81,16 @@
     """
 
     def __init__(
-        self, *, desk: RequestDesk, clock: Clock, limits: CallerLimits, reactor: Any
+        self,
+        *,
+        desk: RequestDesk,
+        pages: OperatorPages,
+        clock: Clock,
+        limits: CallerLimits,
+        reactor: Any,
     ) -> None:
         self._desk = desk
+        self._pages = pages
         self._clock = clock
         self._limits = limits
         self._reactor = reactor
@@ -141,11 +154,11 @@
             case "/status":
                 _check_method(method, "GET")
                 return lambda: answer.send_page(
-                    200, TEXT, self._desk.status_text().encode()
+                    200, TEXT, self._pages.status_text().encode()
                 )
             case "/metrics":
                 _check_method(method, "GET")
-                return lambda: answer.send_page(200, TEXT, self._desk.metrics_text())
+                return lambda: answer.send_page(200, TEXT, self._pages.metrics_text())
         if path.startswith(SERVICE_PREFIX):
             _check_method(method, "POST")
             service = path.removeprefix(SERVICE_PREFIX)
@@ -195,7 +208,7 @@
         self._desk.ask_outcome(request, answer)
 
     def _send_readiness(self, answer: CallerAnswer) -> None:
-        is_ready, sentence = self._desk.readiness()
+        is_ready, sentence = self._pages.readiness()
         content = {"ready": is_ready, "sentence": sentence}
         status = 200 if is_ready else 503
         answer.send_page(status, "application/json", encode_json(content))
--- a/damaskrill/callers/_site.py
+++ b/damaskrill/callers/_site.py
@@ -4,7 +4,8 @@
 from io import BytesIO
 from typing import Any
 
-from twisted.internet import interfaces
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
@@ -28,7 +29,9 @@
     """One connection of a caller; cut when a request takes too long to arrive."""
 
     abortTimeout = ABORT_TIMEOUT_S
-    _receive_timer: interfaces.IDelayedCall | None = None
+    site: Any
+    transport: Any
+    _receive_timer: Any = None
     _is_refused = False
 
     def connectionMade(self) -> None:
@@ -53,7 +56,7 @@
         self._stop_timer()
         super().allContentReceived()
 
-    def connectionLost(self, reason: Any) -> None:
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Forget the connection."""
         self._stop_timer()
         self.site.connections.discard(self)
@@ -94,6 +97,9 @@
 class BoundedRequest(Request):
     """A request whose body stays in memory and below its limit."""
 
+    channel: Any
+    site: Any
+    content: Any
     _n_content_bytes = 0
 
     def gotLength(self, length: int | None) -> None:
@@ -149,7 +155,7 @@
         Twisted's reactor.
     """
 
-    protocol = BoundedChannel
+    protocol: Any = BoundedChannel
 
     def __init__(
         self,
@@ -175,5 +181,5 @@
             return None
         return super().buildProtocol(addr)
 
-    def log(self, request: Request) -> None:
+    def log(self, request: Any) -> None:
         """Write no access log; the kernel's events tell each request's way."""
--- a/damaskrill/monitoring/__init__.py
+++ b/damaskrill/monitoring/__init__.py
@@ -7,11 +7,14 @@
     event_to_line,
     process_event_to_line,
 )
+from damaskrill.monitoring._log import EventLog, configure_logging
 
 __all__ = [
+    "EventLog",
     "ProcessEventName",
     "cause_to_fields",
     "causes_to_fields",
+    "configure_logging",
     "event_to_line",
     "process_event_to_line",
 ]
--- a/damaskrill/monitoring/_lines.py
+++ b/damaskrill/monitoring/_lines.py
@@ -40,7 +40,7 @@
     CALLER_REFUSED = "caller_refused"
     QUEUE_OVERFLOW = "queue_overflow"
     ORDER_FAILED = "order_failed"
-    ANSWER_DAMAGED = "answer_damaged"
+    TEXT_FAULTS = "text_faults"
 
 
 def cause_to_fields(cause: Cause) -> dict[str, Any]:
--- /dev/null
+++ b/damaskrill/runtime/_desk.py
@@ -0,0 +1,188 @@
+"""Requests of callers between the caller interface and the kernel."""
+
+from collections.abc import Callable
+
+from attrs import frozen
+
+from damaskrill.callers import (
+    CallerAnswer,
+    CallerLimits,
+    CallerRequest,
+    RouterBusyError,
+)
+from damaskrill.messages import (
+    AnswerCaller,
+    CallerGone,
+    Cause,
+    CauseCode,
+    Completed,
+    Message,
+    Outcome,
+    OutcomeAsked,
+    PermitIssued,
+    PermitRequested,
+    Request,
+    RequestArrived,
+    Unknown,
+)
+from damaskrill.relay import BodyStore, EntryRelay, KeptAnswers
+from damaskrill.utils import Clock
+
+__all__ = ["CallerDesk"]
+
+# The kernel ends each request at its deadline; what it missed is ended after this.
+OVERDUE_MS = 5_000
+PERMIT_TIMEOUT_MS = 10_000
+
+
+@frozen(kw_only=True)
+class _OpenCall:
+    answer: CallerAnswer
+    ends_at_ms: int
+
+
+class CallerDesk:
+    """Open calls of this process's own callers.
+
+    Parameters
+    ----------
+    incarnation : str
+        Part of each request ID, so that no two processes give the same.
+    clock : Clock
+        Time.
+    limits : CallerLimits
+        Bounds.
+    relay : EntryRelay
+        Joins the answers.
+    bodies : BodyStore
+        Keeps the bodies.
+    kept_answers : KeptAnswers
+        Answers of earlier actions.
+    post : callable
+        Takes the messages for the kernel; returns whether there was room.
+    is_crowded : callable
+        Whether new requests should be refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        clock: Clock,
+        limits: CallerLimits,
+        relay: EntryRelay,
+        bodies: BodyStore,
+        kept_answers: KeptAnswers,
+        post: Callable[[Message], bool],
+        is_crowded: Callable[[], bool],
+    ) -> None:
+        self._incarnation = incarnation
+        self._clock = clock
+        self._limits = limits
+        self._relay = relay
+        self._bodies = bodies
+        self._kept_answers = kept_answers
+        self._post = post
+        self._is_crowded = is_crowded
+        self._calls: dict[str, _OpenCall] = {}
+        self._n_requests = 0
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def next_request_id(self) -> str:
+        """Return an ID that is unique within the fleet."""
+        self._n_requests += 1
+        return f"{self._incarnation}-{self._n_requests}"
+
+    def open_request(self, call: CallerRequest, answer: CallerAnswer) -> None:
+        """Hand a request to the kernel.
+
+        Raises
+        ------
+        RouterBusyError
+            If the kernel has too much to do already.
+        """
+        request = call.request
+        self._open(request.request_id, answer, request.deadline_ms)
+        is_action = bool(request.permit or request.idempotency_key)
+        self._relay.open_request(request.request_id, answer, keep=is_action)
+        expires_at_ms = request.deadline_ms + OVERDUE_MS
+        self._bodies.put(request.request_id, call.body, expires_at_ms)
+        self._hand_over(RequestArrived(request=request), request.request_id)
+
+    def ask_outcome(self, request: Request, answer: CallerAnswer) -> None:
+        """Ask the kernel for a recorded outcome."""
+        self._open(request.request_id, answer, request.deadline_ms)
+        self._relay.open_request(request.request_id, answer)
+        self._hand_over(OutcomeAsked(request=request), request.request_id)
+
+    def ask_permit(self, service: str, team: str, answer: CallerAnswer) -> None:
+        """Ask the kernel for a permit."""
+        request_id = answer.request_id
+        self._open(request_id, answer, self._clock.now_ms + PERMIT_TIMEOUT_MS)
+        message = PermitRequested(request_id=request_id, service=service, team=team)
+        self._hand_over(message, request_id)
+
+    def drop_request(self, request_id: str) -> None:
+        """Tell the kernel that a caller has gone."""
+        if self._forget(request_id) is not None:
+            self._post(CallerGone(request_id=request_id))
+
+    def answer(self, effect: AnswerCaller) -> Outcome | None:
+        """End a call with its outcome; None if the caller is not waiting here."""
+        request_id = effect.request_id
+        call = self._calls.get(request_id)
+        if call is None:
+            return None
+        outcome = effect.outcome
+        if isinstance(outcome, Completed) and effect.recorded_request_id:
+            outcome = self._replay(effect, outcome)
+        totals = self._relay.totals(request_id)
+        self._forget(request_id, is_complete=isinstance(outcome, Completed))
+        call.answer.finish(outcome, totals)
+        return outcome
+
+    def answer_permit(self, effect: PermitIssued) -> None:
+        """End a call for a permit."""
+        call = self._forget(effect.request_id)
+        if call is not None:
+            call.answer.finish_permit(effect)
+
+    def end_overdue(self) -> int:
+        """End the calls that the kernel should have ended; return how many."""
+        now_ms = self._clock.now_ms
+        overdue = [
+            request_id
+            for request_id, call in self._calls.items()
+            if call.ends_at_ms + OVERDUE_MS < now_ms
+        ]
+        cause = Cause(code=CauseCode.DEADLINE, detail="and no outcome was found")
+        for request_id in overdue:
+            outcome = Unknown(causes=(cause,))
+            self.answer(AnswerCaller(request_id=request_id, outcome=outcome))
+            self._post(CallerGone(request_id=request_id))
+        return len(overdue)
+
+    def _replay(self, effect: AnswerCaller, outcome: Completed) -> Outcome:
+        kept = self._kept_answers.get(effect.recorded_request_id)
+        if kept is not None:
+            self._relay.replay_kept(effect.request_id, kept)
+        return outcome
+
+    def _open(self, request_id: str, answer: CallerAnswer, ends_at_ms: int) -> None:
+        if self._is_crowded():
+            raise RouterBusyError()
+        self._calls[request_id] = _OpenCall(answer=answer, ends_at_ms=ends_at_ms)
+
+    def _hand_over(self, message: Message, request_id: str) -> None:
+        if not self._post(message):
+            self._forget(request_id)
+            raise RouterBusyError()
+
+    def _forget(
+        self, request_id: str, *, is_complete: bool = False
+    ) -> _OpenCall | None:
+        self._relay.close_request(request_id, is_complete=is_complete)
+        self._bodies.drop(request_id)
+        return self._calls.pop(request_id, None)
--- /dev/null
+++ b/damaskrill/runtime/_kernel_task.py
@@ -0,0 +1,154 @@
+"""The one task that runs the kernel: messages in, effects out."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from damaskrill.kernel import FleetViewDecider, RouterKernel
+from damaskrill.messages import FleetView, Message, Tick
+from damaskrill.utils import Clock
+
+__all__ = ["InputRecorder", "KernelTask"]
+
+TICK_INTERVAL_S = 0.1
+# Messages between two turns of the other tasks.
+MAX_MESSAGES_PER_TURN = 64
+
+
+class InputRecorder(Protocol):
+    """Records what goes into and comes out of a kernel."""
+
+    def record_input(self, message: Message, at_ms: int) -> None:
+        """Record a message that the kernel is about to take."""
+
+    def record_effect(self, effect: Message, at_ms: int) -> None:
+        """Record an effect that the kernel has returned."""
+
+
+class KernelTask:
+    """Owns a kernel and its bounded queue.
+
+    Parameters
+    ----------
+    kernel : RouterKernel
+        The decisions.
+    clock : Clock
+        Time.
+    run_effect : callable
+        Takes each effect with its time; must not block.
+    publish_view : callable
+        Takes the fleet view whenever it has been replaced.
+    report_error : callable
+        Takes an exception that a decider has raised, and the message.
+    max_queue_length : int
+        Messages that may wait.
+    recorder : InputRecorder, default=None
+        Records a trace.
+    """
+
+    def __init__(
+        self,
+        *,
+        kernel: RouterKernel,
+        clock: Clock,
+        run_effect: Callable[[Message, int], None],
+        publish_view: Callable[[FleetView], None],
+        report_error: Callable[[Exception, Message], None],
+        max_queue_length: int = 20_000,
+        recorder: InputRecorder | None = None,
+    ) -> None:
+        self._kernel = kernel
+        self._clock = clock
+        self._run_effect = run_effect
+        self._publish_view = publish_view
+        self._report_error = report_error
+        self._max_queue_length = max_queue_length
+        self._recorder = recorder
+        self._queue: deque[Message] = deque()
+        self._wake = asyncio.Event()
+        self._has_room = asyncio.Event()
+        self._has_room.set()
+        self._view: FleetView | None = None
+        self._last_now_ms = 0
+        self._n_dropped = 0
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    @property
+    def n_dropped(self) -> int:
+        """Messages that found the queue full."""
+        return self._n_dropped
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether so much waits that new requests should be refused."""
+        return len(self._queue) > self._max_queue_length // 2
+
+    def post(self, message: Message) -> bool:
+        """Queue a message; return whether there was room for it."""
+        if len(self._queue) >= self._max_queue_length:
+            self._n_dropped += 1
+            return False
+        self._queue.append(message)
+        self._wake.set()
+        if self.is_crowded:
+            self._has_room.clear()
+        return True
+
+    async def wait_for_room(self) -> None:
+        """Wait until the queue is at most half full."""
+        await self._has_room.wait()
+
+    async def run(self) -> None:
+        """Take messages until cancelled."""
+        ticking = asyncio.create_task(self._tick_regularly())
+        try:
+            while True:
+                await self._wake.wait()
+                self._take_turn()
+                await asyncio.sleep(0)
+        finally:
+            ticking.cancel()
+
+    def _take_turn(self) -> None:
+        for _ in range(min(len(self._queue), MAX_MESSAGES_PER_TURN)):
+            self._decide(self._queue.popleft())
+        if not self._queue:
+            self._wake.clear()
+        if not self.is_crowded:
+            self._has_room.set()
+
+    def _decide(self, message: Message) -> None:
+        now_ms = max(self._clock.now_ms, self._last_now_ms)
+        self._last_now_ms = now_ms
+        if self._recorder is not None:
+            self._recorder.record_input(message, now_ms)
+        try:
+            effects = self._kernel.decide(message, now_ms)
+        except Exception as error:
+            # One message that a decider cannot take must not end the process.
+            self._report_error(error, message)
+            return
+        self._publish_changed_view()
+        for effect in effects:
+            if self._recorder is not None:
+                self._recorder.record_effect(effect, now_ms)
+            try:
+                self._run_effect(effect, now_ms)
+            except Exception as error:
+                self._report_error(error, effect)
+
+    def _publish_changed_view(self) -> None:
+        for decider in self._kernel.deciders:
+            if isinstance(decider, FleetViewDecider):
+                if decider.view is not self._view:
+                    self._view = decider.view
+                    self._publish_view(decider.view)
+                return
+
+    async def _tick_regularly(self) -> None:
+        while True:
+            self.post(Tick())
+            await asyncio.sleep(TICK_INTERVAL_S)
--- /dev/null
+++ b/damaskrill/runtime/_process.py
@@ -0,0 +1,289 @@
+"""One router: builds the parts, joins them and stops them in order."""
+
+import asyncio
+import secrets
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from damaskrill.backends import BackendClient, BackendLimits, ReportReader
+from damaskrill.callers import CallerLimits, CallerPort
+from damaskrill.kernel import build_kernel
+from damaskrill.messages import (
+    FleetView,
+    LoggedEvent,
+    Member,
+    Message,
+    StopRequested,
+)
+from damaskrill.monitoring import EventLog, ProcessEventName
+from damaskrill.peers import PeerLimits, PeerNetwork
+from damaskrill.relay import BodyStore, EntryRelay, KeptAnswers
+from damaskrill.runtime._desk import CallerDesk
+from damaskrill.runtime._effects import EffectRunner
+from damaskrill.runtime._hops import HopTable
+from damaskrill.runtime._kernel_task import InputRecorder, KernelTask
+from damaskrill.runtime._peer_events import PeerEvents
+from damaskrill.runtime._platform import PlatformReader
+from damaskrill.runtime._settings import Settings
+from damaskrill.utils import Clock, SystemClock
+
+__all__ = ["RouterProcess"]
+
+HOUSEKEEPING_INTERVAL_S = 1.0
+STOP_GRACE_S = 60.0
+FLUSH_TIMEOUT_S = 5.0
+
+
+class RouterProcess:
+    """All tasks of one router on the running event loop.
+
+    Parameters
+    ----------
+    settings : Settings
+        Addresses, data centre and limits.
+    reactor : object
+        Twisted's reactor, which runs on the asyncio event loop.
+    clock : Clock, default=None
+        Time; the system's clock if None.
+    random_state : int, default=None
+        Seed of the kernel; drawn at random if None.
+    recorder : InputRecorder, default=None
+        Records a trace.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        reactor: Any,
+        clock: Clock | None = None,
+        random_state: int | None = None,
+        recorder: InputRecorder | None = None,
+    ) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clock or SystemClock()
+        self._random_state = (
+            secrets.randbits(32) if random_state is None else random_state
+        )
+        self._recorder = recorder
+        self._incarnation = secrets.token_hex(6)
+        self._stopped_serving = asyncio.Event()
+        self._is_stopping = False
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._view: FleetView | None = None
+
+    @property
+    def own(self) -> Member:
+        """Member that stands for this process; known after ``start``."""
+        return self._network.own
+
+    @property
+    def caller_port(self) -> int:
+        """Port of the caller interface; known after ``start``."""
+        return self._caller_port
+
+    @property
+    def relay(self) -> EntryRelay:
+        """Answers whose entry this process is."""
+        return self._relay
+
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+        settings = self._settings
+        self._build_relay()
+        await self._start_network()
+        self._log = EventLog(router=self.own.address, clock=self._clock)
+        self._build_kernel_task()
+        self._build_clients()
+        self._build_desk()
+        self._build_effects()
+        self._peer_events.connect(kernel_task=self._kernel_task, network=self._network)
+        self._spawn(self._kernel_task.run())
+        self._spawn(self._keep_house())
+        self._platform.start()
+        self._caller_port = self._port.start(settings.host, settings.caller_port)
+        self._log.write(
+            ProcessEventName.PROCESS_STARTED,
+            data_centre=settings.data_centre,
+            incarnation=self._incarnation,
+            caller_port=self._caller_port,
+            sentence="this router takes callers and other routers now",
+        )
+
+    async def stop(self) -> None:
+        """Stop gracefully: take no new callers, finish what runs, then close."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._log.write(ProcessEventName.PROCESS_STOPPING)
+        self._kernel_task.post(StopRequested())
+        await self._port.stop_listening()
+        try:
+            await asyncio.wait_for(self._stopped_serving.wait(), STOP_GRACE_S)
+        except TimeoutError:
+            self._log.write(
+                ProcessEventName.INTERNAL_ERROR,
+                level="WARNING",
+                sentence="some work did not end in time before the stop",
+            )
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        self._is_stopping = True
+        await self._port.stop_listening()
+        self._platform.stop()
+        self._reports.stop()
+        self._effects.stop()
+        await self._backends.stop()
+        await self._network.stop()
+        self._port.close_connections()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._log.write(ProcessEventName.PROCESS_STOPPED)
+
+    def _build_relay(self) -> None:
+        self._kept_answers = KeptAnswers()
+        self._relay = EntryRelay(kept_answers=self._kept_answers)
+        self._bodies = BodyStore()
+        self._hops = HopTable()
+        self._peer_events = PeerEvents(
+            clock=self._clock, relay=self._relay, bodies=self._bodies, hops=self._hops
+        )
+
+    async def _start_network(self) -> None:
+        settings = self._settings
+        own = Member(
+            address=f"{settings.host}:{settings.peer_port}",
+            data_centre=settings.data_centre,
+            incarnation=self._incarnation,
+        )
+        self._network = PeerNetwork(
+            own=own,
+            fleet_key=settings.fleet_key,
+            clock=self._clock,
+            limits=PeerLimits(),
+            handler=self._peer_events,
+        )
+        await self._network.start(settings.host, settings.peer_port)
+
+    def _build_kernel_task(self) -> None:
+        self._kernel_task = KernelTask(
+            kernel=build_kernel(own=self.own, random_state=self._random_state),
+            clock=self._clock,
+            run_effect=lambda effect, at_ms: self._effects.run(effect, at_ms),
+            publish_view=self._take_view,
+            report_error=self._report_error,
+            recorder=self._recorder,
+        )
+
+    def _build_clients(self) -> None:
+        post: Callable[[Message], bool] = self._kernel_task.post
+        self._backends = BackendClient(
+            reactor=self._reactor, clock=self._clock, limits=BackendLimits(), post=post
+        )
+        self._reports = ReportReader(
+            agent=self._backends.agent, clock=self._clock, post=post
+        )
+        self._platform = PlatformReader(
+            agent=self._backends.agent,
+            text_url=self._settings.text_url,
+            host_list_url=self._settings.host_list_url,
+            post=post,
+            report_failure=lambda sentence: self._log.write(
+                ProcessEventName.PLATFORM_READ_FAILED,
+                level="WARNING",
+                sentence=sentence,
+            ),
+        )
+
+    def _build_desk(self) -> None:
+        limits = CallerLimits()
+        self._desk = CallerDesk(
+            incarnation=self._incarnation,
+            clock=self._clock,
+            limits=limits,
+            relay=self._relay,
+            bodies=self._bodies,
+            kept_answers=self._kept_answers,
+            post=self._kernel_task.post,
+            is_crowded=lambda: self._kernel_task.is_crowded,
+        )
+        self._port = CallerPort(
+            desk=self._desk,
+            pages=self,
+            clock=self._clock,
+            limits=limits,
+            reactor=self._reactor,
+        )
+
+    def _build_effects(self) -> None:
+        self._effects = EffectRunner(
+            post=self._kernel_task.post,
+            network=self._network,
+            desk=self._desk,
+            relay=self._relay,
+            bodies=self._bodies,
+            kept_answers=self._kept_answers,
+            hops=self._hops,
+            backends=self._backends,
+            reports=self._reports,
+            platform=self._platform,
+            log=self._log,
+            observe_event=self._observe_event,
+            stop_serving=self._stopped_serving.set,
+        )
+
+    def readiness(self) -> tuple[bool, str]:
+        """Return whether new work is taken, and why or why not."""
+        if self._is_stopping:
+            return False, "this router is stopping"
+        view = self._view
+        if view is None or view.text.version == 0:
+            return False, "this router has not read an operators' text yet"
+        if not view.trusted:
+            return False, "this router is reading its view of the fleet again"
+        return True, f"text version {view.text.version} is in force"
+
+    def status_text(self) -> str:
+        """Return the operators' page."""
+        return f"{self.readiness()[1]}\n"
+
+    def metrics_text(self) -> bytes:
+        """Return the metrics."""
+        return b""
+
+    def _take_view(self, view: FleetView) -> None:
+        self._view = view
+        self._effects.take_view(view)
+
+    def _observe_event(self, event: LoggedEvent, at_ms: int) -> None:
+        pass
+
+    def _report_error(self, error: Exception, message: Message) -> None:
+        frames = traceback.extract_tb(error.__traceback__)
+        place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+        self._log.write(
+            ProcessEventName.INTERNAL_ERROR,
+            level="ERROR",
+            code="internal_error",
+            place=place,
+            message_type=type(message).__name__,
+            sentence=f"{type(error).__name__}: {error}"[:500],
+        )
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+            now_ms = self._clock.now_ms
+            self._bodies.purge(now_ms)
+            for attempt_id in self._hops.attempts:
+                if self._bodies.get(attempt_id) is None:
+                    self._hops.forget_attempt(attempt_id)
+            self._desk.end_overdue()
+
+    def _spawn(self, work: Any) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
--- /dev/null
+++ b/damaskrill/runtime/_serve.py
@@ -0,0 +1,89 @@
+"""Runs one router until it is told to stop."""
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+from damaskrill.monitoring import configure_logging
+from damaskrill.runtime._process import RouterProcess
+from damaskrill.runtime._settings import Settings
+
+__all__ = ["run_in_reactor", "serve"]
+
+EXIT_KILLED = 1
+
+
+def run_in_reactor(work: Coroutine[Any, Any, int]) -> int:
+    """Run a coroutine under Twisted's reactor on a fresh asyncio event loop.
+
+    Parameters
+    ----------
+    work : coroutine
+        Returns an exit status.
+
+    Returns
+    -------
+    int
+        The exit status.
+    """
+    from twisted.internet import asyncioreactor
+
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
+    from twisted.internet import defer, reactor
+
+    runner: Any = reactor
+    statuses: list[int] = []
+    failures: list[BaseException] = []
+
+    def end(result: Any) -> None:
+        if isinstance(result, int):
+            statuses.append(result)
+        else:
+            failures.append(result.value)
+        runner.stop()
+
+    def begin() -> None:
+        task = loop.create_task(work)
+        defer.Deferred.fromFuture(task).addBoth(end)
+
+    runner.callWhenRunning(begin)
+    runner.run(installSignalHandlers=False)
+    if failures:
+        raise failures[0]
+    return statuses[0] if statuses else EXIT_KILLED
+
+
+def serve(settings: Settings) -> int:
+    """Run one router until SIGTERM or SIGINT; a second signal ends it at once.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+
+    Returns
+    -------
+    int
+        0 after a graceful stop.
+    """
+    configure_logging(level=settings.log_level)
+    return run_in_reactor(_serve(settings))
+
+
+async def _serve(settings: Settings) -> int:
+    from twisted.internet import reactor
+
+    process = RouterProcess(settings=settings, reactor=reactor)
+    await process.start()
+    signals: asyncio.Queue[int] = asyncio.Queue()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    await signals.get()
+    stopping = loop.create_task(process.stop())
+    again = loop.create_task(signals.get())
+    await asyncio.wait([stopping, again], return_when=asyncio.FIRST_COMPLETED)
+    return 0 if stopping.done() else EXIT_KILLED
