Run a router: relay, backend client, caller interface, serve, stand-ins over HTTP

Cause: the kernel's decisions had no process around them. A router is now one process on Twisted's asyncio reactor: one kernel task with a bounded queue and a tick, an effect runner, the caller interface, streaming to backend servers, and a relay that passes answer bytes beside the kernel and checks length and digest.

--- a/damaskrill/callers/_limits.py
+++ b/damaskrill/callers/_limits.py
@@ -19,8 +19,10 @@
         Highest number of headers.
     max_connections : int
         Connections at once; further ones are closed.
-    receive_timeout_ms : int
-        Longest time from a request's first byte to its last, in milliseconds.
+    header_timeout_ms : int
+        Longest time from a request's first byte to its headers' last, in milliseconds.
+    body_timeout_ms : int
+        Longest time from a body's first byte to its last, in milliseconds.
     idle_timeout_ms : int
         Longest time without a request on an open connection, in milliseconds.
     max_answer_bytes : int
@@ -37,7 +39,8 @@
     max_header_bytes: int = 16 * 1024
     max_headers: int = 100
     max_connections: int = 4_000
-    receive_timeout_ms: int = 10_000
+    header_timeout_ms: int = 5_000
+    body_timeout_ms: int = 30_000
     idle_timeout_ms: int = 60_000
     max_answer_bytes: int = 8 * 1024 * 1024
     max_unsent_bytes: int = 1024 * 1024
--- a/damaskrill/callers/_port.py
+++ b/damaskrill/callers/_port.py
@@ -1,9 +1,12 @@
 """Routes HTTP requests to the desk that the process provides."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, Protocol
 from urllib.parse import parse_qsl, unquote
 
+from twisted.internet.defer import maybeDeferred
+
 from damaskrill.callers._answer import CallerAnswer
 from damaskrill.callers._errors import (
     CallerError,
@@ -106,7 +109,8 @@
         """Take no new connections; open ones go on."""
         listener, self._listener = self._listener, None
         if listener is not None:
-            await listener.stopListening()
+            stopping = maybeDeferred(listener.stopListening)
+            await stopping.asFuture(asyncio.get_running_loop())
 
     def close_connections(self) -> None:
         """Close all connections that are left."""
--- a/damaskrill/callers/_site.py
+++ b/damaskrill/callers/_site.py
@@ -47,10 +47,15 @@
         if self._is_refused:
             return
         if self._receive_timer is None and not self._handlingRequest:
-            delay_s = self.site.limits.receive_timeout_ms / 1_000
-            self._receive_timer = self.callLater(delay_s, self._cut_slow_sender)
+            self._start_timer(self.site.limits.header_timeout_ms)
         super().dataReceived(data)
 
+    def allHeadersReceived(self) -> None:
+        """Give the body a time of its own: the headers are here."""
+        self._stop_timer()
+        self._start_timer(self.site.limits.body_timeout_ms)
+        super().allHeadersReceived()
+
     def allContentReceived(self) -> None:
         """Stop the request's timer: all of it is here."""
         self._stop_timer()
@@ -84,9 +89,15 @@
         # The base class calls this for whatever is not HTTP; its answer has no body.
         self.refuse(MalformedHttpError())
 
-    def _cut_slow_sender(self) -> None:
+    def _start_timer(self, limit_ms: int) -> None:
+        call_later: Any = self.callLater
+        self._receive_timer = call_later(
+            limit_ms / 1_000, self._cut_slow_sender, limit_ms
+        )
+
+    def _cut_slow_sender(self, limit_ms: int) -> None:
         self._receive_timer = None
-        self.refuse(SlowSenderError(limit_ms=self.site.limits.receive_timeout_ms))
+        self.refuse(SlowSenderError(limit_ms=limit_ms))
 
     def _stop_timer(self) -> None:
         timer, self._receive_timer = self._receive_timer, None
--- a/damaskrill/cli/_main.py
+++ b/damaskrill/cli/_main.py
@@ -16,6 +16,19 @@
         """Print the version."""
         return f"damaskrill {__version__}"
 
+    def serve(self, *, settings: str) -> None:
+        """Run one router until SIGTERM.
+
+        Parameters
+        ----------
+        settings : str
+            Path of the settings file.
+        """
+        from damaskrill.configuration import read_settings
+        from damaskrill.runtime import serve
+
+        sys.exit(serve(read_settings(settings)))
+
 
 def main() -> None:
     """Run the command named in the arguments."""
--- /dev/null
+++ b/damaskrill/demo/__init__.py
@@ -0,0 +1,6 @@
+"""A fleet on loopback that shows what damaskrill does."""
+
+from damaskrill.demo._client import Reply, call_router
+from damaskrill.demo._fleet import LoopbackFleet
+
+__all__ = ["LoopbackFleet", "Reply", "call_router"]
--- a/damaskrill/fakes/_http_base.py
+++ b/damaskrill/fakes/_http_base.py
@@ -1,8 +1,10 @@
 """Base class of the stand-ins that listen on loopback."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from typing import Any
 
+from twisted.internet.defer import maybeDeferred
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
@@ -58,7 +60,8 @@
         """Stop to listen."""
         listener, self._listener = self._listener, None
         if listener is not None:
-            await listener.stopListening()
+            stopping = maybeDeferred(listener.stopListening)
+            await stopping.asFuture(asyncio.get_running_loop())
 
     @abstractmethod
     def handle(self, request: Any) -> None:
--- a/damaskrill/relay/_kept.py
+++ b/damaskrill/relay/_kept.py
@@ -44,7 +44,6 @@
     def __init__(self, *, max_n_bytes: int = MAX_KEPT_BYTES) -> None:
         self._max_n_bytes = max_n_bytes
         self._answers: OrderedDict[str, KeptAnswer] = OrderedDict()
-        self._request_by_digest: dict[str, str] = {}
         self._n_bytes = 0
 
     @property
@@ -58,7 +57,6 @@
             return
         self._forget(request_id)
         self._answers[request_id] = answer
-        self._request_by_digest[answer.digest] = request_id
         self._n_bytes += len(answer.content)
         while self._n_bytes > self._max_n_bytes:
             self._forget(next(iter(self._answers)))
@@ -67,14 +65,7 @@
         """Return the answer of a request; None if it is not kept."""
         return self._answers.get(request_id)
 
-    def find(self, digest: str) -> KeptAnswer | None:
-        """Return an answer with a digest; None if none is kept."""
-        return self._answers.get(self._request_by_digest.get(digest, ""))
-
     def _forget(self, request_id: str) -> None:
         answer = self._answers.pop(request_id, None)
-        if answer is None:
-            return
-        self._n_bytes -= len(answer.content)
-        if self._request_by_digest.get(answer.digest) == request_id:
-            del self._request_by_digest[answer.digest]
+        if answer is not None:
+            self._n_bytes -= len(answer.content)
--- a/damaskrill/runtime/__init__.py
+++ b/damaskrill/runtime/__init__.py
@@ -2,5 +2,6 @@
 
 from damaskrill.runtime._kernel_task import InputRecorder, KernelTask
 from damaskrill.runtime._process import RouterProcess
+from damaskrill.runtime._serve import run_in_reactor, serve
 
-__all__ = ["InputRecorder", "KernelTask", "RouterProcess"]
+__all__ = ["InputRecorder", "KernelTask", "RouterProcess", "run_in_reactor", "serve"]
--- a/damaskrill/runtime/_effects.py
+++ b/damaskrill/runtime/_effects.py
@@ -186,12 +186,10 @@
         hop = self.hops.take_hop(payload.hop_id)
         outcome = payload.outcome
         if hop is not None and isinstance(outcome, Completed):
+            kept = self.kept_answers.get(payload.recorded_request_id)
+            if kept is not None:
+                self.relay.replay_kept(hop.request_id, kept)
             totals = self.relay.totals(hop.request_id)
-            if totals.n_bytes == 0 and outcome.n_bytes > 0:
-                kept = self.kept_answers.find(outcome.digest)
-                if kept is not None:
-                    self.relay.replay_kept(hop.request_id, kept)
-                    totals = self.relay.totals(hop.request_id)
             outcome = attrs.evolve(
                 outcome, n_bytes=totals.n_bytes, digest=totals.digest
             )
--- a/damaskrill/runtime/_hops.py
+++ b/damaskrill/runtime/_hops.py
@@ -38,6 +38,11 @@
         """IDs of the attempts whose entry is another router."""
         return tuple(self._entry_by_attempt)
 
+    @property
+    def hops(self) -> tuple[tuple[str, Hop], ...]:
+        """Requests that were handed over, by hop ID."""
+        return tuple(self._hops.items())
+
     def note_attempt(self, attempt_id: str, entry: str) -> None:
         """Note the address of an attempt's entry."""
         self._entry_by_attempt[attempt_id] = entry
--- a/damaskrill/runtime/_kernel_task.py
+++ b/damaskrill/runtime/_kernel_task.py
@@ -17,13 +17,13 @@
 
 
 class InputRecorder(Protocol):
-    """Records what goes into and comes out of a kernel."""
+    """Records what goes into a kernel."""
 
     def record_input(self, message: Message, at_ms: int) -> None:
         """Record a message that the kernel is about to take."""
 
-    def record_effect(self, effect: Message, at_ms: int) -> None:
-        """Record an effect that the kernel has returned."""
+    def close(self) -> None:
+        """Write what is buffered and close the output."""
 
 
 class KernelTask:
@@ -133,8 +133,6 @@
             return
         self._publish_changed_view()
         for effect in effects:
-            if self._recorder is not None:
-                self._recorder.record_effect(effect, now_ms)
             try:
                 self._run_effect(effect, now_ms)
             except Exception as error:
--- a/damaskrill/runtime/_platform.py
+++ b/damaskrill/runtime/_platform.py
@@ -67,6 +67,7 @@
     def start(self) -> None:
         """Read the host list now, and again until it has been read once."""
         self._spawn(self._read_first_hosts())
+        self._spawn(self._watch_text())
 
     def stop(self) -> None:
         """Stop all reads."""
@@ -88,10 +89,22 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _read_first_hosts(self) -> None:
-        while not await self._read_hosts():
+        while True:
+            await self._read_hosts()
             await asyncio.sleep(FIRST_RETRY_S)
 
-    async def _read_text(self, effect: ReadText) -> None:
+    async def _watch_text(self) -> None:
+        version = 0
+        while True:
+            version = (
+                await self._read_text(
+                    ReadText(after_version=version, wait_ms=30_000 if version else 0)
+                )
+                or version
+            )
+            await asyncio.sleep(FIRST_RETRY_S)
+
+    async def _read_text(self, effect: ReadText) -> int:
         query = f"after_version={effect.after_version}&wait_ms={effect.wait_ms}"
         timeout_s = READ_TIMEOUT_S + effect.wait_ms / 1_000
         try:
@@ -100,14 +113,15 @@
             )
             if status == STATUS_NO_CONTENT:
                 self._post(TextReadFailed(reason="nothing newer"))
-                return
+                return 0
             version = int(headers.getRawHeaders("Version")[0])
         except Exception as error:
             reason = f"the configuration service did not answer: {_name_of(error)}"
             self._report_failure(reason)
             self._post(TextReadFailed(reason=reason))
-            return
+            return 0
         self._post(TextRead(version=version, content=content))
+        return version
 
     async def _read_hosts(self) -> bool:
         self._is_reading_hosts = True
--- a/damaskrill/runtime/_process.py
+++ b/damaskrill/runtime/_process.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import secrets
+import sys
 import traceback
 from collections.abc import Callable
 from typing import Any
 
 from damaskrill.backends import BackendClient, BackendLimits, ReportReader
 from damaskrill.callers import CallerLimits, CallerPort
+from damaskrill.configuration import Settings
 from damaskrill.kernel import build_kernel
 from damaskrill.messages import (
     FleetView,
@@ -17,7 +19,7 @@
     StopRequested,
 )
 from damaskrill.monitoring import EventLog, ProcessEventName
-from damaskrill.peers import PeerLimits, PeerNetwork
+from damaskrill.peers import PeerNetwork
 from damaskrill.relay import BodyStore, EntryRelay, KeptAnswers
 from damaskrill.runtime._desk import CallerDesk
 from damaskrill.runtime._effects import EffectRunner
@@ -25,14 +27,17 @@
 from damaskrill.runtime._kernel_task import InputRecorder, KernelTask
 from damaskrill.runtime._peer_events import PeerEvents
 from damaskrill.runtime._platform import PlatformReader
-from damaskrill.runtime._settings import Settings
+from damaskrill.traces import (
+    RotatingFileSink,
+    StreamSink,
+    TraceRecorder,
+    TraceSink,
+)
 from damaskrill.utils import Clock, SystemClock
 
 __all__ = ["RouterProcess"]
 
 HOUSEKEEPING_INTERVAL_S = 1.0
-STOP_GRACE_S = 60.0
-FLUSH_TIMEOUT_S = 5.0
 
 
 class RouterProcess:
@@ -48,8 +53,6 @@
         Time; the system's clock if None.
     random_state : int, default=None
         Seed of the kernel; drawn at random if None.
-    recorder : InputRecorder, default=None
-        Records a trace.
     """
 
     def __init__(
@@ -59,7 +62,6 @@
         reactor: Any,
         clock: Clock | None = None,
         random_state: int | None = None,
-        recorder: InputRecorder | None = None,
     ) -> None:
         self._settings = settings
         self._reactor = reactor
@@ -67,7 +69,7 @@
         self._random_state = (
             secrets.randbits(32) if random_state is None else random_state
         )
-        self._recorder = recorder
+        self._recorder: InputRecorder | None = None
         self._incarnation = secrets.token_hex(6)
         self._stopped_serving = asyncio.Event()
         self._is_stopping = False
@@ -84,6 +86,11 @@
         """Port of the caller interface; known after ``start``."""
         return self._caller_port
 
+    @property
+    def view(self) -> FleetView | None:
+        """View of the fleet in force; None before the first."""
+        return self._view
+
     @property
     def relay(self) -> EntryRelay:
         """Answers whose entry this process is."""
@@ -103,7 +110,8 @@
         self._spawn(self._kernel_task.run())
         self._spawn(self._keep_house())
         self._platform.start()
-        self._caller_port = self._port.start(settings.host, settings.caller_port)
+        host, port = split_address(settings.caller_address)
+        self._caller_port = self._port.start(host, port)
         self._log.write(
             ProcessEventName.PROCESS_STARTED,
             data_centre=settings.data_centre,
@@ -120,8 +128,9 @@
         self._log.write(ProcessEventName.PROCESS_STOPPING)
         self._kernel_task.post(StopRequested())
         await self._port.stop_listening()
+        timeout_s = self._settings.stop_timeout_ms / 1_000
         try:
-            await asyncio.wait_for(self._stopped_serving.wait(), STOP_GRACE_S)
+            await asyncio.wait_for(self._stopped_serving.wait(), timeout_s)
         except TimeoutError:
             self._log.write(
                 ProcessEventName.INTERNAL_ERROR,
@@ -143,6 +152,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._recorder is not None:
+            self._recorder.close()
         self._log.write(ProcessEventName.PROCESS_STOPPED)
 
     def _build_relay(self) -> None:
@@ -156,8 +167,9 @@
 
     async def _start_network(self) -> None:
         settings = self._settings
+        host, port = split_address(settings.peer_address)
         own = Member(
-            address=f"{settings.host}:{settings.peer_port}",
+            address=settings.peer_address,
             data_centre=settings.data_centre,
             incarnation=self._incarnation,
         )
@@ -165,12 +177,48 @@
             own=own,
             fleet_key=settings.fleet_key,
             clock=self._clock,
-            limits=PeerLimits(),
+            limits=settings.peer_limits,
             handler=self._peer_events,
         )
-        await self._network.start(settings.host, settings.peer_port)
+        await self._network.start(host, port)
+
+    def _backend_limits(self) -> BackendLimits:
+        return BackendLimits(
+            connect_timeout_ms=self._settings.connect_timeout_ms,
+            progress_timeout_ms=self._settings.progress_timeout_ms,
+        )
+
+    def _caller_limits(self) -> CallerLimits:
+        settings = self._settings
+        return CallerLimits(
+            max_body_bytes=settings.max_body_bytes,
+            max_header_bytes=settings.max_header_bytes,
+            max_connections=settings.max_connections,
+            header_timeout_ms=settings.header_timeout_ms,
+            body_timeout_ms=settings.body_timeout_ms,
+            idle_timeout_ms=settings.idle_timeout_ms,
+        )
+
+    def _open_recorder(self) -> None:
+        settings = self._settings
+        if not settings.trace_output:
+            return
+        sink: TraceSink
+        if settings.trace_output == "-":
+            sink = StreamSink(stream=sys.stdout.buffer)
+        else:
+            sink = RotatingFileSink(
+                path=settings.trace_output, max_bytes=settings.trace_rotate_bytes
+            )
+        self._recorder = TraceRecorder(
+            own=self.own,
+            random_state=self._random_state,
+            sink=sink,
+            sample_permille=settings.trace_sample_permille,
+        )
 
     def _build_kernel_task(self) -> None:
+        self._open_recorder()
         self._kernel_task = KernelTask(
             kernel=build_kernel(own=self.own, random_state=self._random_state),
             clock=self._clock,
@@ -183,14 +231,17 @@
     def _build_clients(self) -> None:
         post: Callable[[Message], bool] = self._kernel_task.post
         self._backends = BackendClient(
-            reactor=self._reactor, clock=self._clock, limits=BackendLimits(), post=post
+            reactor=self._reactor,
+            clock=self._clock,
+            limits=self._backend_limits(),
+            post=post,
         )
         self._reports = ReportReader(
             agent=self._backends.agent, clock=self._clock, post=post
         )
         self._platform = PlatformReader(
             agent=self._backends.agent,
-            text_url=self._settings.text_url,
+            text_url=self._settings.configuration_service_url,
             host_list_url=self._settings.host_list_url,
             post=post,
             report_failure=lambda sentence: self._log.write(
@@ -201,7 +252,7 @@
         )
 
     def _build_desk(self) -> None:
-        limits = CallerLimits()
+        limits = self._caller_limits()
         self._desk = CallerDesk(
             incarnation=self._incarnation,
             clock=self._clock,
@@ -283,7 +334,17 @@
             for attempt_id in self._hops.attempts:
                 if self._bodies.get(attempt_id) is None:
                     self._hops.forget_attempt(attempt_id)
+            for hop_id, hop in self._hops.hops:
+                if self._bodies.get(hop.request_id) is None:
+                    self._hops.take_hop(hop_id)
+                    self._relay.close_request(hop.request_id)
             self._desk.end_overdue()
 
     def _spawn(self, work: Any) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP number and port of an ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- a/damaskrill/runtime/_serve.py
+++ b/damaskrill/runtime/_serve.py
@@ -5,9 +5,9 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from damaskrill.configuration import Settings
 from damaskrill.monitoring import configure_logging
 from damaskrill.runtime._process import RouterProcess
-from damaskrill.runtime._settings import Settings
 
 __all__ = ["run_in_reactor", "serve"]
 
