Generate the reference pages of text, settings and errors

Validation and pages come from the same declarations; a feature compares the committed pages with the generated ones and names the command to run.

--- a/damaskrill/configuration/__init__.py
+++ b/damaskrill/configuration/__init__.py
@@ -16,6 +16,7 @@
 """
 
 from damaskrill.configuration._faults import (
+    FAULT_TEMPLATES,
     Fault,
     FaultCode,
     InvalidConfigurationError,
@@ -39,6 +40,10 @@
     TeamSpec,
 )
 from damaskrill.configuration._peer_limits import PeerLimits
+from damaskrill.configuration._reference import (
+    render_settings_reference,
+    render_text_reference,
+)
 from damaskrill.configuration._sections import (
     apply_sections,
     digest_section,
@@ -49,6 +54,7 @@
 from damaskrill.configuration._text import parse_text
 
 __all__ = [
+    "FAULT_TEMPLATES",
     "BackendServerSearch",
     "BackendServerSpec",
     "DataCentreSpec",
@@ -73,5 +79,7 @@
     "parse_text",
     "read_bounded_file",
     "read_settings",
+    "render_settings_reference",
+    "render_text_reference",
     "split_sections",
 ]
--- /dev/null
+++ b/features/reference.feature
@@ -0,0 +1,18 @@
+Feature: The reference pages say what the code does
+  They are generated from the declarations that validation uses.
+
+  Scenario Outline: the committed page is the generated one
+    When the reference pages are rendered
+    Then docs/reference/<page> equals the rendered one
+
+    Examples:
+      | page        |
+      | text.md     |
+      | settings.md |
+      | errors.md   |
+
+  Scenario: every field of a section's class is a documented key
+    Then each field of the classes of text and settings has a declared key
+
+  Scenario: every fault and cause has a sentence
+    Then each fault code and each cause code has a sentence
