Bring the highest valid text to every router by section

Cause: each router took whatever the service gave it, and only from the service. One watcher a region and one checker a data centre read it now; a new version is pushed along two trees by section, and who missed it pulls what changed since its own version when probes show a higher one. A digest of the whole guards each delta; a router that starts takes the whole text in compressed pieces from a peer when the service is down. A woken process trusts its view only once it has the text that its peers have.

--- a/damaskrill/_build.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""Identifies the build; the one-file build replaces this module's content."""
-
-__all__ = ["BUILD"]
-
-BUILD = "from source"
--- a/damaskrill/configuration/__init__.py
+++ b/damaskrill/configuration/__init__.py
@@ -21,13 +21,6 @@
     FaultCode,
     InvalidConfigurationError,
 )
-from damaskrill.configuration._files import (
-    FileKind,
-    UnreadableFileError,
-    guess_file_kind,
-    read_bounded_file,
-    read_settings,
-)
 from damaskrill.configuration._model import (
     BackendServerSearch,
     BackendServerSpec,
@@ -49,7 +42,12 @@
     digest_section,
     split_sections,
 )
-from damaskrill.configuration._settings import Settings, parse_settings
+from damaskrill.configuration._settings import (
+    Settings,
+    UnreadableFileError,
+    parse_settings,
+    read_settings,
+)
 from damaskrill.configuration._teams import TeamTable
 from damaskrill.configuration._text import parse_text
 
@@ -61,7 +59,6 @@
     "Fault",
     "FaultCode",
     "FencingCheck",
-    "FileKind",
     "FleetText",
     "InvalidConfigurationError",
     "LimitSpec",
@@ -74,10 +71,8 @@
     "UnreadableFileError",
     "apply_sections",
     "digest_section",
-    "guess_file_kind",
     "parse_settings",
     "parse_text",
-    "read_bounded_file",
     "read_settings",
     "render_settings_reference",
     "render_text_reference",
--- a/damaskrill/membership/_decider.py
+++ b/damaskrill/membership/_decider.py
@@ -101,6 +101,8 @@
         self._next_probe_ms = 0
         self._next_list_ms = 0
         self._untrusted_since_ms: int | None = None
+        self._was_told = False
+        self._needed_version = 0
         self._has_joined = False
         self._text = TextHeld(version=0, digest=0)
         self._published: MembersChanged | None = None
@@ -163,8 +165,7 @@
                 return (self._send_probe(probe),)
             case MembersTold():
                 self._take_news(payload.news, now_ms)
-                if payload.is_last:
-                    self._untrusted_since_ms = None
+                self._was_told = self._was_told or payload.is_last
         return ()
 
     # Probes
@@ -261,6 +262,7 @@
         self, answer: ProbeAnswer, sender: Member, now_ms: int
     ) -> Sequence[Message]:
         probe = self._open.pop(answer.sequence, None)
+        self._needed_version = max(self._needed_version, answer.text_version)
         if probe is None:
             return ()
         if probe.asked_by:
@@ -361,6 +363,8 @@
         if not any(each.is_counted for each in self._table):
             return (ReadHostList(),)
         self._untrusted_since_ms = now_ms
+        self._was_told = False
+        self._needed_version = 0
         return [ReadHostList(), *self._ask_for_members(now_ms)]
 
     def _leave(self) -> Sequence[Message]:
@@ -425,7 +429,9 @@
         since_ms = self._untrusted_since_ms
         if since_ms is None:
             return True
-        if now_ms - since_ms < RELEARN_TIMEOUT_MS:
+        has_text = self._text.version >= self._needed_version
+        is_overdue = now_ms - since_ms >= RELEARN_TIMEOUT_MS
+        if not is_overdue and not (self._was_told and has_text):
             return False
         self._untrusted_since_ms = None
         return True
--- a/damaskrill/messages/__init__.py
+++ b/damaskrill/messages/__init__.py
@@ -84,6 +84,15 @@
     TextReadFailed,
     TextRefused,
 )
+from damaskrill.messages._propagation import (
+    RemovedSection,
+    TextAnnounced,
+    TextAsked,
+    TextDelta,
+    TextPiece,
+    TextPieceAsked,
+    TextSection,
+)
 from damaskrill.messages._relay import (
     AnswerHead,
     AttemptProgress,
@@ -161,6 +170,7 @@
     "ReadLoad",
     "ReadText",
     "RecordsHandedOver",
+    "RemovedSection",
     "Request",
     "RequestArrived",
     "RequestEnded",
@@ -170,10 +180,16 @@
     "StopRequested",
     "StopServing",
     "TextAccepted",
+    "TextAnnounced",
+    "TextAsked",
+    "TextDelta",
     "TextHeld",
+    "TextPiece",
+    "TextPieceAsked",
     "TextRead",
     "TextReadFailed",
     "TextRefused",
+    "TextSection",
     "Tick",
     "Unknown",
 ]
--- a/damaskrill/messages/_events.py
+++ b/damaskrill/messages/_events.py
@@ -37,6 +37,7 @@
     PARTITION_SUSPECTED = "partition_suspected"
     PERMIT_ISSUED = "permit_issued"
     ENGINE_ORDERED = "engine_ordered"
+    TEXT_STATUS = "text_status"
 
 
 @frozen(kw_only=True)
--- a/damaskrill/propagation/__init__.py
+++ b/damaskrill/propagation/__init__.py
@@ -1,5 +1,6 @@
 """How a text reaches every router and stays in force."""
 
-from damaskrill.propagation._replica import TextReplica
+from damaskrill.propagation._decider import TextPropagation
+from damaskrill.propagation._store import TextStore
 
-__all__ = ["TextReplica"]
+__all__ = ["TextPropagation", "TextStore"]
--- /dev/null
+++ b/damaskrill/propagation/_readers.py
@@ -0,0 +1,159 @@
+"""Which routers read the configuration service, and when."""
+
+import random
+
+from damaskrill.configuration._model import FleetText
+from damaskrill.messages import FleetView, Member, ReadText
+from damaskrill.utils import rendezvous_score
+
+__all__ = ["ReadSchedule", "ReaderRole", "RoleFinder", "role_of"]
+
+ROTATION_MS = 60_000
+WATCH_MS = 10_000
+CHECK_INTERVAL_MS = 5_000
+ANSWER_TIMEOUT_MS = 3_000
+FIRST_BACKOFF_MS = 500
+MAX_BACKOFF_MS = 4_000
+
+
+class ReaderRole:
+    """Names of the roles of a router towards the configuration service."""
+
+    WATCHER = "watcher"
+    CHECKER = "checker"
+    NONE = "none"
+
+
+def role_of(view: FleetView, now_ms: int) -> str:
+    """Return this process's role.
+
+    Parameters
+    ----------
+    view : FleetView
+        Members and text.
+    now_ms : int
+        Present time in milliseconds; the roles go round with it.
+
+    Returns
+    -------
+    str
+        One watcher a region waits for changes; one checker a data centre asks now and
+        then whether there is a newer text than peers have told.
+
+    Notes
+    -----
+    Every read of a newer version costs a whole text, so that the watchers are few: at
+    one megabyte and a change every 4 s a watcher takes 250 KB/s. A checker that the
+    peers keep up to date is told that there is nothing new.
+    """
+    own = view.own
+    turn = now_ms // ROTATION_MS
+    region = _region_of(own, view.text)
+    in_region = [each for each in view.members if _region_of(each, view.text) == region]
+    if _is_chosen(own, in_region, f"watcher:{turn}"):
+        return ReaderRole.WATCHER
+    near = [each for each in view.members if each.data_centre == own.data_centre]
+    if _is_chosen(own, near, f"checker:{turn}"):
+        return ReaderRole.CHECKER
+    return ReaderRole.NONE
+
+
+class RoleFinder:
+    """Keeps this process's role until the view or the turn changes."""
+
+    def __init__(self) -> None:
+        self._role = ReaderRole.NONE
+        self._view: FleetView | None = None
+        self._turn = -1
+
+    def find(self, view: FleetView, now_ms: int) -> str:
+        """Return this process's role; see ``role_of``."""
+        turn = now_ms // ROTATION_MS
+        if view is not self._view or turn != self._turn:
+            self._role = role_of(view, now_ms)
+            self._view = view
+            self._turn = turn
+        return self._role
+
+
+def _region_of(member: Member, text: FleetText) -> str:
+    centre = text.data_centres.get(member.data_centre)
+    return centre.region if centre and centre.region else member.data_centre
+
+
+def _is_chosen(own: Member, members: list[Member], key: str) -> bool:
+    own_score = rendezvous_score(key, own.address)
+    return all(
+        rendezvous_score(key, each.address) < own_score
+        for each in members
+        if each.address != own.address
+    )
+
+
+class ReadSchedule:
+    """When this process reads, and how it backs off.
+
+    Parameters
+    ----------
+    random_state : random.Random
+        Generator of the jitter.
+    """
+
+    def __init__(self, *, random_state: random.Random) -> None:
+        self._random = random_state
+        self._asked_at_ms: int | None = None
+        self._wait_ms = 0
+        self._is_check = False
+        self._next_ms = 0
+        self._backoff_ms = 0
+
+    def next_read(self, role: str, known: int, now_ms: int) -> ReadText | None:
+        """Return the read that is due, if any.
+
+        Parameters
+        ----------
+        role : str
+            One of ``ReaderRole``.
+        known : int
+            Version that need not be told.
+        now_ms : int
+            Present time in milliseconds.
+        """
+        if self._asked_at_ms is not None:
+            overdue = now_ms - self._asked_at_ms > self._wait_ms + ANSWER_TIMEOUT_MS
+            if not overdue:
+                return None
+            self.take_failure(now_ms)
+        must_read = role != ReaderRole.NONE or known == 0
+        if not must_read or now_ms < self._next_ms:
+            return None
+        is_watch = role == ReaderRole.WATCHER and known > 0
+        self._wait_ms = WATCH_MS if is_watch else 0
+        self._is_check = role == ReaderRole.CHECKER and known > 0
+        self._asked_at_ms = now_ms
+        return ReadText(after_version=known, wait_ms=self._wait_ms)
+
+    def take_text(self, now_ms: int, *, is_new: bool) -> None:
+        """Note that the service has answered with a text."""
+        self._asked_at_ms = None
+        self._backoff_ms = 0
+        self._next_ms = now_ms if is_new else now_ms + CHECK_INTERVAL_MS
+
+    def take_failure(self, now_ms: int) -> None:
+        """Note that the service has not answered, or had nothing new."""
+        asked_at_ms = self._asked_at_ms
+        self._asked_at_ms = None
+        watched = asked_at_ms is not None and now_ms - asked_at_ms >= self._wait_ms
+        if self._wait_ms and watched:
+            self._backoff_ms = 0
+            self._next_ms = now_ms
+            return
+        if self._is_check:
+            # Most often there is nothing new, which can't be told from a failure.
+            self._next_ms = now_ms + CHECK_INTERVAL_MS
+            return
+        self._backoff_ms = min(
+            MAX_BACKOFF_MS, max(FIRST_BACKOFF_MS, 2 * self._backoff_ms)
+        )
+        jitter_ms = self._random.randrange(self._backoff_ms)
+        self._next_ms = now_ms + self._backoff_ms // 2 + jitter_ms
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -48,6 +48,11 @@
     When member 2 is paused for 5000 ms
     Then on waking, member 2 trusts its view only once a peer has answered
 
+  Scenario: a woken process waits for the text that its peers have
+    Given a probing fleet of 5 routers, seed 17
+    When member 2 is paused for 9000 ms while a text is published
+    Then on waking, member 2 trusts its view only with text version 2
+
   Scenario: a process that wakes behind a partition counts itself as cut off
     Given a probing fleet of 5 routers, seed 8
     When member 2 is paused for 5000 ms
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -174,3 +174,21 @@
 def step_table_holds(context, incarnation, state):
     entry = context.peer_table.get(address_of(2))
     assert (entry.incarnation, entry.state.value) == (incarnation, state), entry
+
+
+@when("member {n:d} is paused for {duration_ms:d} ms while a text is published")
+def step_pause_with_text(context, n, duration_ms):
+    context.fleet.pause_router(address_of(n), duration_ms)
+    context.fleet.run_until(context.fleet.now_ms + 1_000)
+    context.fleet.publish(build_fleet_text(out=("bole",)))
+
+
+@then("on waking, member {n:d} trusts its view only with text version {version:d}")
+def step_trust_with_text(context, n, version):
+    paused = router(context, n)
+    fleet = context.fleet
+    fleet.run_until(paused.paused_until_ms)
+    while not paused.view.trusted:
+        fleet.run_until(fleet.now_ms + 1)
+        assert fleet.now_ms < paused.paused_until_ms + 3_000
+    assert paused.view.text.version == version, paused.view.text.version
--- a/features/steps/text_steps.py
+++ b/features/steps/text_steps.py
@@ -18,7 +18,7 @@
     TextRead,
     TextRefused,
 )
-from damaskrill.propagation import TextReplica
+from damaskrill.propagation import TextPropagation
 from features.support.builders import (
     MINIMAL_TEXT,
     build_member,
@@ -122,7 +122,7 @@
 
 @given("a kernel that has accepted a text as version {version:d}")
 def step_replica(context, version):
-    context.replica = TextReplica(own=build_member(1))
+    context.replica = TextPropagation(own=build_member(1))
     read(context, version, MINIMAL_TEXT)
     assert context.accepted == [version]
 
