Add metrics, the status page and restarts of answers that cannot be resumed

Only the relay knows how many bytes of an answer have been passed on, so it states the offset of each further attempt; an answer that is held back starts anew.

--- a/damaskrill/backends/_answer.py
+++ b/damaskrill/backends/_answer.py
@@ -76,6 +76,11 @@
         """Digest of the bytes so far, in hexadecimal."""
         return self._digest.hexdigest()
 
+    @property
+    def n_resumable_bytes(self) -> int:
+        """Bytes after which another attempt may go on; 0 if it must start anew."""
+        return self.n_bytes if self._needs_end_event else 0
+
     @property
     def between_tokens_ms(self) -> int:
         """Mean time between events, in milliseconds; 0 if there were fewer than 2."""
--- a/damaskrill/backends/_client.py
+++ b/damaskrill/backends/_client.py
@@ -233,7 +233,7 @@
             response.deliverBody(_DiscardingProtocol())
             failed = BackendFailed(
                 attempt_id=effect.attempt_id,
-                n_bytes_sent=len(body),
+                n_bytes_sent=max(len(body), 1),
                 refused_by_server=_says_not_run(response),
                 reason=refusal,
             )
@@ -257,8 +257,8 @@
         if reason is not None:
             failed = BackendFailed(
                 attempt_id=effect.attempt_id,
-                n_bytes=receiver.n_bytes,
-                n_bytes_sent=len(body),
+                n_bytes=receiver.n_resumable_bytes,
+                n_bytes_sent=max(len(body), 1),
                 reason=reason,
                 connection_reset="connection broke" in reason,
             )
--- a/damaskrill/callers/_answer.py
+++ b/damaskrill/callers/_answer.py
@@ -105,6 +105,13 @@
         if self._n_held_bytes > bound:
             self._cut()
 
+    def restart(self) -> bool:
+        """Forget the bytes held back; False once a stream has begun."""
+        if self._is_streaming:
+            return False
+        self._take_held()
+        return True
+
     def finish(self, outcome: Outcome, totals: AnswerTotals) -> None:
         """Send the outcome; the answer ends here.
 
--- a/damaskrill/monitoring/__init__.py
+++ b/damaskrill/monitoring/__init__.py
@@ -8,10 +8,14 @@
     process_event_to_line,
 )
 from damaskrill.monitoring._log import EventLog, configure_logging
+from damaskrill.monitoring._metrics import RouterMetrics
+from damaskrill.monitoring._status import StatusBoard
 
 __all__ = [
     "EventLog",
     "ProcessEventName",
+    "RouterMetrics",
+    "StatusBoard",
     "cause_to_fields",
     "causes_to_fields",
     "configure_logging",
--- a/damaskrill/relay/_entry.py
+++ b/damaskrill/relay/_entry.py
@@ -17,6 +17,8 @@
 
 __all__ = ["AnswerSink", "AnswerTotals", "EntryRelay"]
 
+EVENT_STREAM = "text/event-stream"
+
 
 class AnswerSink(Protocol):
     """Where the bytes of one answer go."""
@@ -27,6 +29,9 @@
     def write(self, data: bytes) -> None:
         """Take the next bytes."""
 
+    def restart(self) -> bool:
+        """Forget all bytes; False if some have been passed on for good."""
+
 
 @attrs.frozen(kw_only=True)
 class AnswerTotals:
@@ -58,10 +63,25 @@
     stream_id: str = ""
     peer: str = ""
     n_stream_bytes: int = 0
-    n_to_skip: int = 0
     is_damaged: bool = False
+    # Wrong bytes have been passed on, so that the answer can never be whole.
+    is_spoilt: bool = False
     partial: xxhash.xxh3_128 = attrs.field(factory=xxhash.xxh3_128)
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether another attempt may go on where this one broke.
+
+        Only a stream's bytes are passed on before the end; any other answer is
+        asked for again from its start.
+        """
+        return self.content_type.startswith(EVENT_STREAM)
+
+    @property
+    def n_resumable_bytes(self) -> int:
+        """Bytes of the attempt after which another one may go on."""
+        return self.n_stream_bytes if self.is_resumable else 0
+
 
 class EntryRelay:
     """Answers of the requests whose entry this process is.
@@ -114,9 +134,7 @@
         """Return whether an answer to the request is expected."""
         return request_id in self._streams
 
-    def bind(
-        self, request_id: str, stream_id: str, *, peer: str = "", resume_offset: int = 0
-    ) -> None:
+    def bind(self, request_id: str, stream_id: str, *, peer: str = "") -> int:
         """Make an attempt or hop the only one whose bytes are wanted.
 
         Parameters
@@ -127,20 +145,25 @@
             ID of the attempt or hop.
         peer : str
             Address of the router that sends the bytes; empty for this process.
-        resume_offset : int
-            Offset in the answer at which the attempt starts.
+
+        Returns
+        -------
+        int
+            Offset in the answer at which the attempt must start.
         """
         stream = self._streams.get(request_id)
         if stream is None:
-            return
+            return 0
         self._by_stream_id.pop(stream.stream_id, None)
+        self._by_stream_id[stream_id] = stream
+        if not stream.is_resumable:
+            self._restart(stream)
         stream.stream_id = stream_id
         stream.peer = peer
         stream.n_stream_bytes = 0
-        stream.n_to_skip = stream.n_bytes - resume_offset
-        stream.is_damaged = stream.n_to_skip < 0
+        stream.is_damaged = False
         stream.partial = xxhash.xxh3_128()
-        self._by_stream_id[stream_id] = stream
+        return stream.n_bytes
 
     def take_head(self, head: AnswerHead) -> None:
         """Take status and media type of an attempt's answer."""
@@ -178,12 +201,7 @@
             return False
         stream.n_stream_bytes += len(data)
         stream.partial.update(data)
-        if stream.n_to_skip > 0:
-            n_skipped = min(stream.n_to_skip, len(data))
-            stream.n_to_skip -= n_skipped
-            data = data[n_skipped:]
-        if data:
-            self._pass_on(stream, data)
+        self._pass_on(stream, data)
         return True
 
     def check_end(self, ended: AttemptEnded) -> AttemptEnded | AttemptFailed:
@@ -202,13 +220,17 @@
         stream = self._by_stream_id.get(ended.attempt_id)
         if stream is None or self._matches(stream, ended.n_bytes, ended.digest):
             return ended
+        if stream.n_stream_bytes >= ended.n_bytes and not stream.is_damaged:
+            stream.is_spoilt = True
         cause = Cause(
             code=CauseCode.ANSWER_DAMAGED,
             subject=stream.peer or "this router",
             detail=f"{stream.n_stream_bytes} of {ended.n_bytes} bytes arrived unharmed",
         )
         return AttemptFailed(
-            attempt_id=ended.attempt_id, causes=(cause,), n_bytes=stream.n_stream_bytes
+            attempt_id=ended.attempt_id,
+            causes=(cause,),
+            n_bytes=stream.n_resumable_bytes,
         )
 
     def correct_failure(self, failed: AttemptFailed) -> AttemptFailed:
@@ -216,7 +238,7 @@
         stream = self._by_stream_id.get(failed.attempt_id)
         if stream is None:
             return failed
-        return attrs.evolve(failed, n_bytes=stream.n_stream_bytes)
+        return attrs.evolve(failed, n_bytes=stream.n_resumable_bytes)
 
     def matches_hop(self, hop_id: str, n_bytes: int, digest: str) -> bool:
         """Return whether a hop's bytes have the length and digest given."""
@@ -226,11 +248,16 @@
     def progress_from(self, peer: str) -> list[AttemptProgress]:
         """Return how far the attempts at another router have come."""
         return [
-            AttemptProgress(attempt_id=each.stream_id, n_bytes=each.n_stream_bytes)
+            AttemptProgress(attempt_id=each.stream_id, n_bytes=each.n_resumable_bytes)
             for each in self._streams.values()
             if each.peer == peer
         ]
 
+    def is_spoilt(self, request_id: str) -> bool:
+        """Return whether wrong bytes of a request's answer have been passed on."""
+        stream = self._streams.get(request_id)
+        return stream is not None and stream.is_spoilt
+
     def totals(self, request_id: str) -> AnswerTotals:
         """Return what has been passed on of a request's answer."""
         stream = self._streams.get(request_id)
@@ -271,9 +298,21 @@
             )
             self._kept_answers.put(request_id, answer)
 
+    @staticmethod
+    def _restart(stream: _Stream) -> None:
+        if not stream.sink.restart():
+            stream.is_spoilt = stream.n_bytes > 0
+            return
+        stream.is_spoilt = False
+        stream.n_bytes = 0
+        stream.whole = xxhash.xxh3_128()
+        stream.has_begun = False
+        if stream.kept is not None:
+            stream.kept = []
+
     @staticmethod
     def _matches(stream: _Stream, n_bytes: int, digest: str) -> bool:
-        if stream.is_damaged or stream.n_to_skip > 0:
+        if stream.is_damaged:
             return False
         if n_bytes != stream.n_stream_bytes:
             return False
--- a/damaskrill/relay/_outgoing.py
+++ b/damaskrill/relay/_outgoing.py
@@ -47,6 +47,10 @@
     async def drain(self) -> None:
         """Wait until all that was written has been handed to the connection."""
 
+    def restart(self) -> bool:
+        """Return False: bytes that were written are on their way."""
+        return False
+
     def abandon(self) -> None:  # noqa: B027
         """Send no more."""
 
--- a/damaskrill/runtime/_desk.py
+++ b/damaskrill/runtime/_desk.py
@@ -138,6 +138,9 @@
         outcome = effect.outcome
         if isinstance(outcome, Completed) and effect.recorded_request_id:
             outcome = self._replay(effect, outcome)
+        if isinstance(outcome, Completed) and self._relay.is_spoilt(request_id):
+            cause = Cause(code=CauseCode.ANSWER_DAMAGED, subject="the backend server")
+            outcome = Unknown(causes=(cause,))
         totals = self._relay.totals(request_id)
         self._forget(request_id, is_complete=isinstance(outcome, Completed))
         call.answer.finish(outcome, totals)
--- a/damaskrill/runtime/_effects.py
+++ b/damaskrill/runtime/_effects.py
@@ -17,6 +17,8 @@
     BackendFailed,
     CancelAttempt,
     CancelDispatch,
+    Cause,
+    CauseCode,
     Completed,
     DispatchAttempt,
     FleetView,
@@ -35,6 +37,7 @@
     SendToPeer,
     StopServing,
     TextRefused,
+    Unknown,
 )
 from damaskrill.monitoring import EventLog, ProcessEventName
 from damaskrill.peers import PeerNetwork
@@ -152,12 +155,10 @@
         body = b""
         match payload:
             case OfferAttempt(request=request):
-                self.relay.bind(
-                    request.request_id,
-                    payload.attempt_id,
-                    peer=effect.address,
-                    resume_offset=payload.resume_offset,
+                offset = self.relay.bind(
+                    request.request_id, payload.attempt_id, peer=effect.address
                 )
+                payload = attrs.evolve(payload, resume_offset=offset)
                 body = self.bodies.get(request.request_id) or b""
             case ForwardRequest(request=request, hop_id=hop_id):
                 self.relay.bind(request.request_id, hop_id, peer=effect.address)
@@ -193,6 +194,15 @@
             outcome = attrs.evolve(
                 outcome, n_bytes=totals.n_bytes, digest=totals.digest
             )
+            if self.relay.is_spoilt(hop.request_id):
+                outcome = Unknown(
+                    causes=(
+                        Cause(
+                            code=CauseCode.ANSWER_DAMAGED,
+                            subject="the backend server",
+                        ),
+                    )
+                )
             payload = attrs.evolve(payload, outcome=outcome)
         if hop is not None:
             is_complete = isinstance(outcome, Completed)
@@ -208,9 +218,8 @@
         stream: OutgoingStream
         if entry is None:
             body = self.bodies.get(request.request_id)
-            self.relay.bind(
-                request.request_id, attempt_id, resume_offset=effect.resume_offset
-            )
+            offset = self.relay.bind(request.request_id, attempt_id)
+            effect = attrs.evolve(effect, resume_offset=offset)
             stream = LocalStream(relay=self.relay, stream_id=attempt_id)
         else:
             body = self.bodies.get(attempt_id)
--- a/damaskrill/runtime/_process.py
+++ b/damaskrill/runtime/_process.py
@@ -18,7 +18,12 @@
     Message,
     StopRequested,
 )
-from damaskrill.monitoring import EventLog, ProcessEventName
+from damaskrill.monitoring import (
+    EventLog,
+    ProcessEventName,
+    RouterMetrics,
+    StatusBoard,
+)
 from damaskrill.peers import PeerNetwork
 from damaskrill.relay import BodyStore, EntryRelay, KeptAnswers
 from damaskrill.runtime._desk import CallerDesk
@@ -102,6 +107,12 @@
         self._build_relay()
         await self._start_network()
         self._log = EventLog(router=self.own.address, clock=self._clock)
+        self._metrics = RouterMetrics()
+        self._status = StatusBoard(
+            router=self.own.address,
+            data_centre=settings.data_centre,
+            clock=self._clock,
+        )
         self._build_kernel_task()
         self._build_clients()
         self._build_desk()
@@ -301,18 +312,40 @@
 
     def status_text(self) -> str:
         """Return the operators' page."""
-        return f"{self.readiness()[1]}\n"
+        return self._status.render(
+            readiness=self.readiness()[1], numbers=self._present_numbers()
+        )
 
     def metrics_text(self) -> bytes:
         """Return the metrics."""
-        return b""
+        counters = self._network.counters
+        self._metrics.set_peer_bytes(counters.sent, counters.received)
+        self._metrics.set_state(self._present_numbers())
+        return self._metrics.render()
+
+    def _present_numbers(self) -> dict[str, int]:
+        return {
+            "callers_waiting": len(self._desk),
+            "answers_expected": len(self._relay),
+            "attempts_at_backend_servers": len(self._backends),
+            "work_for_other_routers": len(self._hops),
+            "bytes_of_bodies_kept": self._bodies.n_bytes,
+            "bytes_of_answers_kept": self._kept_answers.n_bytes,
+            "messages_waiting_for_the_kernel": len(self._kernel_task),
+            "messages_dropped": self._kernel_task.n_dropped,
+            "late_chunks_dropped": self._relay.n_dropped_chunks,
+            "load_reports_unread": self._reports.n_failed,
+            "connections_to_routers": self._network.n_links,
+        }
 
     def _take_view(self, view: FleetView) -> None:
         self._view = view
+        self._status.take_view(view)
         self._effects.take_view(view)
 
     def _observe_event(self, event: LoggedEvent, at_ms: int) -> None:
-        pass
+        self._metrics.take_event(event)
+        self._status.take_event(event, at_ms)
 
     def _report_error(self, error: Exception, message: Message) -> None:
         frames = traceback.extract_tb(error.__traceback__)
