--- a/damaskrill/callers/_parse.py
+++ b/damaskrill/callers/_parse.py
@@ -17,6 +17,9 @@
 MAX_NAME_LENGTH = 128
 MAX_PRIORITY = 9
 NAME_PATTERN = re.compile(r"[A-Za-z0-9._:/@+-]+\Z")
+MAX_KEY_LENGTH = 256
+KEY_PATTERN = re.compile(r"[!-~]+\Z")
+KEY_WORDS = f"at most {MAX_KEY_LENGTH} visible ASCII characters"
 NAME_WORDS = f"1 to {MAX_NAME_LENGTH} letters, digits or any of . _ : / @ + -"
 
 HeaderReader = Callable[[str], str]
@@ -129,8 +132,8 @@
     InvalidFieldError
         If the service is missing, or both permit and idempotency key are.
     """
-    permit = _check_optional_name("permit", fields.get("permit"))
-    key = _check_optional_name("idempotency_key", fields.get("idempotency_key"))
+    permit = _check_key("permit", fields.get("permit", ""))
+    key = _check_key("idempotency_key", fields.get("idempotency_key", ""))
     if not permit and not key:
         expected = "given, unless 'idempotency_key' is"
         raise InvalidFieldError(name="permit", expected=expected)
@@ -195,8 +198,8 @@
         high=limits.max_deadline_ms,
         default=limits.default_deadline_ms,
     )
-    permit = _check_optional_name("Damaskrill-Permit", header("Damaskrill-Permit"))
-    key = _check_optional_name("Idempotency-Key", header("Idempotency-Key"))
+    permit = _check_key("Damaskrill-Permit", header("Damaskrill-Permit"))
+    key = _check_key("Idempotency-Key", header("Idempotency-Key"))
     return Request(
         request_id=request_id,
         service=service,
@@ -235,6 +238,13 @@
     return value
 
 
+def _check_key(name: str, value: str) -> str:
+    is_valid = len(value) <= MAX_KEY_LENGTH and KEY_PATTERN.match(value)
+    if value and not is_valid:
+        raise InvalidFieldError(name=name, expected=KEY_WORDS)
+    return value
+
+
 def _check_number(name: str, value: str, *, low: int, high: int, default: int) -> int:
     if not value:
         return default
