Leave reads of text and host list to the kernel; stop when no work is open

Cause: the process polled on its own while no decider asked for reads; now they do, so that the number of readers stays theirs to choose. A graceful stop also ends when no work has been open for 3 s, so that a lost farewell cannot hold the process.

--- a/damaskrill/runtime/_platform.py
+++ b/damaskrill/runtime/_platform.py
@@ -20,7 +20,6 @@
 __all__ = ["PlatformReader"]
 
 READ_TIMEOUT_S = 3.0
-FIRST_RETRY_S = 0.5
 STATUS_OK = 200
 STATUS_NO_CONTENT = 204
 
@@ -64,11 +63,6 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_reading_hosts = False
 
-    def start(self) -> None:
-        """Read the host list now, and again until it has been read once."""
-        self._spawn(self._read_first_hosts())
-        self._spawn(self._watch_text())
-
     def stop(self) -> None:
         """Stop all reads."""
         for task in list(self._tasks):
@@ -88,23 +82,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _read_first_hosts(self) -> None:
-        while True:
-            await self._read_hosts()
-            await asyncio.sleep(FIRST_RETRY_S)
-
-    async def _watch_text(self) -> None:
-        version = 0
-        while True:
-            version = (
-                await self._read_text(
-                    ReadText(after_version=version, wait_ms=30_000 if version else 0)
-                )
-                or version
-            )
-            await asyncio.sleep(FIRST_RETRY_S)
-
-    async def _read_text(self, effect: ReadText) -> int:
+    async def _read_text(self, effect: ReadText) -> None:
         query = f"after_version={effect.after_version}&wait_ms={effect.wait_ms}"
         timeout_s = READ_TIMEOUT_S + effect.wait_ms / 1_000
         try:
@@ -113,28 +91,26 @@
             )
             if status == STATUS_NO_CONTENT:
                 self._post(TextReadFailed(reason="nothing newer"))
-                return 0
+                return
             version = int(headers.getRawHeaders("Version")[0])
         except Exception as error:
             reason = f"the configuration service did not answer: {_name_of(error)}"
             self._report_failure(reason)
             self._post(TextReadFailed(reason=reason))
-            return 0
+            return
         self._post(TextRead(version=version, content=content))
-        return version
 
-    async def _read_hosts(self) -> bool:
+    async def _read_hosts(self) -> None:
         self._is_reading_hosts = True
         try:
             _, _, content = await self._fetch(self._host_list_url, READ_TIMEOUT_S)
             hosts = tuple(_host_entry(each) for each in json.loads(content))
         except Exception as error:
             self._report_failure(f"the host list did not answer: {_name_of(error)}")
-            return False
+            return
         finally:
             self._is_reading_hosts = False
         self._post(HostListRead(hosts=hosts))
-        return True
 
     async def _fetch(self, url: str, timeout_s: float) -> tuple[int, Any, bytes]:
         async with asyncio.timeout(timeout_s):
--- a/damaskrill/runtime/_process.py
+++ b/damaskrill/runtime/_process.py
@@ -43,6 +43,8 @@
 __all__ = ["RouterProcess"]
 
 HOUSEKEEPING_INTERVAL_S = 1.0
+IDLE_POLL_S = 0.1
+MAX_IDLE_POLLS = 30
 
 
 class RouterProcess:
@@ -120,7 +122,6 @@
         self._peer_events.connect(kernel_task=self._kernel_task, network=self._network)
         self._spawn(self._kernel_task.run())
         self._spawn(self._keep_house())
-        self._platform.start()
         host, port = split_address(settings.caller_address)
         self._caller_port = self._port.start(host, port)
         self._log.write(
@@ -141,7 +142,8 @@
         await self._port.stop_listening()
         timeout_s = self._settings.stop_timeout_ms / 1_000
         try:
-            await asyncio.wait_for(self._stopped_serving.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._wait_until_idle()
         except TimeoutError:
             self._log.write(
                 ProcessEventName.INTERNAL_ERROR,
@@ -150,6 +152,21 @@
             )
         await self.close()
 
+    async def _wait_until_idle(self) -> None:
+        """Wait until the kernel has ended all work, or no work has been open for long.
+
+        The second keeps a lost farewell to a peer from holding the process.
+        """
+        n_idle_polls = 0
+        while not self._stopped_serving.is_set() and n_idle_polls < MAX_IDLE_POLLS:
+            await asyncio.sleep(IDLE_POLL_S)
+            n_idle_polls = 0 if self._has_open_work else n_idle_polls + 1
+
+    @property
+    def _has_open_work(self) -> bool:
+        parts = (self._desk, self._relay, self._hops, self._backends)
+        return any(len(part) > 0 for part in parts)
+
     async def close(self) -> None:
         """Close everything at once."""
         self._is_stopping = True
