Feed malformed frames, conversations, settings and texts to the parsers

Cause: a fault's sentence could hold an unprintable name from a header, found by the generated texts (example: a header with U+07BE and brackets).

--- a/damaskrill/configuration/_faults.py
+++ b/damaskrill/configuration/_faults.py
@@ -131,6 +131,11 @@
         return self._faults
 
 
+def _make_printable(text: str) -> str:
+    """Escape what would break a line of the log or of a terminal."""
+    return text if text.isprintable() else ascii(text)[1:-1]
+
+
 class FaultList:
     """Collects faults while a file is read; bounded.
 
@@ -151,7 +156,12 @@
             self._n_more += 1
             return
         sentence = FAULT_TEMPLATES[code].format(**details)
-        fault = Fault(line=line, code=code, sentence=sentence, section=self.section)
+        fault = Fault(
+            line=line,
+            code=code,
+            sentence=_make_printable(sentence),
+            section=_make_printable(self.section),
+        )
         self._faults.append(fault)
 
     def __bool__(self) -> bool:
--- a/damaskrill/configuration/_values.py
+++ b/damaskrill/configuration/_values.py
@@ -285,7 +285,6 @@
 
 def shorten_value(text: str) -> str:
     """Return a value as it may stand in a sentence."""
-    shown = text if text.isprintable() else ascii(text)[1:-1]
-    if len(shown) <= MAX_SHOWN_CHARACTERS:
-        return shown
-    return f"{shown[:MAX_SHOWN_CHARACTERS]}..."
+    if len(text) <= MAX_SHOWN_CHARACTERS:
+        return text
+    return f"{text[:MAX_SHOWN_CHARACTERS]}..."
--- /dev/null
+++ b/features/steps/malformed_inputs_steps.py
@@ -0,0 +1,226 @@
+"""Steps on malformed inputs."""
+
+import asyncio
+import contextlib
+
+from behave import given, then, when
+from hypothesis import strategies as st
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from damaskrill.configuration import (
+    FleetText,
+    InvalidConfigurationError,
+    Settings,
+    apply_sections,
+    parse_settings,
+    parse_text,
+    split_sections,
+)
+from damaskrill.exceptions import DamaskrillError, PeerFrameError
+from damaskrill.messages import Member
+from damaskrill.peers import ByteCounters
+from damaskrill.peers._frames import decode_frame, encode_frame
+from damaskrill.peers._greeting import greet_as_dialler
+from features.support.builders import MINIMAL_SETTINGS, MINIMAL_TEXT
+from features.support.malformed import (
+    malformed_files,
+    malformed_frames,
+    run_examples,
+)
+from features.support.peer_networks import (
+    SMALL_LIMITS,
+    LoopRunner,
+    Peer,
+    collect_log,
+    wait_until,
+)
+
+TEXT_WITH_ALL = (
+    MINIMAL_TEXT
+    + b"""
+[backend_servers issuance]
+find = host_list
+
+[limits]
+max_queue_wait_ms = 5 s
+
+[teams]
+quotes = 3 4
+field-office = 20 1
+"""
+)
+
+
+@when("{n:d} malformed frames are decoded")
+def step_decode_frames(context, n):
+    def check(content):
+        try:
+            frame = decode_frame(content)
+        except PeerFrameError as error:
+            assert error.sentence
+            return
+        assert decode_frame(encode_frame(frame)) == frame
+
+    context.n_expected = n
+    context.n_seen = run_examples(malformed_frames(), n, check)
+
+
+@then(
+    "each gave a frame or a peer frame error, and a frame is encoded and decoded to "
+    "itself"
+)
+def step_frames_checked(context):
+    assert context.n_seen >= context.n_expected, context.n_seen
+
+
+@given("a peer network that strangers connect to")
+def step_stranger_network(context):
+    collect_log(context)
+    context.runner = LoopRunner()
+    context.peer = Peer(1, "k1", SMALL_LIMITS)
+    context.runner.run(context.peer.network.start("127.0.0.1", 0))
+    context.add_cleanup(stop_strangers, context)
+
+
+def stop_strangers(context):
+    context.runner.run(context.peer.network.stop())
+    context.runner.close()
+
+
+async def talk(address, stage, contents):
+    """Say something strange to a peer at some stage of the conversation."""
+    if stage == "tcp":
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"".join(contents))
+        writer.write_eof()
+        await reader.read()
+        writer.close()
+        return
+    async with connect(
+        f"ws://{address}/", proxy=None, compression=None, max_size=None, open_timeout=20
+    ) as connection:
+        if stage == "greeted":
+            own = Member(address="127.0.0.1:9", data_centre="x", incarnation="stranger")
+            await greet_as_dialler(
+                connection,
+                own=own,
+                fleet_key="k1",
+                address=address,
+                counters=ByteCounters(),
+            )
+        if stage == "large":
+            await connection.send(b"\0" * (SMALL_LIMITS.max_message_bytes + 1))
+        if stage == "text":
+            await connection.send("a text message")
+        for content in contents:
+            await connection.send(content)
+        connection.transport.write_eof()
+        with contextlib.suppress(WebSocketException):
+            await connection.recv()
+
+
+@when("{n:d} malformed conversations are held with it")
+def step_conversations(context, n):
+    stages = st.sampled_from(["tcp", "greeting", "greeted", "greeted", "large", "text"])
+    conversations = st.tuples(stages, st.lists(malformed_frames(), max_size=4))
+
+    def check(conversation):
+        stage, contents = conversation
+        errors = (WebSocketException, OSError, DamaskrillError, EOFError)
+        with contextlib.suppress(*errors):
+            context.runner.run(talk(context.peer.address, stage, contents))
+
+    context.n_expected = n
+    context.n_seen = run_examples(conversations, n, check)
+
+
+@then("each ended without an unhandled error, and a proper peer still gets through")
+def step_still_works(context):
+    assert context.n_seen >= context.n_expected, context.n_seen
+    assert not context.runner.unhandled, context.runner.unhandled
+    assert not [each for each in context.log_records if each["exception"]]
+    network = context.peer.network
+    context.runner.run(wait_until(lambda: network.n_links == 0))
+    proper = Peer(2, "k1", SMALL_LIMITS)
+    context.runner.run(proper.network.start("127.0.0.1", 0))
+    assert proper.cancel(context.peer.address, "from a proper peer")
+
+    def arrived():
+        payloads = context.peer.handler.of_kind("payload")
+        return any(each[1] == proper.network.own for each in payloads)
+
+    context.runner.run(wait_until(arrived))
+    context.runner.run(proper.network.stop())
+
+
+def check_faults(context, error, content):
+    n_lines = content.count(b"\n") + 1
+    assert error.faults
+    for fault in error.faults:
+        assert 0 <= fault.line <= n_lines, fault
+        shown = fault.describe("file")
+        assert shown.isprintable(), shown
+
+
+def count_examples(context, strategy, n, check):
+    context.n_expected = n
+    context.n_seen = run_examples(strategy, n, check)
+
+
+@when("{n:d} malformed settings files are read")
+def step_malformed_settings(context, n):
+    def check(content):
+        try:
+            assert isinstance(parse_settings(content), Settings)
+        except InvalidConfigurationError as error:
+            check_faults(context, error, content)
+
+    count_examples(context, malformed_files(MINIMAL_SETTINGS), n, check)
+
+
+@when("{n:d} malformed texts are parsed")
+def step_malformed_texts(context, n):
+    def check(content):
+        try:
+            text = parse_text(content, version=1)
+        except InvalidConfigurationError as error:
+            check_faults(context, error, content)
+            return
+        assert apply_sections(FleetText(), split_sections(content), (), 1) == text
+
+    count_examples(context, malformed_files(TEXT_WITH_ALL), n, check)
+
+
+@when("{n:d} malformed changes by section are applied")
+def step_malformed_changes(context, n):
+    context.base_text = parse_text(TEXT_WITH_ALL, version=1)
+    sections = split_sections(TEXT_WITH_ALL)
+    headers = st.sampled_from([*sections, "teams 1024", "teams x", "", "x y"])
+
+    def check(change):
+        changed, removed = change
+        try:
+            apply_sections(context.base_text, changed, removed, 2)
+        except InvalidConfigurationError as error:
+            check_faults(context, error, b"\n".join(changed.values()) + b"\n" * 20)
+
+    contents = st.sampled_from(list(sections.values())) | st.one_of(
+        *(malformed_files(content) for content in sections.values())
+    )
+    changes = st.tuples(
+        st.dictionaries(headers, contents, max_size=3), st.lists(headers, max_size=2)
+    )
+    count_examples(context, changes, n, check)
+
+
+@then("each gave settings or faults with a line, a code and a sentence on one line")
+@then("each gave a text or faults with a line, a code and a sentence on one line")
+def step_all_seen(context):
+    assert context.n_seen >= context.n_expected, context.n_seen
+
+
+@then("no change altered the text that it started from")
+def step_base_unchanged(context):
+    assert context.base_text == parse_text(TEXT_WITH_ALL, version=1)
