--- a/damaskrill/cli/_commands.py
+++ b/damaskrill/cli/_commands.py
@@ -36,6 +36,8 @@
 COMMANDS: dict[str, Command] = {
     command.name: command
     for command in (
+        Command(name="serve", summary="Run one router until it is told to stop."),
+        Command(name="demo", summary="Show a small fleet at work on loopback."),
         Command(name="check", summary="Validate settings or an operators' text."),
         Command(name="replay", summary="Hold traces against their stated outcomes."),
         Command(name="explain", summary="Print the cause chain of one request."),
--- a/damaskrill/cli/_main.py
+++ b/damaskrill/cli/_main.py
@@ -25,19 +25,6 @@
     """Run the command named in the process's arguments and exit."""
     sys.exit(run_command_line(sys.argv[1:]))
 
-    def serve(self, *, settings: str) -> None:
-        """Run one router until SIGTERM.
-
-        Parameters
-        ----------
-        settings : str
-            Path of the settings file.
-        """
-        from damaskrill.configuration import read_settings
-        from damaskrill.runtime import serve
-
-        sys.exit(serve(read_settings(settings)))
-
 
 def run_command_line(words: Sequence[str]) -> int:
     """Run a command.
--- /dev/null
+++ b/damaskrill/cli/_serve.py
@@ -0,0 +1,34 @@
+"""The command ``damaskrill serve``."""
+
+import sys
+
+from damaskrill.configuration import InvalidConfigurationError, read_settings
+
+__all__ = ["run"]
+
+EXIT_INVALID = 2
+
+
+def run(*, settings: str) -> int:
+    """Run one router until SIGTERM; a second signal ends it at once.
+
+    Parameters
+    ----------
+    settings : str
+        The settings file.
+
+    Returns
+    -------
+    int
+        0 after a graceful stop, 1 after a second signal, 2 if the settings are not
+        valid or an address cannot be bound.
+    """
+    try:
+        valid_settings = read_settings(settings)
+    except InvalidConfigurationError as error:
+        for fault in error.faults:
+            print(fault.describe(settings), file=sys.stderr)
+        return EXIT_INVALID
+    from damaskrill.runtime import serve
+
+    return serve(valid_settings)
--- a/damaskrill/runtime/_process.py
+++ b/damaskrill/runtime/_process.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.error import CannotListenError
+
 from damaskrill.backends import BackendClient, BackendLimits, ReportReader
 from damaskrill.callers import CallerLimits, CallerPort
 from damaskrill.configuration import Settings
@@ -28,6 +30,7 @@
 from damaskrill.relay import BodyStore, EntryRelay, KeptAnswers
 from damaskrill.runtime._desk import CallerDesk
 from damaskrill.runtime._effects import EffectRunner
+from damaskrill.runtime._errors import AddressNotFreeError
 from damaskrill.runtime._hops import HopTable
 from damaskrill.runtime._kernel_task import InputRecorder, KernelTask
 from damaskrill.runtime._peer_events import PeerEvents
@@ -79,6 +82,7 @@
         self._recorder: InputRecorder | None = None
         self._incarnation = secrets.token_hex(6)
         self._stopped_serving = asyncio.Event()
+        self._failed = asyncio.Event()
         self._is_stopping = False
         self._tasks: list[asyncio.Task[Any]] = []
         self._view: FleetView | None = None
@@ -103,6 +107,10 @@
         """Answers whose entry this process is."""
         return self._relay
 
+    async def wait_until_failed(self) -> None:
+        """Wait until a task that the process cannot do without has ended."""
+        await self._failed.wait()
+
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
         settings = self._settings
@@ -122,8 +130,7 @@
         self._peer_events.connect(kernel_task=self._kernel_task, network=self._network)
         self._spawn(self._kernel_task.run())
         self._spawn(self._keep_house())
-        host, port = split_address(settings.caller_address)
-        self._caller_port = self._port.start(host, port)
+        self._open_caller_port()
         self._log.write(
             ProcessEventName.PROCESS_STARTED,
             data_centre=settings.data_centre,
@@ -132,6 +139,15 @@
             sentence="this router takes callers and other routers now",
         )
 
+    def _open_caller_port(self) -> None:
+        address = self._settings.caller_address
+        host, port = split_address(address)
+        try:
+            self._caller_port = self._port.start(host, port)
+        except CannotListenError as error:
+            reason = str(error.socketError)
+            raise AddressNotFreeError(address=address, reason=reason) from error
+
     async def stop(self) -> None:
         """Stop gracefully: take no new callers, finish what runs, then close."""
         if self._is_stopping:
@@ -208,7 +224,13 @@
             limits=settings.peer_limits,
             handler=self._peer_events,
         )
-        await self._network.start(host, port)
+        try:
+            await self._network.start(host, port)
+        except OSError as error:
+            reason = error.strerror or str(error)
+            raise AddressNotFreeError(
+                address=settings.peer_address, reason=reason
+            ) from error
 
     def _backend_limits(self) -> BackendLimits:
         return BackendLimits(
@@ -391,7 +413,20 @@
             self._desk.end_overdue()
 
     def _spawn(self, work: Any) -> None:
-        self._tasks.append(asyncio.get_running_loop().create_task(work))
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self._check_ended_task)
+        self._tasks.append(task)
+
+    def _check_ended_task(self, task: asyncio.Task[Any]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.write(
+            ProcessEventName.INTERNAL_ERROR,
+            level="ERROR",
+            code="internal_error",
+            sentence=f"a task of the process has ended: {task.exception()!r}",
+        )
+        self._failed.set()
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/damaskrill/runtime/_serve.py
+++ b/damaskrill/runtime/_serve.py
@@ -82,7 +82,11 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
-    await signals.get()
+    signalled = loop.create_task(signals.get())
+    failed = loop.create_task(process.wait_until_failed())
+    await asyncio.wait([signalled, failed], return_when=asyncio.FIRST_COMPLETED)
+    if failed.done():
+        return EXIT_KILLED
     stopping = loop.create_task(process.stop())
     again = loop.create_task(signals.get())
     await asyncio.wait([stopping, again], return_when=asyncio.FIRST_COMPLETED)
