Tell every owner the mean load over the fleet; end a graceful stop

Owners now send their sums to keepers, one a data centre and group of services, which tell each other and answer with the fleet's sums. A decider ends the process once entry, owner and actions have no open work.

--- a/damaskrill/actions/_decider.py
+++ b/damaskrill/actions/_decider.py
@@ -33,6 +33,7 @@
     Member,
     Message,
     NotRun,
+    OpenWork,
     Outcome,
     OutcomeAsked,
     PeerDelivered,
@@ -516,7 +517,11 @@
                 results.extend(self._give_up(forward, detail))
             for forward in self._forwards.due(now_ms):
                 results.append(self._forwards.send(forward, now_ms))
-        for record in self._records.running():
+        running = self._records.running()
+        if self._stopping:
+            n_open = len(self._forwards) + len(running)
+            results.append(OpenWork(part="actions", n_open=n_open))
+        for record in running:
             if record.outcome is None and self._is_overdue(record, now_ms):
                 cause = Cause(code=CauseCode.REPLY_LOST, subject=record.runner)
                 unknown = Unknown(causes=(cause,))
--- a/damaskrill/kernel/_plugins.py
+++ b/damaskrill/kernel/_plugins.py
@@ -8,9 +8,11 @@
     "damaskrill.placement",
     "damaskrill.membership",
     "damaskrill.propagation",
+    "damaskrill.loads",
     "damaskrill.admission",
     "damaskrill.routing",
     "damaskrill.actions",
+    "damaskrill.stopping",
 )
 
 
--- a/damaskrill/kernel/_router.py
+++ b/damaskrill/kernel/_router.py
@@ -29,6 +29,7 @@
     "owner",
     "entry",
     "orders",
+    "graceful_stop",
 )
 
 # A tick comes every 100 ms, so a longer gap means that the process did not run.
--- /dev/null
+++ b/damaskrill/loads/_decider.py
@@ -0,0 +1,187 @@
+"""Tells every owner the mean load of its services over the whole fleet."""
+
+from collections.abc import Sequence
+
+from damaskrill.base import BaseDecider
+from damaskrill.kernel._registry import registry
+from damaskrill.loads._keepers import N_GROUPS, KeeperMap, ServiceNumbers
+from damaskrill.loads._sums import LoadTable
+from damaskrill.messages import (
+    FleetView,
+    FleetViewChanged,
+    LoadScope,
+    LoadSums,
+    MeanLoadKnown,
+    Member,
+    Message,
+    OwnedLoad,
+    PeerDelivered,
+    SendToPeer,
+    Tick,
+)
+
+__all__ = ["LoadMeans"]
+
+MIN_INTERVAL_MS = 500
+MAX_INTERVAL_MS = 2_000
+INTERVAL_PER_MEMBER_MS = 10
+VALID_MS = 6_000
+
+
+@registry.register("decider", "load_means")
+class LoadMeans(BaseDecider):
+    """Sends own sums to keepers, and keeps the sums of some services itself.
+
+    Parameters
+    ----------
+    own : Member
+        This process.
+    random_state : int
+        Not used.
+
+    Notes
+    -----
+    Services fall into groups; each data centre has one keeper a group. A router sends
+    its own sums to the near keepers, which answer with the fleet's sums; the keepers
+    of a group tell each other their data centres' sums. A router's traffic thus grows
+    with the routers of its data centre and the number of data centres, and the
+    interval grows with the fleet, so that it stays within its bound.
+    """
+
+    handles = (FleetViewChanged, OwnedLoad, LoadSums, Tick)
+
+    def __init__(self, *, own: Member, random_state: int = 0) -> None:
+        self._own = own
+        self._view: FleetView | None = None
+        self._keepers: KeeperMap | None = None
+        self._numbers = ServiceNumbers()
+        self._owned: dict[int, tuple[int, int]] = {}
+        self._near = LoadTable(valid_ms=VALID_MS)
+        self._far = LoadTable(valid_ms=VALID_MS)
+        self._next_ms = 0
+
+    def decide(self, message: Message, now_ms: int) -> Sequence[Message]:
+        """Take one message."""
+        match message:
+            case OwnedLoad():
+                self._take_owned(message)
+            case Tick():
+                return self._take_tick(now_ms)
+            case PeerDelivered(sender=sender, payload=LoadSums() as sums):
+                return self._take_sums(sums, sender, now_ms)
+            case FleetViewChanged(view=view):
+                self._take_view(view)
+        return ()
+
+    def _take_view(self, view: FleetView) -> None:
+        previous = self._view
+        self._view = view
+        if previous is None or previous.members != view.members:
+            self._keepers = KeeperMap(view)
+        numbers = ServiceNumbers(list(view.text.services))
+        if numbers.digest != self._numbers.digest:
+            self._numbers = numbers
+            self._owned.clear()
+            self._near.clear()
+            self._far.clear()
+
+    def _take_owned(self, owned: OwnedLoad) -> None:
+        number = self._numbers.number_of(owned.service)
+        if number is not None:
+            self._owned[number] = (owned.load_sum, owned.n_servers)
+
+    # Sending
+
+    def _take_tick(self, now_ms: int) -> Sequence[Message]:
+        if now_ms < self._next_ms or self._view is None or self._keepers is None:
+            return ()
+        self._next_ms = now_ms + self._interval_ms
+        return [*self._tell_near(), *self._tell_far(now_ms)]
+
+    @property
+    def _interval_ms(self) -> int:
+        n_members = len(self._view.members) if self._view else 1
+        interval_ms = INTERVAL_PER_MEMBER_MS * n_members
+        return max(MIN_INTERVAL_MS, min(MAX_INTERVAL_MS, interval_ms))
+
+    def _tell_near(self) -> list[Message]:
+        assert self._keepers is not None
+        by_keeper: dict[str, dict[int, tuple[int, int]]] = {}
+        for number, sums in sorted(self._owned.items()):
+            keeper = self._keepers.near_keeper(number % N_GROUPS)
+            if keeper is not None:
+                by_keeper.setdefault(keeper.address, {})[number] = sums
+        return self._send(LoadScope.ROUTER, by_keeper)
+
+    def _tell_far(self, now_ms: int) -> list[Message]:
+        assert self._keepers is not None
+        by_keeper: dict[str, dict[int, tuple[int, int]]] = {}
+        for number in self._near.services():
+            group = number % N_GROUPS
+            if not self._keepers.is_kept_here(group):
+                continue
+            total = self._near.total(number, now_ms)
+            for keeper in self._keepers.far_keepers(group):
+                by_keeper.setdefault(keeper.address, {})[number] = total
+        return self._send(LoadScope.DATA_CENTRE, by_keeper)
+
+    def _send(
+        self, scope: LoadScope, by_keeper: dict[str, dict[int, tuple[int, int]]]
+    ) -> list[Message]:
+        return [
+            SendToPeer(address=address, payload=self._build_sums(scope, sums))
+            for address, sums in by_keeper.items()
+        ]
+
+    def _build_sums(
+        self, scope: LoadScope, sums: dict[int, tuple[int, int]]
+    ) -> LoadSums:
+        return LoadSums(
+            scope=scope,
+            services_digest=self._numbers.digest,
+            services=tuple(sums),
+            load_sums=tuple(load_sum for load_sum, _ in sums.values()),
+            n_servers=tuple(n_servers for _, n_servers in sums.values()),
+        )
+
+    # Receiving
+
+    def _take_sums(
+        self, sums: LoadSums, sender: Member, now_ms: int
+    ) -> Sequence[Message]:
+        if sums.services_digest != self._numbers.digest:
+            return ()
+        match sums.scope:
+            case LoadScope.ROUTER:
+                self._put(self._near, sums, sender.address, now_ms)
+                return self._answer(sums, sender, now_ms)
+            case LoadScope.DATA_CENTRE:
+                self._put(self._far, sums, sender.data_centre, now_ms)
+            case LoadScope.FLEET:
+                return self._take_fleet(sums)
+        return ()
+
+    def _put(self, table: LoadTable, sums: LoadSums, source: str, now_ms: int) -> None:
+        rows = zip(sums.services, sums.load_sums, sums.n_servers, strict=False)
+        for number, load_sum, n_servers in rows:
+            table.put(number, source, load_sum, n_servers, now_ms)
+
+    def _answer(self, sums: LoadSums, sender: Member, now_ms: int) -> Sequence[Message]:
+        totals = {}
+        for number in sums.services:
+            near_sum, n_near = self._near.total(number, now_ms)
+            far_sum, n_far = self._far.total(number, now_ms)
+            totals[number] = (near_sum + far_sum, n_near + n_far)
+        answer = self._build_sums(LoadScope.FLEET, totals)
+        return (SendToPeer(address=sender.address, payload=answer),)
+
+    def _take_fleet(self, sums: LoadSums) -> Sequence[Message]:
+        known = []
+        rows = zip(sums.services, sums.load_sums, sums.n_servers, strict=False)
+        for number, load_sum, n_servers in rows:
+            name = self._numbers.name_of(number)
+            if name is not None:
+                known.append(
+                    MeanLoadKnown(service=name, load_sum=load_sum, n_servers=n_servers)
+                )
+        return known
--- /dev/null
+++ b/damaskrill/loads/_keepers.py
@@ -0,0 +1,80 @@
+"""Which routers add up the loads of which services."""
+
+from collections.abc import Sequence
+
+from damaskrill.membership import owner_of_key
+from damaskrill.messages import FleetView, Member
+from damaskrill.utils import hash_to_int
+
+__all__ = ["KeeperMap", "ServiceNumbers"]
+
+# More groups spread the work over more keepers, at the price of more messages.
+N_GROUPS = 8
+
+
+class ServiceNumbers:
+    """Numbers that stand for the services of a text in messages.
+
+    Parameters
+    ----------
+    names : sequence of str
+        Names of all services.
+    """
+
+    def __init__(self, names: Sequence[str] = ()) -> None:
+        self._names = sorted(names)
+        self._numbers = {name: number for number, name in enumerate(self._names)}
+        self._digest = hash_to_int("\n".join(self._names)) & 0xFFFFFFFF
+
+    @property
+    def digest(self) -> int:
+        """Hash of all names; two routers with the same one mean the same numbers."""
+        return self._digest
+
+    def number_of(self, name: str) -> int | None:
+        """Return the number of a service; None if it is not in the text."""
+        return self._numbers.get(name)
+
+    def name_of(self, number: int) -> str | None:
+        """Return the name of a service; None if there is none of that number."""
+        return self._names[number] if 0 <= number < len(self._names) else None
+
+
+class KeeperMap:
+    """Keepers of each group of services, one a data centre.
+
+    Parameters
+    ----------
+    view : FleetView
+        Members to choose from.
+    """
+
+    def __init__(self, view: FleetView) -> None:
+        self._own = view.own
+        by_centre: dict[str, list[Member]] = {}
+        for member in view.members:
+            by_centre.setdefault(member.data_centre, []).append(member)
+        self._keepers = [
+            {
+                centre: owner_of_key(f"loads:{group}", members)
+                for centre, members in sorted(by_centre.items())
+            }
+            for group in range(N_GROUPS)
+        ]
+
+    def near_keeper(self, group: int) -> Member | None:
+        """Return a group's keeper in this process's data centre."""
+        return self._keepers[group].get(self._own.data_centre)
+
+    def is_kept_here(self, group: int) -> bool:
+        """Whether this process keeps a group."""
+        keeper = self.near_keeper(group)
+        return keeper is not None and keeper.address == self._own.address
+
+    def far_keepers(self, group: int) -> list[Member]:
+        """Return a group's keepers in the other data centres."""
+        return [
+            keeper
+            for centre, keeper in self._keepers[group].items()
+            if centre != self._own.data_centre
+        ]
--- a/damaskrill/messages/__init__.py
+++ b/damaskrill/messages/__init__.py
@@ -44,6 +44,10 @@
     EventName,
     LoggedEvent,
 )
+from damaskrill.messages._loads import (
+    LoadScope,
+    LoadSums,
+)
 from damaskrill.messages._membership import (
     MemberNews,
     MemberState,
@@ -139,7 +143,9 @@
     "HostListRead",
     "InternalMessage",
     "LoadReported",
+    "LoadScope",
     "LoadSummary",
+    "LoadSums",
     "LoggedEvent",
     "MeanLoadKnown",
     "Member",
--- /dev/null
+++ b/damaskrill/stopping/_decider.py
@@ -0,0 +1,63 @@
+"""Says when a stopping process has ended all its work."""
+
+from collections.abc import Sequence
+
+from damaskrill.base import BaseDecider
+from damaskrill.kernel._registry import registry
+from damaskrill.messages import (
+    Member,
+    Message,
+    OpenWork,
+    StopRequested,
+    StopServing,
+    Tick,
+)
+
+__all__ = ["GracefulStop"]
+
+PARTS = ("actions", "entry", "owner")
+# Peers get to know of the stop, and what they sent before that arrives.
+MIN_STOP_MS = 2_000
+
+
+@registry.register("decider", "graceful_stop")
+class GracefulStop(BaseDecider):
+    """Ends the process once no part of it has open work.
+
+    Parameters
+    ----------
+    own : Member
+        This process.
+    random_state : int
+        Not used.
+    """
+
+    handles = (StopRequested, OpenWork, Tick)
+
+    def __init__(self, *, own: Member, random_state: int = 0) -> None:
+        self._requested_at_ms: int | None = None
+        self._n_open: dict[str, int] = {}
+        self._has_stopped = False
+
+    def decide(self, message: Message, now_ms: int) -> Sequence[Message]:
+        """Take one message."""
+        match message:
+            case StopRequested() if self._requested_at_ms is None:
+                self._requested_at_ms = now_ms
+            case OpenWork(part=part, n_open=n_open):
+                self._n_open[part] = n_open
+            case Tick():
+                return self._check(now_ms)
+        return ()
+
+    def _check(self, now_ms: int) -> Sequence[Message]:
+        n_open, self._n_open = self._n_open, {}
+        requested_at_ms = self._requested_at_ms
+        if requested_at_ms is None or self._has_stopped:
+            return ()
+        if now_ms - requested_at_ms < MIN_STOP_MS:
+            return ()
+        if any(n_open.get(part, 1) for part in PARTS):
+            return ()
+        self._has_stopped = True
+        return (StopServing(),)
--- /dev/null
+++ b/features/load_means.feature
@@ -0,0 +1,29 @@
+Feature: Every owner knows the mean load over the whole fleet
+  Keepers in each data centre add up what the owners tell and tell each other.
+
+  Scenario Outline: the fleet's sum reaches every owner
+    Given <n_members> routers in <n_centres> data centres that share loads
+    When every router owns 3 backend servers of "dossier-review" with its number as load
+    And 5000 ms of shared loads pass
+    Then every router knows the sum over all routers of "dossier-review"
+
+    Examples:
+      | n_members | n_centres |
+      | 1         | 1         |
+      | 5         | 3         |
+      | 48        | 4         |
+
+  Scenario: a router that is gone no longer counts
+    Given 6 routers in 2 data centres that share loads
+    When every router owns 3 backend servers of "dossier-review" with its number as load
+    And 5000 ms of shared loads pass
+    And router 6 no longer shares its load
+    And 10000 ms of shared loads pass
+    Then the routers 1 to 5 know the sum over the routers 1 to 5 of "dossier-review"
+
+  Scenario: sums under another list of services are not mixed in
+    Given 2 routers in 2 data centres that share loads
+    When every router owns 3 backend servers of "dossier-review" with its number as load
+    And router 2 has a text with one more service
+    And 5000 ms of shared loads pass
+    Then router 1 knows the sum 1 over 3 backend servers of "dossier-review"
--- a/features/steps/actions_steps.py
+++ b/features/steps/actions_steps.py
@@ -179,7 +179,8 @@
     pump = start_fleet(seed)
     identities = []
     for n in range(40):
-        numbers = [each for each in range(1, 6) if router_at(pump, each).alive]
+        live = pump.live_routers
+        numbers = [each for each in range(1, 6) if router_at(pump, each) in live]
         asked = numbers[pump.random.randrange(len(numbers))]
         fields = {"idempotency_key": build_timed_key(pump.now_ms, n)}
         if n % 2 and pump.now_ms >= router_at(pump, asked).paused_until_ms:
