Measure cache reuse and keep spilled chats near their cache

Change: the first choice keeps a chat whose prefix it mostly has, waits up to 150 us a token, and keeps slots for teams only where the server itself is the limit. A router that loses its last server of a service says so, since its old sum kept the mean low.

--- /dev/null
+++ b/benchmarks/_days.py
@@ -0,0 +1,123 @@
+"""Seeded days of the two users: returning chats on shared dossiers."""
+
+import heapq
+from collections.abc import Iterator
+from random import Random
+
+from attrs import frozen
+
+from benchmarks._virtual import SERVICE
+from damaskrill.messages import Request
+from damaskrill.utils import check_random_state
+
+__all__ = ["Arrival", "Day", "build_day", "count_reusable_tokens"]
+
+BLOCK_TOKENS = 64
+DEADLINE_MS = 60_000
+MINUTE_MS = 60_000
+HASH_BITS = 48
+
+
+@frozen(kw_only=True)
+class Arrival:
+    """One request of a day."""
+
+    at_ms: int
+    request: Request
+    n_output_tokens: int
+
+
+@frozen(kw_only=True)
+class Day:
+    """What a user's day is made of.
+
+    Parameters
+    ----------
+    n_dossiers, n_chats, n_requests : int
+        Shared dossiers, chats over them, and requests in all.
+    min_dossier_blocks, max_dossier_blocks : int
+        Length of the dossiers' shared prefix.
+    median_pause_ms : int
+        Median pause between a chat's turns, in milliseconds.
+    length_ms : int
+        Length of the day, in milliseconds.
+    """
+
+    n_dossiers: int
+    n_chats: int
+    n_requests: int
+    min_dossier_blocks: int
+    max_dossier_blocks: int
+    median_pause_ms: int
+    length_ms: int
+
+
+def build_day(day: Day, seed: int) -> list[Arrival]:
+    """Return the requests of a day, in order.
+
+    Notes
+    -----
+    A tenth of the dossiers draws about half of the chats. Pauses are log-normal:
+    most last minutes, some a hundred times as long.
+    """
+    random = check_random_state(seed)
+    dossiers = [
+        _make_blocks(random, _length(random, day)) for _ in range(day.n_dossiers)
+    ]
+    turns: list[tuple[int, int, int]] = []
+    for chat in range(day.n_chats):
+        start_ms = random.randrange(day.length_ms)
+        heapq.heappush(turns, (start_ms, chat, _pick_dossier(random, day)))
+    history: dict[int, tuple[int, ...]] = {}
+    arrivals: list[Arrival] = []
+    while turns and len(arrivals) < day.n_requests:
+        at_ms, chat, dossier = heapq.heappop(turns)
+        if at_ms >= day.length_ms:
+            continue
+        own = history.get(chat, ()) + _make_blocks(random, random.randint(2, 6))
+        history[chat] = own
+        blocks = dossiers[dossier] + own
+        request = Request(
+            request_id=f"request-{len(arrivals)}",
+            service=SERVICE,
+            team=f"team-{min(9, int(random.expovariate(0.5)))}",
+            chat=f"chat-{chat}",
+            dossier=f"dossier-{dossier}",
+            prefix_blocks=blocks,
+            n_prompt_tokens=len(blocks) * BLOCK_TOKENS,
+            deadline_ms=at_ms + DEADLINE_MS,
+        )
+        n_output = random.randint(50, 300)
+        arrivals.append(Arrival(at_ms=at_ms, request=request, n_output_tokens=n_output))
+        pause_ms = int(day.median_pause_ms * random.lognormvariate(0, 1.5))
+        heapq.heappush(turns, (at_ms + 2_000 + pause_ms, chat, dossier))
+    return arrivals
+
+
+def count_reusable_tokens(arrivals: list[Arrival]) -> int:
+    """Return the prompt tokens whose prefix an earlier request has had."""
+    return sum(_reusable_by_request(arrivals))
+
+
+def _reusable_by_request(arrivals: list[Arrival]) -> Iterator[int]:
+    seen: set[int] = set()
+    for arrival in arrivals:
+        n_seen = 0
+        for block in arrival.request.prefix_blocks:
+            if block not in seen:
+                break
+            n_seen += 1
+        seen.update(arrival.request.prefix_blocks)
+        yield n_seen * BLOCK_TOKENS
+
+
+def _length(random: Random, day: Day) -> int:
+    return random.randint(day.min_dossier_blocks, day.max_dossier_blocks)
+
+
+def _make_blocks(random: Random, n_blocks: int) -> tuple[int, ...]:
+    return tuple(random.getrandbits(HASH_BITS) for _ in range(n_blocks))
+
+
+def _pick_dossier(random: Random, day: Day) -> int:
+    return int(day.n_dossiers * random.random() ** 3)
--- a/damaskrill/admission/_means.py
+++ b/damaskrill/admission/_means.py
@@ -1,5 +1,7 @@
 """Mean load of each service, from the fleet's sums and the own servers."""
 
+from collections.abc import Iterable
+
 from attrs import define, frozen
 
 from damaskrill.messages import MeanLoadKnown, OwnedLoad
@@ -70,6 +72,14 @@
             n_servers=own.n_servers + state.elsewhere.n_servers,
         )
 
+    def services_to_tell(self, owned: Iterable[str]) -> list[str]:
+        """Return the owned services, and those whose last servers were lost."""
+        names = list(owned)
+        for name, state in self._services.items():
+            if state.emitted.n_servers and name not in names:
+                names.append(name)
+        return names
+
     def emit(self, service: str, own: LoadSum, now_ms: int) -> OwnedLoad | None:
         """Return what the fleet is to be told, if it is due.
 
@@ -84,7 +94,7 @@
         change = abs(own.load_sum - state.emitted.load_sum)
         is_large = change * 100 > CHANGE_TO_EMIT_PERCENT * state.emitted.load_sum
         is_changed = is_large or own.n_servers != state.emitted.n_servers
-        if age_ms < MAX_EMIT_INTERVAL_MS and not (is_changed and change):
+        if age_ms < MAX_EMIT_INTERVAL_MS and not is_changed:
             return None
         state.emitted = own
         state.emitted_at_ms = now_ms
--- a/damaskrill/admission/_owner.py
+++ b/damaskrill/admission/_owner.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from damaskrill.admission._bound import LoadBound
+from damaskrill.admission._bound import BoundReason, LoadBound
 from damaskrill.admission._means import LoadSum, MeanLoads
 from damaskrill.admission._ramp import ColdReason
 from damaskrill.admission._refusals import causes_of_bound, find_view_refusal
@@ -57,6 +57,9 @@
 MIN_RETRY_AFTER_MS = 200
 MAX_RETRY_AFTER_MS = 10_000
 TRANSIENT_RETRY_AFTER_MS = 300
+PERCENT = 100
+# Share of a prompt's blocks with which the first choice keeps a spilled chat.
+MIN_CACHED_PERCENT = 75
 READ_INTERVAL_MS = 500
 # Bounds the control traffic of a router that owns many servers.
 READS_PER_S = 10
@@ -198,7 +201,7 @@
         if cause is not None or server is None:
             causes = self._with_root(waiting, (cause,) if cause is not None else ())
             return self._refuse(waiting, causes, transient=True)
-        hint = self._find_spill(offer)
+        hint = self._find_spill(server, waiting, now_ms)
         if hint:
             return self._refuse(waiting, (), hint=hint)
         return self._admit(server, waiting, now_ms)
@@ -225,11 +228,22 @@
             deadline_ms=now_ms + offer.remaining_ms,
         )
 
-    def _find_spill(self, offer: OfferAttempt) -> str:
+    def _find_spill(
+        self, server: OwnedServer, waiting: QueuedAttempt, now_ms: int
+    ) -> str:
+        """Return the server that has the chat's cache, if this one is no better."""
+        offer = waiting.offer
         if not offer.follows_spill or not offer.request.chat:
             return ""
         hint = self._spills.find(offer.request.chat)
-        return hint if hint != offer.backend_server else ""
+        if not hint or hint == server.spec.name:
+            return ""
+        blocks = offer.request.prefix_blocks
+        n_cached = server.cache.count_cached(blocks)
+        has_most = n_cached * PERCENT >= MIN_CACHED_PERCENT * max(1, len(blocks))
+        bound = self._bound(server, now_ms)
+        is_free = self._can_take(server, waiting.team, bound, now_ms)
+        return "" if has_most and is_free and not server.queue else hint
 
     def _admit(
         self, server: OwnedServer, waiting: QueuedAttempt, now_ms: int
@@ -321,6 +335,9 @@
             n_listed=view.n_listed,
         ):
             return False
+        # Where the mean bounds the load, other servers have room for other teams.
+        if bound.reason is BoundReason.MULTIPLE_OF_MEAN:
+            return True
         return server.shares.may_take(
             team, n_free=bound.value - load, capacity=bound.value, now_ms=now_ms
         )
@@ -578,7 +595,7 @@
             results.extend(self._expire(server, now_ms))
             results.extend(self._drain(server, now_ms))
         results.extend(self._read_loads(now_ms))
-        for service in self._servers.by_service:
+        for service in self._means.services_to_tell(self._servers.by_service):
             own = self._servers.sum_of(service, now_ms)
             owned = self._means.emit(service, own, now_ms)
             if owned is not None:
--- a/damaskrill/fakes/_engine.py
+++ b/damaskrill/fakes/_engine.py
@@ -115,6 +115,15 @@
         warm = self.cold_load + self._n_finished // self.n_runs_to_warm
         return min(self.bearable_load, warm)
 
+    def count_cached(self, prefix_blocks: tuple[int, ...]) -> int:
+        """Return how many blocks from the beginning are in the cache."""
+        n_hits = 0
+        for block in prefix_blocks:
+            if block not in self._cache:
+                break
+            n_hits += 1
+        return n_hits
+
     def restart(self, now_ms: int) -> tuple[EngineRun, ...]:
         """Start anew: cold, with an empty cache and another start ID.
 
@@ -207,11 +216,7 @@
         self.max_load = max(self.max_load, self.load)
 
     def _use_cache(self, prefix_blocks: tuple[int, ...], now_ms: int) -> int:
-        n_hits = 0
-        for block in prefix_blocks:
-            if block not in self._cache:
-                break
-            n_hits += 1
+        n_hits = self.count_cached(prefix_blocks)
         stored = tuple(each for each in prefix_blocks if each not in self._cache)
         for block in prefix_blocks:
             self._cache[block] = None
--- a/damaskrill/placement/_affinity.py
+++ b/damaskrill/placement/_affinity.py
@@ -34,6 +34,8 @@
     only the keys move that it takes or had.
     """
 
+    has_affinity = True
+
     def __init__(
         self, *, random_state: int = 0, max_choices: int = MAX_CHOICES
     ) -> None:
--- a/damaskrill/placement/_base.py
+++ b/damaskrill/placement/_base.py
@@ -1,6 +1,7 @@
 """Base class of placement policies."""
 
 from abc import ABC, abstractmethod
+from typing import ClassVar
 
 from damaskrill.messages import FleetView, Request
 
@@ -8,7 +9,16 @@
 
 
 class BasePlacementPolicy(ABC):
-    """Orders the backend servers that may run a request."""
+    """Orders the backend servers that may run a request.
+
+    Attributes
+    ----------
+    has_affinity : bool
+        Whether a request may wait for its first choice for a short time, and follow
+        its chat to the server that last took it from there.
+    """
+
+    has_affinity: ClassVar[bool] = False
 
     @abstractmethod
     def rank(self, request: Request, view: FleetView) -> list[str]:
--- a/damaskrill/routing/_entry.py
+++ b/damaskrill/routing/_entry.py
@@ -158,7 +158,12 @@
             return self._give_up(state, now_ms)
         assert self._view is not None
         ranked = self._placement.rank(request, self._view)
-        state.plan = plan_first(request, ranked, self._resting_at(now_ms))
+        state.plan = plan_first(
+            request,
+            ranked,
+            self._resting_at(now_ms),
+            has_affinity=self._placement.has_affinity,
+        )
         state.first_choice = ranked[0]
         budget = self._budgets.setdefault(request.service, RetryBudget())
         budget.note_first_try(self._view.text.limits.retry_budget_percent)
@@ -366,7 +371,9 @@
         attempt = state.attempt
         view = self._view
         chat = state.request.chat
-        if attempt is None or view is None or not chat or not state.n_offers:
+        if attempt is None or view is None or not chat:
+            return ()
+        if not self._placement.has_affinity:
             return ()
         is_at_first_choice = attempt.backend_server == state.first_choice
         first = view.text.backend_servers.get(state.first_choice)
--- a/damaskrill/routing/_plan.py
+++ b/damaskrill/routing/_plan.py
@@ -9,8 +9,8 @@
 
 N_SPILL_CHOICES = 5
 # Waiting at the first choice saves the processing of the cached part of the prompt.
-PATIENCE_US_PER_PROMPT_TOKEN = 50
-MAX_PATIENCE_MS = 1_000
+PATIENCE_US_PER_PROMPT_TOKEN = 150
+MAX_PATIENCE_MS = 2_000
 US_PER_MS = 1_000
 
 
@@ -18,6 +18,8 @@
     request: Request,
     ranked: Sequence[str],
     is_resting: Callable[[str], bool],
+    *,
+    has_affinity: bool,
 ) -> list[Choice]:
     """Return the choices of a new request.
 
@@ -29,6 +31,8 @@
         Backend servers in the order of the placement policy.
     is_resting : callable
         Whether a server's circuit is known to be open.
+    has_affinity : bool
+        Whether the first choice is worth a short wait.
 
     Returns
     -------
@@ -39,10 +43,12 @@
     active = [name for name in ranked if not is_resting(name)] or list(ranked)
     if not active:
         return []
-    patience_us = request.n_prompt_tokens * PATIENCE_US_PER_PROMPT_TOKEN
-    patience_ms = min(MAX_PATIENCE_MS, patience_us // US_PER_MS)
+    if not has_affinity:
+        return [Choice(backend_server=name) for name in active[: 1 + N_SPILL_CHOICES]]
     first = Choice(
-        backend_server=active[0], max_wait_ms=patience_ms, follows_spill=True
+        backend_server=active[0],
+        max_wait_ms=_patience_ms(request),
+        follows_spill=True,
     )
     return [
         first,
@@ -65,7 +71,10 @@
     attempt = state.attempt
     if attempt is None:
         return
-    again = Choice(backend_server=attempt.backend_server)
+    again = Choice(
+        backend_server=attempt.backend_server,
+        max_wait_ms=_patience_ms(state.request),
+    )
     servers = view.servers_by_service.get(state.request.service, ())
     if any(each.name == refusal.hint_server for each in servers):
         hint = Choice(backend_server=refusal.hint_server)
@@ -106,3 +115,8 @@
     active = [name for name in fresh if not is_resting(name)]
     names = active or fresh or list(ranked)
     return [Choice(backend_server=name) for name in names[: 1 + N_SPILL_CHOICES]]
+
+
+def _patience_ms(request: Request) -> int:
+    patience_us = request.n_prompt_tokens * PATIENCE_US_PER_PROMPT_TOKEN
+    return min(MAX_PATIENCE_MS, patience_us // US_PER_MS)
