Work out the pages of measurements and capacity from stored figures

The page of capacity multiplies the stored slopes by the target's size; what has no slope is said to be not measured. A feature keeps both pages equal to what the command computes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: install demo test check lint format bench dist clean
+.PHONY: install demo test check lint format bench measurements dist clean
 
 install: $(VENV)/.installed
 
@@ -35,6 +35,11 @@
 bench: install
 	$(BIN)/python -m benchmarks
 
+# Runs every measure, stores the figures, and writes the pages and plots from them.
+measurements: install
+	$(BIN)/python -m benchmarks --store --table
+	$(BIN)/python -m benchmarks.write_measurements
+
 dist: install
 	$(BIN)/python tools/build_dist.py
 
--- /dev/null
+++ b/benchmarks/_plots.py
@@ -0,0 +1,106 @@
+"""Plots of stored figures, one SVG file a measure."""
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import pygal
+
+from benchmarks._figure import Figure
+from benchmarks._results import StoredFigure, format_parameters, format_value
+from damaskrill.report import STYLE, render_chart
+
+__all__ = ["PLOTS_FOLDER", "plot_measures"]
+
+PLOTS_FOLDER = Path(__file__).resolve().parent / "plots"
+MIN_POINTS = 2
+PLOT_WIDTH = 800
+PLOT_HEIGHT = 360
+
+
+def plot_measures(results: Sequence[StoredFigure]) -> dict[str, str]:
+    """Return the plots of all measures that have something to compare.
+
+    Parameters
+    ----------
+    results : sequence of StoredFigure
+        Stored figures.
+
+    Returns
+    -------
+    dict
+        SVG by file name.
+    """
+    by_measure: dict[str, list[Figure]] = {}
+    for each in results:
+        by_measure.setdefault(each.figure.measure, []).append(each.figure)
+    plots = {}
+    for measure, figures in sorted(by_measure.items()):
+        if len(figures) >= MIN_POINTS:
+            plots[f"{measure}.svg"] = _plot_measure(measure, figures)
+    return plots
+
+
+def _plot_measure(measure: str, figures: Sequence[Figure]) -> str:
+    parameter = _varied_parameter(figures)
+    chart = _plot_lines(figures, parameter) if parameter else _plot_bars(figures)
+    return render_chart(chart, f"plot-{measure}") + "\n"
+
+
+def _varied_parameter(figures: Sequence[Figure]) -> str:
+    """Return the numeric parameter with most values; empty if a line makes no sense."""
+    names = sorted({name for each in figures for name in each.parameters})
+    best, n_best = "", 1
+    for name in names:
+        values = [each.parameters.get(name) for each in figures]
+        if not all(isinstance(value, int | float) for value in values):
+            continue
+        if len(set(values)) > n_best:
+            best, n_best = name, len(set(values))
+    return best
+
+
+def _plot_lines(figures: Sequence[Figure], parameter: str) -> pygal.Graph:
+    chart = pygal.XY(**_options(figures[0]), x_title=parameter, dots_size=4)
+    lines: dict[str, list[tuple[Any, float]]] = {}
+    for each in figures:
+        others = {k: v for k, v in each.parameters.items() if k != parameter}
+        varied = ", ".join(
+            f"{name} {value}"
+            for name, value in sorted(others.items())
+            if len({str(figure.parameters.get(name)) for figure in figures}) > 1
+        )
+        label = f"{each.policy} ({varied})" if varied else each.policy
+        lines.setdefault(label, []).append((each.parameters[parameter], each.value))
+    for label, points in sorted(lines.items()):
+        chart.add(label, sorted(points))
+    return chart
+
+
+def _plot_bars(figures: Sequence[Figure]) -> pygal.Graph:
+    chart = pygal.HorizontalBar(
+        **_options(figures[0]),
+        show_legend=False,
+        print_values=True,
+        truncate_label=-1,
+    )
+    ordered = list(reversed(figures))
+    chart.x_labels = [
+        f"{each.policy} {format_parameters(each)}".strip() for each in ordered
+    ]
+    chart.value_formatter = format_value
+    chart.add("", [each.value for each in ordered])
+    return chart
+
+
+def _options(figure: Figure) -> dict[str, Any]:
+    return {
+        "title": f"{figure.measure.replace('_', ' ')} in {figure.unit}",
+        "style": STYLE,
+        "width": PLOT_WIDTH,
+        "height": PLOT_HEIGHT,
+        "js": [],
+        "disable_xml_declaration": True,
+        "legend_at_bottom": True,
+        "truncate_legend": -1,
+    }
--- a/damaskrill/report/__init__.py
+++ b/damaskrill/report/__init__.py
@@ -13,11 +13,13 @@
     WindowBurn,
 )
 from damaskrill.report._objectives import Objectives, read_objectives
+from damaskrill.report._plots import STYLE, render_chart
 from damaskrill.report._text import render_text
 
 __all__ = [
     "BURN_WINDOWS",
     "OTHERS",
+    "STYLE",
     "BurnReport",
     "CauseLoss",
     "GroupBurn",
@@ -27,6 +29,7 @@
     "WindowBurn",
     "build_report",
     "read_objectives",
+    "render_chart",
     "render_html",
     "render_json",
     "render_text",
--- /dev/null
+++ b/features/steps/measurements_steps.py
@@ -0,0 +1,104 @@
+"""Steps on stored figures and the pages made from them."""
+
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from benchmarks._capacity import compute_values, render_capacity
+from benchmarks._figure import Figure
+from benchmarks._plots import plot_measures
+from benchmarks._results import (
+    StoredFigure,
+    read_results,
+    replace_modules,
+    write_results,
+)
+from benchmarks.write_measurements import (
+    CAPACITY_PATH,
+    MEASUREMENTS_PATH,
+    render_measurements,
+)
+
+
+def build_stored(module="bench_a", measure="time", value=1.5, **parameters):
+    figure = Figure(
+        measure=measure,
+        policy="product",
+        value=value,
+        unit="us",
+        seed=1,
+        parameters=parameters,
+    )
+    command = f"python -m benchmarks --seed 1 {module}"
+    return StoredFigure(
+        module=module, command=command, date="2026-12-03", figure=figure
+    )
+
+
+@then("docs/MEASUREMENTS.md equals what is computed from the stored figures")
+def step_measurements_equal(context):
+    page = MEASUREMENTS_PATH.read_text(encoding="utf-8")
+    assert page == render_measurements(read_results())
+
+
+@then("docs/CAPACITY.md equals what is computed from the stored figures")
+def step_capacity_equal(context):
+    page = CAPACITY_PATH.read_text(encoding="utf-8")
+    assert page == render_capacity(read_results())
+
+
+@then("two plots of the stored figures are equal")
+def step_plots_equal(context):
+    results = read_results()
+    assert plot_measures(results)
+    assert plot_measures(results) == plot_measures(results)
+
+
+@when("the capacity is computed without any stored figure")
+def step_capacity_without(context):
+    context.values = compute_values([])
+
+
+@when("the capacity is computed with {us:d} microseconds for each request of an entry")
+def step_capacity_with(context, us):
+    stored = build_stored(
+        measure="entry_time_per_request", value=us, n_servers=11_000, n_routers=333
+    )
+    context.values = compute_values([stored])
+
+
+@then('the entry\'s processor time is "{text}"')
+def step_entry_core(context, text):
+    assert context.values["entry_core"] == text, context.values["entry_core"]
+
+
+@then("it still says that a node owns {n} servers")
+def step_owned(context, n):
+    assert context.values["servers_per_node"] == n
+
+
+@given('stored figures of modules "{first}" and "{second}"')
+def step_stored(context, first, second):
+    context.stored = [build_stored(first), build_stored(second, n_engines=5)]
+
+
+@when('new figures of "{module}" are stored')
+def step_store_new(context, module):
+    new = [build_stored(module, value=2.5), build_stored(module, measure="bytes")]
+    context.stored = replace_modules(context.stored, new)
+
+
+@then('the figures of "{module}" are still there')
+def step_still_there(context, module):
+    modules = [each.module for each in context.stored]
+    assert modules.count(module) == 1 and len(modules) == 3, modules
+
+
+@then("stored figures are the same after they were written and read")
+def step_written_and_read(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "results.jsonl"
+        write_results(context.stored, path)
+        restored = read_results(path)
+    assert sorted(restored, key=repr) == sorted(context.stored, key=repr)
