Keep one account of a router's control traffic, spent by priority

Cause: nothing bounded what probes, texts and load sums add up to. All of them now pass one token bucket of 5 kB/s, sent and received together: probes may overdraw it, changes of texts wait, load sums give way. The kernel exports bytes, messages and drops by class.

A pause is now handed round to its end before the message that ended it.

--- /dev/null
+++ b/damaskrill/control/_budget.py
@@ -0,0 +1,180 @@
+"""Enforces the bytes a second that a router spends on control."""
+
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from damaskrill.control._classes import ControlClass, control_class_of, size_of
+from damaskrill.messages import Message, PeerDelivered, SendToPeer
+
+__all__ = ["ControlBudget"]
+
+BYTES_PER_S = 5_000
+# What a router may spend at once after a quiet time, for joining and large changes.
+BURST_BYTES = 50_000
+MAX_DEFERRED = 256
+WINDOW_MS = 1_000
+
+# Share of the burst that must be left, in hundredths, for a class to be let through;
+# what is urgent may overdraw the account.
+RESERVE_PERCENT = {
+    ControlClass.MEMBERSHIP: -100,
+    ControlClass.CONFIGURATION: 0,
+    ControlClass.LOAD: 20,
+    ControlClass.REST: 40,
+}
+# Load sums are superseded by the next ones; the other classes wait their turn.
+DROPPED_CLASSES = frozenset({ControlClass.MEMBERSHIP, ControlClass.LOAD})
+
+
+@attrs.define(kw_only=True)
+class _Account:
+    """Bytes and messages of one class."""
+
+    n_bytes_sent: int = 0
+    n_bytes_received: int = 0
+    n_messages: int = 0
+    n_dropped: int = 0
+    n_deferred: int = 0
+
+
+class ControlBudget:
+    """Token bucket that all control traffic of a process goes through.
+
+    Parameters
+    ----------
+    bytes_per_s : int, default=5000
+        Bytes a second in the long run, sent and received together.
+    burst_bytes : int, default=50000
+        Bytes that may be spent at once.
+
+    Notes
+    -----
+    What is received can't be refused, but takes from what may be sent.
+    """
+
+    def __init__(
+        self, *, bytes_per_s: int = BYTES_PER_S, burst_bytes: int = BURST_BYTES
+    ) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._burst_bytes = burst_bytes
+        self._tokens = float(burst_bytes)
+        self._at_ms: int | None = None
+        self._accounts = {each: _Account() for each in ControlClass}
+        self._deferred: dict[ControlClass, deque[Message]] = {
+            each: deque() for each in ControlClass
+        }
+        self._window_started_ms = 0
+        self._window_bytes = 0
+        self._last_window_bytes = 0
+
+    @property
+    def bytes_last_second(self) -> int:
+        """Control bytes in the last whole second, sent and received."""
+        return self._last_window_bytes
+
+    @property
+    def tokens(self) -> int:
+        """Bytes that may be spent at once."""
+        return int(self._tokens)
+
+    def n_bytes_sent(self, control_class: ControlClass) -> int:
+        """Return the bytes sent in a class."""
+        return self._accounts[control_class].n_bytes_sent
+
+    def n_bytes_received(self, control_class: ControlClass) -> int:
+        """Return the bytes received in a class."""
+        return self._accounts[control_class].n_bytes_received
+
+    def n_messages(self, control_class: ControlClass) -> int:
+        """Return the messages and probes sent in a class."""
+        return self._accounts[control_class].n_messages
+
+    def n_dropped(self, control_class: ControlClass) -> int:
+        """Return the messages that the budget did not let through."""
+        return self._accounts[control_class].n_dropped
+
+    def take_input(self, message: Message, now_ms: int) -> None:
+        """Charge what has come in."""
+        self._advance(now_ms)
+        if isinstance(message, PeerDelivered):
+            control_class = control_class_of(message.payload)
+            if control_class is not None:
+                n_bytes = size_of(message.payload)
+                self._accounts[control_class].n_bytes_received += n_bytes
+                self._charge(n_bytes)
+
+    def filter(self, effects: Iterable[Message], now_ms: int) -> list[Message]:
+        """Return the effects that may go out now, deferred ones included.
+
+        Parameters
+        ----------
+        effects : iterable of Message
+            What the deciders want to go out.
+        now_ms : int
+            Present time in milliseconds.
+        """
+        self._advance(now_ms)
+        passed = self._release()
+        for effect in effects:
+            control_class = _class_of_effect(effect)
+            if control_class is None or self._admit(effect, control_class):
+                passed.append(effect)
+        return passed
+
+    def _release(self) -> list[Message]:
+        released: list[Message] = []
+        for control_class, waiting in self._deferred.items():
+            while waiting and self._may_spend(control_class):
+                effect = waiting.popleft()
+                self._spend(effect, control_class)
+                released.append(effect)
+        return released
+
+    def _admit(self, effect: Message, control_class: ControlClass) -> bool:
+        waiting = self._deferred[control_class]
+        if not waiting and self._may_spend(control_class):
+            self._spend(effect, control_class)
+            return True
+        account = self._accounts[control_class]
+        if control_class in DROPPED_CLASSES or len(waiting) >= MAX_DEFERRED:
+            account.n_dropped += 1
+            return False
+        account.n_deferred += 1
+        waiting.append(effect)
+        return False
+
+    def _may_spend(self, control_class: ControlClass) -> bool:
+        reserve = self._burst_bytes * RESERVE_PERCENT[control_class] / 100
+        return self._tokens > reserve
+
+    def _spend(self, effect: Message, control_class: ControlClass) -> None:
+        payload = effect.payload if isinstance(effect, SendToPeer) else effect
+        n_bytes = size_of(payload)
+        account = self._accounts[control_class]
+        account.n_messages += 1
+        account.n_bytes_sent += n_bytes
+        self._charge(n_bytes)
+
+    def _charge(self, n_bytes: int) -> None:
+        self._tokens = max(-float(self._burst_bytes), self._tokens - n_bytes)
+        self._window_bytes += n_bytes
+
+    def _advance(self, now_ms: int) -> None:
+        if self._at_ms is None:
+            self._at_ms = now_ms
+            self._window_started_ms = now_ms
+        gained = (now_ms - self._at_ms) * self._bytes_per_s / 1_000
+        self._tokens = min(float(self._burst_bytes), self._tokens + gained)
+        self._at_ms = now_ms
+        if now_ms - self._window_started_ms >= WINDOW_MS:
+            self._last_window_bytes = self._window_bytes
+            self._window_bytes = 0
+            self._window_started_ms = now_ms
+
+
+def _class_of_effect(effect: Message) -> ControlClass | None:
+    if isinstance(effect, SendToPeer):
+        return control_class_of(effect.payload)
+    return control_class_of(effect)
--- a/damaskrill/kernel/_router.py
+++ b/damaskrill/kernel/_router.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from damaskrill.base import BaseDecider
+from damaskrill.control import ControlBudget
 from damaskrill.kernel._plugins import load_plugins
 from damaskrill.kernel._registry import registry
 from damaskrill.kernel._view import FleetViewDecider
@@ -60,6 +61,7 @@
     def __init__(self, *, own: Member, deciders: Sequence[BaseDecider]) -> None:
         self._own = own
         self._deciders = tuple(deciders)
+        self._control_budget = ControlBudget()
         self._last_turn_ms: int | None = None
         self._subscribers: dict[type[Message], list[BaseDecider]] = {}
         for decider in self._deciders:
@@ -76,6 +78,11 @@
         """The deciders, in their order."""
         return self._deciders
 
+    @property
+    def control_budget(self) -> ControlBudget:
+        """Account of the control traffic of this process."""
+        return self._control_budget
+
     def decide(self, message: Message, now_ms: int) -> list[Message]:
         """Take one message from outside.
 
@@ -91,17 +98,25 @@
         list of Message
             Effects, in the order in which they are to happen.
         """
-        pending = deque([message])
+        self._control_budget.take_input(message, now_ms)
+        effects: list[Message] = []
         paused = self._detect_pause(now_ms)
         if paused is not None:
-            pending.appendleft(paused)
-        effects: list[Message] = []
+            # All that follows from the pause, the loss of trust in the view included,
+            # comes before the message that ended it.
+            self._hand_round(paused, effects, now_ms)
+        self._hand_round(message, effects, now_ms)
+        return self._control_budget.filter(effects, now_ms)
+
+    def _hand_round(
+        self, message: Message, effects: list[Message], now_ms: int
+    ) -> None:
+        pending = deque([message])
         while pending:
             current = pending.popleft()
             for decider in self._subscribers_of(current):
                 for result in decider.decide(current, now_ms):
                     self._sort_result(result, pending, effects)
-        return effects
 
     def _detect_pause(self, now_ms: int) -> ProcessPaused | None:
         last_turn_ms = self._last_turn_ms
--- a/damaskrill/membership/_decider.py
+++ b/damaskrill/membership/_decider.py
@@ -40,7 +40,7 @@
 DIRECT_TIMEOUT_MS = 400
 PROBE_TIMEOUT_MS = 1_000
 N_INDIRECT_PROBES = 3
-N_JOIN_PROBES = 3
+N_JOIN_PROBES = 2
 MIN_SUSPICION_MS = 2_000
 SUSPICION_PER_DOUBLING_MS = 400
 # How long a woken process waits for a peer before it counts itself as cut off.
--- a/damaskrill/propagation/_decider.py
+++ b/damaskrill/propagation/_decider.py
@@ -46,6 +46,7 @@
 # A version that probes show is mostly on its way already.
 PULL_DELAY_MS = 300
 PULL_TIMEOUT_MS = 1_000
+PIECE_TIMEOUT_MS = 10_000
 # Deltas reach this many versions back, so that one lost push does no harm.
 N_VERSIONS_BACK = 2
 MAX_DELTA_BYTES = 16_384
@@ -286,7 +287,9 @@
         since_ms = self._behind_since_ms
         if since_ms is None or now_ms - since_ms < PULL_DELAY_MS:
             return ()
-        if now_ms - self._pulled_at_ms < PULL_TIMEOUT_MS:
+        # Pieces of a whole text wait for their turn in the sender's control budget.
+        timeout_ms = PIECE_TIMEOUT_MS if self._collector else PULL_TIMEOUT_MS
+        if now_ms - self._pulled_at_ms < timeout_ms:
             return ()
         newest = max(self._seen.values(), default=0)
         if newest <= self._known_version:
