Refuse malformed requests of callers with typed errors only

Cause: 10,000 generated inputs found that a header that is not UTF-8 raised inside the HTTP library's decoding and ended the connection without an answer; the same call read the headers of backend servers. A refused connection was also closed a second time by its idle timer, and could be held by a client that does not read. Change: headers are read as bytes; a refused connection has one timer that aborts it; a fault of the interface itself gets a typed 500 and a log line.

--- a/damaskrill/backends/_client.py
+++ b/damaskrill/backends/_client.py
@@ -191,7 +191,12 @@
         except Exception as failure:
             self._fail(effect, body, _describe(failure), _is_reset(failure))
             return
-        await self._receive(effect, body, response, stream, started_at_ms)
+        try:
+            ending = await self._receive(effect, body, response, stream, started_at_ms)
+        except Exception as failure:
+            self._fail(effect, body, _describe(failure))
+            return
+        self._end(effect, ending)
 
     async def _request(
         self, effect: DispatchAttempt, body: bytes, kind: ServiceKind
@@ -227,18 +232,16 @@
         response: Any,
         stream: OutgoingStream,
         started_at_ms: int,
-    ) -> None:
+    ) -> BackendEnded | BackendFailed:
         refusal = _refusal_reason(response, effect)
         if refusal is not None:
             response.deliverBody(_DiscardingProtocol())
-            failed = BackendFailed(
+            return BackendFailed(
                 attempt_id=effect.attempt_id,
                 n_bytes_sent=max(len(body), 1),
                 refused_by_server=_says_not_run(response),
                 reason=refusal,
             )
-            self._end(effect, failed)
-            return
         content_type = _header(response, "Content-Type") or "application/json"
         receiver = AnswerReceiver(
             stream=stream,
@@ -255,23 +258,20 @@
         finally:
             receiver.stop()
         if reason is not None:
-            failed = BackendFailed(
+            return BackendFailed(
                 attempt_id=effect.attempt_id,
                 n_bytes=receiver.n_resumable_bytes,
                 n_bytes_sent=max(len(body), 1),
                 reason=reason,
                 connection_reset="connection broke" in reason,
             )
-            self._end(effect, failed)
-            return
-        ended = BackendEnded(
+        return BackendEnded(
             attempt_id=effect.attempt_id,
             n_bytes=receiver.n_bytes,
             digest=receiver.digest,
             status=response.code,
             between_tokens_ms=receiver.between_tokens_ms,
         )
-        self._end(effect, ended)
 
     async def _watch(
         self, effect: DispatchAttempt, receiver: AnswerReceiver, started_at_ms: int
@@ -330,8 +330,9 @@
 
 
 def _header(response: Any, name: str) -> str:
-    values = response.headers.getRawHeaders(name)
-    return values[0].strip() if values else ""
+    # By a name in bytes, since the library decodes others as UTF-8 unchecked.
+    values = response.headers.getRawHeaders(name.encode("ascii"))
+    return values[0].decode("latin-1").strip() if values else ""
 
 
 def _says_not_run(response: Any) -> bool:
--- a/damaskrill/callers/_errors.py
+++ b/damaskrill/callers/_errors.py
@@ -7,6 +7,7 @@
 __all__ = [
     "BodyTooLargeError",
     "CallerError",
+    "InternalCallerError",
     "InvalidBodyError",
     "InvalidFieldError",
     "MalformedHttpError",
@@ -81,6 +82,14 @@
     retry_after_ms = 1_000
 
 
+class InternalCallerError(CallerError):
+    """The interface itself failed to take a request."""
+
+    code = "caller_interface_failed"
+    template = "this router failed to take the request and has not run it"
+    status = 500
+
+
 class MalformedHttpError(CallerError):
     """What came is not HTTP, or its headers are over the limit."""
 
--- a/damaskrill/callers/_port.py
+++ b/damaskrill/callers/_port.py
@@ -10,6 +10,7 @@
 from damaskrill.callers._answer import CallerAnswer
 from damaskrill.callers._errors import (
     CallerError,
+    InternalCallerError,
     InvalidFieldError,
     MethodNotAllowedError,
     UnknownPathError,
@@ -81,6 +82,8 @@
         Bounds.
     reactor : object
         Twisted's reactor.
+    report_error : callable
+        Takes an exception that is a fault of this interface.
     """
 
     def __init__(
@@ -91,7 +94,9 @@
         clock: Clock,
         limits: CallerLimits,
         reactor: Any,
+        report_error: Callable[[Exception], None],
     ) -> None:
+        self._report_error = report_error
         self._desk = desk
         self._pages = pages
         self._clock = clock
@@ -130,6 +135,9 @@
             route()
         except CallerError as error:
             answer.refuse(error)
+        except Exception as error:
+            self._report_error(error)
+            answer.refuse(InternalCallerError())
 
     def _find_route(
         self,
--- a/damaskrill/callers/_site.py
+++ b/damaskrill/callers/_site.py
@@ -12,7 +12,7 @@
 from damaskrill.callers._errors import (
     BodyTooLargeError,
     CallerError,
-    InvalidBodyError,
+    InvalidFieldError,
     MalformedHttpError,
     SlowSenderError,
 )
@@ -83,7 +83,13 @@
         lines += [f"{name}: {value}" for name, value in headers.items()]
         head = "\r\n".join(lines).encode("ascii", "replace")
         self.transport.write(head + b"\r\n\r\n" + body)
+        self.setTimeout(None)
         self.loseConnection()
+        # A client that does not read its answer would hold the connection for ever.
+        call_later: Any = self.callLater
+        self._receive_timer = call_later(
+            ABORT_TIMEOUT_S, self.transport.abortConnection
+        )
 
     def _respondToBadRequestAndDisconnect(self) -> None:
         # The base class calls this for whatever is not HTTP; its answer has no body.
@@ -139,13 +145,14 @@
 
         Raises
         ------
-        InvalidBodyError
+        InvalidFieldError
             If the header occurs more than once.
         """
-        values = self.requestHeaders.getRawHeaders(name) or [""]
+        # By a name in bytes, since the library decodes others as UTF-8 unchecked.
+        values = self.requestHeaders.getRawHeaders(name.encode("ascii")) or [b""]
         if len(values) > 1:
-            raise InvalidBodyError(reason=f"the header {name} occurs more than once")
-        return str(values[0]).strip()
+            raise InvalidFieldError(name=name, expected="given only once")
+        return values[0].decode("latin-1").strip()
 
     @property
     def _limit(self) -> int:
--- a/damaskrill/runtime/_process.py
+++ b/damaskrill/runtime/_process.py
@@ -319,6 +319,7 @@
             clock=self._clock,
             limits=limits,
             reactor=self._reactor,
+            report_error=self._report_caller_error,
         )
 
     def _build_effects(self) -> None:
@@ -386,7 +387,10 @@
         self._metrics.take_event(event)
         self._status.take_event(event, at_ms)
 
-    def _report_error(self, error: Exception, message: Message) -> None:
+    def _report_caller_error(self, error: Exception) -> None:
+        self._report_error(error, None)
+
+    def _report_error(self, error: Exception, message: Message | None) -> None:
         frames = traceback.extract_tb(error.__traceback__)
         place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
         self._log.write(
@@ -394,7 +398,7 @@
             level="ERROR",
             code="internal_error",
             place=place,
-            message_type=type(message).__name__,
+            message_type="" if message is None else type(message).__name__,
             sentence=f"{type(error).__name__}: {error}"[:500],
         )
 
--- /dev/null
+++ b/features/support/caller_memory.py
@@ -0,0 +1,152 @@
+"""A caller interface whose connections are in memory, with a fake clock."""
+
+import json
+
+from attrs import frozen
+from twisted.internet import task
+from twisted.internet.error import ConnectionDone
+from twisted.internet.testing import StringTransport
+from twisted.python import log
+from twisted.python.failure import Failure
+
+from damaskrill.callers import CallerLimits, CallerPort
+from damaskrill.messages import Completed, PermitIssued
+from damaskrill.relay import AnswerTotals
+from damaskrill.utils import FakeClock
+
+LIMITS = CallerLimits(
+    max_body_bytes=2_000,
+    max_header_bytes=2_000,
+    max_headers=20,
+    max_connections=4,
+    header_timeout_ms=5_000,
+    body_timeout_ms=10_000,
+    idle_timeout_ms=20_000,
+)
+
+
+class EchoDesk:
+    """Answers each request at once."""
+
+    def __init__(self):
+        self.n_requests = 0
+
+    def next_request_id(self):
+        self.n_requests += 1
+        return f"memory-{self.n_requests}"
+
+    def open_request(self, call, answer):
+        answer.begin(200, "application/json")
+        answer.write(b"{}")
+        answer.finish(Completed(n_bytes=2), AnswerTotals(n_bytes=2, digest="ab"))
+
+    def ask_outcome(self, request, answer):
+        answer.finish(Completed(), AnswerTotals())
+
+    def ask_permit(self, service, team, answer):
+        answer.finish_permit(PermitIssued(request_id=answer.request_id, permit="p"))
+
+    def drop_request(self, request_id):
+        pass
+
+    def readiness(self):
+        return True, "ready"
+
+    def status_text(self):
+        return "status"
+
+    def metrics_text(self):
+        return b"metrics"
+
+
+class MemoryTransport(StringTransport):
+    """Transport that remembers that it was closed or aborted."""
+
+    def loseConnection(self):
+        self.disconnecting = True
+
+    def abortConnection(self):
+        self.disconnecting = True
+
+
+class MemoryCallers:
+    """Feeds bytes to the caller interface as connections would."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.errors = []
+        desk = EchoDesk()
+        self.port = CallerPort(
+            desk=desk,
+            pages=desk,
+            clock=FakeClock(),
+            limits=LIMITS,
+            reactor=self.clock,
+            report_error=self.errors.append,
+        )
+        log.addObserver(self._observe)
+
+    def close(self):
+        log.removeObserver(self._observe)
+
+    def _observe(self, event):
+        if event.get("isError"):
+            self.errors.append(event)
+
+    def connect(self):
+        """Return a channel and its transport; None and None if refused."""
+        channel = self.port._site.buildProtocol(None)
+        if channel is None:
+            return None, None
+        transport = MemoryTransport()
+        channel.makeConnection(transport)
+        return channel, transport
+
+    def send(self, data):
+        """Send bytes on a new connection, wait past all timeouts, and end it."""
+        channel, transport = self.connect()
+        channel.dataReceived(data)
+        for _ in range(6):
+            self.clock.advance(8)
+        channel.connectionLost(Failure(ConnectionDone()))
+        return transport.value(), transport.disconnecting
+
+
+@frozen(kw_only=True)
+class Answer:
+    """One answer; its body is empty for HEAD."""
+
+    status: int
+    code: str
+    body: bytes
+
+    @property
+    def refusal(self):
+        """Content of a refusal's body."""
+        return json.loads(self.body)
+
+
+def split_answers(received):
+    """Return the answers in a connection's bytes."""
+    answers = []
+    while received:
+        head, separator, rest = received.partition(b"\r\n\r\n")
+        if not separator:
+            raise AssertionError(f"not an answer: {received!r}")
+        lines = head.split(b"\r\n")
+        status = int(lines[0].split()[1])
+        headers = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(b":")
+            headers[name.lower()] = value.strip()
+        if status == 100:
+            received = rest
+            continue
+        n_bytes = int(headers.get(b"content-length", b"0"))
+        if not rest or rest.startswith(b"HTTP/"):
+            # An answer to HEAD states the length of a body that it does not have.
+            n_bytes = 0
+        code = headers.get(b"damaskrill-code", b"").decode()
+        answers.append(Answer(status=status, code=code, body=rest[:n_bytes]))
+        received = rest[n_bytes:]
+    return answers
