Leave docstrings out of the one file; let the text set the ramp's step

Docstrings stay in memory for as long as the process runs. The number of finished requests that a cold server needs for each further one becomes the key ramp_step_requests, default as before.

--- a/damaskrill/admission/_ramp.py
+++ b/damaskrill/admission/_ramp.py
@@ -6,7 +6,7 @@
 
 __all__ = ["ColdReason", "ColdStartRamp"]
 
-FINISHED_PER_STEP = 4
+REQUESTS_PER_STEP = 4
 MAX_DOUBLINGS = 4
 TURN_MEMORY_MS = 600_000
 N_SLOW_FIRST_TOKENS = 3
@@ -34,16 +34,25 @@
         What it bears when warm.
     cold_load : int
         What it bears just after a start.
+    requests_per_step : int
+        Finished requests that each step up needs, in requests.
 
     Notes
     -----
-    Each step up needs ``FINISHED_PER_STEP`` finished requests, and twice as many
-    after each cold turn of the last ``TURN_MEMORY_MS``.
+    Each step up needs twice as many requests after each cold turn of the last
+    ``TURN_MEMORY_MS``.
     """
 
-    def __init__(self, *, bearable_load: int, cold_load: int) -> None:
+    def __init__(
+        self,
+        *,
+        bearable_load: int,
+        cold_load: int,
+        requests_per_step: int = REQUESTS_PER_STEP,
+    ) -> None:
         self.bearable_load = bearable_load
         self.cold_load = cold_load
+        self.requests_per_step = requests_per_step
         self._start_id = ""
         self._reset_pending = False
         self._cold_at_ms = -1
@@ -69,7 +78,7 @@
     def bound_of(self, n_finished: int, now_ms: int) -> int:
         """Return the load that a number of finished requests earns."""
         n_turns = sum(now_ms - each < TURN_MEMORY_MS for each in self._turns_ms)
-        per_step = FINISHED_PER_STEP << min(max(0, n_turns - 1), MAX_DOUBLINGS)
+        per_step = self.requests_per_step << min(max(0, n_turns - 1), MAX_DOUBLINGS)
         return min(self.bearable_load, self.cold_load + n_finished // per_step)
 
     def note_finished(self, started_at_ms: int) -> None:
--- a/damaskrill/admission/_server.py
+++ b/damaskrill/admission/_server.py
@@ -81,6 +81,7 @@
         self.spec = spec
         self.ramp.bearable_load = spec.bearable_load
         self.ramp.cold_load = spec.cold_load
+        self.ramp.requests_per_step = limits.ramp_step_requests
         self.limit.cap = spec.bearable_load
         self.queue.max_length = limits.max_queue_length
 
--- a/damaskrill/admission/_servers.py
+++ b/damaskrill/admission/_servers.py
@@ -104,10 +104,12 @@
             back.gained_at_ms = now_ms
             back.awaits_report = True
             return back
-        return OwnedServer(
+        gained = OwnedServer(
             spec=spec,
             service=view.text.services[spec.service],
             max_queue_length=limits.max_queue_length,
             gained_at_ms=now_ms,
             awaits_report=view.n_listed > 1 or len(view.members) > 1,
         )
+        gained.update(spec, limits)
+        return gained
--- a/damaskrill/configuration/_model.py
+++ b/damaskrill/configuration/_model.py
@@ -180,6 +180,9 @@
         Weight of a team without a section of its own.
     team_priority : int
         Priority of a team without a section of its own.
+    ramp_step_requests : int
+        Requests that a backend server must finish after a start before it may bear
+        one more at once.
     max_loading_servers : int
         Backend servers that may load from the weight store at once.
     """
@@ -192,6 +195,7 @@
     retry_budget_percent: int = 10
     team_share: int = 1
     team_priority: int = 5
+    ramp_step_requests: int = 4
     max_loading_servers: int = 4
 
 
--- a/damaskrill/configuration/_text_schema.py
+++ b/damaskrill/configuration/_text_schema.py
@@ -215,6 +215,14 @@
                 "Priority of a team that `[teams]` does not name; 0 is the most urgent."
             ),
         ),
+        Key(
+            name="ramp_step_requests",
+            value_type=Integer(minimum=1, maximum=1_000, unit="requests"),
+            sentence=(
+                "Requests that a backend server must finish after a start before it "
+                "may bear one more at once."
+            ),
+        ),
         Key(
             name="max_loading_servers",
             value_type=Integer(minimum=1, maximum=MAX_LOAD, unit="servers"),
--- a/features/steps/text_steps.py
+++ b/features/steps/text_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from damaskrill.admission._server import OwnedServer
 from damaskrill.configuration import (
     FleetText,
     InvalidConfigurationError,
@@ -23,6 +24,7 @@
     MINIMAL_TEXT,
     build_member,
     build_random,
+    build_server,
     build_text_with_teams,
 )
 
@@ -343,3 +345,28 @@
 @when("a host disappears from the host list")
 def step_host_disappears(context):
     read_hosts(context, context.hosts[1:])
+
+
+@given('a text whose "{key}" is {value:d}')
+def step_text_with_limit(context, key, value):
+    content = MINIMAL_TEXT + f"[limits]\n{key} = {value}\n".encode()
+    context.parsed = parse_text(content, version=1)
+
+
+@when(
+    "a cold backend server that bears {cold_load:d} requests has finished "
+    "{n_finished:d} requests"
+)
+def step_cold_server(context, cold_load, n_finished):
+    text = context.parsed
+    spec = build_server(bearable_load=50, cold_load=cold_load)
+    service = text.services[spec.service]
+    context.server = OwnedServer(spec=spec, service=service, max_queue_length=1)
+    context.server.update(spec, text.limits)
+    for _ in range(n_finished):
+        context.server.ramp.note_finished(1)
+
+
+@then("it may bear {bound:d} requests")
+def step_may_bear(context, bound):
+    assert context.server.ramp.bound_at(1) == bound
--- a/features/text.feature
+++ b/features/text.feature
@@ -191,3 +191,14 @@
     Then 2 backend servers of "review" take new work
     When a host disappears from the host list
     Then 1 backend server of "review" takes new work
+
+  Scenario Outline: the ramp of a cold server follows the text
+    Given a text whose "ramp_step_requests" is <step>
+    When a cold backend server that bears 2 requests has finished <n_finished> requests
+    Then it may bear <bound> requests
+
+    Examples:
+      | step | n_finished | bound |
+      | 2    | 8          | 6     |
+      | 4    | 8          | 4     |
+      | 8    | 8          | 3     |
--- a/tools/build_dist.py
+++ b/tools/build_dist.py
@@ -9,6 +9,7 @@
 """
 
 import argparse
+import ast
 import importlib.metadata
 import importlib.util
 import re
@@ -43,6 +44,9 @@
 LEFT_OUT_FOLDERS = ("test", "tests", "__pycache__")
 # Parts of Twisted for protocols that no router speaks.
 LEFT_OUT_TWISTED = ("conch", "mail", "names", "pair", "trial", "words")
+DOCUMENTED_NODES = (ast.Module, ast.ClassDef, ast.FunctionDef, ast.AsyncFunctionDef)
+# The help of a command is its docstring.
+DOCUMENTED_AT_RUN_TIME = "damaskrill/cli/"
 # Read data files beside their modules.
 DATA_PACKAGES = ("pygal",)
 # Provided by the C library of every Linux machine.
@@ -72,6 +76,16 @@
             yield canonicalize_name(requirement.name)
 
 
+def remove_docstrings(tree):
+    """Remove docstrings, which would take memory in every process."""
+    for node in ast.walk(tree):
+        if not isinstance(node, DOCUMENTED_NODES) or ast.get_docstring(node) is None:
+            continue
+        del node.body[0]
+        if not node.body and not isinstance(node, ast.Module):
+            node.body.append(ast.Pass(lineno=node.lineno, col_offset=node.col_offset))
+
+
 def list_needed(path):
     """Return name and path of the shared libraries that one needs."""
     done = subprocess.run(["ldd", path], capture_output=True, text=True)
@@ -113,7 +127,10 @@
         """Add a Python module as compiled code."""
         if content is None:
             content = source.read_bytes()
-        code = compile(content, entry, "exec", dont_inherit=True, optimize=0)
+        tree = ast.parse(content, entry)
+        if not entry.startswith(DOCUMENTED_AT_RUN_TIME):
+            remove_docstrings(tree)
+        code = compile(tree, entry, "exec", dont_inherit=True, optimize=0)
         compiled = importlib._bootstrap_external._code_to_hash_pyc(
             code, importlib.util.source_hash(content), checked=False
         )
