Log a request's arrival and why a backend server was chosen

An explanation named neither who took a request nor why its server was chosen: no decider logged the arrival, and offers said nothing of their reason. Both are logged now; tries are counted as a reader would, and the second end of a forwarded request is told as handed on.

--- a/benchmarks/_plots.py
+++ b/benchmarks/_plots.py
@@ -63,12 +63,12 @@
 def _plot_lines(figures: Sequence[Figure], parameter: str) -> pygal.Graph:
     chart = pygal.XY(**_options(figures[0]), x_title=parameter, dots_size=4)
     lines: dict[str, list[tuple[Any, float]]] = {}
+    names = _independent_parameters(figures, parameter)
     for each in figures:
-        others = {k: v for k, v in each.parameters.items() if k != parameter}
         varied = ", ".join(
-            f"{name} {value}"
-            for name, value in sorted(others.items())
-            if len({str(figure.parameters.get(name)) for figure in figures}) > 1
+            f"{name} {each.parameters[name]}"
+            for name in names
+            if name in each.parameters
         )
         label = f"{each.policy} ({varied})" if varied else each.policy
         lines.setdefault(label, []).append((each.parameters[parameter], each.value))
@@ -77,6 +77,22 @@
     return chart
 
 
+def _independent_parameters(figures: Sequence[Figure], parameter: str) -> list[str]:
+    """Return the parameters that differ between figures with the same value of one."""
+    names = sorted({name for each in figures for name in each.parameters})
+    values: dict[tuple[str, Any], set[str]] = {}
+    for each in figures:
+        for name in names:
+            key = (name, each.parameters[parameter])
+            values.setdefault(key, set()).add(str(each.parameters.get(name)))
+    return [
+        name
+        for name in names
+        if name != parameter
+        and any(len(seen) > 1 for (other, _), seen in values.items() if other == name)
+    ]
+
+
 def _plot_bars(figures: Sequence[Figure]) -> pygal.Graph:
     chart = pygal.HorizontalBar(
         **_options(figures[0]),
--- a/damaskrill/actions/_decider.py
+++ b/damaskrill/actions/_decider.py
@@ -135,7 +135,13 @@
         """Take one message."""
         match message:
             case RequestArrived(request=request):
-                return self._take_request(request, now_ms)
+                arrived = LoggedEvent(
+                    name=EventName.REQUEST_ARRIVED,
+                    request_id=request.request_id,
+                    service=request.service,
+                    team=request.team,
+                )
+                return (arrived, *self._take_request(request, now_ms))
             case RequestEnded(request_id=request_id, outcome=outcome):
                 return self._end(request_id, outcome, now_ms)
             case Tick():
--- a/damaskrill/explain/_sentences.py
+++ b/damaskrill/explain/_sentences.py
@@ -54,15 +54,20 @@
     during = [each for each in chain.background if each.at_ms >= first_ms]
     lines = [f"  {_format_time(each)}  (before) {_tell(each)}" for each in before]
     merged = sorted([*chain.lines, *during], key=lambda line: line.at_ms)
-    previous = ""
+    has_ended = False
     for each in merged:
-        sentence = f"  {_format_time(each)}  {_tell(each)}"
-        if sentence != previous:
-            lines.append(sentence)
-        previous = sentence
+        is_end = each.event == "request_ended"
+        sentence = _tell_handed_on(each) if is_end and has_ended else _tell(each)
+        has_ended = has_ended or is_end
+        lines.append(f"  {_format_time(each)}  {sentence}")
     return lines
 
 
+def _tell_handed_on(line: LogLine) -> str:
+    """Return the end that a router has from the one that ran the request."""
+    return f"Router {line.router} handed this on to its caller."
+
+
 def _tell(line: LogLine) -> str:
     """Return one event as a sentence."""
     return _tell_request_event(line) or _tell_fleet_event(line) or _tell_other(line)
@@ -83,10 +88,11 @@
                 f"{_because(line)}.{_and_detail(line)}"
             )
         case "attempt_offered":
-            owner = f", whose owner is router {line.peer}" if line.peer else ""
+            owner = f"; its owner is router {line.peer}" if line.peer else ""
+            reason = f", {line.detail}" if line.detail else ""
             return (
-                f"Router {line.router} chose {server}{owner}"
-                f"{_try_number(line)}{_because(line)}.{_and_detail(line)}"
+                f"Router {line.router} chose {server}{_try_number(line)}"
+                f"{reason}{owner}."
             )
         case "attempt_queued":
             return (
@@ -106,10 +112,7 @@
         case "attempt_failed":
             return f"The try at {server} failed{_because(line)}.{_and_detail(line)}"
         case "attempt_retried":
-            return (
-                f"Router {line.router} tried again{_try_number(line)}"
-                f"{_because(line)}.{_and_detail(line)}"
-            )
+            return f"Router {line.router} tried again{_because(line)}."
         case "first_token":
             after = f", {_format_s(line.latency_ms)} later" if line.latency_ms else ""
             return f"The first part of the answer came{after}."
@@ -217,7 +220,8 @@
 
 
 def _try_number(line: LogLine) -> str:
-    return f" (try {line.n_attempts})" if line.n_attempts > 0 else ""
+    # The line counts the tries before this one.
+    return f" (try {line.n_attempts + 1})" if line.n_attempts > 0 else ""
 
 
 def _with_load(line: LogLine) -> str:
--- a/damaskrill/report/_requests.py
+++ b/damaskrill/report/_requests.py
@@ -134,7 +134,8 @@
 
 
 def _first_token_ms(state: _OpenRequest, line: LogLine) -> int:
-    if state.arrived_ms is None:
+    # The latency was taken by one clock; the lines of two routers stem from two.
+    if line.latency_ms or state.arrived_ms is None:
         return line.latency_ms
     return line.at_ms - state.arrived_ms
 
--- a/damaskrill/routing/_entry.py
+++ b/damaskrill/routing/_entry.py
@@ -39,6 +39,7 @@
     StopRequested,
     Tick,
 )
+from damaskrill.routing._choice_detail import describe_choice
 from damaskrill.routing._open_request import Choice, OpenAttempt, OpenRequest, Stage
 from damaskrill.routing._outcome import outcome_event, outcome_without_answer
 from damaskrill.routing._plan import (
@@ -249,7 +250,11 @@
         )
         return (
             SendToPeer(address=owner.address, payload=offer),
-            self._event(EventName.ATTEMPT_OFFERED, state),
+            self._event(
+                EventName.ATTEMPT_OFFERED,
+                state,
+                detail=describe_choice(state, server.name),
+            ),
         )
 
     def _make_attempt_id(self, state: OpenRequest) -> str:
@@ -560,6 +565,7 @@
         state: OpenRequest,
         *,
         causes: tuple[Cause, ...] = (),
+        detail: str = "",
     ) -> LoggedEvent:
         request = state.request
         attempt = state.attempt
@@ -572,6 +578,7 @@
             backend_server=attempt.backend_server if attempt is not None else "",
             peer=attempt.owner.address if attempt is not None else "",
             causes=causes,
+            detail=detail,
             n_attempts=state.n_tries,
             text_version=self._view.text.version if self._view is not None else 0,
         )
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -9,7 +9,7 @@
       | words |
       | (before) engine-2 had just started and could bear only part of its load (0 of at most 2 |
       | Router 10.0.0.1:7000 took the request from team 'licensing' for service 'dossier-review' |
-      | Router 10.0.0.1:7000 chose engine-2, whose owner is router 10.0.0.2:7000 (try 1). (first choice of dossier dossier-1) |
+      | Router 10.0.0.1:7000 chose engine-2 (try 2), the first choice for dossier 'dossier-1'; its owner is router 10.0.0.2:7000. |
       | Router 10.0.0.2:7000 let it wait in the queue of engine-2 (2 of at most 2 requests at once), because engine-2 has just started |
       | Router 10.0.0.2:7000, the owner of engine-2, sent it there after 1.5 s in its queue |
       | The first part of the answer came, 1.9 s later |
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -45,7 +45,7 @@
                 name=EventName.ATTEMPT_OFFERED,
                 peer=OWNER,
                 n_attempts=1,
-                detail="first choice of dossier dossier-1",
+                detail="the first choice for dossier 'dossier-1'",
                 **attempt,
             ),
         ),
