--- a/damaskrill/fakes/_http_base.py
+++ b/damaskrill/fakes/_http_base.py
@@ -32,7 +32,7 @@
 
 
 class HttpFake(ABC):
-    """A stand-in behind an HTTP interface on an ephemeral port.
+    """A stand-in behind an HTTP interface, on an ephemeral port if none is given.
 
     Parameters
     ----------
@@ -50,8 +50,9 @@
         """``IP:port``; known after ``start``."""
         return f"{LOOPBACK}:{self._port}"
 
-    def start(self) -> None:
-        """Listen; a second start takes the same port."""
+    def start(self, *, port: int = 0) -> None:
+        """Listen; a second start without a port takes the same one."""
+        self._port = port or self._port
         site = _QuietSite(_Leaf(self), reactor=self._reactor)
         self._listener = self._reactor.listenTCP(self._port, site, interface=LOOPBACK)
         self._port = self._listener.getHost().port
--- /dev/null
+++ b/examples/plugins/nearest_placement.py
@@ -0,0 +1,35 @@
+"""A placement policy that prefers the request's own data centre."""
+
+from damaskrill.kernel import registry
+from damaskrill.messages import FleetView, Request
+from damaskrill.placement import BasePlacementPolicy
+from damaskrill.utils import rank_by_rendezvous
+
+__all__ = ["NearestPlacement"]
+
+
+@registry.register("placement", "nearest")
+class NearestPlacement(BasePlacementPolicy):
+    """Servers of the entry's data centre first, each group by rendezvous hashing.
+
+    Parameters
+    ----------
+    random_state : int
+        Not used; every policy is built with it.
+    """
+
+    def __init__(self, *, random_state: int = 0) -> None:
+        self.random_state = random_state
+
+    def rank(self, request: Request, view: FleetView) -> list[str]:
+        """Order the candidates for a request."""
+        servers = view.servers_by_service.get(request.service, ())
+        near = [each for each in servers if each.data_centre == view.own.data_centre]
+        far = [each for each in servers if each.data_centre != view.own.data_centre]
+        return [
+            name
+            for group in (near, far)
+            for name in rank_by_rendezvous(
+                request.affinity_key, (each.name for each in group)
+            )
+        ]
