--- a/damaskrill/configuration/_peer_limits.py
+++ b/damaskrill/configuration/_peer_limits.py
@@ -37,6 +37,6 @@
     max_queued_bytes: int = 32 * 1024 * 1024
     max_links: int = 1024
     greeting_timeout_ms: int = 3_000
-    heartbeat_interval_ms: int = 2_000
-    silence_timeout_ms: int = 7_000
+    heartbeat_interval_ms: int = 3_000
+    silence_timeout_ms: int = 9_000
     idle_timeout_ms: int = 120_000
--- a/damaskrill/peers/_link.py
+++ b/damaskrill/peers/_link.py
@@ -1,7 +1,6 @@
 """One greeted connection to another router: its writer, reader and silence check."""
 
 import asyncio
-import inspect
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -201,7 +200,7 @@
             case Payload() | Chunk():
                 self._last_used_ms = self._last_received_ms
                 pending = self._deliver(self._peer, frame)
-                if inspect.isawaitable(pending):
+                if pending is not None:
                     await pending
             case Farewell(is_stopping=is_stopping):
                 self._farewell_received = True
--- a/damaskrill/peers/_network.py
+++ b/damaskrill/peers/_network.py
@@ -1,7 +1,6 @@
 """All connections of one process to other routers."""
 
 import asyncio
-import inspect
 import logging
 from collections.abc import Awaitable
 from typing import Any, Protocol
@@ -399,21 +398,34 @@
                 self._log("peer_lost", link.error, peer.address)
                 self._handler.peer_lost(peer)
 
-    async def _deliver(self, sender: Member, frame: Payload | Chunk) -> None:
+    def _deliver(
+        self, sender: Member, frame: Payload | Chunk
+    ) -> Awaitable[None] | None:
         try:
-            if isinstance(frame, Payload):
-                pending = self._handler.payload_received(
-                    sender, frame.payload, frame.body
-                )
-            else:
-                pending = self._handler.chunk_received(
-                    sender, frame.stream_id, frame.offset, frame.data
-                )
-            if inspect.isawaitable(pending):
-                await pending
+            pending = self._hand_over(sender, frame)
+        except DamaskrillError as error:
+            self._log_not_handled(error, sender)
+            return None
+        return None if pending is None else self._finish(pending, sender)
+
+    def _hand_over(
+        self, sender: Member, frame: Payload | Chunk
+    ) -> Awaitable[None] | None:
+        if isinstance(frame, Payload):
+            return self._handler.payload_received(sender, frame.payload, frame.body)
+        return self._handler.chunk_received(
+            sender, frame.stream_id, frame.offset, frame.data
+        )
+
+    async def _finish(self, pending: Awaitable[None], sender: Member) -> None:
+        try:
+            await pending
         except DamaskrillError as error:
-            # Belongs to this process, so that the peer's connection stays.
-            self._log("peer_message_not_handled", error, sender.address)
+            self._log_not_handled(error, sender)
+
+    def _log_not_handled(self, error: DamaskrillError, sender: Member) -> None:
+        # The fault lies in this process, so that the peer's connection stays.
+        self._log("peer_message_not_handled", error, sender.address)
 
     def _report_unsent(self, address: str, frame: QueuedFrame) -> None:
         if frame.payload is not None:
--- a/features/steps/malformed_inputs_steps.py
+++ b/features/steps/malformed_inputs_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import cbor2
 from behave import given, then, when
 from hypothesis import strategies as st
 from websockets.asyncio.client import connect
@@ -20,7 +21,7 @@
 from damaskrill.exceptions import DamaskrillError, PeerFrameError
 from damaskrill.messages import Member
 from damaskrill.peers import ByteCounters
-from damaskrill.peers._frames import decode_frame, encode_frame
+from damaskrill.peers._frames import Chunk, Proof, decode_frame, encode_frame
 from damaskrill.peers._greeting import greet_as_dialler
 from features.support.builders import MINIMAL_SETTINGS, MINIMAL_TEXT
 from features.support.malformed import (
@@ -224,3 +225,66 @@
 @then("no change altered the text that it started from")
 def step_base_unchanged(context):
     assert context.base_text == parse_text(TEXT_WITH_ALL, version=1)
+
+
+STRANGE_MESSAGES = {
+    "a text message": "text",
+    "a frame that is cut": encode_frame(Chunk(stream_id="s", offset=0, data=b"d"))[:-1],
+    "a frame of a new kind": cbor2.dumps([99]),
+    "a second greeting": encode_frame(Proof(digest=b"d")),
+    "a tagged value": cbor2.dumps([3, "s", cbor2.CBORTag(4, [1, 2]), b""]),
+    "a kernel-only message": cbor2.dumps([2, {"type": "Tick"}, b""]),
+    "a frame above the limit": b"\0" * (SMALL_LIMITS.max_message_bytes + 1),
+}
+
+
+@when("a greeted peer sends {what}")
+def step_greeted_peer_sends(context, what):
+    async def send():
+        address = context.peer.address
+        async with connect(
+            f"ws://{address}/", proxy=None, compression=None
+        ) as connection:
+            await greet_as_dialler(
+                connection,
+                own=Member(address="127.0.0.1:9", data_centre="x", incarnation="s"),
+                fleet_key="k1",
+                address=address,
+                counters=ByteCounters(),
+            )
+            await connection.send(STRANGE_MESSAGES[what])
+            with contextlib.suppress(WebSocketException):
+                await connection.recv()
+
+    context.runner.run(send())
+
+
+@then('the log says "{event}" with the code "{code}" and the link is gone')
+def step_lost_with_code(context, event, code):
+    network = context.peer.network
+    context.runner.run(wait_until(lambda: network.n_links == 0))
+    found = [
+        each["extra"]["code"]
+        for each in context.log_records
+        if each["extra"].get("event") == event
+    ]
+    assert found == [code], (found, context.log_records)
+    assert len(context.peer.handler.of_kind("lost")) == 1
+
+
+@when("a stranger opens a connection and says nothing for the greeting timeout")
+def step_silent_stranger(context):
+    async def keep_silent():
+        address = context.peer.address
+        async with connect(f"ws://{address}/", proxy=None) as connection:
+            with contextlib.suppress(WebSocketException):
+                await connection.recv()
+            context.close_code = connection.close_code
+
+    context.runner.run(keep_silent())
+
+
+@then('its connection is closed and the log says "{words}"')
+def step_stranger_closed(context, words):
+    assert context.close_code == 1008, context.close_code
+    assert any(words in each["message"] for each in context.log_records)
