Refuse values that do not fit together; log an unreachable peer once a minute

Settings whose largest message is below the largest body, or whose silence is below two heartbeats, and servers that bear more cold than warm are faults. Before, each try to reach a dead peer wrote a log line.

--- a/damaskrill/configuration/_draft.py
+++ b/damaskrill/configuration/_draft.py
@@ -93,6 +93,7 @@
             header = f"{BACKEND_SERVER_SEARCH.kind} {name}"
             self._check_known(header, SERVICE, name, faults, line_of)
         self._check_servers(faults, line_of)
+        self._check_loads(faults, line_of)
         _check_cycles(services, faults, line_of)
 
     def build(self, version: int) -> FleetText:
@@ -134,6 +135,20 @@
                     other=f"{BACKEND_SERVER.kind} {other}",
                 )
 
+    def _check_loads(self, faults: FaultList, line_of: LineOfHeader) -> None:
+        for schema in (BACKEND_SERVER, BACKEND_SERVER_SEARCH):
+            for name, spec in self._tables[schema.kind].items():
+                if spec.bearable_load >= spec.cold_load:
+                    continue
+                faults.add(
+                    line_of(f"{schema.kind} {name}"),
+                    FaultCode.CONFLICTING_VALUES,
+                    key="bearable_load",
+                    value=spec.bearable_load,
+                    least=spec.cold_load,
+                    reason="what it bears when cold (cold_load)",
+                )
+
     def _check_known(
         self,
         header: str,
--- a/damaskrill/configuration/_faults.py
+++ b/damaskrill/configuration/_faults.py
@@ -35,6 +35,7 @@
     WRONG_VALUE = "wrong_value"
     WRONG_UNIT = "wrong_unit"
     OUT_OF_RANGE = "out_of_range"
+    CONFLICTING_VALUES = "conflicting_values"
     UNKNOWN_REFERENCE = "unknown_reference"
     NO_SERVICE = "no_service"
     MISPLACED_TEAM = "misplaced_team"
@@ -67,6 +68,9 @@
     FaultCode.WRONG_VALUE: "'{key}' is '{value}', but must be {expected}",
     FaultCode.WRONG_UNIT: "'{key}' is '{value}', but its unit must be {expected}",
     FaultCode.OUT_OF_RANGE: "'{key}' is {value}, but must be {expected}",
+    FaultCode.CONFLICTING_VALUES: (
+        "'{key}' is {value}, but must be at least {least}, because of {reason}"
+    ),
     FaultCode.UNKNOWN_REFERENCE: (
         "[{header}] names the {kind} '{name}', which this text does not have"
     ),
--- a/damaskrill/configuration/_settings.py
+++ b/damaskrill/configuration/_settings.py
@@ -29,6 +29,10 @@
 
 MAX_SETTINGS_BYTES = 65_536
 MIN_FLEET_KEY_LENGTH = 8
+# Room in a message for the request beside its body.
+MESSAGE_OVERHEAD_BYTES = 65_536
+# One heartbeat may be late without the connection being given up.
+HEARTBEATS_PER_SILENCE = 2
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 MINUTE_MS = 60_000
 HOUR_MS = 60 * MINUTE_MS
@@ -335,8 +339,38 @@
         values[schema.target].update(read_values(block, schema, faults))
     _check_sections_present(kinds_found, faults)
     faults.raise_if_any()
-    peer_limits = PeerLimits(**values[PeerLimits])
-    return Settings(peer_limits=peer_limits, **values[Settings])
+    settings = Settings(
+        peer_limits=PeerLimits(**values[PeerLimits]), **values[Settings]
+    )
+    _check_conflicts(settings, faults)
+    faults.raise_if_any()
+    return settings
+
+
+def _check_conflicts(settings: Settings, faults: FaultList) -> None:
+    limits = settings.peer_limits
+    _check_at_least(
+        "max_message_bytes",
+        limits.max_message_bytes,
+        settings.max_body_bytes + MESSAGE_OVERHEAD_BYTES,
+        "a request's largest body (max_body_bytes)",
+        faults,
+    )
+    _check_at_least(
+        "silence_timeout_ms",
+        limits.silence_timeout_ms,
+        HEARTBEATS_PER_SILENCE * limits.heartbeat_interval_ms,
+        "the heartbeats in that time (heartbeat_interval_ms)",
+        faults,
+    )
+
+
+def _check_at_least(
+    key: str, value: int, least: int, reason: str, faults: FaultList
+) -> None:
+    if value < least:
+        code = FaultCode.CONFLICTING_VALUES
+        faults.add(0, code, key=key, value=value, least=least, reason=reason)
 
 
 def _check_sections_present(kinds_found: set[str], faults: FaultList) -> None:
--- a/damaskrill/peers/_network.py
+++ b/damaskrill/peers/_network.py
@@ -32,6 +32,7 @@
 CHECK_INTERVAL_S = 0.25
 CLOSE_TIMEOUT_S = 1.0
 PART_TIMEOUT_S = 2.0
+UNREACHABLE_LOG_INTERVAL_MS = 60_000
 MAX_CLOSE_REASON_CHARACTERS = 100
 # A check that comes this much later than the last one shows that this process was
 # paused: the silence of the others then proves nothing.
@@ -116,6 +117,7 @@
         self._server: Any = None
         self._loop: asyncio.AbstractEventLoop | None = None
         self._last_check_ms = clock.now_ms
+        self._unreachable_logged_ms: dict[str, int] = {}
         self._is_stopping = False
 
     @property
@@ -255,11 +257,18 @@
         now_ms = self._clock.now_ms
         was_paused = now_ms - self._last_check_ms >= PAUSE_MS
         self._last_check_ms = now_ms
+        self._forget_old_log_times(now_ms)
         for link in list(self._links):
             if was_paused:
                 link.forgive_silence(now_ms)
             link.check(now_ms)
 
+    def _forget_old_log_times(self, now_ms: int) -> None:
+        oldest_ms = now_ms - UNREACHABLE_LOG_INTERVAL_MS
+        logged = self._unreachable_logged_ms
+        for address in [each for each in logged if logged[each] <= oldest_ms]:
+            del logged[address]
+
     def _options(self) -> dict[str, Any]:
         return {
             "compression": None,
@@ -316,13 +325,21 @@
             self._log("peer_refused", error, address)
         except (OSError, TimeoutError, WebSocketException, ValueError) as error:
             reason = str(error) or type(error).__name__
-            failure = PeerUnreachableError(address=address, reason=reason)
-            self._log("peer_unreachable", failure, address)
+            self._note_unreachable(address, reason)
         finally:
             self._forget_outbox(address, outbox)
             for frame in outbox.take_all():
                 self._report_unsent(address, frame)
 
+    def _note_unreachable(self, address: str, reason: str) -> None:
+        """Log that an address cannot be reached, but not at each of many tries."""
+        now_ms = self._clock.now_ms
+        logged_ms = self._unreachable_logged_ms.get(address)
+        if logged_ms is None or now_ms - logged_ms >= UNREACHABLE_LOG_INTERVAL_MS:
+            self._unreachable_logged_ms[address] = now_ms
+            error = PeerUnreachableError(address=address, reason=reason)
+            self._log("peer_unreachable", error, address)
+
     async def _greet_dialled(self, connection: Any, address: str) -> Member:
         try:
             return await greet_as_dialler(
@@ -389,6 +406,7 @@
             refuse=lambda frame: self._report_unsent(peer.address, frame),
         )
         self._links[link] = None
+        self._unreachable_logged_ms.pop(peer.address, None)
         self._handler.peer_connected(peer)
         try:
             await link.run()
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -39,6 +39,12 @@
     When the first sends a cancel of attempt "a1" to the second
     Then the first hears that the payload for the second was not sent
 
+  Scenario: many tries of an address where nobody listens give one log line a minute
+    Given two peer networks with the fleet key "k1" on loopback
+    And the second has stopped
+    When the first sends 5 cancels to the second, each after the last one failed
+    Then 5 payloads were reported as not sent and 1 log line "peer_unreachable" was written
+
   Scenario: a message above the size limit is not queued
     Given two peer networks with the fleet key "k1" on loopback
     When the first sends a body above the message limit
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -57,3 +57,11 @@
     Given a settings file with only the required keys
     When the settings are read
     Then their printed form does not hold the fleet key
+
+  Scenario: values that do not fit together are refused
+    Given a settings file with only the required keys
+    And in section "callers" the setting "max_body_bytes" is "64 MiB"
+    When the settings are read
+    Then the faults are
+      | line | code               |
+      | 0    | conflicting_values |
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -396,3 +396,23 @@
     assert len(handler.of_kind("payload")) == len(context.others)
     assert context.max_links_seen <= n
     assert handler.of_kind("lost") == []
+
+
+@when("the first sends {n:d} cancels to the second, each after the last one failed")
+def step_many_tries(context, n):
+    handler = context.first.handler
+    for i in range(n):
+        assert context.first.cancel(context.second.address)
+        context.runner.run(
+            wait_until(lambda i=i: len(handler.of_kind("unreachable")) == i + 1)
+        )
+
+
+@then(
+    "{n_unsent:d} payloads were reported as not sent and {n_lines:d} log line "
+    '"{event}" was written'
+)
+def step_one_log_line(context, n_unsent, n_lines, event):
+    assert len(context.first.handler.of_kind("unreachable")) == n_unsent
+    events = [each["extra"].get("event") for each in context.log_records]
+    assert events.count(event) == n_lines, events
--- a/features/text.feature
+++ b/features/text.feature
@@ -142,6 +142,20 @@
       | 16   | unknown_reference |
     And a text fault says "a -> b -> c -> a"
 
+  Scenario: a server that bears more when cold than when warm is refused
+    Given the operators' text
+      """
+      [service a]
+      [backend_servers a]
+      find = host_list
+      bearable_load = 4
+      cold_load = 5
+      """
+    When the text is parsed as version 7
+    Then the text's faults are
+      | line | code               |
+      | 2    | conflicting_values |
+
   Scenario Outline: a text that cannot be read at all has one fault
     Given <kind>
     When the text is parsed as version 7
