Hold a surging team back, keep failing servers out of the mean, prove the decisions

Change: the team with the most slots leaves those that other teams used lately; under a bound by the mean this holds a team back only when it has twice the slots of any other; rested servers are out of the mean; timers are kept in a heap; hashes of nodes are kept.

--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -25,7 +25,9 @@
     n_teams, n_dossiers : int
         How many teams and dossiers they are drawn from.
     prefix : str
-        Begins the names of requests, teams and dossiers.
+        Begins the names of teams, chats and dossiers.
+    name : str
+        Begins the requests' IDs; the prefix if empty.
     deadline_ms : int
         Time that each request has, in milliseconds.
     max_output_tokens : int
@@ -38,6 +40,7 @@
     n_teams: int = 10
     n_dossiers: int = 40
     prefix: str = "steady"
+    name: str = ""
     deadline_ms: int = 20_000
     max_output_tokens: int = 120
 
@@ -54,7 +57,7 @@
         dossier = random.randrange(pattern.n_dossiers)
         first_block = dossier * 1_000
         request = Request(
-            request_id=f"{pattern.prefix}-{n_sent}",
+            request_id=f"{pattern.name or pattern.prefix}-{n_sent}",
             service=SERVICE,
             team=f"{pattern.prefix}-team-{random.randrange(pattern.n_teams)}",
             chat=f"{pattern.prefix}-chat-{dossier}-{random.randrange(10)}",
--- a/benchmarks/_virtual.py
+++ b/benchmarks/_virtual.py
@@ -199,6 +199,7 @@
         self.dispatches: list[DispatchRecord] = []
         self.effects: list[tuple[int, str, Message]] | None = None
         self.n_output_tokens: dict[str, int] = {}
+        self.arrived_at_ms: dict[str, int] = {}
         self.failing: set[str] = set()
         self.n_messages: dict[str, int] = defaultdict(int)
         self._runs: dict[str, tuple[str, str]] = {}
@@ -261,8 +262,7 @@
                     name=spec.name,
                     random_state=self._random.getrandbits(32),
                     bearable_load=spec.bearable_load,
-                    cold_load=spec.cold_load,
-                    **self.engine_parameters,
+                    **{"cold_load": spec.cold_load, **self.engine_parameters},
                 )
                 self._report(spec.name)
         for address in self.kernels:
@@ -272,6 +272,7 @@
         """Let a request arrive at a random router."""
         address = self._random.choice(list(self.kernels))
         self.n_output_tokens[request.request_id] = n_output_tokens
+        self.arrived_at_ms[request.request_id] = at_ms
         self.at(at_ms, lambda: self.decide(address, RequestArrived(request=request)))
 
     def restart_engine(self, name: str) -> None:
--- /dev/null
+++ b/benchmarks/bench_cold.py
@@ -0,0 +1,94 @@
+"""Load of cold servers over what they bear, over many joins, cold turns and flaps."""
+
+from collections.abc import Iterator
+
+from benchmarks._figure import Figure
+from benchmarks._load import LoadPattern, send_pattern
+from benchmarks._virtual import VirtualFleet, build_fleet_text
+from damaskrill.configuration import FleetText
+from damaskrill.messages import Completed, Member
+from damaskrill.utils import check_random_state
+
+CENTRES = ("bole", "kazanchis", "sarbet")
+N_RUNS = 40
+N_TURNS = 25
+N_SERVERS = 6
+N_ROUTERS = 5
+END_MS = 30_000
+DRAIN_MS = 25_000
+# A ramp that starts at the full load stands for a router without a cold start.
+POLICIES = (("ramp", 2), ("no_ramp", 16))
+
+
+def measure(seed: int) -> Iterator[Figure]:
+    """Run a thousand cold turns with the ramp and without one."""
+    for policy, cold_load in POLICIES:
+        n_falls = n_turns = n_requests = n_completed = 0
+        for run in range(N_RUNS):
+            fleet = run_cold(seed * 1_000 + run, cold_load)
+            n_falls += sum(engine.n_falls for engine in fleet.engines.values())
+            n_turns += N_TURNS + 1
+            n_requests += len(fleet.outcomes)
+            n_completed += sum(
+                isinstance(e, Completed) for e in fleet.outcomes.values()
+            )
+        share = n_completed / n_requests
+        yield _figure("cold_turns", policy, n_turns, "times", seed)
+        yield _figure("servers_overwhelmed", policy, n_falls, "times", seed)
+        yield _figure("completed_among_cold_turns", policy, share, "ratio", seed)
+
+
+def run_cold(seed: int, cold_load: int) -> VirtualFleet:
+    """Run servers that join, turn cold, flap, and all turn cold at once."""
+    random = check_random_state(seed)
+    members = [
+        Member(address=f"10.0.0.{n}:7000", data_centre=CENTRES[n % len(CENTRES)])
+        for n in range(N_ROUTERS)
+    ]
+    joining = f"engine-{N_SERVERS - 1}"
+    fleet = VirtualFleet(
+        text=_build_text(1, cold_load, missing=(joining,)),
+        members=members,
+        random_state=seed,
+        engine_parameters={
+            "report_lag_ms": random.choice((0, 500, 2_000)),
+            "cold_load": 2,
+        },
+    )
+    pattern = LoadPattern(end_ms=END_MS, mean_gap_ms=random.choice((30.0, 80.0, 200.0)))
+    send_pattern(fleet, pattern, seed)
+    fleet.at(END_MS // 3, lambda: fleet.publish(_build_text(2, cold_load)))
+    _schedule_turns(fleet, seed)
+    fleet.run_until(END_MS + DRAIN_MS)
+    return fleet
+
+
+def _build_text(
+    version: int, cold_load: int, missing: tuple[str, ...] = ()
+) -> FleetText:
+    return build_fleet_text(
+        n_servers=N_SERVERS,
+        centres=CENTRES,
+        version=version,
+        missing=missing,
+        cold_load=cold_load,
+    )
+
+
+def _schedule_turns(fleet: VirtualFleet, seed: int) -> None:
+    random = check_random_state(seed)
+    flapping = f"engine-{random.randrange(N_SERVERS - 1)}"
+    names = [f"engine-{n}" for n in range(N_SERVERS - 1)]
+    at_once_ms = random.randrange(END_MS)
+    turns = [(at_once_ms, name) for name in names]
+    turns += [(random.randrange(END_MS), flapping) for _ in range(8)]
+    n_left = N_TURNS - len(turns)
+    turns += [(random.randrange(END_MS), random.choice(names)) for _ in range(n_left)]
+    for at_ms, name in turns:
+        fleet.at(at_ms, lambda name=name: fleet.restart_engine(name))  # type: ignore[misc]
+
+
+def _figure(measure: str, policy: str, value: float, unit: str, seed: int) -> Figure:
+    return Figure(
+        measure=measure, policy=policy, value=round(value, 4), unit=unit, seed=seed
+    )
--- /dev/null
+++ b/benchmarks/bench_retries.py
@@ -0,0 +1,70 @@
+"""Tries for each request and goodput while a third of the servers fails."""
+
+from collections.abc import Iterator
+
+from benchmarks._figure import Figure
+from benchmarks._load import LoadPattern, send_pattern
+from benchmarks._virtual import VirtualFleet, build_fleet_text
+from damaskrill.messages import Completed, Member
+
+CENTRES = ("bole", "kazanchis", "sarbet")
+N_ROUTERS = 7
+N_SERVERS = 9
+N_FAILING = 3
+START_MS = 15_000
+END_MS = 60_000
+DRAIN_MS = 30_000
+# With this budget every failure is tried again.
+RETRY_ALWAYS_PERCENT = 100_000
+
+
+def measure(seed: int) -> Iterator[Figure]:
+    """Run with the budget, without retries, and with a retry of everything."""
+    for policy, percent in (
+        ("budget", 10),
+        ("no_retries", 0),
+        ("retry_always", RETRY_ALWAYS_PERCENT),
+    ):
+        fleet = run_retries(seed, percent)
+        n_requests = sum(_is_under_failure(fleet, each) for each in fleet.outcomes)
+        n_tries = sum(
+            _is_under_failure(fleet, each.attempt.request.request_id)
+            for each in fleet.dispatches
+        )
+        n_completed = sum(
+            isinstance(outcome, Completed) and _is_under_failure(fleet, name)
+            for name, outcome in fleet.outcomes.items()
+        )
+        tries = n_tries / n_requests
+        goodput = n_completed / n_requests
+        yield _figure("tries_per_request", policy, tries, "ratio", seed)
+        yield _figure("goodput", policy, goodput, "ratio", seed)
+
+
+def run_retries(seed: int, retry_budget_percent: int) -> VirtualFleet:
+    """Let a third of the servers fail every request after a while."""
+    members = [
+        Member(address=f"10.0.0.{n}:7000", data_centre=CENTRES[n % len(CENTRES)])
+        for n in range(N_ROUTERS)
+    ]
+    text = build_fleet_text(
+        n_servers=N_SERVERS,
+        centres=CENTRES,
+        retry_budget_percent=retry_budget_percent,
+    )
+    fleet = VirtualFleet(text=text, members=members, random_state=seed)
+    send_pattern(fleet, LoadPattern(end_ms=END_MS, mean_gap_ms=40), seed)
+    failing = {f"engine-{n}" for n in range(N_FAILING)}
+    fleet.at(START_MS, lambda: fleet.failing.update(failing))
+    fleet.run_until(END_MS + DRAIN_MS)
+    return fleet
+
+
+def _is_under_failure(fleet: VirtualFleet, request_id: str) -> bool:
+    return fleet.arrived_at_ms[request_id] >= START_MS
+
+
+def _figure(measure: str, policy: str, value: float, unit: str, seed: int) -> Figure:
+    return Figure(
+        measure=measure, policy=policy, value=round(value, 4), unit=unit, seed=seed
+    )
--- a/damaskrill/admission/_owner.py
+++ b/damaskrill/admission/_owner.py
@@ -105,6 +105,11 @@
         self._server_of_attempt: dict[str, OwnedServer] = {}
         self._is_stopping = False
 
+    @property
+    def owned_servers(self) -> list[str]:
+        """Names of the backend servers that this router owns."""
+        return [server.spec.name for server in self._servers]
+
     def decide(self, message: Message, now_ms: int) -> Sequence[Message]:
         """Take one message."""
         match message:
@@ -335,11 +340,12 @@
             n_listed=view.n_listed,
         ):
             return False
-        # Where the mean bounds the load, other servers have room for other teams.
-        if bound.reason is BoundReason.MULTIPLE_OF_MEAN:
-            return True
         return server.shares.may_take(
-            team, n_free=bound.value - load, capacity=bound.value, now_ms=now_ms
+            team,
+            n_free=bound.value - load,
+            capacity=bound.value,
+            now_ms=now_ms,
+            has_alternatives=bound.reason is BoundReason.MULTIPLE_OF_MEAN,
         )
 
     def _causes_of_wait(
--- a/damaskrill/admission/_servers.py
+++ b/damaskrill/admission/_servers.py
@@ -53,8 +53,17 @@
         return self._owned.get(name)
 
     def sum_of(self, service: str, now_ms: int) -> LoadSum:
-        """Return the sum of the loads of the owned servers of a service."""
-        servers = self._by_service.get(service, ())
+        """Return the sum of the loads of the owned servers of a service.
+
+        Notes
+        -----
+        A server that is being rested after failures counts as out of service: its
+        load of nothing would lower the bound on all others just when they have to
+        carry its share.
+        """
+        servers = [
+            each for each in self._by_service.get(service, ()) if each.circuit.is_closed
+        ]
         return LoadSum(
             load_sum=sum(each.load.load_at(now_ms) for each in servers),
             n_servers=len(servers),
--- a/damaskrill/fairness/_team_shares.py
+++ b/damaskrill/fairness/_team_shares.py
@@ -12,6 +12,10 @@
 MAX_TEAMS = 64
 HALF_LIFE_MS = 10_000
 FORGET_BELOW = 0.25
+# With few slots and many teams, exact shares would leave slots empty.
+MIN_FAIR_SLOTS = 2
+# A team surges where it has this many times the slots of any other.
+SURGE_FACTOR = 2
 
 
 @define(kw_only=True)
@@ -31,9 +35,10 @@
 
     Notes
     -----
-    A team that is within its fair share may always take a free slot. Beyond it, a
-    team may only take slots that the other recently active teams do not need for
-    what they used lately. At most ``MAX_TEAMS`` idle teams are remembered.
+    A team that is within its fair share, or has no more slots for its share than
+    another team, may always take a free slot. The team with the most slots may only
+    take those that the other recently active teams do not need for what they used
+    lately. At most ``MAX_TEAMS`` idle teams are remembered.
     """
 
     def __init__(self) -> None:
@@ -69,7 +74,13 @@
         use.n_running -= 1
 
     def may_take(
-        self, spec: TeamSpec, *, n_free: int, capacity: int, now_ms: int
+        self,
+        spec: TeamSpec,
+        *,
+        n_free: int,
+        capacity: int,
+        now_ms: int,
+        has_alternatives: bool = False,
     ) -> bool:
         """Whether a team may take one of the free slots.
 
@@ -83,6 +94,9 @@
             All slots.
         now_ms : int
             Present time in milliseconds.
+        has_alternatives : bool
+            Whether other servers probably have room, so that only a surging team
+            is held back.
         """
         others = [
             use
@@ -93,7 +107,12 @@
         if not others:
             return n_free > 0
         weights = spec.share + sum(use.spec.share for use in others)
-        if self.n_running(spec.name) + 1 <= capacity * spec.share / weights:
+        largest = max(use.n_running / use.spec.share for use in others)
+        allowed = max(largest, capacity / weights) * spec.share
+        n_wanted = self.n_running(spec.name) + 1
+        if n_wanted <= max(MIN_FAIR_SLOTS, allowed):
+            return n_free > 0
+        if has_alternatives and n_wanted <= SURGE_FACTOR * max(1, largest):
             return n_free > 0
         kept = sum(
             _slots_to_keep(use, capacity * use.spec.share / weights, now_ms)
--- a/damaskrill/placement/_affinity.py
+++ b/damaskrill/placement/_affinity.py
@@ -2,17 +2,19 @@
 
 from collections import OrderedDict
 
-import xxhash
-
 from damaskrill.configuration import BackendServerSpec
 from damaskrill.kernel._registry import registry
 from damaskrill.messages import FleetView, Request
 from damaskrill.placement._base import BasePlacementPolicy
+from damaskrill.utils import hash_to_int
 
 __all__ = ["AffinityPlacement"]
 
 MAX_CHOICES = 8
 MAX_CACHED_ORDERS = 2_048
+ODD_MULTIPLIER = 0x9E3779B97F4A7C15
+INDEX_MASK = 0xFFFF
+WEIGHT_MASK = 0xFFFF_FFFF_FFFF_0000
 
 
 @registry.register("placement", "affinity")
@@ -42,7 +44,7 @@
         self.random_state = random_state
         self.max_choices = max_choices
         self._servers: dict[str, tuple[BackendServerSpec, ...]] = {}
-        self._nodes: dict[str, list[tuple[bool, bytes, str]]] = {}
+        self._nodes: dict[str, tuple[_Nodes, _Nodes]] = {}
         self._orders: OrderedDict[tuple[str, str], list[str]] = OrderedDict()
 
     def rank(self, request: Request, view: FleetView) -> list[str]:
@@ -65,23 +67,44 @@
         self, service: str, servers: tuple[BackendServerSpec, ...], view: FleetView
     ) -> None:
         if self._servers.get(service) != servers:
-            self._nodes[service] = [
-                (_is_near(each, view), f"\x00{each.name}".encode(), each.name)
-                for each in servers
-            ]
+            near = [each.name for each in servers if _is_near(each, view)]
+            far = [each.name for each in servers if not _is_near(each, view)]
+            self._nodes[service] = (_Nodes(near), _Nodes(far))
             for key in [key for key in self._orders if key[0] == service]:
                 del self._orders[key]
         self._servers[service] = servers
 
     def _find_order(self, service: str, affinity_key: str) -> list[str]:
-        prefix = affinity_key.encode()
-        digest = xxhash.xxh3_64_intdigest
-        scored = [
-            (is_near, digest(prefix + node), name)
-            for is_near, node, name in self._nodes[service]
+        near, far = self._nodes[service]
+        key_hash = hash_to_int(affinity_key)
+        order = near.rank(key_hash, self.max_choices)
+        return order + far.rank(key_hash, self.max_choices - len(order))
+
+
+class _Nodes:
+    """Names with their hashes, in a form in which many are ranked fast.
+
+    Notes
+    -----
+    The weight of a node for a key is the product of an odd number and the hashes'
+    exclusive or, modulo 2**64. The low bits of the weight are replaced by the
+    node's index, so that plain integers can be sorted.
+    """
+
+    def __init__(self, names: list[str]) -> None:
+        self._names = names
+        self._hashes = [hash_to_int(name) for name in names]
+
+    def rank(self, key_hash: int, n_best: int) -> list[str]:
+        """Return the names with the highest weights for a key."""
+        if n_best <= 0:
+            return []
+        weights = [
+            ((key_hash ^ node) * ODD_MULTIPLIER & WEIGHT_MASK) + index
+            for index, node in enumerate(self._hashes)
         ]
-        scored.sort(reverse=True)
-        return [name for _, _, name in scored[: self.max_choices]]
+        weights.sort(reverse=True)
+        return [self._names[each & INDEX_MASK] for each in weights[:n_best]]
 
 
 def _is_near(server: BackendServerSpec, view: FleetView) -> bool:
--- a/damaskrill/routing/_entry.py
+++ b/damaskrill/routing/_entry.py
@@ -1,5 +1,6 @@
 """Entry's side of each request: choices, retries and the one outcome."""
 
+import heapq
 from collections.abc import Callable, Sequence
 
 from damaskrill.base import BaseDecider
@@ -64,6 +65,7 @@
 DEADLINE_GRACE_MS = 300
 ROUND_DELAY_MS = 200
 RETRY_DELAY_MS = 50
+MIN_TIMER_MS = 100
 
 
 @registry.register("decider", "entry")
@@ -111,6 +113,7 @@
         self._resting = RestingServers()
         self._budgets: dict[str, RetryBudget] = {}
         self._open: dict[str, OpenRequest] = {}
+        self._timers: list[tuple[int, str]] = []
         self._request_of_attempt: dict[str, str] = {}
         self._is_stopping = False
         self._n_late_answers = 0
@@ -236,6 +239,8 @@
             resume_offset=state.n_bytes,
         )
         state.attempt = attempt
+        state.next_offer_at_ms = 0
+        self._set_timer(state, now_ms)
         self._request_of_attempt[attempt.attempt_id] = request.request_id
         offer = OfferAttempt(
             attempt_id=attempt.attempt_id,
@@ -268,6 +273,7 @@
             return self._give_up(state, now_ms)
         delay_ms = ROUND_DELAY_MS + self._random.randrange(ROUND_DELAY_MS)
         state.next_offer_at_ms = now_ms + delay_ms
+        self._set_timer(state, now_ms)
         return ()
 
     def _offer_again(self, state: OpenRequest, now_ms: int) -> Sequence[Message]:
@@ -430,6 +436,7 @@
         spread_ms = RETRY_DELAY_MS << state.n_tries
         delay_ms = RETRY_DELAY_MS + self._random.randrange(spread_ms)
         state.next_offer_at_ms = now_ms + delay_ms
+        self._set_timer(state, now_ms)
         return (event,)
 
     def _is_repeatable(self, request: Request) -> bool:
@@ -475,12 +482,33 @@
 
     def _tick(self, now_ms: int) -> Sequence[Message]:
         results: list[Message] = []
-        for state in list(self._open.values()):
+        while self._timers and self._timers[0][0] <= now_ms:
+            _, request_id = heapq.heappop(self._timers)
+            state = self._open.get(request_id)
+            if state is None:
+                continue
             results.extend(self._check_time(state, now_ms))
+            if request_id in self._open:
+                self._set_timer(state, now_ms)
         if self._is_stopping:
             results.append(OpenWork(part="entry", n_open=len(self._open)))
         return results
 
+    def _set_timer(self, state: OpenRequest, now_ms: int) -> None:
+        """Have a request checked when something is next due."""
+        attempt = state.attempt
+        due_ms = state.request.deadline_ms
+        if attempt is None:
+            due_ms = min(due_ms, state.next_offer_at_ms or due_ms)
+        else:
+            due_ms += DEADLINE_GRACE_MS
+            if attempt.stage is Stage.OFFERED:
+                silent_ms = attempt.offered_at_ms + OFFER_REPLY_TIMEOUT_MS
+                due_ms = min(due_ms, silent_ms)
+        # What is overdue waits for a message, so that it is looked at again later.
+        due_ms = max(due_ms, now_ms + MIN_TIMER_MS)
+        heapq.heappush(self._timers, (due_ms, state.request.request_id))
+
     def _check_time(self, state: OpenRequest, now_ms: int) -> Sequence[Message]:
         attempt = state.attempt
         if attempt is None:
--- a/damaskrill/routing/_plan.py
+++ b/damaskrill/routing/_plan.py
@@ -9,7 +9,7 @@
 
 N_SPILL_CHOICES = 5
 # Waiting at the first choice saves the processing of the cached part of the prompt.
-PATIENCE_US_PER_PROMPT_TOKEN = 150
+PATIENCE_US_PER_PROMPT_TOKEN = 200
 MAX_PATIENCE_MS = 2_000
 US_PER_MS = 1_000
 
