Take control traffic, links and chunks into the page of capacity

Slopes of control bytes, spread of texts and calls on the configuration service are read by their names; until they are stored the page says that they are not measured. Idle servers without a queue are passed over in the owner's regular turn.

--- a/benchmarks/_capacity.py
+++ b/benchmarks/_capacity.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 from attrs import frozen
 
@@ -87,7 +88,7 @@
     def __init__(self, results: Sequence[StoredFigure]) -> None:
         self._figures = [each.figure for each in results]
 
-    def find(self, measure: str, policy: str = "", **parameters: float) -> float | None:
+    def find(self, measure: str, policy: str = "", **parameters: Any) -> float | None:
         """Return the value whose parameters fit; None if there is none."""
         for figure in self._figures:
             fits = figure.measure == measure and policy in ("", figure.policy)
@@ -202,26 +203,35 @@
 
 
 def _relay_values(slopes: _Slopes, target: Target) -> dict[str, str]:
-    per_chunk_us = slopes.find("relay_time_per_chunk")
+    per_chunk_us = slopes.find("peer_chunk_of_200_bytes_both_ends")
+    per_end_us = _scaled(per_chunk_us, 0.5)
+    link_kb = slopes.find("peer_link_memory_one_end")
+    core_percent = target.tokens_per_node / US_PER_S * PERCENT
     return {
         "relay_chunk": _show(per_chunk_us, "us"),
-        "relay_entry": NOT_MEASURED,
-        "relay_breaks": "the processor time of one process",
+        "relay_end_us": _show(per_end_us, "us"),
+        "relay_core": _show(_scaled(per_end_us, core_percent), "% of a core"),
+        "link_kb": _show(link_kb, "KB"),
+        "links_mb": _show(_scaled(link_kb, (target.n_nodes - 1) / KB_PER_MB), "MB"),
     }
 
 
 def _fleet_values(slopes: _Slopes, target: Target) -> dict[str, str]:
-    n_routers = target.n_nodes
+    n_members = target.n_nodes
+
+    def find(measure: str, unit: str, **parameters: Any) -> str:
+        value = slopes.find(measure, n_members=n_members, **parameters)
+        return _show(value, unit)
+
+    by_class = "control_bytes_by_class"
     return {
-        "in_force": _show(slopes.find("text_in_force_time", n_members=n_routers), "ms"),
-        "service_calls": _show(slopes.find("service_calls", n_members=n_routers), "/s"),
-        "text_bytes_per_s": _show(
-            slopes.find("text_bytes", n_members=n_routers), "B/s"
-        ),
-        "member_bytes": _show(slopes.find("control_bytes", n_members=n_routers), "B/s"),
-        "member_core": _show(
-            slopes.find("control_processor_share", n_members=n_routers), "%"
-        ),
+        "in_force": find("text_in_force_everywhere", "ms"),
+        "service_calls": find("configuration_service_calls", "/s"),
+        "text_bytes_per_s": find(by_class, "B/s", control_class="configuration"),
+        "member_bytes": find(by_class, "B/s", control_class="membership"),
+        "load_bytes": find(by_class, "B/s", control_class="load"),
+        "control_bytes": find("control_bytes_per_router_and_second", "B/s"),
+        "control_core": find("control_processor_share", "% of a core"),
     }
 
 
--- a/damaskrill/admission/_owner.py
+++ b/damaskrill/admission/_owner.py
@@ -598,8 +598,9 @@
     def _tick(self, now_ms: int) -> Sequence[Message]:
         results: list[Message] = []
         for server in list(self._servers):
-            results.extend(self._expire(server, now_ms))
-            results.extend(self._drain(server, now_ms))
+            if server.queue:
+                results.extend(self._expire(server, now_ms))
+                results.extend(self._drain(server, now_ms))
         results.extend(self._read_loads(now_ms))
         for service in self._means.services_to_tell(self._servers.by_service):
             own = self._servers.sum_of(service, now_ms)
