--- a/damaskrill/relay/_outgoing.py
+++ b/damaskrill/relay/_outgoing.py
@@ -4,6 +4,7 @@
 from abc import ABC, abstractmethod
 from typing import Protocol
 
+from damaskrill.exceptions import DamaskrillError
 from damaskrill.messages import AnswerHead, PeerPayload
 from damaskrill.relay._entry import EntryRelay
 
@@ -114,6 +115,7 @@
         self._waiting: list[bytes] = []
         self._n_waiting_bytes = 0
         self._pump: asyncio.Task[None] | None = None
+        self._is_broken = False
 
     @property
     def is_congested(self) -> bool:
@@ -129,6 +131,8 @@
 
     def write(self, data: bytes) -> None:
         """Send the next bytes."""
+        if self._is_broken:
+            return
         self._waiting.append(data)
         self._n_waiting_bytes += len(data)
         if self._pump is None:
@@ -157,5 +161,10 @@
                     self._address, self._stream_id, offset, data
                 )
                 self._n_waiting_bytes -= len(data)
+        except DamaskrillError:
+            # The entry hears that this router is lost and asks anew; nothing that is
+            # sent after a gap would be of use to it.
+            self._is_broken = True
+            self._waiting.clear()
         finally:
             self._pump = None
--- a/damaskrill/runtime/_process.py
+++ b/damaskrill/runtime/_process.py
@@ -376,6 +376,8 @@
             "late_chunks_dropped": self._relay.n_dropped_chunks,
             "load_reports_unread": self._reports.n_failed,
             "connections_to_routers": self._network.n_links,
+            "chunks_sent_to_routers": self._network.counters.n_sent["Chunk"],
+            "chunks_received_from_routers": self._network.counters.n_received["Chunk"],
         }
 
     def _take_view(self, view: FleetView) -> None:
