--- a/damaskrill/admission/_owner.py
+++ b/damaskrill/admission/_owner.py
@@ -62,7 +62,7 @@
 MIN_CACHED_PERCENT = 75
 READ_INTERVAL_MS = 500
 # Bounds the control traffic of a router that owns many servers.
-READS_PER_S = 10
+READS_PER_S = 5
 
 
 @registry.register("decider", "owner")
--- a/damaskrill/admission/_ramp.py
+++ b/damaskrill/admission/_ramp.py
@@ -60,6 +60,7 @@
         self._n_finished = 0
         self._n_reported = 0
         self._n_reported_base = 0
+        self._ignores_past = False
         self._reported_load = 0
         self._peak_pace = 0.0
         self._n_slow = 0
@@ -81,6 +82,13 @@
         per_step = self.requests_per_step << min(max(0, n_turns - 1), MAX_DOUBLINGS)
         return min(self.bearable_load, self.cold_load + n_finished // per_step)
 
+    def ignore_past(self) -> None:
+        """Count no work that the server finished before its next report."""
+        self._ignores_past = True
+        self._n_finished = 0
+        self._n_reported = 0
+        self._reported_load = 0
+
     def note_finished(self, started_at_ms: int) -> None:
         """Count a request that the server has finished.
 
@@ -154,6 +162,9 @@
         """
         if report.measured_at_ms <= self._cold_at_ms and self._is_same(report):
             return None
+        if self._ignores_past:
+            self._ignores_past = False
+            self._n_reported_base = report.n_finished
         reason = self._find_turn(report, min_own_load)
         if reason is not None:
             self._turn_cold(reason, now_ms)
--- a/damaskrill/admission/_servers.py
+++ b/damaskrill/admission/_servers.py
@@ -10,6 +10,9 @@
 
 __all__ = ["OwnedServers"]
 
+# How long a server that is gained counts as one of a data centre that has come back.
+RETURN_MEMORY_MS = 60_000
+
 
 class OwnedServers:
     """Gains and loses servers with the view.
@@ -107,11 +110,17 @@
         if server is not None and server.spec.address == spec.address:
             server.update(spec, limits)
             return server
+        returned_at_ms = view.returned_at_ms.get(spec.data_centre)
+        has_returned = (
+            returned_at_ms is not None and now_ms - returned_at_ms < RETURN_MEMORY_MS
+        )
         back = self._lost.pop(spec.name, None)
         if back is not None and back.spec.address == spec.address:
             back.update(spec, limits)
             back.gained_at_ms = now_ms
             back.awaits_report = True
+            if has_returned:
+                back.ramp.ignore_past()
             return back
         gained = OwnedServer(
             spec=spec,
@@ -121,4 +130,8 @@
             awaits_report=view.n_listed > 1 or len(view.members) > 1,
         )
         gained.update(spec, limits)
+        # After its data centre's return a server starts at its cold load, so that not
+        # all chats come back at once.
+        if has_returned:
+            gained.ramp.ignore_past()
         return gained
--- a/damaskrill/control/_budget.py
+++ b/damaskrill/control/_budget.py
@@ -6,7 +6,7 @@
 import attrs
 
 from damaskrill.control._classes import ControlClass, control_class_of, size_of
-from damaskrill.messages import Message, PeerDelivered, SendToPeer
+from damaskrill.messages import Message, PeerDelivered, ReadLoad, SendToPeer
 
 __all__ = ["ControlBudget"]
 
@@ -24,6 +24,8 @@
     ControlClass.LOAD: 20,
     ControlClass.REST: 40,
 }
+# Reads of loads give way before the sums, which owners' bounds depend on.
+LOAD_READ_RESERVE_PERCENT = 30
 # Load sums are superseded by the next ones; the other classes wait their turn.
 DROPPED_CLASSES = frozenset({ControlClass.MEMBERSHIP, ControlClass.LOAD})
 
@@ -126,7 +128,7 @@
     def _release(self) -> list[Message]:
         released: list[Message] = []
         for control_class, waiting in self._deferred.items():
-            while waiting and self._may_spend(control_class):
+            while waiting and self._may_spend(control_class, waiting[0]):
                 effect = waiting.popleft()
                 self._spend(effect, control_class)
                 released.append(effect)
@@ -134,7 +136,7 @@
 
     def _admit(self, effect: Message, control_class: ControlClass) -> bool:
         waiting = self._deferred[control_class]
-        if not waiting and self._may_spend(control_class):
+        if not waiting and self._may_spend(control_class, effect):
             self._spend(effect, control_class)
             return True
         account = self._accounts[control_class]
@@ -145,9 +147,11 @@
         waiting.append(effect)
         return False
 
-    def _may_spend(self, control_class: ControlClass) -> bool:
-        reserve = self._burst_bytes * RESERVE_PERCENT[control_class] / 100
-        return self._tokens > reserve
+    def _may_spend(self, control_class: ControlClass, effect: Message) -> bool:
+        percent = RESERVE_PERCENT[control_class]
+        if isinstance(effect, ReadLoad):
+            percent = LOAD_READ_RESERVE_PERCENT
+        return self._tokens > self._burst_bytes * percent / 100
 
     def _spend(self, effect: Message, control_class: ControlClass) -> None:
         payload = effect.payload if isinstance(effect, SendToPeer) else effect
--- a/damaskrill/kernel/_plugins.py
+++ b/damaskrill/kernel/_plugins.py
@@ -12,6 +12,7 @@
     "damaskrill.admission",
     "damaskrill.routing",
     "damaskrill.actions",
+    "damaskrill.orders",
     "damaskrill.stopping",
 )
 
--- a/damaskrill/kernel/_view.py
+++ b/damaskrill/kernel/_view.py
@@ -7,10 +7,12 @@
 from damaskrill.base import BaseDecider
 from damaskrill.configuration._model import BackendServerSpec, FleetText
 from damaskrill.messages import (
+    EventName,
     FleetView,
     FleetViewChanged,
     HostEntry,
     HostListRead,
+    LoggedEvent,
     Member,
     MembersChanged,
     Message,
@@ -46,8 +48,7 @@
         previous = self._view
         match message:
             case TextAccepted(text=text):
-                self._text = text
-                self._select_servers()
+                return self._take_text(text, now_ms)
             case HostListRead(hosts=hosts) if hosts != self._hosts:
                 self._hosts = hosts
                 self._select_servers()
@@ -63,6 +64,17 @@
             return ()
         return (FleetViewChanged(view=self._view),)
 
+    def _take_text(self, text: FleetText, now_ms: int) -> Sequence[Message]:
+        events = _compare_data_centres(self._text, text)
+        returned = dict(self._view.returned_at_ms)
+        for event in events:
+            if event.name is EventName.DATA_CENTRE_BACK:
+                returned[event.data_centre] = now_ms
+        self._text = text
+        self._view = attrs.evolve(self._view, returned_at_ms=returned)
+        self._select_servers()
+        return [FleetViewChanged(view=self._view), *events]
+
     def _select_servers(self) -> None:
         leaving = frozenset(host.address for host in self._hosts if host.leaving)
         text = self._text
@@ -125,3 +137,21 @@
             leaving=host.leaving,
         )
     return found
+
+
+def _compare_data_centres(previous: FleetText, text: FleetText) -> list[LoggedEvent]:
+    events = []
+    for name, centre in text.data_centres.items():
+        before = previous.data_centres.get(name)
+        was_in_service = before is None or before.in_service
+        if was_in_service == centre.in_service:
+            continue
+        back = centre.in_service
+        events.append(
+            LoggedEvent(
+                name=EventName.DATA_CENTRE_BACK if back else EventName.DATA_CENTRE_OUT,
+                data_centre=name,
+                text_version=text.version,
+            )
+        )
+    return events
--- a/damaskrill/membership/_decider.py
+++ b/damaskrill/membership/_decider.py
@@ -164,7 +164,7 @@
                 )
                 return (self._send_probe(probe),)
             case MembersTold():
-                self._take_news(payload.news, now_ms)
+                self._take_members(payload.news, now_ms)
                 self._was_told = self._was_told or payload.is_last
         return ()
 
@@ -308,6 +308,16 @@
             else:
                 self._check_other_process(news)
 
+    def _take_members(self, members: Sequence[MemberNews], now_ms: int) -> None:
+        # That a router is alive is passed on by those who found it out; what a whole
+        # list says need not be repeated by everyone who is sent one.
+        for news in members:
+            if news.state is not MemberState.ALIVE:
+                self._take_news((news,), now_ms)
+            elif news.address != self._own.address:
+                if not self._table.take_news(news, now_ms):
+                    self._check_other_process(news)
+
     def _check_other_process(self, news: MemberNews) -> None:
         entry = self._table.get(news.address)
         is_other = entry is not None and entry.incarnation != news.incarnation
--- a/damaskrill/messages/_view.py
+++ b/damaskrill/messages/_view.py
@@ -27,6 +27,8 @@
         Whether the view is fresh enough to admit work.
     leaving_addresses : frozenset of str
         Backend servers that the host list names as leaving.
+    returned_at_ms : dict of str to int
+        When each data centre that had been taken out came back, in milliseconds.
     servers_by_service : dict of str to tuple of BackendServerSpec
         Backend servers of each service that may receive new work.
     """
@@ -38,6 +40,7 @@
     n_reachable: int = 1
     trusted: bool = True
     leaving_addresses: frozenset[str] = frozenset()
+    returned_at_ms: dict[str, int] = field(factory=dict)
     servers_by_service: dict[str, tuple[BackendServerSpec, ...]] = field(factory=dict)
 
 
--- /dev/null
+++ b/damaskrill/orders/__init__.py
@@ -0,0 +1,6 @@
+"""Orders to engines: what to load, by which text."""
+
+from damaskrill.orders._decider import EngineOrders
+from damaskrill.orders._schedule import LOAD_SLOT_MS, desired_orders, orders_in_slot
+
+__all__ = ["LOAD_SLOT_MS", "EngineOrders", "desired_orders", "orders_in_slot"]
--- /dev/null
+++ b/features/orders.feature
@@ -0,0 +1,36 @@
+Feature: Engines are ordered what to load by the text alone
+  Two routers that both send an order send the same one, and few engines load at once.
+
+  Scenario: orders depend on the text and the host list alone
+    Given a text with 20 engines of a model, and 3 routers
+    Then all routers work out the same orders with the text's version
+
+  Scenario: the number of engines that load at once is bounded over the whole fleet
+    Given a text with 20 engines of a model, and 3 routers
+    When the routers run through all time slots for orders
+    Then every engine was ordered by one router
+    And no time slot has orders for more than 4 engines
+
+  Scenario: routers whose views differ send the same orders twice at most
+    Given a text with 20 engines of a model, and 3 routers
+    And router 1 takes itself for alone
+    When the routers run through all time slots for orders
+    Then no engine got two different orders
+    And no time slot has orders for more than 4 engines
+
+  Scenario: a leaving engine and one in a data centre that is out get no order
+    Given a text with 20 engines of a model, and 3 routers
+    And 2 of the engines are leaving
+    When the routers run through all time slots for orders
+    Then 18 engines were ordered
+
+  Scenario: a service without a model gets no orders
+    Given a text with 20 engines without a model, and 3 routers
+    When the routers run through all time slots for orders
+    Then 0 engines were ordered
+
+  Scenario: a process that does not trust its view sends no orders
+    Given a text with 20 engines of a model, and 3 routers
+    And no router trusts its view
+    When the routers run through all time slots for orders
+    Then 0 engines were ordered
