--- /dev/null
+++ b/features/support/processes.py
@@ -0,0 +1,231 @@
+"""Router processes on loopback, and callers that use them while they fail."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from itertools import count
+from pathlib import Path
+
+from attrs import define, field
+
+from damaskrill.demo import LoopbackFleet, Reply
+from damaskrill.demo._client import send_request
+from damaskrill.fakes import build_chat_answer
+from damaskrill.messages import HostEntry
+
+ROOT = Path(__file__).resolve().parents[2]
+DATA_CENTRES = ("bole", "kazanchis", "sarbet")
+FLEET_KEY = "a key for loopback only"
+WAIT_S = 40
+POLL_S = 0.05
+DEADLINE_MS = 20_000
+N_CALLERS = 12
+N_REQUESTS_PER_CALLER = 20
+MAX_TOKENS = 50
+PAUSE_S = 10
+
+
+def wait_for(condition):
+    """Wait until a condition holds and return its value."""
+    ends_at = time.monotonic() + WAIT_S
+    while time.monotonic() < ends_at:
+        result = condition()
+        if result:
+            return result
+        time.sleep(POLL_S)
+    raise AssertionError("the condition did not come about")
+
+
+def free_address():
+    """Return an address on loopback that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@define(kw_only=True, slots=False)
+class ServedRouter:
+    """One ``damaskrill serve`` process.
+
+    Parameters
+    ----------
+    data_centre, peer_address : str
+        As in its settings.
+    fleet : LoopbackFleet
+        Stand-ins that it works with.
+    """
+
+    data_centre: str
+    peer_address: str
+    fleet: LoopbackFleet
+
+    def start(self):
+        """Start the process and wait for the port of its caller interface."""
+        self.folder = Path(tempfile.mkdtemp(prefix="damaskrill-five-"))
+        settings = self.folder / "settings.ini"
+        settings.write_text(self._settings(), encoding="utf-8")
+        with open(self.folder / "stderr", "wb") as errors:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "damaskrill", "serve", "--settings", settings],
+                cwd=ROOT,
+                stdout=subprocess.DEVNULL,
+                stderr=errors,
+            )
+        started = wait_for(lambda: self._events("process_started"))
+        self.caller_port = started[0]["caller_port"]
+
+    def _settings(self):
+        platform = self.fleet.platform
+        return f"""\
+[process]
+data_centre = {self.data_centre}
+[callers]
+caller_address = 127.0.0.1:0
+[peers]
+peer_address = {self.peer_address}
+fleet_key = {FLEET_KEY}
+[platform]
+configuration_service_url = {platform.text_url}
+host_list_url = {platform.host_list_url}
+"""
+
+    def _events(self, name):
+        lines = (self.folder / "stderr").read_text(encoding="utf-8").splitlines()
+        return [each for each in map(json.loads, lines) if each["event"] == name]
+
+    def is_ready(self):
+        """Whether it would take callers."""
+        return send_request(self.caller_port, "/readyz", None, {}).status == 200
+
+    def end(self):
+        """End the process at once, if it still runs."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
+
+
+@define(kw_only=True)
+class CallRecord:
+    """One call and what became of it."""
+
+    router: ServedRouter
+    body: bytes
+    permit: str = ""
+    reply: Reply | None = None
+    error: Exception | None = None
+
+
+@define(kw_only=True, slots=False)
+class CallersUnderFaults:
+    """Callers that send chats and actions while processes are ended and paused.
+
+    Parameters
+    ----------
+    routers : list of ServedRouter
+        Five routers.
+    """
+
+    routers: list
+    records: list = field(factory=list)
+    n_permits: int = 0
+
+    def __attrs_post_init__(self):
+        self._lock = threading.Lock()
+        self._turns = count()
+
+    def run(self, faults):
+        """Send all requests; begin each fault after its number of calls."""
+        threads = [
+            threading.Thread(target=self._bring_about, args=(n_calls, fault))
+            for n_calls, fault in faults
+        ]
+        for thread in threads:
+            thread.start()
+        with ThreadPoolExecutor(N_CALLERS) as pool:
+            callers = [pool.submit(self._call_often, n) for n in range(N_CALLERS)]
+        for thread in threads:
+            thread.join()
+        for caller in callers:
+            caller.result()
+
+    def _bring_about(self, n_calls, fault):
+        wait_for(lambda: len(self.records) >= n_calls)
+        fault()
+
+    def _call_often(self, caller):
+        for n in range(N_REQUESTS_PER_CALLER):
+            if n % 4 == 3:
+                self._call_action(caller, n)
+            else:
+                self._call_chat(caller, n)
+
+    def _next_router(self):
+        return self.routers[next(self._turns) % len(self.routers)]
+
+    def _call_chat(self, caller, n):
+        content = {
+            "model": "dossier-review",
+            "messages": [{"role": "user", "content": f"Review dossier {caller % 4}."}],
+            "stream": n % 2 == 0,
+            "max_tokens": MAX_TOKENS,
+        }
+        body = json.dumps(content).encode()
+        record = CallRecord(router=self._next_router(), body=body)
+        self._call(record, "/v1/chat/completions", {})
+
+    def _call_action(self, caller, n):
+        permit = self._ask_permit()
+        if not permit:
+            return
+        body = json.dumps({"channel": f"{caller}-{n}"}).encode()
+        headers = {"Damaskrill-Permit": permit}
+        sendings = [
+            CallRecord(router=self._next_router(), body=body, permit=permit)
+            for _ in range(2)
+        ]
+        with ThreadPoolExecutor(len(sendings)) as pool:
+            for record in sendings:
+                pool.submit(self._call, record, "/v1/services/issuance", headers)
+
+    def _ask_permit(self):
+        body = json.dumps({"service": "issuance"}).encode()
+        try:
+            reply = send_request(
+                self._next_router().caller_port, "/v1/permits", body, {}
+            )
+        except OSError:
+            return ""
+        return json.loads(reply.content).get("permit", "")
+
+    def _call(self, record, path, headers):
+        headers = {**headers, "Damaskrill-Deadline-Ms": str(DEADLINE_MS)}
+        try:
+            record.reply = send_request(
+                record.router.caller_port, path, record.body, headers
+            )
+        except Exception as error:
+            record.error = error
+        with self._lock:
+            self.records.append(record)
+
+
+def is_whole(record):
+    """Whether a completed chat has exactly the answer to its own request."""
+    reply = record.reply
+    parts = build_chat_answer(record.body, reply.request_id)
+    return reply.content == b"".join(parts)
+
+
+def build_hosts(routers):
+    """Return the host list's lines for the routers."""
+    return tuple(
+        HostEntry(address=each.peer_address, data_centre=each.data_centre)
+        for each in routers
+    )
