Count towards the mean only work that is known to have arrived

Change: a server that gives no sign of life counts with no load, its number stays for the time of a take-over, and a sum counts for two intervals of its sender.

--- a/damaskrill/admission/_means.py
+++ b/damaskrill/admission/_means.py
@@ -10,6 +10,7 @@
 __all__ = ["LoadSum", "MeanLoads"]
 
 KNOWN_VALID_MS = 5_000
+KNOWN_FRESH_MS = 2_500
 MIN_EMIT_INTERVAL_MS = 100
 MAX_EMIT_INTERVAL_MS = 1_000
 # Bounds the control traffic of a router with servers of many services.
@@ -17,6 +18,8 @@
 # Age that the sums of the other routers commonly have.
 LAG_MS = 100
 DROP_MEMORY_MS = 300
+# Time in which a server whose owner has failed finds another owner.
+TAKE_OVER_MS = 5_000
 
 
 @frozen(kw_only=True)
@@ -35,6 +38,8 @@
     drops: deque[tuple[int, int]] = field(factory=deque)
     emitted: LoadSum = LoadSum()
     emitted_at_ms: int = -MAX_EMIT_INTERVAL_MS
+    n_servers_seen: int = 0
+    n_servers_seen_at_ms: int = 0
 
 
 class MeanLoads:
@@ -61,8 +66,10 @@
         state.known_at_ms = now_ms
         _note_drop(state, now_ms)
 
-    def join(self, service: str, own: LoadSum, now_ms: int) -> LoadSum:
-        """Return the sum over all servers of a service that are known.
+    def join(
+        self, service: str, own: LoadSum, n_in_service: int, now_ms: int
+    ) -> LoadSum:
+        """Return the sum over all servers of a service.
 
         Parameters
         ----------
@@ -70,14 +77,35 @@
             The service.
         own : LoadSum
             Present loads of the servers that this router owns.
+        n_in_service : int
+            Servers that may receive new work.
         now_ms : int
             Present time in milliseconds.
+
+        Notes
+        -----
+        A server that no router tells of any more still counts, without load, for
+        as long as it may be between two owners. After that it is taken for failed;
+        to count it longer would lower the bound of the others step by step.
         """
+        known = self._known_sum(service, own, now_ms)
+        state = self._services.setdefault(service, _ServiceMeans())
+        is_old = now_ms - state.n_servers_seen_at_ms > TAKE_OVER_MS
+        if known.n_servers >= state.n_servers_seen or is_old:
+            state.n_servers_seen = known.n_servers
+            state.n_servers_seen_at_ms = now_ms
+        n_servers = min(state.n_servers_seen, n_in_service)
+        return LoadSum(
+            load_sum=known.load_sum, n_servers=max(known.n_servers, n_servers)
+        )
+
+    def _known_sum(self, service: str, own: LoadSum, now_ms: int) -> LoadSum:
         state = self._services.get(service)
         if state is None or now_ms - state.known_at_ms > KNOWN_VALID_MS:
             return own
         drop = max((each for _, each in state.drops), default=0)
-        elsewhere = max(0, state.elsewhere.load_sum - drop)
+        is_fresh = now_ms - state.known_at_ms <= KNOWN_FRESH_MS
+        elsewhere = max(0, state.elsewhere.load_sum - drop) if is_fresh else 0
         return LoadSum(
             load_sum=own.load_sum + elsewhere,
             n_servers=own.n_servers + state.elsewhere.n_servers,
--- a/damaskrill/admission/_owner.py
+++ b/damaskrill/admission/_owner.py
@@ -320,8 +320,10 @@
         return server.bound(sums, self._view.text.limits, now_ms)
 
     def _service_sum(self, service: str, now_ms: int) -> LoadSum:
+        assert self._view is not None
         own = self._servers.sum_of(service, now_ms)
-        return self._means.join(service, own, now_ms)
+        n_in_service = len(self._view.servers_by_service.get(service, ()))
+        return self._means.join(service, own, n_in_service, now_ms)
 
     def _can_take(
         self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
@@ -443,6 +445,7 @@
         running = server.running.get(first.attempt_id) if server is not None else None
         if server is None or running is None:
             return ()
+        server.note_first_token(first.attempt_id, now_ms)
         n_prompt_tokens = running.offer.request.n_prompt_tokens
         server.limit.note_first_token(
             latency_ms=first.latency_ms, n_prompt_tokens=n_prompt_tokens
@@ -524,6 +527,8 @@
         now_ms: int,
     ) -> list[Message]:
         results: list[Message] = []
+        if failure.n_bytes_sent == 0:
+            server.note_unreachable()
         if failure.connection_reset:
             results.extend(self._log_cold(server, server.ramp.note_reset(now_ms)))
             server.turn_cold()
@@ -642,6 +647,7 @@
             if server.next_read_ms <= now_ms:
                 jitter_ms = self._random.randrange(interval_ms // 5)
                 server.next_read_ms = now_ms + interval_ms - jitter_ms
+                server.read_interval_ms = interval_ms
                 results.append(
                     ReadLoad(
                         backend_server=server.spec.name, address=server.spec.address
--- a/damaskrill/admission/_server.py
+++ b/damaskrill/admission/_server.py
@@ -20,6 +20,10 @@
 FIRST_SERVICE_MS = 1_000
 SERVICE_TIME_WEIGHT = 0.1
 REPORT_TRAVEL_MS = 500
+# Age of the last sign of life up to which work that was just sent counts as arrived.
+ANSWER_VALID_MS = 700
+# Reports that may be missed before all that runs there counts as ended.
+N_REPORTS_MISSED = 3
 
 
 @frozen(kw_only=True)
@@ -59,6 +63,9 @@
     running: dict[str, RunningAttempt] = field(factory=dict, init=False)
     mean_service_ms: float = field(default=FIRST_SERVICE_MS, init=False)
     next_read_ms: int = field(default=0, init=False)
+    read_interval_ms: int = field(default=500, init=False)
+    _answered_at_ms: int = field(default=-ANSWER_VALID_MS, init=False)
+    _answering: set[str] = field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.load = ServerLoad()
@@ -111,6 +118,37 @@
             concurrency_bound=self.limit.limit,
         )
 
+    def load_for_mean(self, now_ms: int) -> int:
+        """Return the load that counts towards the mean of the service.
+
+        Parameters
+        ----------
+        now_ms : int
+            Present time in milliseconds.
+
+        Returns
+        -------
+        int
+            The load without the work that may never arrive there; that must not
+            raise the bound of other servers.
+        """
+        silent_ms = now_ms - self._answered_at_ms
+        if silent_ms <= ANSWER_VALID_MS:
+            return self.load.load_at(now_ms)
+        if silent_ms > N_REPORTS_MISSED * self.read_interval_ms:
+            return 0
+        n_of_others = self.load.load_at(now_ms) - self.load.n_own
+        return n_of_others + len(self._answering)
+
+    def note_first_token(self, attempt_id: str, now_ms: int) -> None:
+        """Count an attempt as arrived."""
+        self._answered_at_ms = now_ms
+        self._answering.add(attempt_id)
+
+    def note_unreachable(self) -> None:
+        """Take back that the server gave a sign of life."""
+        self._answered_at_ms = -ANSWER_VALID_MS
+
     def begin(self, waiting: QueuedAttempt, now_ms: int) -> RunningAttempt:
         """Count an attempt that is being sent."""
         if self.load.n_own == 0:
@@ -132,12 +170,14 @@
     def end(self, attempt_id: str, now_ms: int) -> RunningAttempt:
         """Count an attempt that has ended in any way."""
         running = self.running.pop(attempt_id)
+        self._answering.discard(attempt_id)
         self.load.end(now_ms)
         self.shares.end(running.team.name, now_ms)
         return running
 
     def note_finished(self, running: RunningAttempt, now_ms: int) -> None:
         """Count finished work as evidence of what the server bears."""
+        self._answered_at_ms = now_ms
         self.ramp.note_finished(running.started_at_ms)
         self._n_finished_busy += 1
         duration_ms = now_ms - running.started_at_ms
@@ -147,6 +187,7 @@
 
     def take_report(self, report: LoadReported, now_ms: int) -> ColdReason | None:
         """Take a load report; return the reason if it shows a cold turn."""
+        self._answered_at_ms = now_ms
         self.load.take_report(report)
         settled = self.load.min_own_between(
             report.measured_at_ms - REPORT_TRAVEL_MS, report.measured_at_ms
--- a/damaskrill/admission/_servers.py
+++ b/damaskrill/admission/_servers.py
@@ -68,7 +68,7 @@
             each for each in self._by_service.get(service, ()) if each.circuit.is_closed
         ]
         return LoadSum(
-            load_sum=sum(each.load.load_at(now_ms) for each in servers),
+            load_sum=sum(each.load_for_mean(now_ms) for each in servers),
             n_servers=len(servers),
         )
 
--- a/damaskrill/loads/_decider.py
+++ b/damaskrill/loads/_decider.py
@@ -26,6 +26,8 @@
 MAX_INTERVAL_MS = 2_000
 INTERVAL_PER_MEMBER_MS = 30
 VALID_MS = 6_000
+# A sum is fresh for two intervals of its sender and the time on the way.
+TRAVEL_MS = 300
 
 
 @registry.register("decider", "load_means")
@@ -104,6 +106,10 @@
         interval_ms = INTERVAL_PER_MEMBER_MS * n_members
         return max(MIN_INTERVAL_MS, min(MAX_INTERVAL_MS, interval_ms))
 
+    @property
+    def _fresh_ms(self) -> int:
+        return 2 * self._interval_ms + TRAVEL_MS
+
     def _tell_near(self) -> list[Message]:
         assert self._keepers is not None
         by_keeper: dict[str, dict[int, tuple[int, int]]] = {}
@@ -120,7 +126,7 @@
             group = number % N_GROUPS
             if not self._keepers.is_kept_here(group):
                 continue
-            total = self._near.total(number, now_ms)
+            total = self._near.total(number, now_ms, fresh_ms=self._fresh_ms)
             for keeper in self._keepers.far_keepers(group):
                 by_keeper.setdefault(keeper.address, {})[number] = total
         return self._send(LoadScope.DATA_CENTRE, by_keeper)
@@ -169,8 +175,8 @@
     def _answer(self, sums: LoadSums, sender: Member, now_ms: int) -> Sequence[Message]:
         totals = {}
         for number in sums.services:
-            near_sum, n_near = self._near.total(number, now_ms)
-            far_sum, n_far = self._far.total(number, now_ms)
+            near_sum, n_near = self._near.total(number, now_ms, fresh_ms=self._fresh_ms)
+            far_sum, n_far = self._far.total(number, now_ms, fresh_ms=self._fresh_ms)
             totals[number] = (near_sum + far_sum, n_near + n_far)
         answer = self._build_sums(LoadScope.FLEET, totals)
         return (SendToPeer(address=sender.address, payload=answer),)
--- a/damaskrill/loads/_sums.py
+++ b/damaskrill/loads/_sums.py
@@ -32,8 +32,20 @@
         reported = _Reported(load_sum=load_sum, n_servers=n_servers, at_ms=now_ms)
         self._services.setdefault(service, {})[source] = reported
 
-    def total(self, service: int, now_ms: int) -> tuple[int, int]:
-        """Return load and number of backend servers over all sources."""
+    def total(self, service: int, now_ms: int, *, fresh_ms: int) -> tuple[int, int]:
+        """Return load and number of backend servers over all sources.
+
+        Parameters
+        ----------
+        service : int
+            Number of the service.
+        now_ms : int
+            Present time in milliseconds.
+        fresh_ms : int
+            Age up to which a source's load counts, in milliseconds; the number of
+            its servers counts as long as the sum is valid. A router that has failed
+            thus lowers the mean until its servers have another owner.
+        """
         sources = self._services.get(service)
         if not sources:
             return (0, 0)
@@ -44,7 +56,11 @@
         ]
         for source in expired:
             del sources[source]
-        load_sum = sum(each.load_sum for each in sources.values())
+        load_sum = sum(
+            each.load_sum
+            for each in sources.values()
+            if now_ms - each.at_ms <= fresh_ms
+        )
         return (load_sum, sum(each.n_servers for each in sources.values()))
 
     def services(self) -> list[int]:
