--- a/benchmarks/_capacity.py
+++ b/benchmarks/_capacity.py
@@ -27,6 +27,8 @@
 TICKS_PER_S = 10
 # An owner reads at most so many load reports a second, however many servers it owns.
 REPORTS_PER_S = 10
+# Streams at once in the run whose slope of the relay is taken; the target has 362.
+N_STREAMS_MEASURED = 200
 # Inputs of a kernel for each request: as entry its arrival, the start and the end of
 # the attempt; as owner the offer, the first token and the end of the answer.
 INPUTS_PER_REQUEST = 6
@@ -203,17 +205,31 @@
 
 
 def _relay_values(slopes: _Slopes, target: Target) -> dict[str, str]:
-    per_chunk_us = slopes.find("peer_chunk_of_200_bytes_both_ends")
-    per_end_us = _scaled(per_chunk_us, 0.5)
     link_kb = slopes.find("peer_link_memory_one_end")
     core_percent = target.tokens_per_node / US_PER_S * PERCENT
-    return {
-        "relay_chunk": _show(per_chunk_us, "us"),
-        "relay_end_us": _show(per_end_us, "us"),
-        "relay_core": _show(_scaled(per_end_us, core_percent), "% of a core"),
+    values = {
+        "relay_link": _show(slopes.find("peer_chunk_of_200_bytes_both_ends"), "us"),
         "link_kb": _show(link_kb, "KB"),
         "links_mb": _show(_scaled(link_kb, (target.n_nodes - 1) / KB_PER_MB), "MB"),
     }
+    for role in ("entry", "owner"):
+        chunk_us = slopes.find(
+            "processor_time_per_relayed_chunk",
+            role=role,
+            n_streams=N_STREAMS_MEASURED,
+        )
+        request_us = slopes.find("processor_time_per_request", role=role)
+        requests_percent = target.requests_per_node / US_PER_S * PERCENT
+        values |= {
+            f"relay_{role}_us": _show(chunk_us, "us"),
+            f"relay_{role}_core": _show(_scaled(chunk_us, core_percent), "% of a core"),
+            f"process_{role}_us": _show(request_us, "us"),
+            f"process_{role}_core": _show(
+                _scaled(request_us, requests_percent), "% of a core"
+            ),
+            f"idle_{role}_mb": _show(slopes.find("idle_memory", role=role), "MB"),
+        }
+    return values
 
 
 def _fleet_values(slopes: _Slopes, target: Target) -> dict[str, str]:
