Let a cancellation in the pump overtake the dispatch that it is for

A dispatch travels for some milliseconds; a cancellation that came meanwhile found nothing and the run began all the same, which the checks took for an admission.

--- a/features/support/pump.py
+++ b/features/support/pump.py
@@ -141,6 +141,7 @@
         self.engines = {}
         self.plains = {}
         self._dispatch_of_run = {}
+        self._cancelled = set()
         self.publish(self.text)
         for member in self.members:
             self.start_router(member)
@@ -332,6 +333,7 @@
                 delay_ms = self.random.randint(*PEER_DELAY_MS)
                 self.after(delay_ms, lambda: self._begin(router, effect))
             case CancelDispatch(attempt_id=attempt_id):
+                self._cancelled.add(attempt_id)
                 for dispatch in self.dispatches:
                     if dispatch.attempt.attempt_id == attempt_id:
                         self._cancel_run(dispatch)
@@ -436,6 +438,8 @@
     # Backend servers
 
     def _begin(self, router, attempt):
+        if attempt.attempt_id in self._cancelled:
+            return
         engine = self.engines[attempt.backend_server]
         if (router.member.address, engine.name) in self.cut_servers:
             failed = BackendFailed(
