--- a/damaskrill/membership/_decider.py
+++ b/damaskrill/membership/_decider.py
@@ -41,6 +41,9 @@
 PROBE_TIMEOUT_MS = 1_000
 N_INDIRECT_PROBES = 3
 N_JOIN_PROBES = 2
+# Probes that follow one without an answer at once: a split of the fleet shows in
+# about as many steps as the number of its routers has doublings.
+N_PROBES_AFTER_FAILURE = 2
 MIN_SUSPICION_MS = 2_000
 SUSPICION_PER_DOUBLING_MS = 400
 # How long a woken process waits for a peer before it counts itself as cut off.
@@ -131,7 +134,7 @@
             case PeerConnected(peer=peer):
                 self._note_contact(peer, now_ms)
             case PeerLost(peer=peer):
-                self._rotation.hurry(peer.address)
+                return self._probe_lost(peer, now_ms)
             case PeerUnreachable(payload=Probe() as probe):
                 return self._probe_indirectly(self._open.get(probe.sequence))
             case ProcessPaused():
@@ -222,9 +225,9 @@
         age_ms = now_ms - probe.sent_at_ms
         if age_ms >= PROBE_TIMEOUT_MS:
             del self._open[probe.sequence]
-            if not probe.asked_by:
-                self._suspect(probe.target, now_ms)
-            return ()
+            if probe.asked_by:
+                return ()
+            return self._suspect(probe.target, now_ms)
         if age_ms >= DIRECT_TIMEOUT_MS:
             return self._probe_indirectly(probe)
         return ()
@@ -284,10 +287,22 @@
             if news is not None:
                 self._news.add(news)
 
-    def _suspect(self, address: str, now_ms: int) -> None:
+    def _suspect(self, address: str, now_ms: int) -> Sequence[Message]:
         news = self._table.suspect(address, now_ms)
-        if news is not None:
-            self._news.add(news)
+        if news is None:
+            return ()
+        self._news.add(news)
+        results: list[Message] = []
+        for _ in range(N_PROBES_AFTER_FAILURE):
+            results.extend(self._probe_next(now_ms))
+        return results
+
+    def _probe_lost(self, peer: Member, now_ms: int) -> Sequence[Message]:
+        """Probe a router at once whose connection broke, unless that is under way."""
+        targets = [each.target for each in self._open.values()]
+        if peer.address in targets or self._left:
+            return ()
+        return (self._probe(peer.address, now_ms),)
 
     # News
 
