--- a/damaskrill/admission/__init__.py
+++ b/damaskrill/admission/__init__.py
@@ -11,6 +11,7 @@
 from damaskrill.admission._load import ServerLoad
 from damaskrill.admission._owner import OwnerDecider
 from damaskrill.admission._ramp import ColdReason, ColdStartRamp
+from damaskrill.admission._reach import Reach, SettledReach
 
 __all__ = [
     "BoundReason",
@@ -20,7 +21,9 @@
     "ConcurrencyLimit",
     "LoadBound",
     "OwnerDecider",
+    "Reach",
     "ServerLoad",
+    "SettledReach",
     "multiple_of_mean",
     "reachable_share",
 ]
--- a/damaskrill/admission/_owner.py
+++ b/damaskrill/admission/_owner.py
@@ -7,6 +7,7 @@
 from damaskrill.admission._bound import BoundReason, LoadBound
 from damaskrill.admission._means import LoadSum, MeanLoads
 from damaskrill.admission._ramp import ColdReason
+from damaskrill.admission._reach import Reach, SettledReach
 from damaskrill.admission._refusals import causes_of_bound, find_view_refusal
 from damaskrill.admission._seen import SeenAttempts
 from damaskrill.admission._server import OwnedServer, RunningAttempt
@@ -99,6 +100,7 @@
         self._view: FleetView | None = None
         self._servers = OwnedServers(own=own)
         self._means = MeanLoads()
+        self._reach = SettledReach()
         self._outages = OutageTracker()
         self._spills = SpillMemory()
         self._seen = SeenAttempts()
@@ -156,6 +158,9 @@
 
     def _take_view(self, view: FleetView, now_ms: int) -> Sequence[Message]:
         self._view = view
+        self._reach.take(
+            Reach(n_reachable=view.n_reachable, n_listed=view.n_listed), now_ms
+        )
         self._outages.take_view(view, now_ms)
         results: list[Message] = []
         for server in self._servers.take_view(view, now_ms):
@@ -335,11 +340,12 @@
         if server.circuit.remaining_rest_ms(now_ms) > 0:
             return False
         load = server.load.load_at(now_ms)
+        reach = self._reach.settled(now_ms)
         if not bound.admits(
             load=load,
             own_load=server.load.n_own,
-            n_reachable=view.n_reachable,
-            n_listed=view.n_listed,
+            n_reachable=reach.n_reachable,
+            n_listed=reach.n_listed,
         ):
             return False
         return server.shares.may_take(
@@ -366,7 +372,8 @@
         if load + 1 <= bound.value and server.shares.n_running(team.name) > 0:
             limit = Cause(code=CauseCode.AT_LIMIT, subject=name)
             return (limit, Cause(code=CauseCode.SURGE, subject=team.name))
-        return causes_of_bound(server, bound, self._view, load=load)
+        reach = self._reach.settled(now_ms)
+        return causes_of_bound(server, bound, self._view, load=load, reach=reach)
 
     def _expected_wait_ms(
         self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
--- a/damaskrill/admission/_refusals.py
+++ b/damaskrill/admission/_refusals.py
@@ -1,6 +1,7 @@
 """Causes with which an owner refuses an attempt."""
 
 from damaskrill.admission._bound import BoundReason, LoadBound, reachable_share
+from damaskrill.admission._reach import Reach
 from damaskrill.admission._server import OwnedServer
 from damaskrill.messages import Cause, CauseCode, FleetView, Member, OfferAttempt
 
@@ -37,7 +38,12 @@
 
 
 def causes_of_bound(
-    server: OwnedServer, bound: LoadBound, view: FleetView, *, load: int
+    server: OwnedServer,
+    bound: LoadBound,
+    view: FleetView,
+    *,
+    load: int,
+    reach: Reach,
 ) -> tuple[Cause, ...]:
     """Return why a server takes no more requests now.
 
@@ -51,14 +57,16 @@
         View in force.
     load : int
         Its load.
+    reach : Reach
+        Reach that applied.
     """
     name = server.spec.name
     detail = f"load {load} of at most {bound.value}"
     share = reachable_share(
-        bound.value, n_reachable=view.n_reachable, n_listed=view.n_listed
+        bound.value, n_reachable=reach.n_reachable, n_listed=reach.n_listed
     )
     if load + 1 <= bound.value and server.load.n_own + 1 > share:
-        split = f"{view.n_reachable} of {view.n_listed} routers"
+        split = f"{reach.n_reachable} of {reach.n_listed} routers"
         return (
             Cause(
                 code=CauseCode.AT_LIMIT, subject=name, detail=f"its share is {share}"
