--- /dev/null
+++ b/benchmarks/bench_data_centre.py
@@ -0,0 +1,92 @@
+"""Service around a data centre that leaves and returns, against two baselines."""
+
+from collections.abc import Iterator
+
+from benchmarks._figure import Figure
+from benchmarks._load import LoadPattern, send_pattern
+from benchmarks._virtual import VirtualFleet, build_fleet_text
+from damaskrill.messages import Completed, EventName, Member
+
+# The product's placement first, then plain rendezvous hashing and least load.
+POLICIES = ("affinity", "rendezvous", "least_load")
+CENTRES = ("bole", "kazanchis", "sarbet")
+N_ROUTERS = 8
+N_SERVERS = 12
+MEAN_GAP_MS = 20
+OUT_MS = 30_000
+BACK_MS = 60_000
+WINDOW_MS = (15_000, 75_000)
+END_MS = 80_000
+DRAIN_MS = 30_000
+FIRST_TOKEN_OBJECTIVE_MS = 630
+PERCENT = 100
+
+
+def measure(seed: int) -> Iterator[Figure]:
+    """Take one of three data centres out for 30 s under each policy."""
+    for policy in POLICIES:
+        yield from _figures(_run(seed, policy), policy, seed)
+
+
+def _run(seed: int, policy: str) -> VirtualFleet:
+    members = [
+        Member(address=f"10.0.0.{n}:7000", data_centre=CENTRES[n % len(CENTRES)])
+        for n in range(N_ROUTERS)
+    ]
+    fleet = VirtualFleet(
+        text=build_fleet_text(n_servers=N_SERVERS, centres=CENTRES),
+        members=members,
+        random_state=seed,
+        placement=policy,
+    )
+    send_pattern(fleet, LoadPattern(end_ms=END_MS, mean_gap_ms=MEAN_GAP_MS), seed)
+    out = build_fleet_text(
+        n_servers=N_SERVERS, centres=CENTRES, version=2, out=CENTRES[:1]
+    )
+    back = build_fleet_text(n_servers=N_SERVERS, centres=CENTRES, version=3)
+    fleet.at(OUT_MS, lambda: fleet.publish(out))
+    fleet.at(BACK_MS, lambda: fleet.publish(back))
+    fleet.run_until(END_MS + DRAIN_MS)
+    return fleet
+
+
+def _figures(fleet: VirtualFleet, policy: str, seed: int) -> Iterator[Figure]:
+    first_ms, last_ms = WINDOW_MS
+    sent = {
+        request_id
+        for request_id, at_ms in fleet.arrived_at_ms.items()
+        if first_ms <= at_ms < last_ms
+    }
+    first_token_ms: dict[str, int] = {}
+    for at_ms, event in fleet.logged:
+        if event.name is EventName.FIRST_TOKEN and event.request_id in sent:
+            latency_ms = at_ms - fleet.arrived_at_ms[event.request_id]
+            first_token_ms.setdefault(event.request_id, latency_ms)
+    completed = [
+        each for each in sent if isinstance(fleet.outcomes.get(each), Completed)
+    ]
+    n_good = sum(
+        first_token_ms.get(each, END_MS) <= FIRST_TOKEN_OBJECTIVE_MS
+        for each in completed
+    )
+    latencies = sorted(first_token_ms.values())
+    values = {
+        "data_centre_goodput": (n_good / len(sent) * PERCENT, "percent"),
+        "data_centre_completed": (len(completed) / len(sent) * PERCENT, "percent"),
+        "data_centre_first_token_p95": (_p95(latencies), "ms"),
+    }
+    for name, (value, unit) in values.items():
+        yield Figure(
+            measure=name,
+            policy=policy,
+            value=round(value, 2),
+            unit=unit,
+            seed=seed,
+            parameters={"n_requests": len(sent), "window_ms": last_ms - first_ms},
+        )
+
+
+def _p95(latencies: list[int]) -> float:
+    if not latencies:
+        return 0.0
+    return float(latencies[len(latencies) * 95 // PERCENT])
