--- a/features/support/matrix.py
+++ b/features/support/matrix.py
@@ -1,5 +1,8 @@
 """Runs of the fault matrix: one or two faults over a fleet under load."""
 
+import itertools
+import sys
+
 from damaskrill.utils import check_random_state
 from features.support.faults import (
     DELAYING,
@@ -18,6 +21,9 @@
 from features.support.pump import Pump
 from features.support.workload import Workload
 
+N_SEEDS_ALONE = 3
+N_SEEDS_TWICE = 2
+
 
 def run_faults(names, seed):
     """Run the fleet with faults and return the pump after the run.
@@ -56,6 +62,19 @@
     return [f"{where}: {each}" for each in all_violations(pump, excused=excused)]
 
 
+def plan_alone():
+    """Return (faults, seed) of each fault alone, by three seeds, and twice, by two."""
+    alone = [(name,) for name in sorted(FAULTS) for _ in range(N_SEEDS_ALONE)]
+    twice = [(name, name) for name in sorted(FAULTS) for _ in range(N_SEEDS_TWICE)]
+    return [(names, 1_000 + n) for n, names in enumerate(alone + twice)]
+
+
+def plan_pairs():
+    """Return (faults, seed) of each pair of different faults."""
+    pairs = itertools.combinations(sorted(FAULTS), 2)
+    return [(names, 2_000 + n) for n, names in enumerate(pairs)]
+
+
 def main(arguments):
     """Print the violations of ``SEED [FAULT ...]``, one a line."""
     for line in violations_of(arguments[1:], int(arguments[0])):
@@ -63,6 +82,4 @@
 
 
 if __name__ == "__main__":
-    import sys
-
     main(sys.argv[1:])
--- a/features/support/pump.py
+++ b/features/support/pump.py
@@ -94,8 +94,7 @@
     attempt: DispatchAttempt
     router: RouterProcess
     at_ms: int
-    load_after: int = 0
-    load_bound: int = 0
+    text_version: int
     ended: bool = False
 
 
@@ -331,7 +330,8 @@
                 self._send(router, effect)
             case DispatchAttempt():
                 delay_ms = self.random.randint(*PEER_DELAY_MS)
-                self.after(delay_ms, lambda: self._begin(router, effect))
+                version = router.view.text.version
+                self.after(delay_ms, lambda: self._begin(router, effect, version))
             case CancelDispatch(attempt_id=attempt_id):
                 self._cancelled.add(attempt_id)
                 for dispatch in self.dispatches:
@@ -437,7 +437,7 @@
 
     # Backend servers
 
-    def _begin(self, router, attempt):
+    def _begin(self, router, attempt, text_version):
         if attempt.attempt_id in self._cancelled:
             return
         engine = self.engines[attempt.backend_server]
@@ -447,7 +447,12 @@
             )
             self._later(router, failed, 1_000)
             return
-        dispatch = Dispatch(attempt=attempt, router=router, at_ms=self.now_ms)
+        dispatch = Dispatch(
+            attempt=attempt,
+            router=router,
+            at_ms=self.now_ms,
+            text_version=text_version,
+        )
         self.dispatches.append(dispatch)
         if not self._run_action(dispatch):
             return
@@ -463,7 +468,6 @@
         if run is None:
             self._reset_runs([each.run_id for each in lost] + [attempt.attempt_id])
             return
-        dispatch.load_after = engine.load
         self._note_load(engine)
         self._later(
             router,
