--- a/damaskrill/backends/_client.py
+++ b/damaskrill/backends/_client.py
@@ -7,7 +7,6 @@
 
 from attrs import frozen
 from twisted.internet import error
-from twisted.internet.protocol import Protocol
 from twisted.web.client import FileBodyProducer
 from twisted.web.http_headers import Headers
 
@@ -15,6 +14,12 @@
 from damaskrill.backends._answer import EVENT_STREAM, AnswerReceiver
 from damaskrill.backends._coalescer import Coalescer
 from damaskrill.backends._errors import BackendUnreachableError
+from damaskrill.backends._responses import (
+    DiscardingProtocol,
+    read_header,
+    refusal_reason,
+    says_not_run,
+)
 from damaskrill.configuration import ServiceKind
 from damaskrill.messages import (
     BackendEnded,
@@ -32,10 +37,6 @@
 CHAT_PATH = "/v1/chat/completions"
 SERVICE_PATH = "/v1/services/"
 ORDER_PATH = "/v1/orders"
-# A backend server says with this header that it has not run what it refuses.
-NOT_RUN_HEADER = "Not-Run"
-STATUS_TOO_MANY_REQUESTS = 429
-FIRST_SERVER_ERROR = 500
 RESET_ERRORS = (error.ConnectionLost, error.ConnectionDone, ConnectionResetError)
 
 
@@ -235,16 +236,16 @@
         stream: OutgoingStream,
         started_at_ms: int,
     ) -> BackendEnded | BackendFailed:
-        refusal = _refusal_reason(response, effect)
+        refusal = refusal_reason(response, effect)
         if refusal is not None:
-            response.deliverBody(_DiscardingProtocol())
+            response.deliverBody(DiscardingProtocol())
             return BackendFailed(
                 attempt_id=effect.attempt_id,
                 n_bytes_sent=max(len(body), 1),
-                refused_by_server=_says_not_run(response),
+                refused_by_server=says_not_run(response),
                 reason=refusal,
             )
-        content_type = _header(response, "Content-Type") or "application/json"
+        content_type = read_header(response, "Content-Type") or "application/json"
         receiver = AnswerReceiver(
             stream=stream,
             clock=self._clock,
@@ -324,38 +325,6 @@
             self._post(message)
 
 
-class _DiscardingProtocol(Protocol):
-    """Reads an answer that nobody wants, so that its connection can be reused."""
-
-    def dataReceived(self, data: bytes) -> None:
-        """Drop the bytes."""
-
-
-def _header(response: Any, name: str) -> str:
-    # By a name in bytes, since the library decodes others as UTF-8 unchecked.
-    values = response.headers.getRawHeaders(name.encode("ascii"))
-    return values[0].decode("latin-1").strip() if values else ""
-
-
-def _says_not_run(response: Any) -> bool:
-    if response.code == STATUS_TOO_MANY_REQUESTS:
-        return True
-    return _header(response, NOT_RUN_HEADER).lower() in ("true", "1", "yes")
-
-
-def _refusal_reason(response: Any, effect: DispatchAttempt) -> str | None:
-    """Return why an answer's head rules the answer out; None if it does not."""
-    if _says_not_run(response):
-        return f"it answered {response.code} and has not run the request"
-    if response.code >= FIRST_SERVER_ERROR:
-        return f"it answered {response.code}"
-    if effect.resume_offset and response.code < 300:
-        confirmed = _header(response, "Resume-Offset")
-        if confirmed != str(effect.resume_offset):
-            return "it did not confirm the offset to resume at"
-    return None
-
-
 def _describe(failure: Exception) -> str:
     reasons = getattr(failure, "reasons", None)
     cause = reasons[0].value if reasons else failure
--- a/damaskrill/callers/_port.py
+++ b/damaskrill/callers/_port.py
@@ -33,6 +33,8 @@
 SERVICE_PREFIX = "/v1/services/"
 TEXT = "text/plain; charset=utf-8"
 MAX_QUERY_FIELDS = 20
+# Callers that connect at once must not be dropped before they are accepted.
+LISTEN_BACKLOG = 1_024
 
 
 class RequestDesk(Protocol):
@@ -107,7 +109,7 @@
 
     def start(self, host: str, port: int) -> int:
         """Listen; return the port, which differs from 0."""
-        self._listener = self._reactor.listenTCP(port, self._site, interface=host)
+        self._listener = self._reactor.listenTCP(port, self._site, LISTEN_BACKLOG, host)
         return int(self._listener.getHost().port)
 
     async def stop_listening(self) -> None:
--- a/damaskrill/fakes/_http_base.py
+++ b/damaskrill/fakes/_http_base.py
@@ -11,6 +11,7 @@
 __all__ = ["HttpFake"]
 
 LOOPBACK = "127.0.0.1"
+LISTEN_BACKLOG = 1_024
 
 
 class _Leaf(Resource):
@@ -54,7 +55,9 @@
         """Listen; a second start without a port takes the same one."""
         self._port = port or self._port
         site = _QuietSite(_Leaf(self), reactor=self._reactor)
-        self._listener = self._reactor.listenTCP(self._port, site, interface=LOOPBACK)
+        self._listener = self._reactor.listenTCP(
+            self._port, site, LISTEN_BACKLOG, LOOPBACK
+        )
         self._port = self._listener.getHost().port
 
     async def stop(self) -> None:
--- /dev/null
+++ b/damaskrill/runtime/_pages.py
@@ -0,0 +1,81 @@
+"""Pages of one router for operators and the platform."""
+
+from collections.abc import Callable
+
+from damaskrill.messages import FleetView, LoggedEvent
+from damaskrill.monitoring import RouterMetrics, StatusBoard
+from damaskrill.peers import PeerNetwork
+from damaskrill.utils import Clock
+
+__all__ = ["RouterPages"]
+
+
+class RouterPages:
+    """Readiness, status and metrics.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+        Connections to other routers, whose bytes are counted.
+    data_centre : str
+        Where the router runs.
+    clock : Clock
+        Time.
+    present_numbers : callable
+        Returns the present numbers of the process by their names.
+    """
+
+    def __init__(
+        self,
+        *,
+        network: PeerNetwork,
+        data_centre: str,
+        clock: Clock,
+        present_numbers: Callable[[], dict[str, int]],
+    ) -> None:
+        self._network = network
+        self._present_numbers = present_numbers
+        self._metrics = RouterMetrics()
+        self._status = StatusBoard(
+            router=network.own.address, data_centre=data_centre, clock=clock
+        )
+        self._view: FleetView | None = None
+        self._is_stopping = False
+
+    def take_view(self, view: FleetView) -> None:
+        """Take the view in force."""
+        self._view = view
+        self._status.take_view(view)
+
+    def take_event(self, event: LoggedEvent, at_ms: int) -> None:
+        """Take an event of the kernel."""
+        self._metrics.take_event(event)
+        self._status.take_event(event, at_ms)
+
+    def note_stop(self) -> None:
+        """Take note that the process is stopping."""
+        self._is_stopping = True
+
+    def readiness(self) -> tuple[bool, str]:
+        """Return whether new work is taken, and why or why not."""
+        if self._is_stopping:
+            return False, "this router is stopping"
+        view = self._view
+        if view is None or view.text.version == 0:
+            return False, "this router has not read an operators' text yet"
+        if not view.trusted:
+            return False, "this router is reading its view of the fleet again"
+        return True, f"text version {view.text.version} is in force"
+
+    def status_text(self) -> str:
+        """Return the operators' page."""
+        return self._status.render(
+            readiness=self.readiness()[1], numbers=self._present_numbers()
+        )
+
+    def metrics_text(self) -> bytes:
+        """Return the metrics in the text format that scrapers read."""
+        counters = self._network.counters
+        self._metrics.set_peer_bytes(counters.sent, counters.received)
+        self._metrics.set_state(self._present_numbers())
+        return self._metrics.render()
--- a/damaskrill/runtime/_process.py
+++ b/damaskrill/runtime/_process.py
@@ -2,20 +2,18 @@
 
 import asyncio
 import secrets
-import sys
 import traceback
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.error import CannotListenError
 
-from damaskrill.backends import BackendClient, BackendLimits, ReportReader
-from damaskrill.callers import CallerLimits, CallerPort
+from damaskrill.backends import BackendClient, ReportReader
+from damaskrill.callers import CallerPort
 from damaskrill.configuration import Settings
 from damaskrill.kernel import build_kernel
 from damaskrill.messages import (
     FleetView,
-    LoggedEvent,
     Member,
     Message,
     StopRequested,
@@ -23,8 +21,6 @@
 from damaskrill.monitoring import (
     EventLog,
     ProcessEventName,
-    RouterMetrics,
-    StatusBoard,
 )
 from damaskrill.peers import PeerNetwork
 from damaskrill.relay import BodyStore, EntryRelay, KeptAnswers
@@ -33,13 +29,14 @@
 from damaskrill.runtime._errors import AddressNotFreeError
 from damaskrill.runtime._hops import HopTable
 from damaskrill.runtime._kernel_task import InputRecorder, KernelTask
+from damaskrill.runtime._pages import RouterPages
 from damaskrill.runtime._peer_events import PeerEvents
 from damaskrill.runtime._platform import PlatformReader
-from damaskrill.traces import (
-    RotatingFileSink,
-    StreamSink,
-    TraceRecorder,
-    TraceSink,
+from damaskrill.runtime._settings_parts import (
+    backend_limits,
+    caller_limits,
+    open_recorder,
+    split_address,
 )
 from damaskrill.utils import Clock, SystemClock
 
@@ -86,6 +83,7 @@
         self._is_stopping = False
         self._tasks: list[asyncio.Task[Any]] = []
         self._view: FleetView | None = None
+        self._caller_port = 0
 
     @property
     def own(self) -> Member:
@@ -117,11 +115,11 @@
         self._build_relay()
         await self._start_network()
         self._log = EventLog(router=self.own.address, clock=self._clock)
-        self._metrics = RouterMetrics()
-        self._status = StatusBoard(
-            router=self.own.address,
+        self._pages = RouterPages(
+            network=self._network,
             data_centre=settings.data_centre,
             clock=self._clock,
+            present_numbers=self._present_numbers,
         )
         self._build_kernel_task()
         self._build_clients()
@@ -161,6 +159,7 @@
         if self._is_stopping:
             return
         self._is_stopping = True
+        self._pages.note_stop()
         self._log.write(ProcessEventName.PROCESS_STOPPING)
         self._kernel_task.post(StopRequested())
         await asyncio.sleep(self._settings.drain_time_ms / 1_000)
@@ -240,43 +239,10 @@
                 address=settings.peer_address, reason=reason
             ) from error
 
-    def _backend_limits(self) -> BackendLimits:
-        return BackendLimits(
-            connect_timeout_ms=self._settings.connect_timeout_ms,
-            progress_timeout_ms=self._settings.progress_timeout_ms,
-        )
-
-    def _caller_limits(self) -> CallerLimits:
-        settings = self._settings
-        return CallerLimits(
-            max_body_bytes=settings.max_body_bytes,
-            max_header_bytes=settings.max_header_bytes,
-            max_connections=settings.max_connections,
-            header_timeout_ms=settings.header_timeout_ms,
-            body_timeout_ms=settings.body_timeout_ms,
-            idle_timeout_ms=settings.idle_timeout_ms,
-        )
-
-    def _open_recorder(self) -> None:
-        settings = self._settings
-        if not settings.trace_output:
-            return
-        sink: TraceSink
-        if settings.trace_output == "-":
-            sink = StreamSink(stream=sys.stdout.buffer)
-        else:
-            sink = RotatingFileSink(
-                path=settings.trace_output, max_bytes=settings.trace_rotate_bytes
-            )
-        self._recorder = TraceRecorder(
-            own=self.own,
-            random_state=self._random_state,
-            sink=sink,
-            sample_permille=settings.trace_sample_permille,
-        )
-
     def _build_kernel_task(self) -> None:
-        self._open_recorder()
+        self._recorder = open_recorder(
+            self._settings, own=self.own, random_state=self._random_state
+        )
         self._kernel_task = KernelTask(
             kernel=build_kernel(own=self.own, random_state=self._random_state),
             clock=self._clock,
@@ -291,7 +257,7 @@
         self._backends = BackendClient(
             reactor=self._reactor,
             clock=self._clock,
-            limits=self._backend_limits(),
+            limits=backend_limits(self._settings),
             post=post,
         )
         self._reports = ReportReader(
@@ -310,7 +276,7 @@
         )
 
     def _build_desk(self) -> None:
-        limits = self._caller_limits()
+        limits = caller_limits(self._settings)
         self._desk = CallerDesk(
             incarnation=self._incarnation,
             clock=self._clock,
@@ -323,7 +289,7 @@
         )
         self._port = CallerPort(
             desk=self._desk,
-            pages=self,
+            pages=self._pages,
             clock=self._clock,
             limits=limits,
             reactor=self._reactor,
@@ -343,33 +309,13 @@
             reports=self._reports,
             platform=self._platform,
             log=self._log,
-            observe_event=self._observe_event,
+            observe_event=self._pages.take_event,
             stop_serving=self._stopped_serving.set,
         )
 
     def readiness(self) -> tuple[bool, str]:
         """Return whether new work is taken, and why or why not."""
-        if self._is_stopping:
-            return False, "this router is stopping"
-        view = self._view
-        if view is None or view.text.version == 0:
-            return False, "this router has not read an operators' text yet"
-        if not view.trusted:
-            return False, "this router is reading its view of the fleet again"
-        return True, f"text version {view.text.version} is in force"
-
-    def status_text(self) -> str:
-        """Return the operators' page."""
-        return self._status.render(
-            readiness=self.readiness()[1], numbers=self._present_numbers()
-        )
-
-    def metrics_text(self) -> bytes:
-        """Return the metrics."""
-        counters = self._network.counters
-        self._metrics.set_peer_bytes(counters.sent, counters.received)
-        self._metrics.set_state(self._present_numbers())
-        return self._metrics.render()
+        return self._pages.readiness()
 
     def _present_numbers(self) -> dict[str, int]:
         return {
@@ -390,13 +336,9 @@
 
     def _take_view(self, view: FleetView) -> None:
         self._view = view
-        self._status.take_view(view)
+        self._pages.take_view(view)
         self._effects.take_view(view)
 
-    def _observe_event(self, event: LoggedEvent, at_ms: int) -> None:
-        self._metrics.take_event(event)
-        self._status.take_event(event, at_ms)
-
     def _report_caller_error(self, error: Exception) -> None:
         self._report_error(error, None)
 
@@ -441,9 +383,3 @@
             sentence=f"a task of the process has ended: {task.exception()!r}",
         )
         self._failed.set()
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return IP number and port of an ``IP:port``."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- /dev/null
+++ b/damaskrill/runtime/_settings_parts.py
@@ -0,0 +1,58 @@
+"""What single parts of the process take from its settings."""
+
+import sys
+
+from damaskrill.backends import BackendLimits
+from damaskrill.callers import CallerLimits
+from damaskrill.configuration import Settings
+from damaskrill.messages import Member
+from damaskrill.traces import RotatingFileSink, StreamSink, TraceRecorder, TraceSink
+
+__all__ = ["backend_limits", "caller_limits", "open_recorder", "split_address"]
+
+
+def backend_limits(settings: Settings) -> BackendLimits:
+    """Return the bounds of calls to backend servers."""
+    return BackendLimits(
+        connect_timeout_ms=settings.connect_timeout_ms,
+        progress_timeout_ms=settings.progress_timeout_ms,
+    )
+
+
+def caller_limits(settings: Settings) -> CallerLimits:
+    """Return the bounds of the caller interface."""
+    return CallerLimits(
+        max_body_bytes=settings.max_body_bytes,
+        max_header_bytes=settings.max_header_bytes,
+        max_connections=settings.max_connections,
+        header_timeout_ms=settings.header_timeout_ms,
+        body_timeout_ms=settings.body_timeout_ms,
+        idle_timeout_ms=settings.idle_timeout_ms,
+    )
+
+
+def open_recorder(
+    settings: Settings, *, own: Member, random_state: int
+) -> TraceRecorder | None:
+    """Return the recorder of inputs; None if the settings name no output."""
+    if not settings.trace_output:
+        return None
+    sink: TraceSink
+    if settings.trace_output == "-":
+        sink = StreamSink(stream=sys.stdout.buffer)
+    else:
+        sink = RotatingFileSink(
+            path=settings.trace_output, max_bytes=settings.trace_rotate_bytes
+        )
+    return TraceRecorder(
+        own=own,
+        random_state=random_state,
+        sink=sink,
+        sample_permille=settings.trace_sample_permille,
+    )
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP number and port of an ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
