--- a/damaskrill/configuration/_sections.py
+++ b/damaskrill/configuration/_sections.py
@@ -7,8 +7,8 @@
 thus changes one part of about a thousandth of the section.
 """
 
+from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from itertools import chain
 
 import xxhash
 
@@ -20,7 +20,6 @@
     COMMENT_MARKS,
     N_TEAM_BUCKETS,
     TeamBucket,
-    bucket_of_team,
     read_team_lines,
 )
 from damaskrill.configuration._text_schema import MAX_TEXT_BYTES, TEAMS_KIND
@@ -71,7 +70,7 @@
 
 def _content_lines(body: str) -> list[str]:
     stripped = map(str.strip, body.split("\n"))
-    return [line for line in stripped if line and not line.startswith(COMMENT_MARKS)]
+    return [line for line in stripped if line[:1] not in COMMENT_MARKS]
 
 
 def _join_lines(header: str, lines: list[str]) -> bytes:
@@ -164,10 +163,10 @@
         header = shorten_value(block.header)
         faults.add(block.line, FaultCode.UNKNOWN_SECTION, header=header, known=known)
         return
-    buckets: list[TeamBucket] = [{} for _ in range(N_TEAM_BUCKETS)]
-    read_team_lines(block.body.split("\n"), block.line + 1, buckets, faults)
-    draft.buckets[number] = buckets[number]
-    misplaced = [name for name in chain(*buckets) if bucket_of_team(name) != number]
+    buckets: defaultdict[int, TeamBucket] = defaultdict(dict)
+    read_team_lines(block.body, block.line + 1, buckets, faults)
+    draft.buckets[number] = buckets.pop(number, {})
+    misplaced = [name for bucket in buckets.values() for name in bucket]
     if misplaced:
         code = FaultCode.MISPLACED_TEAM
         faults.add(block.line, code, header=block.header, name=misplaced[0])
--- a/damaskrill/configuration/_teams.py
+++ b/damaskrill/configuration/_teams.py
@@ -8,6 +8,7 @@
 """
 
 import re
+from collections import defaultdict
 from collections.abc import Iterator, Mapping, Sequence
 from itertools import chain
 
@@ -35,7 +36,8 @@
 N_TEAM_BUCKETS = 1_024
 N_PRIORITIES = 10
 MAX_TEAM_SHARE = 9_999
-COMMENT_MARKS = ("#", ";")
+# First characters of lines without content; the empty one is that of an empty line.
+COMMENT_MARKS = ("", "#", ";")
 EXPECTED = f"a share from 1 to {MAX_TEAM_SHARE} and a priority from 0 to 9"
 TEAM_LINE_PATTERN = re.compile(
     rf"([A-Za-z0-9][A-Za-z0-9._-]{{0,{MAX_NAME_LENGTH - 1}}})[ \t]*=[ \t]*"
@@ -44,6 +46,7 @@
 
 # Share times ``N_PRIORITIES`` plus priority, by team name.
 TeamBucket = dict[str, int]
+TeamBuckets = list[TeamBucket] | defaultdict[int, TeamBucket]
 
 
 def bucket_of_team(name: str) -> int:
@@ -57,24 +60,22 @@
 
 
 def read_team_lines(
-    lines: list[str],
-    first_line: int,
-    buckets: list[TeamBucket],
-    faults: FaultList,
+    body: str, first_line: int, buckets: TeamBuckets, faults: FaultList
 ) -> None:
     """Read lines ``name = share priority`` into buckets.
 
     Parameters
     ----------
-    lines : list of str
+    body : str
         The lines.
     first_line : int
         Number of the first one.
-    buckets : list of dict
-        One for each bucket number; teams are added to them.
+    buckets : list or defaultdict of dict
+        Buckets by number; teams are added to them.
     faults : FaultList
         Where faults are noted.
     """
+    lines = body.split("\n")
     match_line = TEAM_LINE_PATTERN.fullmatch
     digest = xxhash.xxh3_64_intdigest
     repeated: list[tuple[int, str]] = []
@@ -87,7 +88,8 @@
         if name in bucket:
             repeated.append((number, name))
             continue
-        bucket[name] = int(share) * N_PRIORITIES + int(priority)
+        # The priority has one digit, so that this is 10 * share + priority.
+        bucket[name] = int(share + priority)
     if repeated:
         _note_repeated(repeated, lines, first_line, faults)
 
@@ -96,7 +98,7 @@
     line: str, number: int, faults: FaultList
 ) -> re.Match[str] | None:
     stripped = line.strip()
-    if not stripped or stripped.startswith(COMMENT_MARKS):
+    if stripped[:1] in COMMENT_MARKS:
         return None
     found = TEAM_LINE_PATTERN.fullmatch(stripped)
     if found is None:
--- a/damaskrill/configuration/_text.py
+++ b/damaskrill/configuration/_text.py
@@ -39,8 +39,7 @@
     for block in read_blocks(text, faults):
         lines[block.header] = block.line
         if block.header == TEAMS_KIND:
-            team_lines = block.body.split("\n")
-            read_team_lines(team_lines, block.line + 1, draft.buckets, faults)
+            read_team_lines(block.body, block.line + 1, draft.buckets, faults)
         else:
             draft.put(block, faults)
     draft.check_references(faults, lambda header: lines.get(header, 0))
