--- a/benchmarks/_plots.py
+++ b/benchmarks/_plots.py
@@ -14,6 +14,9 @@
 
 PLOTS_FOLDER = Path(__file__).resolve().parent / "plots"
 MIN_POINTS = 2
+# Parameters that say how large a run was; others may be results of it.
+SIZE_PREFIX = "n_"
+RESULT_PARAMETERS = frozenset(("n_completed",))
 PLOT_WIDTH = 800
 PLOT_HEIGHT = 360
 
@@ -50,6 +53,8 @@
 def _varied_parameter(figures: Sequence[Figure]) -> str:
     """Return the numeric parameter with most values; empty if a line makes no sense."""
     names = sorted({name for each in figures for name in each.parameters})
+    names = [name for name in names if name.startswith(SIZE_PREFIX)]
+    names = [name for name in names if name not in RESULT_PARAMETERS]
     best, n_best = "", 1
     for name in names:
         values = [each.parameters.get(name) for each in figures]
@@ -89,6 +94,7 @@
         name
         for name in names
         if name != parameter
+        and name not in RESULT_PARAMETERS
         and any(len(seen) > 1 for (other, _), seen in values.items() if other == name)
     ]
 
