Tell no loads from before a pause

Change: at a pause the keeper forgets all sums, and an owner counts what runs on its servers as ended until they show the contrary.

--- a/damaskrill/admission/_owner.py
+++ b/damaskrill/admission/_owner.py
@@ -44,6 +44,7 @@
     OpenWork,
     PeerDelivered,
     PeerLost,
+    ProcessPaused,
     ReadLoad,
     SendToPeer,
     SpillRecorded,
@@ -90,6 +91,7 @@
         CacheEvents,
         MeanLoadKnown,
         PeerLost,
+        ProcessPaused,
         StopRequested,
         Tick,
     )
@@ -136,6 +138,9 @@
                     server.cache.take_events(message)
             case PeerLost(peer=peer):
                 return self._lose_entry(peer, now_ms)
+            case ProcessPaused():
+                for server in self._servers:
+                    server.note_pause()
             case StopRequested():
                 self._is_stopping = True
             case Tick():
--- a/damaskrill/admission/_server.py
+++ b/damaskrill/admission/_server.py
@@ -145,6 +145,11 @@
         self._answered_at_ms = now_ms
         self._answering.add(attempt_id)
 
+    def note_pause(self) -> None:
+        """Count what runs there as ended until the server shows the contrary."""
+        self.note_unreachable()
+        self._answering.clear()
+
     def note_unreachable(self) -> None:
         """Take back that the server gave a sign of life."""
         self._answered_at_ms = -ANSWER_VALID_MS
--- a/damaskrill/loads/_decider.py
+++ b/damaskrill/loads/_decider.py
@@ -16,6 +16,7 @@
     Message,
     OwnedLoad,
     PeerDelivered,
+    ProcessPaused,
     SendToPeer,
     Tick,
 )
@@ -50,7 +51,7 @@
     interval grows with the fleet, so that it stays within its bound.
     """
 
-    handles = (FleetViewChanged, OwnedLoad, LoadSums, Tick)
+    handles = (FleetViewChanged, ProcessPaused, OwnedLoad, LoadSums, Tick)
 
     def __init__(self, *, own: Member, random_state: int = 0) -> None:
         self._own = own
@@ -73,6 +74,8 @@
                 return self._take_sums(sums, sender, now_ms)
             case FleetViewChanged(view=view):
                 self._take_view(view)
+            case ProcessPaused():
+                self._forget()
         return ()
 
     def _take_view(self, view: FleetView) -> None:
@@ -83,9 +86,12 @@
         numbers = ServiceNumbers(list(view.text.services))
         if numbers.digest != self._numbers.digest:
             self._numbers = numbers
-            self._owned.clear()
-            self._near.clear()
-            self._far.clear()
+            self._forget()
+
+    def _forget(self) -> None:
+        self._owned.clear()
+        self._near.clear()
+        self._far.clear()
 
     def _take_owned(self, owned: OwnedLoad) -> None:
         number = self._numbers.number_of(owned.service)
