Let the text say how long a request may wait for a cached prefix

Cause: around a data centre that leaves and returns the first token took 284 ms at p95 against 45 ms under plain rendezvous hashing, and 99.58 % of requests were in time against 99.74 %: requests wait up to 200 us a prompt token for a cached prefix. Change: cache_wait_us_per_token in [limits]; the default stays at 200.

--- a/benchmarks/bench_data_centre.py
+++ b/benchmarks/bench_data_centre.py
@@ -1,14 +1,22 @@
 """Service around a data centre that leaves and returns, against two baselines."""
 
 from collections.abc import Iterator
+from typing import Any
 
 from benchmarks._figure import Figure
 from benchmarks._load import LoadPattern, send_pattern
 from benchmarks._virtual import VirtualFleet, build_fleet_text
+from damaskrill.configuration import FleetText
 from damaskrill.messages import Completed, EventName, Member
 
-# The product's placement first, then plain rendezvous hashing and least load.
-POLICIES = ("affinity", "rendezvous", "least_load")
+# The product's placement with two settings of cache_wait_us_per_token first, then plain
+# rendezvous hashing and least load.
+PLACEMENTS = {
+    "affinity": ("affinity", 200),
+    "affinity_short_wait": ("affinity", 100),
+    "rendezvous": ("rendezvous", 200),
+    "least_load": ("least_load", 200),
+}
 CENTRES = ("bole", "kazanchis", "sarbet")
 N_ROUTERS = 8
 N_SERVERS = 12
@@ -24,7 +32,7 @@
 
 def measure(seed: int) -> Iterator[Figure]:
     """Take one of three data centres out for 30 s under each policy."""
-    for policy in POLICIES:
+    for policy in PLACEMENTS:
         yield from _figures(_run(seed, policy), policy, seed)
 
 
@@ -33,23 +41,31 @@
         Member(address=f"10.0.0.{n}:7000", data_centre=CENTRES[n % len(CENTRES)])
         for n in range(N_ROUTERS)
     ]
+    placement, cache_wait = PLACEMENTS[policy]
     fleet = VirtualFleet(
-        text=build_fleet_text(n_servers=N_SERVERS, centres=CENTRES),
+        text=_build_text(cache_wait),
         members=members,
         random_state=seed,
-        placement=policy,
+        placement=placement,
     )
     send_pattern(fleet, LoadPattern(end_ms=END_MS, mean_gap_ms=MEAN_GAP_MS), seed)
-    out = build_fleet_text(
-        n_servers=N_SERVERS, centres=CENTRES, version=2, out=CENTRES[:1]
-    )
-    back = build_fleet_text(n_servers=N_SERVERS, centres=CENTRES, version=3)
+    out = _build_text(cache_wait, version=2, out=CENTRES[:1])
+    back = _build_text(cache_wait, version=3)
     fleet.at(OUT_MS, lambda: fleet.publish(out))
     fleet.at(BACK_MS, lambda: fleet.publish(back))
     fleet.run_until(END_MS + DRAIN_MS)
     return fleet
 
 
+def _build_text(cache_wait: int, **fields: Any) -> FleetText:
+    return build_fleet_text(
+        n_servers=N_SERVERS,
+        centres=CENTRES,
+        cache_wait_us_per_token=cache_wait,
+        **fields,
+    )
+
+
 def _figures(fleet: VirtualFleet, policy: str, seed: int) -> Iterator[Figure]:
     first_ms, last_ms = WINDOW_MS
     sent = {
--- a/damaskrill/configuration/_model.py
+++ b/damaskrill/configuration/_model.py
@@ -176,6 +176,9 @@
         Time a request has when the caller states none, in milliseconds.
     retry_budget_percent : int
         Retries in hundredths of first tries.
+    cache_wait_us_per_token : int
+        How long a request may wait for the backend server that has its prefix cached,
+        in microseconds for each token of the prompt.
     team_share : int
         Weight of a team without a section of its own.
     team_priority : int
@@ -193,6 +196,7 @@
     max_queue_wait_ms: int = 5_000
     default_deadline_ms: int = 60_000
     retry_budget_percent: int = 10
+    cache_wait_us_per_token: int = 200
     team_share: int = 1
     team_priority: int = 5
     ramp_step_requests: int = 4
--- a/damaskrill/configuration/_text_schema.py
+++ b/damaskrill/configuration/_text_schema.py
@@ -203,6 +203,15 @@
             value_type=Integer(minimum=0, maximum=1_000, unit="%"),
             sentence="Retries within the fleet, relative to first tries.",
         ),
+        Key(
+            name="cache_wait_us_per_token",
+            value_type=Integer(minimum=0, maximum=10_000, unit="us"),
+            sentence=(
+                "How long a request may wait for the backend server that has its "
+                "prefix cached, for each token of the prompt; at most 2 s in all. "
+                "More reuses caches better, less gives earlier first tokens."
+            ),
+        ),
         Key(
             name="team_share",
             value_type=Integer(minimum=1, maximum=9_999),
--- a/damaskrill/routing/_entry.py
+++ b/damaskrill/routing/_entry.py
@@ -167,6 +167,7 @@
             ranked,
             self._resting_at(now_ms),
             has_affinity=self._placement.has_affinity,
+            limits=self._view.text.limits,
         )
         state.first_choice = ranked[0]
         budget = self._budgets.setdefault(request.service, RetryBudget())
--- a/damaskrill/routing/_plan.py
+++ b/damaskrill/routing/_plan.py
@@ -2,15 +2,14 @@
 
 from collections.abc import Callable, Sequence
 
+from damaskrill.configuration import LimitSpec
 from damaskrill.messages import AttemptRefused, FleetView, Request
 from damaskrill.routing._open_request import Choice, OpenRequest
 
 __all__ = ["plan_after_failure", "plan_first", "plan_hint", "plan_waiting"]
 
 N_SPILL_CHOICES = 5
-# Waiting at the first choice saves the processing of the cached part of the prompt.
-PATIENCE_US_PER_PROMPT_TOKEN = 200
-MAX_PATIENCE_MS = 2_000
+MAX_CACHE_WAIT_MS = 2_000
 US_PER_MS = 1_000
 
 
@@ -20,6 +19,7 @@
     is_resting: Callable[[str], bool],
     *,
     has_affinity: bool,
+    limits: LimitSpec,
 ) -> list[Choice]:
     """Return the choices of a new request.
 
@@ -33,6 +33,8 @@
         Whether a server's circuit is known to be open.
     has_affinity : bool
         Whether the first choice is worth a short wait.
+    limits : LimitSpec
+        Limits of the text in force.
 
     Returns
     -------
@@ -47,7 +49,7 @@
         return [Choice(backend_server=name) for name in active[: 1 + N_SPILL_CHOICES]]
     first = Choice(
         backend_server=active[0],
-        max_wait_ms=_patience_ms(request),
+        max_wait_ms=_cache_wait_ms(request, limits),
         follows_spill=True,
     )
     return [
@@ -73,7 +75,7 @@
         return
     again = Choice(
         backend_server=attempt.backend_server,
-        max_wait_ms=_patience_ms(state.request),
+        max_wait_ms=_cache_wait_ms(state.request, view.text.limits),
     )
     servers = view.servers_by_service.get(state.request.service, ())
     if any(each.name == refusal.hint_server for each in servers):
@@ -117,6 +119,7 @@
     return [Choice(backend_server=name) for name in names[: 1 + N_SPILL_CHOICES]]
 
 
-def _patience_ms(request: Request) -> int:
-    patience_us = request.n_prompt_tokens * PATIENCE_US_PER_PROMPT_TOKEN
-    return min(MAX_PATIENCE_MS, patience_us // US_PER_MS)
+def _cache_wait_ms(request: Request, limits: LimitSpec) -> int:
+    # Waiting saves the processing of the cached part of the prompt elsewhere.
+    wait_us = request.n_prompt_tokens * limits.cache_wait_us_per_token
+    return min(MAX_CACHE_WAIT_MS, wait_us // US_PER_MS)
