--- /dev/null
+++ b/damaskrill/admission/_control.py
@@ -0,0 +1,126 @@
+"""Joins what bounds a server's load with the view, the means and the shares."""
+
+from damaskrill.admission._bound import BoundReason, LoadBound
+from damaskrill.admission._means import LoadSum, MeanLoads
+from damaskrill.admission._reach import Reach, SettledReach
+from damaskrill.admission._refusals import causes_of_bound
+from damaskrill.admission._server import OwnedServer
+from damaskrill.admission._servers import OwnedServers
+from damaskrill.configuration import TeamSpec
+from damaskrill.fairness import QueuedAttempt
+from damaskrill.messages import Cause, CauseCode, FleetView, Member
+
+__all__ = ["TRANSIENT_RETRY_AFTER_MS", "AdmissionControl"]
+
+TRANSIENT_RETRY_AFTER_MS = 300
+
+
+class AdmissionControl:
+    """Says whether an owned server may be sent one more request, and why not.
+
+    Parameters
+    ----------
+    own : Member
+        This process.
+
+    Attributes
+    ----------
+    servers : OwnedServers
+        Servers that this router owns.
+    means : MeanLoads
+        Mean loads of their services.
+    """
+
+    def __init__(self, *, own: Member) -> None:
+        self._view: FleetView | None = None
+        self._reach = SettledReach()
+        self.servers = OwnedServers(own=own)
+        self.means = MeanLoads()
+
+    @property
+    def view(self) -> FleetView | None:
+        """View in force, if there is one."""
+        return self._view
+
+    def take_view(self, view: FleetView, now_ms: int) -> None:
+        """Put a view in force; the servers take it on their own."""
+        self._view = view
+        reach = Reach(n_reachable=view.n_reachable, n_listed=view.n_listed)
+        self._reach.take(reach, now_ms)
+
+    def bound(self, server: OwnedServer, now_ms: int) -> LoadBound:
+        """Return the bound on a server's load at an admission now."""
+        assert self._view is not None
+        sums = self._sum_of_service(server.spec.service, now_ms)
+        return server.bound(sums, self._view.text.limits, now_ms)
+
+    def _sum_of_service(self, service: str, now_ms: int) -> LoadSum:
+        assert self._view is not None
+        own = self.servers.sum_of(service, now_ms)
+        n_in_service = len(self._view.servers_by_service.get(service, ()))
+        return self.means.join(service, own, n_in_service, now_ms)
+
+    def can_take(
+        self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
+    ) -> bool:
+        """Whether a request of a team may be sent to a server now."""
+        view = self._view
+        assert view is not None
+        if not view.trusted or server.waits_for_report(now_ms):
+            return False
+        if server.circuit.remaining_rest_ms(now_ms) > 0:
+            return False
+        load = server.load.load_at(now_ms)
+        reach = self._reach.settled(now_ms)
+        if not bound.admits(
+            load=load,
+            own_load=server.load.n_own,
+            n_reachable=reach.n_reachable,
+            n_listed=reach.n_listed,
+        ):
+            return False
+        return server.shares.may_take(
+            team,
+            n_free=bound.value - load,
+            capacity=bound.value,
+            now_ms=now_ms,
+            has_alternatives=bound.reason is BoundReason.MULTIPLE_OF_MEAN,
+        )
+
+    def causes_of_wait(
+        self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
+    ) -> tuple[Cause, ...]:
+        """Return why a request of a team can't be sent to a server now."""
+        assert self._view is not None
+        name = server.spec.name
+        if server.waits_for_report(now_ms):
+            return (Cause(code=CauseCode.TAKEN_OVER, subject=name),)
+        if server.circuit.remaining_rest_ms(now_ms) > 0:
+            return (
+                Cause(code=CauseCode.CIRCUIT_OPEN, subject=name),
+                Cause(code=CauseCode.BACKEND_SERVER_FAILED, subject=name),
+            )
+        load = server.load.load_at(now_ms)
+        if load + 1 <= bound.value and server.shares.n_running(team.name) > 0:
+            limit = Cause(code=CauseCode.AT_LIMIT, subject=name)
+            return (limit, Cause(code=CauseCode.SURGE, subject=team.name))
+        reach = self._reach.settled(now_ms)
+        return causes_of_bound(server, bound, self._view, load=load, reach=reach)
+
+    def expected_wait_ms(
+        self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
+    ) -> int:
+        """Estimate how long a new request of a team would wait, in milliseconds."""
+        rest_ms = server.circuit.remaining_rest_ms(now_ms)
+        if server.waits_for_report(now_ms):
+            return TRANSIENT_RETRY_AFTER_MS
+        return rest_ms + server.expected_wait_ms(team, bound.value)
+
+    def pop_next(
+        self, server: OwnedServer, bound: LoadBound, now_ms: int
+    ) -> QueuedAttempt | None:
+        """Take the next attempt out of a server's queue that may be sent now."""
+        return server.queue.pop(
+            n_running=server.shares.n_running,
+            may_take=lambda team: self.can_take(server, team, bound, now_ms),
+        )
--- a/damaskrill/admission/_owner.py
+++ b/damaskrill/admission/_owner.py
@@ -4,14 +4,12 @@
 
 import attrs
 
-from damaskrill.admission._bound import BoundReason, LoadBound
-from damaskrill.admission._means import LoadSum, MeanLoads
-from damaskrill.admission._ramp import ColdReason
-from damaskrill.admission._reach import Reach, SettledReach
-from damaskrill.admission._refusals import causes_of_bound, find_view_refusal
+from damaskrill.admission._bound import LoadBound
+from damaskrill.admission._control import TRANSIENT_RETRY_AFTER_MS, AdmissionControl
+from damaskrill.admission._events import attempt_event, cold_events, server_event
+from damaskrill.admission._refusals import find_view_refusal
 from damaskrill.admission._seen import SeenAttempts
 from damaskrill.admission._server import OwnedServer, RunningAttempt
-from damaskrill.admission._servers import OwnedServers
 from damaskrill.base import BaseDecider
 from damaskrill.configuration import TeamSpec
 from damaskrill.dependencies import OutageTracker
@@ -36,7 +34,6 @@
     FleetView,
     FleetViewChanged,
     LoadReported,
-    LoggedEvent,
     MeanLoadKnown,
     Member,
     Message,
@@ -58,7 +55,6 @@
 
 MIN_RETRY_AFTER_MS = 200
 MAX_RETRY_AFTER_MS = 10_000
-TRANSIENT_RETRY_AFTER_MS = 300
 PERCENT = 100
 # Share of a prompt's blocks with which the first choice keeps a spilled chat.
 MIN_CACHED_PERCENT = 75
@@ -100,9 +96,9 @@
         self._own = own
         self._random = check_random_state(random_state)
         self._view: FleetView | None = None
-        self._servers = OwnedServers(own=own)
-        self._means = MeanLoads()
-        self._reach = SettledReach()
+        self._control = AdmissionControl(own=own)
+        self._servers = self._control.servers
+        self._means = self._control.means
         self._outages = OutageTracker()
         self._spills = SpillMemory()
         self._seen = SeenAttempts()
@@ -163,9 +159,7 @@
 
     def _take_view(self, view: FleetView, now_ms: int) -> Sequence[Message]:
         self._view = view
-        self._reach.take(
-            Reach(n_reachable=view.n_reachable, n_listed=view.n_listed), now_ms
-        )
+        self._control.take_view(view, now_ms)
         self._outages.take_view(view, now_ms)
         results: list[Message] = []
         for server in self._servers.take_view(view, now_ms):
@@ -256,18 +250,20 @@
         blocks = offer.request.prefix_blocks
         n_cached = server.cache.count_cached(blocks)
         has_most = n_cached * PERCENT >= MIN_CACHED_PERCENT * max(1, len(blocks))
-        bound = self._bound(server, now_ms)
-        is_free = self._can_take(server, waiting.team, bound, now_ms)
+        bound = self._control.bound(server, now_ms)
+        is_free = self._control.can_take(server, waiting.team, bound, now_ms)
         return "" if has_most and is_free and not server.queue else hint
 
     def _admit(
         self, server: OwnedServer, waiting: QueuedAttempt, now_ms: int
     ) -> Sequence[Message]:
-        bound = self._bound(server, now_ms)
-        if not server.queue and self._can_take(server, waiting.team, bound, now_ms):
+        bound = self._control.bound(server, now_ms)
+        if not server.queue and self._control.can_take(
+            server, waiting.team, bound, now_ms
+        ):
             return self._dispatch(server, waiting, bound, now_ms)
-        causes = self._causes_of_wait(server, waiting.team, bound, now_ms)
-        wait_ms = self._expected_wait_ms(server, waiting.team, bound, now_ms)
+        causes = self._control.causes_of_wait(server, waiting.team, bound, now_ms)
+        wait_ms = self._control.expected_wait_ms(server, waiting.team, bound, now_ms)
         if now_ms + wait_ms > waiting.expires_at_ms or (
             waiting.expires_at_ms <= now_ms
         ):
@@ -319,75 +315,11 @@
             )
             results.append(SendToPeer(address=waiting.entry.address, payload=queued))
             results.append(
-                self._event(EventName.ATTEMPT_QUEUED, waiting.offer, causes=causes)
+                attempt_event(EventName.ATTEMPT_QUEUED, waiting.offer, causes=causes)
             )
         results.extend(self._drain(server, now_ms))
         return results
 
-    def _bound(self, server: OwnedServer, now_ms: int) -> LoadBound:
-        assert self._view is not None
-        sums = self._service_sum(server.spec.service, now_ms)
-        return server.bound(sums, self._view.text.limits, now_ms)
-
-    def _service_sum(self, service: str, now_ms: int) -> LoadSum:
-        assert self._view is not None
-        own = self._servers.sum_of(service, now_ms)
-        n_in_service = len(self._view.servers_by_service.get(service, ()))
-        return self._means.join(service, own, n_in_service, now_ms)
-
-    def _can_take(
-        self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
-    ) -> bool:
-        view = self._view
-        assert view is not None
-        if not view.trusted or server.waits_for_report(now_ms):
-            return False
-        if server.circuit.remaining_rest_ms(now_ms) > 0:
-            return False
-        load = server.load.load_at(now_ms)
-        reach = self._reach.settled(now_ms)
-        if not bound.admits(
-            load=load,
-            own_load=server.load.n_own,
-            n_reachable=reach.n_reachable,
-            n_listed=reach.n_listed,
-        ):
-            return False
-        return server.shares.may_take(
-            team,
-            n_free=bound.value - load,
-            capacity=bound.value,
-            now_ms=now_ms,
-            has_alternatives=bound.reason is BoundReason.MULTIPLE_OF_MEAN,
-        )
-
-    def _causes_of_wait(
-        self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
-    ) -> tuple[Cause, ...]:
-        assert self._view is not None
-        name = server.spec.name
-        if server.waits_for_report(now_ms):
-            return (Cause(code=CauseCode.TAKEN_OVER, subject=name),)
-        if server.circuit.remaining_rest_ms(now_ms) > 0:
-            return (
-                Cause(code=CauseCode.CIRCUIT_OPEN, subject=name),
-                Cause(code=CauseCode.BACKEND_SERVER_FAILED, subject=name),
-            )
-        load = server.load.load_at(now_ms)
-        if load + 1 <= bound.value and server.shares.n_running(team.name) > 0:
-            limit = Cause(code=CauseCode.AT_LIMIT, subject=name)
-            return (limit, Cause(code=CauseCode.SURGE, subject=team.name))
-        reach = self._reach.settled(now_ms)
-        return causes_of_bound(server, bound, self._view, load=load, reach=reach)
-
-    def _expected_wait_ms(
-        self, server: OwnedServer, team: TeamSpec, bound: LoadBound, now_ms: int
-    ) -> int:
-        rest_ms = server.circuit.remaining_rest_ms(now_ms)
-        if server.waits_for_report(now_ms):
-            return TRANSIENT_RETRY_AFTER_MS
-        return rest_ms + server.expected_wait_ms(team, bound.value)
-
     # Dispatch
 
     def _dispatch(
@@ -413,7 +345,7 @@
                 resume_offset=offer.resume_offset,
                 fencing_number=self._view.text.version,
             ),
-            self._event(
+            attempt_event(
                 EventName.ATTEMPT_DISPATCHED,
                 offer,
                 load=server.load.load_at(now_ms),
@@ -433,21 +365,13 @@
             return ()
         results: list[Message] = []
         while server.queue:
-            bound = self._bound(server, now_ms)
-            waiting = self._pop_next(server, bound, now_ms)
+            bound = self._control.bound(server, now_ms)
+            waiting = self._control.pop_next(server, bound, now_ms)
             if waiting is None:
                 break
             results.extend(self._dispatch(server, waiting, bound, now_ms))
         return results
 
-    def _pop_next(
-        self, server: OwnedServer, bound: LoadBound, now_ms: int
-    ) -> QueuedAttempt | None:
-        return server.queue.pop(
-            n_running=server.shares.n_running,
-            may_take=lambda team: self._can_take(server, team, bound, now_ms),
-        )
-
     # What becomes of an attempt
 
     def _take_first_token(
@@ -468,13 +392,13 @@
             now_ms=now_ms,
         )
         total_ms = running.offer.elapsed_ms + running.wait_ms + first.latency_ms
-        event = self._event(
+        event = attempt_event(
             EventName.FIRST_TOKEN,
             running.offer,
             latency_ms=total_ms,
             wait_ms=running.wait_ms,
         )
-        return (event, *self._log_cold(server, reason))
+        return (event, *cold_events(server, reason))
 
     def _end(self, ended: BackendEnded, now_ms: int) -> Sequence[Message]:
         server = self._server_of_attempt.pop(ended.attempt_id, None)
@@ -483,7 +407,9 @@
         running = server.end(ended.attempt_id, now_ms)
         server.note_finished(running, now_ms)
         server.limit.note_end(between_tokens_ms=ended.between_tokens_ms)
-        results = self._log_closed(server, ended.attempt_id)
+        results: list[Message] = []
+        if server.circuit.note_success(ended.attempt_id):
+            results.append(server_event(EventName.CIRCUIT_CLOSED, server))
         payload = AttemptEnded(
             attempt_id=ended.attempt_id,
             n_bytes=ended.n_bytes,
@@ -495,17 +421,6 @@
         results.extend(self._drain(server, now_ms))
         return results
 
-    def _log_closed(self, server: OwnedServer, attempt_id: str) -> list[Message]:
-        if not server.circuit.note_success(attempt_id):
-            return []
-        return [
-            LoggedEvent(
-                name=EventName.CIRCUIT_CLOSED,
-                backend_server=server.spec.name,
-                service=server.spec.service,
-            )
-        ]
-
     def _fail(self, failure: BackendFailed, now_ms: int) -> Sequence[Message]:
         server = self._server_of_attempt.pop(failure.attempt_id, None)
         if server is None or failure.attempt_id not in server.running:
@@ -526,7 +441,7 @@
         )
         results.append(SendToPeer(address=running.entry.address, payload=payload))
         results.append(
-            self._event(EventName.ATTEMPT_FAILED, running.offer, causes=(cause,))
+            attempt_event(EventName.ATTEMPT_FAILED, running.offer, causes=(cause,))
         )
         results.extend(self._drain(server, now_ms))
         return results
@@ -542,20 +457,16 @@
         if failure.n_bytes_sent == 0:
             server.note_unreachable()
         if failure.connection_reset:
-            results.extend(self._log_cold(server, server.ramp.note_reset(now_ms)))
+            results.extend(cold_events(server, server.ramp.note_reset(now_ms)))
             server.turn_cold()
         opened = server.circuit.note_failure(
             failure.attempt_id, started_at_ms=running.started_at_ms, now_ms=now_ms
         )
         if opened:
-            results.append(
-                LoggedEvent(
-                    name=EventName.CIRCUIT_OPENED,
-                    backend_server=server.spec.name,
-                    service=server.spec.service,
-                    detail=failure.reason,
-                )
+            event = server_event(
+                EventName.CIRCUIT_OPENED, server, detail=failure.reason
             )
+            results.append(event)
         return results
 
     def _cancel(self, attempt_id: str, now_ms: int) -> Sequence[Message]:
@@ -595,22 +506,7 @@
         if server is None:
             return ()
         reason = server.take_report(report, now_ms)
-        return (*self._log_cold(server, reason), *self._drain(server, now_ms))
-
-    def _log_cold(
-        self, server: OwnedServer, reason: ColdReason | None
-    ) -> Sequence[Message]:
-        if reason is None:
-            return ()
-        return (
-            LoggedEvent(
-                name=EventName.SERVER_COLD,
-                backend_server=server.spec.name,
-                service=server.spec.service,
-                data_centre=server.spec.data_centre,
-                detail=reason.value,
-            ),
-        )
+        return (*cold_events(server, reason), *self._drain(server, now_ms))
 
     def _tick(self, now_ms: int) -> Sequence[Message]:
         results: list[Message] = []
@@ -638,15 +534,17 @@
     def _expire(self, server: OwnedServer, now_ms: int) -> Sequence[Message]:
         results: list[Message] = []
         for waiting in server.queue.remove_expired(now_ms):
-            bound = self._bound(server, now_ms)
-            causes = self._causes_of_wait(server, waiting.team, bound, now_ms)
+            bound = self._control.bound(server, now_ms)
+            causes = self._control.causes_of_wait(server, waiting.team, bound, now_ms)
             waited_ms = now_ms - waiting.queued_at_ms
             detail = f"it waited {waited_ms} ms"
             full = Cause(
                 code=CauseCode.QUEUE_FULL, subject=server.spec.name, detail=detail
             )
             causes = self._with_root(waiting, (full, *causes))
-            wait_ms = self._expected_wait_ms(server, waiting.team, bound, now_ms)
+            wait_ms = self._control.expected_wait_ms(
+                server, waiting.team, bound, now_ms
+            )
             results.extend(
                 self._refuse(waiting, causes, server=server, wait_ms=wait_ms)
             )
@@ -693,32 +591,5 @@
         )
         return (
             SendToPeer(address=waiting.entry.address, payload=refusal),
-            self._event(EventName.ATTEMPT_REFUSED, offer, causes=causes, load=load),
-        )
-
-    def _event(
-        self,
-        name: EventName,
-        offer: OfferAttempt,
-        *,
-        causes: tuple[Cause, ...] = (),
-        load: int = 0,
-        load_bound: int = 0,
-        wait_ms: int = 0,
-        latency_ms: int = 0,
-    ) -> LoggedEvent:
-        request = offer.request
-        return LoggedEvent(
-            name=name,
-            request_id=request.request_id,
-            attempt_id=offer.attempt_id,
-            service=request.service,
-            team=request.team,
-            backend_server=offer.backend_server,
-            causes=causes,
-            load=load,
-            load_bound=load_bound,
-            wait_ms=wait_ms,
-            latency_ms=latency_ms,
-            text_version=offer.text_version,
+            attempt_event(EventName.ATTEMPT_REFUSED, offer, causes=causes, load=load),
         )
