--- a/features/support/faults.py
+++ b/features/support/faults.py
@@ -9,7 +9,7 @@
 LAST_FAULT_MS = 50_000
 HEAL_MS = 62_000
 WORK_END_MS = 68_000
-END_MS = 95_000
+END_MS = 130_000
 
 # Faults during which news of a text cannot reach every router in time.
 DELAYING = frozenset(
@@ -141,7 +141,7 @@
 
 
 def pause(pump, workload, random):
-    duration_ms = random.choice((1_000, 3_000, 10_000))
+    duration_ms = random.choice((1_000, 3_000, 10_000, 60_000))
     pump.pause_router(_any_address(pump, random), duration_ms)
 
 
