--- a/damaskrill/membership/__init__.py
+++ b/damaskrill/membership/__init__.py
@@ -1,11 +1,9 @@
 """Which routers are alive, and which of them owns what."""
 
 from damaskrill.membership._decider import ProbingMembership
-from damaskrill.membership._listed import ListedMembership
 from damaskrill.membership._ownership import owner_of_key, owner_of_server
 
 __all__ = [
-    "ListedMembership",
     "ProbingMembership",
     "owner_of_key",
     "owner_of_server",
