--- a/damaskrill/monitoring/_metrics.py
+++ b/damaskrill/monitoring/_metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from damaskrill.control import ControlBudget, ControlClass
 from damaskrill.messages import EventName, LoggedEvent
 
 __all__ = ["RouterMetrics"]
@@ -71,6 +72,18 @@
             "damaskrill_peer_bytes",
             "Bytes to and from other routers since the start, by kind of traffic.",
         )
+        self._control_bytes = self._gauge(
+            "damaskrill_control_bytes",
+            "Bytes that the control budget has counted since the start, by class.",
+        )
+        self._control_dropped = self._gauge(
+            "damaskrill_control_dropped",
+            "Control messages that the budget did not let through, by class.",
+        )
+        self._control_rate = self._gauge(
+            "damaskrill_control_bytes_last_second",
+            "Control bytes of the last whole second, sent and received.",
+        )
         self._state = self._gauge(
             "damaskrill_state", "Present numbers of this router by name."
         )
@@ -110,6 +123,17 @@
             for kind, n_bytes in totals.items():
                 self._peer_bytes.set({"direction": direction, "kind": kind}, n_bytes)
 
+    def set_control(self, budget: ControlBudget) -> None:
+        """Set what the control budget has counted and dropped, by class."""
+        for each in ControlClass:
+            name = each.name.lower()
+            sent = {"class": name, "direction": "sent"}
+            received = {"class": name, "direction": "received"}
+            self._control_bytes.set(sent, budget.n_bytes_sent(each))
+            self._control_bytes.set(received, budget.n_bytes_received(each))
+            self._control_dropped.set({"class": name}, budget.n_dropped(each))
+        self._control_rate.set({}, budget.bytes_last_second)
+
     def render(self) -> bytes:
         """Return all metrics in the text format that scrapers read."""
         content, _ = render(self._registry, [])
--- a/damaskrill/runtime/_pages.py
+++ b/damaskrill/runtime/_pages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from damaskrill.control import ControlBudget
 from damaskrill.messages import FleetView, LoggedEvent
 from damaskrill.monitoring import RouterMetrics, StatusBoard
 from damaskrill.peers import PeerNetwork
@@ -17,6 +18,8 @@
     ----------
     network : PeerNetwork
         Connections to other routers, whose bytes are counted.
+    control_budget : ControlBudget
+        Account of the control traffic.
     data_centre : str
         Where the router runs.
     clock : Clock
@@ -29,11 +32,13 @@
         self,
         *,
         network: PeerNetwork,
+        control_budget: ControlBudget,
         data_centre: str,
         clock: Clock,
         present_numbers: Callable[[], dict[str, int]],
     ) -> None:
         self._network = network
+        self._control_budget = control_budget
         self._present_numbers = present_numbers
         self._metrics = RouterMetrics()
         self._status = StatusBoard(
@@ -77,5 +82,6 @@
         """Return the metrics in the text format that scrapers read."""
         counters = self._network.counters
         self._metrics.set_peer_bytes(counters.sent, counters.received)
+        self._metrics.set_control(self._control_budget)
         self._metrics.set_state(self._present_numbers())
         return self._metrics.render()
--- a/damaskrill/runtime/_process.py
+++ b/damaskrill/runtime/_process.py
@@ -115,8 +115,10 @@
         self._build_relay()
         await self._start_network()
         self._log = EventLog(router=self.own.address, clock=self._clock)
+        self._kernel = build_kernel(own=self.own, random_state=self._random_state)
         self._pages = RouterPages(
             network=self._network,
+            control_budget=self._kernel.control_budget,
             data_centre=settings.data_centre,
             clock=self._clock,
             present_numbers=self._present_numbers,
@@ -244,7 +246,7 @@
             self._settings, own=self.own, random_state=self._random_state
         )
         self._kernel_task = KernelTask(
-            kernel=build_kernel(own=self.own, random_state=self._random_state),
+            kernel=self._kernel,
             clock=self._clock,
             run_effect=lambda effect, at_ms: self._effects.run(effect, at_ms),
             publish_view=self._take_view,
--- a/features/broken_paths.feature
+++ b/features/broken_paths.feature
@@ -59,6 +59,7 @@
     Then the status page holds "2 completed"
     And the status page holds "service 'dossier-review': 1 of 1 backend servers"
     And the metrics page holds "damaskrill_requests_total"
+    And the metrics page holds "damaskrill_control_bytes{class="membership""
     And the readiness page says that it is ready
 
   Scenario: a graceful stop finishes the answer that runs
