--- a/features/steps/serve_steps.py
+++ b/features/steps/serve_steps.py
@@ -17,6 +17,7 @@
 from damaskrill.fakes import build_chat_answer
 from damaskrill.messages import HostEntry
 from features.steps.whole_path_steps import build_chat
+from features.support.processes import read_log_lines
 from features.support.reactor_thread import get_reactor_thread
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -53,8 +54,7 @@
 
 
 def read_log(context):
-    lines = context.error_path.read_text(encoding="utf-8").splitlines()
-    return [json.loads(line) for line in lines]
+    return read_log_lines(context.error_path)
 
 
 def wait_for(condition):
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -42,6 +42,12 @@
     raise AssertionError("the condition did not come about")
 
 
+def read_log_lines(path):
+    """Return the log's whole lines; the last one may still be being written."""
+    whole, _, _ = path.read_text(encoding="utf-8").rpartition("\n")
+    return [json.loads(line) for line in whole.splitlines()]
+
+
 def free_address():
     """Return an address on loopback that is free now."""
     with socket.socket() as probe:
@@ -97,8 +103,8 @@
 """
 
     def _events(self, name):
-        lines = (self.folder / "stderr").read_text(encoding="utf-8").splitlines()
-        return [each for each in map(json.loads, lines) if each["event"] == name]
+        lines = read_log_lines(self.folder / "stderr")
+        return [each for each in lines if each["event"] == name]
 
     def is_ready(self):
         """Whether it would take callers."""
