--- a/damaskrill/admission/_ramp.py
+++ b/damaskrill/admission/_ramp.py
@@ -65,11 +65,6 @@
         self._peak_pace = 0.0
         self._n_slow = 0
 
-    @property
-    def cold_at_ms(self) -> int:
-        """Time of the last cold turn, in milliseconds; -1 if there was none."""
-        return self._cold_at_ms
-
     def bound_at(self, now_ms: int) -> int:
         """Return the load that may be put on the server, in requests."""
         finished = max(self._n_finished, self._n_reported)
--- a/damaskrill/peers/_outbox.py
+++ b/damaskrill/peers/_outbox.py
@@ -55,11 +55,6 @@
         """Whether nothing more is taken."""
         return self._is_closed
 
-    @property
-    def n_frames(self) -> int:
-        """Frames that wait."""
-        return len(self._frames)
-
     def has_room(self, n_bytes: int) -> bool:
         """Whether a frame of that size may be added now."""
         if not self._frames:
--- a/damaskrill/relay/_entry.py
+++ b/damaskrill/relay/_entry.py
@@ -130,10 +130,6 @@
             request_id=request_id, sink=sink, kept=[] if keep else None
         )
 
-    def has_request(self, request_id: str) -> bool:
-        """Return whether an answer to the request is expected."""
-        return request_id in self._streams
-
     def bind(self, request_id: str, stream_id: str, *, peer: str = "") -> int:
         """Make an attempt or hop the only one whose bytes are wanted.
 
--- a/features/steps/serve_steps.py
+++ b/features/steps/serve_steps.py
@@ -17,12 +17,15 @@
 from damaskrill.fakes import build_chat_answer
 from damaskrill.messages import HostEntry
 from features.steps.whole_path_steps import build_chat
-from features.support.processes import read_log_lines
+from features.support.processes import (
+    ROOT,
+    WAIT_S,
+    free_address,
+    read_log_lines,
+    wait_for,
+)
 from features.support.reactor_thread import get_reactor_thread
 
-ROOT = Path(__file__).resolve().parents[2]
-WAIT_S = 40
-POLL_S = 0.05
 FLEET_KEY = "a key that no log may hold"
 
 
@@ -57,16 +60,6 @@
     return read_log_lines(context.error_path)
 
 
-def wait_for(condition):
-    ends_at = time.monotonic() + WAIT_S
-    while time.monotonic() < ends_at:
-        result = condition()
-        if result:
-            return result
-        time.sleep(POLL_S)
-    raise AssertionError("the condition did not come about")
-
-
 @given("the stand-ins of a platform on loopback")
 def step_platform(context):
     thread = get_reactor_thread()
@@ -79,9 +72,7 @@
 
 def build_settings(context, caller_address="127.0.0.1:0"):
     # The address must stand in the host list before the process has chosen it.
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        peer_address = f"127.0.0.1:{probe.getsockname()[1]}"
+    peer_address = free_address()
     host = HostEntry(address=peer_address, data_centre="bole")
     context.fleet.platform.host_list.set_hosts((host,), 0)
     return f"""\
