--- /dev/null
+++ b/damaskrill/catalog/__init__.py
@@ -0,0 +1,40 @@
+"""What the platform publishes, as typed values: routes, services, teams, servers."""
+
+from damaskrill.catalog._catalog import Catalog
+from damaskrill.catalog._errors import UnusableConfigurationError, UnusableServerError
+from damaskrill.catalog._items import (
+    CatalogItem,
+    ConfigurationItem,
+    DataCentreOutItem,
+    ForeignItem,
+    ServerItem,
+)
+from damaskrill.catalog._model import (
+    BackendServer,
+    CallerLimits,
+    Configuration,
+    RequestKind,
+    Route,
+    ServiceShare,
+    ServiceSpec,
+    Team,
+)
+
+__all__ = [
+    "BackendServer",
+    "CallerLimits",
+    "Catalog",
+    "CatalogItem",
+    "Configuration",
+    "ConfigurationItem",
+    "DataCentreOutItem",
+    "ForeignItem",
+    "RequestKind",
+    "Route",
+    "ServerItem",
+    "ServiceShare",
+    "ServiceSpec",
+    "Team",
+    "UnusableConfigurationError",
+    "UnusableServerError",
+]
--- /dev/null
+++ b/damaskrill/catalog/_catalog.py
@@ -0,0 +1,213 @@
+"""State in force, kept from the changes of the store's items."""
+
+from collections.abc import Callable
+
+from attrs import define
+
+from damaskrill.catalog._items import (
+    CatalogItem,
+    ConfigurationItem,
+    DataCentreOutItem,
+    ForeignItem,
+    ServerItem,
+)
+from damaskrill.catalog._model import BackendServer, Configuration, ServiceSpec
+
+__all__ = ["Catalog"]
+
+Report = Callable[..., None]
+# Entries that lapsed with the store away are back this long after its return: about
+# two seconds by the users' letter, and the way of a change through the routers.
+RETURN_GRACE_MS = 2_300
+
+
+@define(kw_only=True)
+class _Known:
+    """A backend server with when its entry was last read."""
+
+    server: BackendServer
+    cold_until_ms: int
+    lapsed_at_ms: int = -1
+
+
+class Catalog:
+    """Configuration, backend servers and data centres that are out.
+
+    Parameters
+    ----------
+    report : callable
+        Takes an event name and fields; called for each change.
+
+    Notes
+    -----
+    The configuration never goes back to a lower version within one process. An entry
+    that disappears stays usable only while ``RETURN_GRACE_MS`` have not passed since
+    the store's return, because entries lapse while servers cannot reach the store.
+    """
+
+    def __init__(self, *, report: Report) -> None:
+        self._report = report
+        self._configuration: Configuration | None = None
+        self._servers: dict[str, _Known] = {}
+        self._out: set[str] = set()
+        self._cold_after_out: dict[str, int] = {}
+        self._returned_at_ms = -1_000_000
+        self._has_servers = False
+        self._by_service: dict[str, tuple[BackendServer, ...]] | None = None
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Configuration in force; None before the first."""
+        return self._configuration
+
+    @property
+    def data_centres_out(self) -> frozenset[str]:
+        """Data centres that get nothing."""
+        return frozenset(self._out)
+
+    @property
+    def n_servers(self) -> int:
+        """Number of known backend servers, leaving ones included."""
+        return len(self._servers)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether a configuration and the list of servers have been read."""
+        return self._configuration is not None and self._has_servers
+
+    def note_listed(self) -> None:
+        """Note that a whole list of items has been read."""
+        self._has_servers = True
+
+    def note_store_returned(self, now_ms: int) -> None:
+        """Note that the store answers again after it was away."""
+        self._returned_at_ms = now_ms
+
+    def put(self, item: CatalogItem, now_ms: int) -> None:
+        """Take a written item."""
+        match item:
+            case ConfigurationItem():
+                self._put_configuration(item)
+            case DataCentreOutItem(data_centre=name):
+                if name not in self._out:
+                    self._report("data_centre_out", data_centre=name)
+                self._out.add(name)
+                self._by_service = None
+            case ServerItem():
+                self._put_server(item, now_ms)
+            case ForeignItem():
+                pass
+
+    def remove(self, item: CatalogItem, now_ms: int) -> None:
+        """Take the removal of an item."""
+        match item:
+            case DataCentreOutItem(data_centre=name):
+                if name in self._out:
+                    self._out.discard(name)
+                    self._cold_after_out[name] = now_ms
+                    self._report("data_centre_back", data_centre=name)
+                self._by_service = None
+            case ServerItem(server_id=server_id):
+                known = self._servers.get(server_id)
+                if known is not None and known.lapsed_at_ms < 0:
+                    known.lapsed_at_ms = now_ms
+                self.purge(now_ms)
+            case ConfigurationItem() | ForeignItem():
+                pass
+
+    def purge(self, now_ms: int) -> None:
+        """Forget servers whose entries are gone for good."""
+        if now_ms < self._returned_at_ms + RETURN_GRACE_MS:
+            return
+        gone = [key for key, each in self._servers.items() if each.lapsed_at_ms >= 0]
+        for server_id in gone:
+            del self._servers[server_id]
+            self._report("server_gone", backend_server=server_id)
+        if gone:
+            self._by_service = None
+
+    def find_servers(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the servers of a service that may get requests."""
+        if self._by_service is None:
+            self._by_service = self._group_servers()
+        return self._by_service.get(service, ())
+
+    def is_usable(self, server: BackendServer) -> bool:
+        """Whether this incarnation may get requests now."""
+        known = self._servers.get(server.server_id)
+        if known is None or known.server.key != server.key:
+            return False
+        return not known.server.is_leaving and server.data_centre not in self._out
+
+    def is_cold(self, server: BackendServer, now_ms: int) -> bool:
+        """Whether a server bears only its cold rate now."""
+        known = self._servers.get(server.server_id)
+        spec = self._service_spec(server.service)
+        if known is None or spec is None or spec.cold_requests_per_s <= 0:
+            return False
+        if now_ms < known.cold_until_ms:
+            return True
+        back_at_ms = self._cold_after_out.get(server.data_centre)
+        if back_at_ms is None:
+            return False
+        return now_ms < back_at_ms + spec.cold_duration_ms
+
+    def note_cold(self, server: BackendServer, cold_for_ms: int, now_ms: int) -> None:
+        """Take what a server itself says about how long it stays cold."""
+        known = self._servers.get(server.server_id)
+        if known is not None and known.server.key == server.key:
+            known.cold_until_ms = max(known.cold_until_ms, now_ms + cold_for_ms)
+
+    def _service_spec(self, service: str) -> ServiceSpec | None:
+        if self._configuration is None:
+            return None
+        return self._configuration.services.get(service)
+
+    def _group_servers(self) -> dict[str, tuple[BackendServer, ...]]:
+        groups: dict[str, list[BackendServer]] = {}
+        for known in self._servers.values():
+            server = known.server
+            if not server.is_leaving and server.data_centre not in self._out:
+                groups.setdefault(server.service, []).append(server)
+        return {name: tuple(servers) for name, servers in groups.items()}
+
+    def _put_configuration(self, item: ConfigurationItem) -> None:
+        if item.configuration is None:
+            self._report("configuration_refused", sentence=str(item.error))
+            return
+        current = self._configuration
+        if current is not None and item.configuration.version <= current.version:
+            return
+        self._configuration = item.configuration
+        self._report(
+            "configuration_in_force",
+            text_version=item.configuration.version,
+            n_routes=len(item.configuration.routes),
+        )
+
+    def _put_server(self, item: ServerItem, now_ms: int) -> None:
+        server = item.server
+        if server is None:
+            self._report(
+                "server_entry_refused",
+                backend_server=item.server_id,
+                sentence=str(item.error),
+            )
+            if self._servers.pop(item.server_id, None) is not None:
+                self._by_service = None
+            return
+        known = self._servers.get(server.server_id)
+        if known is None or known.server.key != server.key:
+            self._report(
+                "server_known",
+                backend_server=server.server_id,
+                service=server.service,
+                data_centre=server.data_centre,
+                cold_for_ms=server.cold_for_ms,
+            )
+        elif server.is_leaving and not known.server.is_leaving:
+            self._report("server_leaving", backend_server=server.server_id)
+        self._servers[server.server_id] = _Known(
+            server=server, cold_until_ms=now_ms + server.cold_for_ms
+        )
+        self._by_service = None
--- /dev/null
+++ b/damaskrill/eventlog/__init__.py
@@ -0,0 +1,6 @@
+"""Decision log: JSON lines on standard output that never block."""
+
+from damaskrill.eventlog._log import DecisionLog, configure_decision_log
+from damaskrill.eventlog._sink import LineSink
+
+__all__ = ["DecisionLog", "LineSink", "configure_decision_log"]
--- /dev/null
+++ b/damaskrill/feed/__init__.py
@@ -0,0 +1,24 @@
+"""Copy of the platform's store, kept by its readers and passed on between routers."""
+
+from damaskrill.feed._copy import Change, FeedCopy
+from damaskrill.feed._errors import (
+    HistoryGoneError,
+    StoreAnswerError,
+    StoreRefusedError,
+    StoreUnreachableError,
+)
+from damaskrill.feed._freshness import Freshness
+from damaskrill.feed._reader import BaseStoreClient, FeedReader, Page
+
+__all__ = [
+    "BaseStoreClient",
+    "Change",
+    "FeedCopy",
+    "FeedReader",
+    "Freshness",
+    "HistoryGoneError",
+    "Page",
+    "StoreAnswerError",
+    "StoreRefusedError",
+    "StoreUnreachableError",
+]
--- /dev/null
+++ b/damaskrill/feed/_reader.py
@@ -0,0 +1,135 @@
+"""Task that reads and watches the store for as long as this router is a reader."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+from random import Random
+
+from attrs import frozen
+
+from damaskrill.exceptions import DamaskrillError
+from damaskrill.feed._copy import Change, FeedCopy
+from damaskrill.feed._errors import HistoryGoneError, StoreRefusedError
+
+__all__ = ["BaseStoreClient", "FeedReader", "Page"]
+
+# How long a watch waits for changes. Its end shows that the store still answers.
+WATCH_WAIT_MS = 900
+# Changes that come within this time are read by one call; calls are priced.
+COALESCE_MS = 250
+FIRST_BACKOFF_MS = 100
+MAX_BACKOFF_MS = 800
+# How often a router that is no reader checks whether it has become one.
+IDLE_POLL_MS = 150
+
+
+@frozen(kw_only=True)
+class Page:
+    """Changes or items, as of a revision."""
+
+    changes: tuple[Change, ...]
+    at_revision: int
+
+
+class BaseStoreClient(ABC):
+    """Calls to the platform's store."""
+
+    @abstractmethod
+    async def list_items(self) -> Page:
+        """Read all items that concern routers."""
+
+    @abstractmethod
+    async def watch(self, *, after: int, wait_ms: int) -> Page:
+        """Wait for changes after a revision, at most for a time."""
+
+
+class FeedReader:
+    """Keeps a ``FeedCopy`` up to date from the store.
+
+    Parameters
+    ----------
+    client : BaseStoreClient
+        Calls to the store.
+    copy : FeedCopy
+        What is kept.
+    should_read : callable
+        Whether this router reads the store now.
+    take : callable
+        Takes the applied changes, and whether a whole list was read.
+    report : callable
+        Takes an event name and fields.
+    random_state : Random
+        Spreads repeated calls of several routers.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: BaseStoreClient,
+        copy: FeedCopy,
+        should_read: Callable[[], bool],
+        take: Callable[[Sequence[Change], bool], None],
+        report: Callable[..., None],
+        random_state: Random,
+    ) -> None:
+        self._client = client
+        self._copy = copy
+        self._should_read = should_read
+        self._take = take
+        self._report = report
+        self._random = random_state
+        self._backoff_ms = 0
+        self._must_list = False
+        self._is_lost = False
+        self._n_calls = 0
+
+    @property
+    def n_calls(self) -> int:
+        """Calls to the store so far."""
+        return self._n_calls
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            if not self._should_read():
+                await asyncio.sleep(IDLE_POLL_MS / 1_000)
+                continue
+            try:
+                await self._read_once()
+            except HistoryGoneError as error:
+                self._must_list = True
+                self._report("store_history_gone", sentence=error.sentence)
+            except DamaskrillError as error:
+                await self._wait_after(error)
+
+    async def _read_once(self) -> None:
+        self._n_calls += 1
+        if self._must_list or not self._copy.revision:
+            page = await self._client.list_items()
+            applied = self._copy.apply_list(page.changes, page.at_revision)
+            self._must_list = False
+            self._note_answer(applied, is_list=True)
+            return
+        after = self._copy.revision
+        page = await self._client.watch(after=after, wait_ms=WATCH_WAIT_MS)
+        applied = self._copy.apply_changes(page.changes, page.at_revision)
+        self._note_answer(applied, is_list=False)
+        if page.changes:
+            await asyncio.sleep(COALESCE_MS / 1_000)
+
+    def _note_answer(self, applied: Sequence[Change], *, is_list: bool) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            self._report("store_regained", revision=self._copy.revision)
+        self._backoff_ms = 0
+        self._take(applied, is_list)
+
+    async def _wait_after(self, error: DamaskrillError) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._report("store_lost", code=error.code, sentence=error.sentence)
+        doubled = self._backoff_ms * 2 or FIRST_BACKOFF_MS
+        self._backoff_ms = min(doubled, MAX_BACKOFF_MS)
+        factor = 2 if isinstance(error, StoreRefusedError) else 1
+        wait_ms = self._backoff_ms * factor * self._random.uniform(0.5, 1.0)
+        await asyncio.sleep(wait_ms / 1_000)
--- /dev/null
+++ b/damaskrill/gateway/_attempt.py
@@ -0,0 +1,227 @@
+"""One request at one backend server: takes the answer and says how it ended."""
+
+import asyncio
+from collections.abc import Callable
+
+from attrs import frozen
+
+from damaskrill.gateway._events import EventSplitter, read_event_id
+from damaskrill.http1 import (
+    AnswerHead,
+    AnswerSink,
+    CallerConnection,
+    ExchangeFailure,
+    Headers,
+    forwarded_headers,
+)
+from damaskrill.steering import AnswerFacts
+
+__all__ = [
+    "Attempt",
+    "AttemptResult",
+    "BadAnswer",
+    "Broken",
+    "NotRun",
+    "StreamEnded",
+    "StreamProgress",
+    "WholeAnswer",
+]
+
+# Answers that are no streams are held whole, so that an incomplete one never looks
+# complete.
+MAX_WHOLE_BYTES = 64_000_000
+EVENT_STREAM = b"text/event-stream"
+STATUS_OK = 200
+STATUS_MULTIPLE = 300
+
+
+@frozen(kw_only=True)
+class WholeAnswer:
+    """A whole answer that the server made."""
+
+    head: AnswerHead
+    body: bytes
+
+
+@frozen(kw_only=True)
+class StreamEnded:
+    """A stream that has been passed on to its end."""
+
+
+@frozen(kw_only=True)
+class NotRun:
+    """The server states that it has not run the request."""
+
+    status: int
+
+
+@frozen(kw_only=True)
+class BadAnswer:
+    """An answer that must not be passed on; the request may have run."""
+
+    reason: str
+
+
+@frozen(kw_only=True)
+class Broken:
+    """No whole answer; the request may have run."""
+
+    failure: ExchangeFailure
+
+
+AttemptResult = WholeAnswer | StreamEnded | NotRun | BadAnswer | Broken
+
+
+class StreamProgress:
+    """What the caller has got of a stream, over all attempts.
+
+    Parameters
+    ----------
+    connection : CallerConnection
+        The caller's connection.
+    """
+
+    def __init__(self, connection: CallerConnection) -> None:
+        self._connection = connection
+        self._has_begun = False
+        self._last_id: int | None = None
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head has been sent."""
+        return self._has_begun
+
+    @property
+    def last_id(self) -> int | None:
+        """Identifier of the last whole event that was sent."""
+        return self._last_id
+
+    def send(self, head: AnswerHead, data: bytes) -> None:
+        """Send whole events, and the head before the first ones."""
+        if not self._has_begun:
+            self._has_begun = True
+            self._connection.begin_stream(head.status, forwarded_headers(head.headers))
+        self._connection.send_part(data)
+        event_id = read_event_id(data)
+        if event_id is not None:
+            self._last_id = event_id
+
+    def end(self, head: AnswerHead) -> None:
+        """End the answer as complete."""
+        if not self._has_begun:
+            self._has_begun = True
+            headers: Headers = forwarded_headers(head.headers)
+            self._connection.begin_stream(head.status, headers)
+        self._connection.end_stream()
+
+
+class Attempt(AnswerSink):
+    """Takes the answer to one request.
+
+    Parameters
+    ----------
+    request_id : str
+        What the answer must name.
+    read_answer : callable
+        Reads the headers.
+    progress : StreamProgress or None
+        Where events go; None if the request is not for a stream.
+    on_load : callable
+        Takes the load that the server states.
+    """
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        read_answer: Callable[[AnswerHead], AnswerFacts],
+        progress: StreamProgress | None,
+        on_load: Callable[[int], None],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._loop = loop
+        self.done: asyncio.Future[AttemptResult] = loop.create_future()
+        self._request_id = request_id
+        self._read_answer = read_answer
+        self._progress = progress
+        self._on_load = on_load
+        self._head: AnswerHead | None = None
+        self._facts = AnswerFacts()
+        self._splitter: EventSplitter | None = None
+        self._parts: list[bytes] = []
+        self._n_bytes = 0
+        self.progress_at = loop.time()
+        self.first_at: float | None = None
+
+    @property
+    def has_head(self) -> bool:
+        """Whether status and headers have come."""
+        return self._head is not None
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Take status and headers."""
+        self.progress_at = self._loop.time()
+        self._head = head
+        self._facts = facts = self._read_answer(head)
+        if facts.load is not None:
+            self._on_load(sum(facts.load))
+        is_success = STATUS_OK <= head.status < STATUS_MULTIPLE
+        if self._progress is not None and is_success:
+            content_type = head.find_header(b"content-type") or b""
+            if content_type.startswith(EVENT_STREAM) and not self._find_fault():
+                self._splitter = EventSplitter()
+
+    def take_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.progress_at = self._loop.time()
+        if self.first_at is None:
+            self.first_at = self.progress_at
+        if self._splitter is not None and self._progress is not None:
+            events = self._splitter.feed(data)
+            if events and self._head is not None and not self.done.done():
+                self._progress.send(self._head, events)
+            return
+        self._n_bytes += len(data)
+        if self._n_bytes <= MAX_WHOLE_BYTES:
+            self._parts.append(data)
+
+    def take_end(self) -> None:
+        """Take the proper end of the answer."""
+        if not self.done.done():
+            self.done.set_result(self._find_result())
+
+    def take_failure(self, failure: ExchangeFailure) -> None:
+        """Take the failure of the exchange."""
+        if not self.done.done():
+            self.done.set_result(Broken(failure=failure))
+
+    def _find_result(self) -> AttemptResult:
+        head = self._head
+        if head is None:
+            return BadAnswer(reason="it has no head")
+        if self._facts.is_not_run:
+            return NotRun(status=head.status)
+        fault = self._find_fault()
+        if fault:
+            return BadAnswer(reason=fault)
+        if self._splitter is not None and self._progress is not None:
+            if self._splitter.rest:
+                return BadAnswer(reason="it ends in the middle of an event")
+            self._progress.end(head)
+            return StreamEnded()
+        if self._n_bytes > MAX_WHOLE_BYTES:
+            return BadAnswer(reason=f"it has more than {MAX_WHOLE_BYTES} bytes")
+        return WholeAnswer(head=head, body=b"".join(self._parts))
+
+    def _find_fault(self) -> str:
+        head, facts = self._head, self._facts
+        if head is None:
+            return "it has no head"
+        if facts.request_id is not None and facts.request_id != self._request_id:
+            return "it answers another request"
+        if STATUS_OK <= head.status < STATUS_MULTIPLE:
+            if not facts.is_sealed:
+                return "a success without the server's proof"
+            if facts.is_encoded:
+                return "its body is encoded"
+        return ""
--- /dev/null
+++ b/damaskrill/gateway/_binding.py
@@ -0,0 +1,54 @@
+"""What a platform's adapter provides to the gateway."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from attrs import frozen
+
+from damaskrill.catalog import BackendServer, CatalogItem, Team
+from damaskrill.feed import BaseStoreClient
+from damaskrill.http1 import AnswerHead, CallerRequest, Headers
+from damaskrill.steering import AnswerFacts, RequestFacts
+
+__all__ = ["PlatformBinding", "ServerHeaders"]
+
+
+class ServerHeaders(Protocol):
+    """Makes the headers of a request to a backend server."""
+
+    def __call__(
+        self,
+        request: CallerRequest,
+        *,
+        server: BackendServer,
+        team: Team | None,
+        remaining_ms: int,
+        resume_after: int | None,
+    ) -> Headers:
+        """Return the headers."""
+
+
+@frozen(kw_only=True)
+class PlatformBinding:
+    """Translations between the platform and the product.
+
+    Parameters
+    ----------
+    readiness_path : bytes
+        Path that the balancer asks.
+    decode_item : callable
+        Decodes a store item from its key and value.
+    read_request, read_answer : callable
+        Read the headers of a request and of an answer.
+    server_headers : callable
+        Makes the headers of a request to a backend server.
+    store : BaseStoreClient
+        Calls to the store.
+    """
+
+    readiness_path: bytes
+    decode_item: Callable[[str, bytes], CatalogItem]
+    read_request: Callable[[CallerRequest], RequestFacts]
+    read_answer: Callable[[AnswerHead], AnswerFacts]
+    server_headers: ServerHeaders
+    store: BaseStoreClient
--- /dev/null
+++ b/damaskrill/gateway/_desk.py
@@ -0,0 +1,186 @@
+"""What all exchanges of one router share."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from damaskrill.catalog import BackendServer, Catalog, Route
+from damaskrill.eventlog import DecisionLog
+from damaskrill.gateway._binding import PlatformBinding
+from damaskrill.gateway._exchange import Exchange
+from damaskrill.gateway._metrics import GatewayMetrics
+from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
+from damaskrill.steering import (
+    Candidate,
+    ColdGate,
+    HealthTracker,
+    Placer,
+    RepeatBudget,
+    ServerLoads,
+    Verdict,
+)
+
+__all__ = ["Desk"]
+
+
+class Desk:
+    """Takes callers' requests and holds what decides on them.
+
+    Parameters
+    ----------
+    binding : PlatformBinding
+        Translations.
+    catalog : Catalog
+        Configuration and servers.
+    pool : ServerPool
+        Connections to servers.
+    cold_gate : ColdGate
+        Limit of requests to cold servers.
+    budget : RepeatBudget
+        Limit of repeats.
+    log : DecisionLog
+        Where decisions are written.
+    metrics : GatewayMetrics
+        Counters.
+    data_centre : str
+        Where this router runs.
+    n_routers : callable
+        Returns the number of routers that are alive.
+    random_state : Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        binding: PlatformBinding,
+        catalog: Catalog,
+        pool: ServerPool,
+        cold_gate: ColdGate,
+        budget: RepeatBudget,
+        log: DecisionLog,
+        metrics: GatewayMetrics,
+        data_centre: str,
+        n_routers: Callable[[], int],
+        random_state: Random,
+    ) -> None:
+        self.binding = binding
+        self.catalog = catalog
+        self.pool = pool
+        self.budget = budget
+        self.log = log
+        self.metrics = metrics
+        self.loads = ServerLoads()
+        self._cold_gate = cold_gate
+        self._health = HealthTracker()
+        self._n_routers = n_routers
+        self._random = random_state
+        self._placer = Placer(
+            loads=self.loads, own_data_centre=data_centre, random_state=random_state
+        )
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def now_ms(self) -> float:
+        """Present time of the steady clock, in milliseconds."""
+        return time.monotonic() * 1_000
+
+    @property
+    def n_exchanges(self) -> int:
+        """Requests that are being served."""
+        return len(self._tasks)
+
+    def take_request(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        """Serve a request in a task of its own."""
+        exchange = Exchange(desk=self, connection=connection, request=request)
+        task = asyncio.get_running_loop().create_task(exchange.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        connection.on_gone = lambda: _cancel(task)
+
+    def pick_service(self, route: Route) -> str:
+        """Draw one of the services that share a route, by weight."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [each.weight for each in route.shares]
+        if not any(weights):
+            return route.shares[0].service
+        return self._random.choices(route.shares, weights)[0].service
+
+    def choose(
+        self, service: str, *, affinity_key: str, tried: set[tuple[str, int]]
+    ) -> BackendServer | None:
+        """Return the server that should get a request; None if none may."""
+        now_ms = self.now_ms
+        candidates = [
+            Candidate(
+                server=server,
+                is_preferred=not self._health.is_left_out(server.key, now_ms),
+            )
+            for server in self.catalog.find_servers(service)
+            if server.key not in tried and self._may_send(server, now_ms)
+        ]
+        return self._placer.choose(candidates, affinity_key=affinity_key, now_ms=now_ms)
+
+    def may_repeat(self, service: str) -> bool:
+        """Spend one repeat of the budget, if it allows one."""
+        return self.budget.try_spend(service, self._n_routers(), self.now_ms)
+
+    def note_sent(self, server: BackendServer) -> None:
+        """Count a request that is being sent."""
+        if self.catalog.is_cold(server, round(self.now_ms)):
+            self._cold_gate.note_sent(server, self.now_ms)
+
+    def note_verdict(self, server: BackendServer, verdict: Verdict, why: str) -> None:
+        """Take how a request ended at a server."""
+        if verdict is not Verdict.GOOD:
+            self.metrics.note_failure(verdict.value)
+            self.log.write(
+                "attempt_failed",
+                backend_server=server.server_id,
+                cause=verdict.value,
+                detail=why,
+            )
+        if self._health.note(server.key, verdict, self.now_ms):
+            self.log.warn(
+                "server_left_out", backend_server=server.server_id, cause=verdict.value
+            )
+            self.pool.close_idle(server.key)
+
+    def tidy(self) -> None:
+        """Forget servers that are gone, and close their idle connections."""
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return
+        keys = {
+            server.key
+            for service in configuration.services
+            for server in self.catalog.find_servers(service)
+        }
+        for key in self.pool.keys():
+            if key not in keys:
+                self.pool.close_idle(key)
+        self.loads.forget_all_but(keys)
+        self._health.forget_all_but(keys)
+
+    def cancel_all(self) -> None:
+        """End all exchanges."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _may_send(self, server: BackendServer, now_ms: float) -> bool:
+        configuration = self.catalog.configuration
+        spec = configuration.services.get(server.service) if configuration else None
+        if spec is None:
+            return False
+        if not self.catalog.is_cold(server, round(now_ms)):
+            return True
+        return self._cold_gate.may_send(server, spec, now_ms)
+
+
+def _cancel(task: asyncio.Task[Any]) -> None:
+    task.cancel()
--- /dev/null
+++ b/damaskrill/gateway/_exchange.py
@@ -0,0 +1,417 @@
+"""One caller's request from its arrival to its final answer."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from damaskrill.catalog import BackendServer, RequestKind, Route, Team
+from damaskrill.gateway._attempt import (
+    Attempt,
+    AttemptResult,
+    BadAnswer,
+    Broken,
+    NotRun,
+    StreamEnded,
+    StreamProgress,
+    WholeAnswer,
+)
+from damaskrill.http1 import (
+    CallerConnection,
+    CallerRequest,
+    ExchangeFailure,
+    FailureKind,
+    OutgoingRequest,
+    ServerConnection,
+    forwarded_headers,
+)
+from damaskrill.steering import (
+    EndOfAttempt,
+    Outcome,
+    Refusal,
+    RefusalCause,
+    Verdict,
+    may_send_again,
+)
+
+if TYPE_CHECKING:
+    from damaskrill.gateway._desk import Desk
+
+__all__ = ["Exchange"]
+
+# A ready answer is worth waiting for a moment longer than the operators' limit.
+LIMIT_SLACK_MS = 60
+# Waiting time if neither the caller nor the route names one.
+DEFAULT_LIMIT_MS = 30_000
+# With less time than this no server could answer.
+MIN_REMAINING_MS = 10
+# How long a request waits for a server that may take it, as part of its target.
+# Within an eighth of the target a refusal still lets the caller come back in time.
+WAIT_PART = 0.125
+WAIT_STEP_MS = 15
+# A request that may be repeated goes to another server after this many targets
+# without an answer; a stream after this long without an event.
+PATIENCE_TARGETS = 1.0
+PATIENCE_PAUSE_MS = 1_000
+# Beyond this many targets without an answer, the server is held to be silent.
+SILENT_TARGETS = 2.0
+RETRY_AFTER_START_MS = 400
+RETRY_AFTER_FULL_MS = 150
+RETRY_AFTER_NO_SERVER_MS = 500
+STATUS_SERVER_ERROR = 500
+
+
+class Exchange:
+    """Finds servers for a request until one answers or the request must end.
+
+    Parameters
+    ----------
+    desk : Desk
+        What all exchanges share.
+    connection : CallerConnection
+        The caller's connection.
+    request : CallerRequest
+        The whole request.
+    """
+
+    def __init__(
+        self, *, desk: "Desk", connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        self._desk = desk
+        self._connection = connection
+        self._request = request
+        self._facts = desk.binding.read_request(request)
+        self._progress = StreamProgress(connection)
+        self._n_sent = 0
+        self._may_have_run = False
+        self._has_ended = False
+        self._tried: set[tuple[str, int]] = set()
+        self._server: BackendServer | None = None
+        self._end = EndOfAttempt.NOT_SENT
+        self._last_result: AttemptResult = NotRun(status=503)
+        self._limit_at_ms = 0.0
+        self._sent_at_ms = 0.0
+
+    async def run(self) -> None:
+        """Serve the request; a cancellation means that the caller has left."""
+        try:
+            await self._serve()
+        except asyncio.CancelledError:
+            self._log("caller_left")
+        except Exception as error:
+            self._desk.log.warn(
+                "internal_error",
+                request_id=self._facts.request_id,
+                sentence=f"{type(error).__name__}: {error}"[:300],
+            )
+            self._refuse(
+                Refusal(status=500, cause=RefusalCause.INTERNAL_ERROR), "internal_error"
+            )
+
+    async def _serve(self) -> None:
+        desk, facts = self._desk, self._facts
+        configuration = desk.catalog.configuration
+        if configuration is None or not desk.catalog.is_complete:
+            cause = RefusalCause.NO_CONFIGURATION
+            self._refuse(
+                Refusal(status=503, cause=cause, retry_after_ms=RETRY_AFTER_START_MS)
+            )
+            return
+        route = configuration.find_route(facts.host, facts.path)
+        if route is None:
+            self._refuse(Refusal(status=404, cause=RefusalCause.NO_ROUTE))
+            return
+        team: Team | None = None
+        if configuration.team_by_key and not route.is_public:
+            team = configuration.team_by_key.get(facts.key or "")
+            if team is None:
+                self._refuse(Refusal(status=401, cause=RefusalCause.UNKNOWN_KEY))
+                return
+        await self._send_until_answered(route, team)
+
+    async def _send_until_answered(self, route: Route, team: Team | None) -> None:
+        desk = self._desk
+        service = desk.pick_service(route)
+        desk.budget.note_request(service, desk.now_ms)
+        self._limit_at_ms = self._request.arrived_at_ms + self._find_limit_ms(route)
+        while True:
+            server = await self._find_server(route, service)
+            if server is None:
+                self._refuse_unserved(service)
+                return
+            if self._n_sent and not desk.may_repeat(service):
+                self._refuse_after(self._last_result)
+                return
+            result = await self._try_server(route, team, server)
+            if result is None:
+                continue
+            if self._deliver(route, result):
+                return
+            remaining_ms = self._limit_at_ms - desk.now_ms
+            outcome = Outcome(
+                n_sent=self._n_sent, end=self._end, remaining_ms=remaining_ms
+            )
+            if not may_send_again(route, outcome, min_remaining_ms=MIN_REMAINING_MS):
+                self._refuse_after(result)
+                return
+            self._last_result = result
+
+    def _find_limit_ms(self, route: Route) -> float:
+        limit_ms = route.time_limit_ms + LIMIT_SLACK_MS
+        if self._facts.deadline_ms is not None:
+            return min(limit_ms, self._facts.deadline_ms)
+        return limit_ms
+
+    async def _find_server(self, route: Route, service: str) -> BackendServer | None:
+        desk = self._desk
+        key = self._facts.affinity_key if route.has_prompt else ""
+        until_ms = desk.now_ms + WAIT_PART * route.target_ms
+        while True:
+            server = desk.choose(service, affinity_key=key, tried=self._tried)
+            if server is not None or desk.now_ms >= until_ms:
+                return server
+            await asyncio.sleep(WAIT_STEP_MS / 1_000)
+
+    async def _try_server(
+        self, route: Route, team: Team | None, server: BackendServer
+    ) -> AttemptResult | None:
+        desk = self._desk
+        self._server = server
+        self._tried.add(server.key)
+        desk.loads.start(server.key)
+        try:
+            connection = desk.pool.take_idle(server.key)
+            if connection is None:
+                try:
+                    connection = await desk.pool.open(server.key, server.address)
+                except OSError as error:
+                    desk.note_verdict(server, Verdict.NO_CONNECTION, str(error))
+                    return None
+                if not desk.catalog.is_usable(server):
+                    # It was taken out while the connection was being opened.
+                    connection.abort()
+                    return None
+            return await self._exchange(route, team, server, connection)
+        finally:
+            desk.loads.end(server.key)
+
+    async def _exchange(
+        self,
+        route: Route,
+        team: Team | None,
+        server: BackendServer,
+        connection: ServerConnection,
+    ) -> AttemptResult:
+        desk = self._desk
+        is_stream = route.kind is RequestKind.STREAM
+        attempt = Attempt(
+            request_id=self._facts.request_id,
+            read_answer=desk.binding.read_answer,
+            progress=self._progress if is_stream else None,
+            on_load=lambda n: desk.loads.take_said(server.key, n, desk.now_ms),
+        )
+        remaining_ms = max(1, int(self._limit_at_ms - desk.now_ms))
+        headers = desk.binding.server_headers(
+            self._request,
+            server=server,
+            team=team,
+            remaining_ms=remaining_ms,
+            resume_after=self._progress.last_id,
+        )
+        desk.note_sent(server)
+        self._n_sent += 1
+        self._sent_at_ms = desk.now_ms
+        connection.start(
+            OutgoingRequest(
+                method=self._request.method,
+                target=self._request.target,
+                headers=headers,
+                body=self._request.body,
+            ),
+            attempt,
+        )
+        try:
+            result = await self._wait(route, attempt)
+        except asyncio.CancelledError:
+            connection.abort()
+            self._judge_silence(route, server, attempt)
+            raise
+        if not attempt.done.done():
+            connection.abort()
+        self._judge(route, server, attempt, result)
+        return result
+
+    async def _wait(self, route: Route, attempt: Attempt) -> AttemptResult:
+        desk = self._desk
+        can_repeat = route.may_repeat and self._n_sent < route.max_servers
+        patience_ms = float("inf")
+        if can_repeat:
+            patience_ms = PATIENCE_TARGETS * route.target_ms
+        loop = asyncio.get_running_loop()
+        while True:
+            timeout_ms = self._limit_at_ms - desk.now_ms
+            if can_repeat:
+                if self._progress.has_begun:
+                    patience_ms = PATIENCE_PAUSE_MS
+                idle_ms = (loop.time() - attempt.progress_at) * 1_000
+                timeout_ms = min(timeout_ms, patience_ms - idle_ms)
+            if timeout_ms > 0:
+                await asyncio.wait([attempt.done], timeout=timeout_ms / 1_000)
+            if attempt.done.done():
+                return attempt.done.result()
+            now_ms = desk.now_ms
+            idle_ms = (loop.time() - attempt.progress_at) * 1_000
+            if now_ms >= self._limit_at_ms or idle_ms >= patience_ms:
+                reason = f"no progress for {idle_ms:.0f} ms"
+                failure = ExchangeFailure(
+                    kind=FailureKind.CLOSED, reason=reason, has_answer=attempt.has_head
+                )
+                return Broken(failure=failure)
+
+    def _deliver(self, route: Route, result: AttemptResult) -> bool:
+        match result:
+            case WholeAnswer(head=head):
+                is_error = head.status >= STATUS_SERVER_ERROR
+                self._end = EndOfAttempt.ERROR_ANSWER
+                if is_error and route.may_repeat:
+                    self._may_have_run = True
+                    remaining_ms = self._limit_at_ms - self._desk.now_ms
+                    outcome = Outcome(
+                        n_sent=self._n_sent, end=self._end, remaining_ms=remaining_ms
+                    )
+                    if may_send_again(
+                        route, outcome, min_remaining_ms=MIN_REMAINING_MS
+                    ):
+                        return False
+                if self._progress.has_begun:
+                    self._break_off("resume_refused")
+                    return True
+                self._send_whole(result)
+                return True
+            case StreamEnded():
+                self._log("completed", status=200)
+                self._has_ended = True
+                return True
+            case NotRun():
+                self._end = EndOfAttempt.NOT_RUN
+                return False
+            case BadAnswer() | Broken():
+                self._end = EndOfAttempt.MAY_HAVE_RUN
+                self._may_have_run = True
+                return False
+
+    def _send_whole(self, answer: WholeAnswer) -> None:
+        headers = forwarded_headers(answer.head.headers)
+        self._connection.send_whole(answer.head.status, headers, answer.body)
+        self._has_ended = True
+        self._log("completed", status=answer.head.status)
+
+    def _judge(
+        self,
+        route: Route,
+        server: BackendServer,
+        attempt: Attempt,
+        result: AttemptResult,
+    ) -> None:
+        desk = self._desk
+        match result:
+            case WholeAnswer(head=head):
+                is_error = head.status >= STATUS_SERVER_ERROR
+                verdict = Verdict.ERROR_STATUS if is_error else Verdict.GOOD
+                desk.note_verdict(server, verdict, f"status {head.status}")
+            case StreamEnded():
+                desk.note_verdict(server, Verdict.GOOD, "")
+            case NotRun(status=status):
+                desk.note_verdict(server, Verdict.ERROR_STATUS, f"not run, {status}")
+            case BadAnswer(reason=reason):
+                desk.note_verdict(server, Verdict.BROKEN, reason)
+            case Broken(failure=failure):
+                if desk.now_ms < self._limit_at_ms:
+                    desk.note_verdict(server, Verdict.BROKEN, failure.reason)
+                else:
+                    self._judge_silence(route, server, attempt)
+
+    def _judge_silence(
+        self, route: Route, server: BackendServer, attempt: Attempt
+    ) -> None:
+        waited_ms = self._desk.now_ms - self._sent_at_ms
+        if not attempt.has_head and waited_ms > SILENT_TARGETS * route.target_ms:
+            self._desk.note_verdict(
+                server, Verdict.SILENT, f"no answer for {waited_ms:.0f} ms"
+            )
+
+    def _refuse_unserved(self, service: str) -> None:
+        cause = RefusalCause.NO_SERVER
+        if self._may_have_run:
+            self._refuse_after(self._last_result)
+            return
+        self._refuse(
+            Refusal(status=503, cause=cause, retry_after_ms=RETRY_AFTER_NO_SERVER_MS),
+            service,
+        )
+
+    def _refuse_after(self, result: AttemptResult) -> None:
+        if self._progress.has_begun:
+            self._break_off("stream_broken")
+            return
+        is_over = self._desk.now_ms >= self._limit_at_ms
+        match result:
+            case NotRun(status=status) if not self._may_have_run:
+                self._refuse(
+                    Refusal(
+                        status=503,
+                        cause=RefusalCause.SERVER_FULL,
+                        retry_after_ms=RETRY_AFTER_FULL_MS,
+                    ),
+                    f"the server answered {status}",
+                )
+            case WholeAnswer():
+                self._send_whole(result)
+            case BadAnswer(reason=reason):
+                self._refuse(Refusal(status=502, cause=RefusalCause.BAD_ANSWER), reason)
+            case Broken(failure=failure) if not is_over:
+                self._refuse(
+                    Refusal(status=502, cause=RefusalCause.OUTCOME_UNKNOWN),
+                    failure.reason,
+                )
+            case _:
+                self._refuse(Refusal(status=504, cause=RefusalCause.TIME_LIMIT))
+
+    def _refuse(self, refusal: Refusal, detail: str = "") -> None:
+        if self._has_ended:
+            return
+        self._has_ended = True
+        if self._progress.has_begun:
+            self._break_off(refusal.cause.value)
+            return
+        headers: list[tuple[bytes, bytes]] = []
+        if refusal.retry_after_ms is not None:
+            value = f"{refusal.retry_after_ms / 1_000:.3f}".encode()
+            headers.append((b"Retry-After", value))
+        body = refusal.cause.value.encode() + b"\n"
+        headers.append((b"Content-Type", b"text/plain"))
+        self._connection.send_whole(refusal.status, tuple(headers), body)
+        self._log(
+            "refused" if refusal.status in (503, 429) else "failed",
+            status=refusal.status,
+            cause=refusal.cause.value,
+            detail=detail,
+        )
+
+    def _break_off(self, reason: str) -> None:
+        self._has_ended = True
+        self._connection.break_off()
+        self._log("broken_off", cause=reason)
+
+    def _log(self, event: str, **fields: object) -> None:
+        desk = self._desk
+        write = desk.log.write if event == "completed" else desk.log.warn
+        configuration = desk.catalog.configuration
+        write(
+            f"request_{event}",
+            request_id=self._facts.request_id,
+            latency_ms=round(desk.now_ms - self._request.arrived_at_ms),
+            n_attempts=self._n_sent,
+            backend_server=self._server.server_id if self._server else "",
+            text_version=configuration.version if configuration else 0,
+            **fields,
+        )
+        desk.metrics.note_request(event)
--- /dev/null
+++ b/damaskrill/gateway/_process.py
@@ -0,0 +1,294 @@
+"""One gateway process: builds the parts, joins them and stops them in order."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any
+
+from damaskrill.catalog import CallerLimits, Catalog
+from damaskrill.eventlog import DecisionLog
+from damaskrill.feed import Change, FeedCopy, FeedReader, Freshness
+from damaskrill.gateway._binding import PlatformBinding
+from damaskrill.gateway._desk import Desk
+from damaskrill.gateway._metrics import GatewayMetrics
+from damaskrill.gateway._settings import Address, GatewaySettings
+from damaskrill.http1 import (
+    CallerConnection,
+    CallerConnectionFactory,
+    CallerRequest,
+    ServerPool,
+)
+from damaskrill.mesh import Feed, MemberEntry, MemberTable, Mesh
+from damaskrill.steering import ColdGate, RepeatBudget
+
+__all__ = ["GatewayProcess"]
+
+LISTEN_BACKLOG = 512
+TIDY_INTERVAL_MS = 250
+# The balancer needs two misses, a second apart, before it sends nothing new; idle
+# connections are closed after that.
+CLOSE_IDLE_AFTER_MS = 2_600
+# Time that is left for the last bytes before the process is killed.
+STOP_MARGIN_MS = 400
+STOP_POLL_MS = 50
+METRICS_PORT = 9_464
+METRICS_PATH = b"/metrics"
+# A router gets its configuration from a peer or from the store, whichever is first.
+MS_PER_S = 1_000
+
+
+class GatewayProcess:
+    """All tasks of one router on the running event loop.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Addresses and bounds.
+    binding : PlatformBinding
+        Translations to the platform.
+    reactor : object
+        Twisted's reactor, which runs on the asyncio event loop.
+    log : DecisionLog
+        Where decisions are written.
+    reread_settings : callable
+        Reads the settings again; raises an error if they cannot be used.
+    random_state : int, default=None
+        Seed of random choices; drawn if None.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        binding: PlatformBinding,
+        reactor: Any,
+        log: DecisionLog,
+        reread_settings: Callable[[], GatewaySettings],
+        random_state: int | None = None,
+    ) -> None:
+        self._settings = settings
+        self._binding = binding
+        self._reactor = reactor
+        self._log = log
+        self._reread_settings = reread_settings
+        self._random = Random(random_state)
+        self._metrics = GatewayMetrics()
+        self._is_stopping = False
+        self._stop_asked = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._build_parts()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send new connections."""
+        return self._catalog.is_complete and not self._is_stopping
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self._listen(loop)
+        for work in (self._reader.run(), self._mesh.run(), self._keep_house()):
+            self._tasks.append(loop.create_task(work))
+        self._log.write("process_started", data_centre=self._settings.data_centre)
+        await self._stop_asked.wait()
+        await self._stop()
+
+    def reload(self) -> None:
+        """Read the settings again; those in force stay if they cannot be used."""
+        from damaskrill.exceptions import DamaskrillError
+
+        try:
+            self._settings = self._reread_settings()
+        except DamaskrillError as error:
+            self._log.warn("settings_refused", code=error.code, sentence=error.sentence)
+            return
+        self._log.write("settings_reloaded")
+
+    def _build_parts(self) -> None:
+        settings = self._settings
+        now_ms = _now_ms()
+        own = MemberEntry(
+            _format(settings.peer_address),
+            time.time_ns() // 1_000_000,
+            settings.data_centre,
+            1,
+        )
+        self._catalog = Catalog(report=self._log.write)
+        self._copy = FeedCopy()
+        self._freshness = Freshness()
+        self._members = MemberTable(own=own)
+        self._mesh = Mesh(
+            members=self._members,
+            copy=self._copy,
+            freshness=self._freshness,
+            listen=settings.peer_address,
+            seeds=tuple(_format(each) for each in settings.seed_addresses),
+            take_feed=self._take_feed,
+            note_contact=self._note_contact,
+            report=self._log.write,
+        )
+        self._reader = FeedReader(
+            client=self._binding.store,
+            copy=self._copy,
+            should_read=self._should_read,
+            take=self._take_read,
+            report=self._log.warn,
+            random_state=self._random,
+        )
+        self._cold_gate = ColdGate(
+            factor=settings.cold_factor,
+            slack=settings.cold_slack,
+            own_address=own.address,
+            started_at_ms=now_ms,
+        )
+        self._desk = Desk(
+            binding=self._binding,
+            catalog=self._catalog,
+            pool=ServerPool(reactor=self._reactor),
+            cold_gate=self._cold_gate,
+            budget=RepeatBudget(
+                ratio=settings.repeat_ratio,
+                slack=settings.repeat_slack,
+                window_ms=round(settings.repeat_window_ms),
+            ),
+            log=self._log,
+            metrics=self._metrics,
+            data_centre=settings.data_centre,
+            n_routers=lambda: len(self._members.addresses()),
+            random_state=self._random,
+        )
+
+    def _listen(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._callers = self._open(
+            loop, self._settings.caller_address, self._desk.take_request
+        )
+        self._pages = self._open(
+            loop, self._settings.readiness_address, self._answer_readiness
+        )
+        metrics_address = (self._settings.metrics_host, METRICS_PORT)
+        self._open(loop, metrics_address, self._answer_metrics)
+
+    def _open(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        handle: Callable[[CallerConnection, CallerRequest], None],
+    ) -> CallerConnectionFactory:
+        factory = CallerConnectionFactory(
+            loop=loop,
+            handle=handle,
+            report=self._log.write,
+            limits=CallerLimits(),
+            connections=set(),
+        )
+        host, port = address
+        self._reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
+        return factory
+
+    def _answer_readiness(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        if request.target.partition(b"?")[0] != self._binding.readiness_path:
+            connection.send_whole(404, (), b"")
+            return
+        status = 200 if self.is_ready else 503
+        connection.send_whole(status, (), b"")
+
+    def _answer_metrics(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        if request.target != METRICS_PATH:
+            connection.send_whole(404, (), b"")
+            return
+        age_ms = self._freshness.age_ms(round(_now_ms()))
+        configuration = self._catalog.configuration
+        state = {
+            "routers": float(len(self._members.addresses())),
+            "links": float(self._mesh.n_links),
+            "servers": float(self._catalog.n_servers),
+            "exchanges": float(self._desk.n_exchanges),
+            "store_calls": float(self._reader.n_calls),
+            "store_revision": float(self._copy.revision),
+            "store_age_ms": -1.0 if age_ms is None else float(age_ms),
+            "text_version": float(configuration.version if configuration else 0),
+            "connections_opened": float(self._desk.pool.n_opened),
+        }
+        headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        connection.send_whole(200, headers, self._metrics.render(state))
+
+    def _should_read(self) -> bool:
+        if not self._copy.revision or self._members.is_reader():
+            return True
+        return not self._freshness.is_fresh(round(_now_ms()))
+
+    def _take_read(self, changes: Sequence[Change], is_list: bool) -> None:
+        now_ms = round(_now_ms())
+        self._note_contact(now_ms)
+        self._apply(changes)
+        self._mesh.push_changes()
+
+    def _take_feed(self, feed: Feed) -> None:
+        if feed.after == 0:
+            self._apply(self._copy.apply_list(feed.changes, feed.revision))
+        elif feed.after <= self._copy.revision:
+            self._apply(self._copy.apply_changes(feed.changes, feed.revision))
+
+    def _apply(self, changes: Sequence[Change]) -> None:
+        now_ms = round(_now_ms())
+        for change in changes:
+            item = self._binding.decode_item(change.key, change.value or b"")
+            if change.value is None:
+                self._catalog.remove(item, now_ms)
+            else:
+                self._catalog.put(item, now_ms)
+        if self._copy.revision:
+            self._catalog.note_listed()
+        configuration = self._catalog.configuration
+        if configuration is not None:
+            self._callers.limits = configuration.limits
+        if changes:
+            self._desk.tidy()
+
+    def _note_contact(self, at_ms: int) -> None:
+        now_ms = round(_now_ms())
+        if self._freshness.note_contact(at_ms, now_ms):
+            self._catalog.note_store_returned(now_ms)
+            self._log.write("store_returned")
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(TIDY_INTERVAL_MS / MS_PER_S)
+            self._catalog.purge(round(_now_ms()))
+            self._cold_gate.set_members(self._members.addresses())
+
+    async def _stop(self) -> None:
+        self._is_stopping = True
+        started_ms = _now_ms()
+        self._log.write("process_stopping", n_exchanges=self._desk.n_exchanges)
+        for factory in (self._callers, self._pages):
+            factory.is_stopping = True
+        end_ms = started_ms + self._settings.grace_ms - STOP_MARGIN_MS
+        while _now_ms() < end_ms:
+            await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
+            if _now_ms() - started_ms < CLOSE_IDLE_AFTER_MS:
+                continue
+            for connection in list(self._callers.connections):
+                connection.close_if_idle()
+            if not self._callers.connections:
+                break
+        self._desk.cancel_all()
+        for task in self._tasks:
+            task.cancel()
+        self._log.write("process_stopped", n_exchanges=self._desk.n_exchanges)
+
+
+def _now_ms() -> float:
+    return time.monotonic() * MS_PER_S
+
+
+def _format(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/damaskrill/http1/__init__.py
@@ -0,0 +1,34 @@
+"""HTTP/1.1 on both sides: callers' connections, and connections to servers."""
+
+from damaskrill.http1._caller import CallerConnection, CallerConnectionFactory
+from damaskrill.http1._fetch import fetch
+from damaskrill.http1._messages import (
+    AnswerHead,
+    AnswerSink,
+    CallerRequest,
+    ExchangeFailure,
+    FailureKind,
+    Headers,
+    OutgoingRequest,
+    forwarded_headers,
+)
+from damaskrill.http1._pool import PoolLimits, ServerPool
+from damaskrill.http1._server import ServerConnection, connect
+
+__all__ = [
+    "AnswerHead",
+    "AnswerSink",
+    "CallerConnection",
+    "CallerConnectionFactory",
+    "CallerRequest",
+    "ExchangeFailure",
+    "FailureKind",
+    "Headers",
+    "OutgoingRequest",
+    "PoolLimits",
+    "ServerConnection",
+    "ServerPool",
+    "connect",
+    "fetch",
+    "forwarded_headers",
+]
--- /dev/null
+++ b/damaskrill/http1/_caller.py
@@ -0,0 +1,303 @@
+"""One connection of a caller."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import h11
+from attrs import define
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from damaskrill.catalog import CallerLimits
+from damaskrill.http1._messages import CallerRequest, Headers
+
+__all__ = ["CallerConnection", "CallerConnectionFactory"]
+
+# How long a closed connection is still read, so that unread bytes do not reset it.
+LINGER_MS = 1_000
+# Bytes of further requests that are kept while one is being answered.
+MAX_PIPELINED_BYTES = 262_144
+MS_PER_S = 1_000
+
+
+class CallerConnection(Protocol):
+    """Reads one request at a time and writes its answer.
+
+    Parameters
+    ----------
+    factory : CallerConnectionFactory
+        What all connections share.
+    """
+
+    def __init__(self, factory: "CallerConnectionFactory") -> None:
+        self._owner = factory
+        limits = factory.limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+        self._head: h11.Request | None = None
+        self._head_at_ms = 0.0
+        self._body: list[bytes] = []
+        self._n_body_bytes = 0
+        self._is_busy = False
+        self._is_closing = False
+        self._is_lost = False
+        self._timer: Any = None
+        self.on_gone: Callable[[], None] | None = None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being answered."""
+        return self._is_busy
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of a request has come."""
+        return self._head is not None or bool(self._http.trailing_data[0])
+
+    def connectionMade(self) -> None:
+        """Start to wait for a request."""
+        self._owner.connections.add(self)
+        transport: Any = self.transport
+        transport.setTcpNoDelay(True)
+        self._set_timer(self._owner.limits.idle_timeout_ms)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse bytes of requests."""
+        if self._is_closing:
+            return
+        self._http.receive_data(data)
+        if self._is_busy:
+            if len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES:
+                transport: Any = self.transport
+                transport.pauseProducing()
+            return
+        self._pump()
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+        """Tell who answers that the caller has left."""
+        self._is_lost = True
+        self._is_closing = True
+        self._owner.connections.discard(self)
+        self._clear_timer()
+        on_gone, self.on_gone = self.on_gone, None
+        if on_gone is not None:
+            on_gone()
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Answer the present request with a whole body."""
+        framing: tuple[tuple[bytes, bytes], ...] = ()
+        if status not in (204, 304):
+            framing = ((b"Content-Length", b"%d" % len(body)),)
+        self._send_head(status, (*headers, *framing))
+        if body and framing and not self._answers_head_request:
+            self._send(h11.Data(data=body))
+        self._finish()
+
+    def begin_stream(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose parts follow."""
+        self._send_head(status, (*headers, (b"Transfer-Encoding", b"chunked")))
+
+    def send_part(self, data: bytes) -> None:
+        """Send a part of the answer."""
+        self._send(h11.Data(data=data))
+
+    def end_stream(self) -> None:
+        """End the answer as complete."""
+        self._finish()
+
+    def break_off(self) -> None:
+        """End the answer in a way that cannot look complete."""
+        self._is_closing = True
+        self.on_gone = None
+        if not self._is_lost:
+            transport: Any = self.transport
+            transport.abortConnection()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or answered."""
+        if not self._is_busy and not self.is_reading and not self._is_closing:
+            self._close()
+
+    def _pump(self) -> None:
+        try:
+            while not self._is_busy and not self._is_closing:
+                event = self._http.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    self._wait_for_more()
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint or 400)
+
+    def _wait_for_more(self) -> None:
+        limits = self._owner.limits
+        if self._head is not None:
+            if self._http.they_are_waiting_for_100_continue:
+                self._send(h11.InformationalResponse(status_code=100, headers=[]))
+            self._set_timer(limits.idle_timeout_ms)
+        elif self._http.trailing_data[0]:
+            if self._timer is None or not self._timer_is_for_head:
+                self._set_timer(limits.header_timeout_ms, for_head=True)
+
+    def _take(self, event: Any) -> None:
+        match event:
+            case h11.Request():
+                self._take_head(event)
+            case h11.Data():
+                self._n_body_bytes += len(event.data)
+                if self._n_body_bytes > self._owner.limits.max_body_bytes:
+                    self._refuse(413)
+                    return
+                self._body.append(bytes(event.data))
+            case h11.EndOfMessage():
+                self._take_whole()
+            case h11.ConnectionClosed():
+                self._close()
+            case _:
+                pass
+
+    def _take_head(self, head: h11.Request) -> None:
+        self._head = head
+        self._head_at_ms = time.monotonic() * MS_PER_S
+        self._clear_timer()
+        names = [name for name, _ in head.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            # Two framings may be read differently by the next hop.
+            self._refuse(400)
+
+    def _take_whole(self) -> None:
+        head = self._head
+        if head is None:
+            return
+        self._clear_timer()
+        self._is_busy = True
+        request = CallerRequest(
+            method=bytes(head.method),
+            target=bytes(head.target),
+            headers=tuple(head.headers.raw_items()),
+            body=b"".join(self._body),
+            arrived_at_ms=self._head_at_ms,
+        )
+        self._body.clear()
+        self._owner.take_request(self, request)
+
+    @property
+    def _answers_head_request(self) -> bool:
+        return self._head is not None and self._head.method == b"HEAD"
+
+    def _send_head(self, status: int, headers: Headers) -> None:
+        if self._owner.is_stopping:
+            headers = (*headers, (b"Connection", b"close"))
+        self._send(h11.Response(status_code=status, headers=list(headers), reason=b""))
+
+    def _send(self, event: Any) -> None:
+        if self._is_lost:
+            return
+        data = self._http.send(event)
+        transport: Any = self.transport
+        if data:
+            transport.write(data)
+
+    def _finish(self) -> None:
+        self.on_gone = None
+        if self._is_lost or self._is_closing:
+            return
+        self._send(h11.EndOfMessage())
+        self._is_busy = False
+        self._head = None
+        self._n_body_bytes = 0
+        if self._http.our_state is not h11.DONE:
+            self._close()
+            return
+        if self._http.their_state is not h11.DONE:
+            self._close()
+            return
+        self._http.start_next_cycle()
+        self._set_timer(self._owner.limits.idle_timeout_ms)
+        transport: Any = self.transport
+        transport.resumeProducing()
+        self._pump()
+
+    def _refuse(self, status: int) -> None:
+        self._owner.note_refused(status)
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            self._send(h11.Response(status_code=status, headers=headers, reason=b""))
+            self._send(h11.EndOfMessage())
+        self._close()
+
+    def _close(self) -> None:
+        # Closes the write side first and reads on for a while: closing a socket
+        # with unread bytes would reset it and could destroy the answer.
+        self._is_closing = True
+        self._clear_timer()
+        if self._is_lost:
+            return
+        transport: Any = self.transport
+        transport.resumeProducing()
+        transport.loseWriteConnection()
+        self._timer = self._owner.call_later(LINGER_MS, transport.abortConnection)
+
+    def _set_timer(self, delay_ms: int, *, for_head: bool = False) -> None:
+        self._clear_timer()
+        self._timer_is_for_head = for_head
+        self._timer = self._owner.call_later(delay_ms, self._time_out)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _time_out(self) -> None:
+        self._timer = None
+        if self._is_busy or self._is_closing:
+            return
+        if self.is_reading:
+            self._refuse(408)
+        else:
+            self._close()
+
+
+@define(kw_only=True, eq=False)
+class CallerConnectionFactory(Factory):
+    """What the connections of callers share.
+
+    Parameters
+    ----------
+    loop : object
+        The event loop.
+    handle : callable
+        Takes a connection and its whole request.
+    report : callable
+        Takes an event name and fields.
+    """
+
+    loop: Any
+    handle: Callable[[CallerConnection, CallerRequest], None]
+    report: Callable[..., None]
+    limits: CallerLimits
+    is_stopping: bool = False
+    connections: set[CallerConnection]
+
+    noisy = False
+
+    def buildProtocol(self, addr: Any) -> CallerConnection:
+        """Make the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def take_request(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        """Hand a whole request on."""
+        self.handle(connection, request)
+
+    def note_refused(self, status: int) -> None:
+        """Report a request that does not follow the protocol or the limits."""
+        self.report("request_unreadable", status=status)
+
+    def call_later(self, delay_ms: float, action: Callable[[], None]) -> Any:
+        """Call something later."""
+        return self.loop.call_later(delay_ms / MS_PER_S, action)
--- /dev/null
+++ b/damaskrill/http1/_pool.py
@@ -0,0 +1,114 @@
+"""Connections to backend servers, kept for each incarnation."""
+
+import time
+from collections import deque
+from typing import Any
+
+from attrs import frozen
+
+from damaskrill.http1._server import ServerConnection, connect
+
+__all__ = ["PoolLimits", "ServerPool"]
+
+ServerKey = tuple[str, int]
+
+
+@frozen(kw_only=True)
+class PoolLimits:
+    """Bounds of the pool.
+
+    Parameters
+    ----------
+    connect_timeout_ms : int
+        Longest time to connect, in milliseconds. Servers accept within a few
+        milliseconds, so that a server that is gone is left out early.
+    """
+
+    connect_timeout_ms: int = 350
+
+
+class ServerPool:
+    """Idle connections by incarnation; the one used last goes first.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    limits : PoolLimits
+        Bounds.
+
+    Notes
+    -----
+    An address may be given to another server, so that connections are never kept
+    by address.
+    """
+
+    def __init__(self, *, reactor: Any, limits: PoolLimits | None = None) -> None:
+        self._reactor = reactor
+        self._limits = limits or PoolLimits()
+        self._idle: dict[ServerKey, deque[ServerConnection]] = {}
+        self._n_open: dict[ServerKey, int] = {}
+        self._n_opened = 0
+
+    @property
+    def n_opened(self) -> int:
+        """Connections that were opened so far."""
+        return self._n_opened
+
+    def n_open(self, key: ServerKey) -> int:
+        """Return the number of open connections to an incarnation."""
+        return self._n_open.get(key, 0)
+
+    def take_idle(self, key: ServerKey) -> ServerConnection | None:
+        """Return an idle connection that the server still keeps open."""
+        now_ms = time.monotonic() * 1_000
+        idle = self._idle.get(key)
+        while idle:
+            connection = idle.pop()
+            if not connection.is_open:
+                continue
+            if now_ms - connection.idle_since_ms < connection.idle_limit_ms:
+                return connection
+            connection.abort()
+        return None
+
+    async def open(self, key: ServerKey, address: tuple[str, int]) -> ServerConnection:
+        """Open a connection to an incarnation.
+
+        Raises
+        ------
+        OSError
+            If it cannot be opened in time.
+        """
+        connection = await connect(
+            self._reactor, address, self._limits.connect_timeout_ms
+        )
+        self._n_opened += 1
+        self._n_open[key] = self._n_open.get(key, 0) + 1
+
+        def keep(idle: ServerConnection) -> None:
+            idle.idle_since_ms = time.monotonic() * 1_000
+            self._idle.setdefault(key, deque()).append(idle)
+
+        def forget(closed: ServerConnection) -> None:
+            self._n_open[key] = self._n_open.get(key, 1) - 1
+            if self._n_open[key] <= 0:
+                del self._n_open[key]
+
+        connection.on_idle = keep
+        connection.on_closed = forget
+        return connection
+
+    def close_idle(self, key: ServerKey) -> None:
+        """Close the idle connections to an incarnation that gets nothing new."""
+        for connection in self._idle.pop(key, ()):
+            connection.abort()
+
+    def keys(self) -> list[ServerKey]:
+        """Return the incarnations with idle connections."""
+        return list(self._idle)
+
+    def close_all(self) -> None:
+        """Close all idle connections."""
+        for key in self.keys():
+            self.close_idle(key)
--- /dev/null
+++ b/damaskrill/http1/_server.py
@@ -0,0 +1,243 @@
+"""One connection to a server, which carries one exchange at a time."""
+
+import asyncio
+import socket
+from typing import Any
+
+import h11
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.python.failure import Failure
+
+from damaskrill.http1._messages import (
+    AnswerHead,
+    AnswerSink,
+    ExchangeFailure,
+    FailureKind,
+    OutgoingRequest,
+)
+
+__all__ = ["ServerConnection", "connect"]
+
+# Time that sent bytes may stay unacknowledged, so that a path that went silent is
+# noticed; several retransmissions of a lost packet fit into it.
+USER_TIMEOUT_MS = 1_500
+MAX_ANSWER_HEAD_BYTES = 65_536
+# Servers that do not name their idle timeout are taken to keep connections this long.
+DEFAULT_IDLE_MS = 4_000
+# A request must reach the server before it closes the idle connection.
+IDLE_MARGIN_MS = 1_000
+
+
+class ServerConnection(Protocol):
+    """Connection to a server.
+
+    Notes
+    -----
+    Bytes that belong to no request make the connection unusable: a second answer,
+    bytes after an answer's end, and bytes while no exchange is open.
+    """
+
+    def __init__(self) -> None:
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES
+        )
+        self._sink: AnswerSink | None = None
+        self._n_exchanges = 0
+        self._has_answer = False
+        self._is_open = False
+        self._idle_limit_ms = DEFAULT_IDLE_MS
+        self.idle_since_ms = 0.0
+        self.on_idle: Any = None
+        self.on_closed: Any = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether another exchange can be started."""
+        return self._is_open and self._sink is None
+
+    @property
+    def idle_limit_ms(self) -> int:
+        """How long the connection may be idle and still be used, in milliseconds."""
+        return self._idle_limit_ms
+
+    @property
+    def was_used(self) -> bool:
+        """Whether it has carried an exchange before."""
+        return self._n_exchanges > 0
+
+    def connectionMade(self) -> None:
+        """Set the socket's options."""
+        self._is_open = True
+        transport: Any = self.transport
+        transport.setTcpNoDelay(True)
+        handle = transport.getHandle()
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+    def start(self, request: OutgoingRequest, sink: AnswerSink) -> None:
+        """Send a request whose answer goes to a sink."""
+        self._sink = sink
+        self._has_answer = False
+        headers = list(request.headers)
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        parts = [self._http.send(head)]
+        if request.body:
+            parts.append(self._http.send(h11.Data(data=request.body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self._write(b"".join(part for part in parts if part))
+
+    def abort(self) -> None:
+        """Close at once, so that the server stops its work."""
+        self._sink = None
+        self._is_open = False
+        transport: Any = self.transport
+        if transport is not None:
+            transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse bytes of the answer."""
+        if self._sink is None:
+            self.abort()
+            return
+        self._has_answer = True
+        self._http.receive_data(data)
+        self._pump()
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+        """End an answer that has no length, or report the failure."""
+        self._is_open = False
+        is_clean = bool(reason.check(ConnectionDone))
+        if self._sink is not None and is_clean:
+            self._http.receive_data(b"")
+            self._pump()
+        if self._sink is not None:
+            kind = FailureKind.CLOSED if is_clean else FailureKind.RESET
+            self._fail(kind, reason.getErrorMessage())
+        if self.on_closed is not None:
+            self.on_closed(self)
+
+    def _write(self, data: bytes) -> None:
+        transport: Any = self.transport
+        transport.write(data)
+
+    def _pump(self) -> None:
+        try:
+            while self._sink is not None:
+                event = self._http.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            self._fail(FailureKind.MALFORMED, str(error))
+            self.abort()
+
+    def _take(self, event: Any) -> None:
+        sink = self._sink
+        if sink is None:
+            return
+        match event:
+            case h11.Response():
+                headers = tuple(event.headers.raw_items())
+                head = AnswerHead(status=event.status_code, headers=headers)
+                self._read_idle_limit(head)
+                sink.take_head(head)
+            case h11.Data():
+                sink.take_data(bytes(event.data))
+            case h11.EndOfMessage():
+                self._end_exchange(sink)
+            case h11.ConnectionClosed():
+                self._fail(FailureKind.CLOSED, "closed before an answer")
+            case _:
+                pass
+
+    def _end_exchange(self, sink: AnswerSink) -> None:
+        self._n_exchanges += 1
+        self._sink = None
+        has_surplus = bool(self._http.trailing_data[0])
+        is_done = self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+        if is_done and not has_surplus and self._is_open:
+            self._http.start_next_cycle()
+            sink.take_end()
+            if self.on_idle is not None:
+                self.on_idle(self)
+        else:
+            self._is_open = False
+            transport: Any = self.transport
+            transport.loseConnection()
+            sink.take_end()
+
+    def _read_idle_limit(self, head: AnswerHead) -> None:
+        value = head.find_header(b"keep-alive")
+        if value is None:
+            return
+        for part in value.split(b","):
+            name, _, number = part.strip().partition(b"=")
+            if name.strip().lower() == b"timeout" and number.strip().isdigit():
+                limit_ms = int(number) * 1_000 - IDLE_MARGIN_MS
+                self._idle_limit_ms = max(0, limit_ms)
+
+    def _fail(self, kind: FailureKind, reason: str) -> None:
+        sink, self._sink = self._sink, None
+        if sink is not None:
+            sink.take_failure(
+                ExchangeFailure(
+                    kind=kind,
+                    reason=reason,
+                    was_reused=self.was_used,
+                    has_answer=self._has_answer,
+                )
+            )
+
+
+class _Connector(ClientFactory):
+    noisy = False
+
+    def __init__(self, future: "asyncio.Future[ServerConnection]") -> None:
+        self._future = future
+
+    def buildProtocol(self, addr: Any) -> "_ReportingConnection":
+        return _ReportingConnection(self._future)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        if not self._future.done():
+            self._future.set_exception(OSError(reason.getErrorMessage()))
+
+
+class _ReportingConnection(ServerConnection):
+    def __init__(self, future: "asyncio.Future[ServerConnection]") -> None:
+        super().__init__()
+        self._future = future
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        if self._future.done():
+            self.abort()
+        else:
+            self._future.set_result(self)
+
+
+async def connect(
+    reactor: Any, address: tuple[str, int], timeout_ms: int
+) -> ServerConnection:
+    """Open a connection.
+
+    Raises
+    ------
+    OSError
+        If the server refuses it or does not answer in time.
+    """
+    future: asyncio.Future[ServerConnection] = (
+        asyncio.get_running_loop().create_future()
+    )
+    connector = reactor.connectTCP(
+        address[0], address[1], _Connector(future), timeout=timeout_ms / 1_000
+    )
+    try:
+        return await future
+    except asyncio.CancelledError:
+        connector.disconnect()
+        raise
--- /dev/null
+++ b/damaskrill/mesh/_frames.py
@@ -0,0 +1,154 @@
+"""Messages between routers, as CBOR arrays."""
+
+import zlib
+from typing import Any
+
+import cbor2
+from attrs import astuple, frozen
+
+from damaskrill.exceptions import PeerFrameError
+from damaskrill.feed import Change
+
+__all__ = ["Beat", "Feed", "Frame", "Hello", "MemberEntry", "decode", "encode"]
+
+# Larger messages are compressed: a configuration with many routes shrinks tenfold.
+COMPRESS_FROM_BYTES = 1_500
+MAX_FRAME_BYTES = 64_000_000
+
+
+@frozen
+class MemberEntry:
+    """A router as it is known.
+
+    Parameters
+    ----------
+    address : str
+        Where other routers reach it.
+    incarnation : int
+        Start of its process in Unix milliseconds.
+    data_centre : str
+        Where it runs.
+    beat : int
+        Number that it raises while it lives.
+    """
+
+    address: str
+    incarnation: int
+    data_centre: str
+    beat: int
+
+
+@frozen(kw_only=True)
+class Hello:
+    """First message of both ends of a link."""
+
+    entry: MemberEntry
+
+
+@frozen(kw_only=True)
+class Beat:
+    """Sent regularly on each link.
+
+    Parameters
+    ----------
+    revision : int
+        Up to where the sender's copy of the store is complete.
+    age_ms : int
+        Age of the fleet's last contact with the store that the sender knows of, in
+        milliseconds; negative if it knows of none.
+    entries : tuple of MemberEntry
+        Routers whose entries have changed.
+    """
+
+    revision: int
+    age_ms: int
+    entries: tuple[MemberEntry, ...] = ()
+
+
+@frozen(kw_only=True)
+class Feed:
+    """Changes of the store.
+
+    Parameters
+    ----------
+    after : int
+        Revision that the changes follow; 0 for a whole copy.
+    revision : int
+        Up to where the copy is complete with them.
+    changes : tuple of Change
+        The changes, or all items.
+    """
+
+    after: int
+    revision: int
+    changes: tuple[Change, ...]
+
+
+Frame = Hello | Beat | Feed
+
+
+def encode(frame: Frame) -> bytes:
+    """Encode a message."""
+    match frame:
+        case Hello():
+            content: list[Any] = ["h", *astuple(frame.entry)]
+        case Beat():
+            entries = [astuple(each) for each in frame.entries]
+            content = ["b", frame.revision, frame.age_ms, entries]
+        case Feed():
+            changes = [[each.key, each.value, each.revision] for each in frame.changes]
+            content = ["f", frame.after, frame.revision, changes]
+    data = cbor2.dumps(content)
+    if len(data) < COMPRESS_FROM_BYTES:
+        return data
+    return cbor2.dumps(["z", zlib.compress(data, 1)])
+
+
+def decode(data: bytes) -> Frame:
+    """Decode a message.
+
+    Raises
+    ------
+    PeerFrameError
+        If it is not one.
+    """
+    try:
+        return _decode(data)
+    except (cbor2.CBORError, zlib.error, ValueError, TypeError, IndexError) as error:
+        raise PeerFrameError(reason=f"{type(error).__name__}: {error}") from error
+
+
+def _decode(data: bytes) -> Frame:
+    match cbor2.loads(data):
+        case ["z", bytes(packed)]:
+            unpacker = zlib.decompressobj()
+            return _decode(unpacker.decompress(packed, MAX_FRAME_BYTES))
+        case ["h", *fields]:
+            return Hello(entry=_to_entry(fields))
+        case ["b", int(revision), int(age_ms), list(entries)]:
+            known = tuple(_to_entry(each) for each in entries)
+            return Beat(revision=revision, age_ms=age_ms, entries=known)
+        case ["f", int(after), int(revision), list(changes)]:
+            return Feed(
+                after=after,
+                revision=revision,
+                changes=tuple(_to_change(each) for each in changes),
+            )
+        case _:
+            raise ValueError("no known message")
+
+
+def _to_entry(fields: Any) -> MemberEntry:
+    match list(fields):
+        case [str(address), int(incarnation), str(data_centre), int(beat)]:
+            return MemberEntry(address, incarnation, data_centre, beat)
+        case _:
+            raise ValueError("no entry of a router")
+
+
+def _to_change(fields: Any) -> Change:
+    match list(fields):
+        case [str(key), bytes() | None as value, int(revision)]:
+            return Change(key=key, value=value, revision=revision)
+        case _:
+            raise ValueError("no change")
--- /dev/null
+++ b/damaskrill/mesh/_members.py
@@ -0,0 +1,130 @@
+"""Which routers are alive, which of them read the store, and who links to whom."""
+
+from attrs import define, evolve
+
+from damaskrill.mesh._frames import MemberEntry
+from damaskrill.utils import hash_to_int, rank_by_rendezvous
+
+__all__ = ["MemberTable"]
+
+# Up to this size each router links to all others; beyond, to a few.
+MAX_FULL_MESH = 12
+NEAR_LINKS = 3
+FAR_LINKS = 2
+# A router is taken as gone after this time without a newer beat.
+FULL_MESH_EXPIRY_MS = 2_500
+EXPIRY_MS = 8_000
+# In a large fleet beats are passed on from link to link, and so less often.
+FORWARDED_BEAT_MS = 2_000
+# Readers of the store in the fleet; each watch is a priced call.
+N_READERS = 2
+
+
+@define(kw_only=True)
+class _Known:
+    entry: MemberEntry
+    heard_at_ms: float
+
+
+class MemberTable:
+    """Routers by address.
+
+    Parameters
+    ----------
+    own : MemberEntry
+        This router.
+    """
+
+    def __init__(self, *, own: MemberEntry) -> None:
+        self._own = own
+        self._known: dict[str, _Known] = {}
+        self._beat_at_ms = 0.0
+
+    @property
+    def own(self) -> MemberEntry:
+        """Entry of the router itself."""
+        return self._own
+
+    @property
+    def is_full_mesh(self) -> bool:
+        """Whether each router links to all others."""
+        return len(self._known) + 1 <= MAX_FULL_MESH
+
+    def beat(self, now_ms: float) -> None:
+        """Raise the own beat when it is due."""
+        if self.is_full_mesh or now_ms - self._beat_at_ms >= FORWARDED_BEAT_MS:
+            self._beat_at_ms = now_ms
+            self._own = evolve(self._own, beat=self._own.beat + 1)
+
+    def take(self, entry: MemberEntry, now_ms: float) -> bool:
+        """Take an entry.
+
+        Returns
+        -------
+        bool
+            Whether it is of a router or an incarnation that was not known.
+        """
+        if entry.address == self._own.address:
+            return False
+        known = self._known.get(entry.address)
+        if known is None:
+            self._known[entry.address] = _Known(entry=entry, heard_at_ms=now_ms)
+            return True
+        old, new = known.entry, entry
+        if (new.incarnation, new.beat) <= (old.incarnation, old.beat):
+            return False
+        known.entry, known.heard_at_ms = entry, now_ms
+        return new.incarnation != old.incarnation
+
+    def expire(self, now_ms: float) -> list[MemberEntry]:
+        """Forget routers that have not been heard of, and return them."""
+        limit_ms = FULL_MESH_EXPIRY_MS if self.is_full_mesh else EXPIRY_MS
+        gone = [
+            known.entry
+            for known in self._known.values()
+            if now_ms - known.heard_at_ms > limit_ms
+        ]
+        for entry in gone:
+            del self._known[entry.address]
+        return gone
+
+    def entries(self) -> list[MemberEntry]:
+        """Return all routers, this one first."""
+        return [self._own, *(known.entry for known in self._known.values())]
+
+    def addresses(self) -> frozenset[str]:
+        """Return the addresses of all routers, this one included."""
+        return frozenset({self._own.address, *self._known})
+
+    def is_reader(self) -> bool:
+        """Whether this router reads the store.
+
+        Notes
+        -----
+        The readers stand in different data centres as far as there are several, so
+        that the loss of one leaves a reader.
+        """
+        centre_of = {each.address: each.data_centre for each in self.entries()}
+        ranked = rank_by_rendezvous("reader", centre_of)
+        readers: list[str] = []
+        for address in ranked:
+            if centre_of[address] not in {centre_of[each] for each in readers}:
+                readers.append(address)
+        readers += [each for each in ranked if each not in readers]
+        return self._own.address in readers[:N_READERS]
+
+    def wanted_links(self) -> list[str]:
+        """Return the addresses that this router links to."""
+        others = [known.entry for known in self._known.values()]
+        if self.is_full_mesh:
+            return [each.address for each in others]
+        near = [each for each in others if each.data_centre == self._own.data_centre]
+        far = [each for each in others if each.data_centre != self._own.data_centre]
+        return self._nearest(near, NEAR_LINKS) + self._nearest(far, FAR_LINKS)
+
+    def _nearest(self, entries: list[MemberEntry], n_links: int) -> list[str]:
+        def weight(entry: MemberEntry) -> int:
+            pair = sorted((entry.address, self._own.address))
+            return hash_to_int(" ".join(pair))
+
+        return [each.address for each in sorted(entries, key=weight)[:n_links]]
--- /dev/null
+++ b/damaskrill/mesh/_mesh.py
@@ -0,0 +1,303 @@
+"""Task that keeps the links to other routers."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+import websockets.asyncio.client
+import websockets.asyncio.server
+from attrs import define, field
+from websockets.exceptions import WebSocketException
+
+from damaskrill.exceptions import PeerFrameError
+from damaskrill.feed import FeedCopy, Freshness
+from damaskrill.mesh._frames import (
+    MAX_FRAME_BYTES,
+    Beat,
+    Feed,
+    Frame,
+    Hello,
+    MemberEntry,
+    decode,
+    encode,
+)
+from damaskrill.mesh._members import MemberTable
+
+__all__ = ["Mesh"]
+
+BEAT_INTERVAL_MS = 400
+# Several beats; a link that is silent for longer is closed and dialled again.
+SILENCE_MS = 1_600
+DIAL_TIMEOUT_MS = 500
+REDIAL_MS = 800
+# With fewer links the seeds are dialled too.
+MIN_LINKS = 2
+# A router that was lost is dialled now and then, as a partition may have healed.
+LOST_REDIAL_MS = 2_000
+LOST_KEPT_MS = 60_000
+MAX_QUEUED_FRAMES = 200
+HELLO_TIMEOUT_MS = 1_000
+
+
+@define(kw_only=True, eq=False)
+class _Link:
+    """An open connection to another router."""
+
+    address: str
+    socket: Any
+    queue: asyncio.Queue[bytes] = field(
+        factory=lambda: asyncio.Queue(MAX_QUEUED_FRAMES)
+    )
+    heard_at_ms: float
+    peer_revision: int = 0
+    told: dict[str, tuple[int, int]] = field(factory=dict)
+
+
+class Mesh:
+    """Links to other routers over websockets.
+
+    Parameters
+    ----------
+    members : MemberTable
+        Which routers are alive.
+    copy : FeedCopy
+        Copy of the store that is passed on.
+    freshness : Freshness
+        Age of that copy.
+    listen : tuple of (str, int)
+        Where other routers dial this one.
+    seeds : sequence of str
+        Addresses to begin with.
+    take_feed : callable
+        Takes changes or a whole copy that came from a router.
+    note_contact : callable
+        Takes the time of a contact with the store that a router tells of.
+    report : callable
+        Takes an event name and fields.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: MemberTable,
+        copy: FeedCopy,
+        freshness: Freshness,
+        listen: tuple[str, int],
+        seeds: tuple[str, ...],
+        take_feed: Callable[[Feed], None],
+        note_contact: Callable[[int], None],
+        report: Callable[..., None],
+    ) -> None:
+        self._members = members
+        self._copy = copy
+        self._freshness = freshness
+        self._listen = listen
+        self._seeds = tuple(each for each in seeds if each != members.own.address)
+        self._take_feed = take_feed
+        self._note_contact = note_contact
+        self._report = report
+        self._links: dict[str, _Link] = {}
+        self._dialled_at_ms: dict[str, float] = {}
+        self._dials: set[asyncio.Task[None]] = set()
+        self._lost_at_ms: dict[str, float] = {}
+
+    @property
+    def n_links(self) -> int:
+        """Open links."""
+        return len(self._links)
+
+    async def run(self) -> None:
+        """Serve and dial until cancelled."""
+        host, port = self._listen
+        async with websockets.asyncio.server.serve(
+            self._accept,
+            host,
+            port,
+            compression=None,
+            ping_interval=None,
+            max_size=MAX_FRAME_BYTES,
+            close_timeout=0.2,
+        ):
+            while True:
+                self._turn()
+                await asyncio.sleep(BEAT_INTERVAL_MS / 1_000)
+
+    def push_changes(self, *, source: str = "") -> None:
+        """Send what is new to the links that lack it.
+
+        Parameters
+        ----------
+        source : str
+            Link over which it came; empty if this router read it from the store.
+        """
+        if source and self._members.is_full_mesh:
+            # The reader itself sends it to all; a beat shows who missed it.
+            return
+        for link in self._links.values():
+            if link.address != source:
+                self._send_feed(link)
+
+    def _turn(self) -> None:
+        now_ms = _now_ms()
+        self._members.beat(now_ms)
+        for entry in self._members.expire(now_ms):
+            self._lost_at_ms[entry.address] = now_ms
+            self._report("router_lost", peer=entry.address)
+        for link in list(self._links.values()):
+            if now_ms - link.heard_at_ms > SILENCE_MS:
+                self._drop(link, "no message in time")
+            else:
+                self._send_beat(link, now_ms)
+        self._dial_missing(now_ms)
+
+    def _dial_missing(self, now_ms: float) -> None:
+        wanted = dict.fromkeys(self._members.wanted_links(), REDIAL_MS)
+        if len(self._links) < MIN_LINKS:
+            wanted.update(dict.fromkeys(self._seeds, REDIAL_MS))
+        for address, lost_at_ms in list(self._lost_at_ms.items()):
+            if now_ms - lost_at_ms > LOST_KEPT_MS:
+                del self._lost_at_ms[address]
+            else:
+                wanted.setdefault(address, LOST_REDIAL_MS)
+        for address, interval_ms in wanted.items():
+            dialled_at_ms = self._dialled_at_ms.get(address, -LOST_KEPT_MS)
+            if address in self._links or now_ms - dialled_at_ms < interval_ms:
+                continue
+            self._dialled_at_ms[address] = now_ms
+            task = asyncio.get_running_loop().create_task(self._dial(address))
+            self._dials.add(task)
+            task.add_done_callback(self._dials.discard)
+
+    async def _dial(self, address: str) -> None:
+        try:
+            socket = await websockets.asyncio.client.connect(
+                f"ws://{address}/",
+                compression=None,
+                ping_interval=None,
+                proxy=None,
+                max_size=MAX_FRAME_BYTES,
+                open_timeout=DIAL_TIMEOUT_MS / 1_000,
+                close_timeout=0.2,
+            )
+        except (OSError, TimeoutError, WebSocketException):
+            # A router that is down is dialled again; its loss is reported once by
+            # the table of members.
+            return
+        await self._keep(socket)
+
+    async def _accept(self, socket: Any) -> None:
+        await self._keep(socket)
+
+    async def _keep(self, socket: Any) -> None:
+        link: _Link | None = None
+        sender: asyncio.Task[None] | None = None
+        try:
+            await socket.send(encode(Hello(entry=self._members.own)))
+            async with asyncio.timeout(HELLO_TIMEOUT_MS / 1_000):
+                hello = decode(await socket.recv())
+            if not isinstance(hello, Hello):
+                return
+            link = self._add_link(socket, hello.entry)
+            sender = asyncio.get_running_loop().create_task(self._send_queued(link))
+            async for data in socket:
+                link.heard_at_ms = _now_ms()
+                self._take(link, decode(data))
+        except (OSError, TimeoutError, WebSocketException):
+            # The link is gone; dropping it below reports it.
+            pass
+        except PeerFrameError as error:
+            self._report("router_frame_refused", sentence=error.sentence)
+        finally:
+            if sender is not None:
+                sender.cancel()
+            if link is not None:
+                self._drop(link, "the connection ended")
+            socket.transport.abort()
+
+    def _add_link(self, socket: Any, entry: MemberEntry) -> _Link:
+        now_ms = _now_ms()
+        old = self._links.get(entry.address)
+        if old is not None:
+            old.socket.transport.abort()
+        link = _Link(address=entry.address, socket=socket, heard_at_ms=now_ms)
+        self._links[entry.address] = link
+        if self._members.take(entry, now_ms):
+            self._report("router_known", peer=entry.address)
+        self._send_beat(link, now_ms)
+        return link
+
+    def _take(self, link: _Link, frame: Frame) -> None:
+        now_ms = _now_ms()
+        match frame:
+            case Beat():
+                for entry in frame.entries:
+                    if self._members.take(entry, now_ms):
+                        self._report("router_known", peer=entry.address)
+                if frame.age_ms >= 0:
+                    self._note_contact(round(now_ms) - frame.age_ms)
+                link.peer_revision = frame.revision
+                self._send_feed(link)
+            case Feed():
+                self._take_feed(frame)
+                link.peer_revision = max(link.peer_revision, frame.revision)
+                self.push_changes(source=link.address)
+            case Hello():
+                pass
+
+    def _send_beat(self, link: _Link, now_ms: float) -> None:
+        age_ms = self._freshness.age_ms(round(now_ms))
+        beat = Beat(
+            revision=self._copy.revision,
+            age_ms=-1 if age_ms is None else age_ms,
+            entries=self._news_for(link),
+        )
+        self._send(link, beat)
+
+    def _news_for(self, link: _Link) -> tuple[MemberEntry, ...]:
+        news = []
+        for entry in self._members.entries():
+            # In a full mesh only the router itself tells its beat.
+            is_forwarded = entry.address != self._members.own.address
+            beat = 0 if is_forwarded and self._members.is_full_mesh else entry.beat
+            mark = (entry.incarnation, beat)
+            if link.told.get(entry.address) != mark and entry.address != link.address:
+                link.told[entry.address] = mark
+                news.append(entry)
+        return tuple(news)
+
+    def _send_feed(self, link: _Link) -> None:
+        own, peer = self._copy.revision, link.peer_revision
+        if peer >= own:
+            return
+        changes = self._copy.changes_after(peer) if peer else None
+        link.peer_revision = own
+        if changes is None:
+            items = tuple(self._copy.items)
+            self._send(link, Feed(after=0, revision=own, changes=items))
+        else:
+            self._send(link, Feed(after=peer, revision=own, changes=tuple(changes)))
+
+    def _send(self, link: _Link, frame: Frame) -> None:
+        try:
+            link.queue.put_nowait(encode(frame))
+        except asyncio.QueueFull:
+            self._drop(link, "it does not read its messages")
+
+    async def _send_queued(self, link: _Link) -> None:
+        try:
+            while True:
+                await link.socket.send(await link.queue.get())
+        except (OSError, WebSocketException):
+            # The reading side of the link ends as well and drops it.
+            return
+
+    def _drop(self, link: _Link, reason: str) -> None:
+        if self._links.get(link.address) is link:
+            del self._links[link.address]
+            self._report("router_link_lost", peer=link.address, sentence=reason)
+        link.socket.transport.abort()
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1_000
--- /dev/null
+++ b/damaskrill/platform/_binding.py
@@ -0,0 +1,27 @@
+"""All translations in one value."""
+
+from typing import Any
+
+from damaskrill.gateway import PlatformBinding
+from damaskrill.platform._headers import (
+    READINESS_PATH,
+    read_answer,
+    read_request,
+    server_headers,
+)
+from damaskrill.platform._items import decode_item
+from damaskrill.platform._store import PlatformStore
+
+__all__ = ["platform_binding"]
+
+
+def platform_binding(*, reactor: Any, address: tuple[str, int]) -> PlatformBinding:
+    """Return the translations, with a client of the store at an address."""
+    return PlatformBinding(
+        readiness_path=READINESS_PATH,
+        decode_item=decode_item,
+        read_request=read_request,
+        read_answer=read_answer,
+        server_headers=server_headers,
+        store=PlatformStore(reactor=reactor, address=address),
+    )
--- /dev/null
+++ b/damaskrill/platform/_items.py
@@ -0,0 +1,169 @@
+"""Items of the platform's store."""
+
+import math
+from typing import Any
+
+import orjson
+
+from damaskrill.catalog import (
+    BackendServer,
+    CallerLimits,
+    CatalogItem,
+    Configuration,
+    ConfigurationItem,
+    DataCentreOutItem,
+    ForeignItem,
+    RequestKind,
+    Route,
+    ServerItem,
+    ServiceShare,
+    ServiceSpec,
+    Team,
+    UnusableConfigurationError,
+    UnusableServerError,
+)
+
+__all__ = ["decode_item"]
+
+CONFIGURATION_KEY = "op/config"
+DATA_CENTRE_OUT_PREFIX = "op/evacuate/"
+SERVER_PREFIX = "servers/"
+MS_PER_S = 1_000
+
+KINDS = {
+    "idempotent": RequestKind.REPEATABLE,
+    "non_idempotent": RequestKind.AT_MOST_ONCE,
+    "streaming": RequestKind.STREAM,
+}
+# Whether a server in this state leaves.
+STATES = {"ready": False, "draining": True}
+
+
+def decode_item(key: str, value: bytes) -> CatalogItem:
+    """Decode an item of the store.
+
+    Parameters
+    ----------
+    key : str
+        Key of the item.
+    value : bytes
+        What was written; empty for an item that was removed.
+
+    Returns
+    -------
+    CatalogItem
+        The item; one that cannot be used holds the error that says why.
+    """
+    if key == CONFIGURATION_KEY:
+        return _decode_configuration(value)
+    if key.startswith(DATA_CENTRE_OUT_PREFIX):
+        return DataCentreOutItem(data_centre=key.removeprefix(DATA_CENTRE_OUT_PREFIX))
+    if key.startswith(SERVER_PREFIX):
+        return _decode_server(key.removeprefix(SERVER_PREFIX), value)
+    return ForeignItem(key=key)
+
+
+def _decode_configuration(value: bytes) -> ConfigurationItem:
+    try:
+        return ConfigurationItem(configuration=_to_configuration(orjson.loads(value)))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        reason = f"{type(error).__name__}: {error}"
+        return ConfigurationItem(error=UnusableConfigurationError(reason=reason))
+
+
+def _to_configuration(content: dict[str, Any]) -> Configuration:
+    services = [_to_service(each) for each in content["services"]]
+    limits = content.get("limits", {})
+    defaults = CallerLimits()
+    return Configuration(
+        version=int(content["version"]),
+        routes=tuple(_to_route(each) for each in content["routes"]),
+        services={each.name: each for each in services},
+        team_by_key=_to_teams(content.get("tenants", [])),
+        limits=CallerLimits(
+            max_header_bytes=limits.get("maxHeaderBytes", defaults.max_header_bytes),
+            max_body_bytes=limits.get("maxBodyBytes", defaults.max_body_bytes),
+            header_timeout_ms=limits.get("headerTimeoutMs", defaults.header_timeout_ms),
+            idle_timeout_ms=limits.get("idleTimeoutMs", defaults.idle_timeout_ms),
+        ),
+    )
+
+
+def _to_route(content: dict[str, Any]) -> Route:
+    split = content.get("trafficSplit") or [{"service": content["service"]}]
+    shares = [
+        ServiceShare(service=each["service"], weight=float(each.get("weight", 1)))
+        for each in split
+    ]
+    return Route(
+        name=content["name"],
+        host=content["host"].lower(),
+        prefix=content["prefix"],
+        kind=KINDS[content["kind"]],
+        time_limit_ms=int(content["timeoutMs"]),
+        target_ms=int(content.get("targetLatencyMs", content["timeoutMs"])),
+        priority=int(content.get("priority", 0)),
+        shares=tuple(shares),
+        max_servers=int(content.get("maxAttempts", 1)),
+        is_public=bool(content.get("public", False)),
+        # Says that requests name their prompt, not that callers keep a session.
+        has_prompt=bool(content.get("stickySessions", False)),
+        is_resumable=bool(content.get("streamResume", False)),
+    )
+
+
+def _to_service(content: dict[str, Any]) -> ServiceSpec:
+    return ServiceSpec(
+        name=content["name"],
+        max_connections=int(content.get("maxConnections", 0)),
+        cold_duration_ms=math.ceil(content.get("coldS", 0) * MS_PER_S),
+        cold_requests_per_s=float(content.get("coldPerS", 0)),
+        # Not a name but the engine's properties.
+        is_engine=bool(content.get("engineName")),
+    )
+
+
+def _to_teams(content: list[dict[str, Any]]) -> dict[str, Team]:
+    teams = {}
+    for each in content:
+        team = Team(name=each["name"], priority=each.get("priority"))
+        teams.update({key: team for key in each["apiKeys"]})
+    return teams
+
+
+def _decode_server(server_id: str, value: bytes) -> ServerItem:
+    if not value:
+        return ServerItem(server_id=server_id)
+    try:
+        return ServerItem(
+            server_id=server_id, server=_to_server(server_id, orjson.loads(value))
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        reason = f"{type(error).__name__}: {error}"
+        unusable = UnusableServerError(server_id=server_id, reason=reason)
+        return ServerItem(server_id=server_id, error=unusable)
+
+
+def _to_server(server_id: str, content: dict[str, Any]) -> BackendServer:
+    host, _, port = content["address"].rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError("its address is not HOST:PORT")
+    for name in ("service", "zone"):
+        if not isinstance(content[name], str):
+            raise TypeError(f"{name} is not a text")
+    for name in ("slotCount", "coldRemainingMs", "sequence"):
+        if type(content[name]) not in (int, float):
+            raise TypeError(f"{name} is not a number")
+    born = content.get("born", 0)
+    if type(born) is not int:
+        raise TypeError("born is not a whole number")
+    return BackendServer(
+        server_id=server_id,
+        born_ms=born,
+        service=content["service"],
+        address=(host, int(port)),
+        data_centre=content["zone"],
+        n_slots=int(content["slotCount"]),
+        is_leaving=STATES[content["state"]],
+        cold_for_ms=max(0, math.ceil(content["coldRemainingMs"])),
+    )
--- /dev/null
+++ b/damaskrill/platform/_settings.py
@@ -0,0 +1,89 @@
+"""The platform's settings file."""
+
+from pathlib import Path
+
+from damaskrill.gateway import GatewaySettings, UnreadableSettingsError
+
+__all__ = ["SETTINGS_VARIABLE", "read_platform_settings"]
+
+SETTINGS_VARIABLE = "DAMASKRILL_BOOT"
+MS_PER_S = 1_000
+
+
+def read_platform_settings(path: str) -> GatewaySettings:
+    """Read the settings of this process.
+
+    Parameters
+    ----------
+    path : str
+        The settings file.
+
+    Returns
+    -------
+    GatewaySettings
+        The settings; fields that are not known are left out.
+
+    Raises
+    ------
+    UnreadableSettingsError
+        If the file cannot be read, or a field is missing or not of its type.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+        return _to_settings(_read_fields(text))
+    except (OSError, UnicodeDecodeError) as error:
+        raise UnreadableSettingsError(path=path, reason=str(error)) from error
+    except KeyError as error:
+        reason = f"the field {error} is missing"
+        raise UnreadableSettingsError(path=path, reason=reason) from error
+    except ValueError as error:
+        raise UnreadableSettingsError(path=path, reason=str(error)) from error
+
+
+def _read_fields(text: str) -> dict[str, str]:
+    fields = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def _to_settings(fields: dict[str, str]) -> GatewaySettings:
+    seeds = [each for each in fields.get("seedAddrs", "").split(",") if each]
+    return GatewaySettings(
+        name=fields["node"],
+        data_centre=fields["zone"],
+        caller_address=_to_address(fields["listen.front"]),
+        readiness_address=_to_address(fields["listen.ready"]),
+        # The address at which other routers meet this one.
+        peer_address=_to_address(fields["listen.control"]),
+        seed_addresses=tuple(_to_address(each) for each in seeds),
+        store_address=_to_address(fields["platform.address"]),
+        metrics_host=fields["bindIp"],
+        **_to_bounds(fields),
+    )
+
+
+def _to_bounds(fields: dict[str, str]) -> dict[str, float]:
+    # A deployment without the rule that a bound belongs to does not state it.
+    bounds = {
+        "grace_ms": ("bounds.gracePeriodS", MS_PER_S),
+        "repeat_ratio": ("bounds.budgetRatio", 1),
+        "repeat_slack": ("bounds.retrySlack", 1),
+        "repeat_window_ms": ("bounds.budgetWindowS", MS_PER_S),
+        "cold_factor": ("bounds.coldFactor", 1),
+        "cold_slack": ("bounds.coldSlack", 1),
+    }
+    return {
+        name: float(fields[field]) * unit
+        for name, (field, unit) in bounds.items()
+        if fields.get(field)
+    }
+
+
+def _to_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return (host, int(port))
--- /dev/null
+++ b/damaskrill/steering/__init__.py
@@ -0,0 +1,28 @@
+"""Decisions on one request: which server, how often, and what it is refused for."""
+
+from damaskrill.steering._again import EndOfAttempt, Outcome, may_send_again
+from damaskrill.steering._cold_gate import ColdGate
+from damaskrill.steering._facts import AnswerFacts, PromptPart, RequestFacts
+from damaskrill.steering._health import HealthTracker, Verdict
+from damaskrill.steering._loads import ServerLoads
+from damaskrill.steering._placer import Candidate, Placer
+from damaskrill.steering._refusals import Refusal, RefusalCause
+from damaskrill.steering._repeat_budget import RepeatBudget
+
+__all__ = [
+    "AnswerFacts",
+    "Candidate",
+    "ColdGate",
+    "EndOfAttempt",
+    "HealthTracker",
+    "Outcome",
+    "Placer",
+    "PromptPart",
+    "Refusal",
+    "RefusalCause",
+    "RepeatBudget",
+    "RequestFacts",
+    "ServerLoads",
+    "Verdict",
+    "may_send_again",
+]
--- /dev/null
+++ b/damaskrill/steering/_health.py
@@ -0,0 +1,99 @@
+"""Judges backend servers by what their answers show."""
+
+import math
+from enum import Enum
+
+from attrs import define
+
+__all__ = ["HealthTracker", "Verdict"]
+
+ServerKey = tuple[str, int]
+# Time in which the weight of an outcome falls to a third.
+MEMORY_MS = 5_000
+# Failures that are needed before a server is left out, and the part of its outcomes.
+MIN_FAILURES = 2.2
+MIN_FAILED_PART = 0.35
+FIRST_PAUSE_MS = 1_000
+MAX_PAUSE_MS = 5_000
+
+
+class Verdict(Enum):
+    """How a request ended at a server."""
+
+    GOOD = "good"
+    NO_CONNECTION = "no_connection"
+    BROKEN = "broken"
+    ERROR_STATUS = "error_status"
+    SILENT = "silent"
+
+
+@define(kw_only=True)
+class _Health:
+    """Outcomes of one incarnation."""
+
+    n_good: float = 0.0
+    n_failed: float = 0.0
+    at_ms: float = 0.0
+    pause_ms: float = 0.0
+    paused_until_ms: float = 0.0
+
+
+class HealthTracker:
+    """Leaves servers out for a while whose requests fail.
+
+    Notes
+    -----
+    Answers the pattern of a server that fails part of its requests while its health
+    check is good. A server that cannot be reached is left out at once. The pause
+    grows while failures go on, and a server is never barred for good: after each
+    pause, requests show how it is.
+    """
+
+    def __init__(self) -> None:
+        self._servers: dict[ServerKey, _Health] = {}
+
+    def note(self, key: ServerKey, verdict: Verdict, now_ms: float) -> bool:
+        """Take an outcome.
+
+        Returns
+        -------
+        bool
+            Whether the server is left out from now on because of it.
+        """
+        health = self._servers.setdefault(key, _Health(at_ms=now_ms))
+        fading = math.exp((health.at_ms - now_ms) / MEMORY_MS)
+        health.n_good *= fading
+        health.n_failed *= fading
+        health.at_ms = now_ms
+        if verdict is Verdict.GOOD:
+            health.n_good += 1
+            if now_ms >= health.paused_until_ms and health.n_failed < 1:
+                health.pause_ms = 0.0
+            return False
+        health.n_failed += 1
+        n_outcomes = health.n_good + health.n_failed
+        is_bad = (
+            health.n_failed >= MIN_FAILURES
+            and health.n_failed >= MIN_FAILED_PART * n_outcomes
+        )
+        if verdict is Verdict.NO_CONNECTION or is_bad:
+            return self._pause(health, now_ms)
+        return False
+
+    def is_left_out(self, key: ServerKey, now_ms: float) -> bool:
+        """Whether a server should get nothing if others are there."""
+        health = self._servers.get(key)
+        return health is not None and now_ms < health.paused_until_ms
+
+    def forget_all_but(self, keys: set[ServerKey]) -> None:
+        """Forget incarnations that are gone."""
+        for key in list(self._servers):
+            if key not in keys:
+                del self._servers[key]
+
+    def _pause(self, health: _Health, now_ms: float) -> bool:
+        if now_ms < health.paused_until_ms:
+            return False
+        health.pause_ms = min(MAX_PAUSE_MS, health.pause_ms * 2 or FIRST_PAUSE_MS)
+        health.paused_until_ms = now_ms + health.pause_ms
+        return True
--- /dev/null
+++ b/damaskrill/steering/_repeat_budget.py
@@ -0,0 +1,78 @@
+"""The router's share of the fleet's budget of repeated requests."""
+
+from collections import deque
+
+__all__ = ["RepeatBudget"]
+
+# Part of the allowance that is used, so that routers whose counts of members differ
+# for a moment stay within the whole.
+SAFE_PART = 0.7
+
+
+class RepeatBudget:
+    """Limits how many requests are sent to a service more than once.
+
+    Parameters
+    ----------
+    ratio : float
+        Allowed repeats for each request.
+    slack : float
+        Allowed repeats of the whole fleet in a window besides.
+    window_ms : int
+        Length of the sliding window, in milliseconds.
+
+    Notes
+    -----
+    Answers the pattern of a service that fails for all: each failure would be sent
+    again and double the load. Every router uses what its own requests earn, and an
+    equal part of the fixed allowance, so that no agreement is needed.
+    """
+
+    def __init__(self, *, ratio: float, slack: float, window_ms: int) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window_ms = window_ms
+        self._requests: dict[str, deque[float]] = {}
+        self._repeats: dict[str, deque[float]] = {}
+
+    def note_request(self, service: str, now_ms: float) -> None:
+        """Count a request of a caller for a service."""
+        self._add(self._requests, service, now_ms)
+
+    def try_spend(self, service: str, n_routers: int, now_ms: float) -> bool:
+        """Spend one repeat if the budget allows it.
+
+        Parameters
+        ----------
+        service : str
+            The service that would get the request again.
+        n_routers : int
+            Routers that share the fixed allowance.
+        now_ms : float
+            Present time in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether the request may be sent again.
+        """
+        n_requests = self._count(self._requests, service, now_ms)
+        n_repeats = self._count(self._repeats, service, now_ms)
+        allowance = self._ratio * n_requests + self._slack / max(1, n_routers)
+        if n_repeats + 1 > SAFE_PART * allowance:
+            return False
+        self._add(self._repeats, service, now_ms)
+        return True
+
+    def _add(self, times: dict[str, deque[float]], service: str, now_ms: float) -> None:
+        times.setdefault(service, deque()).append(now_ms)
+
+    def _count(
+        self, times: dict[str, deque[float]], service: str, now_ms: float
+    ) -> int:
+        found = times.get(service)
+        if found is None:
+            return 0
+        while found and found[0] <= now_ms - self._window_ms:
+            found.popleft()
+        return len(found)
--- a/features/support/one_file.py
+++ b/features/support/one_file.py
@@ -9,7 +9,6 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 BUILD_TIMEOUT_S = 300
-MEMORY_FOLDER = "/dev/shm"
 
 
 @functools.cache
@@ -32,9 +31,8 @@
 
 
 def make_folder(context):
-    """Return a new folder, in memory where the machine has such."""
-    parent = MEMORY_FOLDER if os.access(MEMORY_FOLDER, os.W_OK) else None
-    folder = tempfile.TemporaryDirectory(dir=parent)
+    """Return a new folder."""
+    folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     return Path(folder.name)
 
--- a/tools/onefile/onefile_main.py
+++ b/tools/onefile/onefile_main.py
@@ -13,7 +13,7 @@
 
 import onefile_index
 
-TEMPORARY_FOLDERS = ("/dev/shm", "/tmp", "/var/tmp", "/run")
+TEMPORARY_FOLDERS = ("/tmp", "/var/tmp", "/run")
 CREATE_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC
 
 
