Copy cached prefixes between engines and loosen the load bound

Change: a request names the engine that probably holds its prefix; the load bound is 1.8 times the mean plus 3.

--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -26,6 +26,7 @@
     """A backend server with when its entry was last read."""
 
     server: BackendServer
+    known_since_ms: int
     cold_until_ms: int
     lapsed_at_ms: int = -1
 
@@ -132,6 +133,14 @@
             self._by_service = self._group_servers()
         return self._by_service.get(service, ())
 
+    def find_all(self, service: str) -> tuple[BackendServer, ...]:
+        """Return all known servers of a service, leaving ones included."""
+        return tuple(
+            known.server
+            for known in self._servers.values()
+            if known.server.service == service
+        )
+
     def is_usable(self, server: BackendServer) -> bool:
         """Whether this incarnation may get requests now."""
         known = self._servers.get(server.server_id)
@@ -152,6 +161,13 @@
             return False
         return now_ms < back_at_ms + spec.cold_duration_ms
 
+    def known_for_ms(self, server: BackendServer, now_ms: int) -> int:
+        """Return for how long an incarnation has been known, in milliseconds."""
+        known = self._servers.get(server.server_id)
+        if known is None or known.server.key != server.key:
+            return 0
+        return now_ms - known.known_since_ms
+
     def note_cold(self, server: BackendServer, cold_for_ms: int, now_ms: int) -> None:
         """Take what a server itself says about how long it stays cold."""
         known = self._servers.get(server.server_id)
@@ -207,7 +223,10 @@
             )
         elif server.is_leaving and not known.server.is_leaving:
             self._report("server_leaving", backend_server=server.server_id)
+        is_same = known is not None and known.server.key == server.key
         self._servers[server.server_id] = _Known(
-            server=server, cold_until_ms=now_ms + server.cold_for_ms
+            server=server,
+            known_since_ms=known.known_since_ms if known and is_same else now_ms,
+            cold_until_ms=now_ms + server.cold_for_ms,
         )
         self._by_service = None
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -24,6 +24,7 @@
         team: Team | None,
         remaining_ms: int,
         resume_after: int | None,
+        cache_source: BackendServer | None,
     ) -> Headers:
         """Return the headers."""
 
--- a/damaskrill/gateway/_desk.py
+++ b/damaskrill/gateway/_desk.py
@@ -13,17 +13,22 @@
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
 from damaskrill.steering import (
+    CacheSources,
     Candidate,
     ColdGate,
     HealthTracker,
     Placer,
     RepeatBudget,
+    RequestFacts,
     ServerLoads,
     Verdict,
 )
 
 __all__ = ["Desk"]
 
+# An engine that has been there for longer has read the prefixes of its own keys.
+SETTLED_AFTER_MS = 10_000
+
 
 class Desk:
     """Takes callers' requests and holds what decides on them.
@@ -75,6 +80,7 @@
         self.loads = ServerLoads()
         self._cold_gate = cold_gate
         self._health = HealthTracker()
+        self._cache_sources = CacheSources()
         self._n_routers = n_routers
         self._random = random_state
         self._placer = Placer(
@@ -112,7 +118,11 @@
         return self._random.choices(route.shares, weights)[0].service
 
     def choose(
-        self, service: str, *, affinity_key: str, tried: set[tuple[str, int]]
+        self,
+        service: str,
+        *,
+        affinity_keys: tuple[str, ...],
+        tried: set[tuple[str, int]],
     ) -> BackendServer | None:
         """Return the server that should get a request; None if none may."""
         now_ms = self.now_ms
@@ -124,7 +134,34 @@
             for server in self.catalog.find_servers(service)
             if server.key not in tried and self._may_send(server, now_ms)
         ]
-        return self._placer.choose(candidates, affinity_key=affinity_key, now_ms=now_ms)
+        return self._placer.choose(
+            candidates, affinity_keys=affinity_keys, now_ms=now_ms
+        )
+
+    def find_cache_source(
+        self, route: Route, facts: RequestFacts, server: BackendServer
+    ) -> BackendServer | None:
+        """Return the engine to copy a prompt's prefix from; None if there is none."""
+        configuration = self.catalog.configuration
+        spec = configuration.services.get(server.service) if configuration else None
+        if spec is None or not spec.is_engine or not route.has_prompt:
+            return None
+        now_ms = self.now_ms
+        holders = [
+            each
+            for each in self.catalog.find_all(server.service)
+            if not self._health.is_left_out(each.key, now_ms)
+        ]
+        known_for_ms = self.catalog.known_for_ms(server, round(now_ms))
+        source = self._cache_sources.find(
+            facts.prompt,
+            server,
+            holders,
+            now_ms,
+            is_settled=known_for_ms > SETTLED_AFTER_MS,
+        )
+        self._cache_sources.note_sent(facts.prompt, server, now_ms)
+        return source
 
     def may_repeat(self, service: str) -> bool:
         """Spend one repeat of the budget, if it allows one."""
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -162,10 +162,10 @@
 
     async def _find_server(self, route: Route, service: str) -> BackendServer | None:
         desk = self._desk
-        key = self._facts.affinity_key if route.has_prompt else ""
+        keys = self._facts.affinity_keys if route.has_prompt else ()
         until_ms = desk.now_ms + WAIT_PART * route.target_ms
         while True:
-            server = desk.choose(service, affinity_key=key, tried=self._tried)
+            server = desk.choose(service, affinity_keys=keys, tried=self._tried)
             if server is not None or desk.now_ms >= until_ms:
                 return server
             await asyncio.sleep(WAIT_STEP_MS / 1_000)
@@ -215,6 +215,7 @@
             team=team,
             remaining_ms=remaining_ms,
             resume_after=self._progress.last_id,
+            cache_source=desk.find_cache_source(route, self._facts, server),
         )
         desk.note_sent(server)
         self._n_sent += 1
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -14,6 +14,8 @@
 TENANT = b"Damaskrill-Tenant"
 EXPECTED_SERVER = b"Damaskrill-Expect-Instance"
 LAST_EVENT_ID = b"Last-Event-Id"
+# Address of the engine from which a prompt's cached prefix is copied.
+CACHE_SOURCE = b"Kv-Fetch"
 # Headers that only routers may set; what a caller sends in them is dropped.
 ROUTER_HEADERS = frozenset(
     {
@@ -60,6 +62,7 @@
     team: Team | None,
     remaining_ms: int,
     resume_after: int | None,
+    cache_source: BackendServer | None,
 ) -> Headers:
     """Return the headers of a request as a backend server gets them.
 
@@ -75,6 +78,8 @@
         How long an answer is waited for, in milliseconds.
     resume_after : int or None
         Last event that the caller already has; None leaves the caller's own.
+    cache_source : BackendServer or None
+        Engine to copy the prompt's prefix from.
     """
     dropped = ROUTER_HEADERS
     if resume_after is not None:
@@ -90,6 +95,9 @@
         kept.append((TENANT, team.name.encode()))
     if resume_after is not None:
         kept.append((LAST_EVENT_ID, b"%d" % resume_after))
+    if cache_source is not None:
+        host, port = cache_source.address
+        kept.append((CACHE_SOURCE, f"{host}:{port}".encode()))
     return tuple(kept)
 
 
--- a/damaskrill/steering/_facts.py
+++ b/damaskrill/steering/_facts.py
@@ -54,18 +54,16 @@
     last_event_id: int | None = None
 
     @property
-    def affinity_key(self) -> str:
-        """Prefix of the prompt that several requests share.
+    def affinity_keys(self) -> tuple[str, ...]:
+        """Parts of the prompt that requests share, the widest shared first.
 
         Notes
         -----
         The last shared part separates dossiers; what comes before it is shared by
         many of them. A prompt of one part is its own key.
         """
-        if not self.prompt:
-            return ""
-        shared = self.prompt[-2] if len(self.prompt) > 1 else self.prompt[-1]
-        return shared.part_id
+        shared = self.prompt[:-1] or self.prompt
+        return tuple(part.part_id for part in shared)
 
 
 @frozen(kw_only=True)
--- a/damaskrill/steering/_placer.py
+++ b/damaskrill/steering/_placer.py
@@ -12,10 +12,10 @@
 __all__ = ["Candidate", "Placer"]
 
 # An engine takes a request for its prompt cache up to this multiple of the mean load.
-MAX_LOAD_MULTIPLE = 1.5
+MAX_LOAD_MULTIPLE = 1.8
 # Requests above the multiple that are always borne, so that few requests do not
 # scatter. The rule that limits uneven loads has the same addend.
-LOAD_ADDEND = 2.0
+LOAD_ADDEND = 3.0
 # Part of a plain server's slots up to which one of the own data centre goes first.
 NEAR_PART = 0.5
 
@@ -64,19 +64,26 @@
         self._random = random_state
 
     def choose(
-        self, candidates: Sequence[Candidate], *, affinity_key: str, now_ms: float
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        affinity_keys: tuple[str, ...],
+        now_ms: float,
     ) -> BackendServer | None:
         """Return the best candidate; None if there is none."""
         preferred = [each.server for each in candidates if each.is_preferred]
         servers = preferred or [each.server for each in candidates]
         if not servers:
             return None
-        if affinity_key:
-            return self._choose_engine(servers, affinity_key, now_ms)
+        if affinity_keys:
+            return self._choose_engine(servers, affinity_keys, now_ms)
         return self._choose_plain(servers, now_ms)
 
     def _choose_engine(
-        self, servers: Sequence[BackendServer], affinity_key: str, now_ms: float
+        self,
+        servers: Sequence[BackendServer],
+        affinity_keys: tuple[str, ...],
+        now_ms: float,
     ) -> BackendServer:
         by_id = {each.server_id: each for each in servers}
         loads = {
@@ -84,7 +91,7 @@
         }
         mean = (sum(loads.values()) + 1) / len(servers)
         bound = MAX_LOAD_MULTIPLE * mean + LOAD_ADDEND
-        for server_id in rank_by_rendezvous(affinity_key, by_id):
+        for server_id in rank_by_rendezvous(affinity_keys[-1], by_id):
             if loads[server_id] + 1 <= bound:
                 return by_id[server_id]
         return by_id[min(loads, key=lambda each: loads[each])]
