--- /dev/null
+++ b/damaskrill/fakes/platform/_server.py
@@ -0,0 +1,195 @@
+"""Stand-in of a backend server on the platform."""
+
+import asyncio
+from collections import Counter
+from enum import Enum
+from typing import Any
+
+from damaskrill.fakes.platform._listener import Listener
+from damaskrill.http1 import CallerConnection, CallerRequest
+
+__all__ = ["FakeServer", "Misbehaviour"]
+
+SEAL = (b"Damaskrill-Response-Seal", b"seal")
+JSON = (b"Content-Type", b"application/json")
+EVENT_STREAM = (b"Content-Type", b"text/event-stream")
+ID_HEADER = b"damaskrill-request-id"
+
+
+class Misbehaviour(Enum):
+    """What is wrong with a server's answers."""
+
+    NONE = "none"
+    FULL = "full"
+    MOVED = "moved"
+    ERROR = "error"
+    HANG = "hang"
+    RESET = "reset"
+    CUT = "cut"
+    SECOND_ANSWER = "second_answer"
+    OTHER_ID = "other_id"
+    NO_SEAL = "no_seal"
+    ENCODED = "encoded"
+    NO_LENGTH = "no_length"
+    NO_LENGTH_RESET = "no_length_reset"
+    RUBBISH = "rubbish"
+    MID_EVENT = "mid_event"
+
+
+class FakeServer:
+    """Runs requests and records them.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    server_id : str
+        Its name.
+    n_events : int, default=5
+        Events of a stream.
+    event_ms : int, default=5
+        Time between events, in milliseconds.
+    work_ms : int, default=5
+        Time of a request that is no stream, in milliseconds.
+
+    Attributes
+    ----------
+    runs : collections.Counter
+        Runs by request ID.
+    requests : list of CallerRequest
+        All requests that came.
+    n_dropped : int
+        Runs whose connection closed before their end.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        server_id: str,
+        n_events: int = 5,
+        event_ms: int = 5,
+        work_ms: int = 5,
+    ) -> None:
+        self.server_id = server_id
+        self.misbehaviour = Misbehaviour.NONE
+        self.runs: Counter[str] = Counter()
+        self.requests: list[CallerRequest] = []
+        self.n_dropped = 0
+        self._n_events = n_events
+        self._event_ms = event_ms
+        self._work_ms = work_ms
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._listener = Listener(reactor=reactor, handle=self._take)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self._listener.address
+
+    def close(self) -> None:
+        """Crash: all connections break."""
+        self._listener.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def _take(self, connection: CallerConnection, request: CallerRequest) -> None:
+        self.requests.append(request)
+        task = asyncio.get_running_loop().create_task(self._run(connection, request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+        def drop() -> None:
+            self.n_dropped += 1
+            task.cancel()
+
+        connection.on_gone = drop
+
+    async def _run(self, connection: CallerConnection, request: CallerRequest) -> None:
+        request_id = request.find_header(ID_HEADER) or b""
+        expected = request.find_header(b"damaskrill-expect-instance")
+        is_other = expected is not None and expected != self.server_id.encode()
+        if is_other or self.misbehaviour is Misbehaviour.MOVED:
+            connection.send_whole(421, ((b"Damaskrill-Instance-Id", b"i-other"),), b"")
+            return
+        if self.misbehaviour is Misbehaviour.FULL:
+            connection.send_whole(503, ((b"Damaskrill-Not-Executed", b"1"),), b"")
+            return
+        self.runs[request_id.decode()] += 1
+        if self.misbehaviour is Misbehaviour.HANG:
+            await asyncio.sleep(60)
+        if self.misbehaviour is Misbehaviour.RESET:
+            connection.break_off()
+            return
+        headers = (
+            (b"Damaskrill-Request-Id", request_id),
+            (b"Damaskrill-Server-Load", b"1,0,8"),
+            SEAL,
+        )
+        if request.find_header(b"damaskrill-prompt-prefix") is not None:
+            await self._stream(connection, request, headers)
+            return
+        await asyncio.sleep(self._work_ms / 1_000)
+        self._answer(connection, request_id, headers)
+
+    async def _stream(
+        self,
+        connection: CallerConnection,
+        request: CallerRequest,
+        headers: tuple[tuple[bytes, bytes], ...],
+    ) -> None:
+        first = int(request.find_header(b"last-event-id") or b"0") + 1
+        connection.begin_stream(200, (*headers, EVENT_STREAM))
+        for number in range(first, self._n_events + 1):
+            await asyncio.sleep(self._event_ms / 1_000)
+            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            half = number > self._n_events // 2
+            if half and self.misbehaviour is Misbehaviour.MID_EVENT:
+                connection.send_part(event[:9])
+                await asyncio.sleep(0.02)
+                connection.break_off()
+                return
+            if half and self.misbehaviour is Misbehaviour.CUT:
+                connection.break_off()
+                return
+            connection.send_part(event)
+        connection.end_stream()
+
+    def _answer(
+        self,
+        connection: CallerConnection,
+        request_id: bytes,
+        headers: tuple[tuple[bytes, bytes], ...],
+    ) -> None:
+        body = b'{"answer": "%b"}' % request_id
+        transport: Any = connection.transport
+        raw = b"HTTP/1.1 200 OK\r\n"
+        raw += b"".join(b"%b: %b\r\n" % each for each in (*headers, JSON))
+        sized = raw + b"Content-Length: %d\r\n\r\n" % len(body)
+        match self.misbehaviour:
+            case Misbehaviour.ERROR:
+                connection.send_whole(500, headers, b"failed")
+            case Misbehaviour.OTHER_ID:
+                others = ((b"Damaskrill-Request-Id", b"another"), SEAL)
+                connection.send_whole(200, others, body)
+            case Misbehaviour.NO_SEAL:
+                connection.send_whole(200, headers[:2], body)
+            case Misbehaviour.ENCODED:
+                encoded = (*headers, (b"Content-Encoding", b"gzip"))
+                connection.send_whole(200, encoded, body)
+            case Misbehaviour.CUT:
+                transport.write(sized + body[:4])
+                transport.loseConnection()
+            case Misbehaviour.NO_LENGTH:
+                transport.write(raw + b"Connection: close\r\n\r\n" + body)
+                transport.loseConnection()
+            case Misbehaviour.NO_LENGTH_RESET:
+                transport.write(raw + b"\r\n" + body[:4])
+                asyncio.get_running_loop().call_later(0.03, transport.abortConnection)
+            case Misbehaviour.SECOND_ANSWER:
+                transport.write(sized + body + sized + body)
+                connection.on_gone = None
+            case Misbehaviour.RUBBISH:
+                transport.write(b"\x00\x01\x02 no answer\r\n\r\n")
+            case _:
+                connection.send_whole(200, (*headers, JSON), body)
--- /dev/null
+++ b/damaskrill/fakes/platform/_store.py
@@ -0,0 +1,177 @@
+"""Stand-in of the platform's store."""
+
+import asyncio
+import base64
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+from attrs import frozen
+
+from damaskrill.fakes.platform._listener import Listener
+from damaskrill.http1 import CallerConnection, CallerRequest
+
+__all__ = ["FakeStore", "StoreMode"]
+
+PAGE_ITEMS = 3
+
+
+class StoreMode(Enum):
+    """How the store answers."""
+
+    GOOD = "good"
+    BUSY = "busy"
+    MANY = "many"
+    SILENT = "silent"
+    RESET = "reset"
+    RUBBISH = "rubbish"
+    COMPACTED = "compacted"
+
+
+@frozen
+class _Write:
+    """One change."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class FakeStore:
+    """Keeps items with revisions and answers reads, pages and watches.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    """
+
+    def __init__(self, *, reactor: Any) -> None:
+        self.mode = StoreMode.GOOD
+        self.n_calls = 0
+        self._revision = 100
+        self._items: dict[str, _Write] = {}
+        self._log: list[_Write] = []
+        self._changed = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._listener = Listener(reactor=reactor, handle=self._take)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self._listener.address
+
+    def put(self, key: str, content: dict[str, Any] | bytes) -> int:
+        """Write an item and return its revision."""
+        value = content if isinstance(content, bytes) else orjson.dumps(content)
+        return self._write(key, value)
+
+    def delete(self, key: str) -> int:
+        """Remove an item and return the revision of the removal."""
+        return self._write(key, None)
+
+    def set_mode(self, mode: StoreMode) -> None:
+        """Change how the store answers; waiting calls are cut."""
+        self.mode = mode
+        if mode is not StoreMode.GOOD:
+            self._listener.reset_connections()
+
+    def close(self) -> None:
+        """End all calls."""
+        self._listener.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def _write(self, key: str, value: bytes | None) -> int:
+        self._revision += 1
+        change = _Write(key, value, self._revision)
+        if value is None:
+            self._items.pop(key, None)
+        else:
+            self._items[key] = change
+        self._log.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self._revision
+
+    def _take(self, connection: CallerConnection, request: CallerRequest) -> None:
+        self.n_calls += 1
+        match self.mode:
+            case StoreMode.BUSY:
+                connection.send_whole(503, (), b"")
+            case StoreMode.MANY:
+                connection.send_whole(429, (), b"")
+            case StoreMode.RESET:
+                connection.break_off()
+            case StoreMode.SILENT:
+                pass
+            case StoreMode.RUBBISH:
+                connection.send_whole(200, (), b'{"items": 7')
+            case StoreMode.GOOD | StoreMode.COMPACTED:
+                task = asyncio.get_running_loop().create_task(
+                    self._answer(connection, request)
+                )
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+                connection.on_gone = lambda: _cancel(task)
+
+    async def _answer(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        parts = urlsplit(request.target.decode())
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        prefix = query.get("prefix", "")
+        if parts.path == "/damaskrill/kv-range":
+            content = self._list(prefix, query.get("after", ""))
+        elif parts.path == "/damaskrill/kv-watch":
+            if self.mode is StoreMode.COMPACTED:
+                connection.send_whole(410, (), b"")
+                return
+            wait_ms = int(query.get("maxWaitMs", "0"))
+            content = await self._watch(prefix, int(query["after"]), wait_ms)
+        else:
+            connection.send_whole(404, (), b"")
+            return
+        headers = ((b"Content-Type", b"application/json"),)
+        connection.send_whole(200, headers, orjson.dumps(content))
+
+    def _list(self, prefix: str, after: str) -> dict[str, Any]:
+        keys = sorted(key for key in self._items if key.startswith(prefix))
+        keys = [key for key in keys if key > after]
+        page = [_to_json(self._items[key]) for key in keys[:PAGE_ITEMS]]
+        return {
+            "items": page,
+            "hasMore": len(keys) > PAGE_ITEMS,
+            "atRev": self._revision,
+        }
+
+    async def _watch(self, prefix: str, after: int, wait_ms: int) -> dict[str, Any]:
+        def find() -> list[_Write]:
+            return [
+                each
+                for each in self._log
+                if each.revision > after and each.key.startswith(prefix)
+            ]
+
+        changes = find()
+        if not changes:
+            try:
+                async with asyncio.timeout(wait_ms / 1_000):
+                    await self._changed.wait()
+            except TimeoutError:
+                # Nothing has changed; the answer is empty.
+                pass
+            changes = find()
+        return {"events": [_to_json(each) for each in changes], "atRev": self._revision}
+
+
+def _to_json(change: _Write) -> dict[str, Any]:
+    content: dict[str, Any] = {"key": change.key, "revision": change.revision}
+    if change.value is None:
+        return {**content, "deleted": True}
+    return {**content, "value": base64.b64encode(change.value).decode(), "leaseId": 0}
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -78,6 +78,7 @@
         self._is_stopping = False
         self._stop_asked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._ports: list[Any] = []
         self._build_parts()
 
     @property
@@ -90,12 +91,17 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.start()
+        await self._stop_asked.wait()
+        await self.stop()
+
+    def start(self) -> None:
+        """Open the sockets and start the tasks."""
+        loop = asyncio.get_running_loop()
         self._listen(loop)
         for work in (self._reader.run(), self._mesh.run(), self._keep_house()):
             self._tasks.append(loop.create_task(work))
         self._log.write("process_started", data_centre=self._settings.data_centre)
-        await self._stop_asked.wait()
-        await self._stop()
 
     def reload(self) -> None:
         """Read the settings again; those in force stay if they cannot be used."""
@@ -186,7 +192,10 @@
             connections=set(),
         )
         host, port = address
-        self._reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
+        port_object = self._reactor.listenTCP(
+            port, factory, backlog=LISTEN_BACKLOG, interface=host
+        )
+        self._ports.append(port_object)
         return factory
 
     def _answer_readiness(
@@ -265,7 +274,8 @@
             self._catalog.purge(round(_now_ms()))
             self._cold_gate.set_members(self._members.addresses())
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
+        """Finish what runs, close idle connections, and end all tasks."""
         self._is_stopping = True
         started_ms = _now_ms()
         self._log.write("process_stopping", n_exchanges=self._desk.n_exchanges)
@@ -280,10 +290,16 @@
                 connection.close_if_idle()
             if not self._callers.connections:
                 break
+        self._log.write("process_stopped", n_exchanges=self._desk.n_exchanges)
+        self.close()
+
+    def close(self) -> None:
+        """End all tasks and close all sockets at once."""
         self._desk.cancel_all()
+        for port in self._ports:
+            port.stopListening()
         for task in self._tasks:
             task.cancel()
-        self._log.write("process_stopped", n_exchanges=self._desk.n_exchanges)
 
 
 def _now_ms() -> float:
--- /dev/null
+++ b/features/gateway_path.feature
@@ -0,0 +1,123 @@
+Feature: A gateway takes callers' requests to the platform's servers and back
+  The store and the servers are stand-ins on loopback that speak the platform's protocol.
+
+  Background:
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And a gateway that is ready
+
+  Scenario: a stream arrives whole and in order
+    When a caller sends a chat
+    Then the status is 200 and the body holds events 1 to 5 once each
+    And the server got team "desk", its own name and no key
+
+  Scenario: what only routers may set is dropped
+    When a caller sends a chat with headers that only routers may set
+    Then the server got none of their values
+
+  Scenario: unknown keys, unknown paths and public answers
+    When a caller sends a read with key "key-9"
+    Then the status is 401
+    When a caller sends a request to "/nowhere/x"
+    Then the status is 404
+
+  Scenario Outline: an action that fails is never sent twice
+    Given both app servers misbehave by <fault>
+    When a caller sends an issuance
+    Then the status is <status>
+    And the request has run <n_runs> times
+
+    Examples:
+      | fault           | status | n_runs |
+      | full            | 503    | 0      |
+      | moved           | 503    | 0      |
+      | error           | 500    | 1      |
+      | reset           | 502    | 1      |
+      | cut             | 502    | 1      |
+      | other_id        | 502    | 1      |
+      | no_seal         | 502    | 1      |
+      | encoded         | 502    | 1      |
+      | no_length_reset | 502    | 1      |
+      | rubbish         | 502    | 1      |
+      | no_length       | 200    | 1      |
+      | second_answer   | 200    | 1      |
+
+  Scenario Outline: a read that fails at one server is answered by the other
+    Given app server "a-1" misbehaves by <fault>
+    When 12 callers send a read
+    Then all statuses are 200
+
+    Examples:
+      | fault   |
+      | full    |
+      | moved   |
+      | error   |
+      | reset   |
+      | cut     |
+      | rubbish |
+      | hang    |
+
+  Scenario: a second answer on a connection reaches nobody
+    Given both app servers misbehave by second_answer
+    When 12 callers send a read
+    Then all statuses are 200
+    And each reply is the answer to its own request
+
+  Scenario: a resumable stream goes on at the other server
+    Given engine "e-1" misbehaves by mid_event
+    And engine "e-2" behaves
+    When 8 callers send a check each with its own prompt
+    Then all streams hold events 1 to 5 once each
+
+  Scenario: a stream that cannot be resumed never looks complete
+    Given both engines misbehave by mid_event
+    When a caller sends a chat
+    Then the status is 200 and the body is not complete
+
+  Scenario: a caller who leaves ends the work at the server
+    Given both app servers misbehave by hang
+    When a caller sends an issuance and leaves after 100 ms
+    Then the server's run is dropped within 500 ms
+
+  Scenario: a request that takes too long ends at the route's limit
+    Given the routes' limit is 300 ms
+    And both app servers misbehave by hang
+    When a caller sends an issuance
+    Then the status is 504 within 250 to 700 ms
+
+  Scenario: a leaving server and a data centre that is out get nothing new
+    When app server "a-1" says that it leaves
+    And 12 callers send a read
+    Then server "a-1" has run nothing
+    When the data centre "bole" is taken out
+    And a caller sends a read
+    Then the status is 503
+
+  Scenario: requests on one connection are answered in order
+    When a caller sends 3 issuances at once on one connection
+    Then the replies are in the order of the requests
+
+  Scenario: a request with two framings is refused
+    When a caller sends a request with a length and chunks
+    Then the status is 400
+    And the servers have run nothing
+
+  Scenario: a request inside a body is not run
+    When a caller sends an issuance whose body is a request
+    Then the status is 200
+    And the servers have run 1 request
+
+  Scenario: a body over the limit is refused
+    When a caller sends an issuance with a body of 100001 bytes
+    Then the status is 413
+    And the servers have run nothing
+
+  Scenario: a slow head is refused after its time
+    When a caller sends half a head and waits
+    Then the status is 408
+
+  Scenario: a stopping gateway finishes what runs
+    Given the servers take 600 ms for an issuance
+    When a caller sends an issuance and the gateway is stopped meanwhile
+    Then the status is 200
+    And the reply closes the connection
+    And the gateway says that it is not ready
--- /dev/null
+++ b/features/gateway_store.feature
@@ -0,0 +1,66 @@
+Feature: Gateways believe what the store says, also through each other
+  Scenario: a gateway without a configuration refuses plainly
+    Given a platform whose store is empty
+    And a gateway that has started
+    When a caller sends a read
+    Then the status is 503
+
+  Scenario Outline: a store that fails does not end service
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And a gateway that is ready
+    When the store becomes <mode> for 1500 ms
+    And 6 callers send a read
+    Then all statuses are 200
+    When the store is good again and app server "a-1" says that it leaves
+    Then the gateway knows within 3000 ms that "a-1" leaves
+
+    Examples:
+      | mode      |
+      | busy      |
+      | many      |
+      | silent    |
+      | reset     |
+      | rubbish   |
+      | compacted |
+
+  Scenario: a gateway that the store refuses learns all from another
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And a gateway that is ready
+    When a second gateway starts that cannot reach the store
+    Then the second gateway is ready within 3000 ms
+    When app server "a-1" says that it leaves
+    Then the second gateway knows within 1500 ms that "a-1" leaves
+
+  Scenario: rubbish in the store names no server and breaks nothing
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And a gateway that is ready
+    When entries of another writer come into the store
+    And a configuration comes that cannot be used
+    And 6 callers send a read
+    Then all statuses are 200
+    And the log tells of "server_entry_refused" and "configuration_refused"
+
+  Scenario: an entry that lapsed with the store away is kept until its return has passed
+    Given a catalog with server "a-1" whose store returned at 10000 ms
+    When the entry lapses at 10100 ms
+    Then the server may be used at 11000 ms
+    And the server is gone at 12400 ms
+
+  Scenario: an entry that lapses with the store there is gone at once
+    Given a catalog with server "a-1" whose store returned at 10000 ms
+    When the entry lapses at 20000 ms
+    Then the server is gone at 20000 ms
+
+  Scenario: a copy takes changes in the order of their revisions
+    Given an empty copy of the store
+    When changes of one key come with revisions 5, 3 and 7 in this order
+    Then the copy holds the one of revision 7
+    When a list as of revision 9 comes without the key
+    Then the copy is empty
+    And the change of revision 6 does not bring the key back
+
+  Scenario: a peer that is behind gets changes, or all items if they are gone
+    Given an empty copy of the store
+    When a list as of revision 20 and 2500 changes come
+    Then the changes after revision 2000 can be told
+    And the changes after revision 21 cannot be told
--- /dev/null
+++ b/features/steps/gateway_decisions_steps.py
@@ -0,0 +1,495 @@
+"""Steps on the gateway's decisions, without sockets and on a virtual clock."""
+
+import os
+import time
+from collections import Counter, deque
+from itertools import pairwise
+from random import Random
+
+from behave import given, then, when
+
+from damaskrill.catalog import BackendServer, RequestKind, Route, ServiceShare
+from damaskrill.catalog import ServiceSpec as Spec
+from damaskrill.eventlog import LineSink
+from damaskrill.exceptions import PeerFrameError
+from damaskrill.feed import Change
+from damaskrill.gateway._events import EventSplitter, read_event_id
+from damaskrill.mesh import Beat, Feed, Hello, MemberEntry, MemberTable, decode, encode
+from damaskrill.steering import (
+    CacheSources,
+    Candidate,
+    ColdGate,
+    EndOfAttempt,
+    HealthTracker,
+    Outcome,
+    Placer,
+    PromptPart,
+    RepeatBudget,
+    ServerLoads,
+    Verdict,
+    may_send_again,
+)
+
+N_RUNS = 200
+WAY_MS = (0.2, 12.0)
+
+
+def build_engine(name, data_centre="bole", n_slots=4):
+    return BackendServer(
+        server_id=name,
+        service="pool",
+        address=("127.0.0.1", 9),
+        data_centre=data_centre,
+        n_slots=n_slots,
+    )
+
+
+def most_within(times, window_ms):
+    """Return the most of some sorted times within any window."""
+    recent = deque()
+    most = 0
+    for each in times:
+        recent.append(each)
+        while recent[0] <= each - window_ms:
+            recent.popleft()
+        most = max(most, len(recent))
+    return most
+
+
+@given("{n:d} routers that know each other and a cold server that bears 10 a second")
+def step_cold_known(context, n):
+    context.rate, context.started_ms = 10.0, -60_000.0
+    context.routers = [f"r-{i}" for i in range(n)]
+    context.members = frozenset(context.routers)
+
+
+@given(
+    "{n:d} routers that do not know each other yet and a cold server that bears "
+    "13 a second"
+)
+def step_cold_unknown(context, n):
+    context.rate, context.started_ms = 13.0, 0.0
+    context.routers = [f"r-{i}" for i in range(n)]
+    context.members = None
+
+
+@when("all of them have work for it for {seconds:d} seconds in 200 seeded runs")
+def step_cold_runs(context, seconds):
+    spec = Spec(name="pool", cold_requests_per_s=context.rate)
+    context.arrivals = []
+    for seed in range(N_RUNS):
+        random = Random(seed)
+        server = build_engine(f"e-{seed}")
+        gates = []
+        for address in context.routers:
+            gate = ColdGate(
+                factor=1.5,
+                slack=5,
+                own_address=address,
+                started_at_ms=context.started_ms,
+            )
+            gate.set_members(context.members or frozenset({address}))
+            gates.append(gate)
+        arrivals = []
+        for _ in range(seconds * 100):
+            now_ms = random.uniform(0, 10) + _ * 10
+            gate = random.choice(gates)
+            if gate.may_send(server, spec, now_ms):
+                gate.note_sent(server, now_ms)
+                arrivals.append(now_ms + random.uniform(*WAY_MS))
+        context.arrivals.append(sorted(arrivals))
+
+
+@then("in no second of any run does it get more than {limit:d} requests")
+def step_cold_limit(context, limit):
+    most = max(most_within(times, 1_000) for times in context.arrivals)
+    assert most <= limit, most
+
+
+@then("it gets work in every run")
+def step_cold_work(context):
+    assert all(context.arrivals)
+
+
+@given("{n:d} routers that share a budget of 0.2 and 54 in 10 seconds")
+def step_budget(context, n):
+    context.budgets = [
+        RepeatBudget(ratio=0.2, slack=54, window_ms=10_000) for _ in range(n)
+    ]
+
+
+@when("every one of 400 requests a second fails for 30 seconds")
+def step_all_fail(context):
+    random = Random(1)
+    context.request_times, context.repeat_times = [], []
+    for number in range(400 * 30):
+        now_ms = number * 2.5
+        budget = random.choice(context.budgets)
+        budget.note_request("pool", now_ms)
+        context.request_times.append(now_ms)
+        if budget.try_spend("pool", len(context.budgets), now_ms + 1):
+            context.repeat_times.append(now_ms + 1)
+
+
+@then("in no 10 seconds are there more repeats than the budget")
+def step_budget_kept(context):
+    for end_ms in range(10_000, 30_001, 500):
+        start_ms = end_ms - 10_000
+        n_requests = sum(start_ms < each <= end_ms for each in context.request_times)
+        n_repeats = sum(start_ms < each <= end_ms for each in context.repeat_times)
+        assert n_repeats <= 0.2 * n_requests + 54, (end_ms, n_repeats, n_requests)
+
+
+@given("a server of which 45 of 100 requests fail and two that are good")
+def step_grey(context):
+    context.health = HealthTracker()
+    context.failing_part = 0.45
+    context.now_ms = 0.0
+
+
+@when("60 requests a second go to those that are not left out for 20 seconds")
+def step_grey_load(context):
+    run_grey(context, 20)
+
+
+@when("it is good for 20 seconds more")
+def step_grey_good(context):
+    context.failing_part = 0.0
+    run_grey(context, 20)
+
+
+def run_grey(context, seconds):
+    random = Random(2)
+    context.counts = Counter()
+    for _ in range(60 * seconds):
+        context.now_ms += 1_000 / 60
+        left = [
+            name
+            for name in ("grey", "good-1", "good-2")
+            if not context.health.is_left_out((name, 0), context.now_ms)
+        ]
+        name = random.choice(left)
+        context.counts[name] += 1
+        is_failed = name == "grey" and random.random() < context.failing_part
+        verdict = Verdict.BROKEN if is_failed else Verdict.GOOD
+        context.health.note((name, 0), verdict, context.now_ms)
+
+
+@then("the failing server gets at most {n:d} of 100 requests")
+def step_grey_few(context, n):
+    assert context.counts["grey"] <= n / 100 * context.counts.total(), context.counts
+
+
+@then("it gets at least {n:d} of 100 requests again")
+def step_grey_back(context, n):
+    assert context.counts["grey"] >= n / 100 * context.counts.total(), context.counts
+
+
+@given("a server that refuses a connection")
+def step_refusing(context):
+    context.health = HealthTracker()
+    context.health.note(("a", 0), Verdict.NO_CONNECTION, 100.0)
+
+
+@then("it is left out for at least {pause_ms:d} ms")
+def step_left_out(context, pause_ms):
+    assert context.health.is_left_out(("a", 0), 100.0 + pause_ms - 1)
+
+
+@given("a server of which 5 of 100 requests fail")
+def step_rarely(context):
+    context.health = HealthTracker()
+
+
+@when("1000 requests go to it")
+def step_thousand(context):
+    random = Random(3)
+    context.n_left_out = 0
+    for number in range(1_000):
+        is_failed = random.random() < 0.05
+        verdict = Verdict.ERROR_STATUS if is_failed else Verdict.GOOD
+        context.n_left_out += context.health.note(("a", 0), verdict, number * 50.0)
+
+
+@then("it has never been left out")
+def step_never_out(context):
+    assert context.n_left_out == 0
+
+
+@given("5 engines without load")
+def step_engines(context):
+    context.servers = [build_engine(f"e-{i}") for i in range(5)]
+    build_placer(context)
+
+
+@given("a server in each of three data centres")
+def step_three(context):
+    context.servers = [build_engine(f"s-{i}", f"centre-{i}", 6) for i in range(3)]
+    build_placer(context, "centre-1")
+
+
+def build_placer(context, data_centre="bole"):
+    context.loads = ServerLoads()
+    context.placer = Placer(
+        loads=context.loads, own_data_centre=data_centre, random_state=Random(1)
+    )
+
+
+def place(context, keys=()):
+    candidates = [Candidate(server=each) for each in context.servers]
+    return context.placer.choose(candidates, affinity_keys=keys, now_ms=0.0)
+
+
+@when("40 requests for one dossier come one after the other")
+def step_one_by_one(context):
+    context.placed = [place(context, ("base", "dossier")) for _ in range(40)]
+
+
+@then("all go to one engine")
+def step_one_engine(context):
+    assert len({each.key for each in context.placed}) == 1
+
+
+@when("40 requests for one dossier come at once")
+def step_at_once(context):
+    context.placed = []
+    for _ in range(40):
+        server = place(context, ("base", "dossier"))
+        context.loads.start(server.key)
+        context.placed.append(server)
+
+
+@then("no engine holds more than 1.8 times the mean plus 4")
+def step_bound(context):
+    counts = Counter(each.key for each in context.placed)
+    assert max(counts.values()) <= 1.8 * 8 + 4, counts
+
+
+@then("they go to engines in one order")
+def step_order(context):
+    firsts = list(dict.fromkeys(each.key for each in context.placed))
+    counts = Counter(each.key for each in context.placed)
+    assert [counts[key] for key in firsts] == sorted(counts.values(), reverse=True)
+
+
+@when("a sixth engine comes")
+def step_sixth(context):
+    keys = [("base", f"dossier-{i}") for i in range(100)]
+    before = [place(context, key).key for key in keys]
+    context.servers.append(build_engine("e-new"))
+    context.n_moved = sum(
+        old != place(context, key).key for old, key in zip(before, keys, strict=True)
+    )
+
+
+@then("at most {n:d} of 100 dossiers move")
+def step_moved(context, n):
+    assert 0 < context.n_moved <= n, context.n_moved
+
+
+@when("{n:d} requests come at once")
+def step_plain(context, n):
+    context.placed = []
+    for _ in range(n):
+        server = place(context)
+        context.loads.start(server.key)
+        context.placed.append(server)
+
+
+@then("both go to the own data centre")
+def step_near(context):
+    assert {each.data_centre for each in context.placed} == {"centre-1"}
+
+
+@then("the loads differ by at most 2")
+def step_even(context):
+    loads = [context.loads.n_own(each.key) for each in context.servers]
+    assert max(loads) - min(loads) <= 2, loads
+
+
+PROMPT = tuple(PromptPart(part_id=name, n_tokens=100) for name in ("base", "d", "own"))
+
+
+def find_source(context, target, *, is_settled=False):
+    return context.sources.find(
+        PROMPT, target, context.servers, 0.0, is_settled=is_settled
+    )
+
+
+@when("a dossier's engine has just come")
+def step_new_engine(context):
+    context.sources = CacheSources()
+    first = place(context, ("base", "d"))
+    context.servers.remove(first)
+    context.before = place(context, ("base", "d"))
+    context.servers.append(first)
+    context.source = find_source(context, first)
+
+
+@then("the prefix is copied from the engine that had the dossier before")
+def step_from_before(context):
+    assert context.source.key == context.before.key
+
+
+@when("a dossier spills to the next engine")
+def step_spill(context):
+    context.first = place(context, ("base", "d"))
+    others = [each for each in context.servers if each is not context.first]
+    context.source = find_source(context, others[0], is_settled=True)
+
+
+@then("the prefix is copied from its first engine")
+def step_from_first(context):
+    assert context.source.key == context.first.key
+
+
+@when("the engine is known to have read the dossier")
+def step_known(context):
+    context.sources.note_sent(PROMPT, context.first, 0.0)
+    context.source = find_source(context, context.first)
+
+
+@then("nothing is copied")
+def step_nothing(context):
+    assert context.source is None
+
+
+@then("these attempts may go on as told")
+def step_again(context):
+    for row in context.table:
+        route = Route(
+            name="r",
+            host="h",
+            prefix="/",
+            kind=RequestKind(row["kind"]),
+            time_limit_ms=1_000,
+            target_ms=100,
+            priority=0,
+            shares=(ServiceShare(service="s"),),
+            max_servers=int(row["servers"]),
+            is_resumable=row["resumable"] == "yes",
+        )
+        outcome = Outcome(
+            n_sent=int(row["sent"]), end=EndOfAttempt(row["end"]), remaining_ms=500
+        )
+        again = may_send_again(route, outcome, min_remaining_ms=10)
+        assert again == (row["again"] == "yes"), row
+
+
+@when("a stream of 50 events comes in 300 random cuts")
+def step_cuts(context):
+    stream = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 51))
+    context.last_ids, context.parts = [], []
+    random = Random(4)
+    for _ in range(300):
+        splitter = EventSplitter()
+        cuts = sorted(random.randrange(len(stream)) for _ in range(12))
+        edges = [0, *cuts, len(stream)]
+        parts = [
+            splitter.feed(stream[start:end])
+            for start, end in pairwise(edges)
+        ]
+        assert b"".join(parts) == stream and not splitter.rest
+        context.parts += [part for part in parts if part]
+        context.last_ids.append(read_event_id(next(p for p in parts[::-1] if p)))
+
+
+@then("each part that is passed on ends with a whole event")
+def step_whole_events(context):
+    assert all(part.endswith(b"\n\n") for part in context.parts)
+
+
+@then("the last event's number is read")
+def step_last_number(context):
+    assert set(context.last_ids) == {50}
+
+
+@then("every kind of message is the same after encoding and decoding")
+def step_frames(context):
+    entry = MemberEntry("10.0.0.1:9", 5, "bole", 3)
+    change = Change(key="k", value=b"v" * 3_000, revision=9)
+    removal = Change(key="gone", value=None, revision=10)
+    for frame in (
+        Hello(entry=entry),
+        Beat(revision=7, age_ms=-1, entries=(entry,)),
+        Feed(after=0, revision=10, changes=(change, removal)),
+    ):
+        assert decode(encode(frame)) == frame
+
+
+@then("{n:d} random messages are refused with a typed error")
+def step_random_frames(context, n):
+    random = Random(5)
+    for _ in range(n):
+        try:
+            decode(random.randbytes(random.randrange(40)))
+        except PeerFrameError:
+            continue
+        raise AssertionError("a random message was taken")
+
+
+@given("{n:d} routers in {n_centres:d} data centres")
+def step_members(context, n, n_centres):
+    entries = [
+        MemberEntry(f"10.0.{i}.1:80", 1, f"centre-{i % n_centres}", 1) for i in range(n)
+    ]
+    context.tables = []
+    for own in entries:
+        table = MemberTable(own=own)
+        for entry in entries:
+            table.take(entry, 0.0)
+        context.tables.append(table)
+
+
+@then("2 of them read the store")
+def step_readers(context):
+    context.readers = [each.own for each in context.tables if each.is_reader()]
+    assert len(context.readers) == 2, context.readers
+
+
+@then("they stand in {n:d} data centres")
+def step_reader_centres(context, n):
+    assert len({each.data_centre for each in context.readers}) == n
+
+
+@then("the links join all routers")
+def step_links(context):
+    links = {}
+    for table in context.tables:
+        for address in table.wanted_links():
+            links.setdefault(table.own.address, set()).add(address)
+            links.setdefault(address, set()).add(table.own.address)
+    reached, waiting = set(), [context.tables[0].own.address]
+    while waiting:
+        address = waiting.pop()
+        if address not in reached:
+            reached.add(address)
+            waiting += links.get(address, ())
+    assert len(reached) == len(context.tables), len(reached)
+
+
+@given("a pipe that nobody reads")
+def step_pipe(context):
+    reader, writer = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.add_cleanup(os.close, writer)
+    context.sink = LineSink(descriptor=writer, max_lines_per_s=1_000_000)
+
+
+@when("{n:d} lines are written to it")
+def step_lines(context, n):
+    started = time.monotonic()
+    for number in range(n):
+        line = {"event": "x", "at_ms": number, "detail": "y" * 100}
+        context.sink.write(line, is_important=True)
+    context.took_ms = (time.monotonic() - started) * 1_000
+
+
+@then("it took less than {limit_ms:d} ms")
+def step_took(context, limit_ms):
+    assert context.took_ms < limit_ms, context.took_ms
+
+
+@then("the lines that were left out are counted")
+def step_counted(context):
+    assert context.sink.n_dropped > 0
--- /dev/null
+++ b/features/steps/gateway_path_steps.py
@@ -0,0 +1,418 @@
+"""Steps on gateways between callers and the platform's stand-ins."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+
+from damaskrill.fakes.platform import Misbehaviour, StoreMode
+from damaskrill.fakes.platform import build_configuration as build_content
+from features.support.gateways import PROMPT, Caller, GatewayLab, build_request
+
+EVENTS = b"".join(b"id: %d\ndata: token-%d\n\n" % (n, n) for n in range(1, 6))
+ROUTER_ONLY = (
+    ("Damaskrill-Hold", "forged-1"),
+    ("Damaskrill-Pin-Ms", "forged-2"),
+    ("Damaskrill-Kv-Backup", "forged-3"),
+    ("Kv-From", "forged-4"),
+    ("Kv-Fetch", "forged-5"),
+    ("Damaskrill-Tenant", "forged-6"),
+    ("Damaskrill-Expect-Instance", "forged-7"),
+    ("Damaskrill-Request-Priority", "forged-8"),
+)
+
+
+def start_lab(context):
+    context.lab = GatewayLab()
+    context.add_cleanup(context.lab.close)
+    return context.lab
+
+
+@given("a platform whose store is empty")
+def step_empty_platform(context):
+    start_lab(context)
+
+
+@given('a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"')
+def step_platform(context):
+    lab = start_lab(context)
+    lab.configure()
+    for name in ("e-1", "e-2"):
+        lab.add_server(name, "pool")
+    for name in ("a-1", "a-2"):
+        lab.add_server(name, "app")
+
+
+@given("a gateway that is ready")
+def step_ready_gateway(context):
+    context.lab.add_gateway()
+    context.lab.wait_until_ready()
+
+
+@given("a gateway that has started")
+def step_started_gateway(context):
+    context.lab.add_gateway()
+
+
+@given("both app servers misbehave by {fault}")
+def step_apps_misbehave(context, fault):
+    for name in ("a-1", "a-2"):
+        context.lab.servers[name].misbehaviour = Misbehaviour(fault)
+
+
+@given('app server "{name}" misbehaves by {fault}')
+@given('engine "{name}" misbehaves by {fault}')
+def step_misbehaves(context, name, fault):
+    context.lab.servers[name].misbehaviour = Misbehaviour(fault)
+
+
+@given("both engines misbehave by {fault}")
+def step_engines_misbehave(context, fault):
+    for name in ("e-1", "e-2"):
+        context.lab.servers[name].misbehaviour = Misbehaviour(fault)
+
+
+@given('engine "{name}" behaves')
+def step_behaves(context, name):
+    context.lab.servers[name].misbehaviour = Misbehaviour.NONE
+
+
+@given("the routes' limit is {limit_ms:d} ms")
+def step_limit(context, limit_ms):
+    content = build_content(version=2)
+    for route in content["routes"]:
+        route["timeoutMs"] = limit_ms
+    context.lab.call(context.lab.store.put, "op/config", content)
+    gateway = context.lab.gateways[0]
+    assert context.lab.wait_for(lambda: gateway._catalog.configuration.version == 2)
+
+
+@given("the servers take {work_ms:d} ms for an issuance")
+def step_slow(context, work_ms):
+    for server in context.lab.servers.values():
+        server._work_ms = work_ms
+
+
+@when("a caller sends a chat")
+def step_chat(context):
+    context.reply = context.lab.send("/chat/1", headers=[PROMPT])
+
+
+@when("a caller sends a chat with headers that only routers may set")
+def step_chat_forged(context):
+    context.reply = context.lab.send("/chat/1", headers=[PROMPT, *ROUTER_ONLY])
+
+
+@when('a caller sends a read with key "{key}"')
+def step_read_with_key(context, key):
+    context.reply = context.lab.send("/read/1", method="GET", body=b"", key=key)
+
+
+@when("a caller sends a read")
+def step_read(context):
+    context.reply = context.lab.send("/read/1", method="GET", body=b"")
+
+
+@when('a caller sends a request to "{path}"')
+def step_request_to(context, path):
+    context.reply = context.lab.send(path)
+
+
+@when("a caller sends an issuance")
+def step_issuance(context):
+    context.reply = context.lab.send("/issue/1")
+
+
+@when("{n:d} callers send a read")
+def step_reads(context, n):
+    context.replies = [
+        context.lab.send("/read/1", method="GET", body=b"") for _ in range(n)
+    ]
+
+
+@when("{n:d} callers send a check each with its own prompt")
+def step_checks(context, n):
+    prompts = [("Damaskrill-Prompt-Prefix", f"a{i}:9,b{i}:9,c:9") for i in range(n)]
+    context.replies = [
+        context.lab.send("/check/1", headers=[prompt]) for prompt in prompts
+    ]
+
+
+@when("a caller sends an issuance and leaves after {delay_ms:d} ms")
+def step_leave(context, delay_ms):
+    address = context.lab.gateways[0]._settings.caller_address
+    data, _ = build_request("/issue/1")
+
+    async def run():
+        caller = await Caller.open(address)
+        caller.send(data)
+        await asyncio.sleep(delay_ms / 1_000)
+        caller.close()
+
+    context.lab.call(run)
+    context.left_at = time.monotonic()
+
+
+@when("a caller sends {n:d} issuances at once on one connection")
+def step_pipelined(context, n):
+    address = context.lab.gateways[0]._settings.caller_address
+    requests = [build_request("/issue/1") for _ in range(n)]
+
+    async def run():
+        caller = await Caller.open(address)
+        caller.send(b"".join(data for data, _ in requests))
+        replies = [await caller.read_reply() for _ in range(n)]
+        caller.close()
+        return replies
+
+    context.replies = context.lab.call(run)
+    context.request_ids = [request_id for _, request_id in requests]
+
+
+def send_raw(context, data):
+    address = context.lab.gateways[0]._settings.caller_address
+
+    async def run():
+        caller = await Caller.open(address)
+        caller.send(data)
+        reply = await caller.read_reply()
+        caller.close()
+        return reply
+
+    context.reply = context.lab.call(run)
+
+
+@when("a caller sends a request with a length and chunks")
+def step_two_framings(context):
+    data, _ = build_request("/issue/1", headers=[("Transfer-Encoding", "chunked")])
+    send_raw(context, data)
+
+
+@when("a caller sends half a head and waits")
+def step_half_head(context):
+    data, _ = build_request("/issue/1")
+    send_raw(context, data[:30])
+
+
+@when("a caller sends an issuance whose body is a request")
+def step_smuggled(context):
+    inner, _ = build_request("/issue/2")
+    context.reply = context.lab.send("/issue/1", body=inner)
+
+
+@when("a caller sends an issuance with a body of {n:d} bytes")
+def step_large(context, n):
+    context.reply = context.lab.send("/issue/1", body=b"x" * n)
+
+
+@when("a caller sends an issuance and the gateway is stopped meanwhile")
+def step_stop(context):
+    lab = context.lab
+    gateway = lab.gateways[0]
+
+    async def run():
+        caller = await Caller.open(gateway._settings.caller_address)
+        caller.send(build_request("/issue/1")[0])
+        await asyncio.sleep(0.1)
+        stopping = asyncio.get_running_loop().create_task(gateway.stop())
+        reply = await caller.read_reply()
+        context.was_ready = gateway.is_ready
+        caller.close()
+        await stopping
+        return reply
+
+    context.reply = lab.call(run)
+
+
+@when('app server "{name}" says that it leaves')
+def step_leaves(context, name):
+    context.lab.change_entry(name, state="draining")
+    lab, gateway = context.lab, context.lab.gateways[0]
+    context.said_at = time.monotonic()
+    if lab.store.mode is StoreMode.GOOD and len(lab.gateways) == 1:
+        assert lab.wait_for(lambda: _leaves(gateway, name))
+
+
+def _leaves(gateway, name):
+    known = gateway._catalog._servers.get(name)
+    return known is not None and known.server.is_leaving
+
+
+@when('the data centre "{name}" is taken out')
+def step_out(context, name):
+    context.lab.call(context.lab.store.put, f"op/evacuate/{name}", {})
+    gateway = context.lab.gateways[0]
+    assert context.lab.wait_for(lambda: name in gateway._catalog.data_centres_out)
+
+
+@when("the store becomes {mode} for {duration_ms:d} ms")
+def step_store_mode(context, mode, duration_ms):
+    context.lab.call(context.lab.store.set_mode, StoreMode(mode))
+    time.sleep(duration_ms / 1_000)
+
+
+@when('the store is good again and app server "{name}" says that it leaves')
+def step_store_good(context, name):
+    context.lab.call(context.lab.store.set_mode, StoreMode.GOOD)
+    context.lab.change_entry(name, state="draining")
+    context.said_at = time.monotonic()
+
+
+@when("a second gateway starts that cannot reach the store")
+def step_second(context):
+    context.said_at = time.monotonic()
+    context.lab.add_gateway(store=("127.0.0.1", 9))
+
+
+@when("entries of another writer come into the store")
+def step_rubbish_entries(context):
+    put = context.lab.store.put
+    for name, content in (
+        ("x-1", b"\xff\xfe"),
+        ("x-2", b"[]"),
+        ("x-3", {"service": 7, "address": "127.0.0.1:9", "state": "ready"}),
+        ("x-4", {**context.lab.entries["a-1"], "state": "napping"}),
+        ("x-5", {**context.lab.entries["a-1"], "slotCount": "many"}),
+    ):
+        context.lab.call(put, f"servers/{name}", content)
+
+
+@when("a configuration comes that cannot be used")
+def step_bad_configuration(context):
+    context.lab.call(context.lab.store.put, "op/config", {"version": 9, "routes": 1})
+    log = context.lab.logs[0]
+    assert context.lab.wait_for(
+        lambda: any(each["event"] == "configuration_refused" for each in log.lines)
+    )
+
+
+@then("the status is {status:d}")
+def step_status(context, status):
+    assert context.reply.status == status, context.reply
+
+
+@then("the status is {status:d} within {low:d} to {high:d} ms")
+def step_status_within(context, status, low, high):
+    assert context.reply.status == status, context.reply
+    assert low <= context.reply.took_ms <= high, context.reply.took_ms
+
+
+@then("the status is 200 and the body holds events 1 to 5 once each")
+def step_whole_stream(context):
+    assert context.reply.status == 200, context.reply
+    assert context.reply.is_whole and context.reply.body == EVENTS, context.reply
+
+
+@then("the status is 200 and the body is not complete")
+def step_not_complete(context):
+    assert context.reply.status == 200, context.reply
+    assert not context.reply.is_whole, context.reply
+
+
+@then('the server got team "{team}", its own name and no key')
+def step_server_got(context, team):
+    server, request = next(
+        (server, server.requests[0])
+        for server in context.lab.servers.values()
+        if server.requests
+    )
+    assert request.find_header(b"damaskrill-tenant") == team.encode()
+    expected = request.find_header(b"damaskrill-expect-instance")
+    assert expected == server.server_id.encode()
+    assert request.find_header(b"authorization") is None
+    deadline = int(request.find_header(b"damaskrill-request-deadline"))
+    assert 2_500 < deadline <= 3_000, deadline
+
+
+@then("the server got none of their values")
+def step_not_forged(context):
+    assert context.reply.status == 200, context.reply
+    requests = [r for s in context.lab.servers.values() for r in s.requests]
+    values = {value for request in requests for _, value in request.headers}
+    assert not any(value.startswith(b"forged") for value in values), values
+
+
+@then("the request has run {n:d} times")
+def step_n_runs(context, n):
+    assert context.lab.runs_of(context.reply.request_id) == n
+
+
+@then("all statuses are {status:d}")
+def step_all_statuses(context, status):
+    statuses = [reply.status for reply in context.replies]
+    assert set(statuses) == {status}, statuses
+
+
+@then("each reply is the answer to its own request")
+def step_own_answers(context):
+    for reply in context.replies:
+        assert reply.request_id.encode() in reply.body, reply
+
+
+@then("all streams hold events 1 to 5 once each")
+def step_all_streams(context):
+    for reply in context.replies:
+        assert reply.is_whole and reply.body == EVENTS, reply
+
+
+@then("the server's run is dropped within {limit_ms:d} ms")
+def step_dropped(context, limit_ms):
+    servers = context.lab.servers.values()
+    assert context.lab.wait_for(
+        lambda: sum(server.n_dropped for server in servers) == 1, limit_ms / 1_000
+    )
+
+
+@then('server "{name}" has run nothing')
+def step_run_nothing(context, name):
+    assert not context.lab.servers[name].runs
+
+
+@then("the servers have run nothing")
+def step_none_run(context):
+    assert sum(context.lab.runs_by_server().values()) == 0
+
+
+@then("the servers have run {n:d} request")
+def step_some_run(context, n):
+    assert sum(context.lab.runs_by_server().values()) == n
+
+
+@then("the replies are in the order of the requests")
+def step_in_order(context):
+    for reply, request_id in zip(context.replies, context.request_ids, strict=True):
+        assert reply.status == 200 and request_id.encode() in reply.body, reply
+
+
+@then("the reply closes the connection")
+def step_closes(context):
+    assert context.reply.headers.get("connection") == "close", context.reply
+
+
+@then("the gateway says that it is not ready")
+def step_not_ready(context):
+    assert context.was_ready is False
+
+
+@then('the gateway knows within {limit_ms:d} ms that "{name}" leaves')
+def step_knows(context, limit_ms, name):
+    gateway = context.lab.gateways[0]
+    assert context.lab.wait_for(lambda: _leaves(gateway, name), limit_ms / 1_000)
+
+
+@then("the second gateway is ready within {limit_ms:d} ms")
+def step_second_ready(context, limit_ms):
+    gateway = context.lab.gateways[1]
+    assert context.lab.wait_for(lambda: gateway.is_ready, limit_ms / 1_000)
+
+
+@then('the second gateway knows within {limit_ms:d} ms that "{name}" leaves')
+def step_second_knows(context, limit_ms, name):
+    gateway = context.lab.gateways[1]
+    assert context.lab.wait_for(lambda: _leaves(gateway, name), limit_ms / 1_000)
+
+
+@then('the log tells of "{first}" and "{second}"')
+def step_log_tells(context, first, second):
+    events = {line["event"] for line in context.lab.logs[0].lines}
+    assert {first, second} <= events, events
--- /dev/null
+++ b/features/steps/gateway_store_steps.py
@@ -0,0 +1,98 @@
+"""Steps on the copy of the store and the catalog made from it."""
+
+from behave import given, then, when
+
+from damaskrill.catalog import BackendServer, Catalog, ServerItem
+from damaskrill.feed import Change, FeedCopy
+
+
+def build_server(server_id="a-1", **changes):
+    values = {
+        "server_id": server_id,
+        "service": "app",
+        "address": ("127.0.0.1", 9),
+        "data_centre": "bole",
+        "n_slots": 4,
+    }
+    return BackendServer(**{**values, **changes})
+
+
+@given('a catalog with server "{name}" whose store returned at {at_ms:d} ms')
+def step_catalog(context, name, at_ms):
+    context.catalog = Catalog(report=lambda event, **fields: None)
+    context.item = ServerItem(server_id=name, server=build_server(name))
+    context.catalog.put(context.item, at_ms - 9_000)
+    context.catalog.note_store_returned(at_ms)
+
+
+@when("the entry lapses at {at_ms:d} ms")
+def step_lapses(context, at_ms):
+    context.catalog.remove(context.item, at_ms)
+
+
+@then("the server may be used at {at_ms:d} ms")
+def step_usable(context, at_ms):
+    context.catalog.purge(at_ms)
+    assert context.catalog.is_usable(context.item.server)
+
+
+@then("the server is gone at {at_ms:d} ms")
+def step_gone(context, at_ms):
+    context.catalog.purge(at_ms)
+    assert not context.catalog.is_usable(context.item.server)
+    assert not context.catalog.find_servers("app")
+
+
+@given("an empty copy of the store")
+def step_copy(context):
+    context.copy = FeedCopy()
+
+
+def build_change(revision, key="k"):
+    return Change(key=key, value=b"%d" % revision, revision=revision)
+
+
+@when("changes of one key come with revisions 5, 3 and 7 in this order")
+def step_changes(context):
+    for revision in (5, 3, 7):
+        context.copy.apply_changes([build_change(revision)], revision)
+
+
+@then("the copy holds the one of revision 7")
+def step_holds(context):
+    assert [each.value for each in context.copy.items] == [b"7"]
+    assert context.copy.revision == 7
+
+
+@when("a list as of revision 9 comes without the key")
+def step_list(context):
+    context.copy.apply_list([], 9)
+
+
+@then("the copy is empty")
+def step_copy_empty(context):
+    assert context.copy.items == []
+
+
+@then("the change of revision 6 does not bring the key back")
+def step_not_back(context):
+    context.copy.apply_changes([build_change(6)], 9)
+    assert context.copy.items == []
+
+
+@when("a list as of revision 20 and 2500 changes come")
+def step_many(context):
+    context.copy.apply_list([build_change(15)], 20)
+    for revision in range(21, 2_521):
+        context.copy.apply_changes([build_change(revision)], revision)
+
+
+@then("the changes after revision {revision:d} can be told")
+def step_told(context, revision):
+    changes = context.copy.changes_after(revision)
+    assert [each.revision for each in changes] == list(range(revision + 1, 2_521))
+
+
+@then("the changes after revision {revision:d} cannot be told")
+def step_not_told(context, revision):
+    assert context.copy.changes_after(revision) is None
--- /dev/null
+++ b/features/support/gateways.py
@@ -0,0 +1,276 @@
+"""Gateways on loopback in front of the platform's stand-ins, and a raw caller."""
+
+import asyncio
+import itertools
+import socket
+import time
+from collections import defaultdict
+
+from attrs import define, field
+
+from damaskrill.eventlog import DecisionLog
+from damaskrill.fakes.platform import (
+    FakeServer,
+    FakeStore,
+    build_configuration,
+    build_entry,
+)
+from damaskrill.gateway import GatewaySettings
+from damaskrill.gateway._process import GatewayProcess
+from damaskrill.platform import platform_binding
+from damaskrill.utils import SystemClock
+from features.support.reactor_thread import get_reactor_thread
+
+WAIT_S = 10
+POLL_S = 0.01
+_hosts = itertools.count(10)
+_request_ids = itertools.count(1)
+
+
+class RecordingLog(DecisionLog):
+    """Keeps the lines instead of writing them."""
+
+    def __init__(self):
+        super().__init__(router="test", clock=SystemClock())
+        self.lines = []
+
+    def _write(self, level, event, fields):
+        self.lines.append({"event": event, **fields})
+
+
+def free_port(host):
+    """Return a free port of an address on loopback."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+def build_gateway_settings(*, store, seeds=(), data_centre="bole", **changes):
+    """Return settings with addresses of their own on loopback."""
+    host = f"127.0.1.{next(_hosts)}"
+    values = {
+        "name": f"router-{host}",
+        "data_centre": data_centre,
+        "caller_address": (host, free_port(host)),
+        "readiness_address": (host, free_port(host)),
+        "peer_address": (host, free_port(host)),
+        "seed_addresses": tuple(seeds),
+        "store_address": store,
+        "metrics_host": host,
+        "grace_ms": 3_000,
+        "repeat_ratio": 0.2,
+        "repeat_slack": 50,
+        "repeat_window_ms": 10_000,
+        "cold_factor": 1.5,
+        "cold_slack": 5,
+    }
+    return GatewaySettings(**{**values, **changes})
+
+
+@define
+class CallerReply:
+    """What a caller got.
+
+    Attributes
+    ----------
+    status : int
+        Status; 0 if the connection ended before one.
+    is_whole : bool
+        Whether the body came to its proper end.
+    """
+
+    status: int = 0
+    headers: dict = field(factory=dict)
+    body: bytes = b""
+    is_whole: bool = False
+    request_id: str = ""
+    took_ms: float = 0.0
+
+
+def build_request(
+    path, *, method="POST", key="key-1", body=b"hello", headers=(), request_id=None
+):
+    """Return the bytes of a request and its ID."""
+    request_id = request_id or f"req-{next(_request_ids)}"
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: desk.example",
+        f"Damaskrill-Request-Id: {request_id}",
+        *(f"{name}: {value}" for name, value in headers),
+    ]
+    if key:
+        lines.append(f"Authorization: Bearer {key}")
+    if not any(name.lower() == "damaskrill-request-deadline" for name, _ in headers):
+        lines.append("Damaskrill-Request-Deadline: 3000")
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body, request_id
+
+
+PROMPT = ("Damaskrill-Prompt-Prefix", "aa:100,bb:200,cc:10")
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, address):
+        return cls(*await asyncio.open_connection(*address))
+
+    def send(self, data):
+        self.writer.write(data)
+
+    async def read_reply(self):
+        reply = CallerReply()
+        try:
+            async with asyncio.timeout(WAIT_S):
+                await self._read_reply(reply)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return reply
+        return reply
+
+    async def _read_reply(self, reply):
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        first, *lines = head.decode().strip().split("\r\n")
+        reply.status = int(first.split()[1])
+        for line in lines:
+            name, _, value = line.partition(":")
+            reply.headers[name.strip().lower()] = value.strip()
+        if "content-length" in reply.headers:
+            length = int(reply.headers["content-length"])
+            reply.body = await self.reader.readexactly(length)
+        elif reply.headers.get("transfer-encoding") == "chunked":
+            while size := int((await self.reader.readuntil(b"\r\n")).strip(), 16):
+                reply.body += (await self.reader.readexactly(size + 2))[:-2]
+            await self.reader.readexactly(2)
+        reply.is_whole = True
+
+    def close(self):
+        self.writer.transport.abort()
+
+
+class GatewayLab:
+    """A store, servers and gateways in one process."""
+
+    def __init__(self):
+        self.thread = get_reactor_thread()
+        self.servers = {}
+        self.gateways = []
+        self.logs = []
+        self.entries = {}
+        self.call(self._start_store)
+
+    def call(self, work, *args, **kwargs):
+        """Run a function on the reactor's loop."""
+
+        async def run():
+            result = work(*args, **kwargs)
+            return await result if asyncio.iscoroutine(result) else result
+
+        return self.thread.run(run())
+
+    def _start_store(self):
+        from twisted.internet import reactor
+
+        self.reactor = reactor
+        self.store = FakeStore(reactor=reactor)
+
+    def configure(self, **changes):
+        content = build_configuration(**changes)
+        return self.call(self.store.put, "op/config", content)
+
+    def add_server(self, server_id, service, *, entry=None, **options):
+        def start():
+            server = FakeServer(reactor=self.reactor, server_id=server_id, **options)
+            self.servers[server_id] = server
+            content = build_entry(
+                service=service, address=server.address, **(entry or {})
+            )
+            self.entries[server_id] = content
+            self.store.put(f"servers/{server_id}", content)
+
+        self.call(start)
+
+    def change_entry(self, server_id, **changes):
+        self.entries[server_id] = {**self.entries[server_id], **changes}
+        self.call(self.store.put, f"servers/{server_id}", self.entries[server_id])
+
+    def add_gateway(self, *, store=None, **changes):
+        seeds = [each._settings.peer_address for each in self.gateways]
+        settings = build_gateway_settings(
+            store=store or self.store.address, seeds=seeds, **changes
+        )
+        log = RecordingLog()
+
+        def start():
+            gateway = GatewayProcess(
+                settings=settings,
+                binding=platform_binding(
+                    reactor=self.reactor, address=settings.store_address
+                ),
+                reactor=self.reactor,
+                log=log,
+                reread_settings=lambda: settings,
+                random_state=1,
+            )
+            gateway.start()
+            return gateway
+
+        gateway = self.call(start)
+        self.gateways.append(gateway)
+        self.logs.append(log)
+        return gateway
+
+    def wait_for(self, condition, timeout_s=WAIT_S):
+        ends_at = time.monotonic() + timeout_s
+        while time.monotonic() < ends_at:
+            if condition():
+                return True
+            time.sleep(POLL_S)
+        return False
+
+    def wait_until_ready(self, gateway=None):
+        gateway = gateway or self.gateways[0]
+        wanted = len(self.entries)
+        assert self.wait_for(
+            lambda: gateway.is_ready and gateway._catalog.n_servers >= wanted
+        ), "the gateway has not become ready"
+
+    def send(self, path, *, gateway=None, **options):
+        """Send one request on a connection of its own and return the reply."""
+        address = (gateway or self.gateways[0])._settings.caller_address
+        data, request_id = build_request(path, **options)
+
+        async def run():
+            caller = await Caller.open(address)
+            started_at = time.monotonic()
+            caller.send(data)
+            reply = await caller.read_reply()
+            reply.took_ms = (time.monotonic() - started_at) * 1_000
+            reply.request_id = request_id
+            caller.close()
+            return reply
+
+        return self.thread.run(run())
+
+    def runs_of(self, request_id):
+        return sum(server.runs[request_id] for server in self.servers.values())
+
+    def runs_by_server(self):
+        counts = defaultdict(int)
+        for server_id, server in self.servers.items():
+            counts[server_id] = sum(server.runs.values())
+        return counts
+
+    def close(self):
+        def end():
+            for gateway in self.gateways:
+                gateway.close()
+            for server in self.servers.values():
+                server.close()
+            self.store.close()
+
+        self.call(end)
