Start lighter and sooner, and refuse what a stopping router cannot finish

Cause: after all routers had lost power, those that found the store away asked it again after up to 1.6 s, and a request in the first moment was refused at once; the other commands' imports delayed the start.

The error seen once in the features came from two feature processes that used the same loopback addresses; each has its own now, and a metrics port that is taken no longer ends the process.

--- a/damaskrill/feed/_reader.py
+++ b/damaskrill/feed/_reader.py
@@ -19,6 +19,8 @@
 COALESCE_MS = 250
 FIRST_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 800
+# Before the first list nothing can be served, so that the store is asked more often.
+START_BACKOFF_MS = 150
 # How often a router that is no reader checks whether it has become one.
 IDLE_POLL_MS = 150
 
@@ -131,5 +133,8 @@
         doubled = self._backoff_ms * 2 or FIRST_BACKOFF_MS
         self._backoff_ms = min(doubled, MAX_BACKOFF_MS)
         factor = 2 if isinstance(error, StoreRefusedError) else 1
-        wait_ms = self._backoff_ms * factor * self._random.uniform(0.5, 1.0)
+        wait_ms: float = self._backoff_ms * factor
+        if not self._copy.revision:
+            wait_ms = min(wait_ms, START_BACKOFF_MS)
+        wait_ms *= self._random.uniform(0.5, 1.0)
         await asyncio.sleep(wait_ms / 1_000)
--- a/damaskrill/gateway/_desk.py
+++ b/damaskrill/gateway/_desk.py
@@ -28,6 +28,8 @@
 
 # An engine that has been there for longer has read the prefixes of its own keys.
 SETTLED_AFTER_MS = 10_000
+# Time after the begin of a stop in which the balancer still sends new connections.
+TAKE_ALL_MS = 2_800
 
 
 class Desk:
@@ -87,6 +89,7 @@
             loads=self.loads, own_data_centre=data_centre, random_state=random_state
         )
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._stop_times: tuple[float, float] | None = None
 
     @property
     def now_ms(self) -> float:
@@ -108,6 +111,23 @@
         task.add_done_callback(self._tasks.discard)
         connection.on_gone = lambda: _cancel(task)
 
+    def note_stopping(self, started_ms: float, end_ms: float) -> None:
+        """Take when the stop began and when the process ends, in milliseconds."""
+        self._stop_times = (started_ms, end_ms)
+
+    def can_finish(self, limit_at_ms: float) -> bool:
+        """Whether a request with such a limit ends before the process does.
+
+        Notes
+        -----
+        Callers that the balancer sent just after the stop began have no better place
+        yet, so that their requests are taken in any case.
+        """
+        if self._stop_times is None:
+            return True
+        started_ms, end_ms = self._stop_times
+        return limit_at_ms <= end_ms or self.now_ms <= started_ms + TAKE_ALL_MS
+
     def pick_service(self, route: Route) -> str:
         """Draw one of the services that share a route, by weight."""
         if len(route.shares) == 1:
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -53,8 +53,12 @@
 PATIENCE_PAUSE_MS = 1_000
 # Beyond this many targets without an answer, the server is held to be silent.
 SILENT_TARGETS = 2.0
-RETRY_AFTER_START_MS = 400
+START_WAIT_MS = 200
+# With the store away, a router that has started waits for its return.
+RETRY_AFTER_START_MS = 1_000
 RETRY_AFTER_FULL_MS = 150
+# The caller's next connection goes to another router.
+RETRY_AFTER_STOPPING_MS = 20
 RETRY_AFTER_NO_SERVER_MS = 500
 STATUS_SERVER_ERROR = 500
 
@@ -108,6 +112,7 @@
 
     async def _serve(self) -> None:
         desk, facts = self._desk, self._facts
+        await self._wait_for_start()
         configuration = desk.catalog.configuration
         if configuration is None or not desk.catalog.is_complete:
             cause = RefusalCause.NO_CONFIGURATION
@@ -127,11 +132,27 @@
                 return
         await self._send_until_answered(route, team)
 
+    async def _wait_for_start(self) -> None:
+        # A router that has just started knows all within some milliseconds if the
+        # store or a peer answers; a refusal would spend one of the caller's retries.
+        until_ms = self._request.arrived_at_ms + START_WAIT_MS
+        while not self._desk.catalog.is_complete and self._desk.now_ms < until_ms:
+            await asyncio.sleep(WAIT_STEP_MS / 1_000)
+
     async def _send_until_answered(self, route: Route, team: Team | None) -> None:
         desk = self._desk
+        self._limit_at_ms = self._request.arrived_at_ms + self._find_limit_ms(route)
+        if not desk.can_finish(self._limit_at_ms):
+            self._refuse(
+                Refusal(
+                    status=503,
+                    cause=RefusalCause.STOPPING,
+                    retry_after_ms=RETRY_AFTER_STOPPING_MS,
+                )
+            )
+            return
         service = desk.pick_service(route)
         desk.budget.note_request(service, desk.now_ms)
-        self._limit_at_ms = self._request.arrived_at_ms + self._find_limit_ms(route)
         while True:
             server = await self._find_server(route, service)
             if server is None:
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import Any
 
+from twisted.internet.error import CannotListenError
+
 from damaskrill.catalog import CallerLimits, Catalog
 from damaskrill.eventlog import DecisionLog
 from damaskrill.feed import Change, FeedCopy, FeedReader, Freshness
@@ -33,7 +35,6 @@
 # Time that is left for the last bytes before the process is killed.
 STOP_MARGIN_MS = 400
 STOP_POLL_MS = 50
-METRICS_PORT = 9_464
 METRICS_PATH = b"/metrics"
 # A router gets its configuration from a peer or from the store, whichever is first.
 MS_PER_S = 1_000
@@ -175,8 +176,11 @@
         self._pages = self._open(
             loop, self._settings.readiness_address, self._answer_readiness
         )
-        metrics_address = (self._settings.metrics_host, METRICS_PORT)
-        self._open(loop, metrics_address, self._answer_metrics)
+        try:
+            self._open(loop, self._settings.metrics_address, self._answer_metrics)
+        except CannotListenError as error:
+            # Callers are served all the same.
+            self._log.warn("metrics_not_served", sentence=str(error))
 
     def _open(
         self,
@@ -282,6 +286,7 @@
         for factory in (self._callers, self._pages):
             factory.is_stopping = True
         end_ms = started_ms + self._settings.grace_ms - STOP_MARGIN_MS
+        self._desk.note_stopping(started_ms, end_ms)
         while _now_ms() < end_ms:
             await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
             if _now_ms() - started_ms < CLOSE_IDLE_AFTER_MS:
--- a/damaskrill/gateway/_settings.py
+++ b/damaskrill/gateway/_settings.py
@@ -23,8 +23,8 @@
         Routers to ask first for the others.
     store_address : tuple of (str, int)
         Where the platform's store listens.
-    metrics_host : str
-        Address on which metrics are served.
+    metrics_address : tuple of (str, int)
+        Where metrics are served.
     grace_ms : float
         Time from SIGTERM until the process is killed, in milliseconds.
     repeat_ratio, repeat_slack, repeat_window_ms : float
@@ -41,7 +41,7 @@
     peer_address: Address
     seed_addresses: tuple[Address, ...]
     store_address: Address
-    metrics_host: str
+    metrics_address: Address
     grace_ms: float = 8_000
     repeat_ratio: float = 0.1
     repeat_slack: float = 10
--- a/damaskrill/platform/_settings.py
+++ b/damaskrill/platform/_settings.py
@@ -8,6 +8,8 @@
 
 SETTINGS_VARIABLE = "DAMASKRILL_BOOT"
 MS_PER_S = 1_000
+# The port that the deploy file names for metrics.
+METRICS_PORT = 9_464
 
 
 def read_platform_settings(path: str) -> GatewaySettings:
@@ -60,7 +62,7 @@
         peer_address=_to_address(fields["listen.control"]),
         seed_addresses=tuple(_to_address(each) for each in seeds),
         store_address=_to_address(fields["platform.address"]),
-        metrics_host=fields["bindIp"],
+        metrics_address=(fields["bindIp"], METRICS_PORT),
         **_to_bounds(fields),
     )
 
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -18,6 +18,7 @@
     SERVER_MOVED = "server_moved"
     OUTCOME_UNKNOWN = "outcome_unknown"
     BAD_ANSWER = "bad_answer"
+    STOPPING = "stopping"
     TIME_LIMIT = "time_limit"
     TOO_LATE = "too_late"
     INTERNAL_ERROR = "internal_error"
--- a/features/gateway_path.feature
+++ b/features/gateway_path.feature
@@ -121,3 +121,11 @@
     Then the status is 200
     And the reply closes the connection
     And the gateway says that it is not ready
+
+  Scenario: a stopping gateway refuses what it could not finish and serves the rest
+    Given the routes' limit is 15000 ms but 1000 ms for an issuance
+    And the engines make 100 events in 6000 ms
+    When a chat runs and the gateway with 8000 ms of grace is stopped
+    And 3500 ms later a caller sends a chat and another an issuance
+    Then the chat is refused with 503 and the issuance is answered
+    And the chat that ran has ended whole
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -64,3 +64,17 @@
     When a list as of revision 20 and 2500 changes come
     Then the changes after revision 2000 can be told
     And the changes after revision 21 cannot be told
+
+  Scenario: a gateway that starts with the store away is ready soon after its return
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And the store is busy
+    And a gateway that has started
+    When 4000 ms have passed and the store is good again
+    Then the gateway is ready within 350 ms
+
+  Scenario: a request that comes in the moment of the start waits for the configuration
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And the store is busy
+    And a gateway that has started
+    When a caller sends a read and the store is good again 80 ms later
+    Then the status is 200
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -385,10 +385,7 @@
         splitter = EventSplitter()
         cuts = sorted(random.randrange(len(stream)) for _ in range(12))
         edges = [0, *cuts, len(stream)]
-        parts = [
-            splitter.feed(stream[start:end])
-            for start, end in pairwise(edges)
-        ]
+        parts = [splitter.feed(stream[start:end]) for start, end in pairwise(edges)]
         assert b"".join(parts) == stream and not splitter.rest
         context.parts += [part for part in parts if part]
         context.last_ids.append(read_event_id(next(p for p in parts[::-1] if p)))
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from attrs import evolve
 from behave import given, then, when
 
 from damaskrill.fakes.platform import Misbehaviour, StoreMode
@@ -416,3 +417,107 @@
 def step_log_tells(context, first, second):
     events = {line["event"] for line in context.lab.logs[0].lines}
     assert {first, second} <= events, events
+
+
+@given("the store is busy")
+def step_busy(context):
+    context.lab.call(context.lab.store.set_mode, StoreMode.BUSY)
+
+
+@when("{delay_ms:d} ms have passed and the store is good again")
+def step_good_again(context, delay_ms):
+    time.sleep(delay_ms / 1_000)
+    context.lab.call(context.lab.store.set_mode, StoreMode.GOOD)
+
+
+@then("the gateway is ready within {limit_ms:d} ms")
+def step_ready_within(context, limit_ms):
+    gateway = context.lab.gateways[0]
+    assert context.lab.wait_for(lambda: gateway.is_ready, limit_ms / 1_000)
+
+
+@when("a caller sends a read and the store is good again {delay_ms:d} ms later")
+def step_read_at_start(context, delay_ms):
+    lab = context.lab
+    address = lab.gateways[0]._settings.caller_address
+
+    async def run():
+        caller = await Caller.open(address)
+        caller.send(build_request("/read/1", method="GET", body=b"")[0])
+        await asyncio.sleep(delay_ms / 1_000)
+        lab.store.set_mode(StoreMode.GOOD)
+        reply = await caller.read_reply()
+        caller.close()
+        return reply
+
+    context.reply = lab.call(run)
+
+
+@given("the routes' limit is {limit_ms:d} ms but {issue_ms:d} ms for an issuance")
+def step_limits(context, limit_ms, issue_ms):
+    content = build_content(version=3)
+    for route in content["routes"]:
+        is_issue = route["name"] == "r-issue"
+        route["timeoutMs"] = issue_ms if is_issue else limit_ms
+    context.lab.call(context.lab.store.put, "op/config", content)
+    gateway = context.lab.gateways[0]
+    assert context.lab.wait_for(lambda: gateway._catalog.configuration.version == 3)
+
+
+@given("the engines make {n:d} events in {duration_ms:d} ms")
+def step_long_streams(context, n, duration_ms):
+    for name in ("e-1", "e-2"):
+        context.lab.servers[name]._n_events = n
+        context.lab.servers[name]._event_ms = duration_ms / n
+
+
+@when("a chat runs and the gateway with {grace_ms:d} ms of grace is stopped")
+def step_stop_with_chat(context, grace_ms):
+    lab, gateway = context.lab, context.lab.gateways[0]
+    deadline = ("Damaskrill-Request-Deadline", "15000")
+    context.chat = build_request("/chat/1", headers=[PROMPT, deadline])[0]
+
+    async def run():
+        gateway._settings = evolve(gateway._settings, grace_ms=grace_ms)
+        context.caller = await Caller.open(gateway._settings.caller_address)
+        context.caller.send(context.chat)
+        await asyncio.sleep(0.2)
+        context.stopping = asyncio.get_running_loop().create_task(gateway.stop())
+
+    lab.call(run)
+
+
+@when("{delay_ms:d} ms later a caller sends a chat and another an issuance")
+def step_late_requests(context, delay_ms):
+    time.sleep(delay_ms / 1_000)
+    address = context.lab.gateways[0]._settings.caller_address
+
+    async def send(data):
+        caller = await Caller.open(address)
+        caller.send(data)
+        reply = await caller.read_reply()
+        caller.close()
+        return reply
+
+    context.late_chat = context.lab.call(send, context.chat)
+    context.late_issuance = context.lab.call(send, build_request("/issue/1")[0])
+
+
+@then("the chat is refused with 503 and the issuance is answered")
+def step_late_replies(context):
+    assert context.late_chat.status == 503, context.late_chat
+    assert "retry-after" in context.late_chat.headers
+    assert context.late_issuance.status == 200, context.late_issuance
+
+
+@then("the chat that ran has ended whole")
+def step_ran_whole(context):
+    async def run():
+        reply = await context.caller.read_reply()
+        context.caller.close()
+        await context.stopping
+        return reply
+
+    reply = context.lab.call(run)
+    assert reply.is_whole and reply.status == 200, reply
+    assert reply.body.count(b"data:") == 100
--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import socket
 import time
 from collections import defaultdict
@@ -23,7 +24,9 @@
 
 WAIT_S = 10
 POLL_S = 0.01
-_hosts = itertools.count(10)
+# Features run at the same time in several processes, each with addresses of its own.
+_hosts = itertools.count(1)
+_network = os.getpid() % 60_000
 _request_ids = itertools.count(1)
 
 
@@ -38,25 +41,30 @@
         self.lines.append({"event": event, **fields})
 
 
-def free_port(host):
-    """Return a free port of an address on loopback."""
-    with socket.socket() as probe:
+def free_addresses(host, n_addresses):
+    """Return addresses on a loopback host whose ports are free."""
+    probes = [socket.socket() for _ in range(n_addresses)]
+    for probe in probes:
         probe.bind((host, 0))
-        return probe.getsockname()[1]
+    addresses = [probe.getsockname() for probe in probes]
+    for probe in probes:
+        probe.close()
+    return addresses
 
 
 def build_gateway_settings(*, store, seeds=(), data_centre="bole", **changes):
     """Return settings with addresses of their own on loopback."""
-    host = f"127.0.1.{next(_hosts)}"
+    host = f"127.{1 + _network // 250}.{_network % 250}.{next(_hosts) % 250 + 1}"
+    callers, readiness, peers, metrics = free_addresses(host, 4)
     values = {
         "name": f"router-{host}",
         "data_centre": data_centre,
-        "caller_address": (host, free_port(host)),
-        "readiness_address": (host, free_port(host)),
-        "peer_address": (host, free_port(host)),
+        "caller_address": callers,
+        "readiness_address": readiness,
+        "peer_address": peers,
         "seed_addresses": tuple(seeds),
         "store_address": store,
-        "metrics_host": host,
+        "metrics_address": metrics,
         "grace_ms": 3_000,
         "repeat_ratio": 0.2,
         "repeat_slack": 50,
