Leave out servers whose connections went silent; notice pauses; keep to regions

A paused host trusted its old copy. A route or team that is bound to regions was not kept there. Contacts that peers told of with rounded ages counted as the store's return, again and again while it was away.

Change: a connection that is not acknowledged for 1 s ends, and its server is left out at once; a pause, seen from the clock that counts suspensions, makes the copy out of date; routes and teams bind the regions of servers; a return of the store is a gap between contacts.

--- a/damaskrill/catalog/_model.py
+++ b/damaskrill/catalog/_model.py
@@ -69,6 +69,8 @@
         Whether requests name the parts of a prompt that servers may have cached.
     is_resumable : bool
         Whether a stream may go on at another backend server.
+    regions : frozenset of str
+        Regions whose servers may run requests; empty if all may.
     """
 
     name: str
@@ -83,6 +85,7 @@
     is_public: bool = False
     has_prompt: bool = False
     is_resumable: bool = False
+    regions: frozenset[str] = frozenset()
 
     @property
     def may_repeat(self) -> bool:
@@ -119,10 +122,21 @@
 
 @frozen(kw_only=True)
 class Team:
-    """A group of callers with keys of its own; a priority of None is the route's."""
+    """A group of callers with keys of its own.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    priority : int or None
+        Rank that goes before the route's; 0 is the highest.
+    regions : frozenset of str
+        Regions whose servers may run its requests; empty if all may.
+    """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
 
 
 @frozen(kw_only=True)
--- a/damaskrill/feed/_freshness.py
+++ b/damaskrill/feed/_freshness.py
@@ -32,7 +32,11 @@
         age_ms = self.age_ms(now_ms)
         return age_ms is not None and age_ms <= MAX_AGE_MS
 
-    def note_contact(self, at_ms: int, now_ms: int) -> bool:
+    def forget(self) -> None:
+        """Take the copy as out of date, as after a pause of the process."""
+        self._contact_at_ms = None
+
+    def note_contact(self, at_ms: int) -> bool:
         """Take a contact of this router or of a peer.
 
         Returns
@@ -43,6 +47,7 @@
         before = self._contact_at_ms
         if before is not None and at_ms <= before:
             return False
-        was_away = before is not None and now_ms - before > AWAY_MS
+        # Peers round ages, so that an old contact may seem a little newer.
+        was_away = before is not None and at_ms - before > AWAY_MS
         self._contact_at_ms = at_ms
         return was_away
--- a/damaskrill/gateway/_desk.py
+++ b/damaskrill/gateway/_desk.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
 
@@ -21,7 +21,9 @@
     RepeatBudget,
     RequestFacts,
     ServerLoads,
+    ServerWish,
     Verdict,
+    may_go,
 )
 
 __all__ = ["Desk"]
@@ -53,6 +55,8 @@
         Counters.
     data_centre : str
         Where this router runs.
+    region_of : mapping of str to str
+        Region of each data centre.
     n_routers : callable
         Returns the number of routers that are alive.
     random_state : Random
@@ -70,6 +74,7 @@
         log: DecisionLog,
         metrics: GatewayMetrics,
         data_centre: str,
+        region_of: Mapping[str, str],
         n_routers: Callable[[], int],
         random_state: Random,
     ) -> None:
@@ -83,6 +88,7 @@
         self._cold_gate = cold_gate
         self._health = HealthTracker()
         self._cache_sources = CacheSources()
+        self._region_of = region_of
         self._n_routers = n_routers
         self._random = random_state
         self._placer = Placer(
@@ -138,11 +144,7 @@
         return self._random.choices(route.shares, weights)[0].service
 
     def choose(
-        self,
-        service: str,
-        *,
-        affinity_keys: tuple[str, ...],
-        tried: set[tuple[str, int]],
+        self, wish: ServerWish, *, tried: set[tuple[str, int]]
     ) -> BackendServer | None:
         """Return the server that should get a request; None if none may."""
         now_ms = self.now_ms
@@ -151,11 +153,13 @@
                 server=server,
                 is_preferred=not self._health.is_left_out(server.key, now_ms),
             )
-            for server in self.catalog.find_servers(service)
-            if server.key not in tried and self._may_send(server, now_ms)
+            for server in self.catalog.find_servers(wish.service)
+            if server.key not in tried
+            and self._is_allowed(wish, server)
+            and self._may_send(server, now_ms)
         ]
         return self._placer.choose(
-            candidates, affinity_keys=affinity_keys, now_ms=now_ms
+            candidates, affinity_keys=wish.affinity_keys, now_ms=now_ms
         )
 
     def find_cache_source(
@@ -229,6 +233,15 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def _is_allowed(self, wish: ServerWish, server: BackendServer) -> bool:
+        if not wish.route_regions and not wish.team_regions:
+            return True
+        return may_go(
+            self._region_of.get(server.data_centre, ""),
+            route_regions=wish.route_regions,
+            team_regions=wish.team_regions,
+        )
+
     def _may_send(self, server: BackendServer, now_ms: float) -> bool:
         configuration = self.catalog.configuration
         spec = configuration.services.get(server.service) if configuration else None
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -28,6 +28,7 @@
     Outcome,
     Refusal,
     RefusalCause,
+    ServerWish,
     Verdict,
     may_send_again,
 )
@@ -154,7 +155,7 @@
         service = desk.pick_service(route)
         desk.budget.note_request(service, desk.now_ms)
         while True:
-            server = await self._find_server(route, service)
+            server = await self._find_server(route, service, team)
             if server is None:
                 self._refuse_unserved(service)
                 return
@@ -181,12 +182,19 @@
             return min(limit_ms, self._facts.deadline_ms)
         return limit_ms
 
-    async def _find_server(self, route: Route, service: str) -> BackendServer | None:
+    async def _find_server(
+        self, route: Route, service: str, team: Team | None
+    ) -> BackendServer | None:
         desk = self._desk
-        keys = self._facts.affinity_keys if route.has_prompt else ()
+        wish = ServerWish(
+            service=service,
+            affinity_keys=self._facts.affinity_keys if route.has_prompt else (),
+            route_regions=route.regions,
+            team_regions=team.regions if team else frozenset(),
+        )
         until_ms = desk.now_ms + WAIT_PART * route.target_ms
         while True:
-            server = desk.choose(service, affinity_keys=keys, tried=self._tried)
+            server = desk.choose(wish, tried=self._tried)
             if server is not None or desk.now_ms >= until_ms:
                 return server
             await asyncio.sleep(WAIT_STEP_MS / 1_000)
@@ -346,7 +354,10 @@
             case BadAnswer(reason=reason):
                 desk.note_verdict(server, Verdict.BROKEN, reason)
             case Broken(failure=failure):
-                if desk.now_ms < self._limit_at_ms:
+                if failure.kind is FailureKind.SILENT:
+                    verdict = Verdict.SILENT_CONNECTION
+                    desk.note_verdict(server, verdict, failure.reason)
+                elif desk.now_ms < self._limit_at_ms:
                     desk.note_verdict(server, Verdict.BROKEN, failure.reason)
                 else:
                     self._judge_silence(route, server, attempt)
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -36,8 +36,11 @@
 STOP_MARGIN_MS = 400
 STOP_POLL_MS = 50
 METRICS_PATH = b"/metrics"
-# A router gets its configuration from a peer or from the store, whichever is first.
+# A pause of the host after which what the router knew is read again: longer than the
+# clocks' rounding, shorter than any time in which a change must be in force.
+MIN_PAUSE_MS = 200
 MS_PER_S = 1_000
+NS_PER_MS = 1_000_000
 
 
 class GatewayProcess:
@@ -77,6 +80,7 @@
         self._random = Random(random_state)
         self._metrics = GatewayMetrics()
         self._is_stopping = False
+        self._suspended_ms = _suspended_ms()
         self._stop_asked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._ports: list[Any] = []
@@ -165,6 +169,7 @@
             log=self._log,
             metrics=self._metrics,
             data_centre=settings.data_centre,
+            region_of=settings.region_of,
             n_routers=lambda: len(self._members.addresses()),
             random_state=self._random,
         )
@@ -268,16 +273,26 @@
 
     def _note_contact(self, at_ms: int) -> None:
         now_ms = round(_now_ms())
-        if self._freshness.note_contact(at_ms, now_ms):
+        if self._freshness.note_contact(at_ms):
             self._catalog.note_store_returned(now_ms)
             self._log.write("store_returned")
 
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(TIDY_INTERVAL_MS / MS_PER_S)
+            self._note_pause()
             self._catalog.purge(round(_now_ms()))
             self._cold_gate.set_members(self._members.addresses())
 
+    def _note_pause(self) -> None:
+        # The steady clock stands still while the host is suspended.
+        suspended_ms = _suspended_ms()
+        paused_ms = suspended_ms - self._suspended_ms
+        self._suspended_ms = suspended_ms
+        if paused_ms >= MIN_PAUSE_MS:
+            self._freshness.forget()
+            self._log.warn("process_paused", paused_ms=round(paused_ms))
+
     async def stop(self) -> None:
         """Finish what runs, close idle connections, and end all tasks."""
         self._is_stopping = True
@@ -311,5 +326,10 @@
     return time.monotonic() * MS_PER_S
 
 
+def _suspended_ms() -> float:
+    boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+    return (boot_ns - time.monotonic_ns()) / NS_PER_MS
+
+
 def _format(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
--- a/damaskrill/gateway/_settings.py
+++ b/damaskrill/gateway/_settings.py
@@ -1,6 +1,8 @@
 """Settings of one gateway process."""
 
-from attrs import frozen
+from collections.abc import Mapping
+
+from attrs import field, frozen
 
 __all__ = ["GatewaySettings"]
 
@@ -25,6 +27,8 @@
         Where the platform's store listens.
     metrics_address : tuple of (str, int)
         Where metrics are served.
+    region_of : mapping of str to str
+        Region of each data centre.
     grace_ms : float
         Time from SIGTERM until the process is killed, in milliseconds.
     repeat_ratio, repeat_slack, repeat_window_ms : float
@@ -42,6 +46,7 @@
     seed_addresses: tuple[Address, ...]
     store_address: Address
     metrics_address: Address
+    region_of: Mapping[str, str] = field(factory=dict)
     grace_ms: float = 8_000
     repeat_ratio: float = 0.1
     repeat_slack: float = 10
--- a/damaskrill/http1/_messages.py
+++ b/damaskrill/http1/_messages.py
@@ -97,6 +97,7 @@
     NOT_CONNECTED = "not_connected"
     CLOSED = "closed"
     RESET = "reset"
+    SILENT = "silent"
     MALFORMED = "malformed"
 
 
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from typing import Any
 
 import h11
@@ -21,7 +22,9 @@
 
 # Time that sent bytes may stay unacknowledged, so that a path that went silent is
 # noticed; several retransmissions of a lost packet fit into it.
-USER_TIMEOUT_MS = 1_500
+USER_TIMEOUT_MS = 1_000
+# Part of that time after which the loss of a connection counts as its silence.
+SILENT_PART = 0.9
 MAX_ANSWER_HEAD_BYTES = 65_536
 # Servers that do not name their idle timeout are taken to keep connections this long.
 DEFAULT_IDLE_MS = 4_000
@@ -46,6 +49,7 @@
         self._n_exchanges = 0
         self._has_answer = False
         self._is_open = False
+        self._started_at = 0.0
         self._idle_limit_ms = DEFAULT_IDLE_MS
         self.idle_since_ms = 0.0
         self.on_idle: Any = None
@@ -78,6 +82,7 @@
         """Send a request whose answer goes to a sink."""
         self._sink = sink
         self._has_answer = False
+        self._started_at = time.monotonic()
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             headers.append((b"Content-Length", b"%d" % len(request.body)))
@@ -115,11 +120,19 @@
             self._http.receive_data(b"")
             self._pump()
         if self._sink is not None:
-            kind = FailureKind.CLOSED if is_clean else FailureKind.RESET
-            self._fail(kind, reason.getErrorMessage())
+            self._fail(self._kind_of_loss(is_clean), reason.getErrorMessage())
         if self.on_closed is not None:
             self.on_closed(self)
 
+    def _kind_of_loss(self, is_clean: bool) -> FailureKind:
+        if is_clean:
+            return FailureKind.CLOSED
+        # The library does not tell a timed out connection from a reset one.
+        waited_ms = (time.monotonic() - self._started_at) * 1_000
+        if not self._has_answer and waited_ms >= USER_TIMEOUT_MS * SILENT_PART:
+            return FailureKind.SILENT
+        return FailureKind.RESET
+
     def _write(self, data: bytes) -> None:
         transport: Any = self.transport
         transport.write(data)
--- a/damaskrill/platform/_items.py
+++ b/damaskrill/platform/_items.py
@@ -109,6 +109,7 @@
         # Says that requests name their prompt, not that callers keep a session.
         has_prompt=bool(content.get("stickySessions", False)),
         is_resumable=bool(content.get("streamResume", False)),
+        regions=frozenset(content.get("allowedRegions") or ()),
     )
 
 
@@ -126,7 +127,11 @@
 def _to_teams(content: list[dict[str, Any]]) -> dict[str, Team]:
     teams = {}
     for each in content:
-        team = Team(name=each["name"], priority=each.get("priority"))
+        team = Team(
+            name=each["name"],
+            priority=each.get("priority"),
+            regions=frozenset(each.get("allowedRegions") or ()),
+        )
         teams.update({key: team for key in each["apiKeys"]})
     return teams
 
--- a/damaskrill/platform/_settings.py
+++ b/damaskrill/platform/_settings.py
@@ -8,6 +8,8 @@
 
 SETTINGS_VARIABLE = "DAMASKRILL_BOOT"
 MS_PER_S = 1_000
+# Fields that name the region of a data centre.
+ZONE_PREFIX = "zones."
 # The port that the deploy file names for metrics.
 METRICS_PORT = 9_464
 
@@ -63,6 +65,11 @@
         seed_addresses=tuple(_to_address(each) for each in seeds),
         store_address=_to_address(fields["platform.address"]),
         metrics_address=(fields["bindIp"], METRICS_PORT),
+        region_of={
+            name.removeprefix(ZONE_PREFIX): region
+            for name, region in fields.items()
+            if name.startswith(ZONE_PREFIX)
+        },
         **_to_bounds(fields),
     )
 
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -6,8 +6,9 @@
 from damaskrill.steering._facts import AnswerFacts, PromptPart, RequestFacts
 from damaskrill.steering._health import HealthTracker, Verdict
 from damaskrill.steering._loads import ServerLoads
-from damaskrill.steering._placer import Candidate, Placer
+from damaskrill.steering._placer import Candidate, Placer, ServerWish
 from damaskrill.steering._refusals import Refusal, RefusalCause
+from damaskrill.steering._regions import may_go
 from damaskrill.steering._repeat_budget import RepeatBudget
 
 __all__ = [
@@ -25,6 +26,8 @@
     "RepeatBudget",
     "RequestFacts",
     "ServerLoads",
+    "ServerWish",
     "Verdict",
+    "may_go",
     "may_send_again",
 ]
--- a/damaskrill/steering/_health.py
+++ b/damaskrill/steering/_health.py
@@ -25,6 +25,11 @@
     BROKEN = "broken"
     ERROR_STATUS = "error_status"
     SILENT = "silent"
+    SILENT_CONNECTION = "silent_connection"
+
+
+# The path to the server is gone, whatever it answered before.
+UNREACHABLE = (Verdict.NO_CONNECTION, Verdict.SILENT_CONNECTION)
 
 
 @define(kw_only=True)
@@ -76,7 +81,7 @@
             health.n_failed >= MIN_FAILURES
             and health.n_failed >= MIN_FAILED_PART * n_outcomes
         )
-        if verdict is Verdict.NO_CONNECTION or is_bad:
+        if verdict in UNREACHABLE or is_bad:
             return self._pause(health, now_ms)
         return False
 
--- a/damaskrill/steering/_placer.py
+++ b/damaskrill/steering/_placer.py
@@ -9,7 +9,7 @@
 from damaskrill.steering._loads import ServerLoads
 from damaskrill.utils import rank_by_rendezvous
 
-__all__ = ["Candidate", "Placer"]
+__all__ = ["Candidate", "Placer", "ServerWish"]
 
 # An engine takes a request for its prompt cache up to this multiple of the mean load.
 MAX_LOAD_MULTIPLE = 1.8
@@ -36,6 +36,26 @@
     is_preferred: bool = True
 
 
+@frozen(kw_only=True)
+class ServerWish:
+    """What a request needs of a server.
+
+    Parameters
+    ----------
+    service : str
+        Service that runs it.
+    affinity_keys : tuple of str
+        Shared parts of its prompt; empty if it has none.
+    route_regions, team_regions : frozenset of str
+        Regions to which it is bound; empty if to none.
+    """
+
+    service: str
+    affinity_keys: tuple[str, ...] = ()
+    route_regions: frozenset[str] = frozenset()
+    team_regions: frozenset[str] = frozenset()
+
+
 class Placer:
     """Ranks candidates.
 
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -113,3 +113,12 @@
     When 5000 lines are written to it
     Then it took less than 2000 ms
     And the lines that were left out are counted
+
+  Scenario: a server whose connection went silent is left out at once
+    Given a server that acknowledges nothing on a connection
+    Then it is left out for at least 1000 ms
+
+  Scenario: work for a region stays in it
+    Given servers in two regions and a route and a team with regions of their own
+    Then only servers in regions of both get the team's requests
+    And a request that neither binds may go to all
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -78,3 +78,16 @@
     And a gateway that has started
     When a caller sends a read and the store is good again 80 ms later
     Then the status is 200
+
+  Scenario: what peers tell of an old contact is no return of the store
+    Given a router whose last contact with the store was at 1000 ms
+    When a peer tells at 6000 ms of a contact at 1003 ms
+    Then the store has not returned
+    When a peer tells at 7000 ms of a contact at 6990 ms
+    Then the store has returned
+
+  Scenario: a copy is out of date after a pause of the process
+    Given a router whose last contact with the store was at 1000 ms
+    When the process finds that its host was suspended
+    Then the copy is not fresh at 1001 ms
+    And a contact at 1002 ms makes it fresh at 1003 ms
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -27,6 +27,7 @@
     RepeatBudget,
     ServerLoads,
     Verdict,
+    may_go,
     may_send_again,
 )
 
@@ -490,3 +491,37 @@
 @then("the lines that were left out are counted")
 def step_counted(context):
     assert context.sink.n_dropped > 0
+
+
+@given("a server that acknowledges nothing on a connection")
+def step_silent_connection(context):
+    context.health = HealthTracker()
+    context.health.note(("a", 0), Verdict.SILENT_CONNECTION, 100.0)
+
+
+@given("servers in two regions and a route and a team with regions of their own")
+def step_regions(context):
+    context.region_of = {"bole": "addis", "nord": "freistaat", "sued": "freistaat"}
+    context.allowed = lambda route_regions, team_regions: [
+        centre
+        for centre in context.region_of
+        if may_go(
+            context.region_of[centre],
+            route_regions=route_regions,
+            team_regions=team_regions,
+        )
+    ]
+
+
+@then("only servers in regions of both get the team's requests")
+def step_both_regions(context):
+    addis, both = frozenset({"addis"}), frozenset({"addis", "freistaat"})
+    assert context.allowed(addis, both) == ["bole"]
+    assert context.allowed(both, frozenset({"freistaat"})) == ["nord", "sued"]
+    assert context.allowed(addis, frozenset({"freistaat"})) == []
+    assert context.allowed(frozenset(), addis) == ["bole"]
+
+
+@then("a request that neither binds may go to all")
+def step_no_regions(context):
+    assert len(context.allowed(frozenset(), frozenset())) == 3
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from damaskrill.catalog import BackendServer, Catalog, ServerItem
-from damaskrill.feed import Change, FeedCopy
+from damaskrill.feed import Change, FeedCopy, Freshness
 
 
 def build_server(server_id="a-1", **changes):
@@ -96,3 +96,41 @@
 @then("the changes after revision {revision:d} cannot be told")
 def step_not_told(context, revision):
     assert context.copy.changes_after(revision) is None
+
+
+@given("a router whose last contact with the store was at {at_ms:d} ms")
+def step_contact(context, at_ms):
+    context.freshness = Freshness()
+    context.freshness.note_contact(at_ms)
+
+
+@when("a peer tells at {now_ms:d} ms of a contact at {at_ms:d} ms")
+def step_peer_contact(context, now_ms, at_ms):
+    context.has_returned = context.freshness.note_contact(at_ms)
+
+
+@then("the store has not returned")
+def step_not_returned(context):
+    assert not context.has_returned
+
+
+@then("the store has returned")
+def step_returned(context):
+    assert context.has_returned
+
+
+@when("the process finds that its host was suspended")
+def step_suspended(context):
+    assert context.freshness.is_fresh(1_001)
+    context.freshness.forget()
+
+
+@then("the copy is not fresh at {now_ms:d} ms")
+def step_not_fresh(context, now_ms):
+    assert not context.freshness.is_fresh(now_ms)
+
+
+@then("a contact at {at_ms:d} ms makes it fresh at {now_ms:d} ms")
+def step_fresh(context, at_ms, now_ms):
+    assert not context.freshness.note_contact(at_ms)
+    assert context.freshness.is_fresh(now_ms)
