Do not hold a deadline's end against a server; name the request in each attempt's line

Change: a server's 504 says nothing about its health; a failed attempt's line has the request, the server's data centre, the load that it was thought to have and how long it took. The scenario fails without the change.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -14,6 +14,8 @@
 JSON = (b"Content-Type", b"application/json")
 EVENT_STREAM = (b"Content-Type", b"text/event-stream")
 ID_HEADER = b"damaskrill-request-id"
+# How much before the deadline a server gives a request up.
+EARLY_MS = 20
 
 
 class Misbehaviour(Enum):
@@ -24,6 +26,7 @@
     MOVED = "moved"
     ERROR = "error"
     HANG = "hang"
+    DEADLINE = "deadline"
     RESET = "reset"
     CUT = "cut"
     SECOND_ANSWER = "second_answer"
@@ -118,6 +121,12 @@
         self.runs[request_id.decode()] += 1
         if self.misbehaviour is Misbehaviour.HANG:
             await asyncio.sleep(60)
+        if self.misbehaviour is Misbehaviour.DEADLINE:
+            deadline = request.find_header(b"damaskrill-request-deadline") or b"0"
+            await asyncio.sleep((int(deadline) - EARLY_MS) / 1_000)
+            echo = (b"Damaskrill-Request-Id", request_id)
+            connection.send_whole(504, (echo, SEAL), b"")
+            return
         if self.misbehaviour is Misbehaviour.RESET:
             connection.break_off()
             return
--- a/damaskrill/gateway/_desk.py
+++ b/damaskrill/gateway/_desk.py
@@ -196,16 +196,10 @@
         if self.catalog.is_cold(server, round(self.now_ms)):
             self._cold_gate.note_sent(server, self.now_ms)
 
-    def note_verdict(self, server: BackendServer, verdict: Verdict, why: str) -> None:
+    def note_verdict(self, server: BackendServer, verdict: Verdict) -> None:
         """Take how a request ended at a server."""
         if verdict is not Verdict.GOOD:
             self.metrics.note_failure(verdict.value)
-            self.log.write(
-                "attempt_failed",
-                backend_server=server.server_id,
-                cause=verdict.value,
-                detail=why,
-            )
         if self._health.note(server.key, verdict, self.now_ms):
             self.log.warn(
                 "server_left_out", backend_server=server.server_id, cause=verdict.value
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -62,6 +62,7 @@
 RETRY_AFTER_STOPPING_MS = 20
 RETRY_AFTER_NO_SERVER_MS = 500
 STATUS_SERVER_ERROR = 500
+STATUS_DEADLINE = 504
 
 
 class Exchange:
@@ -212,7 +213,7 @@
                 try:
                     connection = await desk.pool.open(server.key, server.address)
                 except OSError as error:
-                    desk.note_verdict(server, Verdict.NO_CONNECTION, str(error))
+                    self._note_verdict(server, Verdict.NO_CONNECTION, str(error))
                     return None
                 if not desk.catalog.is_usable(server):
                     # It was taken out while the connection was being opened.
@@ -344,21 +345,24 @@
         desk = self._desk
         match result:
             case WholeAnswer(head=head):
+                if head.status == STATUS_DEADLINE:
+                    # The server ended the request at the deadline that it got.
+                    return
                 is_error = head.status >= STATUS_SERVER_ERROR
                 verdict = Verdict.ERROR_STATUS if is_error else Verdict.GOOD
-                desk.note_verdict(server, verdict, f"status {head.status}")
+                self._note_verdict(server, verdict, f"status {head.status}")
             case StreamEnded():
-                desk.note_verdict(server, Verdict.GOOD, "")
+                self._note_verdict(server, Verdict.GOOD, "")
             case NotRun(status=status):
-                desk.note_verdict(server, Verdict.ERROR_STATUS, f"not run, {status}")
+                self._note_verdict(server, Verdict.ERROR_STATUS, f"not run, {status}")
             case BadAnswer(reason=reason):
-                desk.note_verdict(server, Verdict.BROKEN, reason)
+                self._note_verdict(server, Verdict.BROKEN, reason)
             case Broken(failure=failure):
                 if failure.kind is FailureKind.SILENT:
                     verdict = Verdict.SILENT_CONNECTION
-                    desk.note_verdict(server, verdict, failure.reason)
+                    self._note_verdict(server, verdict, failure.reason)
                 elif desk.now_ms < self._limit_at_ms:
-                    desk.note_verdict(server, Verdict.BROKEN, failure.reason)
+                    self._note_verdict(server, Verdict.BROKEN, failure.reason)
                 else:
                     self._judge_silence(route, server, attempt)
 
@@ -367,10 +371,25 @@
     ) -> None:
         waited_ms = self._desk.now_ms - self._sent_at_ms
         if not attempt.has_head and waited_ms > SILENT_TARGETS * route.target_ms:
-            self._desk.note_verdict(
+            self._note_verdict(
                 server, Verdict.SILENT, f"no answer for {waited_ms:.0f} ms"
             )
 
+    def _note_verdict(self, server: BackendServer, verdict: Verdict, why: str) -> None:
+        desk = self._desk
+        if verdict is not Verdict.GOOD:
+            desk.log.warn(
+                "attempt_failed",
+                request_id=self._facts.request_id,
+                backend_server=server.server_id,
+                data_centre=server.data_centre,
+                cause=verdict.value,
+                detail=why,
+                load=round(desk.loads.estimate(server.key, desk.now_ms)),
+                wait_ms=round(desk.now_ms - self._sent_at_ms) if self._n_sent else 0,
+            )
+        desk.note_verdict(server, verdict)
+
     def _refuse_unserved(self, service: str) -> None:
         cause = RefusalCause.NO_SERVER
         if self._may_have_run:
--- a/features/gateway_path.feature
+++ b/features/gateway_path.feature
@@ -129,3 +129,9 @@
     And 3500 ms later a caller sends a chat and another an issuance
     Then the chat is refused with 503 and the issuance is answered
     And the chat that ran has ended whole
+
+  Scenario: a server that ends a request at its deadline is not held to be failing
+    Given the routes' limit is 120 ms
+    And both app servers misbehave by deadline
+    When 8 callers send a read
+    Then no server is left out
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -521,3 +521,9 @@
     reply = context.lab.call(run)
     assert reply.is_whole and reply.status == 200, reply
     assert reply.body.count(b"data:") == 100
+
+
+@then("no server is left out")
+def step_none_left_out(context):
+    events = [line["event"] for line in context.lab.logs[0].lines]
+    assert "server_left_out" not in events, events
