Soak real router processes with seeded faults on loopback

Change: damaskrill soak starts router processes against the stand-ins behind a proxy that delays, resets, cuts one way or silences, signals them, changes the configuration and replaces servers, and checks from what callers and servers saw: at most once, not run, own and whole answers, leaving servers, no request cut by planned work.

--- a/damaskrill/cli/_commands.py
+++ b/damaskrill/cli/_commands.py
@@ -38,6 +38,7 @@
     for command in (
         Command(name="serve", summary="Run one router until it is told to stop."),
         Command(name="gateway", summary="Run one router on the users' platform."),
+        Command(name="soak", summary="Inject faults into router processes."),
         Command(name="demo", summary="Show a small fleet at work on loopback."),
         Command(name="check", summary="Validate settings or an operators' text."),
         Command(name="replay", summary="Hold traces against their stated outcomes."),
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -1,6 +1,7 @@
 """Stand-in of a backend server on the platform."""
 
 import asyncio
+import time
 from collections import Counter
 from enum import Enum
 from typing import Any
@@ -61,6 +62,8 @@
         Runs by request ID.
     requests : list of CallerRequest
         All requests that came.
+    arrivals : list of (float, str)
+        When requests came, on the steady clock in seconds, and their IDs.
     n_dropped : int
         Runs whose connection closed before their end.
     """
@@ -79,6 +82,7 @@
         self.runs: Counter[str] = Counter()
         self.requests: list[CallerRequest] = []
         self.n_dropped = 0
+        self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
         self._event_ms = event_ms
         self._work_ms = work_ms
@@ -98,6 +102,8 @@
 
     def _take(self, connection: CallerConnection, request: CallerRequest) -> None:
         self.requests.append(request)
+        request_id = request.find_header(ID_HEADER) or b""
+        self.arrivals.append((time.monotonic(), request_id.decode()))
         task = asyncio.get_running_loop().create_task(self._run(connection, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/damaskrill/soak/_callers.py
@@ -0,0 +1,151 @@
+"""Callers of a soak: they keep connections open and record what they get."""
+
+import asyncio
+import time
+from random import Random
+
+import h11
+from attrs import define
+
+__all__ = ["Exchange", "call_forever"]
+
+DEADLINE_MS = 3_000
+CONNECT_TIMEOUT_S = 1.0
+REUSE_PART = 0.7
+KINDS = (
+    ("POST", "/chat/1", True),
+    ("POST", "/check/1", True),
+    ("POST", "/issue/1", False),
+    ("GET", "/read/1", False),
+)
+
+
+@define(kw_only=True)
+class Exchange:
+    """One request as its caller saw it.
+
+    Parameters
+    ----------
+    request_id, path, key : str
+        The request.
+    router : int
+        Which router got it.
+    sent_at, ended_at : float
+        On the steady clock, in seconds.
+    status : int
+        Status; 0 if none came.
+    body : bytes
+        What came of the body.
+    is_whole : bool
+        Whether the answer came to its proper end.
+    """
+
+    request_id: str
+    path: str
+    key: str
+    router: int
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    body: bytes = b""
+    is_whole: bool = False
+
+
+async def call_forever(
+    addresses: list[tuple[str, int]],
+    *,
+    keys: list[str],
+    exchanges: list[Exchange],
+    name: str,
+    random: Random,
+) -> None:
+    """Send requests one after the other until cancelled."""
+    connection: _Connection | None = None
+    number = 0
+    while True:
+        number += 1
+        if connection is None or random.random() > REUSE_PART:
+            router = random.randrange(len(addresses))
+            connection = await _Connection.open(router, addresses[router])
+            if connection is None:
+                await asyncio.sleep(random.uniform(0.02, 0.2))
+                continue
+        method, path, is_stream = random.choice(KINDS)
+        exchange = Exchange(
+            request_id=f"{name}-{number}",
+            path=path,
+            key=random.choice(keys),
+            router=connection.router,
+            sent_at=time.monotonic(),
+        )
+        exchanges.append(exchange)
+        is_open = await connection.exchange(method, exchange, is_stream=is_stream)
+        exchange.ended_at = time.monotonic()
+        connection = connection if is_open else None
+        await asyncio.sleep(random.expovariate(20))
+
+
+class _Connection:
+    def __init__(
+        self, router: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.router = router
+        self._reader = reader
+        self._writer = writer
+        self._http = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def open(cls, router: int, address: tuple[str, int]) -> "_Connection | None":
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return cls(router, *await asyncio.open_connection(*address))
+        except (OSError, TimeoutError):
+            # The router is down or paused; the caller tries another one.
+            return None
+
+    async def exchange(
+        self, method: str, exchange: Exchange, *, is_stream: bool
+    ) -> bool:
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1_000):
+                await self._exchange(method, exchange, is_stream=is_stream)
+                exchange.is_whole = True
+            if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+                self._http.start_next_cycle()
+                return True
+        except (OSError, TimeoutError, h11.ProtocolError):
+            # What came until then is in the record.
+            pass
+        self._writer.transport.abort()
+        return False
+
+    async def _exchange(
+        self, method: str, exchange: Exchange, *, is_stream: bool
+    ) -> None:
+        headers = [
+            ("Host", "desk.example"),
+            ("Damaskrill-Request-Id", exchange.request_id),
+            ("Damaskrill-Request-Deadline", str(DEADLINE_MS)),
+            ("Authorization", f"Bearer {exchange.key}"),
+        ]
+        if is_stream:
+            prompt = f"base:10,part-{hash(exchange.request_id) % 20}:10,own:5"
+            headers.append(("Damaskrill-Prompt-Prefix", prompt))
+        request = h11.Request(method=method, target=exchange.path, headers=headers)
+        self._writer.write(self._http.send(request) or b"")
+        self._http.send(h11.EndOfMessage())
+        while True:
+            event = self._http.next_event()
+            match event:
+                case h11.NEED_DATA:
+                    self._http.receive_data(await self._reader.read(65_536))
+                case h11.Response():
+                    exchange.status = event.status_code
+                case h11.Data():
+                    exchange.body += bytes(event.data)
+                case h11.EndOfMessage():
+                    return
+                case h11.ConnectionClosed():
+                    raise ConnectionResetError("closed without an answer")
+                case _:
+                    pass
--- /dev/null
+++ b/damaskrill/soak/_plan.py
@@ -0,0 +1,81 @@
+"""Seeded plan of faults and planned work; entries come in series and overlap."""
+
+from enum import Enum
+from random import Random
+
+from attrs import frozen
+
+__all__ = ["Fault", "FaultKind", "build_plan"]
+
+# Pause before the first fault, so that all routers are ready, in seconds.
+FIRST_AT_S = 2.5
+SERIES_PART = 0.35
+MAX_SERIES = 3
+
+
+class FaultKind(Enum):
+    """What is done from outside."""
+
+    STOP_ROUTER = "stop_router"
+    KILL_ROUTER = "kill_router"
+    KILL_ALL_ROUTERS = "kill_all_routers"
+    PAUSE_ROUTER = "pause_router"
+    SIGNAL_RELOAD = "signal_reload"
+    CHANGE_CONFIGURATION = "change_configuration"
+    REVOKE_KEY = "revoke_key"
+    LEAVE_SERVER = "leave_server"
+    CRASH_SERVER = "crash_server"
+    DATA_CENTRE_OUT = "data_centre_out"
+    STORE_BUSY = "store_busy"
+    STORE_SILENT = "store_silent"
+    STORE_CUT = "store_cut"
+    LINK_DELAY = "link_delay"
+    LINK_RESET = "link_reset"
+    LINK_SILENCE = "link_silence"
+    LINK_ONE_WAY = "link_one_way"
+    SERVER_MISBEHAVES = "server_misbehaves"
+
+
+@frozen(kw_only=True)
+class Fault:
+    """One entry of a plan.
+
+    Parameters
+    ----------
+    at_s : float
+        When it begins, in seconds from the start.
+    kind : FaultKind
+        What is done.
+    target : int
+        Picks the router, server or link.
+    duration_s : float
+        How long it lasts, in seconds, where that fits.
+    """
+
+    at_s: float
+    kind: FaultKind
+    target: int
+    duration_s: float
+
+
+def build_plan(seed: int, duration_s: float) -> list[Fault]:
+    """Return the faults of a seed in the order of their times."""
+    random = Random(seed)
+    plan = []
+    at_s = FIRST_AT_S
+    while at_s < duration_s - 1:
+        kind = random.choice(list(FaultKind))
+        n_times = 1
+        if random.random() < SERIES_PART:
+            n_times = random.randint(2, MAX_SERIES)
+        for number in range(n_times):
+            plan.append(
+                Fault(
+                    at_s=at_s + number * random.uniform(0.1, 0.6),
+                    kind=kind,
+                    target=random.randrange(1_000),
+                    duration_s=random.uniform(0.5, 3.0),
+                )
+            )
+        at_s += random.expovariate(1.0)
+    return sorted(plan, key=lambda fault: fault.at_s)
--- /dev/null
+++ b/damaskrill/soak/_routers.py
@@ -0,0 +1,167 @@
+"""Router processes that a soak starts, signals and ends."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from attrs import define
+
+__all__ = ["RouterProcesses"]
+
+GRACE_S = 4
+RESTART_DELAY_S = 0.3
+
+
+@define(kw_only=True)
+class _Router:
+    """One router, over all its processes."""
+
+    host: str
+    settings: Path
+    log: Path
+    process: "subprocess.Popen[bytes] | None" = None
+    starts_at: float = 0.0
+    killed_at: float = 0.0
+    stopping_since: float = 0.0
+    is_paused: bool = False
+
+
+class RouterProcesses:
+    """Starts routers again whenever their process has ended.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs are written.
+    hosts : list of str
+        Loopback address of each router.
+    ports : tuple of int
+        Ports for callers, readiness and other routers.
+    store : tuple of (str, int)
+        Where the store is reached.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        hosts: list[str],
+        ports: tuple[int, int, int],
+        store: tuple[str, int],
+    ) -> None:
+        self._ports = ports
+        self._routers = []
+        seeds = ",".join(f"{host}:{ports[2]}" for host in hosts[:3])
+        for number, host in enumerate(hosts):
+            settings = folder / f"router-{number}.conf"
+            text = _settings_text(number, host, ports, seeds, store)
+            settings.write_text(text, encoding="utf-8")
+            log = folder / f"router-{number}.log"
+            self._routers.append(_Router(host=host, settings=settings, log=log))
+
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        """Where callers reach the routers."""
+        return [(each.host, self._ports[0]) for each in self._routers]
+
+    def disturbed_at(self, number: int) -> float:
+        """Return when a router was last killed or paused, on the steady clock."""
+        router = self._routers[number]
+        return time.monotonic() if router.is_paused else router.killed_at
+
+    def keep_running(self) -> None:
+        """Start processes that are due; kill those whose grace is over."""
+        now = time.monotonic()
+        for router in self._routers:
+            if router.process is not None and router.process.poll() is not None:
+                router.process = None
+                router.stopping_since = 0.0
+                router.starts_at = now + RESTART_DELAY_S
+            if router.process is None and now >= router.starts_at:
+                self._start(router)
+            if router.stopping_since and now - router.stopping_since > GRACE_S:
+                self._signal(router, signal.SIGKILL)
+
+    def stop(self, number: int) -> None:
+        """Send SIGTERM."""
+        router = self._pick(number)
+        if not router.stopping_since:
+            router.stopping_since = time.monotonic()
+            self._signal(router, signal.SIGTERM)
+
+    def kill(self, number: int) -> None:
+        """Send SIGKILL."""
+        router = self._pick(number)
+        router.killed_at = time.monotonic()
+        self._signal(router, signal.SIGKILL)
+
+    def pause(self, number: int) -> None:
+        """Send SIGSTOP."""
+        router = self._pick(number)
+        router.is_paused = True
+        self._signal(router, signal.SIGSTOP)
+
+    def resume(self, number: int) -> None:
+        """Send SIGCONT."""
+        router = self._pick(number)
+        router.is_paused = False
+        router.killed_at = time.monotonic()
+        self._signal(router, signal.SIGCONT)
+
+    def reload(self, number: int) -> None:
+        """Send SIGHUP."""
+        self._signal(self._pick(number), signal.SIGHUP)
+
+    def end_all(self) -> None:
+        """End every process that was started here, by its ID."""
+        for router in self._routers:
+            if router.process is not None:
+                router.process.kill()
+                router.process.wait()
+
+    def _pick(self, number: int) -> _Router:
+        return self._routers[number % len(self._routers)]
+
+    def _signal(self, router: _Router, number: int) -> None:
+        if router.process is not None and router.process.poll() is None:
+            router.process.send_signal(number)
+
+    def _start(self, router: _Router) -> None:
+        with router.log.open("ab") as log:
+            router.process = subprocess.Popen(
+                [sys.executable, "-m", "damaskrill.platform"],
+                env={**os.environ, "DAMASKRILL_BOOT": str(router.settings)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
+
+
+def _settings_text(
+    number: int,
+    host: str,
+    ports: tuple[int, int, int],
+    seeds: str,
+    store: tuple[str, int],
+) -> str:
+    callers, readiness, peers = ports
+    fields = {
+        "node": f"router-{number}",
+        "zone": ("bole", "kality", "sululta")[number % 3],
+        "bindIp": host,
+        "listen.front": f"{host}:{callers}",
+        "listen.ready": f"{host}:{readiness}",
+        "listen.control": f"{host}:{peers}",
+        "seedAddrs": seeds,
+        "platform.address": f"{store[0]}:{store[1]}",
+        "bounds.gracePeriodS": GRACE_S,
+        "bounds.budgetRatio": 0.2,
+        "bounds.retrySlack": 54,
+        "bounds.budgetWindowS": 10,
+        "bounds.coldFactor": 1.5,
+        "bounds.coldSlack": 5,
+    }
+    return "".join(f"{name}={value}\n" for name, value in fields.items())
--- /dev/null
+++ b/damaskrill/soak/_run.py
@@ -0,0 +1,351 @@
+"""One seeded soak: processes, stand-ins, faults and checks."""
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from attrs import asdict, field, frozen
+
+from damaskrill.fakes.platform import (
+    FakeServer,
+    FakeStore,
+    Misbehaviour,
+    StoreMode,
+    build_configuration,
+    build_entry,
+)
+from damaskrill.soak._callers import Exchange, call_forever
+from damaskrill.soak._checks import (
+    Breach,
+    ServerRecord,
+    check_exchanges,
+    check_leaving,
+    check_planned_work,
+)
+from damaskrill.soak._plan import Fault, FaultKind, build_plan
+from damaskrill.soak._proxy import FaultyProxy, LinkMode
+from damaskrill.soak._routers import RouterProcesses
+
+__all__ = ["SoakResult", "run_soak"]
+
+N_EVENTS = 8
+N_ENGINES = 3
+N_PLAIN = 3
+DRAIN_BOUND_S = 2.0
+# A router that was killed or paused has this long to be in touch again, in seconds.
+CONTACT_S = 3.0
+# While the store or its link fails, and so long after, no bound of its changes holds.
+MIN_SERVED_PART = 0.25
+PORTS = (18_080, 18_081, 18_082)
+ODD_WAYS = (
+    Misbehaviour.FULL,
+    Misbehaviour.MOVED,
+    Misbehaviour.ERROR,
+    Misbehaviour.RESET,
+    Misbehaviour.CUT,
+    Misbehaviour.SECOND_ANSWER,
+    Misbehaviour.OTHER_ID,
+    Misbehaviour.NO_SEAL,
+    Misbehaviour.NO_LENGTH_RESET,
+    Misbehaviour.RUBBISH,
+    Misbehaviour.MID_EVENT,
+    Misbehaviour.HANG,
+)
+PLANNED_WORK = (
+    FaultKind.STOP_ROUTER,
+    FaultKind.SIGNAL_RELOAD,
+    FaultKind.CHANGE_CONFIGURATION,
+    FaultKind.LEAVE_SERVER,
+    FaultKind.DATA_CENTRE_OUT,
+)
+LINK_FAULTS = {
+    FaultKind.LINK_DELAY: LinkMode.DELAY,
+    FaultKind.LINK_ONE_WAY: LinkMode.ONE_WAY,
+}
+STORE_FAULTS = {
+    FaultKind.STORE_BUSY: StoreMode.BUSY,
+    FaultKind.STORE_SILENT: StoreMode.SILENT,
+}
+
+
+@frozen(kw_only=True)
+class SoakResult:
+    """What a soak found.
+
+    Parameters
+    ----------
+    seed : int
+        Its seed.
+    n_requests, n_served, n_faults : int
+        Requests sent, requests answered with success, and faults injected.
+    breaches : list of Breach
+        Promises that were broken.
+    folder : str
+        Where logs are kept; empty if nothing was broken.
+    """
+
+    seed: int
+    n_requests: int
+    n_served: int
+    n_faults: int
+    breaches: list[Breach] = field(factory=list)
+    folder: str = ""
+
+    def to_map(self) -> dict[str, Any]:
+        """Return a plain map."""
+        return asdict(self)
+
+
+class _Soak:
+    def __init__(self, *, seed: int, n_routers: int, duration_s: float) -> None:
+        from twisted.internet import reactor
+
+        self._reactor = reactor
+        self._seed = seed
+        self._duration_s = duration_s
+        self._random = Random(seed)
+        self._n_routers = n_routers
+        self._servers: list[FakeServer] = []
+        self._proxies: list[FaultyProxy] = []
+        self._entries: dict[str, dict[str, Any]] = {}
+        self._keys = ["key-1", "key-2"]
+        self._version = 1
+        self._left_at: dict[str, float] = {}
+        self._store_failed_at = 0.0
+        self._exchanges: list[Exchange] = []
+        self._later: list[asyncio.Task[None]] = []
+        self._n_faults = 0
+        self._disturbed: list[tuple[float, float]] = []
+
+    async def run(self) -> SoakResult:
+        folder = Path(tempfile.mkdtemp(prefix="damaskrill-soak-"))
+        self._store = FakeStore(reactor=self._reactor)
+        self._store_proxy = FaultyProxy(target=self._store.address)
+        await self._store_proxy.start()
+        self._put_configuration()
+        for number in range(N_ENGINES):
+            await self._add_server(f"e-{number}", "pool")
+        for number in range(N_PLAIN):
+            await self._add_server(f"a-{number}", "app")
+        network = self._random.randrange(1, 250)
+        self._routers = RouterProcesses(
+            folder=folder,
+            hosts=[f"127.9.{network}.{n + 1}" for n in range(self._n_routers)],
+            ports=PORTS,
+            store=self._store_proxy.address,
+        )
+        try:
+            await self._play()
+        finally:
+            self._routers.end_all()
+            self._store.close()
+            for server in self._servers:
+                server.close()
+            for proxy in (self._store_proxy, *self._proxies):
+                proxy.close()
+        return self._judge(folder)
+
+    async def _play(self) -> None:
+        loop = asyncio.get_running_loop()
+        callers = [
+            loop.create_task(
+                call_forever(
+                    self._routers.addresses,
+                    keys=self._keys,
+                    exchanges=self._exchanges,
+                    name=f"s{self._seed}-c{number}",
+                    random=Random(f"{self._seed}-{number}"),
+                )
+            )
+            for number in range(2 * self._n_routers)
+        ]
+        plan = build_plan(self._seed, self._duration_s)
+        started_at = time.monotonic()
+        while time.monotonic() - started_at < self._duration_s:
+            self._routers.keep_running()
+            while plan and plan[0].at_s <= time.monotonic() - started_at:
+                self._inject(plan.pop(0))
+            await asyncio.sleep(0.02)
+        for task in (*callers, *self._later):
+            task.cancel()
+        await asyncio.gather(*callers, *self._later, return_exceptions=True)
+
+    def _inject(self, fault: Fault) -> None:
+        self._n_faults += 1
+        if fault.kind not in PLANNED_WORK:
+            now = time.monotonic()
+            self._disturbed.append((now, now + fault.duration_s + CONTACT_S))
+        match fault.kind:
+            case FaultKind.STOP_ROUTER:
+                self._routers.stop(fault.target)
+            case FaultKind.KILL_ROUTER:
+                self._routers.kill(fault.target)
+            case FaultKind.KILL_ALL_ROUTERS:
+                for number in range(self._n_routers):
+                    self._routers.kill(number)
+            case FaultKind.PAUSE_ROUTER:
+                self._routers.pause(fault.target)
+                self._after(fault, lambda: self._routers.resume(fault.target))
+            case FaultKind.SIGNAL_RELOAD:
+                self._routers.reload(fault.target)
+            case FaultKind.CHANGE_CONFIGURATION | FaultKind.REVOKE_KEY:
+                self._put_configuration()
+            case FaultKind.LEAVE_SERVER | FaultKind.CRASH_SERVER:
+                self._replace_server(fault)
+            case FaultKind.DATA_CENTRE_OUT:
+                self._store.put("op/evacuate/kality", {})
+                self._after(fault, lambda: self._store.delete("op/evacuate/kality"))
+            case FaultKind.STORE_BUSY | FaultKind.STORE_SILENT:
+                self._fail_store(fault, STORE_FAULTS[fault.kind])
+            case FaultKind.STORE_CUT:
+                self._fail_link(fault, self._store_proxy, LinkMode.SILENT)
+            case FaultKind.SERVER_MISBEHAVES:
+                server = self._servers[fault.target % len(self._servers)]
+                server.misbehaviour = ODD_WAYS[fault.target % len(ODD_WAYS)]
+                self._after(fault, lambda: _behave(server))
+            case _:
+                self._disturb_link(fault)
+
+    def _disturb_link(self, fault: Fault) -> None:
+        proxies = [self._store_proxy, *self._proxies]
+        proxy = proxies[fault.target % len(proxies)]
+        if proxy is self._store_proxy:
+            self._note_store_failure(fault.duration_s)
+        match fault.kind:
+            case FaultKind.LINK_RESET:
+                proxy.reset_all()
+            case FaultKind.LINK_SILENCE:
+                proxy.silence_all()
+            case _:
+                self._fail_link(fault, proxy, LINK_FAULTS[fault.kind])
+
+    def _fail_store(self, fault: Fault, mode: StoreMode) -> None:
+        self._note_store_failure(fault.duration_s)
+        self._store.set_mode(mode)
+        self._after(fault, lambda: self._store.set_mode(StoreMode.GOOD))
+
+    def _fail_link(self, fault: Fault, proxy: FaultyProxy, mode: LinkMode) -> None:
+        if proxy is self._store_proxy:
+            self._note_store_failure(fault.duration_s)
+        proxy.mode = mode
+        self._after(fault, lambda: _mend(proxy))
+
+    def _note_store_failure(self, duration_s: float) -> None:
+        ends_at = time.monotonic() + duration_s
+        self._store_failed_at = max(self._store_failed_at, ends_at)
+
+    def _after(self, fault: Fault, action: Any) -> None:
+        async def run() -> None:
+            await asyncio.sleep(fault.duration_s)
+            action()
+
+        self._later.append(asyncio.get_running_loop().create_task(run()))
+
+    def _put_configuration(self) -> None:
+        self._version += self._random.randint(1, 3)
+        self._store.put("op/config", build_configuration(version=self._version))
+
+    async def _add_server(self, server_id: str, service: str) -> None:
+        server = FakeServer(
+            reactor=self._reactor,
+            server_id=server_id,
+            n_events=N_EVENTS,
+            event_ms=15,
+            work_ms=20,
+        )
+        proxy = FaultyProxy(target=server.address)
+        await proxy.start()
+        self._servers.append(server)
+        self._proxies.append(proxy)
+        centre = ("bole", "kality", "sululta")[len(self._servers) % 3]
+        entry = build_entry(service=service, address=proxy.address, zone=centre)
+        self._entries[server_id] = entry
+        self._store.put(f"servers/{server_id}", entry)
+
+    def _replace_server(self, fault: Fault) -> None:
+        present = [each for each in self._servers if each.server_id in self._entries]
+        server = present[fault.target % len(present)]
+        entry = self._entries.pop(server.server_id)
+        self._later.append(
+            asyncio.get_running_loop().create_task(
+                self._add_server(f"{server.server_id}x", entry["service"])
+            )
+        )
+        if fault.kind is FaultKind.CRASH_SERVER:
+            server.close()
+            self._store.delete(f"servers/{server.server_id}")
+            return
+        leaving = {**entry, "state": "draining"}
+        self._store.put(f"servers/{server.server_id}", leaving)
+        if time.monotonic() > self._store_failed_at + CONTACT_S:
+            self._left_at[server.server_id] = time.monotonic()
+
+    def _judge(self, folder: Path) -> SoakResult:
+        records = [
+            ServerRecord(
+                server_id=each.server_id,
+                runs=dict(each.runs),
+                arrivals=tuple(each.arrivals),
+            )
+            for each in self._servers
+        ]
+        breaches = check_exchanges(self._exchanges, records, N_EVENTS)
+        breaches += check_planned_work(self._exchanges, records, self._disturbed)
+        n_served = sum(e.status == 200 and e.is_whole for e in self._exchanges)
+        if n_served < MIN_SERVED_PART * len(self._exchanges):
+            detail = f"{n_served} of {len(self._exchanges)}"
+            breaches.append(Breach(promise="served", request_id="", detail=detail))
+        for record in records:
+            said_at = self._left_at.get(record.server_id)
+            if said_at is not None and self._was_store_good(said_at):
+                calm = self._calm_requests(said_at)
+                breaches += check_leaving(record, said_at, DRAIN_BOUND_S, calm)
+        return SoakResult(
+            seed=self._seed,
+            n_requests=len(self._exchanges),
+            n_served=n_served,
+            n_faults=self._n_faults,
+            breaches=breaches,
+            folder=str(folder) if breaches else "",
+        )
+
+    def _was_store_good(self, said_at: float) -> bool:
+        return not said_at - CONTACT_S <= self._store_failed_at
+
+    def _calm_requests(self, said_at: float) -> list[str]:
+        return [
+            each.request_id
+            for each in self._exchanges
+            if not self._routers.disturbed_at(each.router) > said_at - CONTACT_S
+        ]
+
+
+def _behave(server: FakeServer) -> None:
+    server.misbehaviour = Misbehaviour.NONE
+
+
+def _mend(proxy: FaultyProxy) -> None:
+    proxy.mode = LinkMode.GOOD
+
+
+async def run_soak(*, seed: int, n_routers: int, duration_s: float) -> SoakResult:
+    """Play one seed.
+
+    Parameters
+    ----------
+    seed : int
+        Decides the faults and the callers.
+    n_routers : int
+        Router processes.
+    duration_s : float
+        How long requests are sent, in seconds.
+
+    Returns
+    -------
+    SoakResult
+        What was found.
+    """
+    return await _Soak(seed=seed, n_routers=n_routers, duration_s=duration_s).run()
