Give the end of a request a module of its own

Cause: the life of a request had grown past 500 lines, of which a third wrote final answers and lines.

Change: Ending answers a caller once and tells of it; a not-run answer after a try that may have run ends as unknown by name, not as a time limit. A scenario holds it.

--- /dev/null
+++ b/damaskrill/gateway/_ending.py
@@ -0,0 +1,148 @@
+"""Final answer of one request, and the line and count that tell of it."""
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from damaskrill.catalog import BackendServer
+from damaskrill.gateway._attempt import StreamProgress, WholeAnswer
+from damaskrill.http1 import CallerConnection, forwarded_headers
+from damaskrill.steering import LoggedOutcome, Refusal, RefusalCause
+
+if TYPE_CHECKING:
+    from damaskrill.gateway._desk import Desk
+
+__all__ = ["Ending"]
+
+STATUS_OK = 200
+STATUS_SERVER_ERROR = 500
+STATUS_UNAVAILABLE = 503
+
+
+@define(kw_only=True, eq=False)
+class Ending:
+    """Answers a caller once and for all.
+
+    Parameters
+    ----------
+    desk : Desk
+        What all exchanges share.
+    connection : CallerConnection
+        The caller's connection.
+    progress : StreamProgress
+        What the caller has got of a stream.
+    request_id : str
+        The caller's name for the request.
+    arrived_at_ms : float
+        When the request came, in milliseconds.
+
+    Attributes
+    ----------
+    service, team : str
+        What the request was for and whose it was, as far as known.
+    server : BackendServer or None
+        Server of the last attempt.
+    n_sent : int
+        Servers that the request was sent to.
+    """
+
+    desk: "Desk"
+    connection: CallerConnection
+    progress: StreamProgress
+    request_id: str
+    arrived_at_ms: float
+    service: str = ""
+    team: str = ""
+    server: BackendServer | None = None
+    n_sent: int = 0
+    _has_ended: bool = field(default=False, init=False)
+
+    def send_whole(self, answer: WholeAnswer) -> None:
+        """Pass a whole answer of a server on."""
+        self._has_ended = True
+        headers = forwarded_headers(answer.head.headers)
+        self.connection.send_whole(answer.head.status, headers, answer.body)
+        is_error = answer.head.status >= STATUS_SERVER_ERROR
+        self._log(
+            LoggedOutcome.COMPLETED,
+            status=answer.head.status,
+            cause=RefusalCause.SERVER_ERROR if is_error else None,
+        )
+
+    def note_stream_ended(self) -> None:
+        """Note that a stream has been passed on to its end."""
+        self._has_ended = True
+        self._log(LoggedOutcome.COMPLETED, status=STATUS_OK)
+
+    def note_caller_left(self) -> None:
+        """Note that the caller has left before the end."""
+        self._has_ended = True
+        self._log(LoggedOutcome.CALLER_LEFT, cause=RefusalCause.CALLER_LEFT)
+
+    def refuse(self, refusal: Refusal, detail: str = "") -> None:
+        """Give an answer of the router's own, unless another one was given."""
+        if self._has_ended:
+            return
+        if self.progress.has_begun:
+            self.break_off(refusal.cause.value)
+            return
+        self._has_ended = True
+        headers: list[tuple[bytes, bytes]] = []
+        if refusal.retry_after_ms is not None:
+            value = f"{refusal.retry_after_ms / 1_000:.3f}".encode()
+            headers.append((b"Retry-After", value))
+        body = f"{refusal.cause.value}: {refusal.cause.sentence}\n".encode()
+        headers.append((b"Content-Type", b"text/plain"))
+        self.connection.send_whole(refusal.status, tuple(headers), body)
+        is_not_run = (
+            refusal.status < STATUS_SERVER_ERROR or refusal.status == STATUS_UNAVAILABLE
+        )
+        self._log(
+            LoggedOutcome.NOT_RUN if is_not_run else LoggedOutcome.UNKNOWN,
+            status=refusal.status,
+            cause=refusal.cause,
+            detail=detail,
+        )
+
+    def break_off(self, detail: str) -> None:
+        """End a stream in a way that cannot look complete."""
+        self._has_ended = True
+        self.connection.break_off()
+        self._log(
+            LoggedOutcome.UNKNOWN, cause=RefusalCause.STREAM_BROKEN, detail=detail
+        )
+
+    def _log(
+        self,
+        outcome: LoggedOutcome,
+        *,
+        status: int = 0,
+        cause: RefusalCause | None = None,
+        detail: str = "",
+    ) -> None:
+        desk = self.desk
+        write = desk.log.write if cause is None else desk.log.warn
+        configuration = desk.catalog.configuration
+        server_id = self.server.server_id if self.server else ""
+        fields: dict[str, object] = {}
+        if cause is not None:
+            subject = server_id or self.service
+            fields["causes"] = [
+                {"code": cause.value, "sentence": cause.sentence, "subject": subject}
+            ]
+        write(
+            "request_ended",
+            request_id=self.request_id,
+            outcome=outcome.value,
+            status=status,
+            service=self.service,
+            team=self.team,
+            backend_server=server_id,
+            latency_ms=round(desk.now_ms - self.arrived_at_ms),
+            n_attempts=self.n_sent,
+            text_version=configuration.version if configuration else 0,
+            store_age_ms=desk.store_age_ms(),
+            detail=detail,
+            **fields,
+        )
+        desk.metrics.note_request(outcome.value, cause.value if cause else "none")
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -14,6 +14,7 @@
     StreamProgress,
     WholeAnswer,
 )
+from damaskrill.gateway._ending import Ending
 from damaskrill.http1 import (
     CallerConnection,
     CallerRequest,
@@ -21,11 +22,9 @@
     FailureKind,
     OutgoingRequest,
     ServerConnection,
-    forwarded_headers,
 )
 from damaskrill.steering import (
     EndOfAttempt,
-    LoggedOutcome,
     Outcome,
     Refusal,
     RefusalCause,
@@ -62,7 +61,6 @@
 # The caller's next connection goes to another router.
 RETRY_AFTER_STOPPING_MS = 20
 RETRY_AFTER_NO_SERVER_MS = 500
-STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
 STATUS_DEADLINE = 504
 
@@ -84,18 +82,19 @@
         self, *, desk: "Desk", connection: CallerConnection, request: CallerRequest
     ) -> None:
         self._desk = desk
-        self._connection = connection
         self._request = request
         self._facts = desk.binding.read_request(request)
         self._progress = StreamProgress(connection)
-        self._n_sent = 0
+        self._ending = Ending(
+            desk=desk,
+            connection=connection,
+            progress=self._progress,
+            request_id=self._facts.request_id,
+            arrived_at_ms=request.arrived_at_ms,
+        )
         self._may_have_run = False
-        self._has_ended = False
         self._tried: set[tuple[str, int]] = set()
-        self._server: BackendServer | None = None
         self._end = EndOfAttempt.NOT_SENT
-        self._service = ""
-        self._team = ""
         self._last_result: AttemptResult = NotRun(status=503)
         self._limit_at_ms = 0.0
         self._sent_at_ms = 0.0
@@ -105,14 +104,14 @@
         try:
             await self._serve()
         except asyncio.CancelledError:
-            self._log_end(LoggedOutcome.CALLER_LEFT, cause=RefusalCause.CALLER_LEFT)
+            self._ending.note_caller_left()
         except Exception as error:
             self._desk.log.warn(
                 "internal_error",
                 request_id=self._facts.request_id,
                 sentence=f"{type(error).__name__}: {error}"[:300],
             )
-            self._refuse(
+            self._ending.refuse(
                 Refusal(status=500, cause=RefusalCause.INTERNAL_ERROR), "internal_error"
             )
 
@@ -122,21 +121,21 @@
         configuration = desk.catalog.configuration
         if configuration is None or not desk.catalog.is_complete:
             cause = RefusalCause.NO_CONFIGURATION
-            self._refuse(
+            self._ending.refuse(
                 Refusal(status=503, cause=cause, retry_after_ms=RETRY_AFTER_START_MS)
             )
             return
         route = configuration.find_route(facts.host, facts.path)
         if route is None:
-            self._refuse(Refusal(status=404, cause=RefusalCause.NO_ROUTE))
+            self._ending.refuse(Refusal(status=404, cause=RefusalCause.NO_ROUTE))
             return
         team: Team | None = None
         if configuration.team_by_key and not route.is_public:
             team = configuration.team_by_key.get(facts.key or "")
             if team is None:
-                self._refuse(Refusal(status=401, cause=RefusalCause.UNKNOWN_KEY))
+                self._ending.refuse(Refusal(status=401, cause=RefusalCause.UNKNOWN_KEY))
                 return
-            self._team = team.name
+            self._ending.team = team.name
         await self._send_until_answered(route, team)
 
     async def _wait_for_start(self) -> None:
@@ -150,7 +149,7 @@
         desk = self._desk
         self._limit_at_ms = self._request.arrived_at_ms + self._find_limit_ms(route)
         if not desk.can_finish(self._limit_at_ms):
-            self._refuse(
+            self._ending.refuse(
                 Refusal(
                     status=503,
                     cause=RefusalCause.STOPPING,
@@ -158,14 +157,14 @@
                 )
             )
             return
-        service = self._service = desk.pick_service(route)
+        service = self._ending.service = desk.pick_service(route)
         desk.budget.note_request(service, desk.now_ms)
         while True:
             server = await self._find_server(route, service, team)
             if server is None:
                 self._refuse_unserved(service)
                 return
-            if self._n_sent and not desk.may_repeat(service):
+            if self._ending.n_sent and not desk.may_repeat(service):
                 self._refuse_after(self._last_result)
                 return
             result = await self._try_server(route, team, server)
@@ -175,7 +174,7 @@
                 return
             remaining_ms = self._limit_at_ms - desk.now_ms
             outcome = Outcome(
-                n_sent=self._n_sent, end=self._end, remaining_ms=remaining_ms
+                n_sent=self._ending.n_sent, end=self._end, remaining_ms=remaining_ms
             )
             if not may_send_again(route, outcome, min_remaining_ms=MIN_REMAINING_MS):
                 self._refuse_after(result)
@@ -209,7 +208,7 @@
         self, route: Route, team: Team | None, server: BackendServer
     ) -> AttemptResult | None:
         desk = self._desk
-        self._server = server
+        self._ending.server = server
         self._tried.add(server.key)
         desk.loads.start(server.key)
         try:
@@ -253,7 +252,7 @@
             cache_source=desk.find_cache_source(route, self._facts, server),
         )
         desk.note_sent(server)
-        self._n_sent += 1
+        self._ending.n_sent += 1
         self._sent_at_ms = desk.now_ms
         connection.start(
             OutgoingRequest(
@@ -277,7 +276,7 @@
 
     async def _wait(self, route: Route, attempt: Attempt) -> AttemptResult:
         desk = self._desk
-        can_repeat = route.may_repeat and self._n_sent < route.max_servers
+        can_repeat = route.may_repeat and self._ending.n_sent < route.max_servers
         patience_ms = float("inf")
         if can_repeat:
             patience_ms = PATIENCE_TARGETS * route.target_ms
@@ -311,20 +310,21 @@
                     self._may_have_run = True
                     remaining_ms = self._limit_at_ms - self._desk.now_ms
                     outcome = Outcome(
-                        n_sent=self._n_sent, end=self._end, remaining_ms=remaining_ms
+                        n_sent=self._ending.n_sent,
+                        end=self._end,
+                        remaining_ms=remaining_ms,
                     )
                     if may_send_again(
                         route, outcome, min_remaining_ms=MIN_REMAINING_MS
                     ):
                         return False
                 if self._progress.has_begun:
-                    self._break_off(f"the resume was answered {head.status}")
+                    self._ending.break_off(f"the resume was answered {head.status}")
                     return True
-                self._send_whole(result)
+                self._ending.send_whole(result)
                 return True
             case StreamEnded():
-                self._log_end(LoggedOutcome.COMPLETED, status=STATUS_OK)
-                self._has_ended = True
+                self._ending.note_stream_ended()
                 return True
             case NotRun():
                 self._end = EndOfAttempt.NOT_RUN
@@ -334,17 +334,6 @@
                 self._may_have_run = True
                 return False
 
-    def _send_whole(self, answer: WholeAnswer) -> None:
-        headers = forwarded_headers(answer.head.headers)
-        self._connection.send_whole(answer.head.status, headers, answer.body)
-        self._has_ended = True
-        is_error = answer.head.status >= STATUS_SERVER_ERROR
-        self._log_end(
-            LoggedOutcome.COMPLETED,
-            status=answer.head.status,
-            cause=RefusalCause.SERVER_ERROR if is_error else None,
-        )
-
     def _judge(
         self,
         route: Route,
@@ -402,7 +391,9 @@
                 ],
                 detail=why,
                 load=round(desk.loads.estimate(server.key, desk.now_ms)),
-                wait_ms=round(desk.now_ms - self._sent_at_ms) if self._n_sent else 0,
+                wait_ms=round(desk.now_ms - self._sent_at_ms)
+                if self._ending.n_sent
+                else 0,
             )
         desk.note_verdict(server, verdict)
 
@@ -411,19 +402,24 @@
         if self._may_have_run:
             self._refuse_after(self._last_result)
             return
-        self._refuse(
+        self._ending.refuse(
             Refusal(status=503, cause=cause, retry_after_ms=RETRY_AFTER_NO_SERVER_MS),
             service,
         )
 
     def _refuse_after(self, result: AttemptResult) -> None:
         if self._progress.has_begun:
-            self._break_off("no server could go on with it")
+            self._ending.break_off("no server could go on with it")
             return
         is_over = self._desk.now_ms >= self._limit_at_ms
         match result:
-            case NotRun(status=status) if not self._may_have_run:
-                self._refuse(
+            case NotRun() if self._may_have_run:
+                self._ending.refuse(
+                    Refusal(status=502, cause=RefusalCause.OUTCOME_UNKNOWN),
+                    "an earlier try may have run",
+                )
+            case NotRun(status=status):
+                self._ending.refuse(
                     Refusal(
                         status=503,
                         cause=RefusalCause.SERVER_FULL,
@@ -432,78 +428,15 @@
                     f"the server answered {status}",
                 )
             case WholeAnswer():
-                self._send_whole(result)
+                self._ending.send_whole(result)
             case BadAnswer(reason=reason):
-                self._refuse(Refusal(status=502, cause=RefusalCause.BAD_ANSWER), reason)
+                self._ending.refuse(
+                    Refusal(status=502, cause=RefusalCause.BAD_ANSWER), reason
+                )
             case Broken(failure=failure) if not is_over:
-                self._refuse(
+                self._ending.refuse(
                     Refusal(status=502, cause=RefusalCause.OUTCOME_UNKNOWN),
                     failure.reason,
                 )
             case _:
-                self._refuse(Refusal(status=504, cause=RefusalCause.TIME_LIMIT))
-
-    def _refuse(self, refusal: Refusal, detail: str = "") -> None:
-        if self._has_ended:
-            return
-        self._has_ended = True
-        if self._progress.has_begun:
-            self._break_off(refusal.cause.value)
-            return
-        headers: list[tuple[bytes, bytes]] = []
-        if refusal.retry_after_ms is not None:
-            value = f"{refusal.retry_after_ms / 1_000:.3f}".encode()
-            headers.append((b"Retry-After", value))
-        body = f"{refusal.cause.value}: {refusal.cause.sentence}\n".encode()
-        headers.append((b"Content-Type", b"text/plain"))
-        self._connection.send_whole(refusal.status, tuple(headers), body)
-        is_not_run = refusal.status < STATUS_SERVER_ERROR or refusal.status == 503
-        self._log_end(
-            LoggedOutcome.NOT_RUN if is_not_run else LoggedOutcome.UNKNOWN,
-            status=refusal.status,
-            cause=refusal.cause,
-            detail=detail,
-        )
-
-    def _break_off(self, detail: str) -> None:
-        self._has_ended = True
-        self._connection.break_off()
-        self._log_end(
-            LoggedOutcome.UNKNOWN, cause=RefusalCause.STREAM_BROKEN, detail=detail
-        )
-
-    def _log_end(
-        self,
-        outcome: LoggedOutcome,
-        *,
-        status: int = 0,
-        cause: RefusalCause | None = None,
-        detail: str = "",
-    ) -> None:
-        desk = self._desk
-        is_good = outcome is LoggedOutcome.COMPLETED and cause is None
-        write = desk.log.write if is_good else desk.log.warn
-        configuration = desk.catalog.configuration
-        server = self._server
-        fields: dict[str, object] = {}
-        if cause is not None:
-            subject = server.server_id if server else self._service
-            fields["causes"] = [
-                {"code": cause.value, "sentence": cause.sentence, "subject": subject}
-            ]
-        write(
-            "request_ended",
-            request_id=self._facts.request_id,
-            outcome=outcome.value,
-            status=status,
-            service=self._service,
-            team=self._team,
-            backend_server=server.server_id if server else "",
-            latency_ms=round(desk.now_ms - self._request.arrived_at_ms),
-            n_attempts=self._n_sent,
-            text_version=configuration.version if configuration else 0,
-            store_age_ms=desk.store_age_ms(),
-            detail=detail,
-            **fields,
-        )
-        desk.metrics.note_request(outcome.value, cause.value if cause else "none")
+                self._ending.refuse(Refusal(status=504, cause=RefusalCause.TIME_LIMIT))
--- a/features/gateway_path.feature
+++ b/features/gateway_path.feature
@@ -143,3 +143,9 @@
     Then each line of the log can be read
     And the request's end tells its outcome "unknown" and cause "outcome_unknown"
     And no line holds a key or a body
+
+  Scenario: a read that may have run is not told to have not run
+    Given app server "a-1" misbehaves by reset
+    And app server "a-2" misbehaves by full
+    When 6 callers send a read
+    Then no refusal says not run of a read that has run
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -550,3 +550,10 @@
 def step_no_secret(context):
     text = json.dumps(context.lab.logs[0].lines)
     assert "key-1" not in text and "hello" not in text
+
+
+@then("no refusal says not run of a read that has run")
+def step_true_refusals(context):
+    for reply in context.replies:
+        has_run = context.lab.runs_of(reply.request_id) > 0
+        assert not (has_run and reply.status == 503), reply
