--- a/damaskrill/fakes/platform/__init__.py
+++ b/damaskrill/fakes/platform/__init__.py
@@ -2,13 +2,22 @@
 
 from damaskrill.fakes.platform._server import FakeServer, Misbehaviour
 from damaskrill.fakes.platform._store import FakeStore, StoreMode
-from damaskrill.fakes.platform._texts import build_configuration, build_entry
+from damaskrill.fakes.platform._texts import (
+    NOT_RUN_STATUSES,
+    build_caller_headers,
+    build_configuration,
+    build_entry,
+    build_settings,
+)
 
 __all__ = [
+    "NOT_RUN_STATUSES",
     "FakeServer",
     "FakeStore",
     "Misbehaviour",
     "StoreMode",
+    "build_caller_headers",
     "build_configuration",
     "build_entry",
+    "build_settings",
 ]
--- a/damaskrill/fakes/platform/_store.py
+++ b/damaskrill/fakes/platform/_store.py
@@ -71,6 +71,30 @@
         """Remove an item and return the revision of the removal."""
         return self._write(key, None)
 
+    def put_configuration(self, content: dict[str, Any]) -> None:
+        """Write what operators publish."""
+        self.put("op/config", content)
+
+    def put_server(self, server_id: str, entry: dict[str, Any]) -> None:
+        """Write a server's entry."""
+        self.put(f"servers/{server_id}", entry)
+
+    def put_leaving(self, server_id: str, entry: dict[str, Any]) -> None:
+        """Write the entry of a server that leaves."""
+        self.put_server(server_id, {**entry, "state": "draining"})
+
+    def remove_server(self, server_id: str) -> None:
+        """Remove a server's entry."""
+        self.delete(f"servers/{server_id}")
+
+    def take_out(self, data_centre: str) -> None:
+        """Order that a data centre gets nothing."""
+        self.put(f"op/evacuate/{data_centre}", {})
+
+    def bring_back(self, data_centre: str) -> None:
+        """Withdraw that order."""
+        self.delete(f"op/evacuate/{data_centre}")
+
     def set_mode(self, mode: StoreMode) -> None:
         """Change how the store answers; waiting calls are cut."""
         self.mode = mode
--- a/damaskrill/fakes/platform/_texts.py
+++ b/damaskrill/fakes/platform/_texts.py
@@ -2,7 +2,16 @@
 
 from typing import Any
 
-__all__ = ["build_configuration", "build_entry"]
+__all__ = [
+    "NOT_RUN_STATUSES",
+    "build_caller_headers",
+    "build_configuration",
+    "build_entry",
+    "build_settings",
+]
+
+# Statuses by which a router or server states that a request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 def build_configuration(*, version: int = 1, **changes: Any) -> dict[str, Any]:
@@ -92,3 +101,75 @@
         "born": 1_000,
     }
     return {**entry, **changes}
+
+
+def build_caller_headers(
+    *, request_id: str, key: str, deadline_ms: int, prompt: str = ""
+) -> list[tuple[str, str]]:
+    """Return the headers of a caller's request.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    key : str
+        Key of the caller's team.
+    deadline_ms : int
+        How long the caller waits, in milliseconds.
+    prompt : str, default=""
+        Parts of its prompt; empty for a request that is no stream.
+    """
+    headers = [
+        ("Host", "desk.example"),
+        ("Damaskrill-Request-Id", request_id),
+        ("Damaskrill-Request-Deadline", str(deadline_ms)),
+        ("Authorization", f"Bearer {key}"),
+    ]
+    if prompt:
+        headers.append(("Damaskrill-Prompt-Prefix", prompt))
+    return headers
+
+
+def build_settings(
+    *,
+    name: str,
+    data_centre: str,
+    host: str,
+    ports: tuple[int, int, int],
+    seeds: str,
+    store: tuple[str, int],
+    grace_s: int,
+) -> str:
+    """Return a settings file.
+
+    Parameters
+    ----------
+    name, data_centre, host : str
+        The router, where it runs, and its address.
+    ports : tuple of int
+        Ports for callers, readiness and other routers.
+    seeds : str
+        Addresses of routers, joined by commas.
+    store : tuple of (str, int)
+        Where the store is reached.
+    grace_s : int
+        Time from SIGTERM until the process is killed, in seconds.
+    """
+    callers, readiness, peers = ports
+    fields = {
+        "node": name,
+        "zone": data_centre,
+        "bindIp": host,
+        "listen.front": f"{host}:{callers}",
+        "listen.ready": f"{host}:{readiness}",
+        "listen.control": f"{host}:{peers}",
+        "seedAddrs": seeds,
+        "platform.address": f"{store[0]}:{store[1]}",
+        "bounds.gracePeriodS": grace_s,
+        "bounds.budgetRatio": 0.2,
+        "bounds.retrySlack": 54,
+        "bounds.budgetWindowS": 10,
+        "bounds.coldFactor": 1.5,
+        "bounds.coldSlack": 5,
+    }
+    return "".join(f"{field}={value}\n" for field, value in fields.items())
--- a/damaskrill/soak/_callers.py
+++ b/damaskrill/soak/_callers.py
@@ -7,6 +7,9 @@
 import h11
 from attrs import define
 
+from damaskrill.fakes.platform import build_caller_headers
+from damaskrill.utils import hash_to_int
+
 __all__ = ["Exchange", "call_forever"]
 
 DEADLINE_MS = 3_000
@@ -122,15 +125,15 @@
     async def _exchange(
         self, method: str, exchange: Exchange, *, is_stream: bool
     ) -> None:
-        headers = [
-            ("Host", "desk.example"),
-            ("Damaskrill-Request-Id", exchange.request_id),
-            ("Damaskrill-Request-Deadline", str(DEADLINE_MS)),
-            ("Authorization", f"Bearer {exchange.key}"),
-        ]
+        prompt = ""
         if is_stream:
-            prompt = f"base:10,part-{hash(exchange.request_id) % 20}:10,own:5"
-            headers.append(("Damaskrill-Prompt-Prefix", prompt))
+            prompt = f"base:10,part-{hash_to_int(exchange.request_id) % 20}:10,own:5"
+        headers = build_caller_headers(
+            request_id=exchange.request_id,
+            key=exchange.key,
+            deadline_ms=DEADLINE_MS,
+            prompt=prompt,
+        )
         request = h11.Request(method=method, target=exchange.path, headers=headers)
         self._writer.write(self._http.send(request) or b"")
         self._http.send(h11.EndOfMessage())
--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from damaskrill.fakes.platform import NOT_RUN_STATUSES
 from damaskrill.soak._callers import Exchange
 
 __all__ = [
@@ -14,7 +15,6 @@
     "check_planned_work",
 ]
 
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 REPEATABLE_PATHS = ("/check/", "/read/")
 STATUS_OK = 200
 
--- a/damaskrill/soak/_routers.py
+++ b/damaskrill/soak/_routers.py
@@ -9,10 +9,14 @@
 
 from attrs import define
 
+from damaskrill.fakes.platform import build_settings
+from damaskrill.platform import SETTINGS_VARIABLE
+
 __all__ = ["RouterProcesses"]
 
 GRACE_S = 4
 RESTART_DELAY_S = 0.3
+DATA_CENTRES = ("bole", "kality", "sululta")
 
 
 @define(kw_only=True)
@@ -57,7 +61,15 @@
         seeds = ",".join(f"{host}:{ports[2]}" for host in hosts[:3])
         for number, host in enumerate(hosts):
             settings = folder / f"router-{number}.conf"
-            text = _settings_text(number, host, ports, seeds, store)
+            text = build_settings(
+                name=f"router-{number}",
+                data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+                host=host,
+                ports=ports,
+                seeds=seeds,
+                store=store,
+                grace_s=GRACE_S,
+            )
             settings.write_text(text, encoding="utf-8")
             log = folder / f"router-{number}.log"
             self._routers.append(_Router(host=host, settings=settings, log=log))
@@ -133,35 +145,8 @@
         with router.log.open("ab") as log:
             router.process = subprocess.Popen(
                 [sys.executable, "-m", "damaskrill.platform"],
-                env={**os.environ, "DAMASKRILL_BOOT": str(router.settings)},
+                env={**os.environ, SETTINGS_VARIABLE: str(router.settings)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 start_new_session=True,
             )
-
-
-def _settings_text(
-    number: int,
-    host: str,
-    ports: tuple[int, int, int],
-    seeds: str,
-    store: tuple[str, int],
-) -> str:
-    callers, readiness, peers = ports
-    fields = {
-        "node": f"router-{number}",
-        "zone": ("bole", "kality", "sululta")[number % 3],
-        "bindIp": host,
-        "listen.front": f"{host}:{callers}",
-        "listen.ready": f"{host}:{readiness}",
-        "listen.control": f"{host}:{peers}",
-        "seedAddrs": seeds,
-        "platform.address": f"{store[0]}:{store[1]}",
-        "bounds.gracePeriodS": GRACE_S,
-        "bounds.budgetRatio": 0.2,
-        "bounds.retrySlack": 54,
-        "bounds.budgetWindowS": 10,
-        "bounds.coldFactor": 1.5,
-        "bounds.coldSlack": 5,
-    }
-    return "".join(f"{name}={value}\n" for name, value in fields.items())
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -34,6 +34,7 @@
 N_EVENTS = 8
 N_ENGINES = 3
 N_PLAIN = 3
+OUT_CENTRE = "kality"
 DRAIN_BOUND_S = 2.0
 # A router that was killed or paused has this long to be in touch again, in seconds.
 CONTACT_S = 3.0
@@ -196,8 +197,8 @@
             case FaultKind.LEAVE_SERVER | FaultKind.CRASH_SERVER:
                 self._replace_server(fault)
             case FaultKind.DATA_CENTRE_OUT:
-                self._store.put("op/evacuate/kality", {})
-                self._after(fault, lambda: self._store.delete("op/evacuate/kality"))
+                self._store.take_out(OUT_CENTRE)
+                self._after(fault, lambda: self._store.bring_back(OUT_CENTRE))
             case FaultKind.STORE_BUSY | FaultKind.STORE_SILENT:
                 self._fail_store(fault, STORE_FAULTS[fault.kind])
             case FaultKind.STORE_CUT:
@@ -246,7 +247,7 @@
 
     def _put_configuration(self) -> None:
         self._version += self._random.randint(1, 3)
-        self._store.put("op/config", build_configuration(version=self._version))
+        self._store.put_configuration(build_configuration(version=self._version))
 
     async def _add_server(self, server_id: str, service: str) -> None:
         server = FakeServer(
@@ -263,7 +264,7 @@
         centre = ("bole", "kality", "sululta")[len(self._servers) % 3]
         entry = build_entry(service=service, address=proxy.address, zone=centre)
         self._entries[server_id] = entry
-        self._store.put(f"servers/{server_id}", entry)
+        self._store.put_server(server_id, entry)
 
     def _replace_server(self, fault: Fault) -> None:
         present = [each for each in self._servers if each.server_id in self._entries]
@@ -276,10 +277,9 @@
         )
         if fault.kind is FaultKind.CRASH_SERVER:
             server.close()
-            self._store.delete(f"servers/{server.server_id}")
+            self._store.remove_server(server.server_id)
             return
-        leaving = {**entry, "state": "draining"}
-        self._store.put(f"servers/{server.server_id}", leaving)
+        self._store.put_leaving(server.server_id, entry)
         if time.monotonic() > self._store_failed_at + CONTACT_S:
             self._left_at[server.server_id] = time.monotonic()
 
