Give each limit of the gateway its reason; drop an unused constant

Cause: several constants stood without a line on where they come from.

Change: comments only, and a constant that nothing read.

Conclusion: reading for newcomers.

--- a/damaskrill/feed/_reader.py
+++ b/damaskrill/feed/_reader.py
@@ -17,6 +17,8 @@
 WATCH_WAIT_MS = 900
 # Changes that come within this time are read by one call; calls are priced.
 COALESCE_MS = 250
+# Waits between calls to a store that fails: short enough that its return is seen within
+# a second, long enough that priced calls stay few.
 FIRST_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 800
 # Before the first list nothing can be served, so that the store is asked more often.
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -40,8 +40,6 @@
 
 # A ready answer is worth waiting for a moment longer than the operators' limit.
 LIMIT_SLACK_MS = 60
-# Waiting time if neither the caller nor the route names one.
-DEFAULT_LIMIT_MS = 30_000
 # With less time than this no server could answer.
 MIN_REMAINING_MS = 10
 # How long a request waits for a server that may take it, as part of its target.
@@ -54,12 +52,15 @@
 PATIENCE_PAUSE_MS = 1_000
 # Beyond this many targets without an answer, the server is held to be silent.
 SILENT_TARGETS = 2.0
+# Longer than the store and a peer take to answer, shorter than any target.
 START_WAIT_MS = 200
 # With the store away, a router that has started waits for its return.
 RETRY_AFTER_START_MS = 1_000
+# About the time in which a plain server finishes a request.
 RETRY_AFTER_FULL_MS = 150
 # The caller's next connection goes to another router.
 RETRY_AFTER_STOPPING_MS = 20
+# Servers come and leave within seconds; callers wait a third of their time at most.
 RETRY_AFTER_NO_SERVER_MS = 500
 STATUS_SERVER_ERROR = 500
 STATUS_DEADLINE = 504
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -27,7 +27,9 @@
 
 __all__ = ["GatewayProcess"]
 
+# Connections that wait to be accepted; more than all callers of a host open at once.
 LISTEN_BACKLOG = 512
+# How often state that depends on time is renewed; far below the bounds on it.
 TIDY_INTERVAL_MS = 250
 # The balancer needs two misses, a second apart, before it sends nothing new; idle
 # connections are closed after that.
@@ -35,6 +37,7 @@
 # Time left for the last bytes and for the process to end before it is killed; a slow
 # host needs some hundred milliseconds for the latter.
 STOP_MARGIN_MS = 900
+# How often a stopping process looks whether all connections are closed.
 STOP_POLL_MS = 50
 METRICS_PATH = b"/metrics"
 # A pause of the host after which what the router knew is read again: longer than the
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -29,12 +29,14 @@
 
 __all__ = ["Mesh"]
 
+# A third of the time after which a copy of the store counts as out of date.
 BEAT_INTERVAL_MS = 400
 # In a large fleet each router hears from a server so rarely that what the others hear
 # decides; a quarter of a beat keeps it younger than most requests.
 LOADS_PER_BEAT = 4
 # Several beats; a link that is silent for longer is closed and dialled again.
 SILENCE_MS = 1_600
+# Many times the way between data centres.
 DIAL_TIMEOUT_MS = 500
 REDIAL_MS = 800
 # With fewer links the seeds are dialled too.
@@ -42,9 +44,11 @@
 # A router that was lost is dialled now and then, as a partition may have healed.
 LOST_REDIAL_MS = 2_000
 LOST_KEPT_MS = 60_000
+# A link that lags by more than this is dropped, so that memory stays bounded.
 MAX_QUEUED_FRAMES = 200
 # Older loads say nothing about the present one.
 MAX_LOAD_AGE_MS = 2_000
+# A router may have just started and be busy with it.
 HELLO_TIMEOUT_MS = 1_000
 
 
--- a/damaskrill/steering/_cold_gate.py
+++ b/damaskrill/steering/_cold_gate.py
@@ -7,12 +7,15 @@
 
 __all__ = ["ColdGate"]
 
+# The bound is on any second; the window is a little longer, as requests take
+# different times on their way.
 WINDOW_MS = 1_100
 # Part of the limit that is used: a second of the servers' may hold requests of more
 # than a second of the routers', as each takes another time on its way.
 SAFE_PART = 0.8
 # Routers that are assumed until the others are known.
 MIN_ASSUMED_ROUTERS = 12
+# Time in which routers that start together have found each other.
 SETTLING_MS = 2_500
 
 
--- a/damaskrill/steering/_health.py
+++ b/damaskrill/steering/_health.py
@@ -13,6 +13,7 @@
 # Failures that are needed before a server is left out, and the part of its outcomes.
 MIN_FAILURES = 2.2
 MIN_FAILED_PART = 0.35
+# The first pause outlasts a restart of a connection, the longest one a cold start.
 FIRST_PAUSE_MS = 1_000
 MAX_PAUSE_MS = 5_000
 
