--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -168,12 +168,6 @@
             return 0
         return now_ms - known.known_since_ms
 
-    def note_cold(self, server: BackendServer, cold_for_ms: int, now_ms: int) -> None:
-        """Take what a server itself says about how long it stays cold."""
-        known = self._servers.get(server.server_id)
-        if known is not None and known.server.key == server.key:
-            known.cold_until_ms = max(known.cold_until_ms, now_ms + cold_for_ms)
-
     def _service_spec(self, service: str) -> ServiceSpec | None:
         if self._configuration is None:
             return None
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -151,7 +151,6 @@
         self._parts: list[bytes] = []
         self._n_bytes = 0
         self.progress_at = loop.time()
-        self.first_at: float | None = None
 
     @property
     def has_head(self) -> bool:
@@ -174,8 +173,6 @@
     def take_data(self, data: bytes) -> None:
         """Take a part of the body."""
         self.progress_at = self._loop.time()
-        if self.first_at is None:
-            self.first_at = self.progress_at
         if self._splitter is not None and self._progress is not None:
             events = self._splitter.feed(data)
             if events and self._head is not None and not self.done.done():
--- a/damaskrill/http1/_messages.py
+++ b/damaskrill/http1/_messages.py
@@ -60,10 +60,7 @@
 
     def find_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, by its name in lower case."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        return _find_header(self.headers, name)
 
 
 @frozen(kw_only=True)
@@ -85,16 +82,12 @@
 
     def find_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, by its name in lower case."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        return _find_header(self.headers, name)
 
 
 class FailureKind(Enum):
     """How an exchange with a server failed."""
 
-    NOT_CONNECTED = "not_connected"
     CLOSED = "closed"
     RESET = "reset"
     SILENT = "silent"
@@ -154,3 +147,7 @@
         for key, value in headers
         if key.lower() not in HOP_BY_HOP and key.lower() not in named
     )
+
+
+def _find_header(headers: Headers, name: bytes) -> bytes | None:
+    return next((value for key, value in headers if key.lower() == name), None)
--- a/damaskrill/http1/_pool.py
+++ b/damaskrill/http1/_pool.py
@@ -47,7 +47,6 @@
         self._reactor = reactor
         self._limits = limits or PoolLimits()
         self._idle: dict[ServerKey, deque[ServerConnection]] = {}
-        self._n_open: dict[ServerKey, int] = {}
         self._n_opened = 0
 
     @property
@@ -55,10 +54,6 @@
         """Connections that were opened so far."""
         return self._n_opened
 
-    def n_open(self, key: ServerKey) -> int:
-        """Return the number of open connections to an incarnation."""
-        return self._n_open.get(key, 0)
-
     def take_idle(self, key: ServerKey) -> ServerConnection | None:
         """Return an idle connection that the server still keeps open."""
         now_ms = time.monotonic() * 1_000
@@ -84,19 +79,12 @@
             self._reactor, address, self._limits.connect_timeout_ms
         )
         self._n_opened += 1
-        self._n_open[key] = self._n_open.get(key, 0) + 1
 
         def keep(idle: ServerConnection) -> None:
             idle.idle_since_ms = time.monotonic() * 1_000
             self._idle.setdefault(key, deque()).append(idle)
 
-        def forget(closed: ServerConnection) -> None:
-            self._n_open[key] = self._n_open.get(key, 1) - 1
-            if self._n_open[key] <= 0:
-                del self._n_open[key]
-
         connection.on_idle = keep
-        connection.on_closed = forget
         return connection
 
     def close_idle(self, key: ServerKey) -> None:
@@ -107,8 +95,3 @@
     def keys(self) -> list[ServerKey]:
         """Return the incarnations with idle connections."""
         return list(self._idle)
-
-    def close_all(self) -> None:
-        """Close all idle connections."""
-        for key in self.keys():
-            self.close_idle(key)
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -53,7 +53,6 @@
         self._idle_limit_ms = DEFAULT_IDLE_MS
         self.idle_since_ms = 0.0
         self.on_idle: Any = None
-        self.on_closed: Any = None
 
     @property
     def is_open(self) -> bool:
@@ -121,8 +120,6 @@
             self._pump()
         if self._sink is not None:
             self._fail(self._kind_of_loss(is_clean), reason.getErrorMessage())
-        if self.on_closed is not None:
-            self.on_closed(self)
 
     def _kind_of_loss(self, is_clean: bool) -> FailureKind:
         if is_clean:
