Tell other routers which engines have which prompt prefixes

Change: a router tells its links each 100 ms which engines have newly read which shared parts, at most three engines for a part, and again after 15 s; what it hears goes on over its other links. The engine that has most of the prefix is named, one of the target's data centre first.

--- a/damaskrill/gateway/_desk.py
+++ b/damaskrill/gateway/_desk.py
@@ -62,6 +62,8 @@
         Requests at each server.
     hot_keys : HotKeys
         Keys that one engine is too few for.
+    cache_sources : CacheSources
+        Engines from which prompt prefixes can be copied.
     data_centre : str
         Where this router runs.
     region_of : mapping of str to str
@@ -86,6 +88,7 @@
         metrics: GatewayMetrics,
         loads: ServerLoads,
         hot_keys: HotKeys,
+        cache_sources: CacheSources,
         data_centre: str,
         region_of: Mapping[str, str],
         n_routers: Callable[[], int],
@@ -101,7 +104,7 @@
         self.loads = loads
         self._cold_gate = cold_gate
         self._health = HealthTracker()
-        self._cache_sources = CacheSources()
+        self._cache_sources = cache_sources
         self._region_of = region_of
         self._n_routers = n_routers
         self.store_age_ms = store_age_ms
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -23,7 +23,13 @@
     ServerPool,
 )
 from damaskrill.mesh import Feed, MemberEntry, MemberTable, Mesh
-from damaskrill.steering import ColdGate, HotKeys, RepeatBudget, ServerLoads
+from damaskrill.steering import (
+    CacheSources,
+    ColdGate,
+    HotKeys,
+    RepeatBudget,
+    ServerLoads,
+)
 
 __all__ = ["GatewayProcess"]
 
@@ -138,6 +144,7 @@
         self._members = MemberTable(own=own)
         self._loads = ServerLoads()
         self._hot_keys = HotKeys()
+        self._cache_sources = CacheSources()
         self._mesh = Mesh(
             members=self._members,
             copy=self._copy,
@@ -148,6 +155,7 @@
             note_contact=self._note_contact,
             loads=self._loads,
             hot_keys=self._hot_keys,
+            cache_sources=self._cache_sources,
             report=self._log.write,
         )
         self._reader = FeedReader(
@@ -178,6 +186,7 @@
             metrics=self._metrics,
             loads=self._loads,
             hot_keys=self._hot_keys,
+            cache_sources=self._cache_sources,
             data_centre=settings.data_centre,
             region_of=settings.region_of,
             n_routers=lambda: len(self._members.addresses()),
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -14,9 +14,10 @@
     "Feed",
     "Frame",
     "Hello",
-    "Loads",
     "MemberEntry",
+    "News",
     "ToldLoad",
+    "ToldPrefix",
     "decode",
     "encode",
 ]
@@ -67,6 +68,25 @@
     age_ms: int
 
 
+@frozen
+class ToldPrefix:
+    """Part of a prompt that an engine has read.
+
+    Parameters
+    ----------
+    part : int
+        Short hash of the part.
+    engine : int
+        Short hash of the engine's incarnation.
+    age_ms : int
+        How long ago it read the part, in milliseconds.
+    """
+
+    part: int
+    engine: int
+    age_ms: int
+
+
 @frozen(kw_only=True)
 class Hello:
     """First message of both ends of a link."""
@@ -123,19 +143,22 @@
 
 
 @frozen(kw_only=True)
-class Loads:
-    """Sent between beats in a large fleet.
+class News:
+    """Sent between beats if there is anything to tell.
 
     Parameters
     ----------
     loads : tuple of ToldLoad
         What servers have said since the last message on the link.
+    prefixes : tuple of ToldPrefix
+        Where prompt parts have been read since then.
     """
 
-    loads: tuple[ToldLoad, ...]
+    loads: tuple[ToldLoad, ...] = ()
+    prefixes: tuple[ToldPrefix, ...] = ()
 
 
-Frame = Hello | Beat | Feed | Loads
+Frame = Hello | Beat | Feed | News
 
 
 def encode(frame: Frame) -> bytes:
@@ -149,8 +172,9 @@
             counts = [list(each) for each in frame.key_counts]
             content = ["b", frame.revision, frame.age_ms, entries, loads]
             content += [frame.n_requests, counts]
-        case Loads():
-            content = ["l", [astuple(each) for each in frame.loads]]
+        case News():
+            loads = [astuple(each) for each in frame.loads]
+            content = ["n", loads, [astuple(each) for each in frame.prefixes]]
         case Feed():
             changes = [[each.key, each.value, each.revision] for each in frame.changes]
             content = ["f", frame.after, frame.revision, changes]
@@ -198,8 +222,11 @@
                 n_requests=n_requests,
                 key_counts=tuple(_to_count(each) for each in counts),
             )
-        case ["l", list(loads)]:
-            return Loads(loads=tuple(_to_load(each) for each in loads))
+        case ["n", list(loads), list(prefixes)]:
+            return News(
+                loads=tuple(_to_load(each) for each in loads),
+                prefixes=tuple(_to_prefix(each) for each in prefixes),
+            )
         case ["f", int(after), int(revision), list(changes)]:
             return Feed(
                 after=after,
@@ -226,6 +253,14 @@
             raise ValueError("no load of a server")
 
 
+def _to_prefix(fields: Any) -> ToldPrefix:
+    match list(fields):
+        case [int(part), int(engine), int(age_ms)]:
+            return ToldPrefix(part, engine, age_ms)
+        case _:
+            raise ValueError("no part of a prompt")
+
+
 def _to_count(fields: Any) -> tuple[int, float]:
     match list(fields):
         case [int(key), float(count)]:
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -18,14 +18,21 @@
     Feed,
     Frame,
     Hello,
-    Loads,
     MemberEntry,
+    News,
     ToldLoad,
+    ToldPrefix,
     decode,
     encode,
 )
 from damaskrill.mesh._members import MemberTable
-from damaskrill.steering import HotKeys, KeyCounts, LoadNews
+from damaskrill.steering import (
+    CacheSources,
+    HotKeys,
+    KeyCounts,
+    LoadNews,
+    PrefixNews,
+)
 
 __all__ = ["Mesh"]
 
@@ -33,7 +40,7 @@
 BEAT_INTERVAL_MS = 400
 # In a large fleet each router hears from a server so rarely that what the others hear
 # decides; a quarter of a beat keeps it younger than most requests.
-LOADS_PER_BEAT = 4
+NEWS_PER_BEAT = 4
 # Several beats; a link that is silent for longer is closed and dialled again.
 SILENCE_MS = 1_600
 # Many times the way between data centres.
@@ -75,6 +82,7 @@
     peer_revision: int = 0
     told: dict[str, tuple[int, int]] = field(factory=dict)
     loads_told_to_ms: float = 0.0
+    n_prefixes_told: int = 0
 
 
 class Mesh:
@@ -100,6 +108,8 @@
         What servers say about their loads, from this router and to it.
     hot_keys : HotKeys
         Counts of keys, from this router and to it.
+    cache_sources : CacheSources
+        Which engines have which prompt parts, from this router and to it.
     report : callable
         Takes an event name and fields.
     """
@@ -116,6 +126,7 @@
         note_contact: Callable[[int], None],
         loads: LoadExchange,
         hot_keys: HotKeys,
+        cache_sources: CacheSources,
         report: Callable[..., None],
     ) -> None:
         self._members = members
@@ -127,6 +138,7 @@
         self._note_contact = note_contact
         self._loads = loads
         self._hot_keys = hot_keys
+        self._cache_sources = cache_sources
         self._report = report
         self._links: dict[str, _Link] = {}
         self._dialled_at_ms: dict[str, float] = {}
@@ -152,12 +164,11 @@
         ):
             n_turns = 0
             while True:
-                if n_turns % LOADS_PER_BEAT == 0:
+                if n_turns % NEWS_PER_BEAT == 0:
                     self._turn()
-                elif not self._members.is_full_mesh:
-                    self._tell_loads()
+                self._tell_news()
                 n_turns += 1
-                await asyncio.sleep(BEAT_INTERVAL_MS / LOADS_PER_BEAT / 1_000)
+                await asyncio.sleep(BEAT_INTERVAL_MS / NEWS_PER_BEAT / 1_000)
 
     def push_changes(self, *, source: str = "") -> None:
         """Send what is new to the links that lack it.
@@ -281,8 +292,9 @@
                 self._take_feed(frame)
                 link.peer_revision = max(link.peer_revision, frame.revision)
                 self.push_changes(source=link.address)
-            case Loads():
+            case News():
                 self._take_loads(frame, now_ms)
+                self._take_prefixes(link, frame, now_ms)
             case Hello():
                 pass
 
@@ -323,14 +335,40 @@
             for each in news
         )
 
-    def _tell_loads(self) -> None:
+    def _prefixes_for(self, link: _Link, now_ms: float) -> tuple[ToldPrefix, ...]:
+        news, link.n_prefixes_told = self._cache_sources.news_after(
+            link.n_prefixes_told,
+            now_ms=now_ms,
+            not_to=link.address,
+            # In a full mesh each router hears all others itself.
+            with_heard=not self._members.is_full_mesh,
+        )
+        return tuple(
+            ToldPrefix(each.part, each.engine, round(now_ms - each.read_at_ms))
+            for each in news
+        )
+
+    def _tell_news(self) -> None:
         now_ms = _now_ms()
         for link in list(self._links.values()):
-            loads = self._loads_for(link, now_ms)
-            if loads:
-                self._send(link, Loads(loads=loads))
+            # In a full mesh a router's own answers suffice between beats.
+            is_small = self._members.is_full_mesh
+            loads = () if is_small else self._loads_for(link, now_ms)
+            prefixes = self._prefixes_for(link, now_ms)
+            if loads or prefixes:
+                self._send(link, News(loads=loads, prefixes=prefixes))
+
+    def _take_prefixes(self, link: _Link, frame: News, now_ms: float) -> None:
+        self._cache_sources.take_news(
+            [
+                PrefixNews(each.part, each.engine, now_ms - each.age_ms)
+                for each in frame.prefixes
+                if each.age_ms >= 0
+            ],
+            source=link.address,
+        )
 
-    def _take_loads(self, frame: Beat | Loads, now_ms: float) -> None:
+    def _take_loads(self, frame: Beat | News, now_ms: float) -> None:
         self._loads.take_news(
             LoadNews(each.load_id, each.n_requests, now_ms - each.age_ms)
             for each in frame.loads
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -1,7 +1,7 @@
 """Decisions on one request: which server, how often, and what it is refused for."""
 
 from damaskrill.steering._again import EndOfAttempt, Outcome, may_send_again
-from damaskrill.steering._cache_sources import CacheSources
+from damaskrill.steering._cache_sources import CacheSources, PrefixNews
 from damaskrill.steering._cold_gate import ColdGate
 from damaskrill.steering._facts import AnswerFacts, PromptPart, RequestFacts
 from damaskrill.steering._health import HealthTracker, Verdict
@@ -29,6 +29,7 @@
     "LoggedOutcome",
     "Outcome",
     "Placer",
+    "PrefixNews",
     "PromptPart",
     "Refusal",
     "RefusalCause",
--- a/damaskrill/steering/_cache_sources.py
+++ b/damaskrill/steering/_cache_sources.py
@@ -1,19 +1,55 @@
 """Names the engine that probably has a prompt's prefix when the chosen one has not."""
 
-from collections import OrderedDict
-from collections.abc import Sequence
+import math
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Sequence
+
+from attrs import define, frozen
 
 from damaskrill.catalog import BackendServer
 from damaskrill.steering._facts import PromptPart
+from damaskrill.steering._short_ids import short_id, short_server_id
 from damaskrill.utils import rank_by_rendezvous
 
-__all__ = ["CacheSources"]
+__all__ = ["CacheSources", "PrefixNews"]
 
-ServerKey = tuple[str, int]
 MAX_PARTS = 8_192
 # Engines keep parts in the order of their last use; after this time an engine may
-# have dropped a part that this router has not used again.
+# have dropped a part that has not been used again.
 MEMORY_MS = 30_000
+# Half of that time: what is used all the while stays known everywhere.
+RENEWAL_MS = 15_000
+# Any engine that has a part can be copied from; a few suffice when some leave.
+MAX_TOLD_HOLDERS = 3
+# What a router tells to a new link at most: about 10 kB.
+MAX_NEWS = 512
+
+
+@frozen
+class PrefixNews:
+    """A part of a prompt that an engine has read.
+
+    Parameters
+    ----------
+    part : int
+        Short hash of the part.
+    engine : int
+        Short hash of the engine's incarnation.
+    read_at_ms : float
+        When, on this router's steady clock in milliseconds.
+    """
+
+    part: int
+    engine: int
+    read_at_ms: float
+
+
+@define
+class _Holding:
+    """When an engine read a part, and which reading other routers were told of."""
+
+    read_at_ms: float
+    told_at_ms: float
 
 
 class CacheSources:
@@ -23,30 +59,80 @@
     -----
     Answers the pattern of prefixes that move: a new engine takes its part of the
     keys, a leaving one gives its keys up, and a much used key spills over. Copying a
-    prefix from another engine's memory is far cheaper than reading it again.
+    prefix from another engine's memory is far cheaper than reading it again. One
+    router of many sees a prefix too rarely to know where it is, so that routers tell
+    each other.
     """
 
     def __init__(self) -> None:
-        self._read_at: OrderedDict[str, dict[ServerKey, float]] = OrderedDict()
+        self._holdings: OrderedDict[int, dict[int, _Holding]] = OrderedDict()
+        # What is told to other routers: the link that it came from, and the news.
+        self._news: deque[tuple[str, PrefixNews]] = deque(maxlen=MAX_NEWS)
+        self._n_news = 0
 
     def note_sent(
         self, prompt: Sequence[PromptPart], server: BackendServer, now_ms: float
     ) -> None:
         """Remember that an engine reads the parts of a prompt."""
+        engine = short_server_id(server.key)
         for part in prompt[:-1]:
-            self._read_at.setdefault(part.part_id, {})[server.key] = now_ms
-            self._read_at.move_to_end(part.part_id)
-        while len(self._read_at) > MAX_PARTS:
-            self._read_at.popitem(last=False)
+            self._note(PrefixNews(short_id(part.part_id), engine, now_ms), source="")
+
+    def take_news(self, news: Iterable[PrefixNews], *, source: str) -> None:
+        """Take what another router tells.
+
+        Parameters
+        ----------
+        news : iterable of PrefixNews
+            What engines have read.
+        source : str
+            The link that it came from; it is not told over it again.
+        """
+        for each in news:
+            self._note(each, source=source)
+
+    def news_after(
+        self, number: int, *, now_ms: float, not_to: str = "", with_heard: bool = True
+    ) -> tuple[list[PrefixNews], int]:
+        """Return what is to be told over a link.
+
+        Parameters
+        ----------
+        number : int
+            Number that the last call for this link returned; 0 for a new link.
+        now_ms : float
+            Present time in milliseconds.
+        not_to : str, default=""
+            The link; news that came from it are left out.
+        with_heard : bool, default=True
+            Whether news that came from other routers are told too.
+
+        Returns
+        -------
+        news : list of PrefixNews
+            Oldest first.
+        number : int
+            Number for the next call.
+        """
+        n_new = min(self._n_news - number, len(self._news))
+        fresh = list(self._news)[len(self._news) - n_new :] if n_new > 0 else []
+        return [
+            each
+            for source, each in fresh
+            if (with_heard or not source)
+            and (not source or source != not_to)
+            and now_ms - each.read_at_ms <= MEMORY_MS
+        ], self._n_news
 
     def count_known(
-        self, prompt: Sequence[PromptPart], key: ServerKey, now_ms: float
+        self, prompt: Sequence[PromptPart], key: tuple[str, int], now_ms: float
     ) -> int:
         """Return how many tokens of a prompt's shared prefix an engine surely read."""
+        engine = short_server_id(key)
         n_tokens = 0
         for part in prompt[:-1]:
-            read_at_ms = self._read_at.get(part.part_id, {}).get(key)
-            if read_at_ms is None or now_ms - read_at_ms > MEMORY_MS:
+            holding = self._holdings.get(short_id(part.part_id), {}).get(engine)
+            if holding is None or now_ms - holding.read_at_ms > MEMORY_MS:
                 break
             n_tokens += part.n_tokens
         return n_tokens
@@ -83,14 +169,38 @@
         n_at_target = self.count_known(prompt, target.key, now_ms)
         if n_at_target >= n_shared:
             return None
-        known = {
-            each.key: self.count_known(prompt, each.key, now_ms) for each in others
-        }
-        best = max(others, key=lambda each: known[each.key])
-        if known[best.key] > n_at_target:
+
+        def worth(engine: BackendServer) -> tuple[int, bool]:
+            n_tokens = self.count_known(prompt, engine.key, now_ms)
+            return n_tokens, engine.data_centre == target.data_centre
+
+        best = max(others, key=worth)
+        if worth(best)[0] > n_at_target:
             return best
         return _guess_holder(prompt, target, others, is_settled=is_settled)
 
+    def _note(self, news: PrefixNews, *, source: str) -> None:
+        holdings = self._holdings.setdefault(news.part, {})
+        self._holdings.move_to_end(news.part)
+        if len(self._holdings) > MAX_PARTS:
+            self._holdings.popitem(last=False)
+        holding = holdings.get(news.engine)
+        if holding is None:
+            holding = holdings[news.engine] = _Holding(news.read_at_ms, -math.inf)
+        elif news.read_at_ms > holding.read_at_ms:
+            holding.read_at_ms = news.read_at_ms
+        if news.read_at_ms - holding.told_at_ms < RENEWAL_MS:
+            return
+        told = [
+            each
+            for each in holdings.values()
+            if news.read_at_ms - each.told_at_ms < RENEWAL_MS
+        ]
+        if len(told) < MAX_TOLD_HOLDERS:
+            holding.told_at_ms = news.read_at_ms
+            self._news.append((source, news))
+            self._n_news += 1
+
 
 def _guess_holder(
     prompt: Sequence[PromptPart],
--- a/damaskrill/steering/_hot_keys.py
+++ b/damaskrill/steering/_hot_keys.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from damaskrill.steering._load_bounds import LoadBounds
-from damaskrill.utils import hash_to_int
+from damaskrill.steering._short_ids import short_id
 
 __all__ = ["HotKeys", "KeyCounts"]
 
@@ -20,7 +20,6 @@
 MAX_KEYS = 4_096
 MAX_TOLD_KEYS = 16
 TOLD_LIFE_MS = 2_500
-KEY_MASK = 0xFFFF_FFFF
 
 
 @frozen
@@ -58,7 +57,7 @@
     def note_request(self, key: str, now_ms: float) -> None:
         """Count a request."""
         self._fade(now_ms)
-        hashed = _short(key)
+        hashed = short_id(key)
         self._counts[hashed] = self._counts.get(hashed, 0.0) + 1
         self._n_requests += 1
 
@@ -103,7 +102,7 @@
             Present time in milliseconds.
         """
         self._fade(now_ms)
-        hashed = _short(key)
+        hashed = short_id(key)
         fresh = list(self._fresh_counts(now_ms))
         count = self._counts.get(hashed, 0.0)
         count += sum(each.by_key.get(hashed, 0.0) for each in fresh)
@@ -134,7 +133,3 @@
         if len(self._counts) > MAX_KEYS:
             largest = sorted(self._counts, key=lambda key: -self._counts[key])
             self._counts = {key: self._counts[key] for key in largest[:MAX_KEYS]}
-
-
-def _short(key: str) -> int:
-    return hash_to_int(key) & KEY_MASK
--- a/damaskrill/steering/_loads.py
+++ b/damaskrill/steering/_loads.py
@@ -5,7 +5,7 @@
 
 from attrs import define, frozen
 
-from damaskrill.utils import hash_to_int
+from damaskrill.steering._short_ids import short_server_id
 
 __all__ = ["LoadNews", "ServerLoads"]
 
@@ -13,7 +13,6 @@
 # Time after which what a server said about other routers' requests counts half:
 # about the duration of a stream.
 HALF_LIFE_MS = 1_500
-LOAD_ID_MASK = 0xFFFF_FFFF
 
 
 @frozen
@@ -80,7 +79,7 @@
 
     def note_server(self, key: ServerKey) -> None:
         """Make a server known, so that what other routers tell of it is taken."""
-        self._keys[_load_id(key)] = key
+        self._keys[short_server_id(key)] = key
 
     def take_news(self, news: Iterable[LoadNews]) -> None:
         """Take what other routers heard from servers."""
@@ -92,7 +91,7 @@
     def news_since(self, since_ms: float) -> list[LoadNews]:
         """Return what servers have said since a time, to this router or another."""
         return [
-            LoadNews(_load_id(key), load.n_said, load.said_at_ms)
+            LoadNews(short_server_id(key), load.n_said, load.said_at_ms)
             for key, load in self._loads.items()
             if load.said_at_ms > since_ms
         ]
@@ -115,8 +114,4 @@
         for key in list(self._loads):
             if key not in keys and not self._loads[key].n_own:
                 del self._loads[key]
-                self._keys.pop(_load_id(key), None)
-
-
-def _load_id(key: ServerKey) -> int:
-    return hash_to_int(f"{key[0]} {key[1]}") & LOAD_ID_MASK
+                self._keys.pop(short_server_id(key), None)
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -9,7 +9,7 @@
 
 from behave import given, then, when
 
-from damaskrill.catalog import BackendServer, RequestKind, Route, ServiceShare
+from damaskrill.catalog import RequestKind, Route, ServiceShare
 from damaskrill.catalog import ServiceSpec as Spec
 from damaskrill.eventlog import LineSink
 from damaskrill.exceptions import PeerFrameError
@@ -19,10 +19,11 @@
     Beat,
     Feed,
     Hello,
-    Loads,
     MemberEntry,
     MemberTable,
+    News,
     ToldLoad,
+    ToldPrefix,
     decode,
     encode,
 )
@@ -44,21 +45,12 @@
     may_send_again,
 )
 from damaskrill.utils import rank_by_rendezvous
+from features.support.builders import build_engine
 
 N_RUNS = 200
 WAY_MS = (0.2, 12.0)
 
 
-def build_engine(name, data_centre="bole", n_slots=4):
-    return BackendServer(
-        server_id=name,
-        service="pool",
-        address=("127.0.0.1", 9),
-        data_centre=data_centre,
-        n_slots=n_slots,
-    )
-
-
 def most_within(times, window_ms):
     """Return the most of some sorted times within any window."""
     recent = deque()
@@ -239,7 +231,9 @@
 
 @given("a server in each of three data centres")
 def step_three(context):
-    context.servers = [build_engine(f"s-{i}", f"centre-{i}", 6) for i in range(3)]
+    context.servers = [
+        build_engine(f"s-{i}", data_centre=f"centre-{i}", n_slots=6) for i in range(3)
+    ]
     build_placer(context, "centre-1")
 
 
@@ -432,7 +426,7 @@
             key_counts=((7, 2.5),),
         ),
         Feed(after=0, revision=10, changes=(change, removal)),
-        Loads(loads=(ToldLoad(5, 3, 90),)),
+        News(loads=(ToldLoad(5, 3, 90),), prefixes=(ToldPrefix(7, 5, 90),)),
     ):
         assert decode(encode(frame)) == frame
 
--- a/features/support/builders.py
+++ b/features/support/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data; all that is not named has a harmless value."""
 
+from damaskrill.catalog import BackendServer
 from damaskrill.configuration import (
     BackendServerSpec,
     DataCentreSpec,
@@ -31,6 +32,17 @@
     )
 
 
+def build_engine(name, *, data_centre="bole", n_slots=4):
+    """Return an incarnation as the platform's store lists it."""
+    return BackendServer(
+        server_id=name,
+        service="pool",
+        address=("127.0.0.1", 9),
+        data_centre=data_centre,
+        n_slots=n_slots,
+    )
+
+
 def build_text(*, version=1, n_servers=5, servers=None, services=None, **fields):
     """Return a text with one engine service and one service of actions."""
     if servers is None:
