Say why an answer was late, and serve histograms of times

Cause: a late answer's line held only the whole latency, so that neither a slow server nor a wait in the router could be told from it; the metrics had no histograms; the report counted late and failed answers of the platform's routers as good.

Change: a line of a request's end tells when it was sent, its first answer, its longest pause, the target, and the load that was known of the server and its age. One decision (`steering/_lateness.py`) names the cause of lateness. Histograms of waits, first answers and pauses by service, sixteen at most. `damaskrill report` counts a completed request with a cause as lost, and unknown keys, unknown routes and callers who left as the callers' own.

Tests: a table of late answers, lines and histograms of real gateways, the report.

--- a/damaskrill/catalog/_model.py
+++ b/damaskrill/catalog/_model.py
@@ -57,6 +57,9 @@
         Longest time to an answer, in milliseconds.
     target_ms : int
         Time within which an answer is worth most, in milliseconds.
+    max_pause_ms : int
+        Longest pause between the events of a stream that is in time, in milliseconds;
+        0 if any is.
     priority : int
         Rank; 0 is the highest.
     shares : tuple of ServiceShare
@@ -82,6 +85,7 @@
     priority: int
     shares: tuple[ServiceShare, ...]
     max_servers: int
+    max_pause_ms: int = 0
     is_public: bool = False
     has_prompt: bool = False
     is_resumable: bool = False
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -1,6 +1,7 @@
 """One request at one backend server: takes the answer and says how it ended."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from attrs import frozen
@@ -85,6 +86,19 @@
         self._connection = connection
         self._has_begun = False
         self._last_id: int | None = None
+        self._first_at_ms: float | None = None
+        self._sent_at_ms = 0.0
+        self._longest_pause_ms = 0.0
+
+    @property
+    def first_at_ms(self) -> float | None:
+        """When the first events were sent, on the steady clock in milliseconds."""
+        return self._first_at_ms
+
+    @property
+    def longest_pause_ms(self) -> float:
+        """Longest time between two events, in milliseconds."""
+        return self._longest_pause_ms
 
     @property
     def has_begun(self) -> bool:
@@ -102,10 +116,20 @@
             self._has_begun = True
             self._connection.begin_stream(head.status, forwarded_headers(head.headers))
         self._connection.send_part(data)
+        self._note_time()
         event_id = read_event_id(data)
         if event_id is not None:
             self._last_id = event_id
 
+    def _note_time(self) -> None:
+        now_ms = time.monotonic() * 1_000
+        if self._first_at_ms is None:
+            self._first_at_ms = now_ms
+        else:
+            pause_ms = now_ms - self._sent_at_ms
+            self._longest_pause_ms = max(self._longest_pause_ms, pause_ms)
+        self._sent_at_ms = now_ms
+
     def end(self, head: AnswerHead) -> None:
         """End the answer as complete."""
         if not self._has_begun:
--- a/damaskrill/gateway/_ending.py
+++ b/damaskrill/gateway/_ending.py
@@ -4,10 +4,17 @@
 
 from attrs import define, field
 
-from damaskrill.catalog import BackendServer
+from damaskrill.catalog import BackendServer, Route
 from damaskrill.gateway._attempt import StreamProgress, WholeAnswer
 from damaskrill.http1 import CallerConnection, forwarded_headers
-from damaskrill.steering import LoggedOutcome, Refusal, RefusalCause
+from damaskrill.steering import (
+    AnswerTimes,
+    LateCause,
+    LoggedOutcome,
+    Refusal,
+    RefusalCause,
+    find_late_cause,
+)
 
 if TYPE_CHECKING:
     from damaskrill.gateway._desk import Desk
@@ -44,6 +51,11 @@
         Server of the last attempt.
     n_sent : int
         Servers that the request was sent to.
+    route : Route or None
+        Its route, once it is known.
+    load, load_age_ms : float
+        Requests at the server of the last attempt as they were known when it was
+        chosen, and how long ago the server had stated them, in milliseconds.
     """
 
     desk: "Desk"
@@ -55,24 +67,37 @@
     team: str = ""
     server: BackendServer | None = None
     n_sent: int = 0
+    route: Route | None = None
+    load: float = 0.0
+    load_age_ms: float = -1.0
+    _sent_at_ms: float | None = field(default=None, init=False)
+    _whole_at_ms: float | None = field(default=None, init=False)
     _has_ended: bool = field(default=False, init=False)
 
+    def note_sent(self, now_ms: float) -> None:
+        """Note that the request is sent to a server."""
+        self.n_sent += 1
+        self._sent_at_ms = now_ms
+
     def send_whole(self, answer: WholeAnswer) -> None:
         """Pass a whole answer of a server on."""
         self._has_ended = True
+        self._whole_at_ms = self.desk.now_ms
         headers = forwarded_headers(answer.head.headers)
         self.connection.send_whole(answer.head.status, headers, answer.body)
         is_error = answer.head.status >= STATUS_SERVER_ERROR
         self._log(
             LoggedOutcome.COMPLETED,
             status=answer.head.status,
-            cause=RefusalCause.SERVER_ERROR if is_error else None,
+            cause=RefusalCause.SERVER_ERROR if is_error else self._find_late_cause(),
         )
 
     def note_stream_ended(self) -> None:
         """Note that a stream has been passed on to its end."""
         self._has_ended = True
-        self._log(LoggedOutcome.COMPLETED, status=STATUS_OK)
+        self._log(
+            LoggedOutcome.COMPLETED, status=STATUS_OK, cause=self._find_late_cause()
+        )
 
     def note_caller_left(self) -> None:
         """Note that the caller has left before the end."""
@@ -112,19 +137,50 @@
             LoggedOutcome.UNKNOWN, cause=RefusalCause.STREAM_BROKEN, detail=detail
         )
 
+    def _times(self) -> AnswerTimes:
+        start_ms, first_at_ms = self.arrived_at_ms, self.progress.first_at_ms
+        if first_at_ms is None:
+            first_at_ms = self._whole_at_ms
+        return AnswerTimes(
+            sent_ms=None if self._sent_at_ms is None else self._sent_at_ms - start_ms,
+            first_ms=None if first_at_ms is None else first_at_ms - start_ms,
+            longest_pause_ms=self.progress.longest_pause_ms,
+        )
+
+    def _find_late_cause(self) -> LateCause | None:
+        if self.route is None:
+            return None
+        return find_late_cause(
+            self._times(),
+            target_ms=self.route.target_ms,
+            max_pause_ms=self.route.max_pause_ms,
+            n_sent=self.n_sent,
+        )
+
     def _log(
         self,
         outcome: LoggedOutcome,
         *,
         status: int = 0,
-        cause: RefusalCause | None = None,
+        cause: RefusalCause | LateCause | None = None,
         detail: str = "",
     ) -> None:
         desk = self.desk
         write = desk.log.write if cause is None else desk.log.warn
         configuration = desk.catalog.configuration
         server_id = self.server.server_id if self.server else ""
+        times = self._times()
         fields: dict[str, object] = {}
+        if times.sent_ms is not None:
+            fields["wait_ms"] = round(times.sent_ms)
+            fields["load"] = round(self.load)
+            fields["load_age_ms"] = round(self.load_age_ms)
+        if times.first_ms is not None:
+            fields["first_ms"] = round(times.first_ms)
+        if self.route is not None:
+            fields["target_ms"] = self.route.target_ms
+        if times.longest_pause_ms:
+            fields["longest_pause_ms"] = round(times.longest_pause_ms)
         if cause is not None:
             subject = server_id or self.service
             fields["causes"] = [
@@ -146,3 +202,4 @@
             **fields,
         )
         desk.metrics.note_request(outcome.value, cause.value if cause else "none")
+        desk.metrics.note_times(times, self.service)
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -148,6 +148,7 @@
 
     async def _send_until_answered(self, route: Route, team: Team | None) -> None:
         desk = self._desk
+        self._ending.route = route
         self._limit_at_ms = self._request.arrived_at_ms + self._find_limit_ms(route)
         if not desk.can_finish(self._limit_at_ms):
             self._ending.refuse(
@@ -210,6 +211,8 @@
     ) -> AttemptResult | None:
         desk = self._desk
         self._ending.server = server
+        self._ending.load = desk.loads.estimate(server.key, desk.now_ms)
+        self._ending.load_age_ms = desk.loads.age_ms(server.key, desk.now_ms)
         self._tried.add(server.key)
         desk.loads.start(server.key)
         try:
@@ -253,8 +256,8 @@
             cache_source=desk.find_cache_source(route, self._facts, server),
         )
         desk.note_sent(server)
-        self._ending.n_sent += 1
         self._sent_at_ms = desk.now_ms
+        self._ending.note_sent(self._sent_at_ms)
         connection.start(
             OutgoingRequest(
                 method=self._request.method,
--- a/damaskrill/gateway/_metrics.py
+++ b/damaskrill/gateway/_metrics.py
@@ -2,10 +2,20 @@
 
 from collections.abc import Mapping
 
-from aioprometheus import Counter, Gauge, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from damaskrill.steering import AnswerTimes
 
 __all__ = ["GatewayMetrics"]
 
+# Seconds; from a plain answer in the own data centre to the longest time limits.
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, float("inf"))
+# Services with histograms of their own; further ones share one, so that a
+# configuration with many services stays cheap to read.
+MAX_SERVICES = 16
+OTHER_SERVICES = "other"
+MS_PER_S = 1_000
+
 
 class GatewayMetrics:
     """Counters and gauges with small label sets."""
@@ -22,6 +32,10 @@
             "Attempts at backend servers that failed, by cause.",
             registry=self._registry,
         )
+        self._waits = self._histogram("wait", "Arrival until the last sending.")
+        self._firsts = self._histogram("first_answer", "Arrival until the first event.")
+        self._pauses = self._histogram("longest_pause", "Longest pause of a stream.")
+        self._services: set[str] = set()
         self._state = Gauge(
             "damaskrill_gateway_state",
             "Present numbers of this router by name.",
@@ -32,10 +46,31 @@
         """Count a request's end."""
         self._requests.inc({"outcome": outcome, "cause": cause})
 
+    def note_times(self, times: AnswerTimes, service: str) -> None:
+        """Count how long parts of a request took."""
+        if service not in self._services and len(self._services) < MAX_SERVICES:
+            self._services.add(service)
+        labels = {"service": service if service in self._services else OTHER_SERVICES}
+        for histogram, taken_ms in (
+            (self._waits, times.sent_ms),
+            (self._firsts, times.first_ms),
+            (self._pauses, times.longest_pause_ms or None),
+        ):
+            if taken_ms is not None:
+                histogram.observe(labels, taken_ms / MS_PER_S)
+
     def note_failure(self, cause: str) -> None:
         """Count a failed attempt."""
         self._failures.inc({"cause": cause})
 
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(
+            f"damaskrill_gateway_{name}_seconds",
+            doc,
+            registry=self._registry,
+            buckets=BUCKETS_S,
+        )
+
     def render(self, state: Mapping[str, float]) -> bytes:
         """Return all metrics in the text format that scrapers read."""
         for name, value in state.items():
--- a/damaskrill/platform/_items.py
+++ b/damaskrill/platform/_items.py
@@ -102,6 +102,7 @@
         kind=KINDS[content["kind"]],
         time_limit_ms=int(content["timeoutMs"]),
         target_ms=int(content.get("targetLatencyMs", content["timeoutMs"])),
+        max_pause_ms=int(content.get("targetGapMs") or 0),
         priority=int(content.get("priority", 0)),
         shares=tuple(shares),
         max_servers=int(content.get("maxAttempts", 1)),
--- a/damaskrill/report/_requests.py
+++ b/damaskrill/report/_requests.py
@@ -14,7 +14,16 @@
 MAX_OPEN_REQUESTS = 200_000
 MAX_ENDED_REQUESTS = 100_000
 # What callers bring about themselves is no loss of the service.
-CALLER_CODES = frozenset(("caller_gone", "permit_spent", "unknown_service"))
+CALLER_CODES = frozenset(
+    (
+        "caller_gone",
+        "caller_left",
+        "no_route",
+        "permit_spent",
+        "unknown_key",
+        "unknown_service",
+    )
+)
 ATTEMPT_EVENTS = frozenset(("attempt_queued", "attempt_refused", "attempt_failed"))
 
 
@@ -116,10 +125,15 @@
         causes = line.causes or state.causes
         is_callers_own = bool(line.causes) and line.causes[-1].code in CALLER_CODES
         is_completed = line.outcome == "completed"
-        is_met = is_completed and self._objectives.is_met(
-            service,
-            first_token_ms=state.first_token_ms,
-            between_tokens_ms=line.between_tokens_ms,
+        # A router that knows the target states why a completed answer missed it.
+        is_met = (
+            is_completed
+            and not line.causes
+            and self._objectives.is_met(
+                service,
+                first_token_ms=state.first_token_ms,
+                between_tokens_ms=line.between_tokens_ms,
+            )
         )
         is_lost = not is_met and not is_callers_own
         return EndedRequest(
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -6,6 +6,7 @@
 from damaskrill.steering._facts import AnswerFacts, PromptPart, RequestFacts
 from damaskrill.steering._health import HealthTracker, Verdict
 from damaskrill.steering._hot_keys import HotKeys, KeyCounts
+from damaskrill.steering._lateness import AnswerTimes, LateCause, find_late_cause
 from damaskrill.steering._load_bounds import FIRST_HAND, HEARSAY, LoadBounds
 from damaskrill.steering._loads import LoadNews, ServerLoads
 from damaskrill.steering._placer import Candidate, Placer, ServerWish
@@ -17,6 +18,7 @@
     "FIRST_HAND",
     "HEARSAY",
     "AnswerFacts",
+    "AnswerTimes",
     "CacheSources",
     "Candidate",
     "ColdGate",
@@ -24,6 +26,7 @@
     "HealthTracker",
     "HotKeys",
     "KeyCounts",
+    "LateCause",
     "LoadBounds",
     "LoadNews",
     "LoggedOutcome",
@@ -38,6 +41,7 @@
     "ServerLoads",
     "ServerWish",
     "Verdict",
+    "find_late_cause",
     "may_go",
     "may_send_again",
 ]
--- a/damaskrill/steering/_loads.py
+++ b/damaskrill/steering/_loads.py
@@ -109,6 +109,11 @@
         age_ms = now_ms - load.said_at_ms
         return load.n_own + load.n_others * math.exp2(-age_ms / HALF_LIFE_MS)
 
+    def age_ms(self, key: ServerKey, now_ms: float) -> float:
+        """Return how long ago a server stated its load; -1 if it has not."""
+        load = self._loads.get(key)
+        return now_ms - load.said_at_ms if load and load.said_at_ms else -1.0
+
     def forget_all_but(self, keys: set[ServerKey]) -> None:
         """Forget servers that are gone and have none of this router's requests."""
         for key in list(self._loads):
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -118,6 +118,19 @@
     Given a server that acknowledges nothing on a connection
     Then it is left out for at least 1000 ms
 
+  Scenario Outline: a late answer has one cause
+    Given an answer sent after <sent> ms, first seen after <first> ms, paused for <pause> ms
+    Then with a target of 400 ms, pauses of 300 ms and <tries> tries it is <cause>
+
+    Examples:
+      | sent | first | pause | tries | cause                  |
+      | 5    | 400   | 300   | 1     | in time                |
+      | 5    | 460   | 0     | 1     | late_slow_server       |
+      | 390  | 440   | 0     | 1     | late_waited_for_server |
+      | 390  | 440   | 0     | 2     | late_tried_again       |
+      | 390  | 900   | 0     | 2     | late_slow_server       |
+      | 5    | 100   | 301   | 1     | late_paused_stream     |
+
   Scenario: work for a region stays in it
     Given servers in two regions and a route and a team with regions of their own
     Then only servers in regions of both get the team's requests
--- a/features/gateway_path.feature
+++ b/features/gateway_path.feature
@@ -144,6 +144,31 @@
     And the request's end tells its outcome "unknown" and cause "outcome_unknown"
     And no line holds a key or a body
 
+  Scenario: a late answer's line names the cause and what was known
+    Given the servers take 500 ms for an issuance
+    When a caller sends an issuance
+    Then the status is 200
+    And the request's end tells its outcome "completed" and cause "late_slow_server"
+    And its line tells the load, the target of 400 ms and the first answer after 500 ms
+
+  Scenario: a stream that pauses too long is told as late
+    Given the routes allow pauses of 50 ms and the engines take 120 ms for an event
+    When a caller sends a chat
+    Then the request's end tells its outcome "completed" and cause "late_paused_stream"
+
+  Scenario: the report counts what was late, failed or a caller's own, by cause
+    Given the servers take 500 ms for an issuance
+    When a caller sends an issuance
+    And a caller sends a request to "/nowhere/1"
+    And a caller sends a chat
+    Then the report has 1 lost request, for "the backend server took longer"
+    And it counts 1 request as its caller's own and no cause is missing
+
+  Scenario: the metrics hold the times of requests by service
+    When a caller sends a chat
+    And a caller sends an issuance
+    Then the metrics hold histograms of waits, first answers and pauses
+
   Scenario: a read that may have run is not told to have not run
     Given app server "a-1" misbehaves by reset
     And app server "a-2" misbehaves by full
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -29,6 +29,7 @@
 )
 from damaskrill.steering import (
     HEARSAY,
+    AnswerTimes,
     CacheSources,
     Candidate,
     ColdGate,
@@ -41,6 +42,7 @@
     RepeatBudget,
     ServerLoads,
     Verdict,
+    find_late_cause,
     may_go,
     may_send_again,
 )
@@ -675,3 +677,17 @@
 def step_whole_bound(context):
     counts = [context.loads.n_own(each.key) for each in context.servers]
     assert max(counts) <= 2 * 301 / 30 + 3, counts
+
+
+@given(
+    "an answer sent after {sent:d} ms, first seen after {first:d} ms, "
+    "paused for {pause:d} ms"
+)
+def step_times(context, sent, first, pause):
+    context.times = AnswerTimes(sent_ms=sent, first_ms=first, longest_pause_ms=pause)
+
+
+@then("with a target of 400 ms, pauses of 300 ms and {n:d} tries it is {cause}")
+def step_late_cause(context, n, cause):
+    found = find_late_cause(context.times, target_ms=400, max_pause_ms=300, n_sent=n)
+    assert ("in time" if found is None else found.value) == cause, found
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -10,6 +10,7 @@
 from damaskrill.fakes.platform import Misbehaviour, StoreMode
 from damaskrill.fakes.platform import build_configuration as build_content
 from damaskrill.logs import line_from_map
+from damaskrill.report import Objectives, ReportBuilder
 from features.support.gateways import PROMPT, Caller, GatewayLab, build_request
 
 EVENTS = b"".join(b"id: %d\ndata: token-%d\n\n" % (n, n) for n in range(1, 6))
@@ -557,3 +558,66 @@
     for reply in context.replies:
         has_run = context.lab.runs_of(reply.request_id) > 0
         assert not (has_run and reply.status == 503), reply
+
+
+@given(
+    "the routes allow pauses of {pause_ms:d} ms and the engines take "
+    "{event_ms:d} ms for an event"
+)
+def step_pauses(context, pause_ms, event_ms):
+    content = build_content(version=2)
+    for route in content["routes"]:
+        route["targetGapMs"] = pause_ms
+    context.lab.call(context.lab.store.put, "op/config", content)
+    gateway = context.lab.gateways[0]
+    assert context.lab.wait_for(lambda: gateway._catalog.configuration.version == 2)
+    for server in context.lab.servers.values():
+        server._event_ms = event_ms
+
+
+@then(
+    "its line tells the load, the target of {target_ms:d} ms and the first answer "
+    "after {first_ms:d} ms"
+)
+def step_line_tells(context, target_ms, first_ms):
+    ends = [e for e in context.lab.logs[0].lines if e["event"] == "request_ended"]
+    line = ends[0]
+    assert line["target_ms"] == target_ms, line
+    assert first_ms <= line["first_ms"] <= line["latency_ms"], line
+    assert 0 <= line["wait_ms"] < line["first_ms"] - first_ms + 100, line
+    assert line["load"] >= 0 and "load_age_ms" in line, line
+
+
+@then("the metrics hold histograms of waits, first answers and pauses")
+def step_histograms(context):
+    gateway = context.lab.gateways[0]
+    text = context.lab.call(gateway._metrics.render, {}).decode()
+    for name, service in (
+        ("wait", "app"),
+        ("first_answer", "app"),
+        ("first_answer", "pool"),
+        ("longest_pause", "pool"),
+    ):
+        counts = [
+            line
+            for line in text.splitlines()
+            if line.startswith(f"damaskrill_gateway_{name}_seconds_count")
+            and f'service="{service}"' in line
+        ]
+        assert counts and counts[0].endswith(" 1.0"), (name, service)
+
+
+@then('the report has 1 lost request, for "{sentence}"')
+def step_report(context, sentence):
+    builder = ReportBuilder(objectives=Objectives())
+    for line in context.lab.logs[0].lines:
+        builder.take(line_from_map({"at_ms": 1, **line}))
+    context.report = builder.finish()
+    assert [each.n_lost for each in context.report.causes] == [1], context.report
+    assert sentence in context.report.causes[0].cause, context.report
+
+
+@then("it counts 1 request as its caller's own and no cause is missing")
+def step_callers_own(context):
+    assert context.report.n_callers_own == 1, context.report
+    assert "no cause was logged" not in str(context.report.causes)
