Count an engine's prefix from its deepest known part

Ruled out: news that do not arrive (a new scenario: 16 gateways all know of a prefix within 2 s).

Change: an engine that has read a part has read the parts before it.

--- a/damaskrill/steering/_cache_sources.py
+++ b/damaskrill/steering/_cache_sources.py
@@ -127,15 +127,21 @@
     def count_known(
         self, prompt: Sequence[PromptPart], key: tuple[str, int], now_ms: float
     ) -> int:
-        """Return how many tokens of a prompt's shared prefix an engine surely read."""
+        """Return how many tokens of a prompt's shared prefix an engine surely read.
+
+        Notes
+        -----
+        An engine that read a part had the parts before it, also where only a few of
+        the engines that have those were told of.
+        """
         engine = short_server_id(key)
-        n_tokens = 0
+        n_tokens = n_known = 0
         for part in prompt[:-1]:
-            holding = self._holdings.get(short_id(part.part_id), {}).get(engine)
-            if holding is None or now_ms - holding.read_at_ms > MEMORY_MS:
-                break
             n_tokens += part.n_tokens
-        return n_tokens
+            holding = self._holdings.get(short_id(part.part_id), {}).get(engine)
+            if holding is not None and now_ms - holding.read_at_ms <= MEMORY_MS:
+                n_known = n_tokens
+        return n_known
 
     def find(
         self,
--- a/features/gateway_prefixes.feature
+++ b/features/gateway_prefixes.feature
@@ -18,6 +18,11 @@
     When one router sends a dossier to all 12 engines
     Then it tells of 3 of them
 
+  Scenario: an engine that has a dossier also has the part before it
+    Given two routers before 12 engines
+    When one router sends other dossiers to 11 engines, one to the last, and tells the other
+    Then the other router names the last engine as the source of a copy
+
   Scenario: a router that links late gets what is fresh, in bounded size
     Given a router that has heard of 5000 prefixes
     Then a new link gets the latest 512 of them
--- a/features/steps/gateway_prefixes_steps.py
+++ b/features/steps/gateway_prefixes_steps.py
@@ -260,3 +260,20 @@
 @then("the fleet reuses less than 95 of 100 shared tokens that it could")
 def step_little(context):
     assert reuse(context) < 0.95, reuse(context)
+
+
+@when(
+    "one router sends other dossiers to 11 engines, one to the last, and tells the other"
+)
+def step_last_engine(context):
+    for number, engine in enumerate(context.engines):
+        context.one.note_sent(build_prompt(number), engine, 0.0)
+    tell(context.one, context.other)
+
+
+@then("the other router names the last engine as the source of a copy")
+def step_names_last(context):
+    source = context.other.find(
+        build_prompt(11), context.engines[0], context.engines, 100.0, is_settled=True
+    )
+    assert source.key == context.engines[11].key
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -157,3 +157,22 @@
     assert context.lab.wait_for(is_settled, limit_ms / 1_000), [
         (len(each._members.addresses()), each._mesh.n_links) for each in gateways
     ]
+
+
+@then(
+    "within {limit_ms:d} ms all 16 know which engine has its prefix and what load "
+    "it stated"
+)
+def step_all_know(context, limit_ms):
+    gateways = context.lab.gateways
+
+    def states():
+        return [
+            (len(each._cache_sources._holdings), len(each._loads._loads))
+            for each in gateways
+        ]
+
+    def is_known():
+        return all(n_parts == 2 and n_loads for n_parts, n_loads in states())
+
+    assert context.lab.wait_for(is_known, limit_ms / 1_000), states()
