--- a/features/steps/gateway_prefixes_steps.py
+++ b/features/steps/gateway_prefixes_steps.py
@@ -263,7 +263,8 @@
 
 
 @when(
-    "one router sends other dossiers to 11 engines, one to the last, and tells the other"
+    "one router sends other dossiers to 11 engines, one to the last, "
+    "and tells the other"
 )
 def step_last_engine(context):
     for number, engine in enumerate(context.engines):
