Keep a prefix where it is, and tell the store's age with the news

Change: an engine that is known to have a dossier is chosen before one that comes first in rendezvous order, within the same load bounds. News carry the age of the store's copy, and a watch waits 700 ms.

Tests: dossiers stay when engines come, and leave a full engine; of 16 gateways no more than 3 call the store.

--- a/damaskrill/feed/_reader.py
+++ b/damaskrill/feed/_reader.py
@@ -13,8 +13,9 @@
 
 __all__ = ["BaseStoreClient", "FeedReader", "Page"]
 
-# How long a watch waits for changes. Its end shows that the store still answers.
-WATCH_WAIT_MS = 900
+# How long a watch waits for changes. Its end shows that the store still answers; the
+# rest of the time in which a copy is fresh is left for the news of it to cross a fleet.
+WATCH_WAIT_MS = 700
 # Changes that come within this time are read by one call; calls are priced.
 COALESCE_MS = 250
 # Waits between calls to a store that fails: short enough that its return is seen within
--- a/damaskrill/gateway/_desk.py
+++ b/damaskrill/gateway/_desk.py
@@ -185,6 +185,9 @@
             now_ms=now_ms,
             whole_service=self.catalog.find_all(wish.service),
             bounds=HEARSAY if self._n_routers() > MAX_FIRST_HAND else FIRST_HAND,
+            has_prefix=lambda server: self._cache_sources.has_read(
+                wish.affinity_keys[-1], server.key, now_ms
+            ),
         )
 
     def find_cache_source(
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -148,16 +148,19 @@
 
 @frozen(kw_only=True)
 class News:
-    """Sent between beats if there is anything to tell.
+    """Sent between beats.
 
     Parameters
     ----------
+    age_ms : int
+        As in a beat.
     loads : tuple of ToldLoad
         What servers have said since the last message on the link.
     prefixes : tuple of ToldPrefix
         Where prompt parts have been read since then.
     """
 
+    age_ms: int = -1
     loads: tuple[ToldLoad, ...] = ()
     prefixes: tuple[ToldPrefix, ...] = ()
 
@@ -182,7 +185,7 @@
                 for each in frame.prefixes
                 for number in (each.part, each.engine, each.age_ms)
             ]
-            content = ["n", _pack_loads(frame.loads), _pack(prefixes)]
+            content = ["n", frame.age_ms, _pack_loads(frame.loads), _pack(prefixes)]
         case Feed():
             changes = [[each.key, each.value, each.revision] for each in frame.changes]
             content = ["f", frame.after, frame.revision, changes]
@@ -230,8 +233,9 @@
                 n_requests=n_requests,
                 key_counts=tuple(_to_count(each) for each in counts),
             )
-        case ["n", bytes(loads), bytes(prefixes)]:
+        case ["n", int(age_ms), bytes(loads), bytes(prefixes)]:
             return News(
+                age_ms=age_ms,
                 loads=_unpack_loads(loads),
                 prefixes=tuple(
                     ToldPrefix(*numbers) for numbers in _unpack_triples(prefixes)
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -290,8 +290,7 @@
                 for entry in frame.entries:
                     if self._members.take(entry, now_ms):
                         self._report("router_known", peer=entry.address)
-                if frame.age_ms >= 0:
-                    self._note_contact(round(now_ms) - frame.age_ms)
+                self._take_age(frame, now_ms)
                 link.peer_revision = frame.revision
                 self._send_feed(link)
                 counts = KeyCounts(frame.n_requests, dict(frame.key_counts))
@@ -301,17 +300,17 @@
                 link.peer_revision = max(link.peer_revision, frame.revision)
                 self.push_changes(source=link.address)
             case News():
+                self._take_age(frame, now_ms)
                 self._take_loads(link, frame, now_ms)
                 self._take_prefixes(link, frame, now_ms)
             case Hello():
                 pass
 
     def _send_beat(self, link: _Link, now_ms: float) -> None:
-        age_ms = self._freshness.age_ms(round(now_ms))
         counts = self._hot_keys.own_counts(now_ms)
         beat = Beat(
             revision=self._copy.revision,
-            age_ms=-1 if age_ms is None else age_ms,
+            age_ms=self._contact_age_ms(now_ms),
             entries=self._news_for(link),
             loads=self._loads_for(link, now_ms),
             n_requests=round(counts.n_requests, 1),
@@ -360,13 +359,24 @@
 
     def _tell_news(self) -> None:
         now_ms = _now_ms()
+        age_ms = self._contact_age_ms(now_ms)
         for link in list(self._links.values()):
-            # In a full mesh a router's own answers suffice between beats.
-            is_small = self._members.is_full_mesh
-            loads = () if is_small else self._loads_for(link, now_ms)
             prefixes = self._prefixes_for(link, now_ms)
-            if loads or prefixes:
-                self._send(link, News(loads=loads, prefixes=prefixes))
+            if not self._members.is_full_mesh:
+                loads = self._loads_for(link, now_ms)
+                news = News(age_ms=age_ms, loads=loads, prefixes=prefixes)
+                self._send(link, news)
+            elif prefixes:
+                # In a full mesh beats are enough for the rest.
+                self._send(link, News(age_ms=age_ms, prefixes=prefixes))
+
+    def _contact_age_ms(self, now_ms: float) -> int:
+        age_ms = self._freshness.age_ms(round(now_ms))
+        return -1 if age_ms is None else age_ms
+
+    def _take_age(self, frame: Beat | News, now_ms: float) -> None:
+        if frame.age_ms >= 0:
+            self._note_contact(round(now_ms) - frame.age_ms)
 
     def _take_prefixes(self, link: _Link, frame: News, now_ms: float) -> None:
         self._cache_sources.take_news(
--- a/damaskrill/steering/_cache_sources.py
+++ b/damaskrill/steering/_cache_sources.py
@@ -124,6 +124,11 @@
             and now_ms - each.read_at_ms <= MEMORY_MS
         ], self._n_news
 
+    def has_read(self, part_id: str, key: tuple[str, int], now_ms: float) -> bool:
+        """Return whether an engine is known to have read a part lately."""
+        holding = self._holdings.get(short_id(part_id), {}).get(short_server_id(key))
+        return holding is not None and now_ms - holding.read_at_ms <= MEMORY_MS
+
     def count_known(
         self, prompt: Sequence[PromptPart], key: tuple[str, int], now_ms: float
     ) -> int:
@@ -134,12 +139,10 @@
         An engine that read a part had the parts before it, also where only a few of
         the engines that have those were told of.
         """
-        engine = short_server_id(key)
         n_tokens = n_known = 0
         for part in prompt[:-1]:
             n_tokens += part.n_tokens
-            holding = self._holdings.get(short_id(part.part_id), {}).get(engine)
-            if holding is not None and now_ms - holding.read_at_ms <= MEMORY_MS:
+            if self.has_read(part.part_id, key, now_ms):
                 n_known = n_tokens
         return n_known
 
--- a/damaskrill/steering/_placer.py
+++ b/damaskrill/steering/_placer.py
@@ -1,6 +1,6 @@
 """Picks the backend server for a request."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from attrs import frozen
@@ -70,9 +70,12 @@
     Notes
     -----
     Engines: requests that share a prompt prefix meet the same engine, which has it
-    cached, in rendezvous order; a prefix that is asked for so often that one engine
-    would pass the bound is spread over the first ones. Plain servers: the least
-    loaded, in the own data centre first while half of its slots are free.
+    cached: engines that have read it first, then the others, both in rendezvous order,
+    so that a prefix stays where it is when engines come. A prefix that is asked for so
+    often that one engine would pass the bound is spread over the first ones.
+
+    Plain servers: the least loaded, in the own data centre first while half of its
+    slots are free.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         now_ms: float,
         whole_service: Sequence[BackendServer] = (),
         bounds: LoadBounds = FIRST_HAND,
+        has_prefix: Callable[[BackendServer], bool] | None = None,
     ) -> BackendServer | None:
         """Return the best candidate; None if there is none.
 
@@ -112,6 +116,8 @@
             load that bounds an engine's is taken over all of them.
         bounds : LoadBounds
             How unevenly engines may be loaded.
+        has_prefix : callable, default=None
+            Whether an engine has read the last of the shared parts.
         """
         preferred = [each.server for each in candidates if each.is_preferred]
         servers = preferred or [each.server for each in candidates]
@@ -119,7 +125,12 @@
             return None
         if affinity_keys:
             return self._choose_engine(
-                servers, affinity_keys, now_ms, whole_service or servers, bounds
+                servers,
+                affinity_keys,
+                now_ms,
+                whole_service or servers,
+                bounds,
+                has_prefix or _has_nothing,
             )
         return self._choose_plain(servers, now_ms)
 
@@ -130,6 +141,7 @@
         now_ms: float,
         whole_service: Sequence[BackendServer],
         bounds: LoadBounds,
+        has_prefix: Callable[[BackendServer], bool],
     ) -> BackendServer:
         by_id = {each.server_id: each for each in servers}
         loads = {
@@ -147,6 +159,7 @@
             key, n_all=len(servers), mean_load=mean, bounds=bounds, now_ms=now_ms
         )
         order = rank_by_rendezvous(key, by_id)
+        order.sort(key=lambda each: not has_prefix(by_id[each]))
         homes, others = order[:n_homes], order[n_homes:]
         # The less loaded of two random homes, as their loads are known late.
         self._random.shuffle(homes)
@@ -167,3 +180,7 @@
             return (max(part, NEAR_PART / 2), self._random.random())
 
         return min(servers, key=cost)
+
+
+def _has_nothing(server: BackendServer) -> bool:
+    return False
--- a/features/gateway_prefixes.feature
+++ b/features/gateway_prefixes.feature
@@ -23,6 +23,13 @@
     When one router sends other dossiers to 11 engines, one to the last, and tells the other
     Then the other router names the last engine as the source of a copy
 
+  Scenario: a dossier stays with the engine that has it until that has too much
+    Given 10 engines and 200 dossiers that each went to an engine
+    When 3 engines come and each dossier is asked for again
+    Then each dossier meets the engine that has it
+    When the engine of a dossier holds 9 requests more than the others
+    Then the dossier meets another engine, and this one again when there are two
+
   Scenario: a router that links late gets what is fresh, in bounded size
     Given a router that has heard of 5000 prefixes
     Then a new link gets the latest 512 of them
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -27,6 +27,7 @@
     Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
     And 16 gateways in two data centres that start at the same time
     Then within 8000 ms each knows all 16 and the 3 seeds have fewer than 12 links
+    And within 3000 ms no more than 3 of them call the store
     When a caller sends a chat
     Then within 2000 ms all 16 know which engine has its prefix and what load it stated
 
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -429,7 +429,11 @@
             key_counts=((7, 2.5),),
         ),
         Feed(after=0, revision=10, changes=(change, removal)),
-        News(loads=(ToldLoad(5, 3, 90),), prefixes=(ToldPrefix(7, 5, 90),)),
+        News(
+            age_ms=40,
+            loads=(ToldLoad(5, 3, 90),),
+            prefixes=(ToldPrefix(7, 5, 90),),
+        ),
     ):
         assert decode(encode(frame)) == frame
 
--- a/features/steps/gateway_prefixes_steps.py
+++ b/features/steps/gateway_prefixes_steps.py
@@ -5,7 +5,13 @@
 from attrs import define, field, frozen
 from behave import given, then, when
 
-from damaskrill.steering import CacheSources, PromptPart
+from damaskrill.steering import (
+    CacheSources,
+    Candidate,
+    Placer,
+    PromptPart,
+    ServerLoads,
+)
 from damaskrill.utils import rank_by_rendezvous
 from features.support.builders import build_engine
 
@@ -278,3 +284,51 @@
         build_prompt(11), context.engines[0], context.engines, 100.0, is_settled=True
     )
     assert source.key == context.engines[11].key
+
+
+@given("10 engines and 200 dossiers that each went to an engine")
+def step_placed(context):
+    context.engines = [build_engine(f"e-{i}") for i in range(10)]
+    context.loads, context.sources = ServerLoads(), CacheSources()
+    context.placer = Placer(
+        loads=context.loads, own_data_centre="bole", random_state=Random(SEED)
+    )
+    context.homes = [place_dossier(context, each) for each in range(200)]
+
+
+def place_dossier(context, number):
+    prompt = build_prompt(number)
+    part_id = prompt[-2].part_id
+    server = context.placer.choose(
+        [Candidate(server=each) for each in context.engines],
+        affinity_keys=("base", part_id),
+        now_ms=0.0,
+        has_prefix=lambda each: context.sources.has_read(part_id, each.key, 0.0),
+    )
+    context.sources.note_sent(prompt, server, 0.0)
+    return server
+
+
+@when("3 engines come and each dossier is asked for again")
+def step_three_come(context):
+    context.engines += [build_engine(f"new-{i}") for i in range(3)]
+    context.again = [place_dossier(context, each) for each in range(200)]
+
+
+@then("each dossier meets the engine that has it")
+def step_same_homes(context):
+    assert context.again == context.homes
+
+
+@when("the engine of a dossier holds 9 requests more than the others")
+def step_overloaded(context):
+    for _ in range(9):
+        context.loads.start(context.homes[0].key)
+
+
+@then("the dossier meets another engine, and this one again when there are two")
+def step_second_home(context):
+    second = place_dossier(context, 0)
+    assert second != context.homes[0]
+    context.engines.append(build_engine("new-3"))
+    assert place_dossier(context, 0) == second
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -1,5 +1,7 @@
 """Steps on the copy of the store and the catalog made from it."""
 
+import time
+
 from behave import given, then, when
 
 from damaskrill.catalog import BackendServer, Catalog, ServerItem
@@ -176,3 +178,13 @@
         return all(n_parts == 2 and n_loads for n_parts, n_loads in states())
 
     assert context.lab.wait_for(is_known, limit_ms / 1_000), states()
+
+
+@then("within {duration_ms:d} ms no more than {n:d} of them call the store")
+def step_few_readers(context, duration_ms, n):
+    gateways = context.lab.gateways
+    before = [each._reader.n_calls for each in gateways]
+    time.sleep(duration_ms / 1_000)
+    after = [each._reader.n_calls for each in gateways]
+    n_readers = sum(late > early for early, late in zip(before, after, strict=True))
+    assert 1 <= n_readers <= n, (before, after)
