Add experiment: load patterns against emulated engines in virtual time

Change: `damaskrill experiment FILE` plays an INI file's requests, engines that come and leave and a hot key against the steering objects of N routers with their news, once for each policy with the same requests, as a table or JSON.

--- a/damaskrill/cli/_commands.py
+++ b/damaskrill/cli/_commands.py
@@ -39,6 +39,7 @@
         Command(name="serve", summary="Run one router until it is told to stop."),
         Command(name="gateway", summary="Run one router on the users' platform."),
         Command(name="soak", summary="Inject faults into router processes."),
+        Command(name="experiment", summary="Play a load pattern in virtual time."),
         Command(name="demo", summary="Show a small fleet at work on loopback."),
         Command(name="check", summary="Validate settings or an operators' text."),
         Command(name="replay", summary="Hold traces against their stated outcomes."),
--- /dev/null
+++ b/damaskrill/cli/_experiment.py
@@ -0,0 +1,89 @@
+"""The command ``damaskrill experiment``."""
+
+import json as json_module
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from damaskrill.cli._errors import UsageError
+
+if TYPE_CHECKING:
+    from damaskrill.experiment import Policy
+
+__all__ = ["run"]
+
+MAX_SEEDS = 1_000
+
+
+def run(
+    file: str,
+    *,
+    policies: str = "all",
+    seed: str = "1",
+    seeds: str = "1",
+    json: bool = False,
+) -> int:
+    """Play a load pattern against emulated engines, once for each policy.
+
+    Parameters
+    ----------
+    file : str
+        INI file with the load pattern; ``examples/experiments`` has some.
+    policies : str
+        Names joined by commas, or ``all``: ``product``, ``no_news``, ``rendezvous``,
+        ``least_loaded``, ``two_choices``, ``random``.
+    seed, seeds : str
+        The first seed, and how many are played and summed.
+    json : bool
+        Whether to print one JSON object instead of a table.
+
+    Returns
+    -------
+    int
+        0 if it was played, 2 for a file or value that is not valid.
+    """
+    from damaskrill.experiment import Measures, play, read_plan
+
+    first, n_seeds = _read_number("seed", seed), _read_number("seeds", seeds)
+    if not 1 <= n_seeds <= MAX_SEEDS:
+        raise UsageError(reason=f"seeds must be from 1 to {MAX_SEEDS}")
+    chosen = _read_policies(policies)
+    plan = read_plan(Path(file))
+    results = {}
+    for policy in chosen:
+        total = Measures()
+        for number in range(first, first + n_seeds):
+            total.add(play(plan, policy=policy, random_state=number))
+        results[policy.value] = total.to_map()
+    print(json_module.dumps(results) if json else _render(results))
+    return 0
+
+
+def _read_number(name: str, text: str) -> int:
+    if not str(text).isdigit():
+        raise UsageError(reason=f"{name} must be a whole number, not '{text}'")
+    return int(text)
+
+
+def _read_policies(text: str) -> list["Policy"]:
+    from damaskrill.experiment import Policy
+
+    names = text if isinstance(text, tuple) else text.split(",")
+    if list(names) == ["all"]:
+        return list(Policy)
+    known = {each.value: each for each in Policy}
+    for name in names:
+        if name not in known:
+            raise UsageError(
+                reason=f"the policy '{name}' is not known: {', '.join(known)}"
+            )
+    return [known[name] for name in names]
+
+
+def _render(results: dict[str, dict[str, float]]) -> str:
+    names = list(next(iter(results.values())))
+    width = max(len(name) for name in names)
+    rows = ["  ".join([" " * width, *(f"{policy:>12}" for policy in results)])]
+    for name in names:
+        cells = [f"{each[name]:>12}" for each in results.values()]
+        rows.append("  ".join([name.ljust(width), *cells]))
+    return "\n".join(rows)
--- /dev/null
+++ b/damaskrill/experiment/_engine.py
@@ -0,0 +1,126 @@
+"""An emulated engine: slots, reading of prompts in turn, a cache of shared parts."""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from attrs import define, field, frozen
+
+from damaskrill.catalog import BackendServer
+from damaskrill.experiment._plan import EnginePlan
+from damaskrill.steering import PromptPart
+
+__all__ = ["EmulatedEngine", "Run"]
+
+
+@frozen(kw_only=True)
+class Run:
+    """What became of one request.
+
+    Parameters
+    ----------
+    first_at_ms, end_at_ms : float
+        When its first and last event came, in milliseconds.
+    n_read, n_copied : int
+        Tokens of shared parts that the engine read itself, and copied.
+    """
+
+    first_at_ms: float
+    end_at_ms: float
+    n_read: int
+    n_copied: int
+
+
+@define(kw_only=True, eq=False)
+class EmulatedEngine:
+    """Serves requests in virtual time.
+
+    Parameters
+    ----------
+    server : BackendServer
+        The incarnation that it plays.
+    plan : EnginePlan
+        Its speed and size.
+    """
+
+    server: BackendServer
+    plan: EnginePlan
+    _ends: list[float] = field(factory=list, init=False)
+    _reading_until_ms: float = field(default=0.0, init=False)
+    # When each part has been read, in the order of the last use.
+    _cache: OrderedDict[str, tuple[float, int]] = field(factory=OrderedDict, init=False)
+    _n_cached: int = field(default=0, init=False)
+
+    def n_requests(self, now_ms: float) -> int:
+        """Return the number of its requests, waiting ones included."""
+        while self._ends and self._ends[0] <= now_ms:
+            heapq.heappop(self._ends)
+        return len(self._ends)
+
+    def has(self, part_id: str, now_ms: float) -> bool:
+        """Whether it has read a part."""
+        known = self._cache.get(part_id)
+        return known is not None and known[0] <= now_ms
+
+    def serve(
+        self,
+        prompt: Sequence[PromptPart],
+        *,
+        n_steps: int,
+        source: "EmulatedEngine | None",
+        now_ms: float,
+    ) -> Run:
+        """Run a request and return its times."""
+        plan = self.plan
+        n_running = self.n_requests(now_ms)
+        start_ms = now_ms
+        if n_running >= plan.n_slots:
+            start_ms = sorted(self._ends)[n_running - plan.n_slots]
+        n_read, n_copied = self._find_missing(prompt[:-1], source, now_ms)
+        start_ms = max(start_ms, self._reading_until_ms)
+        start_ms += n_copied / plan.copy_tokens_per_ms
+        n_prompt = n_read + prompt[-1].n_tokens
+        read_at_ms = start_ms + n_prompt / plan.read_tokens_per_ms
+        self._reading_until_ms = read_at_ms
+        step_ms = plan.step_ms + plan.step_ms_per_request * n_running
+        end_at_ms = read_at_ms + n_steps * step_ms
+        heapq.heappush(self._ends, end_at_ms)
+        for part in prompt[:-1]:
+            self._keep(part, read_at_ms)
+        return Run(
+            first_at_ms=read_at_ms + step_ms,
+            end_at_ms=end_at_ms,
+            n_read=n_read,
+            n_copied=n_copied,
+        )
+
+    def _find_missing(
+        self,
+        shared: Sequence[PromptPart],
+        source: "EmulatedEngine | None",
+        now_ms: float,
+    ) -> tuple[int, int]:
+        n_read = n_copied = 0
+        has_all = source_has_all = True
+        for part in shared:
+            has_all = has_all and self.has(part.part_id, now_ms)
+            if has_all:
+                continue
+            source_has_all = source_has_all and (
+                source is not None and source.has(part.part_id, now_ms)
+            )
+            if source_has_all:
+                n_copied += part.n_tokens
+            else:
+                n_read += part.n_tokens
+        return n_read, n_copied
+
+    def _keep(self, part: PromptPart, read_at_ms: float) -> None:
+        known = self._cache.pop(part.part_id, None)
+        if known is None:
+            self._n_cached += part.n_tokens
+            known = (read_at_ms, part.n_tokens)
+        self._cache[part.part_id] = known
+        while self._n_cached > self.plan.cache_tokens and len(self._cache) > 1:
+            _, (_, n_tokens) = self._cache.popitem(last=False)
+            self._n_cached -= n_tokens
--- /dev/null
+++ b/damaskrill/experiment/_fleet.py
@@ -0,0 +1,201 @@
+"""Routers with the product's own decisions, which tell each other news."""
+
+from collections.abc import Sequence
+from enum import Enum
+from random import Random
+
+from attrs import define, field
+
+from damaskrill.catalog import BackendServer
+from damaskrill.experiment._plan import ExperimentPlan
+from damaskrill.steering import (
+    FIRST_HAND,
+    HEARSAY,
+    CacheSources,
+    Candidate,
+    HotKeys,
+    Placer,
+    PromptPart,
+    ServerLoads,
+)
+from damaskrill.utils import rank_by_rendezvous
+
+__all__ = ["EmulatedFleet", "EmulatedRouter", "Policy"]
+
+# As the gateway decides between its bounds.
+MAX_FIRST_HAND = 12
+# Counts of keys go with every second message.
+TURNS_PER_BEAT = 2
+
+
+class Policy(Enum):
+    """How a router chooses an engine."""
+
+    PRODUCT = "product"
+    NO_NEWS = "no_news"
+    RENDEZVOUS = "rendezvous"
+    LEAST_LOADED = "least_loaded"
+    TWO_CHOICES = "two_choices"
+    RANDOM = "random"
+
+
+@define(kw_only=True, eq=False)
+class EmulatedRouter:
+    """One router's decisions.
+
+    Parameters
+    ----------
+    policy : Policy
+        How it chooses.
+    bounds_by_hearsay : bool
+        Whether most of what it knows of loads comes from other routers.
+    random : Random
+        Source of random choices.
+    """
+
+    policy: Policy
+    bounds_by_hearsay: bool
+    random: Random
+    loads: ServerLoads = field(factory=ServerLoads)
+    hot_keys: HotKeys = field(factory=HotKeys)
+    cache_sources: CacheSources = field(factory=CacheSources)
+    _placer: Placer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the placer on the router's own state."""
+        self._placer = Placer(
+            loads=self.loads,
+            own_data_centre="",
+            random_state=self.random,
+            hot_keys=self.hot_keys,
+        )
+
+    def choose(
+        self,
+        servers: Sequence[BackendServer],
+        prompt: Sequence[PromptPart],
+        now_ms: float,
+    ) -> BackendServer:
+        """Return the engine that gets a request."""
+        key = prompt[-2].part_id
+        match self.policy:
+            case Policy.PRODUCT | Policy.NO_NEWS:
+                chosen = self._placer.choose(
+                    [Candidate(server=each) for each in servers],
+                    affinity_keys=tuple(part.part_id for part in prompt[:-1]),
+                    now_ms=now_ms,
+                    bounds=HEARSAY if self.bounds_by_hearsay else FIRST_HAND,
+                    has_prefix=lambda each: self.cache_sources.has_read(
+                        key, each.key, now_ms
+                    ),
+                )
+                assert chosen is not None
+                return chosen
+            case Policy.RENDEZVOUS:
+                by_id = {each.server_id: each for each in servers}
+                return by_id[rank_by_rendezvous(key, by_id)[0]]
+            case Policy.LEAST_LOADED:
+                return self._least_loaded(servers, now_ms)
+            case Policy.TWO_CHOICES:
+                return self._least_loaded(self.random.sample(list(servers), 2), now_ms)
+            case Policy.RANDOM:
+                return self.random.choice(servers)
+
+    def find_source(
+        self,
+        prompt: Sequence[PromptPart],
+        target: BackendServer,
+        servers: Sequence[BackendServer],
+        now_ms: float,
+        *,
+        is_settled: bool,
+    ) -> BackendServer | None:
+        """Return the engine to copy a prefix from; the baselines copy nothing."""
+        source = None
+        if self.policy in (Policy.PRODUCT, Policy.NO_NEWS):
+            source = self.cache_sources.find(
+                prompt, target, servers, now_ms, is_settled=is_settled
+            )
+        self.cache_sources.note_sent(prompt, target, now_ms)
+        return source
+
+    def _least_loaded(
+        self, servers: Sequence[BackendServer], now_ms: float
+    ) -> BackendServer:
+        return min(
+            servers,
+            key=lambda each: (
+                self.loads.estimate(each.key, now_ms),
+                self.random.random(),
+            ),
+        )
+
+
+class EmulatedFleet:
+    """Routers and the news between them.
+
+    Parameters
+    ----------
+    plan : ExperimentPlan
+        How many, and how they are linked.
+    policy : Policy
+        How they choose.
+    random_state : Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self, *, plan: ExperimentPlan, policy: Policy, random_state: Random
+    ) -> None:
+        self._plan = plan
+        self._is_telling = policy is not Policy.NO_NEWS
+        self._n_turns = 0
+        self._marks: dict[tuple[int, int], tuple[int, int]] = {}
+        self.routers = [
+            EmulatedRouter(
+                policy=policy,
+                bounds_by_hearsay=plan.n_routers > MAX_FIRST_HAND,
+                random=Random(random_state.random()),
+            )
+            for _ in range(plan.n_routers)
+        ]
+        self._links = self._draw_links(random_state)
+
+    def note_server(self, server: BackendServer) -> None:
+        """Make an engine known to all routers."""
+        for router in self.routers:
+            router.loads.note_server(server.key)
+
+    def tell(self, now_ms: float) -> None:
+        """Let all routers tell each other what is new."""
+        if not self._is_telling:
+            return
+        self._n_turns += 1
+        sent_ms, sent = now_ms - self._plan.way_ms, []
+        for teller, hearer in self._links:
+            router, link = self.routers[teller], str(hearer)
+            n_loads, n_prefixes = self._marks.get((teller, hearer), (0, 0))
+            loads, n_loads = router.loads.news_after(
+                n_loads, now_ms=sent_ms, not_to=link
+            )
+            prefixes, n_prefixes = router.cache_sources.news_after(
+                n_prefixes, now_ms=sent_ms, not_to=link
+            )
+            self._marks[teller, hearer] = (n_loads, n_prefixes)
+            sent.append((teller, hearer, loads, prefixes))
+        for teller, hearer, loads, prefixes in sent:
+            router, link = self.routers[hearer], str(teller)
+            router.loads.take_news(loads, source=link)
+            router.cache_sources.take_news(prefixes, source=link)
+            if self._n_turns % TURNS_PER_BEAT == 0:
+                counts = self.routers[teller].hot_keys.own_counts(now_ms)
+                router.hot_keys.take_told(link, counts, now_ms)
+
+    def _draw_links(self, random: Random) -> list[tuple[int, int]]:
+        links: set[tuple[int, int]] = set()
+        n = self._plan.n_routers
+        for number in range(n):
+            others = [each for each in range(n) if each != number]
+            for other in random.sample(others, min(self._plan.n_links, n - 1)):
+                links |= {(number, other), (other, number)}
+        return sorted(links)
--- /dev/null
+++ b/damaskrill/experiment/_plan.py
@@ -0,0 +1,204 @@
+"""What an experiment plays, read from an INI file."""
+
+from configparser import ConfigParser, Error, SectionProxy
+from pathlib import Path
+from typing import Any
+
+from attrs import field, fields, frozen
+
+from damaskrill.experiment._errors import UnreadableExperimentError
+
+__all__ = ["Change", "EnginePlan", "ExperimentPlan", "RequestPlan", "read_plan"]
+
+MAX_ROUTERS = 1_000
+MAX_ENGINES = 20_000
+MAX_REQUESTS = 1_000_000
+MS_PER_S = 1_000
+
+
+@frozen(kw_only=True)
+class EnginePlan:
+    """Engines that serve.
+
+    Parameters
+    ----------
+    n : int
+        Engines at the start.
+    n_slots : int
+        Requests that one runs at the same time.
+    read_tokens_per_ms : float
+        Speed at which prompts are read.
+    step_ms : float
+        Time of one output step of an engine with one request.
+    step_ms_per_request : float
+        Time by which each further request lengthens a step.
+    cache_tokens : int
+        Tokens of shared parts that one keeps.
+    copy_tokens_per_ms : float
+        Speed at which prefixes are copied between engines.
+    """
+
+    n: int = 30
+    n_slots: int = 64
+    read_tokens_per_ms: float = 51.0
+    step_ms: float = 5.1
+    step_ms_per_request: float = 0.03
+    cache_tokens: int = 340_000
+    copy_tokens_per_ms: float = 420.0
+
+
+@frozen(kw_only=True)
+class RequestPlan:
+    """Requests of one kind.
+
+    Parameters
+    ----------
+    name : str
+        The kind.
+    per_s : float
+        Mean rate; arrivals are random.
+    n_keys, n_bases : int
+        Different shared parts, and parts that come before them and are shared more.
+    key_tokens, base_tokens, own_tokens : int
+        Sizes of the parts and of the rest of the prompt.
+    n_steps : int
+        Output steps.
+    target_ms : float
+        When the first event is due, in milliseconds.
+    hot_part : float
+        Part of the requests that ask for one and the same key.
+    """
+
+    name: str
+    per_s: float
+    n_keys: int
+    n_bases: int = 1
+    key_tokens: int = 2_000
+    base_tokens: int = 0
+    own_tokens: int = 400
+    n_steps: int = 10
+    target_ms: float = 500.0
+    hot_part: float = 0.0
+
+
+@frozen(kw_only=True)
+class Change:
+    """Engines that come or leave, one after the other.
+
+    Parameters
+    ----------
+    at_ms, gap_ms : float
+        When the first one does, and the time between two, in milliseconds.
+    n : int
+        How many.
+    is_coming : bool
+        Whether they come.
+    """
+
+    at_ms: float
+    gap_ms: float
+    n: int
+    is_coming: bool
+
+
+@frozen(kw_only=True)
+class ExperimentPlan:
+    """A load pattern and the fleet that meets it.
+
+    Parameters
+    ----------
+    n_routers : int
+        Routers, each of which gets an equal part of the requests.
+    n_links : int
+        Routers that each one links to.
+    news_ms, way_ms : float
+        How often routers tell each other news, and the way between two of them, in
+        milliseconds.
+    duration_ms : float
+        How long requests come.
+    engines : EnginePlan
+        The engines.
+    requests : tuple of RequestPlan
+        Kinds of requests.
+    changes : tuple of Change
+        Engines that come and leave.
+    """
+
+    n_routers: int = 77
+    n_links: int = 3
+    news_ms: float = 200.0
+    way_ms: float = 1.0
+    duration_ms: float = 20_000.0
+    engines: EnginePlan = field(factory=EnginePlan)
+    requests: tuple[RequestPlan, ...] = ()
+    changes: tuple[Change, ...] = ()
+
+
+def read_plan(path: Path) -> ExperimentPlan:
+    """Read a plan.
+
+    Raises
+    ------
+    UnreadableExperimentError
+        If the file cannot be read or holds something that is not known.
+    """
+    parser = ConfigParser(interpolation=None)
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"))
+        plan = _read_sections(parser)
+        _check(plan)
+    except (OSError, Error, ValueError, TypeError) as error:
+        reason = " ".join(str(error).split())
+        raise UnreadableExperimentError(path=path, reason=reason) from error
+    return plan
+
+
+def _read_sections(parser: ConfigParser) -> ExperimentPlan:
+    values: dict[str, Any] = {}
+    requests, changes = [], []
+    for name in parser.sections():
+        section = parser[name]
+        match name.split(" ", 1):
+            case ["fleet"]:
+                values.update(_read_numbers(section, ExperimentPlan))
+            case ["engines"]:
+                values["engines"] = EnginePlan(**_read_numbers(section, EnginePlan))
+            case ["requests", kind]:
+                numbers = _read_numbers(section, RequestPlan)
+                requests.append(RequestPlan(name=kind, **numbers))
+            case [("come" | "leave") as direction, *_]:
+                numbers = _read_numbers(section, Change)
+                changes.append(Change(is_coming=direction == "come", **numbers))
+            case _:
+                raise ValueError(f"the section '{name}' is not known")
+    return ExperimentPlan(requests=tuple(requests), changes=tuple(changes), **values)
+
+
+def _read_numbers(section: SectionProxy, kind: type[Any]) -> dict[str, Any]:
+    types = {each.name: each.type for each in fields(kind)}
+    numbers: dict[str, Any] = {}
+    for name, text in section.items():
+        kind_of_number = types.get(name)
+        if kind_of_number is not int and kind_of_number is not float:
+            raise ValueError(f"'{name}' in [{section.name}] is not known")
+        number = kind_of_number(text)
+        if number < 0:
+            raise ValueError(f"'{name}' in [{section.name}] must not be below 0")
+        numbers[name] = number
+    return numbers
+
+
+def _check(plan: ExperimentPlan) -> None:
+    if not plan.requests:
+        raise ValueError("it has no section [requests NAME]")
+    if not 1 <= plan.n_routers <= MAX_ROUTERS:
+        raise ValueError(f"n_routers must be from 1 to {MAX_ROUTERS}")
+    if not 1 <= plan.engines.n <= MAX_ENGINES:
+        raise ValueError(f"n of [engines] must be from 1 to {MAX_ENGINES}")
+    if not plan.news_ms or not plan.engines.read_tokens_per_ms:
+        raise ValueError("news_ms and read_tokens_per_ms must be above 0")
+    if any(not each.n_keys or not each.n_bases for each in plan.requests):
+        raise ValueError("n_keys and n_bases must be above 0")
+    n_requests = sum(each.per_s for each in plan.requests) * plan.duration_ms / MS_PER_S
+    if not 1 <= n_requests <= MAX_REQUESTS:
+        raise ValueError(f"the requests must be from 1 to {MAX_REQUESTS}")
--- /dev/null
+++ b/damaskrill/experiment/_play.py
@@ -0,0 +1,155 @@
+"""Plays a load pattern against a fleet in virtual time."""
+
+from collections.abc import Iterator
+from random import Random
+
+from attrs import define, field
+
+from damaskrill.catalog import BackendServer
+from damaskrill.experiment._engine import EmulatedEngine
+from damaskrill.experiment._fleet import EmulatedFleet, EmulatedRouter, Policy
+from damaskrill.experiment._measures import Measures
+from damaskrill.experiment._plan import ExperimentPlan, RequestPlan
+from damaskrill.steering import PromptPart
+
+__all__ = ["play"]
+
+# As in the gateway: an engine that has been there for longer has its keys' prefixes.
+SETTLED_AFTER_MS = 10_000
+MS_PER_S = 1_000
+
+
+@define(kw_only=True, eq=False)
+class _Day:
+    plan: ExperimentPlan
+    fleet: EmulatedFleet
+    random: Random
+    measures: Measures
+    engines: dict[str, EmulatedEngine] = field(factory=dict)
+    came_at_ms: dict[str, float] = field(factory=dict)
+    ends: list[tuple[float, int, EmulatedRouter, BackendServer]] = field(factory=list)
+
+    def add_engine(self, now_ms: float) -> None:
+        server = BackendServer(
+            server_id=f"engine-{len(self.came_at_ms)}",
+            service="engines",
+            address=("", 0),
+            data_centre="",
+            n_slots=self.plan.engines.n_slots,
+        )
+        self.engines[server.server_id] = EmulatedEngine(
+            server=server, plan=self.plan.engines
+        )
+        self.came_at_ms[server.server_id] = now_ms
+        self.fleet.note_server(server)
+
+    def remove_engine(self) -> None:
+        if len(self.engines) > 1:
+            oldest = min(self.engines, key=lambda each: self.came_at_ms[each])
+            del self.engines[oldest]
+
+
+def play(plan: ExperimentPlan, *, policy: Policy, random_state: int) -> Measures:
+    """Play a plan once.
+
+    Parameters
+    ----------
+    plan : ExperimentPlan
+        The load pattern.
+    policy : Policy
+        How routers choose engines.
+    random_state : int
+        Seed of all random choices; the requests do not depend on the policy.
+
+    Returns
+    -------
+    Measures
+        What was seen.
+    """
+    arrivals, choices = Random(random_state), Random(random_state + 1)
+    fleet = EmulatedFleet(plan=plan, policy=policy, random_state=choices)
+    day = _Day(plan=plan, fleet=fleet, random=choices, measures=Measures())
+    for _ in range(plan.engines.n):
+        day.add_engine(-SETTLED_AFTER_MS)
+    changes = sorted(
+        (change.at_ms + number * change.gap_ms, change.is_coming)
+        for change in plan.changes
+        for number in range(change.n)
+    )
+    told_at_ms = 0.0
+    for now_ms, kind, key in _arrivals(plan, arrivals):
+        while changes and changes[0][0] <= now_ms:
+            at_ms, is_coming = changes.pop(0)
+            day.add_engine(at_ms) if is_coming else day.remove_engine()
+        while now_ms - told_at_ms >= plan.news_ms:
+            told_at_ms += plan.news_ms
+            fleet.tell(told_at_ms)
+        _serve(day, kind, key, now_ms)
+    return day.measures
+
+
+def _arrivals(
+    plan: ExperimentPlan, random: Random
+) -> Iterator[tuple[float, RequestPlan, int]]:
+    rates = [kind.per_s for kind in plan.requests]
+    now_ms = 0.0
+    while True:
+        now_ms += random.expovariate(sum(rates)) * MS_PER_S
+        if now_ms >= plan.duration_ms:
+            return
+        kind = random.choices(plan.requests, rates)[0]
+        is_hot = random.random() < kind.hot_part
+        yield now_ms, kind, 0 if is_hot else random.randrange(kind.n_keys)
+
+
+def _serve(day: _Day, kind: RequestPlan, key: int, now_ms: float) -> None:
+    prompt = (
+        PromptPart(
+            part_id=f"{kind.name}-base-{key % kind.n_bases}",
+            n_tokens=kind.base_tokens,
+        ),
+        PromptPart(part_id=f"{kind.name}-{key}", n_tokens=kind.key_tokens),
+        PromptPart(part_id="own", n_tokens=kind.own_tokens),
+    )
+    router = day.random.choice(day.fleet.routers)
+    servers = [each.server for each in day.engines.values()]
+    server = router.choose(servers, prompt, now_ms)
+    came_at_ms = day.came_at_ms[server.server_id]
+    source = router.find_source(
+        prompt,
+        server,
+        servers,
+        now_ms,
+        is_settled=now_ms - came_at_ms > SETTLED_AFTER_MS,
+    )
+    engine = day.engines[server.server_id]
+    n_reusable = _count_reusable(day, prompt, now_ms)
+    run = engine.serve(
+        prompt,
+        n_steps=kind.n_steps,
+        source=day.engines[source.server_id] if source else None,
+        now_ms=now_ms,
+    )
+    n_requests = engine.n_requests(now_ms)
+    # The answer's head tells the load as soon as the request has arrived.
+    router.loads.take_said(server.key, n_requests, now_ms)
+    day.measures.note_run(
+        run,
+        sent_at_ms=now_ms,
+        target_ms=kind.target_ms,
+        n_shared=kind.base_tokens + kind.key_tokens,
+        n_reusable=n_reusable,
+        loads=[each.n_requests(now_ms) for each in day.engines.values()],
+        load=n_requests,
+    )
+
+
+def _count_reusable(day: _Day, prompt: tuple[PromptPart, ...], now_ms: float) -> int:
+    # What an all-knowing fleet need not read: some live engine has it.
+    n_reusable, engines = 0, list(day.engines.values())
+    for part in prompt[:-1]:
+        engines = [each for each in engines if each.has(part.part_id, now_ms)]
+        if not engines:
+            break
+        n_reusable += part.n_tokens
+    return n_reusable
