--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -7,6 +7,7 @@
 from itertools import pairwise
 from random import Random
 
+import cbor2
 from attrs import evolve
 from behave import given, then, when
 
@@ -449,6 +450,29 @@
         raise AssertionError("a random message was taken")
 
 
+@then("news that are cut off or of other types are refused with a typed error")
+def step_bad_news(context):
+    whole = encode(News(prefixes=(ToldPrefix(7, 5, 90), ToldPrefix(8, 5, 90))))
+    frames = [whole[:length] for length in range(len(whole))]
+    triple = bytes(12)
+    frames += [
+        cbor2.dumps(content)
+        for content in (
+            ["n", 5, triple[:-1], b""],
+            ["n", 5, b"", triple + b"1"],
+            ["n", "5", b"", b""],
+            ["n", 5, [1, 2, 3], b""],
+            ["n", 5, b""],
+        )
+    ]
+    for data in frames:
+        try:
+            decode(data)
+        except PeerFrameError:
+            continue
+        raise AssertionError(f"the news {data!r} were taken")
+
+
 @given("{n:d} routers in {n_centres:d} data centres")
 def step_members(context, n, n_centres):
     entries = [
