Bound told numbers, and stop a router whose task fails

Cause, found on reading: a load header may state any number of up to 15 digits, which does not fit the packed 32 bits; the error would have ended the task of the links without a line, and the router would have gone on without news, changes and members.

Change: numbers are bounded when they are packed; a task that fails writes `task_failed` and stops the router gracefully, so that the platform starts it again.

Tests, both failing before: a load of 10**15 is told as the largest number; a gateway whose task fails says so and is asked to stop.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -115,9 +115,21 @@
         loop = asyncio.get_running_loop()
         self._listen(loop)
         for work in (self._reader.run(), self._mesh.run(), self._keep_house()):
-            self._tasks.append(loop.create_task(work))
+            task = loop.create_task(work)
+            task.add_done_callback(self._note_task_end)
+            self._tasks.append(task)
         self._log.write("process_started", data_centre=self._settings.data_centre)
 
+    def _note_task_end(self, task: asyncio.Task[None]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if error is None:
+            return
+        # Without this task the router would work on old views; the platform starts a
+        # process that has ended again.
+        sentence = f"{type(error).__name__}: {error}"[:300]
+        self._log.warn("task_failed", sentence=sentence)
+        self._stop_asked.set()
+
     def reload(self) -> None:
         """Read the settings again; those in force stay if they cannot be used."""
         from damaskrill.exceptions import DamaskrillError
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -29,6 +29,7 @@
 MAX_FRAME_BYTES = 64_000_000
 # Three unsigned numbers of 32 bits.
 TRIPLE_BYTES = 12
+MAX_NUMBER = 0xFFFF_FFFF
 
 
 @frozen
@@ -275,8 +276,9 @@
 
 def _pack(numbers: Sequence[int]) -> bytes:
     # Most of what routers tell each other: packed numbers cost a tenth of the time of
-    # arrays of CBOR integers.
-    return struct.pack(f"<{len(numbers)}I", *numbers)
+    # arrays of CBOR integers. A server may state any number as its load.
+    bounded = [min(each, MAX_NUMBER) for each in numbers]
+    return struct.pack(f"<{len(numbers)}I", *bounded)
 
 
 def _unpack_triples(data: bytes) -> Iterator[tuple[int, int, int]]:
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -94,6 +94,7 @@
   Scenario: messages between routers survive their encoding, and rubbish is refused
     Then every kind of message is the same after encoding and decoding
     And 500 random messages are refused with a typed error
+    And a load that a server states beyond all measure is told as the largest number
     And news that are cut off or of other types are refused with a typed error
 
   Scenario Outline: readers are few, in different data centres, and known to all
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -31,6 +31,12 @@
     When a caller sends a chat
     Then within 2000 ms all 16 know which engine has its prefix and what load it stated
 
+  Scenario: a gateway whose task fails says so and stops, to be started again
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And a gateway that is ready
+    When its task for the links between routers fails
+    Then the log tells of "task_failed" and the gateway is asked to stop
+
   Scenario: a gateway that the store refuses learns all from another
     Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
     And a gateway that is ready
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -450,6 +450,13 @@
         raise AssertionError("a random message was taken")
 
 
+@then("a load that a server states beyond all measure is told as the largest number")
+def step_huge_load(context):
+    huge = ToldLoad(5, 10**15, 90)
+    for frame in (News(loads=(huge,)), Beat(revision=1, age_ms=0, loads=(huge,))):
+        assert decode(encode(frame)).loads == (ToldLoad(5, 2**32 - 1, 90),)
+
+
 @then("news that are cut off or of other types are refused with a typed error")
 def step_bad_news(context):
     whole = encode(News(prefixes=(ToldPrefix(7, 5, 90), ToldPrefix(8, 5, 90))))
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -188,3 +188,19 @@
     after = [each._reader.n_calls for each in gateways]
     n_readers = sum(late > early for early, late in zip(before, after, strict=True))
     assert 1 <= n_readers <= n, (before, after)
+
+
+@when("its task for the links between routers fails")
+def step_task_fails(context):
+    def fail():
+        raise RuntimeError("a fault of the test")
+
+    context.lab.gateways[0]._mesh._turn = fail
+
+
+@then('the log tells of "{event}" and the gateway is asked to stop')
+def step_asked_to_stop(context, event):
+    gateway = context.lab.gateways[0]
+    assert context.lab.wait_for(gateway._stop_asked.is_set)
+    lines = [each for each in context.lab.logs[0].lines if each["event"] == event]
+    assert "a fault of the test" in lines[0]["sentence"], lines
