Return to the former load bounds: the lower ones break LIMIT more often

More routers turn to the same few engines when bounds are lower and loads are known 200 ms late or more; news each 100 ms remain to be tried.

Conclusion: reverted.

--- a/damaskrill/steering/_load_bounds.py
+++ b/damaskrill/steering/_load_bounds.py
@@ -38,5 +38,5 @@
 # Many routers hear of most requests from each other, some hundred milliseconds late;
 # the margin covers what arrives meanwhile.
 HEARSAY = LoadBounds(
-    multiple=1.5, whole_multiple=1.8, addend=1.2, key_part=0.4, key_addend=1.0
+    multiple=1.6, whole_multiple=2.0, addend=1.5, key_part=0.4, key_addend=1.0
 )
