Give each soak process loopback addresses of its own

The hosts were drawn from the seed, so that both soaks used the same addresses and ports at the same time, and callers of one reached routers of the other under the same request identities.

Change: the network is taken from the process's number.

--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -1,6 +1,7 @@
 """One seeded soak: processes, stand-ins, faults and checks."""
 
 import asyncio
+import os
 import tempfile
 import time
 from pathlib import Path
@@ -131,10 +132,10 @@
             await self._add_server(f"e-{number}", "pool")
         for number in range(N_PLAIN):
             await self._add_server(f"a-{number}", "app")
-        network = self._random.randrange(1, 250)
+        network = loopback_network(os.getpid())
         self._routers = RouterProcesses(
             folder=folder,
-            hosts=[f"127.9.{network}.{n + 1}" for n in range(self._n_routers)],
+            hosts=[f"{network}.{n + 1}" for n in range(self._n_routers)],
             ports=PORTS,
             store=self._store_proxy.address,
         )
@@ -349,3 +350,15 @@
         What was found.
     """
     return await _Soak(seed=seed, n_routers=n_routers, duration_s=duration_s).run()
+
+
+def loopback_network(process_id: int) -> str:
+    """Return the first three numbers of a process's own loopback addresses.
+
+    Notes
+    -----
+    Two soaks that play the same seed at the same time must not share addresses:
+    callers of one would reach routers of the other.
+    """
+    first, second = divmod(process_id % 50_000, 250)
+    return f"127.{first + 10}.{second + 1}"
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -17,5 +17,8 @@
     And a request at a server long after its notice is found
     And a request that planned work cut off is found
 
+  Scenario: soaks that run at the same time do not share addresses
+    Then 2000 processes with neighbouring numbers have networks of their own
+
   Scenario: bad values are refused before anything starts
     Then "soak --seeds many" and "soak --routers 0" end with status 2
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,6 +16,7 @@
     check_leaving,
     check_planned_work,
 )
+from damaskrill.soak._run import loopback_network
 
 ROOT = Path(__file__).resolve().parents[2]
 TIMEOUT_S = 120
@@ -135,3 +136,10 @@
         done = run_command(*words)
         assert done.returncode == 2, done
         assert len(done.stderr.splitlines()) == 1, done.stderr
+
+
+@then("{n:d} processes with neighbouring numbers have networks of their own")
+def step_own_networks(context, n):
+    networks = {loopback_network(4_190_000 + number) for number in range(n)}
+    assert len(networks) == n
+    assert all(0 <= int(part) <= 255 for each in networks for part in each.split("."))
