--- a/damaskrill/experiment/_play.py
+++ b/damaskrill/experiment/_play.py
@@ -80,7 +80,10 @@
     for now_ms, kind, key in _arrivals(plan, arrivals):
         while changes and changes[0][0] <= now_ms:
             at_ms, is_coming = changes.pop(0)
-            day.add_engine(at_ms) if is_coming else day.remove_engine()
+            if is_coming:
+                day.add_engine(at_ms)
+            else:
+                day.remove_engine()
         while now_ms - told_at_ms >= plan.news_ms:
             told_at_ms += plan.news_ms
             fleet.tell(told_at_ms)
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -1,7 +1,6 @@
 """One request at one backend server: takes the answer and says how it ended."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from attrs import frozen
@@ -16,6 +15,7 @@
     forwarded_headers,
 )
 from damaskrill.steering import AnswerFacts
+from damaskrill.utils import steady_now_ms
 
 __all__ = [
     "Attempt",
@@ -122,7 +122,7 @@
             self._last_id = event_id
 
     def _note_time(self) -> None:
-        now_ms = time.monotonic() * 1_000
+        now_ms = steady_now_ms()
         if self._first_at_ms is None:
             self._first_at_ms = now_ms
         else:
--- a/damaskrill/gateway/_desk.py
+++ b/damaskrill/gateway/_desk.py
@@ -1,7 +1,6 @@
 """What all exchanges of one router share."""
 
 import asyncio
-import time
 from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
@@ -28,6 +27,7 @@
     Verdict,
     may_go,
 )
+from damaskrill.utils import steady_now_ms
 
 __all__ = ["Desk"]
 
@@ -121,7 +121,7 @@
     @property
     def now_ms(self) -> float:
         """Present time of the steady clock, in milliseconds."""
-        return time.monotonic() * 1_000
+        return steady_now_ms()
 
     @property
     def n_exchanges(self) -> int:
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -30,6 +30,7 @@
     RepeatBudget,
     ServerLoads,
 )
+from damaskrill.utils import steady_now_ms
 
 __all__ = ["GatewayProcess"]
 
@@ -143,7 +144,7 @@
 
     def _build_parts(self) -> None:
         settings = self._settings
-        now_ms = _now_ms()
+        now_ms = steady_now_ms()
         own = MemberEntry(
             _format(settings.peer_address),
             time.time_ns() // 1_000_000,
@@ -270,16 +271,16 @@
         connection.send_whole(200, headers, self._metrics.render(state))
 
     def _store_age_ms(self) -> int:
-        age_ms = self._freshness.age_ms(round(_now_ms()))
+        age_ms = self._freshness.age_ms(round(steady_now_ms()))
         return -1 if age_ms is None else age_ms
 
     def _should_read(self) -> bool:
         if not self._copy.revision or self._members.is_reader():
             return True
-        return not self._freshness.is_fresh(round(_now_ms()))
+        return not self._freshness.is_fresh(round(steady_now_ms()))
 
     def _take_read(self, changes: Sequence[Change], is_list: bool) -> None:
-        now_ms = round(_now_ms())
+        now_ms = round(steady_now_ms())
         self._note_contact(now_ms)
         self._apply(changes)
         self._mesh.push_changes()
@@ -291,7 +292,7 @@
             self._apply(self._copy.apply_changes(feed.changes, feed.revision))
 
     def _apply(self, changes: Sequence[Change]) -> None:
-        now_ms = round(_now_ms())
+        now_ms = round(steady_now_ms())
         for change in changes:
             item = self._binding.decode_item(change.key, change.value or b"")
             if change.value is None:
@@ -307,7 +308,7 @@
             self._desk.tidy()
 
     def _note_contact(self, at_ms: int) -> None:
-        now_ms = round(_now_ms())
+        now_ms = round(steady_now_ms())
         if self._freshness.note_contact(at_ms):
             self._catalog.note_store_returned(now_ms)
             self._log.write("store_returned")
@@ -316,7 +317,7 @@
         while True:
             await asyncio.sleep(TIDY_INTERVAL_MS / MS_PER_S)
             self._note_pause()
-            self._catalog.purge(round(_now_ms()))
+            self._catalog.purge(round(steady_now_ms()))
             self._cold_gate.set_members(self._members.addresses())
 
     def _note_pause(self) -> None:
@@ -331,15 +332,15 @@
     async def stop(self) -> None:
         """Finish what runs, close idle connections, and end all tasks."""
         self._is_stopping = True
-        started_ms = _now_ms()
+        started_ms = steady_now_ms()
         self._log.write("process_stopping", n_exchanges=self._desk.n_exchanges)
         for factory in (self._callers, self._pages):
             factory.is_stopping = True
         end_ms = started_ms + self._settings.grace_ms - STOP_MARGIN_MS
         self._desk.note_stopping(started_ms, end_ms)
-        while _now_ms() < end_ms:
+        while steady_now_ms() < end_ms:
             await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
-            if _now_ms() - started_ms < CLOSE_IDLE_AFTER_MS:
+            if steady_now_ms() - started_ms < CLOSE_IDLE_AFTER_MS:
                 continue
             for connection in list(self._callers.connections):
                 connection.close_if_idle()
@@ -357,10 +358,6 @@
             task.cancel()
 
 
-def _now_ms() -> float:
-    return time.monotonic() * MS_PER_S
-
-
 def _suspended_ms() -> float:
     boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
     return (boot_ns - time.monotonic_ns()) / NS_PER_MS
--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -1,6 +1,5 @@
 """One connection of a caller."""
 
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +11,7 @@
 
 from damaskrill.catalog import CallerLimits
 from damaskrill.http1._messages import CallerRequest, Headers
+from damaskrill.utils import steady_now_ms
 
 __all__ = ["CallerConnection", "CallerConnectionFactory"]
 
@@ -161,7 +161,7 @@
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
-        self._head_at_ms = time.monotonic() * MS_PER_S
+        self._head_at_ms = steady_now_ms()
         self._clear_timer()
         names = [name for name, _ in head.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
--- a/damaskrill/http1/_pool.py
+++ b/damaskrill/http1/_pool.py
@@ -1,12 +1,12 @@
 """Connections to backend servers, kept for each incarnation."""
 
-import time
 from collections import deque
 from typing import Any
 
 from attrs import frozen
 
 from damaskrill.http1._server import ServerConnection, connect
+from damaskrill.utils import steady_now_ms
 
 __all__ = ["PoolLimits", "ServerPool"]
 
@@ -56,7 +56,7 @@
 
     def take_idle(self, key: ServerKey) -> ServerConnection | None:
         """Return an idle connection that the server still keeps open."""
-        now_ms = time.monotonic() * 1_000
+        now_ms = steady_now_ms()
         idle = self._idle.get(key)
         while idle:
             connection = idle.pop()
@@ -81,7 +81,7 @@
         self._n_opened += 1
 
         def keep(idle: ServerConnection) -> None:
-            idle.idle_since_ms = time.monotonic() * 1_000
+            idle.idle_since_ms = steady_now_ms()
             self._idle.setdefault(key, deque()).append(idle)
 
         connection.on_idle = keep
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -2,7 +2,7 @@
 
 import struct
 import zlib
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Any
 
 import cbor2
@@ -181,12 +181,10 @@
             content = ["b", frame.revision, frame.age_ms, entries, loads]
             content += [frame.n_requests, counts]
         case News():
-            prefixes = [
-                number
-                for each in frame.prefixes
-                for number in (each.part, each.engine, each.age_ms)
-            ]
-            content = ["n", frame.age_ms, _pack_loads(frame.loads), _pack(prefixes)]
+            prefixes = _pack(
+                (each.part, each.engine, each.age_ms) for each in frame.prefixes
+            )
+            content = ["n", frame.age_ms, _pack_loads(frame.loads), prefixes]
         case Feed():
             changes = [[each.key, each.value, each.revision] for each in frame.changes]
             content = ["f", frame.after, frame.revision, changes]
@@ -261,24 +259,18 @@
 
 
 def _pack_loads(loads: Sequence[ToldLoad]) -> bytes:
-    return _pack(
-        [
-            number
-            for each in loads
-            for number in (each.load_id, each.n_requests, each.age_ms)
-        ]
-    )
+    return _pack((each.load_id, each.n_requests, each.age_ms) for each in loads)
 
 
 def _unpack_loads(data: bytes) -> tuple[ToldLoad, ...]:
     return tuple(ToldLoad(*numbers) for numbers in _unpack_triples(data))
 
 
-def _pack(numbers: Sequence[int]) -> bytes:
+def _pack(triples: Iterable[tuple[int, int, int]]) -> bytes:
     # Most of what routers tell each other: packed numbers cost a tenth of the time of
     # arrays of CBOR integers. A server may state any number as its load.
-    bounded = [min(each, MAX_NUMBER) for each in numbers]
-    return struct.pack(f"<{len(numbers)}I", *bounded)
+    bounded = [min(number, MAX_NUMBER) for triple in triples for number in triple]
+    return struct.pack(f"<{len(bounded)}I", *bounded)
 
 
 def _unpack_triples(data: bytes) -> Iterator[tuple[int, int, int]]:
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -1,7 +1,6 @@
 """Task that keeps the links to other routers."""
 
 import asyncio
-import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -34,6 +33,7 @@
     PrefixNews,
     ServerLoads,
 )
+from damaskrill.utils import steady_now_ms
 
 __all__ = ["Mesh"]
 
@@ -176,7 +176,7 @@
                 self._send_feed(link)
 
     def _turn(self) -> None:
-        now_ms = _now_ms()
+        now_ms = steady_now_ms()
         self._members.beat(now_ms)
         for entry in self._members.expire(now_ms):
             self._lost_at_ms[entry.address] = now_ms
@@ -251,7 +251,7 @@
             link = self._add_link(socket, hello.entry, has_dialled=has_dialled)
             sender = asyncio.get_running_loop().create_task(self._send_queued(link))
             async for data in socket:
-                link.heard_at_ms = _now_ms()
+                link.heard_at_ms = steady_now_ms()
                 self._take(link, decode(data))
         except (OSError, TimeoutError, WebSocketException):
             # The link is gone; dropping it below reports it.
@@ -266,7 +266,7 @@
             socket.transport.abort()
 
     def _add_link(self, socket: Any, entry: MemberEntry, *, has_dialled: bool) -> _Link:
-        now_ms = _now_ms()
+        now_ms = steady_now_ms()
         old = self._links.get(entry.address)
         if old is not None:
             old.socket.transport.abort()
@@ -283,7 +283,7 @@
         return link
 
     def _take(self, link: _Link, frame: Frame) -> None:
-        now_ms = _now_ms()
+        now_ms = steady_now_ms()
         match frame:
             case Beat():
                 self._take_loads(link, frame, now_ms)
@@ -358,7 +358,7 @@
         )
 
     def _tell_news(self) -> None:
-        now_ms = _now_ms()
+        now_ms = steady_now_ms()
         age_ms = self._contact_age_ms(now_ms)
         for link in list(self._links.values()):
             prefixes = self._prefixes_for(link, now_ms)
@@ -427,7 +427,3 @@
             del self._links[link.address]
             self._report("router_link_lost", peer=link.address, sentence=reason)
         link.socket.transport.abort()
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1_000
--- a/damaskrill/steering/_cache_sources.py
+++ b/damaskrill/steering/_cache_sources.py
@@ -8,7 +8,7 @@
 
 from damaskrill.catalog import BackendServer
 from damaskrill.steering._facts import PromptPart
-from damaskrill.steering._short_ids import short_id, short_server_id
+from damaskrill.steering._news import is_for_link, short_id, short_server_id
 from damaskrill.utils import rank_by_rendezvous
 
 __all__ = ["CacheSources", "PrefixNews"]
@@ -119,8 +119,7 @@
         return [
             each
             for source, each in fresh
-            if (with_heard or not source)
-            and (not source or source != not_to)
+            if is_for_link(source, not_to=not_to, with_heard=with_heard)
             and now_ms - each.read_at_ms <= MEMORY_MS
         ], self._n_news
 
--- a/damaskrill/steering/_hot_keys.py
+++ b/damaskrill/steering/_hot_keys.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from damaskrill.steering._load_bounds import LoadBounds
-from damaskrill.steering._short_ids import short_id
+from damaskrill.steering._news import short_id
 
 __all__ = ["HotKeys", "KeyCounts"]
 
--- a/damaskrill/steering/_loads.py
+++ b/damaskrill/steering/_loads.py
@@ -5,7 +5,7 @@
 
 from attrs import define, frozen
 
-from damaskrill.steering._short_ids import short_server_id
+from damaskrill.steering._news import is_for_link, short_server_id
 
 __all__ = ["LoadNews", "ServerLoads"]
 
@@ -138,8 +138,7 @@
             LoadNews(short_server_id(key), load.n_said, load.said_at_ms)
             for key, load in self._loads.items()
             if load.news_number > number
-            and (with_heard or not load.source)
-            and (not load.source or load.source != not_to)
+            and is_for_link(load.source, not_to=not_to, with_heard=with_heard)
             and now_ms - load.said_at_ms <= MAX_NEWS_AGE_MS
         ], self._n_news
 
--- a/damaskrill/utils/__init__.py
+++ b/damaskrill/utils/__init__.py
@@ -1,6 +1,6 @@
 """Clock, hashing and random number helpers shared by all subpackages."""
 
-from damaskrill.utils._clock import Clock, FakeClock, SystemClock
+from damaskrill.utils._clock import Clock, FakeClock, SystemClock, steady_now_ms
 from damaskrill.utils._hashing import hash_to_int, rank_by_rendezvous, rendezvous_score
 from damaskrill.utils._prefix import count_prompt_tokens, hash_prefix_blocks
 from damaskrill.utils._random import check_random_state
@@ -15,4 +15,5 @@
     "hash_to_int",
     "rank_by_rendezvous",
     "rendezvous_score",
+    "steady_now_ms",
 ]
--- a/damaskrill/utils/_clock.py
+++ b/damaskrill/utils/_clock.py
@@ -8,6 +8,12 @@
 from damaskrill.exceptions import ClockWentBackError
 
 NS_PER_MS = 1_000_000
+MS_PER_S = 1_000
+
+
+def steady_now_ms() -> float:
+    """Return the steady clock of this process, in milliseconds."""
+    return time.monotonic() * MS_PER_S
 
 
 class Clock(ABC):
