Give new connections time for a request while the router stops

A stopping router closes idle connections every 50 ms, also one that was accepted just before and whose first bytes had not been read: its caller got no answer.

Ruled out: the chat's length beside load (the reply that failed was the one with status 0).

Change: a connection without an answer so far is closed as idle only after one second, the time that callers give a new connection.

--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -19,6 +19,9 @@
 LINGER_MS = 1_000
 # Bytes of further requests that are kept while one is being answered.
 MAX_PIPELINED_BYTES = 262_144
+# Callers give a new connection one second; one that closes sooner without an answer
+# costs them a retry.
+FIRST_REQUEST_MS = 1_000
 MS_PER_S = 1_000
 
 
@@ -44,6 +47,8 @@
         self._is_busy = False
         self._is_closing = False
         self._is_lost = False
+        self._opened_at_ms = 0.0
+        self._has_answered = False
         self._timer: Any = None
         self.on_gone: Callable[[], None] | None = None
 
@@ -60,6 +65,7 @@
     def connectionMade(self) -> None:
         """Start to wait for a request."""
         self._owner.connections.add(self)
+        self._opened_at_ms = steady_now_ms()
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
         self._set_timer(self._owner.limits.idle_timeout_ms)
@@ -117,8 +123,11 @@
             transport.abortConnection()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being read or answered."""
-        if not self._is_busy and not self.is_reading and not self._is_closing:
+        """Close the connection unless a request is read, answered or about to come."""
+        if self._is_busy or self.is_reading or self._is_closing:
+            return
+        age_ms = steady_now_ms() - self._opened_at_ms
+        if self._has_answered or age_ms >= FIRST_REQUEST_MS:
             self._close()
 
     def _pump(self) -> None:
@@ -206,6 +215,7 @@
         if self._is_lost or self._is_closing:
             return
         self._send(h11.EndOfMessage())
+        self._has_answered = True
         self._is_busy = False
         self._head = None
         self._n_body_bytes = 0
--- a/features/gateway_path.feature
+++ b/features/gateway_path.feature
@@ -130,6 +130,12 @@
     Then the chat is refused with 503 and the issuance is answered
     And the chat that ran has ended whole
 
+  Scenario: a caller who connects to a stopping gateway has time to send a request
+    Given the engines make 100 events in 6000 ms
+    When a chat runs and the gateway with 8000 ms of grace is stopped
+    And 2800 ms later a caller connects and sends an issuance after 300 ms more
+    Then the status is 200
+
   Scenario: a server that ends a request at its deadline is not held to be failing
     Given the routes' limit is 120 ms
     And both app servers misbehave by deadline
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from unittest.mock import Mock
 
 from attrs import evolve
 from behave import given, then, when
@@ -58,6 +59,32 @@
     context.lab.add_gateway()
 
 
+@given("a gateway that has started and takes the longest pauses between calls")
+def step_started_with_longest_pauses(context):
+    gateway = context.lab.add_gateway()
+    gateway._reader._random = Mock(uniform=lambda low, high: high)
+
+
+@when("a caller sends a read 80 ms after the first call and the second is refused too")
+def step_read_between_calls(context):
+    lab = context.lab
+    address = lab.gateways[0]._settings.caller_address
+    assert lab.wait_for(lambda: lab.store.n_calls >= 1)
+
+    async def run():
+        await asyncio.sleep(0.08)
+        caller = await Caller.open(address)
+        caller.send(build_request("/read/1", method="GET", body=b"")[0])
+        while lab.store.n_calls < 2:
+            await asyncio.sleep(0.005)
+        lab.store.set_mode(StoreMode.GOOD)
+        reply = await caller.read_reply()
+        caller.close()
+        return reply
+
+    context.reply = lab.call(run)
+
+
 @given("both app servers misbehave by {fault}")
 def step_apps_misbehave(context, fault):
     for name in ("a-1", "a-2"):
@@ -506,6 +533,25 @@
     context.late_issuance = context.lab.call(send, build_request("/issue/1")[0])
 
 
+@when(
+    "{delay_ms:d} ms later a caller connects and sends an issuance after "
+    "{pause_ms:d} ms more"
+)
+def step_slow_first_request(context, delay_ms, pause_ms):
+    time.sleep(delay_ms / 1_000)
+    address = context.lab.gateways[0]._settings.caller_address
+
+    async def run():
+        caller = await Caller.open(address)
+        await asyncio.sleep(pause_ms / 1_000)
+        caller.send(build_request("/issue/1")[0])
+        reply = await caller.read_reply()
+        caller.close()
+        return reply
+
+    context.reply = context.lab.call(run)
+
+
 @then("the chat is refused with 503 and the issuance is answered")
 def step_late_replies(context):
     assert context.late_chat.status == 503, context.late_chat
