Routers tell each other which backend servers fail

An answer 421 counted as a failure of the server, though it shows that the server is gone.

Ruled out: lower thresholds for a router's own outcomes (one failure among many good answers must leave nothing out); a faded sum of failures against the expected requests (noticed 45 failures of 100 after 2.2 s instead of about 1.6 s).

Change: failures are told over the links within 50 ms, each report once. A cumulative sum of evidence over all reports leaves a server out for 3 s or more, a third of a service at most. Reports of one data centre convince only its own routers, and a good answer withdraws what others could not reach. A server that is full is judged by each router alone. An answer 421 leaves the server out at once.

Figures: in the new scenarios 77 routers without the news give a failing engine more than half of its share, with them less than half; 5 failures of 100 everywhere leave nothing out.

--- a/damaskrill/gateway/_desk.py
+++ b/damaskrill/gateway/_desk.py
@@ -17,7 +17,8 @@
     CacheSources,
     Candidate,
     ColdGate,
-    HealthTracker,
+    FailureBoard,
+    FleetHealth,
     HotKeys,
     Placer,
     RepeatBudget,
@@ -26,6 +27,7 @@
     ServerWish,
     Verdict,
     may_go,
+    short_server_id,
 )
 from damaskrill.utils import steady_now_ms
 
@@ -64,6 +66,10 @@
         Keys that one engine is too few for.
     cache_sources : CacheSources
         Engines from which prompt prefixes can be copied.
+    failures : FailureBoard
+        Failures of servers' requests that all routers have seen.
+    tell_failures : callable
+        Tells other routers of failures soon.
     data_centre : str
         Where this router runs.
     region_of : mapping of str to str
@@ -89,6 +95,8 @@
         loads: ServerLoads,
         hot_keys: HotKeys,
         cache_sources: CacheSources,
+        failures: FailureBoard,
+        tell_failures: Callable[[], None],
         data_centre: str,
         region_of: Mapping[str, str],
         n_routers: Callable[[], int],
@@ -103,8 +111,10 @@
         self.metrics = metrics
         self.loads = loads
         self._cold_gate = cold_gate
-        self._health = HealthTracker()
+        self._health = FleetHealth(board=failures)
         self._cache_sources = cache_sources
+        self._failures = failures
+        self._tell_failures = tell_failures
         self._region_of = region_of
         self._n_routers = n_routers
         self.store_age_ms = store_age_ms
@@ -229,10 +239,39 @@
         if verdict is not Verdict.GOOD:
             self.metrics.note_failure(verdict.value)
         if self._health.note(server.key, verdict, self.now_ms):
-            self.log.warn(
-                "server_left_out", backend_server=server.server_id, cause=verdict.value
-            )
-            self.pool.close_idle(server.key)
+            self._note_left_out(server, verdict.value)
+        if self._failures.has_untold:
+            self._tell_failures()
+
+    def take_failures(self, servers: frozenset[int]) -> None:
+        """Leave servers out for failures that other routers tell of.
+
+        Parameters
+        ----------
+        servers : frozenset of int
+            Short hashes of the servers about which something new was told.
+        """
+        configuration = self.catalog.configuration
+        for service in configuration.services if configuration else ():
+            for server in self.catalog.find_servers(service):
+                if short_server_id(server.key) in servers:
+                    self._judge_told(server)
+
+    def _judge_told(self, server: BackendServer) -> None:
+        now_ms = self.now_ms
+        own_per_s = self.budget.requests_per_s(server.service, now_ms)
+        others = self.catalog.find_servers(server.service)
+        if self._health.judge_told(
+            server.key,
+            service=[each.key for each in others],
+            fleet_per_s=own_per_s * self._n_routers(),
+            now_ms=now_ms,
+        ):
+            self._note_left_out(server, "told_by_routers")
+
+    def _note_left_out(self, server: BackendServer, cause: str) -> None:
+        self.log.warn("server_left_out", backend_server=server.server_id, cause=cause)
+        self.pool.close_idle(server.key)
 
     def tidy(self) -> None:
         """Forget servers that are gone, and close their idle connections."""
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -65,6 +65,7 @@
 RETRY_AFTER_NO_SERVER_MS = 500
 STATUS_SERVER_ERROR = 500
 STATUS_DEADLINE = 504
+STATUS_ANOTHER_SERVER = 421
 
 
 class Exchange:
@@ -358,7 +359,9 @@
             case StreamEnded():
                 self._note_verdict(server, Verdict.GOOD, "")
             case NotRun(status=status):
-                self._note_verdict(server, Verdict.ERROR_STATUS, f"not run, {status}")
+                is_gone = status == STATUS_ANOTHER_SERVER
+                verdict = Verdict.GONE if is_gone else Verdict.FULL
+                self._note_verdict(server, verdict, f"not run, {status}")
             case BadAnswer(reason=reason):
                 self._note_verdict(server, Verdict.BROKEN, reason)
             case Broken(failure=failure):
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -26,6 +26,7 @@
 from damaskrill.steering import (
     CacheSources,
     ColdGate,
+    FailureBoard,
     HotKeys,
     RepeatBudget,
     ServerLoads,
@@ -158,6 +159,11 @@
         self._loads = ServerLoads()
         self._hot_keys = HotKeys()
         self._cache_sources = CacheSources()
+        self._failures = FailureBoard(
+            router=own.address,
+            data_centre=own.data_centre,
+            first_number=own.incarnation,
+        )
         self._mesh = Mesh(
             members=self._members,
             copy=self._copy,
@@ -169,6 +175,8 @@
             loads=self._loads,
             hot_keys=self._hot_keys,
             cache_sources=self._cache_sources,
+            failures=self._failures,
+            take_failures=lambda servers: self._desk.take_failures(servers),
             report=self._log.write,
         )
         self._reader = FeedReader(
@@ -200,6 +208,8 @@
             loads=self._loads,
             hot_keys=self._hot_keys,
             cache_sources=self._cache_sources,
+            failures=self._failures,
+            tell_failures=self._mesh.push_failures,
             data_centre=settings.data_centre,
             region_of=settings.region_of,
             n_routers=lambda: len(self._members.addresses()),
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -18,6 +18,7 @@
     "Hello",
     "MemberEntry",
     "News",
+    "ToldFailures",
     "ToldLoad",
     "ToldPrefix",
     "decode",
@@ -27,8 +28,10 @@
 # Larger messages are compressed: a configuration with many routes shrinks tenfold.
 COMPRESS_FROM_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
-# Three unsigned numbers of 32 bits.
-TRIPLE_BYTES = 12
+# Unsigned numbers of 32 bits in a load or a prefix, and in failures.
+N_TRIPLE = 3
+N_FAILURES = 7
+NUMBER_BYTES = 4
 MAX_NUMBER = 0xFFFF_FFFF
 
 
@@ -92,6 +95,31 @@
     age_ms: int
 
 
+@define
+class ToldFailures:
+    """Failures that one router saw at one server.
+
+    Parameters
+    ----------
+    server, router, data_centre : int
+        Short hashes of the server's incarnation, and of the router and where it runs.
+    number : int
+        Number of the report, unique for that router.
+    n_failed, n_unreached : int
+        Requests that failed, and those for which the server could not be reached.
+    age_ms : int
+        How long ago, in milliseconds.
+    """
+
+    server: int
+    router: int
+    number: int
+    data_centre: int
+    n_failed: int
+    n_unreached: int
+    age_ms: int
+
+
 @frozen(kw_only=True)
 class Hello:
     """First message of both ends of a link."""
@@ -159,11 +187,14 @@
         What servers have said since the last message on the link.
     prefixes : tuple of ToldPrefix
         Where prompt parts have been read since then.
+    failures : tuple of ToldFailures
+        Which servers' requests have failed since then.
     """
 
     age_ms: int = -1
     loads: tuple[ToldLoad, ...] = ()
     prefixes: tuple[ToldPrefix, ...] = ()
+    failures: tuple[ToldFailures, ...] = ()
 
 
 Frame = Hello | Beat | Feed | News
@@ -181,10 +212,12 @@
             content = ["b", frame.revision, frame.age_ms, entries, loads]
             content += [frame.n_requests, counts]
         case News():
-            prefixes = _pack(
+            content = ["n", frame.age_ms, _pack_loads(frame.loads)]
+            prefixes = (
                 (each.part, each.engine, each.age_ms) for each in frame.prefixes
             )
-            content = ["n", frame.age_ms, _pack_loads(frame.loads), prefixes]
+            content.append(_pack(prefixes))
+            content.append(_pack(astuple(each) for each in frame.failures))
         case Feed():
             changes = [[each.key, each.value, each.revision] for each in frame.changes]
             content = ["f", frame.after, frame.revision, changes]
@@ -232,12 +265,15 @@
                 n_requests=n_requests,
                 key_counts=tuple(_to_count(each) for each in counts),
             )
-        case ["n", int(age_ms), bytes(loads), bytes(prefixes)]:
+        case ["n", int(age_ms), bytes(loads), bytes(prefixes), bytes(failures)]:
             return News(
                 age_ms=age_ms,
                 loads=_unpack_loads(loads),
                 prefixes=tuple(
-                    ToldPrefix(*numbers) for numbers in _unpack_triples(prefixes)
+                    ToldPrefix(*numbers) for numbers in _unpack(prefixes, N_TRIPLE)
+                ),
+                failures=tuple(
+                    ToldFailures(*numbers) for numbers in _unpack(failures, N_FAILURES)
                 ),
             )
         case ["f", int(after), int(revision), list(changes)]:
@@ -263,20 +299,20 @@
 
 
 def _unpack_loads(data: bytes) -> tuple[ToldLoad, ...]:
-    return tuple(ToldLoad(*numbers) for numbers in _unpack_triples(data))
+    return tuple(ToldLoad(*numbers) for numbers in _unpack(data, N_TRIPLE))
 
 
-def _pack(triples: Iterable[tuple[int, int, int]]) -> bytes:
+def _pack(rows: Iterable[tuple[int, ...]]) -> bytes:
     # Most of what routers tell each other: packed numbers cost a tenth of the time of
     # arrays of CBOR integers. A server may state any number as its load.
-    bounded = [min(number, MAX_NUMBER) for triple in triples for number in triple]
+    bounded = [min(number, MAX_NUMBER) for row in rows for number in row]
     return struct.pack(f"<{len(bounded)}I", *bounded)
 
 
-def _unpack_triples(data: bytes) -> Iterator[tuple[int, int, int]]:
-    if len(data) % TRIPLE_BYTES:
-        raise ValueError("no whole triples of numbers")
-    return struct.iter_unpack("<3I", data)
+def _unpack(data: bytes, n_numbers: int) -> Iterator[tuple[int, ...]]:
+    if len(data) % (n_numbers * NUMBER_BYTES):
+        raise ValueError("no whole rows of numbers")
+    return struct.iter_unpack(f"<{n_numbers}I", data)
 
 
 def _to_count(fields: Any) -> tuple[int, float]:
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -19,6 +19,7 @@
     Hello,
     MemberEntry,
     News,
+    ToldFailures,
     ToldLoad,
     ToldPrefix,
     decode,
@@ -27,6 +28,8 @@
 from damaskrill.mesh._members import MemberTable
 from damaskrill.steering import (
     CacheSources,
+    FailureBoard,
+    FailureNews,
     HotKeys,
     KeyCounts,
     LoadNews,
@@ -42,6 +45,8 @@
 # In a large fleet each router hears from a server so rarely that what the others hear
 # decides; a quarter of a beat keeps it younger than most requests.
 NEWS_PER_BEAT = 2
+# Failures are told sooner than other news, but those of one moment together.
+FAILURES_DELAY_MS = 50
 # Several beats; a link that is silent for longer is closed and dialled again.
 SILENCE_MS = 1_600
 # Many times the way between data centres.
@@ -73,6 +78,7 @@
     told: dict[str, tuple[int, int]] = field(factory=dict)
     n_loads_told: int = 0
     n_prefixes_told: int = 0
+    n_failures_told: int = 0
 
 
 class Mesh:
@@ -100,6 +106,10 @@
         Counts of keys, from this router and to it.
     cache_sources : CacheSources
         Which engines have which prompt parts, from this router and to it.
+    failures : FailureBoard
+        Failures of servers' requests, from this router and to it.
+    take_failures : callable
+        Takes the short hashes of the servers about which routers tell something new.
     report : callable
         Takes an event name and fields.
     """
@@ -117,6 +127,8 @@
         loads: ServerLoads,
         hot_keys: HotKeys,
         cache_sources: CacheSources,
+        failures: FailureBoard,
+        take_failures: Callable[[frozenset[int]], None],
         report: Callable[..., None],
     ) -> None:
         self._members = members
@@ -129,6 +141,9 @@
         self._loads = loads
         self._hot_keys = hot_keys
         self._cache_sources = cache_sources
+        self._failures = failures
+        self._take_failures = take_failures
+        self._failures_timer: asyncio.TimerHandle | None = None
         self._report = report
         self._links: dict[str, _Link] = {}
         self._dialled_at_ms: dict[str, float] = {}
@@ -175,6 +190,13 @@
             if link.address != source:
                 self._send_feed(link)
 
+    def push_failures(self) -> None:
+        """Tell failures that were seen or heard, a moment later."""
+        if self._failures_timer is None:
+            self._failures_timer = asyncio.get_running_loop().call_later(
+                FAILURES_DELAY_MS / 1_000, self._tell_failures
+            )
+
     def _turn(self) -> None:
         now_ms = steady_now_ms()
         self._members.beat(now_ms)
@@ -303,6 +325,7 @@
                 self._take_age(frame, now_ms)
                 self._take_loads(link, frame, now_ms)
                 self._take_prefixes(link, frame, now_ms)
+                self._take_told_failures(link, frame, now_ms)
             case Hello():
                 pass
 
@@ -370,6 +393,33 @@
                 # In a full mesh beats are enough for the rest.
                 self._send(link, News(age_ms=age_ms, prefixes=prefixes))
 
+    def _tell_failures(self) -> None:
+        self._failures_timer = None
+        self._failures.flush()
+        now_ms = steady_now_ms()
+        for link in list(self._links.values()):
+            news, link.n_failures_told = self._failures.news_after(
+                link.n_failures_told,
+                now_ms=now_ms,
+                not_to=link.address,
+                with_heard=not self._members.is_full_mesh,
+            )
+            if news:
+                failures = tuple(
+                    ToldFailures(
+                        server=each.server,
+                        router=each.router,
+                        number=each.number,
+                        data_centre=each.data_centre,
+                        n_failed=each.n_failed,
+                        n_unreached=each.n_unreached,
+                        age_ms=round(now_ms - each.at_ms),
+                    )
+                    for each in news
+                )
+                age_ms = self._contact_age_ms(now_ms)
+                self._send(link, News(age_ms=age_ms, failures=failures))
+
     def _contact_age_ms(self, now_ms: float) -> int:
         age_ms = self._freshness.age_ms(round(now_ms))
         return -1 if age_ms is None else age_ms
@@ -387,6 +437,27 @@
             source=link.address,
         )
 
+    def _take_told_failures(self, link: _Link, frame: News, now_ms: float) -> None:
+        servers = self._failures.take_news(
+            [
+                FailureNews(
+                    server=each.server,
+                    router=each.router,
+                    number=each.number,
+                    data_centre=each.data_centre,
+                    n_failed=each.n_failed,
+                    n_unreached=each.n_unreached,
+                    at_ms=now_ms - each.age_ms,
+                )
+                for each in frame.failures
+            ],
+            source=link.address,
+        )
+        if servers:
+            self._take_failures(servers)
+            if not self._members.is_full_mesh:
+                self.push_failures()
+
     def _take_loads(self, link: _Link, frame: Beat | News, now_ms: float) -> None:
         self._loads.take_news(
             [
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -4,11 +4,14 @@
 from damaskrill.steering._cache_sources import CacheSources, PrefixNews
 from damaskrill.steering._cold_gate import ColdGate
 from damaskrill.steering._facts import AnswerFacts, PromptPart, RequestFacts
+from damaskrill.steering._failure_board import FailureBoard, FailureNews
+from damaskrill.steering._fleet_health import FleetHealth
 from damaskrill.steering._health import HealthTracker, Verdict
 from damaskrill.steering._hot_keys import HotKeys, KeyCounts
 from damaskrill.steering._lateness import AnswerTimes, LateCause, find_late_cause
 from damaskrill.steering._load_bounds import FIRST_HAND, HEARSAY, LoadBounds
 from damaskrill.steering._loads import LoadNews, ServerLoads
+from damaskrill.steering._news import short_server_id
 from damaskrill.steering._placer import Candidate, Placer, ServerWish
 from damaskrill.steering._refusals import LoggedOutcome, Refusal, RefusalCause
 from damaskrill.steering._regions import may_go
@@ -23,6 +26,9 @@
     "Candidate",
     "ColdGate",
     "EndOfAttempt",
+    "FailureBoard",
+    "FailureNews",
+    "FleetHealth",
     "HealthTracker",
     "HotKeys",
     "KeyCounts",
@@ -44,4 +50,5 @@
     "find_late_cause",
     "may_go",
     "may_send_again",
+    "short_server_id",
 ]
--- a/damaskrill/steering/_cache_sources.py
+++ b/damaskrill/steering/_cache_sources.py
@@ -1,14 +1,14 @@
 """Names the engine that probably has a prompt's prefix when the chosen one has not."""
 
 import math
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 
 from attrs import define, frozen
 
 from damaskrill.catalog import BackendServer
 from damaskrill.steering._facts import PromptPart
-from damaskrill.steering._news import is_for_link, short_id, short_server_id
+from damaskrill.steering._news import NewsLog, short_id, short_server_id
 from damaskrill.utils import rank_by_rendezvous
 
 __all__ = ["CacheSources", "PrefixNews"]
@@ -66,9 +66,7 @@
 
     def __init__(self) -> None:
         self._holdings: OrderedDict[int, dict[int, _Holding]] = OrderedDict()
-        # What is told to other routers: the link that it came from, and the news.
-        self._news: deque[tuple[str, PrefixNews]] = deque(maxlen=MAX_NEWS)
-        self._n_news = 0
+        self._news: NewsLog[PrefixNews] = NewsLog(max_news=MAX_NEWS)
 
     def note_sent(
         self, prompt: Sequence[PromptPart], server: BackendServer, now_ms: float
@@ -114,14 +112,8 @@
         number : int
             Number for the next call.
         """
-        n_new = min(self._n_news - number, len(self._news))
-        fresh = list(self._news)[len(self._news) - n_new :] if n_new > 0 else []
-        return [
-            each
-            for source, each in fresh
-            if is_for_link(source, not_to=not_to, with_heard=with_heard)
-            and now_ms - each.read_at_ms <= MEMORY_MS
-        ], self._n_news
+        fresh, number = self._news.after(number, not_to=not_to, with_heard=with_heard)
+        return [each for each in fresh if now_ms - each.read_at_ms <= MEMORY_MS], number
 
     def has_read(self, part_id: str, key: tuple[str, int], now_ms: float) -> bool:
         """Return whether an engine is known to have read a part lately."""
@@ -206,8 +198,7 @@
         ]
         if len(told) < MAX_TOLD_HOLDERS:
             holding.told_at_ms = news.read_at_ms
-            self._news.append((source, news))
-            self._n_news += 1
+            self._news.add(news, source=source)
 
 
 def _guess_holder(
--- /dev/null
+++ b/damaskrill/steering/_failure_board.py
@@ -0,0 +1,231 @@
+"""Failures of backend servers' requests that the routers tell each other."""
+
+import math
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+from attrs import evolve, frozen
+
+from damaskrill.steering._news import NewsLog, short_id, short_server_id
+
+__all__ = ["FailureBoard", "FailureNews"]
+
+ServerKey = tuple[str, int]
+# Reports that are older say nothing about the present.
+MEMORY_MS = 4_000
+# Part of its requests that a server fails in usual times, and one that is to be left
+# out: servers of the users' pages fail up to 14 of 100 reads, and 45 when disturbed.
+USUAL_PART = 0.05
+BAD_PART = 0.45
+# Evidence of a failed and of a good request for the latter, and what is needed of it:
+# odds of some thousand to one, as a fleet makes many thousand requests in a minute.
+FAILED_EVIDENCE = math.log(BAD_PART / USUAL_PART)
+GOOD_EVIDENCE = math.log((1 - BAD_PART) / (1 - USUAL_PART))
+MIN_EVIDENCE = 10.0
+# Routers that must have failed to reach a server; one may itself be cut off.
+MIN_UNREACHED = 2
+# Reports that were seen come again over other links within a few beats.
+MAX_SEEN = 8_192
+# What a router tells to a new link at most.
+MAX_NEWS = 256
+ID_MASK = 0xFFFF_FFFF
+
+
+@frozen
+class FailureNews:
+    """Failures that one router saw at one server.
+
+    Parameters
+    ----------
+    server : int
+        Short hash of the server's incarnation.
+    router : int
+        Short hash of the router's address.
+    number : int
+        Number of the report, unique for that router.
+    data_centre : int
+        Short hash of the router's data centre.
+    n_failed : int
+        Requests that failed.
+    n_unreached : int
+        Those of them for which the server could not be reached.
+    at_ms : float
+        When, on this router's steady clock in milliseconds.
+    """
+
+    server: int
+    router: int
+    number: int
+    data_centre: int
+    n_failed: int
+    n_unreached: int
+    at_ms: float
+
+
+class FailureBoard:
+    """Collects failures from all routers and says which servers they speak against.
+
+    Parameters
+    ----------
+    router : str
+        This router's address.
+    data_centre : str
+        Where it runs.
+    first_number : int
+        Number of its first report: larger than those of its former processes.
+
+    Notes
+    -----
+    Answers the pattern of a server that fails behind so many routers that each of them
+    sees too few of its requests to notice. Reports of the own data centre count, and
+    those of all others if they come from at least two: routers of one data centre may
+    have lost the way to a server that others reach.
+    """
+
+    def __init__(self, *, router: str, data_centre: str, first_number: int = 1) -> None:
+        self._router = short_id(router)
+        self._data_centre = short_id(data_centre)
+        self._number = first_number & ID_MASK
+        self._untold: dict[int, FailureNews] = {}
+        # Reports about each server, in the order in which they came.
+        self._reports: dict[int, deque[FailureNews]] = {}
+        self._seen: OrderedDict[tuple[int, int], None] = OrderedDict()
+        self._news: NewsLog[FailureNews] = NewsLog(max_news=MAX_NEWS)
+
+    @property
+    def has_untold(self) -> bool:
+        """Whether this router has seen failures that it has not told."""
+        return bool(self._untold)
+
+    def note_failure(
+        self, key: ServerKey, *, is_unreached: bool, now_ms: float
+    ) -> None:
+        """Take a failure that this router saw."""
+        server = short_server_id(key)
+        untold = self._untold.get(server)
+        if untold is None:
+            untold = FailureNews(
+                server, self._router, 0, self._data_centre, 0, 0, now_ms
+            )
+        self._untold[server] = evolve(
+            untold,
+            n_failed=untold.n_failed + 1,
+            n_unreached=untold.n_unreached + is_unreached,
+        )
+
+    def note_good(self, key: ServerKey) -> None:
+        """Take a good answer: whoever failed to reach the server, this router does."""
+        server = short_server_id(key)
+        reports = self._reports.get(server)
+        if reports is not None and any(each.n_unreached for each in reports):
+            reached = [evolve(each, n_unreached=0) for each in reports]
+            self._reports[server] = deque(reached)
+
+    def take_news(self, news: Iterable[FailureNews], *, source: str) -> frozenset[int]:
+        """Take what other routers tell.
+
+        Parameters
+        ----------
+        news : iterable of FailureNews
+            Their reports.
+        source : str
+            The link that they came from; they are not told over it again.
+
+        Returns
+        -------
+        frozenset of int
+            Short hashes of the servers about which something is new.
+        """
+        changed = set()
+        for each in news:
+            mark = (each.router, each.number)
+            if mark in self._seen or each.router == self._router:
+                continue
+            self._take(each, source)
+            changed.add(each.server)
+        return frozenset(changed)
+
+    def flush(self) -> None:
+        """Make reports of the failures that have not been told yet."""
+        for untold in self._untold.values():
+            self._number = (self._number + 1) & ID_MASK
+            self._take(evolve(untold, number=self._number), "")
+        self._untold.clear()
+
+    def news_after(
+        self, number: int, *, now_ms: float, not_to: str = "", with_heard: bool = True
+    ) -> tuple[list[FailureNews], int]:
+        """Return what is to be told over a link.
+
+        Parameters
+        ----------
+        number : int
+            Number that the last call for this link returned; 0 for a new link.
+        now_ms : float
+            Present time in milliseconds.
+        not_to : str, default=""
+            The link; reports that came from it are left out.
+        with_heard : bool, default=True
+            Whether reports that came from other routers are told too.
+
+        Returns
+        -------
+        news : list of FailureNews
+            Oldest first.
+        number : int
+            Number for the next call.
+        """
+        fresh, number = self._news.after(number, not_to=not_to, with_heard=with_heard)
+        return [each for each in fresh if now_ms - each.at_ms <= MEMORY_MS], number
+
+    def speaks_against(
+        self, key: ServerKey, *, expected_per_s: float, now_ms: float
+    ) -> bool:
+        """Return whether the reports are enough to leave a server out.
+
+        Parameters
+        ----------
+        key : tuple of (str, int)
+            The incarnation.
+        expected_per_s : float
+            Requests a second that the server probably gets from all routers.
+        now_ms : float
+            Present time in milliseconds.
+        """
+        reports = self._reports.get(short_server_id(key), deque())
+        while reports and now_ms - reports[0].at_ms > MEMORY_MS:
+            reports.popleft()
+        if len({each.data_centre for each in reports}) > 1:
+            return _is_enough(reports, expected_per_s, now_ms)
+        near = [each for each in reports if each.data_centre == self._data_centre]
+        return _is_enough(near, expected_per_s, now_ms)
+
+    def forget(self, key: ServerKey) -> None:
+        """Forget what was told of a server, which is left out now and tried later."""
+        self._reports.pop(short_server_id(key), None)
+
+    def _take(self, news: FailureNews, source: str) -> None:
+        self._seen[news.router, news.number] = None
+        if len(self._seen) > MAX_SEEN:
+            self._seen.popitem(last=False)
+        self._reports.setdefault(news.server, deque()).append(news)
+        self._news.add(news, source=source)
+
+
+def _is_enough(
+    reports: Iterable[FailureNews], expected_per_s: float, now_ms: float
+) -> bool:
+    in_order = sorted(reports, key=lambda each: each.at_ms)
+    if len({each.router for each in in_order if each.n_unreached}) >= MIN_UNREACHED:
+        return True
+    if len({each.router for each in in_order}) < MIN_UNREACHED:
+        return False
+    # A sum of evidence that starts anew when it falls to nothing finds the moment at
+    # which a server turned bad (cumulative sum control chart).
+    evidence, at_ms = 0.0, now_ms
+    good_per_ms = expected_per_s / 1_000 * GOOD_EVIDENCE
+    for each in in_order:
+        evidence = max(0.0, evidence + good_per_ms * max(0.0, each.at_ms - at_ms))
+        evidence += each.n_failed * (FAILED_EVIDENCE - GOOD_EVIDENCE)
+        at_ms = each.at_ms
+    return evidence + good_per_ms * max(0.0, now_ms - at_ms) >= MIN_EVIDENCE
--- a/damaskrill/steering/_health.py
+++ b/damaskrill/steering/_health.py
@@ -16,6 +16,8 @@
 # The first pause outlasts a restart of a connection, the longest one a cold start.
 FIRST_PAUSE_MS = 1_000
 MAX_PAUSE_MS = 5_000
+# What many routers have seen is surer than the few outcomes that one router has.
+FIRST_TOLD_PAUSE_MS = 3_000
 
 
 class Verdict(Enum):
@@ -25,8 +27,15 @@
     NO_CONNECTION = "no_connection"
     BROKEN = "broken"
     ERROR_STATUS = "error_status"
+    FULL = "full"
     SILENT = "silent"
     SILENT_CONNECTION = "silent_connection"
+    GONE = "gone"
+
+    @property
+    def is_unreached(self) -> bool:
+        """Whether the path to the server is gone, whatever it answered before."""
+        return self in UNREACHED
 
     @property
     def sentence(self) -> str:
@@ -38,12 +47,13 @@
     Verdict.GOOD: "the server answered",
     Verdict.NO_CONNECTION: "no connection to the server could be opened",
     Verdict.BROKEN: "the server's answer broke off or cannot be used",
-    Verdict.ERROR_STATUS: "the server answered that it failed or is full",
+    Verdict.ERROR_STATUS: "the server answered that it failed",
+    Verdict.FULL: "the server refused the request, which it has not run",
     Verdict.SILENT: "the server gave no answer for long",
     Verdict.SILENT_CONNECTION: "the server acknowledged nothing on the connection",
+    Verdict.GONE: "another server answered at the address of this one",
 }
-# The path to the server is gone, whatever it answered before.
-UNREACHABLE = (Verdict.NO_CONNECTION, Verdict.SILENT_CONNECTION)
+UNREACHED = (Verdict.NO_CONNECTION, Verdict.SILENT_CONNECTION, Verdict.GONE)
 
 
 @define(kw_only=True)
@@ -95,10 +105,21 @@
             health.n_failed >= MIN_FAILURES
             and health.n_failed >= MIN_FAILED_PART * n_outcomes
         )
-        if verdict in UNREACHABLE or is_bad:
+        if verdict.is_unreached or is_bad:
             return self._pause(health, now_ms)
         return False
 
+    def leave_out(self, key: ServerKey, now_ms: float) -> bool:
+        """Leave a server out because of what other routers tell.
+
+        Returns
+        -------
+        bool
+            Whether it is left out from now on because of it.
+        """
+        health = self._servers.setdefault(key, _Health(at_ms=now_ms))
+        return self._pause(health, now_ms, first_pause_ms=FIRST_TOLD_PAUSE_MS)
+
     def is_left_out(self, key: ServerKey, now_ms: float) -> bool:
         """Whether a server should get nothing if others are there."""
         health = self._servers.get(key)
@@ -110,9 +131,15 @@
             if key not in keys:
                 del self._servers[key]
 
-    def _pause(self, health: _Health, now_ms: float) -> bool:
+    def _pause(
+        self,
+        health: _Health,
+        now_ms: float,
+        *,
+        first_pause_ms: float = FIRST_PAUSE_MS,
+    ) -> bool:
         if now_ms < health.paused_until_ms:
             return False
-        health.pause_ms = min(MAX_PAUSE_MS, health.pause_ms * 2 or FIRST_PAUSE_MS)
+        health.pause_ms = min(MAX_PAUSE_MS, max(health.pause_ms * 2, first_pause_ms))
         health.paused_until_ms = now_ms + health.pause_ms
         return True
--- a/damaskrill/steering/_repeat_budget.py
+++ b/damaskrill/steering/_repeat_budget.py
@@ -39,6 +39,10 @@
         """Count a request of a caller for a service."""
         self._add(self._requests, service, now_ms)
 
+    def requests_per_s(self, service: str, now_ms: float) -> float:
+        """Return the rate of this router's requests for a service in the window."""
+        return self._count(self._requests, service, now_ms) * 1_000 / self._window_ms
+
     def try_spend(self, service: str, n_routers: int, now_ms: float) -> bool:
         """Spend one repeat if the budget allows it.
 
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -24,6 +24,7 @@
     MemberEntry,
     MemberTable,
     News,
+    ToldFailures,
     ToldLoad,
     ToldPrefix,
     decode,
@@ -434,6 +435,7 @@
             age_ms=40,
             loads=(ToldLoad(5, 3, 90),),
             prefixes=(ToldPrefix(7, 5, 90),),
+            failures=(ToldFailures(7, 5, 2**32 - 1, 9, 2, 1, 90),),
         ),
     ):
         assert decode(encode(frame)) == frame
@@ -465,9 +467,11 @@
     frames += [
         cbor2.dumps(content)
         for content in (
-            ["n", 5, triple[:-1], b""],
-            ["n", 5, b"", triple + b"1"],
-            ["n", "5", b"", b""],
+            ["n", 5, triple[:-1], b"", b""],
+            ["n", 5, b"", triple + b"1", b""],
+            ["n", 5, b"", b"", triple],
+            ["n", 5, b"", b""],
+            ["n", "5", b"", b"", b""],
             ["n", 5, [1, 2, 3], b""],
             ["n", 5, b""],
         )
--- /dev/null
+++ b/features/steps/gateway_failures_steps.py
@@ -0,0 +1,203 @@
+"""Steps on failures that routers tell each other, on a virtual clock."""
+
+from collections import Counter
+from random import Random
+
+from attrs import define
+from behave import given, then, when
+
+from damaskrill.steering import FailureBoard, FailureNews, FleetHealth, Verdict
+from features.support.builders import build_engine
+
+N_ENGINES = 30
+RATE_PER_S = 250
+DURATION_S = 10
+TELL_MS = 50
+SEEDS = (11, 12)
+SERVER = ("e-1", 0)
+CENTRES = ("bole", "kality", "sululta")
+
+
+@define
+class JudgingRouter:
+    """A router's board and judgement."""
+
+    board: FailureBoard
+    health: FleetHealth
+    marks: dict
+
+
+def build_judging_router(number):
+    board = FailureBoard(router=f"r-{number}", data_centre=CENTRES[number % 3])
+    return JudgingRouter(board, FleetHealth(board=board), {})
+
+
+def neighbours(number, n):
+    steps = (1, 19, 33, -1, -19, -33) if n > 12 else range(1, n)
+    return [(number + step) % n for step in steps]
+
+
+def tell_failures(context, keys, now_ms):
+    told = []
+    for number, router in enumerate(context.routers):
+        router.board.flush()
+        for hearer in neighbours(number, len(context.routers)):
+            news, router.marks[hearer] = router.board.news_after(
+                router.marks.get(hearer, 0), now_ms=now_ms, not_to=str(hearer)
+            )
+            told.append((str(number), context.routers[hearer], news))
+    for source, router, news in told:
+        if router.board.take_news(news, source=source):
+            for key in keys:
+                router.health.judge_told(
+                    key, service=keys, fleet_per_s=RATE_PER_S, now_ms=now_ms
+                )
+
+
+@given("{n:d} routers before 30 engines that tell each other of failures")
+def step_telling_routers(context, n):
+    context.is_telling = True
+    context.n_routers = n
+
+
+@given("{n:d} routers before 30 engines that do not tell each other of failures")
+def step_mute_routers(context, n):
+    step_telling_routers(context, n)
+    context.is_telling = False
+
+
+@when("250 requests a second come for 10 s and one engine fails {part:d} of 100")
+def step_failing_engine(context, part):
+    play_failures(context, part, n_failing=1)
+
+
+@when("250 requests a second come for 10 s and all engines fail {part:d} of 100")
+def step_failing_engines(context, part):
+    play_failures(context, part, n_failing=N_ENGINES)
+
+
+def play_failures(context, part, *, n_failing):
+    context.n_got, context.n_left_out = Counter(), Counter()
+    for seed in SEEDS:
+        context.routers = [build_judging_router(n) for n in range(context.n_routers)]
+        play_once(context, part, Random(seed), n_failing=n_failing)
+
+
+def play_once(context, part, random, *, n_failing):
+    keys = [build_engine(f"e-{number}").key for number in range(N_ENGINES)]
+    told_at_ms = 0.0
+    for number in range(RATE_PER_S * DURATION_S):
+        now_ms = number * 1_000 / RATE_PER_S
+        if context.is_telling and now_ms - told_at_ms >= TELL_MS:
+            told_at_ms = now_ms
+            tell_failures(context, keys, now_ms)
+        health = random.choice(context.routers).health
+        usable = [key for key in keys if not health.is_left_out(key, now_ms)]
+        context.n_left_out.update(set(keys).difference(usable))
+        key = random.choice(usable or keys)
+        context.n_got[key] += 1
+        may_fail = key in keys[:n_failing]
+        has_failed = may_fail and random.random() * 100 < part
+        verdict = Verdict.ERROR_STATUS if has_failed else Verdict.GOOD
+        health.note(key, verdict, now_ms)
+    context.failing_key = keys[0] if n_failing == 1 else None
+
+
+@then("the failing engine gets at most half of its share")
+def step_at_most_half(context):
+    share = context.n_got.total() / N_ENGINES
+    assert context.n_got[context.failing_key] <= share / 2, context.n_got
+
+
+@then("the failing engine gets more than half of its share")
+def step_more_than_half(context):
+    share = context.n_got.total() / N_ENGINES
+    assert context.n_got[context.failing_key] > share / 2, context.n_got
+
+
+@then("the other engines are left out for less than 1 of 100 of the time")
+def step_hardly_left_out(context):
+    others = +context.n_left_out
+    others.pop(context.failing_key, None)
+    n_looks = context.n_got.total() * N_ENGINES
+    assert others.total() < n_looks / 100, others
+
+
+@given("boards of failures in three data centres")
+def step_boards(context):
+    context.boards = [
+        FailureBoard(router=f"r-{number}", data_centre=name)
+        for number, name in enumerate(CENTRES)
+    ]
+
+
+def build_report(router, data_centre, *, number=1, n_failed=1, n_unreached=0):
+    board = FailureBoard(router=router, data_centre=data_centre, first_number=number)
+    for failure in range(n_failed):
+        is_unreached = failure < n_unreached
+        board.note_failure(SERVER, is_unreached=is_unreached, now_ms=100.0)
+    board.flush()
+    (report,), _ = board.news_after(0, now_ms=100.0)
+    assert isinstance(report, FailureNews)
+    return report
+
+
+def speak_against(context):
+    return [
+        board.speaks_against(SERVER, expected_per_s=1.0, now_ms=150.0)
+        for board in context.boards
+    ]
+
+
+@when("two routers of the first data centre cannot reach a server")
+def step_two_unreached(context):
+    for name in ("n-1", "n-2"):
+        report = build_report(name, CENTRES[0], n_unreached=1)
+        for board in context.boards:
+            board.take_news([report], source="link")
+
+
+@when("a router of the second data centre cannot reach it either")
+def step_third_unreached(context):
+    report = build_report("n-3", CENTRES[1], n_unreached=1)
+    for board in context.boards:
+        board.take_news([report], source="link")
+
+
+@when("the third data centre's router gets a good answer from it")
+def step_good_answer(context):
+    context.boards[2].note_good(SERVER)
+
+
+@then("only the first data centre's board speaks against it")
+def step_only_first(context):
+    assert speak_against(context) == [True, False, False]
+
+
+@then("the board of every data centre speaks against it")
+def step_every(context):
+    assert speak_against(context) == [True, True, True]
+
+
+@then("the third data centre's board speaks no more against it")
+def step_not_third(context):
+    assert speak_against(context) == [True, True, False]
+
+
+@when("one router's report of 2 failures comes to a board three times")
+def step_doubled_report(context):
+    report = build_report("n-1", CENTRES[0], n_failed=2)
+    for link in ("a", "b", "c"):
+        context.boards[0].take_news([report], source=link)
+
+
+@then("the board has told it on once")
+def step_told_once(context):
+    news, _ = context.boards[0].news_after(0, now_ms=150.0, not_to="b")
+    assert len(news) == 1
+
+
+@then("the board does not speak against the server")
+def step_not_against(context):
+    board = context.boards[0]
+    assert not board.speaks_against(SERVER, expected_per_s=1.0, now_ms=150.0)
