Use no server at whose address a newer one has started

Ruled out: the routers' store copy (the new entries were there, servers of both identities were offered).

Change: of the entries at one address only the one that started last may get requests. Its removal makes an older one usable again.

--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -143,10 +143,7 @@
 
     def is_usable(self, server: BackendServer) -> bool:
         """Whether this incarnation may get requests now."""
-        known = self._servers.get(server.server_id)
-        if known is None or known.server.key != server.key:
-            return False
-        return not known.server.is_leaving and server.data_centre not in self._out
+        return any(each.key == server.key for each in self.find_servers(server.service))
 
     def is_cold(self, server: BackendServer, now_ms: int) -> bool:
         """Whether a server bears only its cold rate now."""
@@ -175,11 +172,20 @@
 
     def _group_servers(self) -> dict[str, tuple[BackendServer, ...]]:
         groups: dict[str, list[BackendServer]] = {}
-        for known in self._servers.values():
-            server = known.server
-            if not server.is_leaving and server.data_centre not in self._out:
+        servers = [known.server for known in self._servers.values()]
+        # An address belongs to the process that started there last; the entries of
+        # earlier ones, which can have crashed, lapse some seconds later.
+        newest_ms: dict[tuple[str, int], int] = {}
+        for server in servers:
+            newest_ms[server.address] = max(
+                server.born_ms, newest_ms.get(server.address, 0)
+            )
+        for server in servers:
+            is_replaced = server.born_ms < newest_ms[server.address]
+            is_out = server.is_leaving or server.data_centre in self._out
+            if not is_replaced and not is_out:
                 groups.setdefault(server.service, []).append(server)
-        return {name: tuple(servers) for name, servers in groups.items()}
+        return {name: tuple(group) for name, group in groups.items()}
 
     def _put_configuration(self, item: ConfigurationItem) -> None:
         if item.configuration is None:
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -112,3 +112,15 @@
     When the process finds that its host was suspended
     Then the copy is not fresh at 1001 ms
     And a contact at 1002 ms makes it fresh at 1003 ms
+
+  Scenario: a server at whose address a newer one has started gets nothing new
+    Given a catalog with a server "a-1" that started at 1000 at an address
+    When server "a-2" is written that started at 2000 at the same address
+    Then only "a-2" of them may be used
+    When server "a-2" disappears
+    Then only "a-1" of them may be used
+
+  Scenario: an older entry at an address takes nothing from the newer server
+    Given a catalog with a server "a-2" that started at 2000 at an address
+    When server "a-1" is written that started at 1000 at the same address
+    Then only "a-2" of them may be used
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -204,3 +204,34 @@
     assert context.lab.wait_for(gateway._stop_asked.is_set)
     lines = [each for each in context.lab.logs[0].lines if each["event"] == event]
     assert "a fault of the test" in lines[0]["sentence"], lines
+
+
+@given('a catalog with a server "{name}" that started at {born_ms:d} at an address')
+def step_catalog_with_address(context, name, born_ms):
+    context.catalog = Catalog(report=lambda event, **fields: None)
+    context.items = {}
+    put_at_address(context, name, born_ms)
+
+
+@when('server "{name}" is written that started at {born_ms:d} at the same address')
+def step_same_address(context, name, born_ms):
+    put_at_address(context, name, born_ms)
+
+
+def put_at_address(context, name, born_ms):
+    item = ServerItem(server_id=name, server=build_server(name, born_ms=born_ms))
+    context.items[name] = item
+    context.catalog.put(item, 5_000)
+
+
+@when('server "{name}" disappears')
+def step_disappears(context, name):
+    context.catalog.remove(context.items[name], 6_000)
+
+
+@then('only "{name}" of them may be used')
+def step_only_usable(context, name):
+    found = [each.server_id for each in context.catalog.find_servers("app")]
+    assert found == [name], found
+    for other, item in context.items.items():
+        assert context.catalog.is_usable(item.server) == (other == name), other
