Ask a full server again within the request's target, before refusing

Such refusals of requests that had been sent were told as no_server, and answers 421 as server_full.

Ruled out: another server (the two others were in data centres that were out); holding requests back in the router without asking (nothing tells when a slot is free).

Change: a request that full servers have not run asks those servers again after 60 ms, as long as its target lasts and the budget of repeats allows it; a request that may go to one server asks only that one. The refusal names the server's answer: server_full, or the new server_replaced for 421.

--- a/damaskrill/gateway/_desk.py
+++ b/damaskrill/gateway/_desk.py
@@ -175,9 +175,23 @@
         return self._random.choices(route.shares, weights)[0].service
 
     def choose(
-        self, wish: ServerWish, *, tried: set[tuple[str, int]]
+        self,
+        wish: ServerWish,
+        *,
+        tried: set[tuple[str, int]],
+        only: set[tuple[str, int]] | None = None,
     ) -> BackendServer | None:
-        """Return the server that should get a request; None if none may."""
+        """Return the server that should get a request; None if none may.
+
+        Parameters
+        ----------
+        wish : ServerWish
+            What the request needs.
+        tried : set of tuple of (str, int)
+            Incarnations that are not to be asked now.
+        only : set of tuple of (str, int), default=None
+            The only ones that may be asked; any if None.
+        """
         now_ms = self.now_ms
         candidates = [
             Candidate(
@@ -186,6 +200,7 @@
             )
             for server in self.catalog.find_servers(wish.service)
             if server.key not in tried
+            and (only is None or server.key in only)
             and self._is_allowed(wish, server)
             and self._may_send(server, now_ms)
         ]
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -25,6 +25,7 @@
     ServerConnection,
 )
 from damaskrill.steering import (
+    FULL_PAUSE_MS,
     EndOfAttempt,
     Outcome,
     Refusal,
@@ -32,6 +33,7 @@
     ServerWish,
     Verdict,
     may_send_again,
+    may_wait,
 )
 
 if TYPE_CHECKING:
@@ -61,6 +63,8 @@
 RETRY_AFTER_FULL_MS = 150
 # The caller's next connection goes to another router.
 RETRY_AFTER_STOPPING_MS = 20
+# All routers leave the replaced server out within this time.
+RETRY_AFTER_REPLACED_MS = 100
 # Servers come and leave within seconds; callers wait a third of their time at most.
 RETRY_AFTER_NO_SERVER_MS = 500
 STATUS_SERVER_ERROR = 500
@@ -97,6 +101,9 @@
         )
         self._may_have_run = False
         self._tried: set[tuple[str, int]] = set()
+        # Those of them that have got the request, and those that had no room for it.
+        self._sent_to: set[tuple[str, int]] = set()
+        self._full: set[tuple[str, int]] = set()
         self._end = EndOfAttempt.NOT_SENT
         self._last_result: AttemptResult = NotRun(status=503)
         self._limit_at_ms = 0.0
@@ -166,6 +173,8 @@
         while True:
             server = await self._find_server(route, service, team)
             if server is None:
+                if await self._wait_for_place(route):
+                    continue
                 self._refuse_unserved(service)
                 return
             if self._ending.n_sent and not desk.may_repeat(service):
@@ -176,14 +185,37 @@
                 continue
             if self._deliver(route, result):
                 return
-            remaining_ms = self._limit_at_ms - desk.now_ms
-            outcome = Outcome(
-                n_sent=self._ending.n_sent, end=self._end, remaining_ms=remaining_ms
-            )
-            if not may_send_again(route, outcome, min_remaining_ms=MIN_REMAINING_MS):
+            self._last_result = result
+            if not self._may_send_again(route) and not await self._wait_for_place(
+                route
+            ):
                 self._refuse_after(result)
                 return
-            self._last_result = result
+
+    def _may_send_again(self, route: Route) -> bool:
+        outcome = Outcome(
+            n_servers=len(self._sent_to),
+            end=self._end,
+            remaining_ms=self._limit_at_ms - self._desk.now_ms,
+        )
+        return may_send_again(route, outcome, min_remaining_ms=MIN_REMAINING_MS)
+
+    async def _wait_for_place(self, route: Route) -> bool:
+        # After a pause, the servers that had no room may be asked again: the request
+        # has not run at any of them.
+        now_ms = self._desk.now_ms
+        if not self._full or self._may_have_run:
+            return False
+        if not may_wait(
+            held_ms=now_ms - self._request.arrived_at_ms,
+            target_ms=route.target_ms,
+            remaining_ms=self._limit_at_ms - now_ms,
+        ):
+            return False
+        await asyncio.sleep(FULL_PAUSE_MS / 1_000)
+        self._tried -= self._full
+        self._full.clear()
+        return True
 
     def _find_limit_ms(self, route: Route) -> float:
         limit_ms = route.time_limit_ms + LIMIT_SLACK_MS
@@ -202,9 +234,11 @@
             team_regions=team.regions if team else frozenset(),
         )
         until_ms = desk.now_ms + WAIT_PART * route.target_ms
+        is_bound = len(self._sent_to) >= route.max_servers
+        only = self._sent_to if is_bound else None
         while True:
-            server = desk.choose(wish, tried=self._tried)
-            if server is not None or desk.now_ms >= until_ms:
+            server = desk.choose(wish, tried=self._tried, only=only)
+            if server is not None or desk.now_ms >= until_ms or self._full:
                 return server
             await asyncio.sleep(WAIT_STEP_MS / 1_000)
 
@@ -258,6 +292,7 @@
             cache_source=desk.find_cache_source(route, self._facts, server),
         )
         desk.note_sent(server)
+        self._sent_to.add(server.key)
         self._sent_at_ms = desk.now_ms
         self._ending.note_sent(self._sent_at_ms)
         connection.start(
@@ -282,7 +317,7 @@
 
     async def _wait(self, route: Route, attempt: Attempt) -> AttemptResult:
         desk = self._desk
-        can_repeat = route.may_repeat and self._ending.n_sent < route.max_servers
+        can_repeat = route.may_repeat and len(self._sent_to) < route.max_servers
         patience_ms = float("inf")
         if can_repeat:
             patience_ms = PATIENCE_TARGETS * route.target_ms
@@ -314,15 +349,7 @@
                 self._end = EndOfAttempt.ERROR_ANSWER
                 if is_error and route.may_repeat:
                     self._may_have_run = True
-                    remaining_ms = self._limit_at_ms - self._desk.now_ms
-                    outcome = Outcome(
-                        n_sent=self._ending.n_sent,
-                        end=self._end,
-                        remaining_ms=remaining_ms,
-                    )
-                    if may_send_again(
-                        route, outcome, min_remaining_ms=MIN_REMAINING_MS
-                    ):
+                    if self._may_send_again(route):
                         return False
                 if self._progress.has_begun:
                     self._ending.break_off(f"the resume was answered {head.status}")
@@ -361,6 +388,8 @@
             case NotRun(status=status):
                 is_gone = status == STATUS_ANOTHER_SERVER
                 verdict = Verdict.GONE if is_gone else Verdict.FULL
+                if not is_gone:
+                    self._full.add(server.key)
                 self._note_verdict(server, verdict, f"not run, {status}")
             case BadAnswer(reason=reason):
                 self._note_verdict(server, Verdict.BROKEN, reason)
@@ -407,7 +436,7 @@
 
     def _refuse_unserved(self, service: str) -> None:
         cause = RefusalCause.NO_SERVER
-        if self._may_have_run:
+        if self._ending.n_sent:
             self._refuse_after(self._last_result)
             return
         self._ending.refuse(
@@ -426,6 +455,14 @@
                     Refusal(status=502, cause=RefusalCause.OUTCOME_UNKNOWN),
                     "an earlier try may have run",
                 )
+            case NotRun(status=status) if status == STATUS_ANOTHER_SERVER:
+                self._ending.refuse(
+                    Refusal(
+                        status=503,
+                        cause=RefusalCause.SERVER_REPLACED,
+                        retry_after_ms=RETRY_AFTER_REPLACED_MS,
+                    )
+                )
             case NotRun(status=status):
                 self._ending.refuse(
                     Refusal(
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -1,6 +1,12 @@
 """Decisions on one request: which server, how often, and what it is refused for."""
 
-from damaskrill.steering._again import EndOfAttempt, Outcome, may_send_again
+from damaskrill.steering._again import (
+    FULL_PAUSE_MS,
+    EndOfAttempt,
+    Outcome,
+    may_send_again,
+    may_wait,
+)
 from damaskrill.steering._cache_sources import CacheSources, PrefixNews
 from damaskrill.steering._cold_gate import ColdGate
 from damaskrill.steering._facts import AnswerFacts, PromptPart, RequestFacts
@@ -19,6 +25,7 @@
 
 __all__ = [
     "FIRST_HAND",
+    "FULL_PAUSE_MS",
     "HEARSAY",
     "AnswerFacts",
     "AnswerTimes",
@@ -50,5 +57,6 @@
     "find_late_cause",
     "may_go",
     "may_send_again",
+    "may_wait",
     "short_server_id",
 ]
--- a/damaskrill/steering/_again.py
+++ b/damaskrill/steering/_again.py
@@ -6,7 +6,11 @@
 
 from damaskrill.catalog import Route
 
-__all__ = ["EndOfAttempt", "Outcome", "may_send_again"]
+__all__ = ["FULL_PAUSE_MS", "EndOfAttempt", "Outcome", "may_send_again", "may_wait"]
+
+# Pause before a full server is asked again: the time in which a plain server with a few
+# slots ends some requests.
+FULL_PAUSE_MS = 60
 
 
 class EndOfAttempt(Enum):
@@ -24,7 +28,7 @@
 
     Parameters
     ----------
-    n_sent : int
+    n_servers : int
         Servers that it was sent to.
     end : EndOfAttempt
         How the last attempt ended.
@@ -32,7 +36,7 @@
         Time left for an answer, in milliseconds.
     """
 
-    n_sent: int
+    n_servers: int
     end: EndOfAttempt
     remaining_ms: float
 
@@ -59,6 +63,27 @@
         case EndOfAttempt.NOT_SENT:
             return True
         case EndOfAttempt.NOT_RUN:
-            return outcome.n_sent < route.max_servers
+            return outcome.n_servers < route.max_servers
         case EndOfAttempt.MAY_HAVE_RUN | EndOfAttempt.ERROR_ANSWER:
-            return route.may_repeat and outcome.n_sent < route.max_servers
+            return route.may_repeat and outcome.n_servers < route.max_servers
+
+
+def may_wait(*, held_ms: float, target_ms: float, remaining_ms: float) -> bool:
+    """Return whether a request that full servers refused may ask them once more.
+
+    Parameters
+    ----------
+    held_ms : float
+        Time since its arrival, in milliseconds.
+    target_ms : float
+        Time within which its answer is worth most, in milliseconds.
+    remaining_ms : float
+        Time left for an answer, in milliseconds.
+
+    Notes
+    -----
+    Answers the pattern of bursts at a service with few slots: its queue is full for
+    some ten milliseconds, and a refusal spends the caller's only retry. Beyond the
+    target the caller is told when to come back, so that work does not pile up here.
+    """
+    return held_ms + FULL_PAUSE_MS <= target_ms and remaining_ms > 2 * FULL_PAUSE_MS
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -24,6 +24,7 @@
     UNKNOWN_KEY = "unknown_key"
     NO_SERVER = "no_server"
     SERVER_FULL = "server_full"
+    SERVER_REPLACED = "server_replaced"
     OUTCOME_UNKNOWN = "outcome_unknown"
     BAD_ANSWER = "bad_answer"
     SERVER_ERROR = "server_error"
@@ -49,6 +50,9 @@
         "no backend server of the service may get a request at the moment"
     ),
     RefusalCause.SERVER_FULL: ("the backend server has no room for the request"),
+    RefusalCause.SERVER_REPLACED: (
+        "another backend server answered at the address of the chosen one"
+    ),
     RefusalCause.OUTCOME_UNKNOWN: (
         "the backend server was lost after the request had been sent to it"
     ),
--- a/features/gateway_path.feature
+++ b/features/gateway_path.feature
@@ -180,3 +180,28 @@
     And app server "a-2" misbehaves by full
     When 6 callers send a read
     Then no refusal says not run of a read that has run
+
+  Scenario: an action that full servers refuse waits for a place at them
+    Given both app servers misbehave by full
+    When a caller sends an issuance and the servers behave after 130 ms
+    Then the status is 200
+    And the request has run 1 times
+
+  Scenario: an action for one server asks only the server that refused it
+    Given the routes allow one server
+    And both app servers misbehave by full
+    When a caller sends an issuance and the servers behave after 130 ms
+    Then the status is 200
+    And only one server has got the issuance, more than once
+
+  Scenario: an action is refused when no place has come within its target
+    Given both app servers misbehave by full
+    When a caller sends an issuance
+    Then the status is 503 within 0 to 500 ms
+    And the refusal is because of "server_full"
+
+  Scenario: a refusal by another server at the address says so
+    Given both app servers misbehave by moved
+    When a caller sends an issuance
+    Then the status is 503
+    And the refusal is because of "server_replaced"
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -383,7 +383,7 @@
             is_resumable=row["resumable"] == "yes",
         )
         outcome = Outcome(
-            n_sent=int(row["sent"]), end=EndOfAttempt(row["end"]), remaining_ms=500
+            n_servers=int(row["sent"]), end=EndOfAttempt(row["end"]), remaining_ms=500
         )
         again = may_send_again(route, outcome, min_remaining_ms=10)
         assert again == (row["again"] == "yes"), row
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -118,6 +118,51 @@
     assert context.lab.wait_for(lambda: gateway._catalog.configuration.version == 2)
 
 
+@given("the routes allow one server")
+def step_one_server(context):
+    content = build_content(version=4)
+    for route in content["routes"]:
+        route["maxAttempts"] = 1
+    context.lab.call(context.lab.store.put, "op/config", content)
+    gateway = context.lab.gateways[0]
+    assert context.lab.wait_for(lambda: gateway._catalog.configuration.version == 4)
+
+
+@when("a caller sends an issuance and the servers behave after {delay_ms:d} ms")
+def step_full_for_a_while(context, delay_ms):
+    lab = context.lab
+    address = lab.gateways[0]._settings.caller_address
+
+    async def run():
+        caller = await Caller.open(address)
+        data, request_id = build_request("/issue/1")
+        caller.send(data)
+        await asyncio.sleep(delay_ms / 1_000)
+        for server in lab.servers.values():
+            server.misbehaviour = Misbehaviour.NONE
+        reply = await caller.read_reply()
+        reply.request_id = request_id
+        caller.close()
+        return reply
+
+    context.reply = lab.call(run)
+
+
+@then("only one server has got the issuance, more than once")
+def step_same_server(context):
+    n_arrivals = [
+        sum(each == context.reply.request_id for _, each in server.arrivals)
+        for server in context.lab.servers.values()
+    ]
+    assert sorted(n_arrivals)[:-1] == [0] * (len(n_arrivals) - 1), n_arrivals
+    assert max(n_arrivals) > 1, n_arrivals
+
+
+@then('the refusal is because of "{code}"')
+def step_refusal_code(context, code):
+    assert context.reply.body.decode().startswith(f"{code}:"), context.reply.body
+
+
 @given("the servers take {work_ms:d} ms for an issuance")
 def step_slow(context, work_ms):
     for server in context.lab.servers.values():
