--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -40,7 +40,7 @@
 BEAT_INTERVAL_MS = 400
 # In a large fleet each router hears from a server so rarely that what the others hear
 # decides; a quarter of a beat keeps it younger than most requests.
-NEWS_PER_BEAT = 2
+NEWS_PER_BEAT = 4
 # Failures are told sooner than other news, but those of one moment together.
 FAILURES_DELAY_MS = 50
 # Several beats; a link that is silent for longer is closed and dialled again.
