Forget failures told of servers that are gone

Cause: found on reading the news of failures once more. Reports of a server were dropped only when the server was judged, so that those of servers that are gone stayed for ever.

Change: they go with the server's other counts.

--- a/damaskrill/steering/_failure_board.py
+++ b/damaskrill/steering/_failure_board.py
@@ -100,6 +100,11 @@
         self._seen: OrderedDict[tuple[int, int], None] = OrderedDict()
         self._news: NewsLog[_Report] = NewsLog(max_news=MAX_NEWS)
 
+    @property
+    def n_reports(self) -> int:
+        """Reports that are held of all servers."""
+        return sum(len(each) for each in self._reports.values())
+
     @property
     def has_untold(self) -> bool:
         """Whether this router has seen failures that it has not told."""
@@ -222,6 +227,13 @@
         """Forget what was told of a server, which is left out now and tried later."""
         self._reports.pop(short_server_id(key), None)
 
+    def forget_all_but(self, keys: set[ServerKey]) -> None:
+        """Forget what was told of servers that are gone."""
+        known = {short_server_id(key) for key in keys}
+        for server in list(self._reports):
+            if server not in known:
+                del self._reports[server]
+
     def _take(self, report: _Report, source: str) -> None:
         news = report.news
         self._seen[news.router, news.number] = None
--- a/damaskrill/steering/_fleet_health.py
+++ b/damaskrill/steering/_fleet_health.py
@@ -97,3 +97,4 @@
     def forget_all_but(self, keys: set[ServerKey]) -> None:
         """Forget incarnations that are gone."""
         self._tracker.forget_all_but(keys)
+        self._board.forget_all_but(keys)
--- a/features/gateway_failures.feature
+++ b/features/gateway_failures.feature
@@ -35,3 +35,9 @@
     When one router's report of 2 failures comes to a board three times
     Then the board has told it on once
     And the board does not speak against the server
+
+  Scenario: what was told of servers that are gone is forgotten
+    Given boards of failures in three data centres
+    When two routers of the first data centre cannot reach a server
+    And the server is gone
+    Then no board holds reports
--- a/features/steps/gateway_failures_steps.py
+++ b/features/steps/gateway_failures_steps.py
@@ -201,3 +201,14 @@
 def step_not_against(context):
     board = context.boards[0]
     assert not board.speaks_against(SERVER, expected_per_s=1.0, now_ms=150.0)
+
+
+@when("the server is gone")
+def step_server_gone(context):
+    for board in context.boards:
+        FleetHealth(board=board).forget_all_but({("e-2", 0)})
+
+
+@then("no board holds reports")
+def step_no_reports(context):
+    assert [board.n_reports for board in context.boards] == [0, 0, 0]
