Know a service's rate also soon after a router's start

The rate of requests was taken over the whole window of 10 s, of which one second had passed, so that the failures were ten times what was expected.

Change: the rate is taken over the time since the service's first request, a second at least.

--- a/damaskrill/steering/_repeat_budget.py
+++ b/damaskrill/steering/_repeat_budget.py
@@ -4,6 +4,8 @@
 
 __all__ = ["RepeatBudget"]
 
+# A rate is not worked out from less time than this, in milliseconds.
+MIN_RATE_MS = 1_000
 # Part of the allowance that is used, so that routers whose counts of members differ
 # for a moment stay within the whole.
 SAFE_PART = 0.7
@@ -33,15 +35,19 @@
         self._slack = slack
         self._window_ms = window_ms
         self._requests: dict[str, deque[float]] = {}
+        self._first_at_ms: dict[str, float] = {}
         self._repeats: dict[str, deque[float]] = {}
 
     def note_request(self, service: str, now_ms: float) -> None:
         """Count a request of a caller for a service."""
+        self._first_at_ms.setdefault(service, now_ms)
         self._add(self._requests, service, now_ms)
 
     def requests_per_s(self, service: str, now_ms: float) -> float:
         """Return the rate of this router's requests for a service in the window."""
-        return self._count(self._requests, service, now_ms) * 1_000 / self._window_ms
+        known_for_ms = now_ms - self._first_at_ms.get(service, now_ms)
+        span_ms = max(MIN_RATE_MS, min(self._window_ms, known_for_ms))
+        return self._count(self._requests, service, now_ms) * 1_000 / span_ms
 
     def try_spend(self, service: str, n_routers: int, now_ms: float) -> bool:
         """Spend one repeat if the budget allows it.
--- a/features/gateway_failures.feature
+++ b/features/gateway_failures.feature
@@ -41,3 +41,9 @@
     When two routers of the first data centre cannot reach a server
     And the server is gone
     Then no board holds reports
+
+  Scenario: the rate of a service is right also soon after a router's start
+    Given a router that has got 20 requests in its first 2 s
+    Then it takes the service's rate to be 10 a second
+    When 30 s pass without a request
+    Then it takes the service's rate to be 0 a second
--- a/features/steps/gateway_failures_steps.py
+++ b/features/steps/gateway_failures_steps.py
@@ -6,7 +6,13 @@
 from attrs import define
 from behave import given, then, when
 
-from damaskrill.steering import FailureBoard, FailureNews, FleetHealth, Verdict
+from damaskrill.steering import (
+    FailureBoard,
+    FailureNews,
+    FleetHealth,
+    RepeatBudget,
+    Verdict,
+)
 from features.support.builders import build_engine
 
 N_ENGINES = 30
@@ -212,3 +218,22 @@
 @then("no board holds reports")
 def step_no_reports(context):
     assert [board.n_reports for board in context.boards] == [0, 0, 0]
+
+
+@given("a router that has got 20 requests in its first 2 s")
+def step_first_requests(context):
+    context.budget = RepeatBudget(ratio=0.2, slack=10, window_ms=10_000)
+    for number in range(20):
+        context.budget.note_request("app", 5_000.0 + 100 * number)
+    context.now_ms = 7_000.0
+
+
+@when("30 s pass without a request")
+def step_no_requests(context):
+    context.now_ms += 30_000
+
+
+@then("it takes the service's rate to be {rate:d} a second")
+def step_rate(context, rate):
+    found = context.budget.requests_per_s("app", context.now_ms)
+    assert abs(found - rate) < 0.5, found
