Decide on verdicts and refusals apart from the exchange

Change: gateway/_verdicts.py decides both from how the attempt ended; the adapter says whether another server answered. Steps that change routes share one function.

No behaviour is changed but the log's detail of server_replaced, which now names the status.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -51,9 +51,18 @@
 
 @frozen(kw_only=True)
 class NotRun:
-    """The server states that it has not run the request."""
+    """The server states that it has not run the request.
+
+    Parameters
+    ----------
+    status : int
+        Status of its answer.
+    is_other_server : bool
+        Whether another server than the chosen one has answered.
+    """
 
     status: int
+    is_other_server: bool = False
 
 
 @frozen(kw_only=True)
@@ -221,7 +230,9 @@
         if head is None:
             return BadAnswer(reason="it has no head")
         if self._facts.is_not_run:
-            return NotRun(status=head.status)
+            return NotRun(
+                status=head.status, is_other_server=self._facts.is_other_server
+            )
         fault = self._find_fault()
         if fault:
             return BadAnswer(reason=fault)
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -16,6 +16,7 @@
     WholeAnswer,
 )
 from damaskrill.gateway._ending import Ending
+from damaskrill.gateway._verdicts import find_refusal, find_verdict
 from damaskrill.http1 import (
     CallerConnection,
     CallerRequest,
@@ -59,17 +60,11 @@
 START_WAIT_MS = 2 * START_BACKOFF_MS
 # With the store away, a router that has started waits for its return.
 RETRY_AFTER_START_MS = 1_000
-# About the time in which a plain server finishes a request.
-RETRY_AFTER_FULL_MS = 150
 # The caller's next connection goes to another router.
 RETRY_AFTER_STOPPING_MS = 20
-# All routers leave the replaced server out within this time.
-RETRY_AFTER_REPLACED_MS = 100
 # Servers come and leave within seconds; callers wait a third of their time at most.
 RETRY_AFTER_NO_SERVER_MS = 500
 STATUS_SERVER_ERROR = 500
-STATUS_DEADLINE = 504
-STATUS_ANOTHER_SERVER = 421
 
 
 class Exchange:
@@ -308,7 +303,7 @@
             result = await self._wait(route, attempt)
         except asyncio.CancelledError:
             connection.abort()
-            self._judge_silence(route, server, attempt)
+            self._judge_left(route, server, attempt)
             raise
         if not attempt.done.done():
             connection.abort()
@@ -373,43 +368,36 @@
         server: BackendServer,
         attempt: Attempt,
         result: AttemptResult,
+        *,
+        is_over: bool = False,
     ) -> None:
-        desk = self._desk
-        match result:
-            case WholeAnswer(head=head):
-                if head.status == STATUS_DEADLINE:
-                    # The server ended the request at the deadline that it got.
-                    return
-                is_error = head.status >= STATUS_SERVER_ERROR
-                verdict = Verdict.ERROR_STATUS if is_error else Verdict.GOOD
-                self._note_verdict(server, verdict, f"status {head.status}")
-            case StreamEnded():
-                self._note_verdict(server, Verdict.GOOD, "")
-            case NotRun(status=status):
-                is_gone = status == STATUS_ANOTHER_SERVER
-                verdict = Verdict.GONE if is_gone else Verdict.FULL
-                if not is_gone:
-                    self._full.add(server.key)
-                self._note_verdict(server, verdict, f"not run, {status}")
-            case BadAnswer(reason=reason):
-                self._note_verdict(server, Verdict.BROKEN, reason)
-            case Broken(failure=failure):
-                if failure.kind is FailureKind.SILENT:
-                    verdict = Verdict.SILENT_CONNECTION
-                    self._note_verdict(server, verdict, failure.reason)
-                elif desk.now_ms < self._limit_at_ms:
-                    self._note_verdict(server, Verdict.BROKEN, failure.reason)
-                else:
-                    self._judge_silence(route, server, attempt)
+        now_ms = self._desk.now_ms
+        waited_ms = now_ms - self._sent_at_ms
+        is_late = waited_ms > SILENT_TARGETS * route.target_ms
+        found = find_verdict(
+            result,
+            is_over=is_over or now_ms >= self._limit_at_ms,
+            is_silent=is_late and not attempt.has_head,
+            waited_ms=waited_ms,
+        )
+        if found is None:
+            return
+        verdict, why = found
+        if verdict is Verdict.FULL:
+            self._full.add(server.key)
+        self._note_verdict(server, verdict, why)
 
-    def _judge_silence(
+    def _judge_left(
         self, route: Route, server: BackendServer, attempt: Attempt
     ) -> None:
-        waited_ms = self._desk.now_ms - self._sent_at_ms
-        if not attempt.has_head and waited_ms > SILENT_TARGETS * route.target_ms:
-            self._note_verdict(
-                server, Verdict.SILENT, f"no answer for {waited_ms:.0f} ms"
-            )
+        # A caller who leaves because no answer came shows that the server is silent.
+        failure = ExchangeFailure(
+            kind=FailureKind.CLOSED,
+            reason="the caller left",
+            has_answer=attempt.has_head,
+        )
+        result = Broken(failure=failure)
+        self._judge(route, server, attempt, result, is_over=True)
 
     def _note_verdict(self, server: BackendServer, verdict: Verdict, why: str) -> None:
         desk = self._desk
@@ -448,40 +436,16 @@
         if self._progress.has_begun:
             self._ending.break_off("no server could go on with it")
             return
-        is_over = self._desk.now_ms >= self._limit_at_ms
         match result:
-            case NotRun() if self._may_have_run:
-                self._ending.refuse(
-                    Refusal(status=502, cause=RefusalCause.OUTCOME_UNKNOWN),
-                    "an earlier try may have run",
-                )
-            case NotRun(status=status) if status == STATUS_ANOTHER_SERVER:
-                self._ending.refuse(
-                    Refusal(
-                        status=503,
-                        cause=RefusalCause.SERVER_REPLACED,
-                        retry_after_ms=RETRY_AFTER_REPLACED_MS,
-                    )
-                )
-            case NotRun(status=status):
-                self._ending.refuse(
-                    Refusal(
-                        status=503,
-                        cause=RefusalCause.SERVER_FULL,
-                        retry_after_ms=RETRY_AFTER_FULL_MS,
-                    ),
-                    f"the server answered {status}",
-                )
             case WholeAnswer():
                 self._ending.send_whole(result)
-            case BadAnswer(reason=reason):
-                self._ending.refuse(
-                    Refusal(status=502, cause=RefusalCause.BAD_ANSWER), reason
-                )
-            case Broken(failure=failure) if not is_over:
-                self._ending.refuse(
-                    Refusal(status=502, cause=RefusalCause.OUTCOME_UNKNOWN),
-                    failure.reason,
+            case NotRun() | BadAnswer() | Broken():
+                refusal, detail = find_refusal(
+                    result,
+                    may_have_run=self._may_have_run,
+                    is_over=self._desk.now_ms >= self._limit_at_ms,
                 )
-            case _:
-                self._ending.refuse(Refusal(status=504, cause=RefusalCause.TIME_LIMIT))
+                self._ending.refuse(refusal, detail)
+            case StreamEnded():
+                # It has ended as complete; nothing is left to be told.
+                pass
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -106,12 +106,11 @@
     headers = {name.lower(): value for name, value in head.headers}
     request_id = headers.get(b"damaskrill-request-id")
     load = _read_numbers(headers.get(b"damaskrill-server-load", b""))
-    is_not_run = (
-        b"damaskrill-not-executed" in headers or head.status == STATUS_MISDIRECTED
-    )
+    is_other_server = head.status == STATUS_MISDIRECTED
     return AnswerFacts(
         request_id=None if request_id is None else request_id.decode("latin-1"),
-        is_not_run=is_not_run,
+        is_not_run=is_other_server or b"damaskrill-not-executed" in headers,
+        is_other_server=is_other_server,
         is_sealed=b"damaskrill-response-seal" in headers,
         is_encoded=b"content-encoding" in headers,
         # Running, waiting, slots.
--- a/damaskrill/steering/_facts.py
+++ b/damaskrill/steering/_facts.py
@@ -76,6 +76,8 @@
         Request that it answers.
     is_not_run : bool
         Whether the server states that it has not run the request and will not.
+    is_other_server : bool
+        Whether another server than the chosen one has answered.
     is_sealed : bool
         Whether it carries the server's proof that it made the answer.
     is_encoded : bool
@@ -86,6 +88,7 @@
 
     request_id: str | None = None
     is_not_run: bool = False
+    is_other_server: bool = False
     is_sealed: bool = False
     is_encoded: bool = False
     load: tuple[int, int] | None = None
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -108,24 +108,27 @@
     context.lab.servers[name].misbehaviour = Misbehaviour.NONE
 
 
-@given("the routes' limit is {limit_ms:d} ms")
-def step_limit(context, limit_ms):
-    content = build_content(version=2)
+def change_routes(context, change):
+    """Publish a configuration whose routes are changed, and wait until it is known."""
+    gateway = context.lab.gateways[0]
+    version = gateway._catalog.configuration.version + 1
+    content = build_content(version=version)
     for route in content["routes"]:
-        route["timeoutMs"] = limit_ms
+        change(route)
     context.lab.call(context.lab.store.put, "op/config", content)
-    gateway = context.lab.gateways[0]
-    assert context.lab.wait_for(lambda: gateway._catalog.configuration.version == 2)
+    assert context.lab.wait_for(
+        lambda: gateway._catalog.configuration.version == version
+    )
+
+
+@given("the routes' limit is {limit_ms:d} ms")
+def step_limit(context, limit_ms):
+    change_routes(context, lambda route: route.update(timeoutMs=limit_ms))
 
 
 @given("the routes allow one server")
 def step_one_server(context):
-    content = build_content(version=4)
-    for route in content["routes"]:
-        route["maxAttempts"] = 1
-    context.lab.call(context.lab.store.put, "op/config", content)
-    gateway = context.lab.gateways[0]
-    assert context.lab.wait_for(lambda: gateway._catalog.configuration.version == 4)
+    change_routes(context, lambda route: route.update(maxAttempts=1))
 
 
 @when("a caller sends an issuance and the servers behave after {delay_ms:d} ms")
@@ -530,13 +533,11 @@
 
 @given("the routes' limit is {limit_ms:d} ms but {issue_ms:d} ms for an issuance")
 def step_limits(context, limit_ms, issue_ms):
-    content = build_content(version=3)
-    for route in content["routes"]:
+    def change(route):
         is_issue = route["name"] == "r-issue"
         route["timeoutMs"] = issue_ms if is_issue else limit_ms
-    context.lab.call(context.lab.store.put, "op/config", content)
-    gateway = context.lab.gateways[0]
-    assert context.lab.wait_for(lambda: gateway._catalog.configuration.version == 3)
+
+    change_routes(context, change)
 
 
 @given("the engines make {n:d} events in {duration_ms:d} ms")
