Let another service's server take an address over in the soak

Each seed draws the new fault apart from the others, so that the plans of former seeds hold what they held.

--- a/damaskrill/soak/_plan.py
+++ b/damaskrill/soak/_plan.py
@@ -7,11 +7,6 @@
 
 __all__ = ["Fault", "FaultKind", "build_plan"]
 
-# Pause before the first fault, so that all routers are ready, in seconds.
-FIRST_AT_S = 2.5
-SERIES_PART = 0.35
-MAX_SERIES = 3
-
 
 class FaultKind(Enum):
     """What is done from outside."""
@@ -34,6 +29,17 @@
     LINK_SILENCE = "link_silence"
     LINK_ONE_WAY = "link_one_way"
     SERVER_MISBEHAVES = "server_misbehaves"
+    REUSE_ADDRESS = "reuse_address"
+
+
+# Pause before the first fault, so that all routers are ready, in seconds.
+FIRST_AT_S = 2.5
+SERIES_PART = 0.35
+MAX_SERIES = 3
+# Came later than the other kinds; drawn apart from them, so that the plans of former
+# seeds hold what they held.
+LATER_KINDS = (FaultKind.REUSE_ADDRESS,)
+MEAN_LATER_PAUSE_S = 5.0
 
 
 @frozen(kw_only=True)
@@ -64,7 +70,7 @@
     plan = []
     at_s = FIRST_AT_S
     while at_s < duration_s - 1:
-        kind = random.choice(list(FaultKind))
+        kind = random.choice([each for each in FaultKind if each not in LATER_KINDS])
         n_times = 1
         if random.random() < SERIES_PART:
             n_times = random.randint(2, MAX_SERIES)
@@ -78,4 +84,21 @@
                 )
             )
         at_s += random.expovariate(1.0)
+    plan += _build_later(seed, duration_s)
     return sorted(plan, key=lambda fault: fault.at_s)
+
+
+def _build_later(seed: int, duration_s: float) -> list[Fault]:
+    random = Random(f"{seed}-later")
+    plan, at_s = [], FIRST_AT_S + random.expovariate(1 / MEAN_LATER_PAUSE_S)
+    while at_s < duration_s - 1:
+        plan.append(
+            Fault(
+                at_s=at_s,
+                kind=random.choice(LATER_KINDS),
+                target=random.randrange(1_000),
+                duration_s=random.uniform(0.5, 2.5),
+            )
+        )
+        at_s += random.expovariate(1 / MEAN_LATER_PAUSE_S)
+    return plan
--- a/damaskrill/soak/_proxy.py
+++ b/damaskrill/soak/_proxy.py
@@ -47,6 +47,10 @@
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._forward, "127.0.0.1", 0)
 
+    def lead_to(self, target: tuple[str, int]) -> None:
+        """Take another server behind the same address."""
+        self._target = target
+
     def reset_all(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -197,6 +197,8 @@
                 self._put_configuration()
             case FaultKind.LEAVE_SERVER | FaultKind.CRASH_SERVER:
                 self._replace_server(fault)
+            case FaultKind.REUSE_ADDRESS:
+                self._reuse_address(fault)
             case FaultKind.DATA_CENTRE_OUT:
                 self._store.take_out(OUT_CENTRE)
                 self._after(fault, lambda: self._store.bring_back(OUT_CENTRE))
@@ -250,14 +252,17 @@
         self._version += self._random.randint(1, 3)
         self._store.put_configuration(build_configuration(version=self._version))
 
-    async def _add_server(self, server_id: str, service: str) -> None:
-        server = FakeServer(
+    def _start_server(self, server_id: str) -> FakeServer:
+        return FakeServer(
             reactor=self._reactor,
             server_id=server_id,
             n_events=N_EVENTS,
             event_ms=15,
             work_ms=20,
         )
+
+    async def _add_server(self, server_id: str, service: str) -> None:
+        server = self._start_server(server_id)
         proxy = FaultyProxy(target=server.address)
         await proxy.start()
         self._servers.append(server)
@@ -284,6 +289,29 @@
         if time.monotonic() > self._store_failed_at + CONTACT_S:
             self._left_at[server.server_id] = time.monotonic()
 
+    def _reuse_address(self, fault: Fault) -> None:
+        # The server is gone without notice. Another service's server has its address at
+        # once, and says so at once; the old entry lapses later.
+        numbers = [
+            number
+            for number, each in enumerate(self._servers)
+            if each.server_id in self._entries
+        ]
+        number = numbers[fault.target % len(numbers)]
+        old = self._servers[number]
+        entry = self._entries.pop(old.server_id)
+        new = self._start_server(f"{old.server_id}y")
+        old.close()
+        self._proxies[number].lead_to(new.address)
+        self._proxies[number].reset_all()
+        self._servers.append(new)
+        self._proxies.append(self._proxies[number])
+        service = "app" if entry["service"] == "pool" else "pool"
+        born_ms = round(time.time() * 1_000)
+        self._entries[new.server_id] = {**entry, "service": service, "born": born_ms}
+        self._store.put_server(new.server_id, self._entries[new.server_id])
+        self._after(fault, lambda: self._store.remove_server(old.server_id))
+
     def _judge(self, folder: Path) -> SoakResult:
         records = [
             ServerRecord(
