Bound the reports of failures of one server

Cause: found on reading: while a third of a service is left out, its other servers are not judged, and reports of them were not dropped.

Change: the newest 256 of a server are held.

--- a/damaskrill/steering/_failure_board.py
+++ b/damaskrill/steering/_failure_board.py
@@ -26,6 +26,9 @@
 MIN_UNREACHED = 2
 # Reports that were seen come again over other links within a few beats.
 MAX_SEEN = 8_192
+# Reports that are held of one server: many times what is needed to judge it, also
+# while too many servers are left out for it to be judged.
+MAX_REPORTS = 256
 # What a router tells to a new link at most.
 MAX_NEWS = 256
 ID_MASK = 0xFFFF_FFFF
@@ -131,9 +134,10 @@
         server = short_server_id(key)
         reports = self._reports.get(server)
         if reports is not None and any(each.news.n_unreached for each in reports):
-            self._reports[server] = deque(
+            reached = (
                 evolve(each, news=evolve(each.news, n_unreached=0)) for each in reports
             )
+            self._reports[server] = deque(reached, maxlen=MAX_REPORTS)
 
     def take_news(
         self, news: Iterable[FailureNews], *, now_ms: float, source: str
@@ -239,7 +243,8 @@
         self._seen[news.router, news.number] = None
         if len(self._seen) > MAX_SEEN:
             self._seen.popitem(last=False)
-        self._reports.setdefault(news.server, deque()).append(report)
+        reports = self._reports.setdefault(news.server, deque(maxlen=MAX_REPORTS))
+        reports.append(report)
         self._news.add(report, source=source)
 
 
--- a/features/gateway_failures.feature
+++ b/features/gateway_failures.feature
@@ -47,3 +47,8 @@
     Then it takes the service's rate to be 10 a second
     When 30 s pass without a request
     Then it takes the service's rate to be 0 a second
+
+  Scenario: reports of a server that is not judged stay bounded
+    Given boards of failures in three data centres
+    When 2000 reports of one server come to a board
+    Then the board holds at most 256 reports
--- a/features/steps/gateway_failures_steps.py
+++ b/features/steps/gateway_failures_steps.py
@@ -237,3 +237,15 @@
 def step_rate(context, rate):
     found = context.budget.requests_per_s("app", context.now_ms)
     assert abs(found - rate) < 0.5, found
+
+
+@when("2000 reports of one server come to a board")
+def step_many_reports(context):
+    for number in range(2_000):
+        report = build_report("n-1", CENTRES[0], number=number)
+        context.boards[0].take_news([report], now_ms=100.0, source="link")
+
+
+@then("the board holds at most 256 reports")
+def step_bounded(context):
+    assert context.boards[0].n_reports <= 256, context.boards[0].n_reports
