Tell loads each 100 ms only while a large part of a service is out

Change: news go each 200 ms, at half the former cost of a message, and each 100 ms only while a quarter of a service's engines may get nothing, which is where the load rule is at its edge.

--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -19,6 +19,9 @@
 # Entries that lapsed with the store away are back this long after its return: about
 # two seconds by the users' letter, and the way of a change through the routers.
 RETURN_GRACE_MS = 2_300
+# Part of a service's engines without which the rest come near the bound on uneven
+# loads, which counts all of them.
+LARGE_PART = 0.25
 
 
 @define(kw_only=True)
@@ -71,6 +74,18 @@
         """Number of known backend servers, leaving ones included."""
         return len(self._servers)
 
+    @property
+    def has_large_part_out(self) -> bool:
+        """Whether a large part of some service's engines may get nothing."""
+        configuration = self._configuration
+        if configuration is None:
+            return False
+        return any(
+            len(self.find_servers(name)) <= (1 - LARGE_PART) * len(self.find_all(name))
+            for name, spec in configuration.services.items()
+            if spec.is_engine and self.find_all(name)
+        )
+
     @property
     def is_complete(self) -> bool:
         """Whether a configuration and the list of servers have been read."""
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -177,6 +177,7 @@
             cache_sources=self._cache_sources,
             failures=self._failures,
             take_failures=lambda servers: self._desk.take_failures(servers),
+            needs_fresh_loads=lambda: self._catalog.has_large_part_out,
             report=self._log.write,
         )
         self._reader = FeedReader(
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -39,8 +39,10 @@
 # A third of the time after which a copy of the store counts as out of date.
 BEAT_INTERVAL_MS = 400
 # In a large fleet each router hears from a server so rarely that what the others hear
-# decides; a quarter of a beat keeps it younger than most requests.
-NEWS_PER_BEAT = 4
+# decides. News take most of a router's processor time at rest: they go with each turn
+# only while a large part of a service is out, else with every second one.
+TURNS_PER_BEAT = 4
+TURNS_PER_NEWS = 2
 # Failures are told sooner than other news, but those of one moment together.
 FAILURES_DELAY_MS = 50
 # Several beats; a link that is silent for longer is closed and dialled again.
@@ -106,6 +108,8 @@
         Failures of servers' requests, from this router and to it.
     take_failures : callable
         Takes the short hashes of the servers about which routers tell something new.
+    needs_fresh_loads : callable
+        Returns whether loads must be known as early as possible.
     report : callable
         Takes an event name and fields.
     """
@@ -125,6 +129,7 @@
         cache_sources: CacheSources,
         failures: FailureBoard,
         take_failures: Callable[[frozenset[int]], None],
+        needs_fresh_loads: Callable[[], bool],
         report: Callable[..., None],
     ) -> None:
         self._members = members
@@ -139,6 +144,7 @@
         self._cache_sources = cache_sources
         self._failures = failures
         self._take_failures = take_failures
+        self._needs_fresh_loads = needs_fresh_loads
         self._failures_timer: asyncio.TimerHandle | None = None
         self._report = report
         self._links: dict[str, _Link] = {}
@@ -165,11 +171,12 @@
         ):
             n_turns = 0
             while True:
-                if n_turns % NEWS_PER_BEAT == 0:
+                if n_turns % TURNS_PER_BEAT == 0:
                     self._turn()
-                self._tell_news()
+                if n_turns % TURNS_PER_NEWS == 0 or self._needs_fresh_loads():
+                    self._tell_news()
                 n_turns += 1
-                await asyncio.sleep(BEAT_INTERVAL_MS / NEWS_PER_BEAT / 1_000)
+                await asyncio.sleep(BEAT_INTERVAL_MS / TURNS_PER_BEAT / 1_000)
 
     def push_changes(self, *, source: str = "") -> None:
         """Send what is new to the links that lack it.
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -124,3 +124,14 @@
     Given a catalog with a server "a-2" that started at 2000 at an address
     When server "a-1" is written that started at 1000 at the same address
     Then only "a-2" of them may be used
+
+  Scenario Outline: loads are told more often while a large part of the engines is out
+    Given a catalog with 6 engines in each of <n> data centres
+    Then no large part is out
+    When one of the data centres is taken out
+    Then a large part is out: <is_out>
+
+    Examples:
+      | n | is_out |
+      | 3 | yes    |
+      | 5 | no     |
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -4,7 +4,16 @@
 
 from behave import given, then, when
 
-from damaskrill.catalog import BackendServer, Catalog, ServerItem
+from damaskrill.catalog import (
+    BackendServer,
+    CallerLimits,
+    Catalog,
+    Configuration,
+    ConfigurationItem,
+    DataCentreOutItem,
+    ServerItem,
+    ServiceSpec,
+)
 from damaskrill.feed import Change, FeedCopy, Freshness
 
 
@@ -235,3 +244,41 @@
     assert found == [name], found
     for other, item in context.items.items():
         assert context.catalog.is_usable(item.server) == (other == name), other
+
+
+@given("a catalog with 6 engines in each of {n:d} data centres")
+def step_engines(context, n):
+    context.catalog = Catalog(report=lambda event, **fields: None)
+    spec = ServiceSpec(name="pool", is_engine=True)
+    configuration = Configuration(
+        version=1,
+        routes=(),
+        services={"pool": spec},
+        team_by_key={},
+        limits=CallerLimits(),
+    )
+    context.catalog.put(ConfigurationItem(configuration=configuration), 0)
+    for number in range(6 * n):
+        server = build_server(
+            f"e-{number}",
+            service="pool",
+            address=("127.0.0.1", 1_000 + number),
+            data_centre=f"centre-{number % n}",
+        )
+        item = ServerItem(server_id=server.server_id, server=server)
+        context.catalog.put(item, 0)
+
+
+@when("one of the data centres is taken out")
+def step_centre_out(context):
+    context.catalog.put(DataCentreOutItem(data_centre="centre-0"), 100)
+
+
+@then("no large part is out")
+def step_no_part_out(context):
+    assert not context.catalog.has_large_part_out
+
+
+@then("a large part is out: {is_out}")
+def step_part_out(context, is_out):
+    assert context.catalog.has_large_part_out == (is_out == "yes")
