--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -1,5 +1,6 @@
 """Active configuration and backend servers, derived from the store's items."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from attrs import define
@@ -95,7 +96,11 @@
 
     def mark_listed(self) -> None:
         """Record that a complete list of items has been read."""
+        if self._has_servers:
+            return
         self._has_servers = True
+        counts = Counter(entry.server.service for entry in self._servers.values())
+        self._report("servers_listed", n_servers=len(self._servers), services=counts)
 
     def record_store_recovery(self, now_ms: int) -> None:
         """Record that the store has recovered from an outage."""
@@ -234,7 +239,10 @@
                 self._by_service = None
             return
         entry = self._servers.get(server.server_id)
-        if entry is None or entry.server.key != server.key:
+        if not self._has_servers:
+            # The first list is logged as a whole.
+            pass
+        elif entry is None or entry.server.key != server.key:
             self._report(
                 "server_known",
                 backend_server=server.server_id,
--- a/damaskrill/cli/_gateway.py
+++ b/damaskrill/cli/_gateway.py
@@ -1,19 +1,9 @@
 """The command ``damaskrill gateway``."""
 
-import asyncio
-import os
-import sys
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from damaskrill.eventlog import DecisionLog
-    from damaskrill.gateway import GatewaySettings
+from damaskrill.platform import serve
 
 __all__ = ["run"]
 
-EXIT_INVALID = 2
-STDOUT = 1
-
 
 def run(*, settings: str = "") -> int:
     """Run one router on the users' platform until SIGTERM.
@@ -29,46 +19,4 @@
     int
         Exit status: 0 after a graceful stop, 2 if the settings cannot be used.
     """
-    from damaskrill.eventlog import DecisionLog, LineSink, configure_decision_log
-    from damaskrill.gateway import UnreadableSettingsError
-    from damaskrill.platform import SETTINGS_VARIABLE, read_platform_settings
-    from damaskrill.utils import SystemClock
-
-    path = settings or os.environ.get(SETTINGS_VARIABLE, "")
-    try:
-        loaded = read_platform_settings(path)
-    except UnreadableSettingsError as error:
-        print(f"damaskrill: {error}", file=sys.stderr)
-        return EXIT_INVALID
-    configure_decision_log(LineSink(descriptor=STDOUT))
-    log = DecisionLog(router=loaded.name, clock=SystemClock())
-    return _serve(loaded, path, log)
-
-
-def _serve(settings: "GatewaySettings", path: str, log: "DecisionLog") -> int:
-    from twisted.internet import asyncioreactor
-
-    loop = asyncio.new_event_loop()
-    asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)
-    from twisted.internet import reactor
-
-    from damaskrill.gateway._process import GatewayProcess
-    from damaskrill.platform import build_platform_binding, read_platform_settings
-
-    async def main() -> None:
-        process = GatewayProcess(
-            settings=settings,
-            binding=build_platform_binding(
-                reactor=reactor, address=settings.store_address
-            ),
-            reactor=reactor,
-            log=log,
-            reread_settings=lambda: read_platform_settings(path),
-        )
-        await process.run()
-
-    running: Any = reactor
-    running.startRunning(installSignalHandlers=False)
-    loop.run_until_complete(main())
-    return 0
+    return serve(settings)
--- a/damaskrill/feed/_reader.py
+++ b/damaskrill/feed/_reader.py
@@ -13,9 +13,10 @@
 
 __all__ = ["STARTUP_BACKOFF_MS", "BaseStoreClient", "FeedReader", "Page"]
 
-# How long a watch waits for changes. Its end confirms that the store still answers; the
+# How long a watch waits for changes, as a fraction of the time within which a leaving
+# server must get no new requests. Its end confirms that the store still answers; the
 # rest of the replica's maximum age is left for this contact to propagate in the fleet.
-WATCH_WAIT_MS = 700
+WATCH_WAIT_FRACTION = 0.35
 # Changes within this time are read by one call, because calls to the store are billed.
 COALESCE_MS = 250
 # Backoff between calls to a failing store: short enough to detect its recovery within
@@ -66,6 +67,8 @@
         Called with an event name and its fields.
     random_state : Random
         Adds jitter to the retries of several routers.
+    leaving_limit_ms : float, default=2_000
+        Time within which a leaving server must get no new requests, in milliseconds.
     """
 
     def __init__(
@@ -77,7 +80,9 @@
         on_changes: Callable[[Sequence[Change], bool], None],
         report: Callable[..., None],
         random_state: Random,
+        leaving_limit_ms: float = 2_000,
     ) -> None:
+        self._watch_wait_ms = round(WATCH_WAIT_FRACTION * leaving_limit_ms)
         self._client = client
         self._replica = replica
         self._should_read = should_read
@@ -117,7 +122,7 @@
             self._handle_page(applied, is_list=True)
             return
         after = self._replica.revision
-        page = await self._client.watch(after=after, wait_ms=WATCH_WAIT_MS)
+        page = await self._client.watch(after=after, wait_ms=self._watch_wait_ms)
         applied = self._replica.apply_changes(page.changes, page.at_revision)
         self._handle_page(applied, is_list=False)
         if page.changes:
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -22,7 +22,13 @@
     CallerRequest,
     ServerPool,
 )
-from damaskrill.mesh import FeedUpdate, MemberEntry, MemberTable, Mesh
+from damaskrill.mesh import (
+    FeedUpdate,
+    MemberEntry,
+    MemberTable,
+    Mesh,
+    ReportExchange,
+)
 from damaskrill.steering import (
     ColdStartLimiter,
     FailureDetector,
@@ -154,7 +160,7 @@
         )
         self._catalog = Catalog(report=self._log.write)
         self._replica = FeedReplica()
-        self._freshness = Freshness()
+        self._freshness = Freshness(leaving_limit_ms=settings.leaving_limit_ms)
         self._members = MemberTable(own=own)
         self._loads = ServerLoads()
         self._hot_keys = HotKeys()
@@ -172,11 +178,15 @@
             seeds=tuple(_format(each) for each in settings.seed_addresses),
             apply_feed=self._apply_feed,
             record_contact=self._record_contact,
-            loads=self._loads,
-            hot_keys=self._hot_keys,
-            prefix_index=self._prefix_index,
-            failures=self._failures,
-            apply_failures=lambda servers: self._dispatcher.apply_failures(servers),
+            reports=ReportExchange(
+                members=self._members,
+                loads=self._loads,
+                hot_keys=self._hot_keys,
+                prefix_index=self._prefix_index,
+                failures=self._failures,
+                apply_failures=lambda servers: self._dispatcher.apply_failures(servers),
+                report=self._log.write,
+            ),
             needs_fresh_loads=lambda: self._catalog.has_major_capacity_loss,
             report=self._log.write,
         )
@@ -187,6 +197,7 @@
             on_changes=self._apply_read,
             report=self._log.warn,
             random_state=self._random,
+            leaving_limit_ms=settings.leaving_limit_ms,
         )
         self._cold_start_limiter = ColdStartLimiter(
             factor=settings.cold_factor,
@@ -213,7 +224,7 @@
             publish_failures=self._mesh.push_failures,
             data_centre=settings.data_centre,
             region_of=settings.region_of,
-            n_routers=lambda: len(self._members.addresses()),
+            n_routers=lambda: self._members.n_members,
             store_age_ms=self._store_age_ms,
             random_state=self._random,
         )
@@ -268,7 +279,7 @@
             return
         configuration = self._catalog.configuration
         state = {
-            "routers": float(len(self._members.addresses())),
+            "routers": float(self._members.n_members),
             "links": float(self._mesh.n_links),
             "servers": float(self._catalog.n_servers),
             "exchanges": float(self._dispatcher.n_exchanges),
@@ -288,13 +299,17 @@
     def _should_read(self) -> bool:
         if not self._replica.revision or self._members.is_reader():
             return True
-        return not self._freshness.is_fresh(round(monotonic_now_ms()))
+        return not self._freshness.is_fresh(
+            round(monotonic_now_ms()), is_standby=self._members.is_standby_reader()
+        )
 
     def _apply_read(self, changes: Sequence[Change], is_list: bool) -> None:
         now_ms = round(monotonic_now_ms())
         self._record_contact(now_ms)
         self._apply_changes(changes)
         self._mesh.push_changes()
+        if not self._members.is_full_mesh:
+            self._mesh.push_contact()
 
     def _apply_feed(self, feed: FeedUpdate) -> None:
         if feed.after == 0:
--- a/damaskrill/gateway/_settings.py
+++ b/damaskrill/gateway/_settings.py
@@ -34,6 +34,9 @@
     repeat_ratio, repeat_slack, repeat_window_ms : float
         Retry budget of the whole fleet: fraction of the requests, fixed number, and
         length of the window in milliseconds.
+    leaving_limit_ms : float
+        Time after which a server that the store lists as leaving must get no new
+        requests, in milliseconds.
     cold_factor, cold_slack : float
         A cold server gets at most its rate times the factor plus the slack per second.
     """
@@ -51,5 +54,6 @@
     repeat_ratio: float = 0.1
     repeat_slack: float = 10
     repeat_window_ms: float = 10_000
+    leaving_limit_ms: float = 2_000
     cold_factor: float = 1.0
     cold_slack: float = 0.0
--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -2,24 +2,28 @@
 
 from damaskrill.mesh._frames import (
     FeedUpdate,
-    Gossip,
-    Heartbeat,
+    Goodbye,
     Hello,
     MemberEntry,
+    Suspicion,
+    Update,
     decode,
     encode,
 )
 from damaskrill.mesh._members import MemberTable
 from damaskrill.mesh._mesh import Mesh
+from damaskrill.mesh._reports import ReportExchange
 
 __all__ = [
     "FeedUpdate",
-    "Gossip",
-    "Heartbeat",
+    "Goodbye",
     "Hello",
     "MemberEntry",
     "MemberTable",
     "Mesh",
+    "ReportExchange",
+    "Suspicion",
+    "Update",
     "decode",
     "encode",
 ]
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -11,15 +11,16 @@
 
 from damaskrill.exceptions import PeerFrameError
 from damaskrill.feed import Change
-from damaskrill.steering import FailureReport, LoadReport, PrefixReport
+from damaskrill.steering import FailureReport, KeyCounts, LoadReport, PrefixReport
 
 __all__ = [
     "FeedUpdate",
     "Frame",
-    "Gossip",
-    "Heartbeat",
+    "Goodbye",
     "Hello",
     "MemberEntry",
+    "Suspicion",
+    "Update",
     "decode",
     "encode",
 ]
@@ -63,9 +64,26 @@
     entry: MemberEntry
 
 
+@frozen
+class Suspicion:
+    """Suspicion that a router is dead.
+
+    Parameters
+    ----------
+    address : str
+        Address of the router.
+    incarnation, heartbeat : int
+        Its newest entry that the suspicion refers to; a newer one refutes it.
+    """
+
+    address: str
+    incarnation: int
+    heartbeat: int
+
+
 @frozen(kw_only=True)
-class Heartbeat:
-    """Frame that is sent periodically on each link.
+class Update:
+    """Frame with what has changed since the last one on the link.
 
     Parameters
     ----------
@@ -76,20 +94,31 @@
         sender, in milliseconds; negative if there is none.
     entries : tuple of MemberEntry
         Membership entries that have changed.
+    suspicions : tuple of Suspicion
+        Routers that have been suspected.
     loads : tuple of LoadReport
-        Loads that servers have reported since the last frame on the link.
-    n_requests : float
-        Number of requests that the sender has counted, weighted by their age.
-    key_counts : tuple of (int, float)
-        The same for the most frequent keys, by the key's short hash.
+        Loads that servers have reported.
+    prefixes : tuple of PrefixReport
+        Prompt parts that engines have processed.
+    failures : tuple of FailureReport
+        Servers whose requests have failed.
+    key_counts : KeyCounts or None
+        The sender's recent requests; None if they are not part of the frame.
     """
 
-    revision: int
-    age_ms: int
+    revision: int = 0
+    age_ms: int = -1
     entries: tuple[MemberEntry, ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
     loads: tuple[LoadReport, ...] = ()
-    n_requests: float = 0.0
-    key_counts: tuple[tuple[int, float], ...] = ()
+    prefixes: tuple[PrefixReport, ...] = ()
+    failures: tuple[FailureReport, ...] = ()
+    key_counts: KeyCounts | None = None
+
+
+@frozen(kw_only=True)
+class Goodbye:
+    """Frame before the sender closes a link that it does not need."""
 
 
 @frozen(kw_only=True)
@@ -111,29 +140,7 @@
     changes: tuple[Change, ...]
 
 
-@frozen(kw_only=True)
-class Gossip:
-    """Frame with reports that is sent between heartbeats.
-
-    Parameters
-    ----------
-    age_ms : int
-        Time since the last contact with the store, as in a heartbeat.
-    loads : tuple of LoadReport
-        Loads that servers have reported since the last frame on the link.
-    prefixes : tuple of PrefixReport
-        Prompt parts that engines have processed since then.
-    failures : tuple of FailureReport
-        Servers whose requests have failed since then.
-    """
-
-    age_ms: int = -1
-    loads: tuple[LoadReport, ...] = ()
-    prefixes: tuple[PrefixReport, ...] = ()
-    failures: tuple[FailureReport, ...] = ()
-
-
-Frame = Hello | Heartbeat | FeedUpdate | Gossip
+Frame = Hello | Update | FeedUpdate | Goodbye
 
 
 def encode(frame: Frame) -> bytes:
@@ -141,19 +148,10 @@
     match frame:
         case Hello():
             content: list[Any] = ["h", *astuple(frame.entry)]
-        case Heartbeat():
-            entries = [astuple(each) for each in frame.entries]
-            loads = _pack_loads(frame.loads)
-            counts = [list(each) for each in frame.key_counts]
-            content = ["b", frame.revision, frame.age_ms, entries, loads]
-            content += [frame.n_requests, counts]
-        case Gossip():
-            content = ["n", frame.age_ms, _pack_loads(frame.loads)]
-            prefixes = (
-                (each.part, each.engine, each.age_ms) for each in frame.prefixes
-            )
-            content.append(_pack(prefixes))
-            content.append(_pack(astuple(each) for each in frame.failures))
+        case Update():
+            content = ["u", frame.revision, frame.age_ms, *_encode_reports(frame)]
+        case Goodbye():
+            content = ["g"]
         case FeedUpdate():
             changes = [[each.key, each.value, each.revision] for each in frame.changes]
             content = ["f", frame.after, frame.revision, changes]
@@ -184,42 +182,78 @@
             return _decode(unpacker.decompress(packed, MAX_FRAME_BYTES))
         case ["h", *fields]:
             return Hello(entry=_to_entry(fields))
+        case ["u", int(revision), int(age_ms), *reports]:
+            return _to_update(revision, age_ms, reports)
+        case ["g"]:
+            return Goodbye()
+        case ["f", int(after), int(revision), list(changes)]:
+            return FeedUpdate(
+                after=after,
+                revision=revision,
+                changes=tuple(_to_change(each) for each in changes),
+            )
+        case _:
+            raise ValueError("unknown type or layout of frame")
+
+
+def _encode_reports(update: Update) -> list[Any]:
+    counts = update.key_counts
+    return [
+        [
+            [e.address, e.incarnation, e.data_centre, e.heartbeat]
+            for e in update.entries
+        ],
+        [[s.address, s.incarnation, s.heartbeat] for s in update.suspicions],
+        _pack((each.load_id, each.n_requests, each.age_ms) for each in update.loads),
+        _pack((each.part, each.engine, each.age_ms) for each in update.prefixes),
+        _pack(astuple(each) for each in update.failures),
+        None
+        if counts is None
+        else [counts.n_requests, [list(each) for each in counts.by_key.items()]],
+    ]
+
+
+def _to_update(revision: int, age_ms: int, reports: Sequence[Any]) -> Update:
+    match reports:
         case [
-            "b",
-            int(revision),
-            int(age_ms),
             list(entries),
+            list(suspicions),
             bytes(loads),
-            float(n_requests),
-            list(counts),
+            bytes(prefixes),
+            bytes(failures),
+            [float(), list()] | None as counts,
         ]:
-            return Heartbeat(
+            return Update(
                 revision=revision,
                 age_ms=age_ms,
                 entries=tuple(_to_entry(each) for each in entries),
-                loads=_unpack_loads(loads),
-                n_requests=n_requests,
-                key_counts=tuple(_to_count(each) for each in counts),
-            )
-        case ["n", int(age_ms), bytes(loads), bytes(prefixes), bytes(failures)]:
-            return Gossip(
-                age_ms=age_ms,
-                loads=_unpack_loads(loads),
+                suspicions=tuple(_to_suspicion(each) for each in suspicions),
+                loads=tuple(starmap(LoadReport, _unpack(loads, N_REPORT_NUMBERS))),
                 prefixes=tuple(
                     starmap(PrefixReport, _unpack(prefixes, N_REPORT_NUMBERS))
                 ),
                 failures=tuple(
                     starmap(FailureReport, _unpack(failures, N_FAILURE_NUMBERS))
                 ),
-            )
-        case ["f", int(after), int(revision), list(changes)]:
-            return FeedUpdate(
-                after=after,
-                revision=revision,
-                changes=tuple(_to_change(each) for each in changes),
+                key_counts=_to_key_counts(counts),
             )
         case _:
-            raise ValueError("unknown type or layout of frame")
+            raise ValueError("invalid reports")
+
+
+def _to_suspicion(fields: Any) -> Suspicion:
+    match fields:
+        case [str(address), int(incarnation), int(heartbeat)]:
+            return Suspicion(address, incarnation, heartbeat)
+        case _:
+            raise ValueError("invalid suspicion")
+
+
+def _to_key_counts(fields: Any) -> KeyCounts | None:
+    if fields is None:
+        return None
+    n_requests, counts = fields
+    return KeyCounts(n_requests, dict(_to_count(each) for each in counts))
 
 
 def _to_entry(fields: Any) -> MemberEntry:
@@ -230,14 +264,6 @@
             raise ValueError("invalid membership entry")
 
 
-def _pack_loads(loads: Sequence[LoadReport]) -> bytes:
-    return _pack((each.load_id, each.n_requests, each.age_ms) for each in loads)
-
-
-def _unpack_loads(data: bytes) -> tuple[LoadReport, ...]:
-    return tuple(starmap(LoadReport, _unpack(data, N_REPORT_NUMBERS)))
-
-
 def _pack(rows: Iterable[tuple[int, ...]]) -> bytes:
     # Most of the traffic between routers: packed numbers take a tenth of the time that
     # arrays of CBOR integers take.
--- /dev/null
+++ b/damaskrill/mesh/_link.py
@@ -0,0 +1,93 @@
+"""Open link to another router, with a bounded queue of frames to send."""
+
+import asyncio
+from typing import Any
+
+from attrs import define, field
+from websockets.exceptions import WebSocketException
+
+from damaskrill.mesh._frames import Frame, encode
+
+__all__ = ["Cursors", "Link"]
+
+# A link with more queued frames is closed, so that memory stays bounded.
+MAX_QUEUED_FRAMES = 200
+
+
+@define(kw_only=True)
+class Cursors:
+    """Numbers of the newest reports of each kind that were sent over a link."""
+
+    n_entries: int = 0
+    n_suspicions: int = 0
+    n_loads: int = 0
+    n_prefixes: int = 0
+    n_failures: int = 0
+
+
+@define(kw_only=True, eq=False)
+class Link:
+    """Open link to another router.
+
+    Parameters
+    ----------
+    address : str
+        Address of the other router.
+    socket : object
+        Websocket.
+    has_dialled : bool
+        Whether this router opened the link.
+    opened_at_ms : float
+        When the link was opened, in milliseconds.
+
+    Attributes
+    ----------
+    last_seen_ms, last_sent_ms : float
+        Times of the last frames received and sent.
+    peer_revision : int
+        Revision of the store up to which the other router's replica is complete.
+    contact_at_ms : float
+        Newest contact with the store that the other router is known to have heard of.
+    is_released : bool
+        Whether one of the routers closes the link because it is not needed.
+    """
+
+    address: str
+    socket: Any
+    has_dialled: bool
+    opened_at_ms: float
+    last_seen_ms: float = field(init=False)
+    last_sent_ms: float = field(init=False)
+    peer_revision: int = field(default=0, init=False)
+    contact_at_ms: float = field(default=float("-inf"), init=False)
+    is_released: bool = field(default=False, init=False)
+    cursors: Cursors = field(factory=Cursors, init=False)
+    _queue: "asyncio.Queue[bytes]" = field(
+        factory=lambda: asyncio.Queue(MAX_QUEUED_FRAMES), init=False
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Start both timers when the link is opened."""
+        self.last_seen_ms = self.last_sent_ms = self.opened_at_ms
+
+    def send(self, frame: Frame, now_ms: float) -> bool:
+        """Queue a frame; return False if the queue is full."""
+        self.last_sent_ms = now_ms
+        try:
+            self._queue.put_nowait(encode(frame))
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    async def send_queued(self) -> None:
+        """Send queued frames until the connection is closed."""
+        try:
+            while True:
+                await self.socket.send(await self._queue.get())
+        except (OSError, WebSocketException):
+            # The receiving side of the link ends as well and closes the link.
+            return
+
+    def abort(self) -> None:
+        """Close the connection without a closing handshake."""
+        self.socket.transport.abort()
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -1,9 +1,11 @@
 """Membership table of the fleet: liveness, readers of the store and links."""
 
+from collections.abc import Iterator
+
 from attrs import define, evolve
 
-from damaskrill.mesh._frames import MemberEntry
-from damaskrill.utils import hash_to_int, rank_by_rendezvous
+from damaskrill.mesh._frames import MemberEntry, Suspicion
+from damaskrill.utils import LatestOrder, hash_to_int, rank_by_rendezvous
 
 __all__ = ["MemberTable"]
 
@@ -13,17 +15,32 @@
 N_REMOTE_LINKS = 1
 # A router is considered dead after this time without a newer heartbeat.
 FULL_MESH_EXPIRY_MS = 2_500
-EXPIRY_MS = 8_000
-# In a large fleet heartbeats are relayed from link to link, so they are less frequent.
-RELAYED_HEARTBEAT_MS = 2_000
+# The same for relayed heartbeats, in intervals between two of them.
+EXPIRY_INTERVALS = 4
+# In a large fleet heartbeats are relayed from link to link. They are less frequent, so
+# that a link carries at most 40 of them per second.
+MIN_RELAYED_HEARTBEAT_MS = 2_000
+RELAYED_HEARTBEAT_MS_PER_MEMBER = 25
+# Time in which a suspected router can prove that it is alive: a heartbeat crosses the
+# fleet in some hundred milliseconds.
+SUSPICION_MS = 3_000
+# Time for which the last heartbeat of a removed router is remembered, so that a peer
+# that has not removed it yet cannot restore it.
+REMOVED_RETENTION_MS = 60_000
 # Routers of the fleet that read the store; each watch is a billed call.
 N_READERS = 2
+# Routers that replace the readers first, if the replica becomes stale.
+N_STANDBY_READERS = 4
+# Routers that dial a lost one, as a network partition may have healed.
+N_LOST_DIALLERS = 3
 
 
 @define(kw_only=True)
 class _Member:
     entry: MemberEntry
     last_seen_ms: float
+    source: str
+    suspected_at_ms: float | None = None
 
 
 class MemberTable:
@@ -33,32 +50,78 @@
     ----------
     own : MemberEntry
         Entry of this router.
+
+    Notes
+    -----
+    In a large fleet, the neighbours of a dead router suspect it when its links end, and
+    publish the suspicion. A router that is alive answers with a newer heartbeat, in the
+    manner of SWIM (Das, Gupta and Motivala, DSN 2002). Heartbeats can therefore be
+    infrequent.
     """
 
     def __init__(self, *, own: MemberEntry) -> None:
         self._own = own
         self._members: dict[str, _Member] = {}
+        # Removed members, oldest first.
+        self._removed: dict[str, _Member] = {}
         self._heartbeat_at_ms = 0.0
+        self._updated: LatestOrder[str] = LatestOrder()
+        self._updated.update(own.address)
+        self._suspected: LatestOrder[str] = LatestOrder()
+        # Ranks take time in proportion to the fleet, so they are kept until it changes.
+        self._addresses: frozenset[str] | None = None
+        self._own_reader_rank: int | None = None
+        self._wanted_links: list[str] | None = None
 
     @property
     def own(self) -> MemberEntry:
         """Entry of this router."""
         return self._own
 
+    @property
+    def n_members(self) -> int:
+        """Number of live routers, this one included."""
+        return len(self._members) + 1
+
     @property
     def is_full_mesh(self) -> bool:
         """Whether each router links to all others."""
-        return len(self._members) + 1 <= MAX_FULL_MESH
+        return self.n_members <= MAX_FULL_MESH
+
+    @property
+    def last_update(self) -> int:
+        """Number of the newest update of an entry."""
+        return self._updated.last_number
+
+    @property
+    def last_suspicion(self) -> int:
+        """Number of the newest suspicion."""
+        return self._suspected.last_number
+
+    @property
+    def relayed_heartbeat_ms(self) -> float:
+        """Interval between two heartbeats of a router in a large fleet."""
+        scaled_ms = RELAYED_HEARTBEAT_MS_PER_MEMBER * self.n_members
+        return max(MIN_RELAYED_HEARTBEAT_MS, scaled_ms)
 
     def advance_heartbeat(self, now_ms: float) -> None:
         """Increment this router's heartbeat when it is due."""
-        if self.is_full_mesh or now_ms - self._heartbeat_at_ms >= RELAYED_HEARTBEAT_MS:
-            self._heartbeat_at_ms = now_ms
-            self._own = evolve(self._own, heartbeat=self._own.heartbeat + 1)
+        interval_ms = 0.0 if self.is_full_mesh else self.relayed_heartbeat_ms
+        if now_ms - self._heartbeat_at_ms >= interval_ms:
+            self._increment_heartbeat(now_ms)
 
-    def merge(self, entry: MemberEntry, now_ms: float) -> bool:
+    def merge(self, entry: MemberEntry, now_ms: float, *, source: str = "") -> bool:
         """Merge an entry received from a peer; ignore it if it is not newer.
 
+        Parameters
+        ----------
+        entry : MemberEntry
+            The received entry.
+        now_ms : float
+            Current time in milliseconds.
+        source : str, default=""
+            Link over which it arrived; it is not sent back over it.
+
         Returns
         -------
         bool
@@ -67,26 +130,102 @@
         if entry.address == self._own.address:
             return False
         member = self._members.get(entry.address)
-        if member is None:
-            self._members[entry.address] = _Member(entry=entry, last_seen_ms=now_ms)
+        old = member or self._removed.get(entry.address)
+        if old is not None and _version(entry) <= _version(old.entry):
+            return False
+        is_new = member is None or member.entry.incarnation != entry.incarnation
+        self._members[entry.address] = _Member(
+            entry=entry, last_seen_ms=now_ms, source=source
+        )
+        self._removed.pop(entry.address, None)
+        self._suspected.discard(entry.address)
+        if is_new:
+            self._reset_cache()
+        if is_new or not self.is_full_mesh:
+            # In a full mesh only the router itself publishes its heartbeat.
+            self._updated.update(entry.address)
+        return is_new
+
+    def suspect(self, suspicion: Suspicion, now_ms: float, *, source: str = "") -> bool:
+        """Suspect a router unless its entry is newer; return whether this is news."""
+        version = (suspicion.incarnation, suspicion.heartbeat)
+        if suspicion.address == self._own.address:
+            if version != _version(self._own):
+                return False
+            self._increment_heartbeat(now_ms)
             return True
-        old, new = member.entry, entry
-        if (new.incarnation, new.heartbeat) <= (old.incarnation, old.heartbeat):
+        member = self._members.get(suspicion.address)
+        if member is None or member.suspected_at_ms is not None:
+            return False
+        if version < _version(member.entry):
+            return False
+        member.suspected_at_ms = now_ms
+        member.source = source
+        self._suspected.update(suspicion.address)
+        return True
+
+    def suspect_unreachable(self, address: str, now_ms: float) -> bool:
+        """Suspect a router that this one cannot reach; return whether this is news."""
+        member = self._members.get(address)
+        if member is None:
             return False
-        member.entry, member.last_seen_ms = entry, now_ms
-        return new.incarnation != old.incarnation
+        entry = member.entry
+        suspicion = Suspicion(address, entry.incarnation, entry.heartbeat)
+        return self.suspect(suspicion, now_ms)
 
     def expire(self, now_ms: float) -> list[MemberEntry]:
         """Remove and return the routers without a heartbeat in time."""
-        limit_ms = FULL_MESH_EXPIRY_MS if self.is_full_mesh else EXPIRY_MS
+        limit_ms: float = FULL_MESH_EXPIRY_MS
+        if not self.is_full_mesh:
+            limit_ms = EXPIRY_INTERVALS * self.relayed_heartbeat_ms
         expired = [
-            member.entry
+            member
             for member in self._members.values()
             if now_ms - member.last_seen_ms > limit_ms
+            or (
+                member.suspected_at_ms is not None
+                and now_ms - member.suspected_at_ms > SUSPICION_MS
+            )
         ]
-        for entry in expired:
-            del self._members[entry.address]
-        return expired
+        for member in expired:
+            self._remove(member, now_ms)
+        for address, member in list(self._removed.items()):
+            if now_ms - member.last_seen_ms <= REMOVED_RETENTION_MS:
+                break
+            del self._removed[address]
+        return [member.entry for member in expired]
+
+    def updates_after(self, number: int, *, exclude_link: str) -> list[MemberEntry]:
+        """Return the entries to send over a link.
+
+        Parameters
+        ----------
+        number : int
+            ``last_update`` at the last call for this link; 0 for a new link.
+        exclude_link : str
+            The outgoing link. Entries that arrived over it are omitted.
+        """
+        return list(self._find_updates(number, exclude_link))
+
+    def suspicions_after(self, number: int, *, exclude_link: str) -> list[Suspicion]:
+        """Return the suspicions to send over a link.
+
+        Parameters
+        ----------
+        number : int
+            ``last_suspicion`` at the last call for this link; 0 for a new link.
+        exclude_link : str
+            The outgoing link. Suspicions that arrived over it are omitted.
+        """
+        suspicions = []
+        for address in self._suspected.updated_after(number):
+            member = self._members[address]
+            if member.source != exclude_link:
+                entry = member.entry
+                suspicions.append(
+                    Suspicion(address, entry.incarnation, entry.heartbeat)
+                )
+        return suspicions
 
     def entries(self) -> list[MemberEntry]:
         """Return the entries of all routers, this one first."""
@@ -94,7 +233,9 @@
 
     def addresses(self) -> frozenset[str]:
         """Return the addresses of all routers, this one included."""
-        return frozenset({self._own.address, *self._members})
+        if self._addresses is None:
+            self._addresses = frozenset({self._own.address, *self._members})
+        return self._addresses
 
     def is_reader(self) -> bool:
         """Return whether this router reads the store.
@@ -104,17 +245,66 @@
         The readers are spread over different data centres if there are several, so
         that one remains when a data centre is lost.
         """
-        centre_of = {each.address: each.data_centre for each in self.entries()}
-        ranked = rank_by_rendezvous("reader", centre_of)
-        readers: list[str] = []
-        for address in ranked:
-            if centre_of[address] not in {centre_of[each] for each in readers}:
-                readers.append(address)
-        readers += [each for each in ranked if each not in readers]
-        return self._own.address in readers[:N_READERS]
+        return self._reader_rank() < N_READERS
+
+    def is_standby_reader(self) -> bool:
+        """Return whether this router is among the first to replace the readers."""
+        return self._reader_rank() < N_READERS + N_STANDBY_READERS
+
+    def dials_lost(self, address: str) -> bool:
+        """Return whether this router is one of those that dial a lost one."""
+        if self.is_full_mesh:
+            return True
+        ranked = rank_by_rendezvous(f"lost {address}", self.addresses())
+        return self._own.address in ranked[:N_LOST_DIALLERS]
 
     def wanted_links(self) -> list[str]:
         """Return the addresses of the routers to link to."""
+        if self._wanted_links is None:
+            self._wanted_links = self._find_wanted_links()
+        return self._wanted_links
+
+    def _remove(self, member: _Member, now_ms: float) -> None:
+        address = member.entry.address
+        del self._members[address]
+        self._updated.discard(address)
+        self._suspected.discard(address)
+        member.last_seen_ms = now_ms
+        self._removed[address] = member
+        self._reset_cache()
+
+    def _increment_heartbeat(self, now_ms: float) -> None:
+        self._heartbeat_at_ms = now_ms
+        self._own = evolve(self._own, heartbeat=self._own.heartbeat + 1)
+        self._updated.update(self._own.address)
+
+    def _find_updates(self, number: int, exclude_link: str) -> Iterator[MemberEntry]:
+        for address in self._updated.updated_after(number):
+            if address == self._own.address:
+                yield self._own
+            elif address != exclude_link:
+                member = self._members[address]
+                if member.source != exclude_link:
+                    yield member.entry
+
+    def _reset_cache(self) -> None:
+        self._addresses = None
+        self._own_reader_rank = None
+        self._wanted_links = None
+
+    def _reader_rank(self) -> int:
+        if self._own_reader_rank is None:
+            centre_of = {each.address: each.data_centre for each in self.entries()}
+            ranked = rank_by_rendezvous("reader", centre_of)
+            first_by_centre: dict[str, str] = {}
+            for address in ranked:
+                first_by_centre.setdefault(centre_of[address], address)
+            first = list(first_by_centre.values())
+            others = [each for each in ranked if each not in first]
+            self._own_reader_rank = (first + others).index(self._own.address)
+        return self._own_reader_rank
+
+    def _find_wanted_links(self) -> list[str]:
         others = [member.entry for member in self._members.values()]
         if self.is_full_mesh:
             return [each.address for each in others]
@@ -130,3 +320,7 @@
             return hash_to_int(" ".join(pair))
 
         return [each.address for each in sorted(entries, key=weight)[:n_links]]
+
+
+def _version(entry: MemberEntry) -> tuple[int, int]:
+    return (entry.incarnation, entry.heartbeat)
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -6,7 +6,6 @@
 
 import websockets.asyncio.client
 import websockets.asyncio.server
-from attrs import define, field
 from websockets.exceptions import WebSocketException
 
 from damaskrill.exceptions import PeerFrameError
@@ -15,39 +14,42 @@
     MAX_FRAME_BYTES,
     FeedUpdate,
     Frame,
-    Gossip,
-    Heartbeat,
+    Goodbye,
     Hello,
     MemberEntry,
+    Update,
     decode,
     encode,
 )
+from damaskrill.mesh._link import Link
 from damaskrill.mesh._members import MemberTable
-from damaskrill.steering import (
-    FailureDetector,
-    HotKeys,
-    KeyCounts,
-    LoadReport,
-    PrefixIndex,
-    PrefixReport,
-    ServerLoads,
-)
+from damaskrill.mesh._reports import ReportExchange, has_reports
 from damaskrill.utils import monotonic_now_ms
 
 __all__ = ["Mesh"]
 
-# A third of the time after which a replica of the store is considered stale.
-HEARTBEAT_INTERVAL_MS = 400
 # In a large fleet each router gets answers from a given server so rarely that it
-# depends on reports from other routers. Gossip takes most of an idle router's processor
-# time: it is sent in each round only while a large part of a service's engines is
-# unavailable, otherwise in every second one.
-ROUNDS_PER_HEARTBEAT = 4
-ROUNDS_PER_GOSSIP = 2
-# Failures are published sooner than other reports; the delay batches simultaneous ones.
+# depends on reports from other routers. Gossip takes most of a router's processor time:
+# it is sent at the shorter interval only while a large part of a service's engines is
+# unavailable.
+GOSSIP_INTERVAL_MS = 200
+FRESH_GOSSIP_INTERVAL_MS = 100
+# A third of the time after which a replica of the store is considered stale in a small
+# fleet, whose links have no other traffic.
+HEARTBEAT_INTERVAL_MS = 400
+# In a large fleet the contacts with the store are relayed without delay, so that frames
+# without content only show that a link is alive.
+KEEPALIVE_INTERVAL_MS = 800
+# Failures and contacts are sent sooner than other reports; the delays batch
+# simultaneous ones.
 FAILURES_DELAY_MS = 50
-# Several heartbeats; a link without frames for longer is closed and dialled again.
+CONTACT_DELAY_MS = 20
+# Contacts that are closer in time than this are treated as the same.
+MIN_CONTACT_GAP_MS = 150
+# Several intervals between frames; a link without frames for longer is closed and
+# dialled again.
 LINK_TIMEOUT_MS = 1_600
+RELAY_LINK_TIMEOUT_MS = 2_400
 # Many times the network latency between data centres.
 DIAL_TIMEOUT_MS = 500
 REDIAL_MS = 800
@@ -56,31 +58,10 @@
 # A lost router is dialled periodically, as a network partition may have healed.
 LOST_REDIAL_MS = 2_000
 LOST_RETENTION_MS = 60_000
-# A link with more queued frames is closed, so that memory stays bounded.
-MAX_QUEUED_FRAMES = 200
 # A router that has just started may be slow to send its first frame.
 HELLO_TIMEOUT_MS = 1_000
 
 
-@define(kw_only=True, eq=False)
-class _Link:
-    """An open connection to another router."""
-
-    address: str
-    socket: Any
-    has_dialled: bool
-    queue: asyncio.Queue[bytes] = field(
-        factory=lambda: asyncio.Queue(MAX_QUEUED_FRAMES)
-    )
-    last_seen_ms: float
-    peer_revision: int = 0
-    # Incarnation and heartbeat of each router that were last sent over the link.
-    sent_versions: dict[str, tuple[int, int]] = field(factory=dict)
-    n_loads_sent: int = 0
-    n_prefixes_sent: int = 0
-    n_failures_sent: int = 0
-
-
 class Mesh:
     """Websocket links to other routers.
 
@@ -100,16 +81,8 @@
         Applies changes or all items of the store received from a router.
     record_contact : callable
         Records the time of a contact with the store that a router has reported.
-    loads : ServerLoads
-        Loads of servers, published to and received from other routers.
-    hot_keys : HotKeys
-        Request counts of keys, published to and received from other routers.
-    prefix_index : PrefixIndex
-        Engines that hold prompt parts, published to and received from other routers.
-    failures : FailureDetector
-        Failures of servers' requests, published to and received from other routers.
-    apply_failures : callable
-        Handles the short hashes of the servers with new failure reports.
+    reports : ReportExchange
+        Reports that are published to and received from other routers.
     needs_fresh_loads : callable
         Returns whether loads must be published as early as possible.
     report : callable
@@ -126,11 +99,7 @@
         seeds: tuple[str, ...],
         apply_feed: Callable[[FeedUpdate], None],
         record_contact: Callable[[int], None],
-        loads: ServerLoads,
-        hot_keys: HotKeys,
-        prefix_index: PrefixIndex,
-        failures: FailureDetector,
-        apply_failures: Callable[[frozenset[int]], None],
+        reports: ReportExchange,
         needs_fresh_loads: Callable[[], bool],
         report: Callable[..., None],
     ) -> None:
@@ -141,15 +110,15 @@
         self._seeds = tuple(each for each in seeds if each != members.own.address)
         self._apply_feed = apply_feed
         self._record_contact = record_contact
-        self._loads = loads
-        self._hot_keys = hot_keys
-        self._prefix_index = prefix_index
-        self._failures = failures
-        self._apply_failures = apply_failures
+        self._reports = reports
         self._needs_fresh_loads = needs_fresh_loads
         self._failures_timer: asyncio.TimerHandle | None = None
+        self._contact_timer: asyncio.TimerHandle | None = None
         self._report = report
-        self._links: dict[str, _Link] = {}
+        self._links: dict[str, Link] = {}
+        self._maintained_at_ms = 0.0
+        self._is_running = False
+        self._n_logged_members = 1
         self._dialled_at_ms: dict[str, float] = {}
         self._dials: set[asyncio.Task[None]] = set()
         self._lost_at_ms: dict[str, float] = {}
@@ -162,6 +131,13 @@
     async def run(self) -> None:
         """Accept and dial links until cancelled."""
         host, port = self._listen
+        self._is_running = True
+        try:
+            await self._run(host, port)
+        finally:
+            self._is_running = False
+
+    async def _run(self, host: str, port: int) -> None:
         async with websockets.asyncio.server.serve(
             self._accept,
             host,
@@ -171,16 +147,13 @@
             max_size=MAX_FRAME_BYTES,
             close_timeout=0.2,
         ):
-            n_rounds = 0
             while True:
-                if n_rounds % ROUNDS_PER_HEARTBEAT == 0:
-                    self._maintain_links()
-                if n_rounds % ROUNDS_PER_GOSSIP == 0 or self._needs_fresh_loads():
-                    self._send_gossip()
-                n_rounds += 1
-                await asyncio.sleep(
-                    HEARTBEAT_INTERVAL_MS / ROUNDS_PER_HEARTBEAT / 1_000
+                self._run_round(monotonic_now_ms())
+                is_urgent = self._needs_fresh_loads()
+                interval_ms = (
+                    FRESH_GOSSIP_INTERVAL_MS if is_urgent else GOSSIP_INTERVAL_MS
                 )
+                await asyncio.sleep(interval_ms / 1_000)
 
     def push_changes(self, *, source: str = "") -> None:
         """Send new store changes to the peers that lack them.
@@ -204,21 +177,62 @@
                 FAILURES_DELAY_MS / 1_000, self._publish_failures
             )
 
-    def _maintain_links(self) -> None:
-        now_ms = monotonic_now_ms()
+    def push_contact(self) -> None:
+        """Tell the peers soon that the store has been reached."""
+        if self._contact_timer is None:
+            self._contact_timer = asyncio.get_running_loop().call_later(
+                CONTACT_DELAY_MS / 1_000, self._publish_contact
+            )
+
+    def _run_round(self, now_ms: float) -> None:
+        is_heartbeat = now_ms - self._maintained_at_ms >= HEARTBEAT_INTERVAL_MS - 1
+        if is_heartbeat:
+            self._maintained_at_ms = now_ms
+            self._maintain_links(now_ms)
+        for link in list(self._links.values()):
+            self._send_update(link, now_ms, is_heartbeat=is_heartbeat)
+
+    def _send_update(self, link: Link, now_ms: float, *, is_heartbeat: bool) -> None:
+        is_full_mesh = self._members.is_full_mesh
+        keepalive_ms = HEARTBEAT_INTERVAL_MS if is_full_mesh else KEEPALIVE_INTERVAL_MS
+        is_due = now_ms - link.last_sent_ms >= keepalive_ms - 1
+        update = self._reports.collect(
+            link,
+            now_ms,
+            revision=self._replica.revision,
+            age_ms=self._contact_age_ms(now_ms),
+            is_periodic=is_heartbeat or not is_full_mesh,
+            has_counts=is_heartbeat,
+        )
+        if is_due or has_reports(update):
+            self._send(link, update)
+
+    def _maintain_links(self, now_ms: float) -> None:
         self._members.advance_heartbeat(now_ms)
         for entry in self._members.expire(now_ms):
             self._lost_at_ms[entry.address] = now_ms
             self._report("router_lost", peer=entry.address)
+        self._log_members()
+        timeout_ms = RELAY_LINK_TIMEOUT_MS
+        if self._members.is_full_mesh:
+            timeout_ms = LINK_TIMEOUT_MS
         for link in list(self._links.values()):
-            if now_ms - link.last_seen_ms > LINK_TIMEOUT_MS:
+            if now_ms - link.last_seen_ms > timeout_ms:
                 self._close_link(link, "no frame received in time")
-            else:
-                self._send_heartbeat(link, now_ms)
         wanted = self._members.wanted_links()
         self._close_unwanted(wanted)
         self._dial_missing(wanted, now_ms)
 
+    def _log_members(self) -> None:
+        # One line for all changes since the last round: at the start of a large fleet
+        # each router discovers hundreds of others within a second.
+        n_members = self._members.n_members
+        if n_members != self._n_logged_members:
+            self._report(
+                "routers_known", n_routers=n_members, n_before=self._n_logged_members
+            )
+            self._n_logged_members = n_members
+
     def _close_unwanted(self, wanted: Sequence[str]) -> None:
         # All routers dial the seeds when they start; without this the seeds would
         # relay the gossip of the whole fleet. A peer that needs the link redials it.
@@ -227,26 +241,34 @@
         if sum(address in self._links for address in wanted) < MIN_LINKS:
             return
         for link in list(self._links.values()):
-            if link.has_dialled and link.address not in wanted:
-                self._close_link(link, "link not needed")
+            if link.has_dialled and link.address not in wanted and not link.is_released:
+                # The peer closes the link, so that it does not look like a failure.
+                link.is_released = True
+                self._send(link, Goodbye())
 
     def _dial_missing(self, wanted: Sequence[str], now_ms: float) -> None:
         intervals = dict.fromkeys(wanted, REDIAL_MS)
         if len(self._links) < MIN_LINKS:
             intervals.update(dict.fromkeys(self._seeds, REDIAL_MS))
         for address, lost_at_ms in list(self._lost_at_ms.items()):
-            if now_ms - lost_at_ms > LOST_RETENTION_MS:
+            if (
+                now_ms - lost_at_ms > LOST_RETENTION_MS
+                or address in self._members.addresses()
+            ):
                 del self._lost_at_ms[address]
-            else:
+            elif self._members.dials_lost(address):
                 intervals.setdefault(address, LOST_REDIAL_MS)
         for address, interval_ms in intervals.items():
             dialled_at_ms = self._dialled_at_ms.get(address, -LOST_RETENTION_MS)
             if address in self._links or now_ms - dialled_at_ms < interval_ms:
                 continue
             self._dialled_at_ms[address] = now_ms
-            task = asyncio.get_running_loop().create_task(self._dial(address))
-            self._dials.add(task)
-            task.add_done_callback(self._dials.discard)
+            self._start_dial(address)
+
+    def _start_dial(self, address: str) -> None:
+        task = asyncio.get_running_loop().create_task(self._dial(address))
+        self._dials.add(task)
+        task.add_done_callback(self._dials.discard)
 
     async def _dial(self, address: str) -> None:
         try:
@@ -262,14 +284,21 @@
         except (OSError, TimeoutError, WebSocketException):
             # A router that is down is dialled again; its loss is logged once, when its
             # membership entry expires.
+            self._suspect(address)
             return
         await self._serve_link(socket, has_dialled=True)
 
+    def _suspect(self, address: str) -> None:
+        if self._members.is_full_mesh:
+            return
+        if self._members.suspect_unreachable(address, monotonic_now_ms()):
+            self._report("router_suspected", peer=address, source="")
+
     async def _accept(self, socket: Any) -> None:
         await self._serve_link(socket, has_dialled=False)
 
     async def _serve_link(self, socket: Any, *, has_dialled: bool) -> None:
-        link: _Link | None = None
+        link: Link | None = None
         sender: asyncio.Task[None] | None = None
         try:
             await socket.send(encode(Hello(entry=self._members.own)))
@@ -278,7 +307,7 @@
             if not isinstance(hello, Hello):
                 return
             link = self._add_link(socket, hello.entry, has_dialled=has_dialled)
-            sender = asyncio.get_running_loop().create_task(self._send_queued(link))
+            sender = asyncio.get_running_loop().create_task(link.send_queued())
             async for data in socket:
                 link.last_seen_ms = monotonic_now_ms()
                 self._handle_frame(link, decode(data))
@@ -294,149 +323,93 @@
                 self._close_link(link, "connection closed")
             socket.transport.abort()
 
-    def _add_link(self, socket: Any, entry: MemberEntry, *, has_dialled: bool) -> _Link:
+    def _add_link(self, socket: Any, entry: MemberEntry, *, has_dialled: bool) -> Link:
         now_ms = monotonic_now_ms()
         old = self._links.get(entry.address)
         if old is not None:
-            old.socket.transport.abort()
-        link = _Link(
+            old.abort()
+        link = Link(
             address=entry.address,
             socket=socket,
             has_dialled=has_dialled,
-            last_seen_ms=now_ms,
+            opened_at_ms=now_ms,
         )
         self._links[entry.address] = link
-        if self._members.merge(entry, now_ms):
-            self._report("router_known", peer=entry.address)
-        self._send_heartbeat(link, now_ms)
+        self._members.merge(entry, now_ms, source=entry.address)
+        update = self._reports.collect(
+            link,
+            now_ms,
+            revision=self._replica.revision,
+            age_ms=self._contact_age_ms(now_ms),
+            is_periodic=True,
+            has_counts=True,
+        )
+        self._send(link, update)
         return link
 
-    def _handle_frame(self, link: _Link, frame: Frame) -> None:
+    def _handle_frame(self, link: Link, frame: Frame) -> None:
         now_ms = monotonic_now_ms()
         match frame:
-            case Heartbeat():
-                self._loads.apply_reports(
-                    frame.loads, now_ms=now_ms, source=link.address
-                )
-                for entry in frame.entries:
-                    if self._members.merge(entry, now_ms):
-                        self._report("router_known", peer=entry.address)
-                self._apply_store_age(frame, now_ms)
+            case Update():
+                self._apply_contact(link, frame.age_ms, now_ms)
+                self._reports.apply(link, frame, now_ms)
+                if frame.failures and not self._members.is_full_mesh:
+                    self.push_failures()
                 link.peer_revision = frame.revision
                 self._send_feed(link)
-                counts = KeyCounts(frame.n_requests, dict(frame.key_counts))
-                self._hot_keys.apply_counts(link.address, counts, now_ms)
             case FeedUpdate():
                 self._apply_feed(frame)
                 link.peer_revision = max(link.peer_revision, frame.revision)
                 self.push_changes(source=link.address)
-            case Gossip():
-                self._apply_store_age(frame, now_ms)
-                self._handle_gossip(link, frame, now_ms)
+            case Goodbye():
+                link.is_released = True
+                self._close_link(link, "link not needed")
             case Hello():
                 pass
 
-    def _send_heartbeat(self, link: _Link, now_ms: float) -> None:
-        counts = self._hot_keys.local_counts(now_ms)
-        heartbeat = Heartbeat(
-            revision=self._replica.revision,
-            age_ms=self._contact_age_ms(now_ms),
-            entries=self._changed_entries(link),
-            loads=self._load_reports_for(link, now_ms),
-            n_requests=round(counts.n_requests, 1),
-            key_counts=tuple(
-                (key, round(count, 1)) for key, count in counts.by_key.items()
-            ),
-        )
-        self._send(link, heartbeat)
-
-    def _changed_entries(self, link: _Link) -> tuple[MemberEntry, ...]:
-        changed = []
-        for entry in self._members.entries():
-            # In a full mesh only the router itself publishes its heartbeat.
-            is_relayed = entry.address != self._members.own.address
-            heartbeat = (
-                0 if is_relayed and self._members.is_full_mesh else entry.heartbeat
-            )
-            version = (entry.incarnation, heartbeat)
-            if (
-                link.sent_versions.get(entry.address) != version
-                and entry.address != link.address
-            ):
-                link.sent_versions[entry.address] = version
-                changed.append(entry)
-        return tuple(changed)
-
-    def _load_reports_for(self, link: _Link, now_ms: float) -> tuple[LoadReport, ...]:
-        reports, link.n_loads_sent = self._loads.reports_after(
-            link.n_loads_sent,
-            now_ms=now_ms,
-            exclude_link=link.address,
-            include_relayed=not self._members.is_full_mesh,
-        )
-        return tuple(reports)
-
-    def _prefix_reports_for(
-        self, link: _Link, now_ms: float
-    ) -> tuple[PrefixReport, ...]:
-        reports, link.n_prefixes_sent = self._prefix_index.reports_after(
-            link.n_prefixes_sent,
-            now_ms=now_ms,
-            exclude_link=link.address,
-            # In a full mesh each router receives reports from all others directly.
-            include_relayed=not self._members.is_full_mesh,
-        )
-        return tuple(reports)
-
-    def _send_gossip(self) -> None:
-        now_ms = monotonic_now_ms()
-        age_ms = self._contact_age_ms(now_ms)
-        for link in list(self._links.values()):
-            prefixes = self._prefix_reports_for(link, now_ms)
-            if not self._members.is_full_mesh:
-                loads = self._load_reports_for(link, now_ms)
-                gossip = Gossip(age_ms=age_ms, loads=loads, prefixes=prefixes)
-                self._send(link, gossip)
-            elif prefixes:
-                # In a full mesh, heartbeats are frequent enough for the loads.
-                self._send(link, Gossip(age_ms=age_ms, prefixes=prefixes))
-
     def _publish_failures(self) -> None:
         self._failures_timer = None
-        self._failures.flush()
+        self._reports.failures.flush()
         now_ms = monotonic_now_ms()
         for link in list(self._links.values()):
-            reports, link.n_failures_sent = self._failures.reports_after(
-                link.n_failures_sent,
-                now_ms=now_ms,
-                exclude_link=link.address,
-                include_relayed=not self._members.is_full_mesh,
+            update = self._reports.collect(
+                link,
+                now_ms,
+                revision=self._replica.revision,
+                age_ms=self._contact_age_ms(now_ms),
+                is_periodic=False,
+                has_counts=False,
             )
-            if reports:
-                age_ms = self._contact_age_ms(now_ms)
-                self._send(link, Gossip(age_ms=age_ms, failures=tuple(reports)))
+            if has_reports(update):
+                self._send(link, update)
+
+    def _publish_contact(self) -> None:
+        self._contact_timer = None
+        now_ms = monotonic_now_ms()
+        age_ms = self._contact_age_ms(now_ms)
+        if age_ms < 0:
+            return
+        for link in list(self._links.values()):
+            if now_ms - age_ms - link.contact_at_ms >= MIN_CONTACT_GAP_MS:
+                update = Update(revision=self._replica.revision, age_ms=age_ms)
+                self._send(link, update)
 
     def _contact_age_ms(self, now_ms: float) -> int:
         age_ms = self._freshness.age_ms(round(now_ms))
         return -1 if age_ms is None else age_ms
 
-    def _apply_store_age(self, frame: Heartbeat | Gossip, now_ms: float) -> None:
-        if frame.age_ms >= 0:
-            self._record_contact(round(now_ms) - frame.age_ms)
-
-    def _handle_gossip(self, link: _Link, frame: Gossip, now_ms: float) -> None:
-        source = link.address
-        self._loads.apply_reports(frame.loads, now_ms=now_ms, source=source)
-        self._prefix_index.apply_reports(frame.prefixes, now_ms=now_ms, source=source)
-        servers = self._failures.apply_reports(
-            frame.failures, now_ms=now_ms, source=source
-        )
-        if servers:
-            self._apply_failures(servers)
-            if not self._members.is_full_mesh:
-                self.push_failures()
-
-    def _send_feed(self, link: _Link) -> None:
+    def _apply_contact(self, link: Link, age_ms: int, now_ms: float) -> None:
+        if age_ms < 0:
+            return
+        contact_at_ms = now_ms - age_ms
+        link.contact_at_ms = max(link.contact_at_ms, contact_at_ms)
+        known_age_ms = self._contact_age_ms(now_ms)
+        is_news = known_age_ms < 0 or known_age_ms - age_ms >= MIN_CONTACT_GAP_MS
+        self._record_contact(round(contact_at_ms))
+        if is_news and not self._members.is_full_mesh:
+            self.push_contact()
+
+    def _send_feed(self, link: Link) -> None:
         own, peer = self._replica.revision, link.peer_revision
         if peer >= own:
             return
@@ -450,22 +423,20 @@
                 link, FeedUpdate(after=peer, revision=own, changes=tuple(changes))
             )
 
-    def _send(self, link: _Link, frame: Frame) -> None:
-        try:
-            link.queue.put_nowait(encode(frame))
-        except asyncio.QueueFull:
+    def _send(self, link: Link, frame: Frame) -> None:
+        now_ms = monotonic_now_ms()
+        if isinstance(frame, Update) and frame.age_ms >= 0:
+            link.contact_at_ms = max(link.contact_at_ms, now_ms - frame.age_ms)
+        if not link.send(frame, now_ms):
             self._close_link(link, "send queue full")
 
-    async def _send_queued(self, link: _Link) -> None:
-        try:
-            while True:
-                await link.socket.send(await link.queue.get())
-        except (OSError, WebSocketException):
-            # The receiving side of the link ends as well and closes the link.
-            return
-
-    def _close_link(self, link: _Link, reason: str) -> None:
+    def _close_link(self, link: Link, reason: str) -> None:
         if self._links.get(link.address) is link:
             del self._links[link.address]
-            self._report("router_link_lost", peer=link.address, sentence=reason)
-        link.socket.transport.abort()
+            if not link.is_released:
+                self._report("router_link_lost", peer=link.address, sentence=reason)
+                if self._is_running and not self._members.is_full_mesh:
+                    # Shows whether the router is dead or only the connection.
+                    self._dialled_at_ms[link.address] = monotonic_now_ms()
+                    self._start_dial(link.address)
+        link.abort()
--- /dev/null
+++ b/damaskrill/mesh/_reports.py
@@ -0,0 +1,148 @@
+"""Reports that routers send each other over links."""
+
+from collections.abc import Callable
+
+from attrs import frozen
+
+from damaskrill.mesh._frames import MemberEntry, Update
+from damaskrill.mesh._link import Link
+from damaskrill.mesh._members import MemberTable
+from damaskrill.steering import (
+    FailureDetector,
+    HotKeys,
+    LoadReport,
+    PrefixIndex,
+    ServerLoads,
+)
+
+__all__ = ["ReportExchange", "has_reports"]
+
+
+@frozen(kw_only=True, eq=False)
+class ReportExchange:
+    """Collects the reports to send over a link, and applies received ones.
+
+    Parameters
+    ----------
+    members : MemberTable
+        Live routers.
+    loads : ServerLoads
+        Loads of servers.
+    hot_keys : HotKeys
+        Request counts of keys.
+    prefix_index : PrefixIndex
+        Engines that hold prompt parts.
+    failures : FailureDetector
+        Failures of servers' requests.
+    apply_failures : callable
+        Handles the short hashes of the servers with new failure reports.
+    report : callable
+        Logs an event, given its name and fields.
+
+    Notes
+    -----
+    In a full mesh each router receives the reports of all others directly, so that none
+    is relayed.
+    """
+
+    members: MemberTable
+    loads: ServerLoads
+    hot_keys: HotKeys
+    prefix_index: PrefixIndex
+    failures: FailureDetector
+    apply_failures: Callable[[frozenset[int]], None]
+    report: Callable[..., None]
+
+    def collect(
+        self,
+        link: Link,
+        now_ms: float,
+        *,
+        revision: int,
+        age_ms: int,
+        is_periodic: bool,
+        has_counts: bool,
+    ) -> Update:
+        """Return what a peer has not been sent yet.
+
+        Parameters
+        ----------
+        link : Link
+            The outgoing link.
+        now_ms : float
+            Current time in milliseconds.
+        revision, age_ms : int
+            State of the replica of the store.
+        is_periodic : bool
+            Whether to include loads and membership entries, which change all the time.
+        has_counts : bool
+            Whether to include request counts of keys.
+        """
+        cursors, members, address = link.cursors, self.members, link.address
+        is_relaying = not members.is_full_mesh
+        prefixes, cursors.n_prefixes = self.prefix_index.reports_after(
+            cursors.n_prefixes,
+            now_ms=now_ms,
+            exclude_link=address,
+            include_relayed=is_relaying,
+        )
+        failures, cursors.n_failures = self.failures.reports_after(
+            cursors.n_failures,
+            now_ms=now_ms,
+            exclude_link=address,
+            include_relayed=is_relaying,
+        )
+        suspicions = members.suspicions_after(
+            cursors.n_suspicions, exclude_link=address
+        )
+        cursors.n_suspicions = members.last_suspicion
+        entries: list[MemberEntry] = []
+        loads: list[LoadReport] = []
+        if is_periodic:
+            entries = members.updates_after(cursors.n_entries, exclude_link=address)
+            cursors.n_entries = members.last_update
+            loads, cursors.n_loads = self.loads.reports_after(
+                cursors.n_loads,
+                now_ms=now_ms,
+                exclude_link=address,
+                include_relayed=is_relaying,
+            )
+        return Update(
+            revision=revision,
+            age_ms=age_ms,
+            entries=tuple(entries),
+            suspicions=tuple(suspicions),
+            loads=tuple(loads),
+            prefixes=tuple(prefixes),
+            failures=tuple(failures),
+            key_counts=self.hot_keys.local_counts(now_ms) if has_counts else None,
+        )
+
+    def apply(self, link: Link, update: Update, now_ms: float) -> None:
+        """Apply the reports of a peer."""
+        source = link.address
+        for entry in update.entries:
+            self.members.merge(entry, now_ms, source=source)
+        for suspicion in update.suspicions:
+            if self.members.suspect(suspicion, now_ms, source=source):
+                self.report("router_suspected", peer=suspicion.address, source=source)
+        self.loads.apply_reports(update.loads, now_ms=now_ms, source=source)
+        self.prefix_index.apply_reports(update.prefixes, now_ms=now_ms, source=source)
+        if update.key_counts is not None:
+            self.hot_keys.apply_counts(source, update.key_counts, now_ms)
+        servers = self.failures.apply_reports(
+            update.failures, now_ms=now_ms, source=source
+        )
+        if servers:
+            self.apply_failures(servers)
+
+
+def has_reports(update: Update) -> bool:
+    """Return whether an update contains any report that a peer may not have."""
+    return bool(
+        update.entries
+        or update.suspicions
+        or update.loads
+        or update.prefixes
+        or update.failures
+    )
--- a/damaskrill/platform/__main__.py
+++ b/damaskrill/platform/__main__.py
@@ -1,11 +1,11 @@
 """Entry point of ``python -m damaskrill.platform``, which runs one router.
 
-The other commands are not imported, because that would delay the start.
+The command line is not imported, because that would delay the start.
 """
 
 import sys
 
-from damaskrill.cli._gateway import run
+from damaskrill.platform._serve import serve
 
 if __name__ == "__main__":
-    sys.exit(run())
+    sys.exit(serve())
--- a/damaskrill/platform/_settings.py
+++ b/damaskrill/platform/_settings.py
@@ -81,6 +81,7 @@
         "repeat_ratio": ("bounds.budgetRatio", 1),
         "repeat_slack": ("bounds.retrySlack", 1),
         "repeat_window_ms": ("bounds.budgetWindowS", MS_PER_S),
+        "leaving_limit_ms": ("bounds.drainTimeoutMs", 1),
         "cold_factor": ("bounds.coldFactor", 1),
         "cold_slack": ("bounds.coldSlack", 1),
     }
--- a/damaskrill/steering/_cold_start_limiter.py
+++ b/damaskrill/steering/_cold_start_limiter.py
@@ -48,11 +48,15 @@
         self._started_at_ms = started_at_ms
         self._members: frozenset[str] = frozenset({own_address})
         self._max_members = 1
+        # Routers in the order in which they may send to a server.
+        self._rankings: dict[str, list[str]] = {}
         self._sent: dict[tuple[str, int], deque[float]] = {}
 
     def set_members(self, members: frozenset[str]) -> None:
         """Set the routers that are alive, including this one."""
-        self._members = members
+        if members != self._members:
+            self._members = members
+            self._rankings.clear()
         self._max_members = max(self._max_members, len(members))
 
     def quota(self, server: BackendServer, spec: ServiceSpec, now_ms: float) -> int:
@@ -64,7 +68,10 @@
         share = int(limit / n_routers)
         if share >= 1:
             return share
-        ranked = rank_by_rendezvous(server.server_id, self._members)
+        ranked = self._rankings.get(server.server_id)
+        if ranked is None:
+            ranked = rank_by_rendezvous(server.server_id, self._members)
+            self._rankings[server.server_id] = ranked
         return int(self._own_address in ranked[: int(limit)])
 
     def may_send(self, server: BackendServer, spec: ServiceSpec, now_ms: float) -> bool:
--- a/damaskrill/steering/_loads.py
+++ b/damaskrill/steering/_loads.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from damaskrill.steering._gossip import short_server_id
+from damaskrill.utils import LatestOrder
 
 __all__ = ["LoadReport", "ServerLoads"]
 
@@ -47,7 +48,6 @@
     n_others: float = 0.0
     n_reported: int = 0
     reported_at_ms: float = 0.0
-    sequence_number: int = 0
     is_relayed: bool = False
     # Time of the newest report that was received or sent over each link.
     link_synced_at_ms: dict[str, float] = field(factory=dict)
@@ -65,10 +65,9 @@
 
     def __init__(self) -> None:
         self._loads: dict[ServerKey, _ServerLoad] = {}
-        # The same loads, ordered by their newest report.
-        self._by_sequence: dict[ServerKey, _ServerLoad] = {}
+        # Servers in the order of their newest reports.
+        self._reported: LatestOrder[ServerKey] = LatestOrder()
         self._keys: dict[int, ServerKey] = {}
-        self._last_sequence_number = 0
 
     def start(self, key: ServerKey) -> None:
         """Count the start of a request."""
@@ -90,10 +89,8 @@
         self, key: ServerKey, n_requests: int, at_ms: float, *, is_relayed: bool
     ) -> None:
         load = self._loads[key]
-        self._by_sequence.pop(key, None)
-        self._by_sequence[key] = load
-        self._last_sequence_number += 1
-        load.sequence_number, load.is_relayed = self._last_sequence_number, is_relayed
+        self._reported.update(key)
+        load.is_relayed = is_relayed
         load.n_reported = n_requests
         load.n_others = max(0, n_requests - load.n_own)
         load.reported_at_ms = at_ms
@@ -159,9 +156,8 @@
         """
         selected = []
         oldest_ms = now_ms - MAX_REPORT_AGE_MS
-        for key, load in reversed(self._by_sequence.items()):
-            if load.sequence_number <= number:
-                break
+        for key in self._reported.updated_after(number):
+            load = self._loads[key]
             reported_at_ms = load.reported_at_ms
             if reported_at_ms < oldest_ms or (load.is_relayed and not include_relayed):
                 continue
@@ -174,7 +170,7 @@
                 selected.append(
                     LoadReport(short_server_id(key), load.n_reported, age_ms)
                 )
-        return selected, self._last_sequence_number
+        return selected, self._reported.last_number
 
     def n_own(self, key: ServerKey) -> int:
         """Return the number of this router's requests at a server."""
@@ -199,5 +195,5 @@
         for key in list(self._loads):
             if key not in keys and not self._loads[key].n_own:
                 del self._loads[key]
-                self._by_sequence.pop(key, None)
+                self._reported.discard(key)
                 self._keys.pop(short_server_id(key), None)
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -18,11 +18,12 @@
 from damaskrill.gateway._events import EventSplitter, parse_last_event_id
 from damaskrill.mesh import (
     FeedUpdate,
-    Gossip,
-    Heartbeat,
+    Goodbye,
     Hello,
     MemberEntry,
     MemberTable,
+    Suspicion,
+    Update,
     decode,
     encode,
 )
@@ -36,6 +37,7 @@
     FleetRetryBudget,
     HealthTracker,
     HotKeys,
+    KeyCounts,
     LoadReport,
     PrefixIndex,
     PrefixReport,
@@ -428,17 +430,15 @@
     removal = Change(key="gone", value=None, revision=10)
     for frame in (
         Hello(entry=entry),
-        Heartbeat(
-            revision=7,
-            age_ms=-1,
-            entries=(entry,),
-            loads=(LoadReport(5, 3, 90),),
-            n_requests=1.5,
-            key_counts=((7, 2.5),),
-        ),
+        Goodbye(),
+        Update(revision=7),
         FeedUpdate(after=0, revision=10, changes=(change, removal)),
-        Gossip(
+        Update(
+            revision=7,
             age_ms=40,
+            entries=(entry,),
+            suspicions=(Suspicion("10.0.0.2:9", 5, 3),),
+            key_counts=KeyCounts(1.5, {7: 2.5}),
             loads=(LoadReport(5, 3, 90),),
             prefixes=(PrefixReport(7, 5, 90),),
             failures=(FailureReport(7, 5, 2**32 - 1, 9, 2, 1, 90),),
@@ -461,30 +461,32 @@
 @then("a reported load beyond the largest number is sent as the largest number")
 def step_huge_load(context):
     huge = LoadReport(5, 10**15, 90)
-    for frame in (
-        Gossip(loads=(huge,)),
-        Heartbeat(revision=1, age_ms=0, loads=(huge,)),
-    ):
-        assert decode(encode(frame)).loads == (LoadReport(5, 2**32 - 1, 90),)
+    frame = Update(revision=1, age_ms=0, loads=(huge,))
+    assert decode(encode(frame)).loads == (LoadReport(5, 2**32 - 1, 90),)
 
 
 @then("gossip that is truncated or has wrong types is refused with a typed error")
 def step_invalid_gossip(context):
-    encoded = encode(Gossip(prefixes=(PrefixReport(7, 5, 90), PrefixReport(8, 5, 90))))
+    encoded = encode(Update(prefixes=(PrefixReport(7, 5, 90), PrefixReport(8, 5, 90))))
     frames = [encoded[:length] for length in range(len(encoded))]
     triple = bytes(12)
     frames += [
-        cbor2.dumps(content)
-        for content in (
-            ["n", 5, triple[:-1], b"", b""],
-            ["n", 5, b"", triple + b"1", b""],
-            ["n", 5, b"", b"", triple],
-            ["n", 5, b"", b""],
-            ["n", "5", b"", b"", b""],
-            ["n", 5, [1, 2, 3], b""],
-            ["n", 5, b""],
+        cbor2.dumps(["u", 1, 5, *reports])
+        for reports in (
+            [[], [], triple[:-1], b"", b"", None],
+            [[], [], b"", triple + b"1", b"", None],
+            [[], [], b"", b"", triple, None],
+            [[], [], b"", b"", None],
+            [[], [], b"", b"", b""],
+            [[], [], [1, 2, 3], b"", b"", None],
+            [[["10.0.0.1:9", 5, "bole"]], [], b"", b"", b"", None],
+            [[["10.0.0.1:9", "5", "bole", 3]], [], b"", b"", b"", None],
+            [[], [["10.0.0.1:9", 5]], b"", b"", b"", None],
+            [[], [], b"", b"", b"", [1.5]],
+            [[], [], b"", b"", b"", [1.5, [[7]]]],
         )
     ]
+    frames.append(cbor2.dumps(["u", "1", 5, [], [], b"", b"", b"", None]))
     for data in frames:
         try:
             decode(data)
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -202,7 +202,7 @@
 
 @when("its task for the links between routers fails")
 def step_task_fails(context):
-    def fail():
+    def fail(now_ms):
         raise RuntimeError("a fault of the test")
 
     context.testbed.gateways[0]._mesh._maintain_links = fail
