Send membership entries with other frames, and new routers at once

Cause: in a fleet at rest nearly each round sent a frame for heartbeats alone. Change: entries ride on the frames that tell of contacts with the store, or on the keepalive; those of new routers are sent in the next round. Heartbeats are rarer still in large fleets, as suspicions find dead routers.

--- a/damaskrill/feed/_reader.py
+++ b/damaskrill/feed/_reader.py
@@ -27,7 +27,7 @@
 # is called more often.
 STARTUP_BACKOFF_MS = 150
 # How often a router that is not a reader checks whether it has become one.
-IDLE_POLL_MS = 150
+IDLE_POLL_MS = 250
 
 
 @frozen(kw_only=True)
--- a/damaskrill/mesh/_link.py
+++ b/damaskrill/mesh/_link.py
@@ -19,6 +19,7 @@
     """Numbers of the newest reports of each kind that were sent over a link."""
 
     n_entries: int = 0
+    n_joins: int = 0
     n_suspicions: int = 0
     n_loads: int = 0
     n_prefixes: int = 0
@@ -44,6 +45,8 @@
     ----------
     last_seen_ms, last_sent_ms : float
         Times of the last frames received and sent.
+    entries_sent_ms : float
+        Time of the last frame with membership entries.
     peer_revision : int
         Revision of the store up to which the other router's replica is complete.
     contact_at_ms : float
@@ -58,6 +61,7 @@
     opened_at_ms: float
     last_seen_ms: float = field(init=False)
     last_sent_ms: float = field(init=False)
+    entries_sent_ms: float = field(default=float("-inf"), init=False)
     peer_revision: int = field(default=0, init=False)
     contact_at_ms: float = field(default=float("-inf"), init=False)
     is_released: bool = field(default=False, init=False)
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -18,9 +18,9 @@
 # The same for relayed heartbeats, in intervals between two of them.
 EXPIRY_INTERVALS = 4
 # In a large fleet heartbeats are relayed from link to link. They are less frequent, so
-# that a link carries at most 40 of them per second.
+# that a link carries at most 17 of them per second.
 MIN_RELAYED_HEARTBEAT_MS = 2_000
-RELAYED_HEARTBEAT_MS_PER_MEMBER = 25
+RELAYED_HEARTBEAT_MS_PER_MEMBER = 60
 # Time in which a suspected router can prove that it is alive: a heartbeat crosses the
 # fleet in some hundred milliseconds.
 SUSPICION_MS = 3_000
@@ -67,6 +67,7 @@
         self._heartbeat_at_ms = 0.0
         self._updated: LatestOrder[str] = LatestOrder()
         self._updated.update(own.address)
+        self._n_joins = 0
         self._suspected: LatestOrder[str] = LatestOrder()
         # Ranks take time in proportion to the fleet, so they are kept until it changes.
         self._addresses: frozenset[str] | None = None
@@ -93,6 +94,11 @@
         """Number of the newest update of an entry."""
         return self._updated.last_number
 
+    @property
+    def n_joins(self) -> int:
+        """Number of routers and incarnations that have been added to the table."""
+        return self._n_joins
+
     @property
     def last_suspicion(self) -> int:
         """Number of the newest suspicion."""
@@ -140,6 +146,7 @@
         self._removed.pop(entry.address, None)
         self._suspected.discard(entry.address)
         if is_new:
+            self._n_joins += 1
             self._reset_cache()
         if is_new or not self.is_full_mesh:
             # In a full mesh only the router itself publishes its heartbeat.
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -194,19 +194,27 @@
 
     def _send_update(self, link: Link, now_ms: float, *, is_heartbeat: bool) -> None:
         is_full_mesh = self._members.is_full_mesh
-        keepalive_ms = HEARTBEAT_INTERVAL_MS if is_full_mesh else KEEPALIVE_INTERVAL_MS
-        is_due = now_ms - link.last_sent_ms >= keepalive_ms - 1
-        update = self._reports.collect(
+        interval_ms = HEARTBEAT_INTERVAL_MS if is_full_mesh else KEEPALIVE_INTERVAL_MS
+        is_due = now_ms - link.last_sent_ms >= interval_ms - 1
+        update = self._collect(
             link,
             now_ms,
-            revision=self._replica.revision,
-            age_ms=self._contact_age_ms(now_ms),
-            is_periodic=is_heartbeat or not is_full_mesh,
+            has_entries=now_ms - link.entries_sent_ms >= interval_ms - 1,
+            has_loads=is_heartbeat or not is_full_mesh,
             has_counts=is_heartbeat,
         )
         if is_due or has_reports(update):
             self._send(link, update)
 
+    def _collect(self, link: Link, now_ms: float, **selection: bool) -> Update:
+        return self._reports.collect(
+            link,
+            now_ms,
+            revision=self._replica.revision,
+            age_ms=self._contact_age_ms(now_ms),
+            **selection,
+        )
+
     def _maintain_links(self, now_ms: float) -> None:
         self._members.advance_heartbeat(now_ms)
         for entry in self._members.expire(now_ms):
@@ -336,13 +344,8 @@
         )
         self._links[entry.address] = link
         self._members.merge(entry, now_ms, source=entry.address)
-        update = self._reports.collect(
-            link,
-            now_ms,
-            revision=self._replica.revision,
-            age_ms=self._contact_age_ms(now_ms),
-            is_periodic=True,
-            has_counts=True,
+        update = self._collect(
+            link, now_ms, has_entries=True, has_loads=True, has_counts=True
         )
         self._send(link, update)
         return link
@@ -372,14 +375,7 @@
         self._reports.failures.flush()
         now_ms = monotonic_now_ms()
         for link in list(self._links.values()):
-            update = self._reports.collect(
-                link,
-                now_ms,
-                revision=self._replica.revision,
-                age_ms=self._contact_age_ms(now_ms),
-                is_periodic=False,
-                has_counts=False,
-            )
+            update = self._collect(link, now_ms)
             if has_reports(update):
                 self._send(link, update)
 
@@ -391,8 +387,7 @@
             return
         for link in list(self._links.values()):
             if now_ms - age_ms - link.contact_at_ms >= MIN_CONTACT_GAP_MS:
-                update = Update(revision=self._replica.revision, age_ms=age_ms)
-                self._send(link, update)
+                self._send(link, self._collect(link, now_ms, has_entries=True))
 
     def _contact_age_ms(self, now_ms: float) -> int:
         age_ms = self._freshness.age_ms(round(now_ms))
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -60,8 +60,9 @@
         *,
         revision: int,
         age_ms: int,
-        is_periodic: bool,
-        has_counts: bool,
+        has_entries: bool = False,
+        has_loads: bool = False,
+        has_counts: bool = False,
     ) -> Update:
         """Return what a peer has not been sent yet.
 
@@ -73,9 +74,12 @@
             Current time in milliseconds.
         revision, age_ms : int
             State of the replica of the store.
-        is_periodic : bool
-            Whether to include loads and membership entries, which change all the time.
-        has_counts : bool
+        has_entries : bool, default=False
+            Whether to include membership entries. Those of new routers are included in
+            any case.
+        has_loads : bool, default=False
+            Whether to include loads of servers.
+        has_counts : bool, default=False
             Whether to include request counts of keys.
         """
         cursors, members, address = link.cursors, self.members, link.address
@@ -97,10 +101,12 @@
         )
         cursors.n_suspicions = members.last_suspicion
         entries: list[MemberEntry] = []
-        loads: list[LoadReport] = []
-        if is_periodic:
+        if has_entries or members.n_joins != cursors.n_joins:
             entries = members.updates_after(cursors.n_entries, exclude_link=address)
-            cursors.n_entries = members.last_update
+            cursors.n_entries, cursors.n_joins = members.last_update, members.n_joins
+            link.entries_sent_ms = now_ms
+        loads: list[LoadReport] = []
+        if has_loads:
             loads, cursors.n_loads = self.loads.reports_after(
                 cursors.n_loads,
                 now_ms=now_ms,
