Write to sockets at once and find routes by their prefixes

Cause: each event of a stream was written in the next iteration of the event loop, with two changes of the selector; a request looked at each route of its host (153 us of 1,400 routes). Change: an idle transport sends at once; routes are found by the slashes of the path.

--- a/damaskrill/catalog/_model.py
+++ b/damaskrill/catalog/_model.py
@@ -176,18 +176,27 @@
     services: Mapping[str, ServiceSpec]
     team_by_key: Mapping[str, Team]
     limits: CallerLimits
-    _by_host: dict[str, list[Route]] = field(init=False, repr=False, eq=False)
+    _by_prefix: dict[tuple[str, str], Route] = field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
-        by_host: dict[str, list[Route]] = {}
-        for route in sorted(self.routes, key=lambda each: -len(each.prefix)):
-            by_host.setdefault(route.host, []).append(route)
-        object.__setattr__(self, "_by_host", by_host)
+        # If two routes have the same prefix, the first one is used.
+        by_prefix = {
+            (route.host, route.prefix): route for route in reversed(self.routes)
+        }
+        object.__setattr__(self, "_by_prefix", by_prefix)
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of a path."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.prefix):
+        """Return the route with the longest prefix of a path.
+
+        Notes
+        -----
+        Prefixes end with a slash, so the time depends on the number of slashes in the
+        path and not on the number of routes.
+        """
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._by_prefix.get((host, path[: end + 1]))
+            if route is not None:
                 return route
         return None
 
--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -11,6 +11,7 @@
 
 from damaskrill.catalog import CallerLimits
 from damaskrill.http1._messages import CallerRequest, Headers
+from damaskrill.http1._transport import write_now
 from damaskrill.utils import monotonic_now_ms
 
 __all__ = ["CallerConnection", "CallerConnectionFactory"]
@@ -208,9 +209,8 @@
         if self._is_disconnected:
             return
         data = self._http.send(event)
-        transport: Any = self.transport
         if data:
-            transport.write(data)
+            write_now(self.transport, data)
 
     def _finish(self) -> None:
         self.on_disconnect = None
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -17,6 +17,7 @@
     FailureKind,
     OutgoingRequest,
 )
+from damaskrill.http1._transport import write_now
 
 __all__ = ["ServerConnection", "connect"]
 
@@ -134,8 +135,7 @@
         return FailureKind.RESET
 
     def _write(self, data: bytes) -> None:
-        transport: Any = self.transport
-        transport.write(data)
+        write_now(self.transport, data)
 
     def _process_events(self) -> None:
         try:
--- /dev/null
+++ b/damaskrill/http1/_transport.py
@@ -0,0 +1,40 @@
+"""Writing to a Twisted transport without waiting for the event loop."""
+
+from typing import Any
+
+from twisted.internet.main import CONNECTION_LOST
+
+__all__ = ["write_now"]
+
+
+def write_now(transport: Any, data: bytes) -> None:
+    """Send data at once if nothing is buffered; buffer what the socket does not take.
+
+    Parameters
+    ----------
+    transport : object
+        Transport of a TCP connection of Twisted.
+    data : bytes
+        Data to send.
+
+    Notes
+    -----
+    ``transport.write`` registers the socket for writing and sends in the next iteration
+    of the event loop, which costs more than the events of a stream themselves.
+    """
+    if _is_idle(transport):
+        n_sent = transport.writeSomeData(data)
+        if n_sent is not CONNECTION_LOST and n_sent > 0:
+            data = data[n_sent:]
+    if data:
+        # Also reports a lost connection in the usual way.
+        transport.write(data)
+
+
+def _is_idle(transport: Any) -> bool:
+    return bool(
+        transport.connected
+        and not transport.disconnecting
+        and not transport.dataBuffer
+        and not transport._tempDataBuffer
+    )
