--- a/damaskrill/platform/_binding.py
+++ b/damaskrill/platform/_binding.py
@@ -9,7 +9,7 @@
     read_request,
     server_headers,
 )
-from damaskrill.platform._items import decode_item
+from damaskrill.platform._items import ItemDecoder, is_operator_item
 from damaskrill.platform._store import PlatformStore
 
 __all__ = ["build_platform_binding"]
@@ -21,7 +21,8 @@
     """Return the platform binding with a client of the store at an address."""
     return PlatformBinding(
         readiness_path=READINESS_PATH,
-        decode_item=decode_item,
+        decode_item=ItemDecoder().decode,
+        is_operator_item=is_operator_item,
         read_request=read_request,
         read_answer=read_answer,
         server_headers=server_headers,
--- a/damaskrill/platform/_items.py
+++ b/damaskrill/platform/_items.py
@@ -23,7 +23,7 @@
     UnusableServerError,
 )
 
-__all__ = ["decode_item"]
+__all__ = ["ItemDecoder", "is_operator_item"]
 
 CONFIGURATION_KEY = "op/config"
 DATA_CENTRE_OUT_PREFIX = "op/evacuate/"
@@ -39,45 +39,79 @@
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
-def decode_item(key: str, value: bytes) -> CatalogItem:
-    """Decode an item of the store.
+class ItemDecoder:
+    """Decoder of the store's items.
 
-    Parameters
-    ----------
-    key : str
-        Key of the item.
-    value : bytes
-        Written value; empty for a removed item.
-
-    Returns
-    -------
-    CatalogItem
-        Decoded item; an invalid one contains the error.
+    Notes
+    -----
+    Successive configurations share most of their routes, so that decoded routes are
+    reused: a configuration may have a thousand of them, and versions may follow each
+    other within some hundred milliseconds.
     """
-    if key == CONFIGURATION_KEY:
-        return _decode_configuration(value)
-    if key.startswith(DATA_CENTRE_OUT_PREFIX):
-        return DataCentreOutItem(data_centre=key.removeprefix(DATA_CENTRE_OUT_PREFIX))
-    if key.startswith(SERVER_PREFIX):
-        return _decode_server(key.removeprefix(SERVER_PREFIX), value)
-    return IgnoredItem(key=key)
-
-
-def _decode_configuration(value: bytes) -> ConfigurationItem:
-    try:
-        return ConfigurationItem(configuration=_to_configuration(orjson.loads(value)))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        reason = f"{type(error).__name__}: {error}"
-        return ConfigurationItem(error=UnusableConfigurationError(reason=reason))
-
 
-def _to_configuration(content: dict[str, Any]) -> Configuration:
+    def __init__(self) -> None:
+        # Routes of the last configuration and the content that they were decoded from.
+        self._routes: dict[str, tuple[dict[str, Any], Route]] = {}
+
+    def decode(self, key: str, value: bytes) -> CatalogItem:
+        """Decode an item of the store.
+
+        Parameters
+        ----------
+        key : str
+            Key of the item.
+        value : bytes
+            Written value; empty for a removed item.
+
+        Returns
+        -------
+        CatalogItem
+            Decoded item; an invalid one contains the error.
+        """
+        if key == CONFIGURATION_KEY:
+            return self._decode_configuration(value)
+        if key.startswith(DATA_CENTRE_OUT_PREFIX):
+            data_centre = key.removeprefix(DATA_CENTRE_OUT_PREFIX)
+            return DataCentreOutItem(data_centre=data_centre)
+        if key.startswith(SERVER_PREFIX):
+            return _decode_server(key.removeprefix(SERVER_PREFIX), value)
+        return IgnoredItem(key=key)
+
+    def _decode_configuration(self, value: bytes) -> ConfigurationItem:
+        try:
+            content = orjson.loads(value)
+            routes = tuple(self._to_route(each) for each in content["routes"])
+            configuration = _to_configuration(content, routes)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            return ConfigurationItem(error=UnusableConfigurationError(reason=reason))
+        self._routes = {
+            route.name: (each, route)
+            for each, route in zip(content["routes"], routes, strict=True)
+        }
+        return ConfigurationItem(configuration=configuration)
+
+    def _to_route(self, content: dict[str, Any]) -> Route:
+        known = self._routes.get(content["name"])
+        if known is not None and known[0] == content:
+            return known[1]
+        return _to_route(content)
+
+
+def is_operator_item(key: str) -> bool:
+    """Return whether operators write the item with a key."""
+    return key == CONFIGURATION_KEY or key.startswith(DATA_CENTRE_OUT_PREFIX)
+
+
+def _to_configuration(
+    content: dict[str, Any], routes: tuple[Route, ...]
+) -> Configuration:
     services = [_to_service(each) for each in content["services"]]
     limits = content.get("limits", {})
     defaults = CallerLimits()
     return Configuration(
         version=int(content["version"]),
-        routes=tuple(_to_route(each) for each in content["routes"]),
+        routes=routes,
         services={each.name: each for each in services},
         team_by_key=_to_teams(content.get("tenants", [])),
         limits=CallerLimits(
