--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -17,10 +17,21 @@
 __all__ = ["Catalog"]
 
 Report = Callable[..., None]
+ServerKey = tuple[str, int]
 # Entries that expired during an outage of the store are registered again within this
 # time after its recovery: about two seconds by the users' specification, plus the time
 # in which a change propagates between routers.
 RECOVERY_GRACE_MS = 2_300
+# Time within which operators and servers have written again what a store lost that was
+# restored from a copy.
+OPERATOR_GRACE_MS = 10_000
+# Entries of servers that had left are listed again by a restored store until they
+# expire there, after three intervals between heartbeats.
+DEPARTED_GRACE_MS = 5_000
+# A copy of the store is some seconds old, so that servers which left earlier are not in
+# it.
+DEPARTED_RETENTION_MS = 60_000
+MAX_LEAVING = 4_096
 # Fraction of a service's engines whose loss brings the others close to the bound on
 # uneven loads, which is relative to all engines.
 MAJOR_LOSS_FRACTION = 0.25
@@ -34,6 +45,17 @@
     registered_since_ms: int
     cold_until_ms: int
     expired_at_ms: int = -1
+    distrusted_until_ms: int = -1
+
+
+@define(kw_only=True)
+class _Groups:
+    """Servers by service, and what follows from them."""
+
+    usable: dict[str, tuple[BackendServer, ...]]
+    usable_keys: frozenset[ServerKey]
+    all: dict[str, tuple[BackendServer, ...]]
+    has_major_loss: bool
 
 
 class Catalog:
@@ -49,6 +71,11 @@
     The configuration never returns to a lower version within one process. A removed
     entry stays usable only until ``RECOVERY_GRACE_MS`` have passed since the recovery
     of the store, because entries expire while servers cannot reach the store.
+
+    A store that has been restored from a copy repeats older writes. A server that has
+    announced that it leaves stays unusable for the life of its process, one that had
+    left is used again only after a new write, and a data centre that was taken out
+    stays out, until the operators have had the time to write again.
     """
 
     def __init__(self, *, report: Report) -> None:
@@ -59,7 +86,14 @@
         self._restored_at_ms: dict[str, int] = {}
         self._recovered_at_ms = -1_000_000
         self._has_servers = False
-        self._by_service: dict[str, tuple[BackendServer, ...]] | None = None
+        # Incarnations that have announced that they leave, oldest first.
+        self._leaving: dict[ServerKey, None] = {}
+        # Incarnations that were removed, and when, oldest first.
+        self._departed: dict[ServerKey, int] = {}
+        # Data centres that a restored store does not list as out, and until when they
+        # stay out.
+        self._unconfirmed_out: dict[str, int] = {}
+        self._groups: _Groups | None = None
 
     @property
     def configuration(self) -> Configuration | None:
@@ -79,15 +113,7 @@
     @property
     def has_major_capacity_loss(self) -> bool:
         """Whether a large fraction of some service's engines must get no requests."""
-        configuration = self._configuration
-        if configuration is None:
-            return False
-        return any(
-            len(self.find_servers(name))
-            <= (1 - MAJOR_LOSS_FRACTION) * len(self.find_all_servers(name))
-            for name, spec in configuration.services.items()
-            if spec.is_engine and self.find_all_servers(name)
-        )
+        return self._grouped().has_major_loss
 
     @property
     def is_complete(self) -> bool:
@@ -106,8 +132,51 @@
         """Record that the store has recovered from an outage."""
         self._recovered_at_ms = now_ms
 
-    def put(self, item: CatalogItem, now_ms: int) -> None:
-        """Apply a written item."""
+    def mark_leaving(self, key: ServerKey, *, cause: str) -> bool:
+        """Record that an incarnation leaves and must get no new requests.
+
+        Parameters
+        ----------
+        key : tuple of (str, int)
+            Incarnation of the server.
+        cause : str
+            How this became known, for the log.
+
+        Returns
+        -------
+        bool
+            Whether this is new.
+        """
+        if key in self._leaving:
+            return False
+        self._leaving[key] = None
+        if len(self._leaving) > MAX_LEAVING:
+            self._leaving.pop(next(iter(self._leaving)))
+        self._groups = None
+        self._report("server_leaving", backend_server=key[0], cause=cause)
+        return True
+
+    def find_forgotten_leaving(self) -> list[ServerKey]:
+        """Return the leaving incarnations that the store lists as usable."""
+        return [
+            entry.server.key
+            for entry in self._servers.values()
+            if entry.server.key in self._leaving and not entry.server.is_leaving
+        ]
+
+    def put(self, item: CatalogItem, now_ms: int, *, is_restored: bool = False) -> None:
+        """Apply a written item.
+
+        Parameters
+        ----------
+        item : CatalogItem
+            The item.
+        now_ms : int
+            Current time in milliseconds.
+        is_restored : bool, default=False
+            Whether it was listed by a store that has been restored from a copy, so that
+            it may be older than what is known.
+        """
         match item:
             case ConfigurationItem():
                 self._put_configuration(item)
@@ -115,21 +184,33 @@
                 if name not in self._data_centres_out:
                     self._report("data_centre_out", data_centre=name)
                 self._data_centres_out.add(name)
-                self._by_service = None
+                self._unconfirmed_out.pop(name, None)
+                self._groups = None
             case ServerItem():
-                self._put_server(item, now_ms)
+                self._put_server(item, now_ms, is_restored=is_restored)
             case IgnoredItem():
                 pass
 
-    def remove(self, item: CatalogItem, now_ms: int) -> None:
-        """Apply the removal of an item."""
+    def remove(
+        self, item: CatalogItem, now_ms: int, *, is_restored: bool = False
+    ) -> None:
+        """Apply the removal of an item.
+
+        Parameters
+        ----------
+        item : CatalogItem
+            The item, which need not have a value.
+        now_ms : int
+            Current time in milliseconds.
+        is_restored : bool, default=False
+            Whether a store that has been restored from a copy merely lacks the item.
+        """
         match item:
             case DataCentreOutItem(data_centre=name):
-                if name in self._data_centres_out:
-                    self._data_centres_out.discard(name)
-                    self._restored_at_ms[name] = now_ms
-                    self._report("data_centre_back", data_centre=name)
-                self._by_service = None
+                if is_restored and name in self._data_centres_out:
+                    self._unconfirmed_out[name] = now_ms + OPERATOR_GRACE_MS
+                else:
+                    self._restore_data_centre(name, now_ms)
             case ServerItem(server_id=server_id):
                 entry = self._servers.get(server_id)
                 if entry is not None and entry.expired_at_ms < 0:
@@ -139,35 +220,58 @@
                 pass
 
     def purge(self, now_ms: int) -> None:
-        """Remove servers whose entries expired, except shortly after an outage."""
-        if now_ms < self._recovered_at_ms + RECOVERY_GRACE_MS:
-            return
+        """Apply what has become due.
+
+        Notes
+        -----
+        Removes servers whose entries expired, except shortly after an outage, and
+        restores data centres whose removal from service the operators have not
+        confirmed.
+        """
+        for name, until_ms in list(self._unconfirmed_out.items()):
+            if now_ms >= until_ms:
+                self._restore_data_centre(name, now_ms)
+        for entry in self._servers.values():
+            if 0 <= entry.distrusted_until_ms <= now_ms:
+                entry.distrusted_until_ms = -1
+                self._groups = None
+        if now_ms >= self._recovered_at_ms + RECOVERY_GRACE_MS:
+            self._remove_expired(now_ms)
+
+    def _restore_data_centre(self, name: str, now_ms: int) -> None:
+        self._unconfirmed_out.pop(name, None)
+        if name in self._data_centres_out:
+            self._data_centres_out.discard(name)
+            self._restored_at_ms[name] = now_ms
+            self._report("data_centre_back", data_centre=name)
+            self._groups = None
+
+    def _remove_expired(self, now_ms: int) -> None:
         expired = [
             key for key, each in self._servers.items() if each.expired_at_ms >= 0
         ]
         for server_id in expired:
-            del self._servers[server_id]
+            entry = self._servers.pop(server_id)
+            self._departed[entry.server.key] = now_ms
             self._report("server_gone", backend_server=server_id)
         if expired:
-            self._by_service = None
+            self._groups = None
+        for key, removed_at_ms in list(self._departed.items()):
+            if now_ms - removed_at_ms <= DEPARTED_RETENTION_MS:
+                break
+            del self._departed[key]
 
     def find_servers(self, service: str) -> tuple[BackendServer, ...]:
         """Return the servers of a service that may get requests."""
-        if self._by_service is None:
-            self._by_service = self._group_servers()
-        return self._by_service.get(service, ())
+        return self._grouped().usable.get(service, ())
 
     def find_all_servers(self, service: str) -> tuple[BackendServer, ...]:
         """Return all registered servers of a service, including leaving ones."""
-        return tuple(
-            entry.server
-            for entry in self._servers.values()
-            if entry.server.service == service
-        )
+        return self._grouped().all.get(service, ())
 
-    def is_usable(self, server: BackendServer) -> bool:
-        """Return whether this incarnation may get requests."""
-        return any(each.key == server.key for each in self.find_servers(server.service))
+    def is_usable(self, key: ServerKey) -> bool:
+        """Return whether an incarnation may get requests."""
+        return key in self._grouped().usable_keys
 
     def is_cold(self, server: BackendServer, now_ms: int) -> bool:
         """Return whether a server is limited to its cold-start capacity."""
@@ -194,24 +298,50 @@
             return None
         return self._configuration.services.get(service)
 
-    def _group_servers(self) -> dict[str, tuple[BackendServer, ...]]:
-        groups: dict[str, list[BackendServer]] = {}
-        servers = [entry.server for entry in self._servers.values()]
+    def _grouped(self) -> _Groups:
+        if self._groups is None:
+            self._groups = self._group_servers()
+        return self._groups
+
+    def _group_servers(self) -> _Groups:
+        usable: dict[str, list[BackendServer]] = {}
+        registered: dict[str, list[BackendServer]] = {}
         # An address belongs to the process that was last started there. Entries of
         # earlier processes, which may have crashed, expire some seconds later.
         latest_start_ms: dict[tuple[str, int], int] = {}
-        for server in servers:
+        for entry in self._servers.values():
+            server = entry.server
+            registered.setdefault(server.service, []).append(server)
             latest_start_ms[server.address] = max(
                 server.started_at_ms, latest_start_ms.get(server.address, 0)
             )
-        for server in servers:
+        for entry in self._servers.values():
+            server = entry.server
             is_replaced = server.started_at_ms < latest_start_ms[server.address]
-            is_excluded = (
-                server.is_leaving or server.data_centre in self._data_centres_out
-            )
-            if not is_replaced and not is_excluded:
-                groups.setdefault(server.service, []).append(server)
-        return {name: tuple(group) for name, group in groups.items()}
+            if not is_replaced and not self._is_excluded(entry):
+                usable.setdefault(server.service, []).append(server)
+        services = self._configuration.services if self._configuration else {}
+        return _Groups(
+            usable={name: tuple(group) for name, group in usable.items()},
+            usable_keys=frozenset(
+                server.key for group in usable.values() for server in group
+            ),
+            all={name: tuple(group) for name, group in registered.items()},
+            has_major_loss=any(
+                len(usable.get(name, ()))
+                <= (1 - MAJOR_LOSS_FRACTION) * len(registered[name])
+                for name, spec in services.items()
+                if spec.is_engine and name in registered
+            ),
+        )
+
+    def _is_excluded(self, entry: _ServerEntry) -> bool:
+        return (
+            entry.server.is_leaving
+            or entry.server.key in self._leaving
+            or entry.server.data_centre in self._data_centres_out
+            or entry.distrusted_until_ms >= 0
+        )
 
     def _put_configuration(self, item: ConfigurationItem) -> None:
         if item.configuration is None:
@@ -221,13 +351,14 @@
         if current is not None and item.configuration.version <= current.version:
             return
         self._configuration = item.configuration
+        self._groups = None
         self._report(
             "configuration_in_force",
             text_version=item.configuration.version,
             n_routes=len(item.configuration.routes),
         )
 
-    def _put_server(self, item: ServerItem, now_ms: int) -> None:
+    def _put_server(self, item: ServerItem, now_ms: int, *, is_restored: bool) -> None:
         server = item.server
         if server is None:
             self._report(
@@ -236,13 +367,22 @@
                 sentence=str(item.error),
             )
             if self._servers.pop(item.server_id, None) is not None:
-                self._by_service = None
+                self._groups = None
             return
         entry = self._servers.get(server.server_id)
-        if not self._has_servers:
+        if (
+            is_restored
+            and entry is not None
+            and server.started_at_ms < entry.server.started_at_ms
+        ):
+            # The entry of an earlier process of the same server.
+            entry.expired_at_ms = now_ms
+            return
+        if server.is_leaving:
+            self.mark_leaving(server.key, cause="store")
+        is_same = entry is not None and entry.server.key == server.key
+        if self._has_servers and not is_same:
             # The first list is logged as a whole.
-            pass
-        elif entry is None or entry.server.key != server.key:
             self._report(
                 "server_known",
                 backend_server=server.server_id,
@@ -250,14 +390,13 @@
                 data_centre=server.data_centre,
                 cold_for_ms=server.cold_for_ms,
             )
-        elif server.is_leaving and not entry.server.is_leaving:
-            self._report("server_leaving", backend_server=server.server_id)
-        is_same = entry is not None and entry.server.key == server.key
+        has_left = is_restored and not is_same and server.key in self._departed
         self._servers[server.server_id] = _ServerEntry(
             server=server,
             registered_since_ms=entry.registered_since_ms
             if entry and is_same
             else now_ms,
             cold_until_ms=now_ms + server.cold_for_ms,
+            distrusted_until_ms=now_ms + DEPARTED_GRACE_MS if has_left else -1,
         )
-        self._by_service = None
+        self._groups = None
--- a/damaskrill/fakes/platform/__init__.py
+++ b/damaskrill/fakes/platform/__init__.py
@@ -8,13 +8,14 @@
     build_settings,
 )
 from damaskrill.fakes.platform._server import FakeServer, Misbehaviour
-from damaskrill.fakes.platform._store import FakeStore, StoreMode
+from damaskrill.fakes.platform._store import FakeStore, StoreCopy, StoreMode
 
 __all__ = [
     "NOT_RUN_STATUSES",
     "FakeServer",
     "FakeStore",
     "Misbehaviour",
+    "StoreCopy",
     "StoreMode",
     "build_caller_headers",
     "build_configuration",
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from damaskrill.fakes.platform._listener import Listener
-from damaskrill.http1 import CallerConnection, CallerRequest
+from damaskrill.http1 import CallerConnection, CallerRequest, Headers
 
 __all__ = ["FakeServer", "Misbehaviour"]
 
@@ -38,6 +38,9 @@
     NO_LENGTH_RESET = "no_length_reset"
     RUBBISH = "rubbish"
     MID_EVENT = "mid_event"
+    DRIP = "drip"
+    LATE_COPY = "late_copy"
+    LATE_REFUSAL = "late_refusal"
 
 
 class FakeServer:
@@ -66,6 +69,10 @@
         Arrival times, on the monotonic clock in seconds, and request IDs.
     n_dropped : int
         Runs whose connection was closed before their end.
+    is_leaving : bool
+        Whether its answers announce that it leaves.
+    retry_after : bytes or None
+        Value of the header ``Retry-After`` of its refusals.
     """
 
     def __init__(
@@ -82,10 +89,13 @@
         self.runs: Counter[str] = Counter()
         self.requests: list[CallerRequest] = []
         self.n_dropped = 0
+        self.is_leaving = False
+        self.retry_after: bytes | None = None
         self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
         self._event_ms = event_ms
         self._work_ms = work_ms
+        self._late_answers: dict[CallerConnection, bytes] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener = Listener(reactor=reactor, handle=self._handle_request)
 
@@ -124,7 +134,7 @@
             connection.send_answer(421, ((b"Damaskrill-Instance-Id", b"i-other"),), b"")
             return
         if self.misbehaviour is Misbehaviour.FULL:
-            connection.send_answer(503, ((b"Damaskrill-Not-Executed", b"1"),), b"")
+            connection.send_answer(503, self._refusal_headers(request_id), b"")
             return
         self.runs[request_id.decode()] += 1
         if self.misbehaviour is Misbehaviour.HANG:
@@ -142,6 +152,7 @@
             (b"Damaskrill-Request-Id", request_id),
             (b"Damaskrill-Server-Load", b"1,0,8"),
             SEAL,
+            *self._leaving_headers,
         )
         if request.find_header(b"damaskrill-prompt-prefix") is not None:
             await self._stream(connection, request, headers)
@@ -149,6 +160,20 @@
         await asyncio.sleep(self._work_ms / 1_000)
         self._answer(connection, request_id, headers)
 
+    @property
+    def _leaving_headers(self) -> Headers:
+        return ((b"Server-Leaving", b"1"),) if self.is_leaving else ()
+
+    def _refusal_headers(self, request_id: bytes) -> Headers:
+        headers: Headers = (
+            (b"Damaskrill-Request-Id", request_id),
+            (b"Damaskrill-Not-Executed", b"1"),
+            *self._leaving_headers,
+        )
+        if self.retry_after is not None:
+            headers = (*headers, (b"Retry-After", self.retry_after))
+        return headers
+
     async def _stream(
         self,
         connection: CallerConnection,
@@ -166,12 +191,22 @@
                 await asyncio.sleep(0.02)
                 connection.abort()
                 return
+            if is_second_half and self.misbehaviour is Misbehaviour.DRIP:
+                await self._drip(connection, event)
+                return
             if is_second_half and self.misbehaviour is Misbehaviour.CUT:
                 connection.abort()
                 return
             connection.send_chunk(event)
         connection.end_stream()
 
+    async def _drip(self, connection: CallerConnection, event: bytes) -> None:
+        # Bytes arrive until the connection is closed, but the event never ends.
+        connection.send_chunk(event[:1])
+        while True:
+            await asyncio.sleep(0.1)
+            connection.send_chunk(b"x")
+
     def _answer(
         self,
         connection: CallerConnection,
@@ -206,6 +241,16 @@
             case Misbehaviour.SECOND_ANSWER:
                 transport.write(sized + body + sized + body)
                 connection.on_disconnect = None
+            case Misbehaviour.LATE_COPY | Misbehaviour.LATE_REFUSAL:
+                late = self._late_answers.pop(connection, b"")
+                transport.write(late)
+                connection.send_answer(200, (*headers, JSON), body)
+                self._late_answers[connection] = sized + body
+                if self.misbehaviour is Misbehaviour.LATE_REFUSAL:
+                    self._late_answers[connection] = (
+                        b"HTTP/1.1 503 Busy\r\nDamaskrill-Request-Id: %b\r\n"
+                        b"Damaskrill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    ) % request_id
             case Misbehaviour.RUBBISH:
                 transport.write(b"\x00\x01\x02 no answer\r\n\r\n")
             case _:
--- a/damaskrill/fakes/platform/_store.py
+++ b/damaskrill/fakes/platform/_store.py
@@ -10,9 +10,9 @@
 from attrs import frozen
 
 from damaskrill.fakes.platform._listener import Listener
-from damaskrill.http1 import CallerConnection, CallerRequest
+from damaskrill.http1 import CallerConnection, CallerRequest, Headers
 
-__all__ = ["FakeStore", "StoreMode"]
+__all__ = ["FakeStore", "StoreCopy", "StoreMode"]
 
 PAGE_ITEMS = 3
 
@@ -38,6 +38,15 @@
     revision: int
 
 
+@frozen
+class StoreCopy:
+    """State of the store at some moment."""
+
+    items: dict[str, _Write]
+    log: list[_Write]
+    revision: int
+
+
 class FakeStore:
     """Key-value store with revisions, paged lists and watches.
 
@@ -50,6 +59,7 @@
     def __init__(self, *, reactor: Any) -> None:
         self.mode = StoreMode.GOOD
         self.n_calls = 0
+        self._era = 1
         self._revision = 100
         self._items: dict[str, _Write] = {}
         self._log: list[_Write] = []
@@ -95,6 +105,18 @@
         """Withdraw the evacuation of a data centre."""
         self.delete(f"op/evacuate/{data_centre}")
 
+    def take_copy(self) -> "StoreCopy":
+        """Return a copy of the items, to which the store can be restored later."""
+        return StoreCopy(dict(self._items), list(self._log), self._revision)
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Lose all writes since a copy, and abort open calls."""
+        self._era += 1
+        self._items = dict(copy.items)
+        self._log = list(copy.log)
+        self._revision = copy.revision
+        self._listener.reset_connections()
+
     def set_mode(self, mode: StoreMode) -> None:
         """Change how the store answers; unless the mode is GOOD, abort open calls."""
         self.mode = mode
@@ -125,15 +147,15 @@
         self.n_calls += 1
         match self.mode:
             case StoreMode.BUSY:
-                connection.send_answer(503, (), b"")
+                connection.send_answer(503, self._era_headers, b"")
             case StoreMode.MANY:
-                connection.send_answer(429, (), b"")
+                connection.send_answer(429, self._era_headers, b"")
             case StoreMode.RESET:
                 connection.abort()
             case StoreMode.SILENT:
                 pass
             case StoreMode.RUBBISH:
-                connection.send_answer(200, (), b'{"items": 7')
+                connection.send_answer(200, self._era_headers, b'{"items": 7')
             case StoreMode.GOOD | StoreMode.COMPACTED:
                 task = asyncio.get_running_loop().create_task(
                     self._answer(connection, request)
@@ -151,17 +173,22 @@
         if parts.path == "/damaskrill/kv-range":
             content = self._list(prefix, query.get("after", ""))
         elif parts.path == "/damaskrill/kv-watch":
-            if self.mode is StoreMode.COMPACTED:
-                connection.send_answer(410, (), b"")
+            is_unknown = int(query["after"]) > self._revision
+            if self.mode is StoreMode.COMPACTED or is_unknown:
+                connection.send_answer(410, self._era_headers, b"")
                 return
             wait_ms = int(query.get("maxWaitMs", "0"))
             content = await self._watch(prefix, int(query["after"]), wait_ms)
         else:
             connection.send_answer(404, (), b"")
             return
-        headers = ((b"Content-Type", b"application/json"),)
+        headers = (*self._era_headers, (b"Content-Type", b"application/json"))
         connection.send_answer(200, headers, orjson.dumps(content))
 
+    @property
+    def _era_headers(self) -> Headers:
+        return ((b"Store-Era", b"%d" % self._era),)
+
     def _list(self, prefix: str, after: str) -> dict[str, Any]:
         keys = sorted(key for key in self._items if key.startswith(prefix))
         keys = [key for key in keys if key > after]
--- a/damaskrill/feed/__init__.py
+++ b/damaskrill/feed/__init__.py
@@ -3,19 +3,23 @@
 from damaskrill.feed._errors import (
     HistoryExpiredError,
     StoreAnswerError,
+    StoreOutdatedError,
     StoreRefusedError,
+    StoreRestoredError,
     StoreUnreachableError,
 )
 from damaskrill.feed._freshness import Freshness
+from damaskrill.feed._position import START, Position
 from damaskrill.feed._reader import (
     STARTUP_BACKOFF_MS,
     BaseStoreClient,
     FeedReader,
     Page,
 )
-from damaskrill.feed._replica import Change, FeedReplica
+from damaskrill.feed._replica import Change, FeedReplica, ListedChanges
 
 __all__ = [
+    "START",
     "STARTUP_BACKOFF_MS",
     "BaseStoreClient",
     "Change",
@@ -23,8 +27,12 @@
     "FeedReplica",
     "Freshness",
     "HistoryExpiredError",
+    "ListedChanges",
     "Page",
+    "Position",
     "StoreAnswerError",
+    "StoreOutdatedError",
     "StoreRefusedError",
+    "StoreRestoredError",
     "StoreUnreachableError",
 ]
--- a/damaskrill/feed/_errors.py
+++ b/damaskrill/feed/_errors.py
@@ -5,7 +5,9 @@
 __all__ = [
     "HistoryExpiredError",
     "StoreAnswerError",
+    "StoreOutdatedError",
     "StoreRefusedError",
+    "StoreRestoredError",
     "StoreUnreachableError",
 ]
 
@@ -36,3 +38,17 @@
 
     code = "store_answer_unreadable"
     template = "the answer of the platform's store cannot be decoded: {reason}"
+
+
+class StoreRestoredError(DamaskrillError):
+    """The store has been restored from a copy since the last call."""
+
+    code = "store_restored"
+    template = "the platform's store has been restored from a copy and is in era {era}"
+
+
+class StoreOutdatedError(DamaskrillError):
+    """The store's answer is older than what is already known."""
+
+    code = "store_answer_outdated"
+    template = "the store's answer of era {era} is older than the replica"
--- a/damaskrill/feed/_reader.py
+++ b/damaskrill/feed/_reader.py
@@ -2,14 +2,20 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from random import Random
 
 from attrs import frozen
 
 from damaskrill.exceptions import DamaskrillError
-from damaskrill.feed._errors import HistoryExpiredError, StoreRefusedError
-from damaskrill.feed._replica import Change, FeedReplica
+from damaskrill.feed._errors import (
+    HistoryExpiredError,
+    StoreOutdatedError,
+    StoreRefusedError,
+    StoreRestoredError,
+)
+from damaskrill.feed._position import Position
+from damaskrill.feed._replica import Change, FeedReplica, ListedChanges
 
 __all__ = ["STARTUP_BACKOFF_MS", "BaseStoreClient", "FeedReader", "Page"]
 
@@ -32,10 +38,10 @@
 
 @frozen(kw_only=True)
 class Page:
-    """Changes or items of the store as of a revision."""
+    """Changes or items of the store as of a position."""
 
     changes: tuple[Change, ...]
-    at_revision: int
+    at: Position
 
 
 class BaseStoreClient(ABC):
@@ -46,8 +52,8 @@
         """Read all items that routers use."""
 
     @abstractmethod
-    async def watch(self, *, after: int, wait_ms: int) -> Page:
-        """Wait for changes after a revision, at most ``wait_ms`` milliseconds."""
+    async def watch(self, *, after: Position, wait_ms: int) -> Page:
+        """Wait for changes after a position, at most ``wait_ms`` milliseconds."""
 
 
 class FeedReader:
@@ -62,7 +68,7 @@
     should_read : callable
         Returns whether this router is a reader now.
     on_changes : callable
-        Called with the applied changes and whether a complete list was read.
+        Called with the applied changes.
     report : callable
         Called with an event name and its fields.
     random_state : Random
@@ -77,7 +83,7 @@
         client: BaseStoreClient,
         replica: FeedReplica,
         should_read: Callable[[], bool],
-        on_changes: Callable[[Sequence[Change], bool], None],
+        on_changes: Callable[[ListedChanges], None],
         report: Callable[..., None],
         random_state: Random,
         leaving_limit_ms: float = 2_000,
@@ -110,30 +116,44 @@
             except HistoryExpiredError as error:
                 self._needs_relist = True
                 self._report("store_history_gone", sentence=error.sentence)
+            except StoreRestoredError:
+                self._needs_relist = True
             except DamaskrillError as error:
                 await self._back_off(error)
 
     async def _read_once(self) -> None:
         self._n_calls += 1
         if self._needs_relist or not self._replica.revision:
-            page = await self._client.list_items()
-            applied = self._replica.apply_list(page.changes, page.at_revision)
-            self._needs_relist = False
-            self._handle_page(applied, is_list=True)
+            await self._read_list()
             return
-        after = self._replica.revision
+        after = self._replica.position
         page = await self._client.watch(after=after, wait_ms=self._watch_wait_ms)
-        applied = self._replica.apply_changes(page.changes, page.at_revision)
-        self._handle_page(applied, is_list=False)
+        if page.at.era != after.era or self._replica.position.era != after.era:
+            # Revisions of different eras are not comparable, and the replica may have
+            # received another era from a peer during the call.
+            raise StoreRestoredError(era=page.at.era)
+        applied = self._replica.apply_changes(page.changes, page.at)
+        self._handle_page(ListedChanges(changes=tuple(applied)))
         if page.changes:
             await asyncio.sleep(COALESCE_MS / 1_000)
 
-    def _handle_page(self, applied: Sequence[Change], *, is_list: bool) -> None:
+    async def _read_list(self) -> None:
+        page = await self._client.list_items()
+        if page.at < self._replica.position:
+            raise StoreOutdatedError(era=page.at.era)
+        listed = self._replica.apply_list(page.changes, page.at)
+        self._needs_relist = False
+        if listed.is_restored:
+            position = self._replica.position
+            self._report("store_restored", era=position.era, revision=position.revision)
+        self._handle_page(listed)
+
+    def _handle_page(self, listed: ListedChanges) -> None:
         if self._is_unreachable:
             self._is_unreachable = False
             self._report("store_regained", revision=self._replica.revision)
         self._backoff_ms = 0
-        self._on_changes(applied, is_list)
+        self._on_changes(listed)
 
     async def _back_off(self, error: DamaskrillError) -> None:
         if not self._is_unreachable:
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -59,10 +59,13 @@
         Status of its answer.
     is_other_server : bool
         Whether a server other than the selected one answered.
+    pause_ms : float or None
+        Time for which the server wants no requests, in milliseconds.
     """
 
     status: int
     is_other_server: bool = False
+    pause_ms: float | None = None
 
 
 @frozen(kw_only=True)
@@ -159,8 +162,8 @@
         Extracts metadata from the headers.
     progress : StreamProgress or None
         Forwards events to the caller; None if the request is not for a stream.
-    on_load : callable
-        Handles the load that the server reports.
+    on_metadata : callable
+        Handles the metadata of the answer as soon as its headers have been received.
     """
 
     def __init__(
@@ -169,7 +172,7 @@
         request_id: str,
         read_answer: Callable[[AnswerHead], AnswerMetadata],
         progress: StreamProgress | None,
-        on_load: Callable[[int], None],
+        on_metadata: Callable[[AnswerMetadata], None],
     ) -> None:
         loop = asyncio.get_running_loop()
         self._loop = loop
@@ -177,7 +180,7 @@
         self._request_id = request_id
         self._read_answer = read_answer
         self._progress = progress
-        self._on_load = on_load
+        self._on_metadata = on_metadata
         self._head: AnswerHead | None = None
         self._metadata = AnswerMetadata()
         self._splitter: EventSplitter | None = None
@@ -190,13 +193,20 @@
         """Whether status and headers have been received."""
         return self._head is not None
 
+    @property
+    def _is_foreign(self) -> bool:
+        # A server may send a second copy of an earlier answer on the connection, which
+        # says nothing about this request, not even that it has not run.
+        answered = self._metadata.request_id
+        return answered is not None and answered != self._request_id
+
     def handle_head(self, head: AnswerHead) -> None:
         """Handle status and headers."""
         self.progress_at = self._loop.time()
         self._head = head
         self._metadata = metadata = self._read_answer(head)
-        if metadata.load is not None:
-            self._on_load(sum(metadata.load))
+        if not self._is_foreign:
+            self._on_metadata(metadata)
         is_success = STATUS_OK <= head.status < STATUS_MULTIPLE
         if self._progress is not None and is_success:
             content_type = head.find_header(b"content-type") or b""
@@ -205,12 +215,15 @@
 
     def handle_data(self, data: bytes) -> None:
         """Handle a chunk of the body."""
-        self.progress_at = self._loop.time()
         if self._splitter is not None and self._progress is not None:
             events = self._splitter.feed(data)
             if events and self._head is not None and not self.done.done():
+                # Only complete events count as progress: a stalled server may still
+                # send a byte now and then.
+                self.progress_at = self._loop.time()
                 self._progress.send(self._head, events)
             return
+        self.progress_at = self._loop.time()
         self._n_bytes += len(data)
         if self._n_bytes <= MAX_BUFFERED_BYTES:
             self._chunks.append(data)
@@ -229,9 +242,11 @@
         head = self._head
         if head is None:
             return BadAnswer(reason="answer has no head")
-        if self._metadata.is_not_run:
+        if self._metadata.is_not_run and not self._is_foreign:
             return NotRun(
-                status=head.status, is_other_server=self._metadata.is_other_server
+                status=head.status,
+                is_other_server=self._metadata.is_other_server,
+                pause_ms=self._metadata.pause_ms,
             )
         fault = self._find_fault()
         if fault:
@@ -249,7 +264,7 @@
         head, metadata = self._head, self._metadata
         if head is None:
             return "answer has no head"
-        if metadata.request_id is not None and metadata.request_id != self._request_id:
+        if self._is_foreign:
             return "answer belongs to another request"
         if STATUS_OK <= head.status < STATUS_MULTIPLE:
             if not metadata.is_sealed:
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -39,6 +39,8 @@
         Path of the balancer's readiness checks.
     decode_item : callable
         Decodes a store item from its key and value.
+    is_operator_item : callable
+        Returns whether operators write the item with a key.
     read_request, read_answer : callable
         Extract metadata from the headers of a request and of an answer.
     server_headers : callable
@@ -49,6 +51,7 @@
 
     readiness_path: bytes
     decode_item: Callable[[str, bytes], CatalogItem]
+    is_operator_item: Callable[[str], bool]
     read_request: Callable[[CallerRequest], RequestMetadata]
     read_answer: Callable[[AnswerHead], AnswerMetadata]
     server_headers: ServerHeaders
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -14,6 +14,7 @@
 from damaskrill.steering import (
     DIRECT_BOUNDS,
     RELAYED_BOUNDS,
+    AnswerMetadata,
     Candidate,
     ColdStartLimiter,
     FailureDetector,
@@ -24,10 +25,12 @@
     RequestMetadata,
     ServerLoads,
     ServerOutcome,
+    ServerPauses,
     ServerRequirements,
     ServerSelector,
     is_region_allowed,
     short_server_id,
+    spread_retry_after,
 )
 from damaskrill.utils import monotonic_now_ms
 
@@ -70,6 +73,8 @@
         Failures of servers' requests observed by all routers.
     publish_failures : callable
         Publishes failures to other routers after a short delay.
+    publish_departure : callable
+        Publishes that an incarnation leaves to other routers after a short delay.
     data_centre : str
         Data centre that this router runs in.
     region_of : mapping of str to str
@@ -97,6 +102,7 @@
         prefix_index: PrefixIndex,
         failures: FailureDetector,
         publish_failures: Callable[[], None],
+        publish_departure: Callable[[tuple[str, int]], None],
         data_centre: str,
         region_of: Mapping[str, str],
         n_routers: Callable[[], int],
@@ -115,6 +121,8 @@
         self._prefix_index = prefix_index
         self._failures = failures
         self._publish_failures = publish_failures
+        self._publish_departure = publish_departure
+        self._pauses = ServerPauses()
         self._region_of = region_of
         self._n_routers = n_routers
         self.store_age_ms = store_age_ms
@@ -200,6 +208,7 @@
             )
             for server in self.catalog.find_servers(requirements.service)
             if server.key not in tried
+            and not self._pauses.is_paused(server.key, now_ms)
             and (only is None or server.key in only)
             and self._is_allowed(requirements, server)
             and self._may_send(server, now_ms)
@@ -217,6 +226,38 @@
             ),
         )
 
+    def find_pause_ms(
+        self,
+        requirements: ServerRequirements,
+        *,
+        tried: set[tuple[str, int]] | None = None,
+    ) -> float | None:
+        """Return the time until a server accepts requests again, in milliseconds.
+
+        Parameters
+        ----------
+        requirements : ServerRequirements
+            Requirements of the request.
+        tried : set of tuple of (str, int), default=None
+            Incarnations to exclude.
+
+        Returns
+        -------
+        float or None
+            None unless all servers have asked for a pause.
+        """
+        keys = [
+            server.key
+            for server in self.catalog.find_servers(requirements.service)
+            if (tried is None or server.key not in tried)
+            and self._is_allowed(requirements, server)
+        ]
+        return self._pauses.remaining_ms(keys, self.now_ms)
+
+    def spread_retry_after(self, duration_ms: float) -> int:
+        """Return a time after which to retry, at random after the given one."""
+        return spread_retry_after(duration_ms, self._random)
+
     def find_cache_source(
         self, route: Route, metadata: RequestMetadata, server: BackendServer
     ) -> BackendServer | None:
@@ -256,6 +297,24 @@
         if self.catalog.is_cold(server, round(self.now_ms)):
             self._cold_start_limiter.record_sent(server, self.now_ms)
 
+    def handle_metadata(self, server: BackendServer, metadata: AnswerMetadata) -> None:
+        """Handle what a server states about itself in an answer."""
+        now_ms = self.now_ms
+        if metadata.load is not None:
+            self.loads.observe_load(server.key, sum(metadata.load), now_ms)
+        if metadata.is_leaving and self.catalog.mark_leaving(
+            server.key, cause="answer"
+        ):
+            self.purge_removed_servers()
+            self._publish_departure(server.key)
+        pause_ms = metadata.pause_ms
+        if pause_ms is not None and self._pauses.pause(server.key, pause_ms, now_ms):
+            self.log.warn(
+                "server_paused",
+                backend_server=server.server_id,
+                pause_ms=round(pause_ms),
+            )
+
     def record_outcome(self, server: BackendServer, outcome: ServerOutcome) -> None:
         """Record the outcome of an attempt at a server."""
         if outcome is not ServerOutcome.GOOD:
@@ -318,6 +377,7 @@
             self.loads.register_server(key)
         self.loads.retain_only(keys)
         self._health.retain_only(keys)
+        self._pauses.retain_only(keys)
 
     def cancel_all(self) -> None:
         """Cancel all exchanges."""
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -51,9 +51,11 @@
 SERVER_WAIT_FRACTION = 0.125
 POLL_INTERVAL_MS = 15
 # A request that may be retried goes to another server after this many targets without
-# an answer; a stream after this long without an event.
+# an answer; a stream after this long without an event, or this many times the longest
+# pause that the operators accept, so that slow streams are not interrupted.
 IDLE_TIMEOUT_TARGETS = 1.0
 STREAM_IDLE_TIMEOUT_MS = 1_000
+STREAM_IDLE_TIMEOUT_PAUSES = 4
 # After this many targets without an answer, the server is considered unresponsive.
 SILENT_TARGETS = 2.0
 # Twice the longest pause between two calls to a store that is busy at start-up.
@@ -105,6 +107,7 @@
         self._overloaded: set[tuple[str, int]] = set()
         self._execution_status = ExecutionStatus.NOT_SENT
         self._last_result: AttemptResult = NotRun(status=503)
+        self._requirements = ServerRequirements(service="")
         self._limit_at_ms = 0.0
         self._sent_at_ms = 0.0
 
@@ -174,12 +177,18 @@
             return
         service = self._responder.service = dispatcher.pick_service(route)
         dispatcher.budget.record_request(service, dispatcher.now_ms)
+        self._requirements = ServerRequirements(
+            service=service,
+            affinity_keys=self._metadata.affinity_keys if route.has_prompt else (),
+            route_regions=route.regions,
+            team_regions=team.regions if team else frozenset(),
+        )
         while True:
-            server = await self._find_server(route, service, team)
+            server = await self._find_server(route)
             if server is None:
                 if await self._wait_for_capacity(route):
                     continue
-                self._refuse_unserved(service)
+                self._refuse_unserved()
                 return
             if self._responder.n_sent and not dispatcher.try_acquire_retry(service):
                 self._refuse_after(self._last_result)
@@ -225,16 +234,8 @@
             return min(limit_ms, self._metadata.deadline_ms)
         return limit_ms
 
-    async def _find_server(
-        self, route: Route, service: str, team: Team | None
-    ) -> BackendServer | None:
-        dispatcher = self._dispatcher
-        requirements = ServerRequirements(
-            service=service,
-            affinity_keys=self._metadata.affinity_keys if route.has_prompt else (),
-            route_regions=route.regions,
-            team_regions=team.regions if team else frozenset(),
-        )
+    async def _find_server(self, route: Route) -> BackendServer | None:
+        dispatcher, requirements = self._dispatcher, self._requirements
         until_ms = dispatcher.now_ms + SERVER_WAIT_FRACTION * route.target_ms
         is_at_limit = len(self._sent_to) >= route.max_servers
         only = self._sent_to if is_at_limit else None
@@ -242,6 +243,9 @@
             server = dispatcher.select(requirements, tried=self._tried, only=only)
             if server is not None or dispatcher.now_ms >= until_ms or self._overloaded:
                 return server
+            pause_ms = dispatcher.find_pause_ms(requirements, tried=self._tried)
+            if pause_ms is not None and dispatcher.now_ms + pause_ms > until_ms:
+                return None
             await asyncio.sleep(POLL_INTERVAL_MS / 1_000)
 
     async def _try_server(
@@ -265,7 +269,7 @@
                         server, ServerOutcome.NO_CONNECTION, str(error)
                     )
                     return None
-                if not dispatcher.catalog.is_usable(server):
+                if not dispatcher.catalog.is_usable(server.key):
                     # It became unusable while the connection was being opened.
                     connection.abort()
                     return None
@@ -286,9 +290,7 @@
             request_id=self._metadata.request_id,
             read_answer=dispatcher.binding.read_answer,
             progress=self._progress if is_stream else None,
-            on_load=lambda n: dispatcher.loads.observe_load(
-                server.key, n, dispatcher.now_ms
-            ),
+            on_metadata=lambda metadata: dispatcher.handle_metadata(server, metadata),
         )
         remaining_ms = max(1, int(self._limit_at_ms - dispatcher.now_ms))
         headers = dispatcher.binding.server_headers(
@@ -334,7 +336,10 @@
             timeout_ms = self._limit_at_ms - dispatcher.now_ms
             if can_retry:
                 if self._progress.has_begun:
-                    idle_timeout_ms = STREAM_IDLE_TIMEOUT_MS
+                    idle_timeout_ms = max(
+                        STREAM_IDLE_TIMEOUT_MS,
+                        STREAM_IDLE_TIMEOUT_PAUSES * route.max_pause_ms,
+                    )
                 idle_ms = (loop.time() - attempt.progress_at) * 1_000
                 timeout_ms = min(timeout_ms, idle_timeout_ms - idle_ms)
             if timeout_ms > 0:
@@ -438,16 +443,25 @@
             )
         dispatcher.record_outcome(server, outcome)
 
-    def _refuse_unserved(self, service: str) -> None:
-        cause = RefusalCause.NO_SERVER
+    def _refuse_unserved(self) -> None:
         if self._responder.n_sent:
             self._refuse_after(self._last_result)
             return
+        cause, retry_after_ms = RefusalCause.NO_SERVER, RETRY_AFTER_NO_SERVER_MS
+        pause_ms = self._find_retry_after_ms()
+        if pause_ms is not None:
+            cause, retry_after_ms = RefusalCause.SERVERS_PAUSED, pause_ms
         self._responder.refuse(
-            Refusal(status=503, cause=cause, retry_after_ms=RETRY_AFTER_NO_SERVER_MS),
-            service,
+            Refusal(status=503, cause=cause, retry_after_ms=retry_after_ms),
+            self._requirements.service,
         )
 
+    def _find_retry_after_ms(self) -> int | None:
+        pause_ms = self._dispatcher.find_pause_ms(self._requirements)
+        if pause_ms is None:
+            return None
+        return self._dispatcher.spread_retry_after(pause_ms)
+
     def _refuse_after(self, result: AttemptResult) -> None:
         if self._progress.has_begun:
             self._responder.abort("no server could resume the stream")
@@ -460,6 +474,7 @@
                     result,
                     may_have_run=self._may_have_run,
                     is_expired=self._dispatcher.now_ms >= self._limit_at_ms,
+                    pause_ms=self._find_retry_after_ms(),
                 )
                 self._responder.refuse(refusal, detail)
             case StreamEnded():
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -51,6 +51,9 @@
             return ServerOutcome.ERROR_STATUS, f"status {head.status}"
         case CompleteAnswer() | StreamEnded():
             return ServerOutcome.GOOD, ""
+        case NotRun(pause_ms=float()):
+            # A server that asks for a pause is not faulty.
+            return None
         case NotRun(status=status):
             outcome = (
                 ServerOutcome.REPLACED if result.is_other_server else ServerOutcome.FULL
@@ -69,7 +72,11 @@
 
 
 def find_refusal(
-    result: NotRun | BadAnswer | Broken, *, may_have_run: bool, is_expired: bool
+    result: NotRun | BadAnswer | Broken,
+    *,
+    may_have_run: bool,
+    is_expired: bool,
+    pause_ms: int | None = None,
 ) -> tuple[Refusal, str]:
     """Return the refusal for the caller after the last attempt, and a detail to log.
 
@@ -81,11 +88,20 @@
         Whether some attempt may have run.
     is_expired : bool
         Whether the request's time limit has passed.
+    pause_ms : int or None, default=None
+        Time after which the caller may retry, in milliseconds, if all servers have
+        asked for a pause.
     """
     match result:
         case NotRun() if may_have_run:
             cause = RefusalCause.OUTCOME_UNKNOWN
             return Refusal(status=502, cause=cause), "an earlier attempt may have run"
+        case NotRun(status=status) if pause_ms is not None:
+            cause = RefusalCause.SERVERS_PAUSED
+            return (
+                Refusal(status=503, cause=cause, retry_after_ms=pause_ms),
+                f"the server answered with status {status}",
+            )
         case NotRun(status=status):
             cause, retry_after_ms = RefusalCause.SERVER_FULL, RETRY_AFTER_FULL_MS
             if result.is_other_server:
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -7,11 +7,18 @@
 from random import Random
 from typing import Any
 
+from attrs import evolve
 from twisted.internet.error import CannotListenError
 
 from damaskrill.catalog import CallerLimits, Catalog
 from damaskrill.eventlog import DecisionLog
-from damaskrill.feed import Change, FeedReader, FeedReplica, Freshness
+from damaskrill.feed import (
+    Change,
+    FeedReader,
+    FeedReplica,
+    Freshness,
+    ListedChanges,
+)
 from damaskrill.gateway._binding import PlatformBinding
 from damaskrill.gateway._dispatcher import RequestDispatcher
 from damaskrill.gateway._metrics import GatewayMetrics
@@ -23,6 +30,7 @@
     ServerPool,
 )
 from damaskrill.mesh import (
+    Departure,
     FeedUpdate,
     MemberEntry,
     MemberTable,
@@ -159,7 +167,7 @@
             1,
         )
         self._catalog = Catalog(report=self._log.write)
-        self._replica = FeedReplica()
+        self._replica = FeedReplica(is_retained=self._binding.is_operator_item)
         self._freshness = Freshness(leaving_limit_ms=settings.leaving_limit_ms)
         self._members = MemberTable(own=own)
         self._loads = ServerLoads()
@@ -170,6 +178,16 @@
             data_centre=own.data_centre,
             first_number=own.incarnation,
         )
+        self._reports = ReportExchange(
+            members=self._members,
+            loads=self._loads,
+            hot_keys=self._hot_keys,
+            prefix_index=self._prefix_index,
+            failures=self._failures,
+            apply_failures=lambda servers: self._dispatcher.apply_failures(servers),
+            apply_departure=self._apply_departure,
+            report=self._log.write,
+        )
         self._mesh = Mesh(
             members=self._members,
             replica=self._replica,
@@ -178,15 +196,7 @@
             seeds=tuple(_format(each) for each in settings.seed_addresses),
             apply_feed=self._apply_feed,
             record_contact=self._record_contact,
-            reports=ReportExchange(
-                members=self._members,
-                loads=self._loads,
-                hot_keys=self._hot_keys,
-                prefix_index=self._prefix_index,
-                failures=self._failures,
-                apply_failures=lambda servers: self._dispatcher.apply_failures(servers),
-                report=self._log.write,
-            ),
+            reports=self._reports,
             needs_fresh_loads=lambda: self._catalog.has_major_capacity_loss,
             report=self._log.write,
         )
@@ -208,7 +218,7 @@
         self._dispatcher = RequestDispatcher(
             binding=self._binding,
             catalog=self._catalog,
-            pool=ServerPool(reactor=self._reactor),
+            pool=ServerPool(reactor=self._reactor, may_keep=self._catalog.is_usable),
             cold_start_limiter=self._cold_start_limiter,
             budget=FleetRetryBudget(
                 ratio=settings.repeat_ratio,
@@ -222,6 +232,7 @@
             prefix_index=self._prefix_index,
             failures=self._failures,
             publish_failures=self._mesh.push_failures,
+            publish_departure=self._publish_departure,
             data_centre=settings.data_centre,
             region_of=settings.region_of,
             n_routers=lambda: self._members.n_members,
@@ -284,6 +295,7 @@
             "servers": float(self._catalog.n_servers),
             "exchanges": float(self._dispatcher.n_exchanges),
             "store_calls": float(self._reader.n_calls),
+            "store_era": float(self._replica.position.era),
             "store_revision": float(self._replica.revision),
             "store_age_ms": float(self._store_age_ms()),
             "text_version": float(configuration.version if configuration else 0),
@@ -303,30 +315,56 @@
             round(monotonic_now_ms()), is_standby=self._members.is_standby_reader()
         )
 
-    def _apply_read(self, changes: Sequence[Change], is_list: bool) -> None:
+    def _apply_read(self, listed: ListedChanges) -> None:
         now_ms = round(monotonic_now_ms())
         self._record_contact(now_ms)
-        self._apply_changes(changes)
+        self._apply_listed(listed)
         self._mesh.push_changes()
         if not self._members.is_full_mesh:
             self._mesh.push_contact()
 
     def _apply_feed(self, feed: FeedUpdate) -> None:
+        replica = self._replica
         if feed.after == 0:
-            self._apply_changes(self._replica.apply_list(feed.changes, feed.revision))
-        elif feed.after <= self._replica.revision:
-            self._apply_changes(
-                self._replica.apply_changes(feed.changes, feed.revision)
-            )
+            listed = replica.apply_list(feed.changes, feed.position)
+            if listed.is_restored:
+                at = replica.position
+                self._log.warn("store_restored", era=at.era, revision=at.revision)
+            self._apply_listed(listed)
+        elif feed.after <= replica.revision:
+            self._apply_changes(replica.apply_changes(feed.changes, feed.position))
+        superseded = replica.add_superseded(feed.superseded, feed.position.era)
+        if superseded:
+            self._apply_superseded(superseded)
+
+    def _apply_listed(self, listed: ListedChanges) -> None:
+        if listed.is_restored:
+            # Servers need the same time to write again as after an outage.
+            self._catalog.record_store_recovery(round(monotonic_now_ms()))
+        self._apply_changes(listed.changes, is_restored=listed.is_restored)
+        if listed.is_restored:
+            for key in self._catalog.find_forgotten_leaving():
+                self._publish_departure(key)
+
+    def _apply_superseded(self, superseded: Sequence[Change]) -> None:
+        # A router that starts after the store was restored learns what it lost.
+        listed = {each.key for each in self._replica.items}
+        self._apply_changes(superseded)
+        lost = [evolve(each, value=None) for each in superseded]
+        self._apply_changes(
+            [each for each in lost if each.key not in listed], is_restored=True
+        )
 
-    def _apply_changes(self, changes: Sequence[Change]) -> None:
+    def _apply_changes(
+        self, changes: Sequence[Change], *, is_restored: bool = False
+    ) -> None:
         now_ms = round(monotonic_now_ms())
         for change in changes:
             item = self._binding.decode_item(change.key, change.value or b"")
             if change.value is None:
-                self._catalog.remove(item, now_ms)
+                self._catalog.remove(item, now_ms, is_restored=is_restored)
             else:
-                self._catalog.put(item, now_ms)
+                self._catalog.put(item, now_ms, is_restored=is_restored)
         if self._replica.revision:
             self._catalog.mark_listed()
         configuration = self._catalog.configuration
@@ -335,6 +373,17 @@
         if changes:
             self._dispatcher.purge_removed_servers()
 
+    def _apply_departure(self, departure: Departure) -> bool:
+        key = (departure.server_id, departure.started_at_ms)
+        if not self._catalog.mark_leaving(key, cause="peer"):
+            return False
+        self._dispatcher.purge_removed_servers()
+        return True
+
+    def _publish_departure(self, key: tuple[str, int]) -> None:
+        self._reports.add_departure(Departure(*key))
+        self._mesh.push_failures()
+
     def _record_contact(self, at_ms: int) -> None:
         now_ms = round(monotonic_now_ms())
         if self._freshness.record_contact(at_ms):
--- a/damaskrill/http1/_pool.py
+++ b/damaskrill/http1/_pool.py
@@ -1,6 +1,7 @@
 """Pool of connections to backend servers, by incarnation."""
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from attrs import frozen
@@ -36,6 +37,8 @@
         Twisted's reactor.
     limits : PoolLimits
         Limits of the pool.
+    may_keep : callable, default=None
+        Returns whether idle connections to an incarnation are kept; all are if None.
 
     Notes
     -----
@@ -43,8 +46,15 @@
     address.
     """
 
-    def __init__(self, *, reactor: Any, limits: PoolLimits | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        limits: PoolLimits | None = None,
+        may_keep: Callable[[ServerKey], bool] | None = None,
+    ) -> None:
         self._reactor = reactor
+        self._may_keep = may_keep or _keep_all
         self._limits = limits or PoolLimits()
         self._idle: dict[ServerKey, deque[ServerConnection]] = {}
         self._n_opened = 0
@@ -81,6 +91,9 @@
         self._n_opened += 1
 
         def release(idle: ServerConnection) -> None:
+            if not self._may_keep(key):
+                idle.close()
+                return
             idle.idle_since_ms = monotonic_now_ms()
             self._idle.setdefault(key, deque()).append(idle)
 
@@ -95,3 +108,7 @@
     def keys(self) -> list[ServerKey]:
         """Return the incarnations with idle connections."""
         return list(self._idle)
+
+
+def _keep_all(key: ServerKey) -> bool:
+    return True
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -103,6 +103,12 @@
         if transport is not None:
             transport.abortConnection()
 
+    def close(self) -> None:
+        """Close an idle connection."""
+        self._is_open = False
+        transport: Any = self.transport
+        transport.loseConnection()
+
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes."""
         if self._sink is None:
--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -1,6 +1,8 @@
 """Links between routers: fleet membership, replication of the store and gossip."""
 
 from damaskrill.mesh._frames import (
+    Departure,
+    FeedRequest,
     FeedUpdate,
     Goodbye,
     Hello,
@@ -15,6 +17,8 @@
 from damaskrill.mesh._reports import ReportExchange
 
 __all__ = [
+    "Departure",
+    "FeedRequest",
     "FeedUpdate",
     "Goodbye",
     "Hello",
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -10,10 +10,12 @@
 from attrs import astuple, frozen
 
 from damaskrill.exceptions import PeerFrameError
-from damaskrill.feed import Change
+from damaskrill.feed import START, Change, Position
 from damaskrill.steering import FailureReport, KeyCounts, LoadReport, PrefixReport
 
 __all__ = [
+    "Departure",
+    "FeedRequest",
     "FeedUpdate",
     "Frame",
     "Goodbye",
@@ -25,6 +27,9 @@
     "encode",
 ]
 
+# Routers of other versions refuse the first frame, so that fleets of two versions run
+# beside each other during a rolling update, each with its own readers of the store.
+PROTOCOL_VERSION = 2
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
 MIN_COMPRESSED_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
@@ -81,14 +86,30 @@
     heartbeat: int
 
 
+@frozen
+class Departure:
+    """Incarnation of a backend server that has announced that it leaves.
+
+    Parameters
+    ----------
+    server_id : str
+        ID of the server.
+    started_at_ms : int
+        Start time of the process in Unix milliseconds.
+    """
+
+    server_id: str
+    started_at_ms: int
+
+
 @frozen(kw_only=True)
 class Update:
     """Frame with what has changed since the last one on the link.
 
     Parameters
     ----------
-    revision : int
-        Revision up to which the sender's replica is complete.
+    position : Position
+        Position in the store's history up to which the sender's replica is complete.
     age_ms : int
         Time since the fleet's last contact with the store that is known to the
         sender, in milliseconds; negative if there is none.
@@ -96,6 +117,8 @@
         Membership entries that have changed.
     suspicions : tuple of Suspicion
         Routers that have been suspected.
+    departures : tuple of Departure
+        Servers that have announced that they leave.
     loads : tuple of LoadReport
         Loads that servers have reported.
     prefixes : tuple of PrefixReport
@@ -106,10 +129,11 @@
         The sender's recent requests; None if they are not part of the frame.
     """
 
-    revision: int = 0
+    position: Position = START
     age_ms: int = -1
     entries: tuple[MemberEntry, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
+    departures: tuple[Departure, ...] = ()
     loads: tuple[LoadReport, ...] = ()
     prefixes: tuple[PrefixReport, ...] = ()
     failures: tuple[FailureReport, ...] = ()
@@ -129,32 +153,52 @@
     ----------
     after : int
         Revision that the changes follow; 0 for a full replica.
-    revision : int
-        Revision up to which the replica is complete with the changes.
+    position : Position
+        Position up to which the replica is complete with the changes.
     changes : tuple of Change
         The changes, or all items of a full replica.
+    superseded : tuple of Change
+        Items that the store lost when it was restored, which the sender retains.
     """
 
     after: int
-    revision: int
-    changes: tuple[Change, ...]
+    position: Position
+    changes: tuple[Change, ...] = ()
+    superseded: tuple[Change, ...] = ()
+
+
+@frozen(kw_only=True)
+class FeedRequest:
+    """Frame that asks for the changes after a position.
 
+    Parameters
+    ----------
+    position : Position
+        Position up to which the sender's replica is complete.
+    """
 
-Frame = Hello | Update | FeedUpdate | Goodbye
+    position: Position
+
+
+Frame = Hello | Update | FeedUpdate | FeedRequest | Goodbye
 
 
 def encode(frame: Frame) -> bytes:
     """Encode a frame."""
     match frame:
         case Hello():
-            content: list[Any] = ["h", *astuple(frame.entry)]
+            content: list[Any] = ["h", PROTOCOL_VERSION, *astuple(frame.entry)]
         case Update():
-            content = ["u", frame.revision, frame.age_ms, *_encode_reports(frame)]
+            at = frame.position
+            content = ["u", at.era, at.revision, frame.age_ms, *_encode_reports(frame)]
+        case FeedRequest(position=at):
+            content = ["r", at.era, at.revision]
         case Goodbye():
             content = ["g"]
-        case FeedUpdate():
-            changes = [[each.key, each.value, each.revision] for each in frame.changes]
-            content = ["f", frame.after, frame.revision, changes]
+        case FeedUpdate(position=at):
+            content = ["f", at.era, frame.after, at.revision]
+            content += [_encode_changes(frame.changes)]
+            content += [_encode_changes(frame.superseded)]
     data = cbor2.dumps(content)
     if len(data) < MIN_COMPRESSED_BYTES:
         return data
@@ -180,17 +224,22 @@
         case ["z", bytes(packed)]:
             unpacker = zlib.decompressobj()
             return _decode(unpacker.decompress(packed, MAX_FRAME_BYTES))
-        case ["h", *fields]:
+        case ["h", version, *fields]:
+            if version != PROTOCOL_VERSION:
+                raise ValueError("the peer uses another version of the protocol")
             return Hello(entry=_to_entry(fields))
-        case ["u", int(revision), int(age_ms), *reports]:
-            return _to_update(revision, age_ms, reports)
+        case ["u", int(era), int(revision), int(age_ms), *reports]:
+            return _to_update(Position(era, revision), age_ms, reports)
+        case ["r", int(era), int(revision)]:
+            return FeedRequest(position=Position(era, revision))
         case ["g"]:
             return Goodbye()
-        case ["f", int(after), int(revision), list(changes)]:
+        case ["f", int(era), int(after), int(revision), list(changes), list(lost)]:
             return FeedUpdate(
                 after=after,
-                revision=revision,
+                position=Position(era, revision),
                 changes=tuple(_to_change(each) for each in changes),
+                superseded=tuple(_to_change(each) for each in lost),
             )
         case _:
             raise ValueError("unknown type or layout of frame")
@@ -204,6 +253,7 @@
             for e in update.entries
         ],
         [[s.address, s.incarnation, s.heartbeat] for s in update.suspicions],
+        [[d.server_id, d.started_at_ms] for d in update.departures],
         _pack((each.load_id, each.n_requests, each.age_ms) for each in update.loads),
         _pack((each.part, each.engine, each.age_ms) for each in update.prefixes),
         _pack(astuple(each) for each in update.failures),
@@ -213,21 +263,23 @@
     ]
 
 
-def _to_update(revision: int, age_ms: int, reports: Sequence[Any]) -> Update:
+def _to_update(position: Position, age_ms: int, reports: Sequence[Any]) -> Update:
     match reports:
         case [
             list(entries),
             list(suspicions),
+            list(departures),
             bytes(loads),
             bytes(prefixes),
             bytes(failures),
             [float(), list()] | None as counts,
         ]:
             return Update(
-                revision=revision,
+                position=position,
                 age_ms=age_ms,
                 entries=tuple(_to_entry(each) for each in entries),
                 suspicions=tuple(_to_suspicion(each) for each in suspicions),
+                departures=tuple(_to_departure(each) for each in departures),
                 loads=tuple(starmap(LoadReport, _unpack(loads, N_REPORT_NUMBERS))),
                 prefixes=tuple(
                     starmap(PrefixReport, _unpack(prefixes, N_REPORT_NUMBERS))
@@ -249,6 +301,14 @@
             raise ValueError("invalid suspicion")
 
 
+def _to_departure(fields: Any) -> Departure:
+    match fields:
+        case [str(server_id), int(started_at_ms)]:
+            return Departure(server_id, started_at_ms)
+        case _:
+            raise ValueError("invalid departure")
+
+
 def _to_key_counts(fields: Any) -> KeyCounts | None:
     if fields is None:
         return None
@@ -290,6 +350,10 @@
             raise ValueError("invalid count of a key")
 
 
+def _encode_changes(changes: Iterable[Change]) -> list[Any]:
+    return [[each.key, each.value, each.revision] for each in changes]
+
+
 def _to_change(fields: Any) -> Change:
     match list(fields):
         case [str(key), bytes() | None as value, int(revision)]:
--- a/damaskrill/mesh/_link.py
+++ b/damaskrill/mesh/_link.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from websockets.exceptions import WebSocketException
 
+from damaskrill.feed import START, Position
 from damaskrill.mesh._frames import Frame, encode
 
 __all__ = ["Cursors", "Link"]
@@ -21,6 +22,7 @@
     n_entries: int = 0
     n_joins: int = 0
     n_suspicions: int = 0
+    n_departures: int = 0
     n_loads: int = 0
     n_prefixes: int = 0
     n_failures: int = 0
@@ -47,8 +49,13 @@
         Times of the last frames received and sent.
     entries_sent_ms : float
         Time of the last frame with membership entries.
-    peer_revision : int
-        Revision of the store up to which the other router's replica is complete.
+    peer_position : Position
+        Position in the store's history up to which the other router's replica is
+        complete.
+    announced_position : Position
+        Newest position that was announced to the other router without the changes.
+    fed_at_ms : float
+        When changes of the store were last sent over the link.
     contact_at_ms : float
         Newest contact with the store that the other router is known to have heard of.
     is_released : bool
@@ -62,7 +69,9 @@
     last_seen_ms: float = field(init=False)
     last_sent_ms: float = field(init=False)
     entries_sent_ms: float = field(default=float("-inf"), init=False)
-    peer_revision: int = field(default=0, init=False)
+    peer_position: Position = field(default=START, init=False)
+    announced_position: Position = field(default=START, init=False)
+    fed_at_ms: float = field(default=float("-inf"), init=False)
     contact_at_ms: float = field(default=float("-inf"), init=False)
     is_released: bool = field(default=False, init=False)
     cursors: Cursors = field(factory=Cursors, init=False)
@@ -74,11 +83,12 @@
         """Start both timers when the link is opened."""
         self.last_seen_ms = self.last_sent_ms = self.opened_at_ms
 
-    def send(self, frame: Frame, now_ms: float) -> bool:
-        """Queue a frame; return False if the queue is full."""
+    def send(self, frame: Frame | bytes, now_ms: float) -> bool:
+        """Queue a frame or an encoded frame; return False if the queue is full."""
         self.last_sent_ms = now_ms
+        data = frame if isinstance(frame, bytes) else encode(frame)
         try:
-            self._queue.put_nowait(encode(frame))
+            self._queue.put_nowait(data)
         except asyncio.QueueFull:
             return False
         return True
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -12,6 +12,7 @@
 from damaskrill.feed import FeedReplica, Freshness
 from damaskrill.mesh._frames import (
     MAX_FRAME_BYTES,
+    FeedRequest,
     FeedUpdate,
     Frame,
     Goodbye,
@@ -23,6 +24,7 @@
 )
 from damaskrill.mesh._link import Link
 from damaskrill.mesh._members import MemberTable
+from damaskrill.mesh._replication import FeedReplication
 from damaskrill.mesh._reports import ReportExchange, has_reports
 from damaskrill.utils import monotonic_now_ms
 
@@ -105,10 +107,12 @@
     ) -> None:
         self._members = members
         self._replica = replica
+        self._replication = FeedReplication(
+            replica=replica, apply_feed=apply_feed, send=self._send
+        )
         self._freshness = freshness
         self._listen = listen
         self._seeds = tuple(each for each in seeds if each != members.own.address)
-        self._apply_feed = apply_feed
         self._record_contact = record_contact
         self._reports = reports
         self._needs_fresh_loads = needs_fresh_loads
@@ -166,12 +170,11 @@
         if source and self._members.is_full_mesh:
             # The reader itself sends them to all; a heartbeat shows who missed some.
             return
-        for link in self._links.values():
-            if link.address != source:
-                self._send_feed(link)
+        others = [each for each in self._links.values() if each.address != source]
+        self._replication.push(others, monotonic_now_ms())
 
     def push_failures(self) -> None:
-        """Publish observed and received failures after a short delay."""
+        """Publish failures and departures of servers after a short delay."""
         if self._failures_timer is None:
             self._failures_timer = asyncio.get_running_loop().call_later(
                 FAILURES_DELAY_MS / 1_000, self._publish_failures
@@ -210,7 +213,7 @@
         return self._reports.collect(
             link,
             now_ms,
-            revision=self._replica.revision,
+            position=self._replica.position,
             age_ms=self._contact_age_ms(now_ms),
             **selection,
         )
@@ -348,6 +351,7 @@
             link, now_ms, has_entries=True, has_loads=True, has_counts=True
         )
         self._send(link, update)
+        self._replication.start(link)
         return link
 
     def _handle_frame(self, link: Link, frame: Frame) -> None:
@@ -356,14 +360,15 @@
             case Update():
                 self._apply_contact(link, frame.age_ms, now_ms)
                 self._reports.apply(link, frame, now_ms)
-                if frame.failures and not self._members.is_full_mesh:
+                has_urgent = frame.failures or frame.departures
+                if has_urgent and not self._members.is_full_mesh:
                     self.push_failures()
-                link.peer_revision = frame.revision
-                self._send_feed(link)
+                self._replication.handle_position(link, frame.position, now_ms)
             case FeedUpdate():
-                self._apply_feed(frame)
-                link.peer_revision = max(link.peer_revision, frame.revision)
+                self._replication.handle_feed(link, frame)
                 self.push_changes(source=link.address)
+            case FeedRequest():
+                self._replication.handle_request(link, frame.position, now_ms)
             case Goodbye():
                 link.is_released = True
                 self._close_link(link, "link not needed")
@@ -404,21 +409,7 @@
         if is_news and not self._members.is_full_mesh:
             self.push_contact()
 
-    def _send_feed(self, link: Link) -> None:
-        own, peer = self._replica.revision, link.peer_revision
-        if peer >= own:
-            return
-        changes = self._replica.changes_after(peer) if peer else None
-        link.peer_revision = own
-        if changes is None:
-            items = tuple(self._replica.items)
-            self._send(link, FeedUpdate(after=0, revision=own, changes=items))
-        else:
-            self._send(
-                link, FeedUpdate(after=peer, revision=own, changes=tuple(changes))
-            )
-
-    def _send(self, link: Link, frame: Frame) -> None:
+    def _send(self, link: Link, frame: Frame | bytes) -> None:
         now_ms = monotonic_now_ms()
         if isinstance(frame, Update) and frame.age_ms >= 0:
             link.contact_at_ms = max(link.contact_at_ms, now_ms - frame.age_ms)
@@ -426,6 +417,7 @@
             self._close_link(link, "send queue full")
 
     def _close_link(self, link: Link, reason: str) -> None:
+        self._replication.handle_link_closed(link)
         if self._links.get(link.address) is link:
             del self._links[link.address]
             if not link.is_released:
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Callable
 
-from attrs import frozen
+from attrs import field, frozen
 
-from damaskrill.mesh._frames import MemberEntry, Update
+from damaskrill.feed import Position
+from damaskrill.mesh._frames import Departure, MemberEntry, Update
 from damaskrill.mesh._link import Link
 from damaskrill.mesh._members import MemberTable
 from damaskrill.steering import (
     FailureDetector,
+    GossipLog,
     HotKeys,
     LoadReport,
     PrefixIndex,
@@ -17,6 +19,9 @@
 
 __all__ = ["ReportExchange", "has_reports"]
 
+# More servers than leave within some minutes.
+MAX_DEPARTURES = 256
+
 
 @frozen(kw_only=True, eq=False)
 class ReportExchange:
@@ -36,6 +41,8 @@
         Failures of servers' requests.
     apply_failures : callable
         Handles the short hashes of the servers with new failure reports.
+    apply_departure : callable
+        Handles a server that has announced that it leaves; returns whether this is new.
     report : callable
         Logs an event, given its name and fields.
 
@@ -51,14 +58,22 @@
     prefix_index: PrefixIndex
     failures: FailureDetector
     apply_failures: Callable[[frozenset[int]], None]
+    apply_departure: Callable[[Departure], bool]
     report: Callable[..., None]
+    _departures: GossipLog[Departure] = field(
+        factory=lambda: GossipLog(max_reports=MAX_DEPARTURES), init=False
+    )
+
+    def add_departure(self, departure: Departure) -> None:
+        """Publish that a server has announced that it leaves."""
+        self._departures.add(departure, source="")
 
     def collect(
         self,
         link: Link,
         now_ms: float,
         *,
-        revision: int,
+        position: Position,
         age_ms: int,
         has_entries: bool = False,
         has_loads: bool = False,
@@ -72,8 +87,10 @@
             The outgoing link.
         now_ms : float
             Current time in milliseconds.
-        revision, age_ms : int
-            State of the replica of the store.
+        position : Position
+            Position of the replica of the store.
+        age_ms : int
+            Age of the replica in milliseconds; -1 if unknown.
         has_entries : bool, default=False
             Whether to include membership entries. Those of new routers are included in
             any case.
@@ -96,6 +113,9 @@
             exclude_link=address,
             include_relayed=is_relaying,
         )
+        departures, cursors.n_departures = self._departures.reports_after(
+            cursors.n_departures, exclude_link=address, include_relayed=is_relaying
+        )
         suspicions = members.suspicions_after(
             cursors.n_suspicions, exclude_link=address
         )
@@ -114,10 +134,11 @@
                 include_relayed=is_relaying,
             )
         return Update(
-            revision=revision,
+            position=position,
             age_ms=age_ms,
             entries=tuple(entries),
             suspicions=tuple(suspicions),
+            departures=tuple(departures),
             loads=tuple(loads),
             prefixes=tuple(prefixes),
             failures=tuple(failures),
@@ -132,6 +153,9 @@
         for suspicion in update.suspicions:
             if self.members.suspect(suspicion, now_ms, source=source):
                 self.report("router_suspected", peer=suspicion.address, source=source)
+        for departure in update.departures:
+            if self.apply_departure(departure):
+                self._departures.add(departure, source=source)
         self.loads.apply_reports(update.loads, now_ms=now_ms, source=source)
         self.prefix_index.apply_reports(update.prefixes, now_ms=now_ms, source=source)
         if update.key_counts is not None:
@@ -148,6 +172,7 @@
     return bool(
         update.entries
         or update.suspicions
+        or update.departures
         or update.loads
         or update.prefixes
         or update.failures
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -1,5 +1,7 @@
 """Headers of the platform's requests and answers."""
 
+import math
+
 from damaskrill.catalog import BackendServer, Team
 from damaskrill.http1 import AnswerHead, CallerRequest, Headers, forwarded_headers
 from damaskrill.steering import AnswerMetadata, PromptPart, RequestMetadata
@@ -33,7 +35,12 @@
     }
 )
 BEARER = b"bearer "
+LEAVING = b"server-leaving"
+IS_LEAVING = b"1"
+RETRY_AFTER = b"retry-after"
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
+MS_PER_S = 1_000
 
 
 def read_request(request: CallerRequest) -> RequestMetadata:
@@ -115,9 +122,23 @@
         is_encoded=b"content-encoding" in headers,
         # The header lists running requests, waiting requests and slots.
         load=(load[0], load[1]) if len(load) >= 2 else None,
+        is_leaving=headers.get(LEAVING, b"").strip() == IS_LEAVING,
+        pause_ms=_read_pause_ms(headers.get(RETRY_AFTER, b""))
+        if head.status == STATUS_UNAVAILABLE
+        else None,
     )
 
 
+def _read_pause_ms(value: bytes) -> float | None:
+    # The platform states seconds, with fractions. A date, which HTTP also allows, would
+    # depend on the clocks of both hosts.
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds * MS_PER_S if math.isfinite(seconds) and seconds > 0 else None
+
+
 def _read_key(value: bytes) -> str | None:
     if not value.lower().startswith(BEARER):
         return None
--- a/damaskrill/platform/_store.py
+++ b/damaskrill/platform/_store.py
@@ -12,11 +12,13 @@
     Change,
     HistoryExpiredError,
     Page,
+    Position,
     StoreAnswerError,
     StoreRefusedError,
+    StoreRestoredError,
     StoreUnreachableError,
 )
-from damaskrill.http1 import OutgoingRequest, ServerConnection, fetch
+from damaskrill.http1 import AnswerHead, OutgoingRequest, ServerConnection, fetch
 
 __all__ = ["PlatformStore"]
 
@@ -24,6 +26,8 @@
 WATCH_PATH = "/damaskrill/kv-watch"
 # Empty, so that one call covers the operators' items and the servers' entries.
 ALL_ITEMS_PREFIX = ""
+# Counts how often the store has been restored from a copy.
+ERA_HEADER = b"store-era"
 # Time that an answer may take beyond the wait of a watch, as the store may be slow.
 ANSWER_TIMEOUT_MS = 1_500
 STATUS_OK = 200
@@ -49,29 +53,37 @@
     async def list_items(self) -> Page:
         """Read all items, page by page."""
         changes: list[Change] = []
-        at_revision = 0
+        start: Position | None = None
         query = {"prefix": ALL_ITEMS_PREFIX}
         while True:
-            content = await self._call(LIST_PATH, query, wait_ms=0, after=0)
+            content, at = await self._call(LIST_PATH, query, wait_ms=0, after=0)
             page = [_to_change(each) for each in content["items"]]
             changes += page
             # The pages are not a snapshot. The revision of the first page is used, so
             # that the watch reads changes made between pages again.
-            at_revision = at_revision or int(content["atRev"])
+            start = start or at
+            if at.era != start.era:
+                raise StoreRestoredError(era=at.era)
             if not content.get("hasMore") or not page:
-                return Page(changes=tuple(changes), at_revision=at_revision)
+                return Page(changes=tuple(changes), at=start)
             query["after"] = page[-1].key
 
-    async def watch(self, *, after: int, wait_ms: int) -> Page:
-        """Wait for changes after a revision."""
-        query = {"prefix": ALL_ITEMS_PREFIX, "after": after, "maxWaitMs": wait_ms}
-        content = await self._call(WATCH_PATH, query, wait_ms=wait_ms, after=after)
+    async def watch(self, *, after: Position, wait_ms: int) -> Page:
+        """Wait for changes after a position."""
+        query = {
+            "prefix": ALL_ITEMS_PREFIX,
+            "after": after.revision,
+            "maxWaitMs": wait_ms,
+        }
+        content, at = await self._call(
+            WATCH_PATH, query, wait_ms=wait_ms, after=after.revision
+        )
         changes = tuple(_to_change(each) for each in content["events"])
-        return Page(changes=changes, at_revision=int(content["atRev"]))
+        return Page(changes=changes, at=at)
 
     async def _call(
         self, path: str, query: dict[str, Any], *, wait_ms: int, after: int
-    ) -> dict[str, Any]:
+    ) -> tuple[dict[str, Any], Position]:
         host, port = self._address
         request = OutgoingRequest(
             method=b"GET",
@@ -93,7 +105,15 @@
             raise HistoryExpiredError(revision=after)
         if head.status != STATUS_OK:
             raise StoreRefusedError(status=head.status)
-        return _read_body(body)
+        content = _read_body(body)
+        return content, Position(_read_era(head), int(content["atRev"]))
+
+
+def _read_era(head: AnswerHead) -> int:
+    value = (head.find_header(ERA_HEADER) or b"").strip()
+    if value and not value.isdigit():
+        raise StoreAnswerError(reason="its era is not a number")
+    return int(value or 0)
 
 
 def _read_body(body: bytes) -> dict[str, Any]:
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -3,13 +3,14 @@
 from damaskrill.steering._cold_start_limiter import ColdStartLimiter
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
 from damaskrill.steering._fleet_health import FleetHealth
-from damaskrill.steering._gossip import short_server_id
+from damaskrill.steering._gossip import GossipLog, short_server_id
 from damaskrill.steering._health import HealthTracker, ServerOutcome
 from damaskrill.steering._hot_keys import HotKeys, KeyCounts
 from damaskrill.steering._latency import AnswerTimings, LatencyCause, find_latency_cause
 from damaskrill.steering._load_bounds import DIRECT_BOUNDS, RELAYED_BOUNDS, LoadBounds
 from damaskrill.steering._loads import LoadReport, ServerLoads
 from damaskrill.steering._metadata import AnswerMetadata, PromptPart, RequestMetadata
+from damaskrill.steering._pauses import ServerPauses, spread_retry_after
 from damaskrill.steering._prefix_index import PrefixIndex, PrefixReport
 from damaskrill.steering._refusals import LoggedOutcome, Refusal, RefusalCause
 from damaskrill.steering._regions import is_region_allowed
@@ -36,6 +37,7 @@
     "FailureReport",
     "FleetHealth",
     "FleetRetryBudget",
+    "GossipLog",
     "HealthTracker",
     "HotKeys",
     "KeyCounts",
@@ -52,6 +54,7 @@
     "RetryState",
     "ServerLoads",
     "ServerOutcome",
+    "ServerPauses",
     "ServerRequirements",
     "ServerSelector",
     "find_latency_cause",
@@ -59,4 +62,5 @@
     "may_retry",
     "may_retry_full",
     "short_server_id",
+    "spread_retry_after",
 ]
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -84,6 +84,10 @@
         Whether the body has a content encoding, that is, is not as the server made it.
     load : tuple of (int, int) or None
         Running and waiting requests at the server.
+    is_leaving : bool
+        Whether the server announces that it leaves.
+    pause_ms : float or None
+        Time for which the server wants no requests from this router, in milliseconds.
     """
 
     request_id: str | None = None
@@ -92,3 +96,5 @@
     is_sealed: bool = False
     is_encoded: bool = False
     load: tuple[int, int] | None = None
+    is_leaving: bool = False
+    pause_ms: float | None = None
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -24,6 +24,7 @@
     UNKNOWN_KEY = "unknown_key"
     NO_SERVER = "no_server"
     SERVER_FULL = "server_full"
+    SERVERS_PAUSED = "servers_paused"
     SERVER_REPLACED = "server_replaced"
     OUTCOME_UNKNOWN = "outcome_unknown"
     BAD_ANSWER = "bad_answer"
@@ -50,6 +51,9 @@
         "no backend server of the service can receive a request at the moment"
     ),
     RefusalCause.SERVER_FULL: ("the backend server has no capacity for the request"),
+    RefusalCause.SERVERS_PAUSED: (
+        "all backend servers that could run the request have asked for a pause"
+    ),
     RefusalCause.SERVER_REPLACED: (
         "another backend server answered at the address of the selected one"
     ),
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -76,7 +76,7 @@
   Scenario: a peer that is behind gets changes, or all items if they are discarded
     Given an empty replica of the store
     When a list as of revision 20 and 2500 changes arrive
-    Then the changes after revision 2000 can be sent
+    Then the changes after revision 2000 bring a peer there to the same items
     And the changes after revision 21 cannot be sent
 
   Scenario: a gateway that starts while the store is unavailable is ready soon after its return
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -14,9 +14,11 @@
 from damaskrill.catalog import ServiceSpec as Spec
 from damaskrill.eventlog import LineSink
 from damaskrill.exceptions import PeerFrameError
-from damaskrill.feed import Change
+from damaskrill.feed import Change, Position
 from damaskrill.gateway._events import EventSplitter, parse_last_event_id
 from damaskrill.mesh import (
+    Departure,
+    FeedRequest,
     FeedUpdate,
     Goodbye,
     Hello,
@@ -431,13 +433,20 @@
     for frame in (
         Hello(entry=entry),
         Goodbye(),
-        Update(revision=7),
-        FeedUpdate(after=0, revision=10, changes=(change, removal)),
+        Update(position=Position(1, 7)),
+        FeedRequest(position=Position(2, 8)),
+        FeedUpdate(
+            after=0,
+            position=Position(3, 10),
+            changes=(change, removal),
+            superseded=(change,),
+        ),
         Update(
-            revision=7,
+            position=Position(1, 7),
             age_ms=40,
             entries=(entry,),
             suspicions=(Suspicion("10.0.0.2:9", 5, 3),),
+            departures=(Departure("i-7f", 1_700_000_000_000),),
             key_counts=KeyCounts(1.5, {7: 2.5}),
             loads=(LoadReport(5, 3, 90),),
             prefixes=(PrefixReport(7, 5, 90),),
@@ -461,7 +470,7 @@
 @then("a reported load beyond the largest number is sent as the largest number")
 def step_huge_load(context):
     huge = LoadReport(5, 10**15, 90)
-    frame = Update(revision=1, age_ms=0, loads=(huge,))
+    frame = Update(age_ms=0, loads=(huge,))
     assert decode(encode(frame)).loads == (LoadReport(5, 2**32 - 1, 90),)
 
 
@@ -471,22 +480,27 @@
     frames = [encoded[:length] for length in range(len(encoded))]
     triple = bytes(12)
     frames += [
-        cbor2.dumps(["u", 1, 5, *reports])
+        cbor2.dumps(["u", 1, 1, 5, *reports])
         for reports in (
-            [[], [], triple[:-1], b"", b"", None],
-            [[], [], b"", triple + b"1", b"", None],
-            [[], [], b"", b"", triple, None],
-            [[], [], b"", b"", None],
-            [[], [], b"", b"", b""],
-            [[], [], [1, 2, 3], b"", b"", None],
-            [[["10.0.0.1:9", 5, "bole"]], [], b"", b"", b"", None],
-            [[["10.0.0.1:9", "5", "bole", 3]], [], b"", b"", b"", None],
-            [[], [["10.0.0.1:9", 5]], b"", b"", b"", None],
-            [[], [], b"", b"", b"", [1.5]],
-            [[], [], b"", b"", b"", [1.5, [[7]]]],
+            [[], [], [], triple[:-1], b"", b"", None],
+            [[], [], [], b"", triple + b"1", b"", None],
+            [[], [], [], b"", b"", triple, None],
+            [[], [], [], b"", b"", None],
+            [[], [], [], b"", b"", b""],
+            [[], [], [], [1, 2, 3], b"", b"", None],
+            [[["10.0.0.1:9", 5, "bole"]], [], [], b"", b"", b"", None],
+            [[["10.0.0.1:9", "5", "bole", 3]], [], [], b"", b"", b"", None],
+            [[], [["10.0.0.1:9", 5]], [], b"", b"", b"", None],
+            [[], [], [["i-7f", "5"]], b"", b"", b"", None],
+            [[], [], [], b"", b"", b"", [1.5]],
+            [[], [], [], b"", b"", b"", [1.5, [[7]]]],
         )
     ]
-    frames.append(cbor2.dumps(["u", "1", 5, [], [], b"", b"", b"", None]))
+    frames += [
+        cbor2.dumps(["u", 1, "1", 5, [], [], [], b"", b"", b"", None]),
+        cbor2.dumps(["h", 1, "10.0.0.1:9", 5, "bole", 3]),
+        cbor2.dumps(["r", 1]),
+    ]
     for data in frames:
         try:
             decode(data)
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -14,7 +14,7 @@
     ServerItem,
     ServiceSpec,
 )
-from damaskrill.feed import Change, FeedReplica, Freshness
+from damaskrill.feed import Change, FeedReplica, Freshness, Position
 
 
 def build_server(server_id="a-1", **changes):
@@ -44,13 +44,13 @@
 @then("the server is usable at {at_ms:d} ms")
 def step_usable(context, at_ms):
     context.catalog.purge(at_ms)
-    assert context.catalog.is_usable(context.item.server)
+    assert context.catalog.is_usable(context.item.server.key)
 
 
 @then("the server is removed at {at_ms:d} ms")
 def step_removed(context, at_ms):
     context.catalog.purge(at_ms)
-    assert not context.catalog.is_usable(context.item.server)
+    assert not context.catalog.is_usable(context.item.server.key)
     assert not context.catalog.find_servers("app")
 
 
@@ -66,7 +66,7 @@
 @when("changes of one key arrive with revisions 5, 3 and 7 in this order")
 def step_changes(context):
     for revision in (5, 3, 7):
-        context.replica.apply_changes([build_change(revision)], revision)
+        context.replica.apply_changes([build_change(revision)], Position(0, revision))
 
 
 @then("the replica contains the change of revision 7")
@@ -77,7 +77,7 @@
 
 @when("a list as of revision 9 arrives without the key")
 def step_list(context):
-    context.replica.apply_list([], 9)
+    context.replica.apply_list([], Position(0, 9))
 
 
 @then("the replica is empty")
@@ -87,21 +87,30 @@
 
 @then("the change of revision 6 does not restore the key")
 def step_not_back(context):
-    context.replica.apply_changes([build_change(6)], 9)
+    context.replica.apply_changes([build_change(6)], Position(0, 9))
     assert context.replica.items == []
 
 
 @when("a list as of revision 20 and 2500 changes arrive")
 def step_many(context):
-    context.replica.apply_list([build_change(15)], 20)
+    context.replica.apply_list([build_change(15)], Position(0, 20))
+    context.lagging = {}
     for revision in range(21, 2_521):
-        context.replica.apply_changes([build_change(revision)], revision)
+        change = build_change(revision, key=f"k-{revision % 50}")
+        context.replica.apply_changes([change], Position(0, revision))
+        context.lagging[revision] = list(context.replica.items)
 
 
-@then("the changes after revision {revision:d} can be sent")
+@then("the changes after revision {revision:d} bring a peer there to the same items")
 def step_can_send(context, revision):
+    peer = FeedReplica()
+    peer.apply_list(context.lagging[revision], Position(0, revision))
     changes = context.replica.changes_after(revision)
-    assert [each.revision for each in changes] == list(range(revision + 1, 2_521))
+    peer.apply_changes(changes, context.replica.position)
+    assert set(peer.items) == set(context.replica.items)
+    # Each key is sent once, in its newest state.
+    assert len(changes) == len({each.key for each in changes}) == 50
+    assert min(each.revision for each in changes) > revision
 
 
 @then("the changes after revision {revision:d} cannot be sent")
@@ -248,7 +257,7 @@
     found = [each.server_id for each in context.catalog.find_servers("app")]
     assert found == [name], found
     for other, item in context.items.items():
-        assert context.catalog.is_usable(item.server) == (other == name), other
+        assert context.catalog.is_usable(item.server.key) == (other == name), other
 
 
 @given("a catalog with 6 engines in each of {n:d} data centres")
