Count a peer's contact with the store only with the changes that it covers

Change: a contact counts only if this router's replica has the position that it is told with. Result: the new scenario fails without the change and passes with it.

--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -358,7 +358,7 @@
         now_ms = monotonic_now_ms()
         match frame:
             case Update():
-                self._apply_contact(link, frame.age_ms, now_ms)
+                self._apply_contact(link, frame, now_ms)
                 self._reports.apply(link, frame, now_ms)
                 has_urgent = frame.failures or frame.departures
                 if has_urgent and not self._members.is_full_mesh:
@@ -398,13 +398,17 @@
         age_ms = self._freshness.age_ms(round(now_ms))
         return -1 if age_ms is None else age_ms
 
-    def _apply_contact(self, link: Link, age_ms: int, now_ms: float) -> None:
-        if age_ms < 0:
+    def _apply_contact(self, link: Link, update: Update, now_ms: float) -> None:
+        if update.age_ms < 0:
             return
-        contact_at_ms = now_ms - age_ms
+        contact_at_ms = now_ms - update.age_ms
         link.contact_at_ms = max(link.contact_at_ms, contact_at_ms)
+        if update.position > self._replica.position:
+            # The contact shows that a replica with changes that this one lacks is up to
+            # date.
+            return
         known_age_ms = self._contact_age_ms(now_ms)
-        is_news = known_age_ms < 0 or known_age_ms - age_ms >= MIN_CONTACT_GAP_MS
+        is_news = known_age_ms < 0 or known_age_ms - update.age_ms >= MIN_CONTACT_GAP_MS
         self._record_contact(round(contact_at_ms))
         if is_news and not self._members.is_full_mesh:
             self.push_contact()
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -135,3 +135,11 @@
       | n | is_unavailable |
       | 3 | yes            |
       | 5 | no             |
+
+  Scenario: a peer's contact with the store does not count without the changes that it covers
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And a gateway that is ready
+    When a second gateway starts that cannot reach the store
+    Then the second gateway is ready within 3000 ms
+    When changes no longer reach the second gateway and app server "a-1" starts draining
+    Then within 2500 ms the second gateway's replica is stale
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -296,3 +296,21 @@
 @then("a large part is unavailable: {is_unavailable}")
 def step_part_unavailable(context, is_unavailable):
     assert context.catalog.has_major_capacity_loss == (is_unavailable == "yes")
+
+
+@when(
+    'changes no longer reach the second gateway and app server "{name}" starts draining'
+)
+def step_no_changes(context, name):
+    second = context.testbed.gateways[1]
+    second._mesh._replication._apply_feed = lambda feed: None
+    context.testbed.change_entry(name, state="draining")
+
+
+@then("within {limit_ms:d} ms the second gateway's replica is stale")
+def step_stale(context, limit_ms):
+    freshness = context.testbed.gateways[1]._freshness
+    assert context.testbed.wait_for(
+        lambda: not freshness.is_fresh(round(time.monotonic() * 1_000)),
+        limit_ms / 1_000,
+    )
