Restore the store, announce leaving and ask for pauses in the soak

Cause: the three new rules need faults from outside in runs of real processes. Change: three kinds of faults, drawn from a generator of their own, and the checks that a server which announced its leaving or asked for a pause is left alone.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -73,6 +73,9 @@
         Whether its answers announce that it leaves.
     retry_after : bytes or None
         Value of the header ``Retry-After`` of its refusals.
+    pauses : list of (float, str)
+        Times of the refusals with that header, on the monotonic clock in seconds, and
+        request IDs.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         self.n_dropped = 0
         self.is_leaving = False
         self.retry_after: bytes | None = None
+        self.pauses: list[tuple[float, str]] = []
         self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
         self._event_ms = event_ms
@@ -171,6 +175,7 @@
             *self._leaving_headers,
         )
         if self.retry_after is not None:
+            self.pauses.append((time.monotonic(), request_id.decode()))
             headers = (*headers, (b"Retry-After", self.retry_after))
         return headers
 
--- a/damaskrill/fakes/platform/_store.py
+++ b/damaskrill/fakes/platform/_store.py
@@ -117,6 +117,19 @@
         self._revision = copy.revision
         self._listener.reset_connections()
 
+    def writes_since(self, copy: "StoreCopy") -> list[tuple[str, bytes | None]]:
+        """Return the keys and values that were written since a copy."""
+        return [
+            (each.key, each.value)
+            for each in self._log
+            if each.revision > copy.revision
+        ]
+
+    def write_again(self, writes: list[tuple[str, bytes | None]]) -> None:
+        """Repeat writes, as operators and servers do after a restore."""
+        for key, value in writes:
+            self._write(key, value)
+
     def set_mode(self, mode: StoreMode) -> None:
         """Change how the store answers; unless the mode is GOOD, abort open calls."""
         self.mode = mode
--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -12,11 +12,16 @@
     "Violation",
     "check_exchanges",
     "check_leaving",
+    "check_pauses",
     "check_planned_work",
 ]
 
 REPEATABLE_PATHS = ("/check/", "/read/")
 STATUS_OK = 200
+# The users allow two requests from a router between half a second after the refusal and
+# the end of the pause.
+PAUSE_SLACK_S = 0.5
+MAX_IN_PAUSE = 2
 
 
 @frozen(kw_only=True)
@@ -50,11 +55,14 @@
         Number of runs by request ID.
     arrivals : tuple of (float, str)
         Arrival times, on the monotonic clock in seconds, and request IDs.
+    pauses : tuple of (float, str)
+        Times at which it refused a request and asked for a pause, and request IDs.
     """
 
     server_id: str
     runs: dict[str, int]
     arrivals: tuple[tuple[float, str], ...]
+    pauses: tuple[tuple[float, str], ...] = ()
 
 
 def check_exchanges(
@@ -176,3 +184,42 @@
         for at, request_id in server.arrivals
         if at > notice_at + bound_s and request_id in unaffected_ids
     ]
+
+
+def check_pauses(
+    server: ServerRecord,
+    exchanges: Sequence[Exchange],
+    pause_s: float,
+    unaffected_ids: Sequence[str],
+) -> list[Violation]:
+    """Return the pauses in which a server got more than some requests in transit.
+
+    Parameters
+    ----------
+    server : ServerRecord
+        Record of the server.
+    exchanges : sequence of Exchange
+        All requests.
+    pause_s : float
+        Pause that the server asks for, in seconds.
+    unaffected_ids : sequence of str
+        Requests whose router was neither killed nor paused around that time.
+    """
+    router_of = {each.request_id: each.router for each in exchanges}
+    unaffected = set(unaffected_ids)
+    violations = []
+    for paused_at, refused_id in server.pauses:
+        if refused_id not in unaffected:
+            continue
+        later = [
+            request_id
+            for at, request_id in server.arrivals
+            if paused_at + PAUSE_SLACK_S < at < paused_at + pause_s
+            and router_of.get(request_id) == router_of[refused_id]
+        ]
+        if len(later) > MAX_IN_PAUSE:
+            detail = f"{server.server_id} got {len(later)} requests in a pause"
+            violations.append(
+                Violation(promise="pause", request_id=refused_id, detail=detail)
+            )
+    return violations
--- a/damaskrill/soak/_plan.py
+++ b/damaskrill/soak/_plan.py
@@ -30,15 +30,25 @@
     LINK_ONE_WAY = "link_one_way"
     SERVER_MISBEHAVES = "server_misbehaves"
     REUSE_ADDRESS = "reuse_address"
+    RESTORE_STORE = "restore_store"
+    ANNOUNCE_LEAVING = "announce_leaving"
+    ASK_FOR_PAUSE = "ask_for_pause"
 
 
 # Start of the first fault, in seconds, so that all routers are ready before it.
 FIRST_FAULT_AT_S = 2.5
 SERIES_PROBABILITY = 0.35
 MAX_SERIES = 3
-# Added after the other kinds and drawn from a separate generator, so that the plans of
+# Kinds that were added later, by the name of a separate generator, so that the plans of
 # former seeds keep their entries.
-SEPARATELY_DRAWN_KINDS = (FaultKind.REUSE_ADDRESS,)
+SEPARATELY_DRAWN_KINDS = {
+    "later": (FaultKind.REUSE_ADDRESS,),
+    "wishes": (
+        FaultKind.RESTORE_STORE,
+        FaultKind.ANNOUNCE_LEAVING,
+        FaultKind.ASK_FOR_PAUSE,
+    ),
+}
 MEAN_SEPARATE_INTERVAL_S = 5.0
 
 
@@ -68,11 +78,10 @@
     """Return the plan of a seed, ordered by start."""
     random = Random(seed)
     plan = []
+    separate = {kind for kinds in SEPARATELY_DRAWN_KINDS.values() for kind in kinds}
     at_s = FIRST_FAULT_AT_S
     while at_s < duration_s - 1:
-        kind = random.choice(
-            [each for each in FaultKind if each not in SEPARATELY_DRAWN_KINDS]
-        )
+        kind = random.choice([each for each in FaultKind if each not in separate])
         n_times = 1
         if random.random() < SERIES_PROBABILITY:
             n_times = random.randint(2, MAX_SERIES)
@@ -86,18 +95,20 @@
                 )
             )
         at_s += random.expovariate(1.0)
-    plan += _build_separate_faults(seed, duration_s)
+    for name, kinds in SEPARATELY_DRAWN_KINDS.items():
+        plan += _build_separate_faults(Random(f"{seed}-{name}"), kinds, duration_s)
     return sorted(plan, key=lambda fault: fault.at_s)
 
 
-def _build_separate_faults(seed: int, duration_s: float) -> list[Fault]:
-    random = Random(f"{seed}-later")
+def _build_separate_faults(
+    random: Random, kinds: tuple[FaultKind, ...], duration_s: float
+) -> list[Fault]:
     plan, at_s = [], FIRST_FAULT_AT_S + random.expovariate(1 / MEAN_SEPARATE_INTERVAL_S)
     while at_s < duration_s - 1:
         plan.append(
             Fault(
                 at_s=at_s,
-                kind=random.choice(SEPARATELY_DRAWN_KINDS),
+                kind=random.choice(kinds),
                 target=random.randrange(1_000),
                 duration_s=random.uniform(0.5, 2.5),
             )
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -24,6 +24,7 @@
     Violation,
     check_exchanges,
     check_leaving,
+    check_pauses,
     check_planned_work,
 )
 from damaskrill.soak._plan import Fault, FaultKind, build_plan
@@ -41,6 +42,12 @@
 # its link fails, and for this time after, changes need not arrive within their bounds.
 RECONNECT_S = 3.0
 MIN_SERVED_FRACTION = 0.25
+# Pause that servers ask for, in seconds.
+PAUSE_S = 1.5
+# Time within which operators and servers have written again what a restored store lost.
+WRITE_AGAIN_S = 1.0
+# Time in which a router has received the answers to requests that are in progress.
+ANSWER_S = 1.0
 PORTS = (18_080, 18_081, 18_082)
 MISBEHAVIOURS = (
     Misbehaviour.FULL,
@@ -116,6 +123,7 @@
         self._keys = ["key-1", "key-2"]
         self._version = 1
         self._notified_at: dict[str, float] = {}
+        self._announced_at: dict[str, float] = {}
         self._store_failed_until = 0.0
         self._exchanges: list[Exchange] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -208,6 +216,12 @@
                 self._fail_store(fault, STORE_FAULTS[fault.kind])
             case FaultKind.STORE_CUT:
                 self._fail_link(fault, self._store_proxy, LinkMode.SILENT)
+            case FaultKind.RESTORE_STORE:
+                self._restore_store(fault)
+            case FaultKind.ANNOUNCE_LEAVING:
+                self._announce_leaving(fault)
+            case FaultKind.ASK_FOR_PAUSE:
+                self._ask_for_pause(fault)
             case FaultKind.SERVER_MISBEHAVES:
                 server = self._servers[fault.target % len(self._servers)]
                 server.misbehaviour = MISBEHAVIOURS[fault.target % len(MISBEHAVIOURS)]
@@ -275,14 +289,9 @@
         self._store.put_server(server_id, entry)
 
     def _replace_server(self, fault: Fault) -> None:
-        registered = [each for each in self._servers if each.server_id in self._entries]
-        server = registered[fault.target % len(registered)]
+        server = self._pick_registered(fault)
         entry = self._entries.pop(server.server_id)
-        self._tasks.append(
-            asyncio.get_running_loop().create_task(
-                self._add_server(f"{server.server_id}x", entry["service"])
-            )
-        )
+        self._start_successor(server, entry)
         if fault.kind is FaultKind.CRASH_SERVER:
             server.close()
             self._store.remove_server(server.server_id)
@@ -318,12 +327,50 @@
         self._store.put_server(new.server_id, self._entries[new.server_id])
         self._schedule_end(fault, lambda: self._store.remove_server(old.server_id))
 
+    def _restore_store(self, fault: Fault) -> None:
+        copy = self._store.take_copy()
+        self._record_store_failure(fault.duration_s + WRITE_AGAIN_S)
+
+        async def run() -> None:
+            await asyncio.sleep(fault.duration_s)
+            writes = self._store.writes_since(copy)
+            self._store.restore(copy)
+            await asyncio.sleep(WRITE_AGAIN_S)
+            self._store.write_again(writes)
+
+        self._tasks.append(asyncio.get_running_loop().create_task(run()))
+
+    def _announce_leaving(self, fault: Fault) -> None:
+        # The entry in the store stays as it is.
+        server = self._pick_registered(fault)
+        self._start_successor(server, self._entries.pop(server.server_id))
+        server.is_leaving = True
+        self._announced_at[server.server_id] = time.monotonic()
+
+    def _ask_for_pause(self, fault: Fault) -> None:
+        server = self._pick_registered(fault)
+        server.retry_after = str(PAUSE_S).encode()
+        server.misbehaviour = Misbehaviour.FULL
+        self._schedule_end(fault, lambda: _clear_misbehaviour(server))
+
+    def _pick_registered(self, fault: Fault) -> FakeServer:
+        registered = [each for each in self._servers if each.server_id in self._entries]
+        return registered[fault.target % len(registered)]
+
+    def _start_successor(self, server: FakeServer, entry: dict[str, Any]) -> None:
+        self._tasks.append(
+            asyncio.get_running_loop().create_task(
+                self._add_server(f"{server.server_id}x", entry["service"])
+            )
+        )
+
     def _build_result(self, folder: Path) -> SoakResult:
         records = [
             ServerRecord(
                 server_id=each.server_id,
                 runs=dict(each.runs),
                 arrivals=tuple(each.arrivals),
+                pauses=tuple(each.pauses),
             )
             for each in self._servers
         ]
@@ -334,10 +381,7 @@
             detail = f"{n_served} of {len(self._exchanges)}"
             breaches.append(Violation(promise="served", request_id="", detail=detail))
         for record in records:
-            notice_at = self._notified_at.get(record.server_id)
-            if notice_at is not None and self._was_store_available(notice_at):
-                unaffected = self._unaffected_requests(notice_at)
-                breaches += check_leaving(record, notice_at, MAX_DRAIN_S, unaffected)
+            breaches += self._check_server(record)
         return SoakResult(
             seed=self._seed,
             n_requests=len(self._exchanges),
@@ -347,6 +391,24 @@
             folder=str(folder) if breaches else "",
         )
 
+    def _check_server(self, record: ServerRecord) -> list[Violation]:
+        violations = []
+        notice_at = self._notified_at.get(record.server_id)
+        if notice_at is not None and self._was_store_available(notice_at):
+            unaffected = self._unaffected_requests(notice_at)
+            violations += check_leaving(record, notice_at, MAX_DRAIN_S, unaffected)
+        announced_at = self._announced_at.get(record.server_id, float("inf"))
+        later = [at for at, _ in record.arrivals if at > announced_at]
+        if later:
+            # All routers learn of it from the one that passed the first answer on.
+            known_at = min(later) + ANSWER_S
+            unaffected = self._unaffected_requests(announced_at)
+            violations += check_leaving(record, known_at, MAX_DRAIN_S, unaffected)
+        if record.pauses:
+            unaffected = self._unaffected_requests(record.pauses[0][0])
+            violations += check_pauses(record, self._exchanges, PAUSE_S, unaffected)
+        return violations
+
     def _was_store_available(self, notice_at: float) -> bool:
         return not notice_at - RECONNECT_S <= self._store_failed_until
 
@@ -361,6 +423,7 @@
 
 def _clear_misbehaviour(server: FakeServer) -> None:
     server.misbehaviour = Misbehaviour.NONE
+    server.retry_after = None
 
 
 def _restore_link(proxy: FaultyProxy) -> None:
