Listen for callers before the libraries are imported

Cause: after the loss of all routers callers are refused while the new processes import their libraries, 0.4 s of processor time, most of a second on half a core; a refusal costs a caller its retry, and there is no other router. Change: the entry point opens the socket for callers first; the router adopts it. Result: the new scenario fails with the former entry point and passes with this one.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import signal
+import socket
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Any
 
@@ -86,6 +87,8 @@
         Reads the settings again; raises an error if they are invalid.
     random_state : int, default=None
         Seed of the random number generator; random if None.
+    listeners : mapping, default=None
+        Listening sockets that are already open, by address.
     """
 
     def __init__(
@@ -97,7 +100,9 @@
         log: DecisionLog,
         reread_settings: Callable[[], GatewaySettings],
         random_state: int | None = None,
+        listeners: Mapping[Address, socket.socket] | None = None,
     ) -> None:
+        self._listeners = dict(listeners or {})
         self._settings = settings
         self._binding = binding
         self._reactor = reactor
@@ -267,9 +272,16 @@
             connections=set(),
         )
         host, port = address
-        port_object = self._reactor.listenTCP(
-            port, factory, backlog=LISTEN_BACKLOG, interface=host
-        )
+        listener = self._listeners.pop(address, None)
+        if listener is None:
+            port_object = self._reactor.listenTCP(
+                port, factory, backlog=LISTEN_BACKLOG, interface=host
+            )
+        else:
+            port_object = self._reactor.adoptStreamPort(
+                listener.fileno(), socket.AF_INET, factory
+            )
+            listener.close()
         self._ports.append(port_object)
         return factory
 
--- a/damaskrill/platform/_serve.py
+++ b/damaskrill/platform/_serve.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import os
+import socket
 import sys
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
-from damaskrill.platform._settings import SETTINGS_VARIABLE, read_platform_settings
+from damaskrill.platform._fields import SETTINGS_VARIABLE
+from damaskrill.platform._settings import read_platform_settings
 
 if TYPE_CHECKING:
     from damaskrill.eventlog import DecisionLog
@@ -17,7 +20,11 @@
 STDOUT = 1
 
 
-def serve(settings: str = "") -> int:
+def serve(
+    settings: str = "",
+    *,
+    listeners: Mapping[tuple[str, int], socket.socket] | None = None,
+) -> int:
     """Run one router until SIGTERM.
 
     Parameters
@@ -25,6 +32,8 @@
     settings : str, default=""
         Settings file of the platform. If empty, its path is read from the environment
         variable of the platform.
+    listeners : mapping, default=None
+        Listening sockets that are already open, by address.
 
     Returns
     -------
@@ -43,10 +52,15 @@
         return EXIT_INVALID
     configure_decision_log(LineSink(descriptor=STDOUT))
     log = DecisionLog(router=loaded.name, clock=SystemClock())
-    return _run_process(loaded, path, log)
+    return _run_process(loaded, path, log, listeners or {})
 
 
-def _run_process(settings: "GatewaySettings", path: str, log: "DecisionLog") -> int:
+def _run_process(
+    settings: "GatewaySettings",
+    path: str,
+    log: "DecisionLog",
+    listeners: Mapping[tuple[str, int], socket.socket],
+) -> int:
     from twisted.internet import asyncioreactor
 
     loop = asyncio.new_event_loop()
@@ -66,6 +80,7 @@
             reactor=reactor,
             log=log,
             reread_settings=lambda: read_platform_settings(path),
+            listeners=listeners,
         )
         await process.run()
 
--- a/damaskrill/platform/_settings.py
+++ b/damaskrill/platform/_settings.py
@@ -1,12 +1,10 @@
 """Settings file of the platform."""
 
-from pathlib import Path
-
 from damaskrill.gateway import GatewaySettings, UnreadableSettingsError
+from damaskrill.platform._fields import CALLER_ADDRESS, parse_address, read_fields
 
-__all__ = ["SETTINGS_VARIABLE", "read_platform_settings"]
+__all__ = ["read_platform_settings"]
 
-SETTINGS_VARIABLE = "DAMASKRILL_BOOT"
 MS_PER_S = 1_000
 # Prefix of the fields that name the region of a data centre.
 ZONE_PREFIX = "zones."
@@ -33,8 +31,7 @@
         If the file cannot be read, or a field is missing or has the wrong type.
     """
     try:
-        text = Path(path).read_text(encoding="utf-8")
-        return _to_settings(_read_fields(text))
+        return _to_settings(read_fields(path))
     except (OSError, UnicodeDecodeError) as error:
         raise UnreadableSettingsError(path=path, reason=str(error)) from error
     except KeyError as error:
@@ -44,26 +41,17 @@
         raise UnreadableSettingsError(path=path, reason=str(error)) from error
 
 
-def _read_fields(text: str) -> dict[str, str]:
-    fields = {}
-    for line in text.splitlines():
-        name, separator, value = line.partition("=")
-        if separator:
-            fields[name.strip()] = value.strip()
-    return fields
-
-
 def _to_settings(fields: dict[str, str]) -> GatewaySettings:
     seeds = [each for each in fields.get("seedAddrs", "").split(",") if each]
     return GatewaySettings(
         name=fields["node"],
         data_centre=fields["zone"],
-        caller_address=_to_address(fields["listen.front"]),
-        readiness_address=_to_address(fields["listen.ready"]),
+        caller_address=parse_address(fields[CALLER_ADDRESS]),
+        readiness_address=parse_address(fields["listen.ready"]),
         # Address on which this router accepts connections of other routers.
-        peer_address=_to_address(fields["listen.control"]),
-        seed_addresses=tuple(_to_address(each) for each in seeds),
-        store_address=_to_address(fields["platform.address"]),
+        peer_address=parse_address(fields["listen.control"]),
+        seed_addresses=tuple(parse_address(each) for each in seeds),
+        store_address=parse_address(fields["platform.address"]),
         metrics_address=(fields["bindIp"], METRICS_PORT),
         region_of={
             name.removeprefix(ZONE_PREFIX): region
@@ -90,10 +78,3 @@
         for name, (field, unit) in bounds.items()
         if fields.get(field)
     }
-
-
-def _to_address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"{text!r} is not HOST:PORT")
-    return (host, int(port))
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -143,3 +143,8 @@
     Then the second gateway is ready within 3000 ms
     When changes no longer reach the second gateway and app server "a-1" starts draining
     Then within 2500 ms the second gateway's replica is stale
+
+  Scenario: a caller who connects while a router still imports its libraries is served
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    When a router process starts and a caller connects as soon as it can
+    Then the caller was connected before the router had started, and gets 200
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -1,6 +1,13 @@
 """Steps for the replica of the store and the catalog built from it."""
 
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
 import time
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -14,7 +21,10 @@
     ServerItem,
     ServiceSpec,
 )
+from damaskrill.fakes.platform import build_settings
 from damaskrill.feed import Change, FeedReplica, Freshness, Position
+from damaskrill.platform import SETTINGS_VARIABLE
+from features.support.gateways import build_request, free_addresses
 
 
 def build_server(server_id="a-1", **changes):
@@ -314,3 +324,55 @@
         lambda: not freshness.is_fresh(round(time.monotonic() * 1_000)),
         limit_ms / 1_000,
     )
+
+
+@when("a router process starts and a caller connects as soon as it can")
+def step_start_process(context):
+    testbed = context.testbed
+    host, ports = "127.0.0.1", [port for _, port in free_addresses("127.0.0.1", 3)]
+    text = build_settings(
+        name="early",
+        data_centre="bole",
+        host=host,
+        ports=tuple(ports),
+        seeds="",
+        store=testbed.store.address,
+        grace_s=4,
+    )
+    folder = Path(tempfile.mkdtemp(prefix="damaskrill-early-"))
+    (folder / "settings.conf").write_text(text, encoding="utf-8")
+    log = folder / "router.log"
+    with log.open("wb") as output:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "damaskrill.platform"],
+            env={**os.environ, SETTINGS_VARIABLE: str(folder / "settings.conf")},
+            stdout=output,
+        )
+    context.add_cleanup(process.wait)
+    context.add_cleanup(process.kill)
+    caller = connect_soon((host, ports[0]))
+    context.add_cleanup(caller.close)
+    context.connected_at_ms = time.time() * 1_000
+    data, _ = build_request("/read/1", method="GET", body=b"")
+    caller.sendall(data)
+    context.status = caller.recv(65_536).split()[1]
+    lines = [json.loads(line) for line in log.read_text().splitlines()]
+    starts = [each["at_ms"] for each in lines if each["event"] == "process_started"]
+    context.started_at_ms = starts[0]
+
+
+def connect_soon(address):
+    ends_at = time.monotonic() + 10
+    while time.monotonic() < ends_at:
+        try:
+            return socket.create_connection(address, timeout=10)
+        except ConnectionRefusedError:
+            time.sleep(0.005)
+    raise AssertionError("the router does not listen")
+
+
+@then("the caller was connected before the router had started, and gets {status:d}")
+def step_early(context, status):
+    # The imports take several times as long.
+    assert context.started_at_ms - context.connected_at_ms >= 50
+    assert int(context.status) == status, context.status
