Keep one of two simultaneous links between two routers

Cause: in the incident of further, routers of a fleet of six lost and dialled links three times in their first seconds: two routers that dialled each other at the same time each kept the newer connection, which the other one closed. Change: both keep the connection that the router with the lower address has dialled.

--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -318,6 +318,8 @@
             if not isinstance(hello, Hello):
                 return
             link = self._add_link(socket, hello.entry, has_dialled=has_dialled)
+            if link is None:
+                return
             sender = asyncio.get_running_loop().create_task(link.send_queued())
             async for data in socket:
                 link.last_seen_ms = monotonic_now_ms()
@@ -334,10 +336,14 @@
                 self._close_link(link, "connection closed")
             socket.transport.abort()
 
-    def _add_link(self, socket: Any, entry: MemberEntry, *, has_dialled: bool) -> Link:
+    def _add_link(
+        self, socket: Any, entry: MemberEntry, *, has_dialled: bool
+    ) -> Link | None:
         now_ms = monotonic_now_ms()
         old = self._links.get(entry.address)
         if old is not None:
+            if self._keeps_old(old, has_dialled=has_dialled, now_ms=now_ms):
+                return None
             old.abort()
         link = Link(
             address=entry.address,
@@ -354,6 +360,15 @@
         self._replication.start(link)
         return link
 
+    def _keeps_old(self, old: Link, *, has_dialled: bool, now_ms: float) -> bool:
+        # Two routers that dial each other at the same time must keep the same one of
+        # the two connections, otherwise each closes the one that the other keeps.
+        is_simultaneous = now_ms - old.opened_at_ms < 2 * DIAL_TIMEOUT_MS
+        if old.has_dialled == has_dialled or not is_simultaneous:
+            return False
+        keeps_own = self._members.own.address < old.address
+        return old.has_dialled == keeps_own
+
     def _handle_frame(self, link: Link, frame: Frame) -> None:
         now_ms = monotonic_now_ms()
         match frame:
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -148,3 +148,9 @@
     Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
     When a router process starts and a caller connects as soon as it can
     Then the caller was connected before the router had started, and gets 200
+
+  Scenario: two routers that dial each other at the same time keep one link
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And two gateways that have not discovered each other
+    When they dial each other at the same time, 20 times in a row
+    Then each time they have one link within 500 ms and no link was lost
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -376,3 +376,55 @@
     # The imports take several times as long.
     assert context.started_at_ms - context.connected_at_ms >= 50
     assert int(context.status) == status, context.status
+
+
+@given("two gateways that have not discovered each other")
+def step_strangers(context):
+    testbed = context.testbed
+    testbed.add_gateway()
+    testbed.wait_until_ready()
+    first = testbed.gateways.pop()
+    second = testbed.add_gateway()
+    testbed.gateways.insert(0, first)
+    testbed.wait_until_ready(second)
+
+
+@when("they dial each other at the same time, {n:d} times in a row")
+def step_dial_each_other(context, n):
+    testbed = context.testbed
+    meshes = [each._mesh for each in testbed.gateways]
+    addresses = [each._settings.peer_address for each in testbed.gateways]
+    names = [f"{host}:{port}" for host, port in addresses]
+
+    def dial():
+        for mesh, name in zip(meshes, reversed(names), strict=True):
+            mesh._dialled_at_ms[name] = time.monotonic() * 1_000
+            mesh._start_dial(name)
+
+    def release():
+        for mesh in meshes:
+            for link in list(mesh._links.values()):
+                link.is_released = True
+                mesh._close_link(link, "the test closes it")
+
+    context.n_linked = 0
+    for _ in range(n):
+        testbed.call(dial)
+        time.sleep(0.15)
+        context.n_linked += testbed.wait_for(
+            lambda: [mesh.n_links for mesh in meshes] == [1, 1], 0.35
+        )
+        testbed.call(release)
+    context.n_dials = n
+
+
+@then("each time they have one link within 500 ms and no link was lost")
+def step_one_link(context):
+    lost = [
+        line
+        for log in context.testbed.logs
+        for line in log.lines
+        if line["event"] == "router_link_lost"
+    ]
+    assert not lost, lost[:3]
+    assert context.n_linked == context.n_dials, context.n_linked
