--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -55,6 +55,7 @@
     usable: dict[str, tuple[BackendServer, ...]]
     usable_keys: frozenset[ServerKey]
     all: dict[str, tuple[BackendServer, ...]]
+    cold_until_ms: dict[str, int]
     has_major_loss: bool
 
 
@@ -276,15 +277,11 @@
     def is_cold(self, server: BackendServer, now_ms: int) -> bool:
         """Return whether a server is limited to its cold-start capacity."""
         entry = self._servers.get(server.server_id)
-        spec = self._service_spec(server.service)
-        if entry is None or spec is None or spec.cold_requests_per_s <= 0:
-            return False
-        if now_ms < entry.cold_until_ms:
-            return True
-        restored_at_ms = self._restored_at_ms.get(server.data_centre)
-        if restored_at_ms is None:
-            return False
-        return now_ms < restored_at_ms + spec.cold_duration_ms
+        return entry is not None and now_ms < self._cold_until_ms(entry)
+
+    def has_cold_servers(self, service: str, now_ms: int) -> bool:
+        """Return whether some server of a service may be cold."""
+        return now_ms < self._grouped().cold_until_ms.get(service, 0)
 
     def registered_for_ms(self, server: BackendServer, now_ms: int) -> int:
         """Return the time since an incarnation was registered, in milliseconds."""
@@ -309,8 +306,12 @@
         # An address belongs to the process that was last started there. Entries of
         # earlier processes, which may have crashed, expire some seconds later.
         latest_start_ms: dict[tuple[str, int], int] = {}
+        cold_until_ms: dict[str, int] = {}
         for entry in self._servers.values():
             server = entry.server
+            cold_until_ms[server.service] = max(
+                self._cold_until_ms(entry), cold_until_ms.get(server.service, 0)
+            )
             registered.setdefault(server.service, []).append(server)
             latest_start_ms[server.address] = max(
                 server.started_at_ms, latest_start_ms.get(server.address, 0)
@@ -327,6 +328,7 @@
                 server.key for group in usable.values() for server in group
             ),
             all={name: tuple(group) for name, group in registered.items()},
+            cold_until_ms=cold_until_ms,
             has_major_loss=any(
                 len(usable.get(name, ()))
                 <= (1 - MAJOR_LOSS_FRACTION) * len(registered[name])
@@ -335,6 +337,15 @@
             ),
         )
 
+    def _cold_until_ms(self, entry: _ServerEntry) -> int:
+        spec = self._service_spec(entry.server.service)
+        if spec is None or spec.cold_requests_per_s <= 0:
+            return 0
+        restored_at_ms = self._restored_at_ms.get(entry.server.data_centre)
+        if restored_at_ms is None:
+            return entry.cold_until_ms
+        return max(entry.cold_until_ms, restored_at_ms + spec.cold_duration_ms)
+
     def _is_excluded(self, entry: _ServerEntry) -> bool:
         return (
             entry.server.is_leaving
--- a/damaskrill/catalog/_model.py
+++ b/damaskrill/catalog/_model.py
@@ -234,7 +234,8 @@
     is_leaving: bool = False
     cold_for_ms: int = 0
 
-    @property
-    def key(self) -> tuple[str, int]:
-        """Identity of the incarnation."""
-        return (self.server_id, self.started_at_ms)
+    # Identity of the incarnation; looked up for each server in each selection.
+    key: tuple[str, int] = field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        object.__setattr__(self, "key", (self.server_id, self.started_at_ms))
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -201,29 +201,40 @@
             Incarnations to choose from; any if None.
         """
         now_ms = self.now_ms
+        service = requirements.service
+        configuration = self.catalog.configuration
+        if configuration is None or service not in configuration.services:
+            return None
+        has_cold = self.catalog.has_cold_servers(service, round(now_ms))
+        is_restricted = bool(requirements.route_regions or requirements.team_regions)
         candidates = [
             Candidate(
                 server=server,
                 is_preferred=not self._health.is_ejected(server.key, now_ms),
             )
-            for server in self.catalog.find_servers(requirements.service)
+            for server in self.catalog.find_servers(service)
             if server.key not in tried
-            and not self._pauses.is_paused(server.key, now_ms)
             and (only is None or server.key in only)
-            and self._is_allowed(requirements, server)
-            and self._may_send(server, now_ms)
+            and not self._pauses.is_paused(server.key, now_ms)
+            and (not is_restricted or self._is_allowed(requirements, server))
+            and (not has_cold or self._may_send(server, now_ms))
         ]
+        holders: frozenset[int] = frozenset()
+        if requirements.affinity_keys:
+            holders = self._prefix_index.find_holders(
+                requirements.affinity_keys[-1], now_ms
+            )
         return self._selector.select(
             candidates,
             affinity_keys=requirements.affinity_keys,
             now_ms=now_ms,
-            all_servers=self.catalog.find_all_servers(requirements.service),
+            all_servers=self.catalog.find_all_servers(service),
             bounds=RELAYED_BOUNDS
             if self._n_routers() > MAX_DIRECT_ROUTERS
             else DIRECT_BOUNDS,
-            has_prefix=lambda server: self._prefix_index.has_cached(
-                requirements.affinity_keys[-1], server.key, now_ms
-            ),
+            has_prefix=(lambda server: short_server_id(server.key) in holders)
+            if holders
+            else None,
         )
 
     def find_pause_ms(
@@ -398,9 +409,7 @@
     def _may_send(self, server: BackendServer, now_ms: float) -> bool:
         configuration = self.catalog.configuration
         spec = configuration.services.get(server.service) if configuration else None
-        if spec is None:
-            return False
-        if not self.catalog.is_cold(server, round(now_ms)):
+        if spec is None or not self.catalog.is_cold(server, round(now_ms)):
             return True
         return self._cold_start_limiter.may_send(server, spec, now_ms)
 
--- a/damaskrill/steering/_prefix_index.py
+++ b/damaskrill/steering/_prefix_index.py
@@ -135,6 +135,15 @@
             if now_ms - cached_at_ms <= RETENTION_MS
         ], number
 
+    def find_holders(self, part_id: str, now_ms: float) -> frozenset[int]:
+        """Return the short hashes of the engines that recently processed a part."""
+        entries = self._entries_by_part.get(short_id(part_id), {})
+        return frozenset(
+            engine
+            for engine, entry in entries.items()
+            if now_ms - entry.cached_at_ms <= RETENTION_MS
+        )
+
     def has_cached(self, part_id: str, key: tuple[str, int], now_ms: float) -> bool:
         """Return whether an engine is known to have processed a part recently."""
         entry = self._entries_by_part.get(short_id(part_id), {}).get(
--- a/damaskrill/steering/_selector.py
+++ b/damaskrill/steering/_selector.py
@@ -131,7 +131,7 @@
                 now_ms,
                 all_servers or servers,
                 bounds,
-                has_prefix or _has_no_prefix,
+                has_prefix,
             )
         return self._select_plain(servers, now_ms)
 
@@ -142,15 +142,14 @@
         now_ms: float,
         all_servers: Sequence[BackendServer],
         bounds: LoadBounds,
-        has_prefix: Callable[[BackendServer], bool],
+        has_prefix: Callable[[BackendServer], bool] | None,
     ) -> BackendServer:
         by_id = {each.server_id: each for each in servers}
-        loads = {
-            each.server_id: self._loads.estimate(each.key, now_ms) for each in servers
-        }
+        estimate = self._loads.estimate
+        all_loads = {each.server_id: estimate(each.key, now_ms) for each in all_servers}
+        loads = {each.server_id: all_loads[each.server_id] for each in servers}
         mean = (sum(loads.values()) + 1) / len(servers)
-        total = sum(self._loads.estimate(e.key, now_ms) for e in all_servers)
-        service_mean = (total + 1) / len(all_servers)
+        service_mean = (sum(all_loads.values()) + 1) / len(all_servers)
         bound = bounds.addend + min(
             bounds.multiple * mean, bounds.service_multiple * service_mean
         )
@@ -160,7 +159,8 @@
             key, n_all=len(servers), mean_load=mean, bounds=bounds, now_ms=now_ms
         )
         order = rank_by_rendezvous(key, by_id)
-        order.sort(key=lambda each: not has_prefix(by_id[each]))
+        if has_prefix is not None:
+            order.sort(key=lambda each: not has_prefix(by_id[each]))
         primary, others = order[:n_primary], order[n_primary:]
         # The less loaded of two random engines is tried first (power of two choices),
         # as loads are reported with a delay.
@@ -184,7 +184,3 @@
             return (max(utilization, LOCAL_UTILIZATION / 2), self._random.random())
 
         return min(servers, key=cost)
-
-
-def _has_no_prefix(server: BackendServer) -> bool:
-    return False
