Count each contact with the store once at each router

Change: a contact carries its origin and a number, and counts once at each router; its age is taken when it is first heard.

--- a/damaskrill/feed/__init__.py
+++ b/damaskrill/feed/__init__.py
@@ -8,7 +8,7 @@
     StoreRestoredError,
     StoreUnreachableError,
 )
-from damaskrill.feed._freshness import Freshness
+from damaskrill.feed._freshness import Contact, Freshness
 from damaskrill.feed._position import START, Position
 from damaskrill.feed._reader import (
     STARTUP_BACKOFF_MS,
@@ -23,6 +23,7 @@
     "STARTUP_BACKOFF_MS",
     "BaseStoreClient",
     "Change",
+    "Contact",
     "FeedReader",
     "FeedReplica",
     "Freshness",
--- a/damaskrill/feed/_freshness.py
+++ b/damaskrill/feed/_freshness.py
@@ -1,6 +1,8 @@
 """Age of the store's replica."""
 
-__all__ = ["Freshness"]
+from attrs import frozen
+
+__all__ = ["Contact", "Freshness"]
 
 # A replica older than this fraction of the time within which a leaving server must get
 # no new requests is stale: the readers have failed or are partitioned. The rest is left
@@ -10,6 +12,28 @@
 STANDBY_FACTOR = 1.25
 # A gap between contacts that is longer than this counts as an outage of the store.
 OUTAGE_GAP_MS = 2_500
+# Longer than a contact needs to cross the fleet. After this time a router may count its
+# contacts anew, if its clock was set back before it restarted.
+NUMBER_RETENTION_MS = 30_000
+
+
+@frozen
+class Contact:
+    """Contact of a router with the store.
+
+    Parameters
+    ----------
+    origin : int
+        Short hash of the address of the router that reached the store.
+    number : int
+        Number of the contact, which increases with each contact of that router.
+    age_ms : int
+        Time since the contact, in milliseconds.
+    """
+
+    origin: int
+    number: int
+    age_ms: int
 
 
 class Freshness:
@@ -19,16 +43,39 @@
     ----------
     leaving_limit_ms : float, default=2_000
         Time within which a leaving server must get no new requests, in milliseconds.
+    origin : int, default=0
+        Short hash of this router's address.
+    first_number : int, default=0
+        Number before this router's first contact. It must be larger than all numbers
+        that earlier processes of this router used.
 
     Notes
     -----
-    Routers send each other the age of their last contact. A router that does not read
-    the store itself can thus detect that the readers no longer reach it.
+    Routers send each other the newest contact that they know. A router that does not
+    read the store itself can thus detect that the readers no longer reach it. Each
+    contact counts once at each router: its age does not include the time in transit,
+    so that a contact which circulates between routers would become newer and newer.
     """
 
-    def __init__(self, *, leaving_limit_ms: float = 2_000) -> None:
+    def __init__(
+        self,
+        *,
+        leaving_limit_ms: float = 2_000,
+        origin: int = 0,
+        first_number: int = 0,
+    ) -> None:
         self._max_age_ms = MAX_AGE_FRACTION * leaving_limit_ms
+        self._origin = origin
+        self._number = first_number
         self._contact_at_ms: int | None = None
+        self._newest = (0, 0)
+        # Number of the newest contact of each router, and when it became known.
+        self._numbers: dict[int, tuple[int, int]] = {}
+
+    @property
+    def newest(self) -> tuple[int, int]:
+        """Origin and number of the newest contact."""
+        return self._newest
 
     def age_ms(self, now_ms: int) -> int | None:
         """Return the replica's age in milliseconds; None before the first contact."""
@@ -36,6 +83,11 @@
             return None
         return now_ms - self._contact_at_ms
 
+    def contact(self, now_ms: int) -> Contact | None:
+        """Return the newest contact, to be sent to peers; None before the first one."""
+        age_ms = self.age_ms(now_ms)
+        return None if age_ms is None else Contact(*self._newest, age_ms)
+
     def is_fresh(self, now_ms: int, *, is_standby: bool = True) -> bool:
         """Return whether a change in the store would be in the replica by now.
 
@@ -56,7 +108,12 @@
         """Treat the replica as stale, for example after a pause of the process."""
         self._contact_at_ms = None
 
-    def record_contact(self, at_ms: int) -> bool:
+    def record_own(self, now_ms: int) -> bool:
+        """Record a contact of this router; return whether it ends an outage."""
+        self._number += 1
+        return self.record(Contact(self._origin, self._number, 0), now_ms)
+
+    def record(self, contact: Contact, now_ms: int) -> bool:
         """Record a contact of this router or of a peer with the store.
 
         Returns
@@ -64,10 +121,14 @@
         bool
             Whether this contact ends an outage of the store.
         """
+        number, known_at_ms = self._numbers.get(contact.origin, (0, 0))
+        if contact.number <= number and now_ms - known_at_ms <= NUMBER_RETENTION_MS:
+            return False
+        self._numbers[contact.origin] = (contact.number, now_ms)
+        at_ms = now_ms - contact.age_ms
         previous = self._contact_at_ms
         if previous is not None and at_ms <= previous:
             return False
-        # Peers round ages, so an old contact may appear slightly newer than it is.
-        had_outage = previous is not None and at_ms - previous > OUTAGE_GAP_MS
         self._contact_at_ms = at_ms
-        return had_outage
+        self._newest = (contact.origin, contact.number)
+        return previous is not None and at_ms - previous > OUTAGE_GAP_MS
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -15,6 +15,7 @@
 from damaskrill.eventlog import DecisionLog
 from damaskrill.feed import (
     Change,
+    Contact,
     FeedReader,
     FeedReplica,
     Freshness,
@@ -45,6 +46,7 @@
     HotKeys,
     PrefixIndex,
     ServerLoads,
+    short_id,
 )
 from damaskrill.utils import monotonic_now_ms
 
@@ -173,7 +175,11 @@
         )
         self._catalog = Catalog(report=self._log.write)
         self._replica = FeedReplica(is_retained=self._binding.is_operator_item)
-        self._freshness = Freshness(leaving_limit_ms=settings.leaving_limit_ms)
+        self._freshness = Freshness(
+            leaving_limit_ms=settings.leaving_limit_ms,
+            origin=short_id(own.address),
+            first_number=own.incarnation,
+        )
         self._members = MemberTable(own=own)
         self._loads = ServerLoads()
         self._hot_keys = HotKeys()
@@ -329,7 +335,7 @@
 
     def _apply_read(self, listed: ListedChanges) -> None:
         now_ms = round(monotonic_now_ms())
-        self._record_contact(now_ms)
+        self._handle_contact(had_outage=self._freshness.record_own(now_ms))
         self._apply_listed(listed)
         self._mesh.push_changes()
         if not self._members.is_full_mesh:
@@ -396,10 +402,13 @@
         self._reports.add_departure(Departure(*key))
         self._mesh.push_failures()
 
-    def _record_contact(self, at_ms: int) -> None:
+    def _record_contact(self, contact: Contact) -> None:
         now_ms = round(monotonic_now_ms())
-        if self._freshness.record_contact(at_ms):
-            self._catalog.record_store_recovery(now_ms)
+        self._handle_contact(had_outage=self._freshness.record(contact, now_ms))
+
+    def _handle_contact(self, *, had_outage: bool) -> None:
+        if had_outage:
+            self._catalog.record_store_recovery(round(monotonic_now_ms()))
             self._log.write("store_returned")
 
     async def _run_maintenance(self) -> None:
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -10,7 +10,7 @@
 from attrs import astuple, frozen
 
 from damaskrill.exceptions import PeerFrameError
-from damaskrill.feed import START, Change, Position
+from damaskrill.feed import START, Change, Contact, Position
 from damaskrill.steering import FailureReport, KeyCounts, LoadReport, PrefixReport
 
 __all__ = [
@@ -110,9 +110,8 @@
     ----------
     position : Position
         Position in the store's history up to which the sender's replica is complete.
-    age_ms : int
-        Time since the fleet's last contact with the store that is known to the
-        sender, in milliseconds; negative if there is none.
+    contact : Contact or None
+        Newest contact with the store that the sender knows; None if there is none.
     entries : tuple of MemberEntry
         Membership entries that have changed.
     suspicions : tuple of Suspicion
@@ -130,7 +129,7 @@
     """
 
     position: Position = START
-    age_ms: int = -1
+    contact: Contact | None = None
     entries: tuple[MemberEntry, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
     departures: tuple[Departure, ...] = ()
@@ -190,7 +189,8 @@
             content: list[Any] = ["h", PROTOCOL_VERSION, *astuple(frame.entry)]
         case Update():
             at = frame.position
-            content = ["u", at.era, at.revision, frame.age_ms, *_encode_reports(frame)]
+            contact = frame.contact and list(astuple(frame.contact))
+            content = ["u", at.era, at.revision, contact, *_encode_reports(frame)]
         case FeedRequest(position=at):
             content = ["r", at.era, at.revision]
         case Goodbye():
@@ -228,8 +228,8 @@
             if version != PROTOCOL_VERSION:
                 raise ValueError("the peer uses another version of the protocol")
             return Hello(entry=_to_entry(fields))
-        case ["u", int(era), int(revision), int(age_ms), *reports]:
-            return _to_update(Position(era, revision), age_ms, reports)
+        case ["u", int(era), int(revision), contact, *reports]:
+            return _to_update(Position(era, revision), _to_contact(contact), reports)
         case ["r", int(era), int(revision)]:
             return FeedRequest(position=Position(era, revision))
         case ["g"]:
@@ -263,7 +263,9 @@
     ]
 
 
-def _to_update(position: Position, age_ms: int, reports: Sequence[Any]) -> Update:
+def _to_update(
+    position: Position, contact: Contact | None, reports: Sequence[Any]
+) -> Update:
     match reports:
         case [
             list(entries),
@@ -276,7 +278,7 @@
         ]:
             return Update(
                 position=position,
-                age_ms=age_ms,
+                contact=contact,
                 entries=tuple(_to_entry(each) for each in entries),
                 suspicions=tuple(_to_suspicion(each) for each in suspicions),
                 departures=tuple(_to_departure(each) for each in departures),
@@ -293,6 +295,16 @@
             raise ValueError("invalid reports")
 
 
+def _to_contact(fields: Any) -> Contact | None:
+    match fields:
+        case None:
+            return None
+        case [int(origin), int(number), int(age_ms)]:
+            return Contact(origin, number, age_ms)
+        case _:
+            raise ValueError("invalid contact")
+
+
 def _to_suspicion(fields: Any) -> Suspicion:
     match fields:
         case [str(address), int(incarnation), int(heartbeat)]:
--- a/damaskrill/mesh/_link.py
+++ b/damaskrill/mesh/_link.py
@@ -56,8 +56,9 @@
         Newest position that was announced to the other router without the changes.
     fed_at_ms : float
         When changes of the store were last sent over the link.
-    contact_at_ms : float
-        Newest contact with the store that the other router is known to have heard of.
+    contact : tuple of (int, int)
+        Origin and number of the newest contact with the store that was sent or received
+        over the link.
     is_released : bool
         Whether one of the routers closes the link because it is not needed.
     """
@@ -72,7 +73,7 @@
     peer_position: Position = field(default=START, init=False)
     announced_position: Position = field(default=START, init=False)
     fed_at_ms: float = field(default=float("-inf"), init=False)
-    contact_at_ms: float = field(default=float("-inf"), init=False)
+    contact: tuple[int, int] = field(default=(0, 0), init=False)
     is_released: bool = field(default=False, init=False)
     cursors: Cursors = field(factory=Cursors, init=False)
     _queue: "asyncio.Queue[bytes]" = field(
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -9,7 +9,7 @@
 from websockets.exceptions import WebSocketException
 
 from damaskrill.exceptions import PeerFrameError
-from damaskrill.feed import FeedReplica, Freshness
+from damaskrill.feed import Contact, FeedReplica, Freshness
 from damaskrill.mesh._frames import (
     MAX_FRAME_BYTES,
     FeedRequest,
@@ -82,7 +82,7 @@
     apply_feed : callable
         Applies changes or all items of the store received from a router.
     record_contact : callable
-        Records the time of a contact with the store that a router has reported.
+        Records a contact with the store that a router has reported.
     reports : ReportExchange
         Reports that are published to and received from other routers.
     needs_fresh_loads : callable
@@ -100,7 +100,7 @@
         listen: tuple[str, int],
         seeds: tuple[str, ...],
         apply_feed: Callable[[FeedUpdate], None],
-        record_contact: Callable[[int], None],
+        record_contact: Callable[[Contact], None],
         reports: ReportExchange,
         needs_fresh_loads: Callable[[], bool],
         report: Callable[..., None],
@@ -214,7 +214,7 @@
             link,
             now_ms,
             position=self._replica.position,
-            age_ms=self._contact_age_ms(now_ms),
+            contact=self._freshness.contact(round(now_ms)),
             **selection,
         )
 
@@ -402,36 +402,36 @@
     def _publish_contact(self) -> None:
         self._contact_timer = None
         now_ms = monotonic_now_ms()
-        age_ms = self._contact_age_ms(now_ms)
-        if age_ms < 0:
-            return
         for link in list(self._links.values()):
-            if now_ms - age_ms - link.contact_at_ms >= MIN_CONTACT_GAP_MS:
+            if link.contact != self._freshness.newest:
                 self._send(link, self._collect(link, now_ms, has_entries=True))
 
-    def _contact_age_ms(self, now_ms: float) -> int:
-        age_ms = self._freshness.age_ms(round(now_ms))
-        return -1 if age_ms is None else age_ms
-
     def _apply_contact(self, link: Link, update: Update, now_ms: float) -> None:
-        if update.age_ms < 0:
+        contact = update.contact
+        if contact is None:
             return
-        contact_at_ms = now_ms - update.age_ms
-        link.contact_at_ms = max(link.contact_at_ms, contact_at_ms)
+        link.contact = (contact.origin, contact.number)
         if update.position > self._replica.position:
             # The contact shows that a replica with changes that this one lacks is up to
             # date.
             return
-        known_age_ms = self._contact_age_ms(now_ms)
-        is_news = known_age_ms < 0 or known_age_ms - update.age_ms >= MIN_CONTACT_GAP_MS
-        self._record_contact(round(contact_at_ms))
-        if is_news and not self._members.is_full_mesh:
+        known_age_ms = self._freshness.age_ms(round(now_ms))
+        newest = self._freshness.newest
+        self._record_contact(contact)
+        is_news = (
+            known_age_ms is None or known_age_ms - contact.age_ms >= MIN_CONTACT_GAP_MS
+        )
+        if (
+            is_news
+            and self._freshness.newest != newest
+            and not self._members.is_full_mesh
+        ):
             self.push_contact()
 
     def _send(self, link: Link, frame: Frame | bytes) -> None:
         now_ms = monotonic_now_ms()
-        if isinstance(frame, Update) and frame.age_ms >= 0:
-            link.contact_at_ms = max(link.contact_at_ms, now_ms - frame.age_ms)
+        if isinstance(frame, Update) and frame.contact is not None:
+            link.contact = (frame.contact.origin, frame.contact.number)
         if not link.send(frame, now_ms):
             self._close_link(link, "send queue full")
 
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from damaskrill.feed import Position
+from damaskrill.feed import Contact, Position
 from damaskrill.mesh._frames import Departure, MemberEntry, Update
 from damaskrill.mesh._link import Link
 from damaskrill.mesh._members import MemberTable
@@ -74,7 +74,7 @@
         now_ms: float,
         *,
         position: Position,
-        age_ms: int,
+        contact: Contact | None,
         has_entries: bool = False,
         has_loads: bool = False,
         has_counts: bool = False,
@@ -89,8 +89,8 @@
             Current time in milliseconds.
         position : Position
             Position of the replica of the store.
-        age_ms : int
-            Age of the replica in milliseconds; -1 if unknown.
+        contact : Contact or None
+            Newest contact with the store.
         has_entries : bool, default=False
             Whether to include membership entries. Those of new routers are included in
             any case.
@@ -135,7 +135,7 @@
             )
         return Update(
             position=position,
-            age_ms=age_ms,
+            contact=contact,
             entries=tuple(entries),
             suspicions=tuple(suspicions),
             departures=tuple(departures),
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -3,7 +3,7 @@
 from damaskrill.steering._cold_start_limiter import ColdStartLimiter
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
 from damaskrill.steering._fleet_health import FleetHealth
-from damaskrill.steering._gossip import GossipLog, short_server_id
+from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
 from damaskrill.steering._health import HealthTracker, ServerOutcome
 from damaskrill.steering._hot_keys import HotKeys, KeyCounts
 from damaskrill.steering._latency import AnswerTimings, LatencyCause, find_latency_cause
@@ -61,6 +61,7 @@
     "is_region_allowed",
     "may_retry",
     "may_retry_full",
+    "short_id",
     "short_server_id",
     "spread_retry_after",
 ]
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -154,3 +154,8 @@
     And two gateways that have not discovered each other
     When they dial each other at the same time, 20 times in a row
     Then each time they have one link within 500 ms and no link was lost
+
+  Scenario: a contact with the store does not become newer while it circulates
+    Given 6 routers in a ring that tell each other the newest contact with the store
+    When the last contact is at 1000 ms, and each message takes 20 ms
+    Then all are stale at 2400 ms
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -14,7 +14,7 @@
 from damaskrill.catalog import ServiceSpec as Spec
 from damaskrill.eventlog import LineSink
 from damaskrill.exceptions import PeerFrameError
-from damaskrill.feed import Change, Position
+from damaskrill.feed import Change, Contact, Position
 from damaskrill.gateway._events import EventSplitter, parse_last_event_id
 from damaskrill.mesh import (
     Departure,
@@ -443,7 +443,7 @@
         ),
         Update(
             position=Position(1, 7),
-            age_ms=40,
+            contact=Contact(2**32 - 1, 1_700_000_000_000, 40),
             entries=(entry,),
             suspicions=(Suspicion("10.0.0.2:9", 5, 3),),
             departures=(Departure("i-7f", 1_700_000_000_000),),
@@ -470,7 +470,7 @@
 @then("a reported load beyond the largest number is sent as the largest number")
 def step_huge_load(context):
     huge = LoadReport(5, 10**15, 90)
-    frame = Update(age_ms=0, loads=(huge,))
+    frame = Update(loads=(huge,))
     assert decode(encode(frame)).loads == (LoadReport(5, 2**32 - 1, 90),)
 
 
@@ -480,7 +480,7 @@
     frames = [encoded[:length] for length in range(len(encoded))]
     triple = bytes(12)
     frames += [
-        cbor2.dumps(["u", 1, 1, 5, *reports])
+        cbor2.dumps(["u", 1, 1, None, *reports])
         for reports in (
             [[], [], [], triple[:-1], b"", b"", None],
             [[], [], [], b"", triple + b"1", b"", None],
@@ -497,7 +497,8 @@
         )
     ]
     frames += [
-        cbor2.dumps(["u", 1, "1", 5, [], [], [], b"", b"", b"", None]),
+        cbor2.dumps(["u", 1, "1", None, [], [], [], b"", b"", b"", None]),
+        cbor2.dumps(["u", 1, 1, [5, 5], [], [], [], b"", b"", b"", None]),
         cbor2.dumps(["h", 1, "10.0.0.1:9", 5, "bole", 3]),
         cbor2.dumps(["r", 1]),
     ]
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -22,7 +22,7 @@
     ServiceSpec,
 )
 from damaskrill.fakes.platform import build_settings
-from damaskrill.feed import Change, FeedReplica, Freshness, Position
+from damaskrill.feed import Change, Contact, FeedReplica, Freshness, Position
 from damaskrill.platform import SETTINGS_VARIABLE
 from features.support.gateways import build_request, free_addresses
 
@@ -131,12 +131,13 @@
 @given("a router whose last contact with the store was at {at_ms:d} ms")
 def step_contact(context, at_ms):
     context.freshness = Freshness()
-    context.freshness.record_contact(at_ms)
+    context.freshness.record_own(at_ms)
 
 
 @when("a peer reports at {now_ms:d} ms a contact at {at_ms:d} ms")
 def step_peer_contact(context, now_ms, at_ms):
-    context.has_returned = context.freshness.record_contact(at_ms)
+    contact = Contact(origin=7, number=at_ms, age_ms=now_ms - at_ms)
+    context.has_returned = context.freshness.record(contact, now_ms)
 
 
 @then("the store has not returned")
@@ -162,7 +163,7 @@
 
 @then("a contact at {at_ms:d} ms makes it fresh at {now_ms:d} ms")
 def step_fresh(context, at_ms, now_ms):
-    assert not context.freshness.record_contact(at_ms)
+    assert not context.freshness.record_own(at_ms)
     assert context.freshness.is_fresh(now_ms)
 
 
@@ -428,3 +429,28 @@
     ]
     assert not lost, lost[:3]
     assert context.n_linked == context.n_dials, context.n_linked
+
+
+@given("{n:d} routers in a ring that tell each other the newest contact with the store")
+def step_ring(context, n):
+    context.ring = [Freshness(origin=number + 1) for number in range(n)]
+
+
+@when("the last contact is at {at_ms:d} ms, and each message takes {delay_ms:d} ms")
+def step_circulate(context, at_ms, delay_ms):
+    context.ring[0].record_own(at_ms)
+    context.stale_at_ms = {}
+    for now_ms in range(at_ms, at_ms + 20_000, delay_ms):
+        messages = [each.contact(now_ms) for each in context.ring]
+        for number, contact in enumerate(messages):
+            receiver = context.ring[(number + 1) % len(context.ring)]
+            if contact is not None:
+                receiver.record(contact, now_ms + delay_ms)
+        for number, each in enumerate(context.ring):
+            if each.is_fresh(now_ms + delay_ms):
+                context.stale_at_ms[number] = now_ms + delay_ms
+
+
+@then("all are stale at {limit_ms:d} ms")
+def step_all_stale(context, limit_ms):
+    assert max(context.stale_at_ms.values()) <= limit_ms, context.stale_at_ms
