Name the features and the publishing of urgent reports after what they hold

The feature of leaving servers and pauses, the generator of their faults in the soak and the links' urgent reports had names that were figurative or too narrow.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -242,7 +242,7 @@
             hot_keys=self._hot_keys,
             prefix_index=self._prefix_index,
             failures=self._failures,
-            publish_failures=self._mesh.push_failures,
+            publish_failures=self._mesh.push_urgent_reports,
             publish_departure=self._publish_departure,
             data_centre=settings.data_centre,
             region_of=settings.region_of,
@@ -400,7 +400,7 @@
 
     def _publish_departure(self, key: tuple[str, int]) -> None:
         self._reports.add_departure(Departure(*key))
-        self._mesh.push_failures()
+        self._mesh.push_urgent_reports()
 
     def _record_contact(self, contact: Contact) -> None:
         now_ms = round(monotonic_now_ms())
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -42,9 +42,9 @@
 # In a large fleet the contacts with the store are relayed without delay, so that frames
 # without content only show that a link is alive.
 KEEPALIVE_INTERVAL_MS = 800
-# Failures and contacts are sent sooner than other reports; the delays batch
+# Failures, departures and contacts are sent sooner than other reports; the delays batch
 # simultaneous ones.
-FAILURES_DELAY_MS = 50
+URGENT_DELAY_MS = 50
 CONTACT_DELAY_MS = 20
 # Contacts that are closer in time than this are treated as the same.
 MIN_CONTACT_GAP_MS = 150
@@ -116,7 +116,7 @@
         self._record_contact = record_contact
         self._reports = reports
         self._needs_fresh_loads = needs_fresh_loads
-        self._failures_timer: asyncio.TimerHandle | None = None
+        self._urgent_timer: asyncio.TimerHandle | None = None
         self._contact_timer: asyncio.TimerHandle | None = None
         self._report = report
         self._links: dict[str, Link] = {}
@@ -173,11 +173,11 @@
         others = [each for each in self._links.values() if each.address != source]
         self._replication.push(others, monotonic_now_ms())
 
-    def push_failures(self) -> None:
+    def push_urgent_reports(self) -> None:
         """Publish failures and departures of servers after a short delay."""
-        if self._failures_timer is None:
-            self._failures_timer = asyncio.get_running_loop().call_later(
-                FAILURES_DELAY_MS / 1_000, self._publish_failures
+        if self._urgent_timer is None:
+            self._urgent_timer = asyncio.get_running_loop().call_later(
+                URGENT_DELAY_MS / 1_000, self._publish_urgent_reports
             )
 
     def push_contact(self) -> None:
@@ -377,7 +377,7 @@
                 self._reports.apply(link, frame, now_ms)
                 has_urgent = frame.failures or frame.departures
                 if has_urgent and not self._members.is_full_mesh:
-                    self.push_failures()
+                    self.push_urgent_reports()
                 self._replication.handle_position(link, frame.position, now_ms)
             case FeedUpdate():
                 self._replication.handle_feed(link, frame)
@@ -390,8 +390,8 @@
             case Hello():
                 pass
 
-    def _publish_failures(self) -> None:
-        self._failures_timer = None
+    def _publish_urgent_reports(self) -> None:
+        self._urgent_timer = None
         self._reports.failures.flush()
         now_ms = monotonic_now_ms()
         for link in list(self._links.values()):
--- a/damaskrill/soak/_plan.py
+++ b/damaskrill/soak/_plan.py
@@ -43,7 +43,7 @@
 # former seeds keep their entries.
 SEPARATELY_DRAWN_KINDS = {
     "later": (FaultKind.REUSE_ADDRESS,),
-    "wishes": (
+    "notices": (
         FaultKind.RESTORE_STORE,
         FaultKind.ANNOUNCE_LEAVING,
         FaultKind.ASK_FOR_PAUSE,
