Keep which lost routers this one dials until the members change

Change: the rank is kept like the others; the generator is gone. Behaviour is the same. The saving was not measured.

--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -1,7 +1,5 @@
 """Membership table of the fleet: liveness, readers of the store and links."""
 
-from collections.abc import Iterator
-
 from attrs import define, evolve
 
 from damaskrill.mesh._frames import MemberEntry, Suspicion
@@ -73,6 +71,7 @@
         self._addresses: frozenset[str] | None = None
         self._own_reader_rank: int | None = None
         self._wanted_links: list[str] | None = None
+        self._lost_dials: dict[str, bool] = {}
 
     @property
     def own(self) -> MemberEntry:
@@ -212,7 +211,15 @@
         exclude_link : str
             The outgoing link. Entries that arrived over it are omitted.
         """
-        return list(self._find_updates(number, exclude_link))
+        entries = []
+        for address in self._updated.updated_after(number):
+            if address == self._own.address:
+                entries.append(self._own)
+            elif address != exclude_link:
+                member = self._members[address]
+                if member.source != exclude_link:
+                    entries.append(member.entry)
+        return entries
 
     def suspicions_after(self, number: int, *, exclude_link: str) -> list[Suspicion]:
         """Return the suspicions to send over a link.
@@ -262,8 +269,12 @@
         """Return whether this router is one of those that dial a lost one."""
         if self.is_full_mesh:
             return True
-        ranked = rank_by_rendezvous(f"lost {address}", self.addresses())
-        return self._own.address in ranked[:N_LOST_DIALLERS]
+        is_dialler = self._lost_dials.get(address)
+        if is_dialler is None:
+            ranked = rank_by_rendezvous(f"lost {address}", self.addresses())
+            is_dialler = self._own.address in ranked[:N_LOST_DIALLERS]
+            self._lost_dials[address] = is_dialler
+        return is_dialler
 
     def wanted_links(self) -> list[str]:
         """Return the addresses of the routers to link to."""
@@ -285,19 +296,11 @@
         self._own = evolve(self._own, heartbeat=self._own.heartbeat + 1)
         self._updated.update(self._own.address)
 
-    def _find_updates(self, number: int, exclude_link: str) -> Iterator[MemberEntry]:
-        for address in self._updated.updated_after(number):
-            if address == self._own.address:
-                yield self._own
-            elif address != exclude_link:
-                member = self._members[address]
-                if member.source != exclude_link:
-                    yield member.entry
-
     def _reset_cache(self) -> None:
         self._addresses = None
         self._own_reader_rank = None
         self._wanted_links = None
+        self._lost_dials.clear()
 
     def _reader_rank(self) -> int:
         if self._own_reader_rank is None:
