Count keys once a round instead of once for each link

Cause: the counts that a router publishes are the same for all links, and were sorted and selected anew for each. Change: the round takes them once and hands them on. Behaviour is the same. The saving was not measured.

--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -26,6 +26,7 @@
 from damaskrill.mesh._members import MemberTable
 from damaskrill.mesh._replication import FeedReplication
 from damaskrill.mesh._reports import ReportExchange, has_reports
+from damaskrill.steering import KeyCounts
 from damaskrill.utils import monotonic_now_ms
 
 __all__ = ["Mesh"]
@@ -192,10 +193,14 @@
         if is_heartbeat:
             self._maintained_at_ms = now_ms
             self._maintain_links(now_ms)
+        counts = self._reports.hot_keys.local_counts(now_ms) if is_heartbeat else None
         for link in list(self._links.values()):
-            self._send_update(link, now_ms, is_heartbeat=is_heartbeat)
+            self._send_update(link, now_ms, key_counts=counts)
 
-    def _send_update(self, link: Link, now_ms: float, *, is_heartbeat: bool) -> None:
+    def _send_update(
+        self, link: Link, now_ms: float, *, key_counts: KeyCounts | None
+    ) -> None:
+        is_heartbeat = key_counts is not None
         is_full_mesh = self._members.is_full_mesh
         interval_ms = HEARTBEAT_INTERVAL_MS if is_full_mesh else KEEPALIVE_INTERVAL_MS
         is_due = now_ms - link.last_sent_ms >= interval_ms - 1
@@ -204,12 +209,12 @@
             now_ms,
             has_entries=now_ms - link.entries_sent_ms >= interval_ms - 1,
             has_loads=is_heartbeat or not is_full_mesh,
-            has_counts=is_heartbeat,
+            key_counts=key_counts,
         )
         if is_due or has_reports(update):
             self._send(link, update)
 
-    def _collect(self, link: Link, now_ms: float, **selection: bool) -> Update:
+    def _collect(self, link: Link, now_ms: float, **selection: Any) -> Update:
         return self._reports.collect(
             link,
             now_ms,
@@ -354,7 +359,11 @@
         self._links[entry.address] = link
         self._members.merge(entry, now_ms, source=entry.address)
         update = self._collect(
-            link, now_ms, has_entries=True, has_loads=True, has_counts=True
+            link,
+            now_ms,
+            has_entries=True,
+            has_loads=True,
+            key_counts=self._reports.hot_keys.local_counts(now_ms),
         )
         self._send(link, update)
         self._replication.start(link)
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -12,6 +12,7 @@
     FailureDetector,
     GossipLog,
     HotKeys,
+    KeyCounts,
     LoadReport,
     PrefixIndex,
     ServerLoads,
@@ -77,7 +78,7 @@
         contact: Contact | None,
         has_entries: bool = False,
         has_loads: bool = False,
-        has_counts: bool = False,
+        key_counts: KeyCounts | None = None,
     ) -> Update:
         """Return what a peer has not been sent yet.
 
@@ -96,8 +97,8 @@
             any case.
         has_loads : bool, default=False
             Whether to include loads of servers.
-        has_counts : bool, default=False
-            Whether to include request counts of keys.
+        key_counts : KeyCounts or None, default=None
+            Request counts of keys to include. They are the same for all links.
         """
         cursors, members, address = link.cursors, self.members, link.address
         is_relaying = not members.is_full_mesh
@@ -142,7 +143,7 @@
             loads=tuple(loads),
             prefixes=tuple(prefixes),
             failures=tuple(failures),
-            key_counts=self.hot_keys.local_counts(now_ms) if has_counts else None,
+            key_counts=key_counts,
         )
 
     def apply(self, link: Link, update: Update, now_ms: float) -> None:
