Log why a stream was not resumed, and who ended its last attempt

The hypotheses for the lost requests could not be told apart by the logs: an attempt that the router ended at a silent server was logged as "broken", like one that the server interrupted; the end of a cut stream named no reason why it was not resumed; a change of the configuration between arrival and end was not visible; and a request that arrived on a connection just closed left no line.

Adds the cause "stalled", the reason in the end's detail, text_version_at_start and caller_bytes_discarded. Nothing is decided differently.

--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -67,6 +67,10 @@
 # Servers start and leave within seconds; callers wait a third of their time at most.
 RETRY_AFTER_NO_SERVER_MS = 500
 STATUS_SERVER_ERROR = 500
+# Why a request was not sent to another server, as logged.
+NO_RETRY_BUDGET = "the retry budget is used up"
+NO_RETRY_ALLOWED = "the route allows no further server, or no time is left"
+NO_OTHER_SERVER = "no other server is available"
 
 
 class Exchange:
@@ -131,6 +135,8 @@
         dispatcher, metadata = self._dispatcher, self._metadata
         await self._wait_for_start()
         configuration = dispatcher.catalog.configuration
+        if configuration is not None:
+            self._responder.version_at_start = configuration.version
         if configuration is None or not dispatcher.catalog.is_complete:
             cause = RefusalCause.NO_CONFIGURATION
             self._responder.refuse(
@@ -191,7 +197,7 @@
                 self._refuse_unserved()
                 return
             if self._responder.n_sent and not dispatcher.try_acquire_retry(service):
-                self._refuse_after(self._last_result)
+                self._refuse_after(self._last_result, NO_RETRY_BUDGET)
                 return
             result = await self._try_server(route, team, server)
             if result is None:
@@ -200,7 +206,7 @@
                 return
             self._last_result = result
             if not self._may_retry(route) and not await self._wait_for_capacity(route):
-                self._refuse_after(result)
+                self._refuse_after(result, NO_RETRY_ALLOWED)
                 return
 
     def _may_retry(self, route: Route) -> bool:
@@ -351,7 +357,9 @@
             if now_ms >= self._limit_at_ms or idle_ms >= idle_timeout_ms:
                 reason = f"no progress for {idle_ms:.0f} ms"
                 failure = ExchangeFailure(
-                    kind=FailureKind.CLOSED, reason=reason, has_answer=attempt.has_head
+                    kind=FailureKind.STALLED,
+                    reason=reason,
+                    has_answer=attempt.has_head,
                 )
                 return Broken(failure=failure)
 
@@ -445,7 +453,7 @@
 
     def _refuse_unserved(self) -> None:
         if self._responder.n_sent:
-            self._refuse_after(self._last_result)
+            self._refuse_after(self._last_result, NO_OTHER_SERVER)
             return
         cause, retry_after_ms = RefusalCause.NO_SERVER, RETRY_AFTER_NO_SERVER_MS
         pause_ms = self._find_retry_after_ms()
@@ -462,9 +470,9 @@
             return None
         return self._dispatcher.spread_retry_after(pause_ms)
 
-    def _refuse_after(self, result: AttemptResult) -> None:
+    def _refuse_after(self, result: AttemptResult, reason: str) -> None:
         if self._progress.has_begun:
-            self._responder.abort("no server could resume the stream")
+            self._responder.abort(f"the stream was not resumed: {reason}")
             return
         match result:
             case CompleteAnswer():
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -64,6 +64,8 @@
         case Broken(failure=failure) if failure.kind is FailureKind.SILENT:
             return ServerOutcome.SILENT_CONNECTION, failure.reason
         case Broken(failure=failure) if not is_expired:
+            if failure.kind is FailureKind.STALLED:
+                return ServerOutcome.STALLED, failure.reason
             return ServerOutcome.BROKEN, failure.reason
         case Broken():
             if is_silent:
--- a/damaskrill/gateway/_responder.py
+++ b/damaskrill/gateway/_responder.py
@@ -56,6 +56,8 @@
     load, load_age_ms : float
         Estimated number of requests at the server of the last attempt when it was
         selected, and the age of the server's last load report in milliseconds.
+    version_at_start : int
+        Version of the configuration that the request's route was taken from; 0 if none.
     """
 
     dispatcher: "RequestDispatcher"
@@ -70,6 +72,7 @@
     route: Route | None = None
     load: float = 0.0
     load_age_ms: float = -1.0
+    version_at_start: int = 0
     _sent_at_ms: float | None = field(default=None, init=False)
     _answered_at_ms: float | None = field(default=None, init=False)
     _has_ended: bool = field(default=False, init=False)
@@ -170,7 +173,10 @@
         configuration = dispatcher.catalog.configuration
         server_id = self.server.server_id if self.server else ""
         times = self._timings()
+        version = configuration.version if configuration else 0
         fields: dict[str, object] = {}
+        if self.version_at_start != version:
+            fields["text_version_at_start"] = self.version_at_start
         if times.sent_ms is not None:
             fields["wait_ms"] = round(times.sent_ms)
             fields["load"] = round(self.load)
@@ -196,7 +202,7 @@
             backend_server=server_id,
             latency_ms=round(dispatcher.now_ms - self.arrived_at_ms),
             n_attempts=self.n_sent,
-            text_version=configuration.version if configuration else 0,
+            text_version=version,
             store_age_ms=dispatcher.store_age_ms(),
             detail=detail,
             **fields,
--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -51,6 +51,7 @@
         self._is_disconnected = False
         self._opened_at_ms = 0.0
         self._has_answered = False
+        self._has_discarded = False
         self._timer: Any = None
         self.on_disconnect: Callable[[], None] | None = None
 
@@ -75,6 +76,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes."""
         if self._is_closing:
+            self._report_discarded(data)
             return
         self._http.receive_data(data)
         if self._is_busy:
@@ -263,6 +265,12 @@
             self._timer.cancel()
             self._timer = None
 
+    def _report_discarded(self, data: bytes) -> None:
+        # The caller sent this before it knew that the connection was closed.
+        if not self._has_discarded:
+            self._has_discarded = True
+            self._factory.report("caller_bytes_discarded", n_bytes=len(data))
+
     def _time_out(self) -> None:
         self._timer = None
         if self._is_busy or self._is_closing:
--- a/damaskrill/http1/_messages.py
+++ b/damaskrill/http1/_messages.py
@@ -92,6 +92,7 @@
     RESET = "reset"
     SILENT = "silent"
     MALFORMED = "malformed"
+    STALLED = "stalled"
 
 
 @frozen(kw_only=True)
--- a/damaskrill/steering/_health.py
+++ b/damaskrill/steering/_health.py
@@ -30,6 +30,7 @@
     FULL = "full"
     SILENT = "silent"
     SILENT_CONNECTION = "silent_connection"
+    STALLED = "stalled"
     REPLACED = "gone"
 
     @property
@@ -53,6 +54,9 @@
     ServerOutcome.SILENT_CONNECTION: (
         "the server did not acknowledge any data on the connection"
     ),
+    ServerOutcome.STALLED: (
+        "the server sent nothing for so long that the router ended the attempt"
+    ),
     ServerOutcome.REPLACED: "another server answered at the address of this one",
 }
 UNREACHABLE = (
--- a/features/gateway_path.feature
+++ b/features/gateway_path.feature
@@ -205,3 +205,9 @@
     When a caller sends an issuance
     Then the status is 503
     And the refusal is because of "server_replaced"
+
+  Scenario: the log line of a stream that was cut gives the attempt's end and the reason
+    Given both engines misbehave by mid_event
+    When 1 callers send a check each with its own prompt
+    Then the request's end is logged with outcome "unknown" and cause "stream_broken"
+    And its detail is "the stream was not resumed: the route allows no further server, or no time is left"
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -645,6 +645,12 @@
     assert ends[0]["causes"][0]["code"] == code, ends[0]
 
 
+@then('its detail is "{detail}"')
+def step_detail(context, detail):
+    ends = [e for e in context.testbed.logs[0].lines if e["event"] == "request_ended"]
+    assert ends[0]["detail"] == detail, ends[0]
+
+
 @then("no line contains a key or a body")
 def step_no_secret(context):
     text = json.dumps(context.testbed.logs[0].lines)
