Show by a failing test that a silent server's answer is ended too early

A server of a resumable stream or a read that sends nothing for a while is given up before it is known whether another server can take the request.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -41,6 +41,7 @@
     DRIP = "drip"
     LATE_COPY = "late_copy"
     LATE_REFUSAL = "late_refusal"
+    PAUSE = "pause"
 
 
 class FakeServer:
@@ -69,6 +70,8 @@
         Arrival times, on the monotonic clock in seconds, and request IDs.
     n_dropped : int
         Runs whose connection was closed before their end.
+    drops : list of (float, str)
+        Times of these ends, on the monotonic clock in seconds, and request IDs.
     is_leaving : bool
         Whether its answers announce that it leaves.
     retry_after : bytes or None
@@ -76,6 +79,11 @@
     pauses : list of (float, str)
         Times of the refusals with that header, on the monotonic clock in seconds, and
         request IDs.
+    silence_ms : int
+        Time for which a server with `Misbehaviour.PAUSE` sends nothing before it goes
+        on, in milliseconds.
+    n_events_before_silence : int
+        Number of events of a stream that it sends before.
     """
 
     def __init__(
@@ -92,9 +100,12 @@
         self.runs: Counter[str] = Counter()
         self.requests: list[CallerRequest] = []
         self.n_dropped = 0
+        self.drops: list[tuple[float, str]] = []
         self.is_leaving = False
         self.retry_after: bytes | None = None
         self.pauses: list[tuple[float, str]] = []
+        self.silence_ms = 1_500
+        self.n_events_before_silence = 2
         self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
         self._event_ms = event_ms
@@ -126,6 +137,7 @@
 
         def handle_disconnect() -> None:
             self.n_dropped += 1
+            self.drops.append((time.monotonic(), request_id.decode()))
             task.cancel()
 
         connection.on_disconnect = handle_disconnect
@@ -161,6 +173,8 @@
         if request.find_header(b"damaskrill-prompt-prefix") is not None:
             await self._stream(connection, request, headers)
             return
+        if self.misbehaviour is Misbehaviour.PAUSE:
+            await asyncio.sleep(self.silence_ms / 1_000)
         await asyncio.sleep(self._work_ms / 1_000)
         self._answer(connection, request_id, headers)
 
@@ -191,6 +205,9 @@
             await asyncio.sleep(self._event_ms / 1_000)
             event = b"id: %d\ndata: token-%d\n\n" % (number, number)
             is_second_half = number > self._n_events // 2
+            is_next = number == self.n_events_before_silence + 1
+            if is_next and self.misbehaviour is Misbehaviour.PAUSE:
+                await asyncio.sleep(self.silence_ms / 1_000)
             if is_second_half and self.misbehaviour is Misbehaviour.MID_EVENT:
                 connection.send_chunk(event[:9])
                 await asyncio.sleep(0.02)
--- /dev/null
+++ b/features/steps/gateway_silent_servers_steps.py
@@ -0,0 +1,125 @@
+"""Steps for servers that send nothing for a while and then go on."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+
+from damaskrill.fakes.platform import Misbehaviour
+from damaskrill.fakes.platform import build_configuration as build_content
+from damaskrill.steering import FleetRetryBudget
+from features.support.gateways import PROMPT, Caller, build_request
+
+ENGINES = ("e-1", "e-2")
+# Time after which the stream of a check has begun.
+BEGUN_S = 0.3
+
+
+def find_first_engine(context):
+    """Return the engines in the order in which the prompt's requests try them."""
+    reply = context.testbed.send("/check/1", headers=[PROMPT])
+    assert reply.is_complete, reply
+    runs = context.testbed.runs_by_server()
+    return sorted(ENGINES, key=lambda name: -runs[name])
+
+
+@given(
+    "the first engine of a prompt is silent for {silence_ms:d} ms "
+    "after {n_events:d} events"
+)
+def step_silent_engine(context, silence_ms, n_events):
+    first, other = find_first_engine(context)
+    context.first = context.testbed.servers[first]
+    context.other = context.testbed.servers[other]
+    context.first.misbehaviour = Misbehaviour.PAUSE
+    context.first.silence_ms = silence_ms
+    context.first.n_events_before_silence = n_events
+    context.change_meanwhile = None
+
+
+@given('app server "{name}" is silent for {silence_ms:d} ms')
+def step_silent_app(context, name, silence_ms):
+    context.first = context.testbed.servers[name]
+    context.other = context.testbed.servers["a-2" if name == "a-1" else "a-1"]
+    context.first.misbehaviour = Misbehaviour.PAUSE
+    context.first.silence_ms = silence_ms
+
+
+@given("the other engine is full")
+@given("the other app server is full")
+def step_other_full(context):
+    context.other.misbehaviour = Misbehaviour.FULL
+
+
+@given("the other engine refuses connections")
+@given("the other app server refuses connections")
+def step_other_refuses(context):
+    context.testbed.call(context.other.close)
+
+
+@given("no other engine is registered")
+def step_no_other(context):
+    testbed, gateway = context.testbed, context.testbed.gateways[0]
+    name = context.other.server_id
+    testbed.change_entry(name, state="draining")
+    assert testbed.wait_for(lambda: gateway._catalog._servers[name].server.is_leaving)
+
+
+@given("the retry budget is used up")
+def step_no_budget(context):
+    dispatcher = context.testbed.gateways[0]._dispatcher
+    dispatcher.budget = FleetRetryBudget(ratio=0, slack=0, window_ms=10_000)
+
+
+@given("the configuration drops the route's service meanwhile")
+def step_service_dropped(context):
+    content = build_content(version=2)
+    content["routes"] = [
+        each for each in content["routes"] if each["service"] != "pool"
+    ]
+    content["services"] = [
+        each for each in content["services"] if each["name"] != "pool"
+    ]
+    store = context.testbed.store
+    context.change_meanwhile = lambda: store.put("op/config", content)
+
+
+@when("a caller sends a check with that prompt")
+def step_check(context):
+    testbed = context.testbed
+    address = testbed.gateways[0]._settings.caller_address
+    data, request_id = build_request("/check/1", headers=[PROMPT])
+
+    async def run():
+        caller = await Caller.open(address)
+        caller.send(data)
+        if context.change_meanwhile is not None:
+            await asyncio.sleep(BEGUN_S)
+            context.change_meanwhile()
+        context.sent_at = time.monotonic()
+        reply = await caller.read_reply()
+        reply.request_id = request_id
+        caller.close()
+        return reply
+
+    context.reply = testbed.call(run)
+
+
+@then("no pause between events exceeds {limit_ms:d} ms")
+def step_pauses(context, limit_ms):
+    lines = context.testbed.logs[0].lines
+    (end,) = (
+        line
+        for line in lines
+        if line["event"] == "request_ended"
+        and line["request_id"] == context.reply.request_id
+    )
+    assert end["longest_pause_ms"] <= limit_ms, end
+
+
+@then("the silent engine's run was dropped within {limit_ms:d} ms of the other's start")
+def step_dropped(context, limit_ms):
+    request_id = context.reply.request_id
+    (started_at,) = (at for at, each in context.other.arrivals if each == request_id)
+    (dropped_at,) = (at for at, each in context.first.drops if each == request_id)
+    assert dropped_at - started_at <= limit_ms / 1_000, (started_at, dropped_at)
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -78,7 +78,7 @@
     except (OSError, ValueError):
         return [("whole feature", "unreadable report")]
     return [
-        (element["name"], element.get("status", "untested"))
+        (element["name"].strip(), element.get("status", "untested"))
         for feature in features
         for element in feature.get("elements", ())
         if element.get("type") != "background"
