--- a/damaskrill/fakes/platform/__init__.py
+++ b/damaskrill/fakes/platform/__init__.py
@@ -7,18 +7,27 @@
     build_entry,
     build_settings,
 )
-from damaskrill.fakes.platform._server import FakeServer, Misbehaviour
+from damaskrill.fakes.platform._misbehaviours import (
+    EndlessPart,
+    Misbehaviour,
+    UnframedHead,
+)
+from damaskrill.fakes.platform._raw_answers import build_endless_answer
+from damaskrill.fakes.platform._server import FakeServer
 from damaskrill.fakes.platform._store import FakeStore, StoreCopy, StoreMode
 
 __all__ = [
     "NOT_RUN_STATUSES",
+    "EndlessPart",
     "FakeServer",
     "FakeStore",
     "Misbehaviour",
     "StoreCopy",
     "StoreMode",
+    "UnframedHead",
     "build_caller_headers",
     "build_configuration",
+    "build_endless_answer",
     "build_entry",
     "build_settings",
 ]
--- /dev/null
+++ b/damaskrill/fakes/platform/_raw_answers.py
@@ -0,0 +1,156 @@
+"""Answers of fake backend servers that are written byte by byte."""
+
+import asyncio
+from typing import Any
+
+from damaskrill.fakes.platform._misbehaviours import EndlessPart, UnframedHead
+from damaskrill.http1 import CallerConnection, Headers
+
+__all__ = [
+    "EVENT_STREAM",
+    "build_endless_answer",
+    "build_event",
+    "send_endless",
+    "send_unframed",
+]
+
+BLOCK_BYTES = 32_768
+# Bytes that a server of endless answers leaves unsent before it writes more.
+MAX_UNSENT_BYTES = 262_144
+ENDLESS_PAUSE_MS = 1
+SLOW_PAUSE_MS = 50
+# Time between the last bytes and a reset, so that the bytes arrive.
+RESET_DELAY_MS = 30
+EVENT_STREAM = (b"Content-Type", b"text/event-stream")
+CHUNKED = (b"Transfer-Encoding", b"chunked")
+
+
+def build_event(number: int) -> bytes:
+    """Return the event of a stream with a number."""
+    return b"id: %d\ndata: token-%d\n\n" % (number, number)
+
+
+def build_endless_answer(part: EndlessPart, headers: Headers) -> tuple[bytes, bytes]:
+    """Return the start of an answer and the bytes that are repeated after it.
+
+    Parameters
+    ----------
+    part : EndlessPart
+        Part of the answer that never ends.
+    headers : tuple
+        Headers of the answer apart from those that frame its body.
+    """
+    plain = _build_head(b"HTTP/1.1 200 OK", headers)
+    chunked = _build_head(b"HTTP/1.1 200 OK", (*headers, CHUNKED))
+    text = b"x" * BLOCK_BYTES
+    match part:
+        case EndlessPart.JUNK:
+            return b"", text
+        case EndlessPart.SLOW_JUNK:
+            return b"", b"x"
+        case EndlessPart.STATUS_LINE:
+            return b"HTTP/1.1 200 ", text
+        case EndlessPart.HEADERS:
+            return plain[:-2], _repeat(b"X-More: 0123456789\r\n")
+        case EndlessPart.INFORMATIONAL_HEADS:
+            return b"", _repeat(b"HTTP/1.1 102 Processing\r\n\r\n")
+        case EndlessPart.CHUNK_LINE:
+            return chunked, b"0" * BLOCK_BYTES
+        case EndlessPart.CHUNK_EXTENSIONS:
+            return chunked, _repeat(b"1;name=%b\r\nx\r\n" % (b"y" * 1_000))
+        case EndlessPart.TINY_CHUNKS:
+            return chunked, _repeat(b"1\r\nx\r\n")
+        case EndlessPart.TRAILERS:
+            return chunked + b"1\r\nx\r\n0\r\n", _repeat(b"X-More: 0123456789\r\n")
+        case EndlessPart.CHUNKED_BODY:
+            return chunked, _chunk(text)
+        case EndlessPart.UNFRAMED_BODY:
+            return plain, text
+        case EndlessPart.SIZED_BODY:
+            length = (b"Content-Length", b"%d" % 10**15)
+            return _build_head(b"HTTP/1.1 200 OK", (*headers, length)), text
+        case EndlessPart.UNSEALED_BODY:
+            unsealed = tuple(each for each in headers if not _is_seal(each))
+            return _build_head(b"HTTP/1.1 200 OK", (*unsealed, CHUNKED)), _chunk(b"x")
+        case EndlessPart.EVENT | EndlessPart.TINY_EVENTS:
+            head = _build_head(b"HTTP/1.1 200 OK", (*headers, EVENT_STREAM, CHUNKED))
+            block = text if part is EndlessPart.EVENT else _repeat(b":\n\n")
+            return head + _chunk(build_event(1) + build_event(2)), _chunk(block)
+
+
+async def send_endless(
+    connection: CallerConnection, part: EndlessPart, headers: Headers
+) -> None:
+    """Send an answer that never ends, until the task is cancelled."""
+    transport: Any = connection.transport
+    first, block = build_endless_answer(part, headers)
+    is_slow = part in (EndlessPart.SLOW_JUNK, EndlessPart.UNSEALED_BODY)
+    pause_ms = SLOW_PAUSE_MS if is_slow else ENDLESS_PAUSE_MS
+    transport.write(first)
+    while True:
+        if len(transport.dataBuffer) + transport._tempDataLen < MAX_UNSENT_BYTES:
+            transport.write(block)
+        await asyncio.sleep(pause_ms / 1_000)
+
+
+async def send_unframed(
+    connection: CallerConnection,
+    head: UnframedHead,
+    headers: Headers,
+    parts: list[bytes],
+    *,
+    pause_ms: float,
+    is_reset: bool,
+) -> None:
+    """Send an answer with neither length nor chunks and end its connection.
+
+    Parameters
+    ----------
+    connection : CallerConnection
+        Connection of the request.
+    head : UnframedHead
+        Form of the head.
+    headers : tuple
+        Headers of the answer.
+    parts : list of bytes
+        Body, in the parts in which it is sent.
+    pause_ms : float
+        Time before each part, in milliseconds.
+    is_reset : bool
+        Whether the connection is reset instead of closed.
+    """
+    transport: Any = connection.transport
+    match head:
+        case UnframedHead.CLOSE:
+            closing = (*headers, (b"Connection", b"close"))
+            transport.write(_build_head(b"HTTP/1.1 200 OK", closing))
+        case UnframedHead.PLAIN:
+            transport.write(_build_head(b"HTTP/1.1 200 OK", headers))
+        case UnframedHead.HTTP_10:
+            transport.write(_build_head(b"HTTP/1.0 200 OK", headers))
+    for part in parts:
+        await asyncio.sleep(pause_ms / 1_000)
+        transport.write(part)
+    connection.on_disconnect = None
+    if is_reset:
+        await asyncio.sleep(RESET_DELAY_MS / 1_000)
+        transport.abortConnection()
+    else:
+        transport.loseConnection()
+
+
+def _build_head(status_line: bytes, headers: Headers) -> bytes:
+    lines = b"".join(b"%b: %b\r\n" % each for each in headers)
+    return b"%b\r\n%b\r\n" % (status_line, lines)
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _repeat(data: bytes) -> bytes:
+    return data * (BLOCK_BYTES // len(data))
+
+
+def _is_seal(header: tuple[bytes, bytes]) -> bool:
+    return header[0].lower() == b"damaskrill-response-seal"
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -3,47 +3,36 @@
 import asyncio
 import time
 from collections import Counter
-from enum import Enum
 from typing import Any
 
 from damaskrill.fakes.platform._listener import Listener
+from damaskrill.fakes.platform._misbehaviours import (
+    EndlessPart,
+    Misbehaviour,
+    UnframedHead,
+)
+from damaskrill.fakes.platform._raw_answers import (
+    EVENT_STREAM,
+    build_event,
+    send_endless,
+    send_unframed,
+)
 from damaskrill.http1 import CallerConnection, CallerRequest, Headers
 
-__all__ = ["FakeServer", "Misbehaviour"]
+__all__ = ["FakeServer"]
 
 SEAL = (b"Damaskrill-Response-Seal", b"seal")
 JSON = (b"Content-Type", b"application/json")
-EVENT_STREAM = (b"Content-Type", b"text/event-stream")
 ID_HEADER = b"damaskrill-request-id"
+UNFRAMED = (
+    Misbehaviour.UNFRAMED,
+    Misbehaviour.UNFRAMED_MID_EVENT,
+    Misbehaviour.UNFRAMED_RESET,
+)
 # How long before its deadline the server abandons a request.
 DEADLINE_MARGIN_MS = 20
 
 
-class Misbehaviour(Enum):
-    """Defect of the answers of a server."""
-
-    NONE = "none"
-    FULL = "full"
-    MOVED = "moved"
-    ERROR = "error"
-    HANG = "hang"
-    DEADLINE = "deadline"
-    RESET = "reset"
-    CUT = "cut"
-    SECOND_ANSWER = "second_answer"
-    OTHER_ID = "other_id"
-    NO_SEAL = "no_seal"
-    ENCODED = "encoded"
-    NO_LENGTH = "no_length"
-    NO_LENGTH_RESET = "no_length_reset"
-    RUBBISH = "rubbish"
-    MID_EVENT = "mid_event"
-    DRIP = "drip"
-    LATE_COPY = "late_copy"
-    LATE_REFUSAL = "late_refusal"
-    PAUSE = "pause"
-
-
 class FakeServer:
     """Backend server that records all its requests and runs.
 
@@ -84,6 +73,10 @@
         on, in milliseconds.
     n_events_before_silence : int
         Number of events of a stream that it sends before.
+    endless_part : EndlessPart
+        What a server with `Misbehaviour.ENDLESS` never ends.
+    unframed_head : UnframedHead
+        Head of its answers with neither length nor chunks.
     """
 
     def __init__(
@@ -106,6 +99,8 @@
         self.pauses: list[tuple[float, str]] = []
         self.silence_ms = 1_500
         self.n_events_before_silence = 2
+        self.endless_part = EndlessPart.JUNK
+        self.unframed_head = UnframedHead.CLOSE
         self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
         self._event_ms = event_ms
@@ -170,12 +165,18 @@
             SEAL,
             *self._leaving_headers,
         )
+        if self.misbehaviour is Misbehaviour.ENDLESS:
+            await send_endless(connection, self.endless_part, headers)
         if request.find_header(b"damaskrill-prompt-prefix") is not None:
             await self._stream(connection, request, headers)
             return
         if self.misbehaviour is Misbehaviour.PAUSE:
             await asyncio.sleep(self.silence_ms / 1_000)
         await asyncio.sleep(self._work_ms / 1_000)
+        if self.misbehaviour in UNFRAMED:
+            parts = [b'{"answer": ', b'"%b"}' % request_id]
+            await self._send_unframed(connection, (*headers, JSON), parts)
+            return
         self._answer(connection, request_id, headers)
 
     @property
@@ -200,10 +201,20 @@
         headers: tuple[tuple[bytes, bytes], ...],
     ) -> None:
         first = int(request.find_header(b"last-event-id") or b"0") + 1
+        if self.misbehaviour in UNFRAMED:
+            events = [
+                build_event(number) for number in range(first, self._n_events + 1)
+            ]
+            if self.misbehaviour is not Misbehaviour.UNFRAMED:
+                del events[self._n_events // 2 :]
+            if self.misbehaviour is Misbehaviour.UNFRAMED_MID_EVENT:
+                events.append(build_event(first + len(events))[:9])
+            await self._send_unframed(connection, (*headers, EVENT_STREAM), events)
+            return
         connection.begin_stream(200, (*headers, EVENT_STREAM))
         for number in range(first, self._n_events + 1):
             await asyncio.sleep(self._event_ms / 1_000)
-            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            event = build_event(number)
             is_second_half = number > self._n_events // 2
             is_next = number == self.n_events_before_silence + 1
             if is_next and self.misbehaviour is Misbehaviour.PAUSE:
@@ -229,6 +240,18 @@
             await asyncio.sleep(0.1)
             connection.send_chunk(b"x")
 
+    async def _send_unframed(
+        self, connection: CallerConnection, headers: Headers, parts: list[bytes]
+    ) -> None:
+        await send_unframed(
+            connection,
+            self.unframed_head,
+            headers,
+            parts,
+            pause_ms=self._event_ms,
+            is_reset=self.misbehaviour is Misbehaviour.UNFRAMED_RESET,
+        )
+
     def _answer(
         self,
         connection: CallerConnection,
--- a/damaskrill/fakes/platform/_store.py
+++ b/damaskrill/fakes/platform/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Coroutine
 from enum import Enum
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -10,6 +11,8 @@
 from attrs import frozen
 
 from damaskrill.fakes.platform._listener import Listener
+from damaskrill.fakes.platform._misbehaviours import EndlessPart
+from damaskrill.fakes.platform._raw_answers import send_endless
 from damaskrill.http1 import CallerConnection, CallerRequest, Headers
 
 __all__ = ["FakeStore", "StoreCopy", "StoreMode"]
@@ -27,6 +30,7 @@
     RESET = "reset"
     RUBBISH = "rubbish"
     COMPACTED = "compacted"
+    ENDLESS = "endless"
 
 
 @frozen
@@ -54,10 +58,20 @@
     ----------
     reactor : object
         Twisted's reactor.
+
+    Attributes
+    ----------
+    mode : StoreMode
+        How it answers calls.
+    n_calls : int
+        Number of received calls.
+    endless_part : EndlessPart
+        What a store with `StoreMode.ENDLESS` never ends.
     """
 
     def __init__(self, *, reactor: Any) -> None:
         self.mode = StoreMode.GOOD
+        self.endless_part = EndlessPart.UNFRAMED_BODY
         self.n_calls = 0
         self._era = 1
         self._revision = 100
@@ -169,13 +183,20 @@
                 pass
             case StoreMode.RUBBISH:
                 connection.send_answer(200, self._era_headers, b'{"items": 7')
+            case StoreMode.ENDLESS:
+                headers = self._era_headers
+                answer = send_endless(connection, self.endless_part, headers)
+                self._start_task(connection, answer)
             case StoreMode.GOOD | StoreMode.COMPACTED:
-                task = asyncio.get_running_loop().create_task(
-                    self._answer(connection, request)
-                )
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
-                connection.on_disconnect = lambda: _cancel(task)
+                self._start_task(connection, self._answer(connection, request))
+
+    def _start_task(
+        self, connection: CallerConnection, work: Coroutine[Any, Any, None]
+    ) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        connection.on_disconnect = lambda: _cancel(task)
 
     async def _answer(
         self, connection: CallerConnection, request: CallerRequest
