End an attempt at bytes that cannot be the head or framing of an answer

Callers of a server that sends interim answers, chunk extensions or tiny chunks without end got 504 at the time limit instead of 502 at once, and reads were not sent to the other server; a server that sends junk slowly counted as stalled. A call to a store of that kind lasted until its time limit. The cause: the parser bounds each part of an answer, but neither the number of interim answers nor that of chunks, and it waits for a whole head before it looks at its first bytes.

The fake sends blocks of 128 kB instead of 32 kB, as a rate of about 11 MB/s beside load made the server, not the router, the limit of the large answers.

--- a/damaskrill/fakes/platform/_raw_answers.py
+++ b/damaskrill/fakes/platform/_raw_answers.py
@@ -14,7 +14,7 @@
     "send_unframed",
 ]
 
-BLOCK_BYTES = 32_768
+BLOCK_BYTES = 131_072
 # Bytes that a server of endless answers leaves unsent before it writes more.
 MAX_UNSENT_BYTES = 262_144
 ENDLESS_PAUSE_MS = 1
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -10,6 +10,12 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
+from damaskrill.http1._answer_bounds import (
+    MAX_ANSWER_HEAD_BYTES,
+    AnswerBounds,
+    check_head_start,
+)
+from damaskrill.http1._errors import InvalidAnswerError
 from damaskrill.http1._messages import (
     AnswerHead,
     AnswerSink,
@@ -26,7 +32,6 @@
 USER_TIMEOUT_MS = 1_000
 # Fraction of that time after which the loss of a connection counts as a timeout.
 SILENT_TIMEOUT_FRACTION = 0.9
-MAX_ANSWER_HEAD_BYTES = 65_536
 # Assumed idle timeout of servers that do not send one.
 DEFAULT_IDLE_TIMEOUT_MS = 4_000
 # Margin for a request to reach the server before it closes the idle connection.
@@ -47,6 +52,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES
         )
         self._sink: AnswerSink | None = None
+        self._bounds = AnswerBounds()
         self._n_exchanges = 0
         self._has_answer = False
         self._is_open = False
@@ -81,6 +87,7 @@
     def start(self, request: OutgoingRequest, sink: AnswerSink) -> None:
         """Send a request and pass its answer to a sink."""
         self._sink = sink
+        self._bounds = AnswerBounds()
         self._has_answer = False
         self._started_at = time.monotonic()
         headers = list(request.headers)
@@ -115,6 +122,7 @@
             self.abort()
             return
         self._has_answer = True
+        self._bounds.add_received(len(data))
         self._http.receive_data(data)
         self._process_events()
 
@@ -148,12 +156,18 @@
             while self._sink is not None:
                 event = self._http.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
+                    self._check_bounds()
                     return
                 self._handle_event(event)
-        except h11.RemoteProtocolError as error:
+        except (h11.RemoteProtocolError, InvalidAnswerError) as error:
             self._fail(FailureKind.MALFORMED, str(error))
             self.abort()
 
+    def _check_bounds(self) -> None:
+        self._bounds.check_framing()
+        if self._http.their_state is h11.SEND_RESPONSE:
+            check_head_start(self._http.trailing_data[0])
+
     def _handle_event(self, event: Any) -> None:
         sink = self._sink
         if sink is None:
@@ -164,7 +178,10 @@
                 head = AnswerHead(status=event.status_code, headers=headers)
                 self._read_idle_limit(head)
                 sink.handle_head(head)
+            case h11.InformationalResponse():
+                self._bounds.add_informational()
             case h11.Data():
+                self._bounds.add_body(len(event.data), begins_chunk=event.chunk_start)
                 sink.handle_data(bytes(event.data))
             case h11.EndOfMessage():
                 self._end_exchange(sink)
