Bound the memory for answers that are not complete, and end larger ones at once

A body without end was read until the time limit: its bytes beyond 64 MB were dropped but read on, so that an action ended with 504 instead of 502, and with one such server out of two, six of six reads ended with 504. Each request could hold 64 MB, while a router has 150 to 550 MB for all. A stream of tiny events was forwarded until the limit.

An answer or stream of more than 8 MB is now refused as soon as it exceeds that, and all buffers of a router hold 32 MB at most.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from damaskrill.gateway._buffers import MAX_ANSWER_BYTES, AnswerBuffer
 from damaskrill.gateway._events import EventSplitter, parse_last_event_id
 from damaskrill.http1 import (
     AnswerHead,
@@ -12,6 +13,7 @@
     CallerConnection,
     ExchangeFailure,
     Headers,
+    InvalidAnswerError,
     forwarded_headers,
 )
 from damaskrill.steering import AnswerMetadata
@@ -28,9 +30,6 @@
     "StreamProgress",
 ]
 
-# Answers other than streams are buffered until complete, so that an incomplete one
-# never looks complete to the caller.
-MAX_BUFFERED_BYTES = 64_000_000
 EVENT_STREAM = b"text/event-stream"
 STATUS_OK = 200
 STATUS_MULTIPLE = 300
@@ -164,6 +163,9 @@
         Forwards events to the caller; None if the request is not for a stream.
     on_metadata : callable
         Handles the metadata of the answer as soon as its headers have been received.
+    buffer : AnswerBuffer
+        Holds an answer other than a stream until it is complete, so that an incomplete
+        one never looks complete to the caller.
     """
 
     def __init__(
@@ -173,6 +175,7 @@
         read_answer: Callable[[AnswerHead], AnswerMetadata],
         progress: StreamProgress | None,
         on_metadata: Callable[[AnswerMetadata], None],
+        buffer: AnswerBuffer,
     ) -> None:
         loop = asyncio.get_running_loop()
         self._loop = loop
@@ -184,8 +187,8 @@
         self._head: AnswerHead | None = None
         self._metadata = AnswerMetadata()
         self._splitter: EventSplitter | None = None
-        self._chunks: list[bytes] = []
-        self._n_bytes = 0
+        self._buffer = buffer
+        self._n_stream_bytes = 0
         self.progress_at = loop.time()
 
     @property
@@ -214,8 +217,17 @@
                 self._splitter = EventSplitter()
 
     def handle_data(self, data: bytes) -> None:
-        """Handle a chunk of the body."""
+        """Handle a chunk of the body.
+
+        Raises
+        ------
+        InvalidAnswerError
+            If the answer is too large.
+        """
         if self._splitter is not None and self._progress is not None:
+            self._n_stream_bytes += len(data)
+            if self._n_stream_bytes > MAX_ANSWER_BYTES:
+                raise InvalidAnswerError(reason=f"it exceeds {MAX_ANSWER_BYTES} bytes")
             events = self._splitter.feed(data)
             if events and self._head is not None and not self.done.done():
                 # Only complete events count as progress: a stalled server may still
@@ -224,9 +236,7 @@
                 self._progress.send(self._head, events)
             return
         self.progress_at = self._loop.time()
-        self._n_bytes += len(data)
-        if self._n_bytes <= MAX_BUFFERED_BYTES:
-            self._chunks.append(data)
+        self._buffer.append(data)
 
     def handle_end(self) -> None:
         """Handle the end of a complete answer."""
@@ -235,6 +245,7 @@
 
     def handle_failure(self, failure: ExchangeFailure) -> None:
         """Handle a failure of the exchange."""
+        self._buffer.clear()
         if not self.done.done():
             self.done.set_result(Broken(failure=failure))
 
@@ -256,9 +267,9 @@
                 return BadAnswer(reason="stream ends in the middle of an event")
             self._progress.end(head)
             return StreamEnded()
-        if self._n_bytes > MAX_BUFFERED_BYTES:
-            return BadAnswer(reason=f"answer exceeds {MAX_BUFFERED_BYTES} bytes")
-        return CompleteAnswer(head=head, body=b"".join(self._chunks))
+        if self._buffer.is_dropped:
+            return BadAnswer(reason="no memory is left for an answer so large")
+        return CompleteAnswer(head=head, body=self._buffer.take())
 
     def _find_fault(self) -> str:
         head, metadata = self._head, self._metadata
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -8,6 +8,7 @@
 from damaskrill.catalog import BackendServer, Catalog, Route
 from damaskrill.eventlog import DecisionLog
 from damaskrill.gateway._binding import PlatformBinding
+from damaskrill.gateway._buffers import BufferBudget
 from damaskrill.gateway._exchange import Exchange
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
@@ -116,6 +117,7 @@
         self.log = log
         self.metrics = metrics
         self.loads = loads
+        self.buffer_budget = BufferBudget()
         self._cold_start_limiter = cold_start_limiter
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -15,6 +15,7 @@
     StreamEnded,
     StreamProgress,
 )
+from damaskrill.gateway._buffers import AnswerBuffer
 from damaskrill.gateway._outcomes import classify_outcome, find_refusal
 from damaskrill.gateway._responder import Responder
 from damaskrill.http1 import (
@@ -297,6 +298,7 @@
             read_answer=dispatcher.binding.read_answer,
             progress=self._progress if is_stream else None,
             on_metadata=lambda metadata: dispatcher.handle_metadata(server, metadata),
+            buffer=AnswerBuffer(budget=dispatcher.buffer_budget),
         )
         remaining_ms = max(1, int(self._limit_at_ms - dispatcher.now_ms))
         headers = dispatcher.binding.server_headers(
