End a call to the store as soon as its answer is too large

A store whose answer has no end held the call until its time limit (the test's calls: 5 s): the bytes beyond 32 MB were dropped but read on. The call now fails and closes its connection when the answer exceeds 32 MB.

--- a/damaskrill/http1/_fetch.py
+++ b/damaskrill/http1/_fetch.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+from damaskrill.http1._errors import InvalidAnswerError
 from damaskrill.http1._messages import (
     AnswerHead,
     AnswerSink,
@@ -29,14 +30,15 @@
 
     def handle_data(self, data: bytes) -> None:
         self._n_bytes += len(data)
-        if self._n_bytes <= MAX_BODY_BYTES:
-            self._parts.append(data)
+        if self._n_bytes > MAX_BODY_BYTES:
+            raise InvalidAnswerError(reason=f"it exceeds {MAX_BODY_BYTES} bytes")
+        self._parts.append(data)
 
     def handle_end(self) -> None:
         if self.done.done():
             return
-        if self._head is None or self._n_bytes > MAX_BODY_BYTES:
-            self.done.set_exception(OSError("the answer is too large"))
+        if self._head is None:
+            self.done.set_exception(OSError("the answer has no head"))
         else:
             self.done.set_result((self._head, b"".join(self._parts)))
 
