Refuse a stream whose events have no new numbers

Events are numbered, in increasing order. A stream that sends more bytes than the largest event has (196,608) without a new number is now refused.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -6,7 +6,11 @@
 from attrs import frozen
 
 from damaskrill.gateway._buffers import MAX_ANSWER_BYTES, AnswerBuffer
-from damaskrill.gateway._events import EventSplitter, parse_last_event_id
+from damaskrill.gateway._events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    parse_last_event_id,
+)
 from damaskrill.http1 import (
     AnswerHead,
     AnswerSink,
@@ -189,6 +193,8 @@
         self._splitter: EventSplitter | None = None
         self._buffer = buffer
         self._n_stream_bytes = 0
+        self._n_unnumbered_bytes = 0
+        self._highest_id = 0
         self.progress_at = loop.time()
 
     @property
@@ -222,7 +228,7 @@
         Raises
         ------
         InvalidAnswerError
-            If the answer is too large.
+            If the answer is too large, or a stream has no more numbered events.
         """
         if self._splitter is not None and self._progress is not None:
             self._n_stream_bytes += len(data)
@@ -233,7 +239,7 @@
                 # Only complete events count as progress: a stalled server may still
                 # send a byte now and then.
                 self.progress_at = self._loop.time()
-                self._progress.send(self._head, events)
+                self._send_events(self._progress, self._head, events)
             return
         self.progress_at = self._loop.time()
         self._buffer.append(data)
@@ -249,6 +255,19 @@
         if not self.done.done():
             self.done.set_result(Broken(failure=failure))
 
+    def _send_events(
+        self, progress: StreamProgress, head: AnswerHead, events: bytes
+    ) -> None:
+        progress.send(head, events)
+        # The events' numbers increase; others, such as comments, are few.
+        self._n_unnumbered_bytes += len(events)
+        last_id = progress.last_id or 0
+        if last_id > self._highest_id:
+            self._highest_id = last_id
+            self._n_unnumbered_bytes = 0
+        if self._n_unnumbered_bytes > MAX_EVENT_BYTES:
+            raise InvalidAnswerError(reason="its events have no new numbers")
+
     def _build_result(self) -> AttemptResult:
         head = self._head
         if head is None:
--- a/damaskrill/gateway/_events.py
+++ b/damaskrill/gateway/_events.py
@@ -2,7 +2,7 @@
 
 from damaskrill.http1 import InvalidAnswerError
 
-__all__ = ["EventSplitter", "parse_last_event_id"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "parse_last_event_id"]
 
 # Size of an event. Events carry a few tokens; this leaves room for a whole text.
 MAX_EVENT_BYTES = 196_608
