End an attempt at a head that makes its body useless

A server that answers with success but without its proof of origin, and then sends its body slowly, kept an action until the time limit (504), and with one such server out of two, six of six reads ended with 504. The cause: the head was judged only when the body was complete. The attempt now ends as a bad answer at the head, and the connection is closed. Answers that belong to another request are read to their end as before: this request may still be running there.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -210,12 +210,19 @@
         return answered is not None and answered != self._request_id
 
     def handle_head(self, head: AnswerHead) -> None:
-        """Handle status and headers."""
+        """Handle status and headers.
+
+        Raises
+        ------
+        InvalidAnswerError
+            If they show that the body is of no use.
+        """
         self.progress_at = self._loop.time()
         self._head = head
         self._metadata = metadata = self._read_answer(head)
         if not self._is_foreign:
             self._on_metadata(metadata)
+            self._refuse_useless_body()
         is_success = STATUS_OK <= head.status < STATUS_MULTIPLE
         if self._progress is not None and is_success:
             content_type = head.find_header(b"content-type") or b""
@@ -290,6 +297,14 @@
             return BadAnswer(reason="no memory is left for an answer so large")
         return CompleteAnswer(head=head, body=self._buffer.take())
 
+    def _refuse_useless_body(self) -> None:
+        # The server has answered, so that ending the exchange interrupts no work.
+        fault = "" if self._metadata.is_not_run else self._find_fault()
+        if fault:
+            if not self.done.done():
+                self.done.set_result(BadAnswer(reason=fault))
+            raise InvalidAnswerError(reason=fault)
+
     def _find_fault(self) -> str:
         head, metadata = self._head, self._metadata
         if head is None:
