Disconnect a caller that does not read its stream

Some tens of such callers exhaust a router's memory.

With more than 1 MB unsent, the router now logs caller_not_reading and disconnects the caller, which ends the server's run as any other disconnect does.

--- a/damaskrill/fakes/platform/_misbehaviours.py
+++ b/damaskrill/fakes/platform/_misbehaviours.py
@@ -52,6 +52,7 @@
     UNSEALED_BODY = "a slow body without seal"
     EVENT = "an event"
     TINY_EVENTS = "tiny events"
+    NUMBERED_EVENTS = "numbered events"
 
 
 class UnframedHead(Enum):
--- a/damaskrill/fakes/platform/_raw_answers.py
+++ b/damaskrill/fakes/platform/_raw_answers.py
@@ -1,6 +1,7 @@
 """Answers of fake backend servers that are written byte by byte."""
 
 import asyncio
+import itertools
 from typing import Any
 
 from damaskrill.fakes.platform._misbehaviours import EndlessPart, UnframedHead
@@ -33,6 +34,8 @@
 def build_endless_answer(part: EndlessPart, headers: Headers) -> tuple[bytes, bytes]:
     """Return the start of an answer and the bytes that are repeated after it.
 
+    Numbered events are repeated with increasing numbers by `send_endless` only.
+
     Parameters
     ----------
     part : EndlessPart
@@ -72,7 +75,7 @@
         case EndlessPart.UNSEALED_BODY:
             unsealed = tuple(each for each in headers if not _is_seal(each))
             return _build_head(b"HTTP/1.1 200 OK", (*unsealed, CHUNKED)), _chunk(b"x")
-        case EndlessPart.EVENT | EndlessPart.TINY_EVENTS:
+        case EndlessPart.EVENT | EndlessPart.TINY_EVENTS | EndlessPart.NUMBERED_EVENTS:
             head = _build_head(b"HTTP/1.1 200 OK", (*headers, EVENT_STREAM, CHUNKED))
             block = text if part is EndlessPart.EVENT else _repeat(b":\n\n")
             return head + _chunk(build_event(1) + build_event(2)), _chunk(block)
@@ -87,7 +90,9 @@
     is_slow = part in (EndlessPart.SLOW_JUNK, EndlessPart.UNSEALED_BODY)
     pause_ms = SLOW_PAUSE_MS if is_slow else ENDLESS_PAUSE_MS
     transport.write(first)
-    while True:
+    for number in itertools.count(3):
+        if part is EndlessPart.NUMBERED_EVENTS:
+            block = _chunk(b"id: %d\ndata: %b\n\n" % (number, b"x" * BLOCK_BYTES))
         if len(transport.dataBuffer) + transport._tempDataLen < MAX_UNSENT_BYTES:
             transport.write(block)
         await asyncio.sleep(pause_ms / 1_000)
--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -11,7 +11,7 @@
 
 from damaskrill.catalog import CallerLimits
 from damaskrill.http1._messages import CallerRequest, Headers
-from damaskrill.http1._transport import write_now
+from damaskrill.http1._transport import count_unsent_bytes, write_now
 from damaskrill.utils import monotonic_now_ms
 
 __all__ = ["CallerConnection", "CallerConnectionFactory"]
@@ -21,6 +21,9 @@
 LINGER_MS = 1_000
 # Bytes of pipelined requests that are buffered while a request is being answered.
 MAX_PIPELINED_BYTES = 262_144
+# Bytes of a stream that a caller has not read yet. Streams have a few hundred kB, which
+# sockets hold; more is left only if the caller does not read.
+MAX_UNREAD_BYTES = 1_048_576
 # Callers expect a new connection to stay open for one second. If it is closed earlier
 # without an answer, they need a retry.
 FIRST_REQUEST_GRACE_MS = 1_000
@@ -111,8 +114,17 @@
         self._send_head(status, (*headers, (b"Transfer-Encoding", b"chunked")))
 
     def send_chunk(self, data: bytes) -> None:
-        """Send a chunk of the answer."""
+        """Send a chunk of the answer; abort if the caller does not read."""
         self._send(h11.Data(data=data))
+        transport: Any = self.transport
+        if (
+            not self._is_disconnected
+            and count_unsent_bytes(transport) > MAX_UNREAD_BYTES
+        ):
+            self._factory.report("caller_not_reading")
+            # The request's handler learns of it as of any other disconnect.
+            self._is_disconnected = True
+            transport.abortConnection()
 
     def end_stream(self) -> None:
         """End the answer as complete."""
--- a/damaskrill/http1/_transport.py
+++ b/damaskrill/http1/_transport.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.main import CONNECTION_LOST
 
-__all__ = ["write_now"]
+__all__ = ["count_unsent_bytes", "write_now"]
 
 
 def write_now(transport: Any, data: bytes) -> None:
@@ -38,3 +38,9 @@
         and not transport.dataBuffer
         and not transport._tempDataBuffer
     )
+
+
+def count_unsent_bytes(transport: Any) -> int:
+    """Return the number of bytes that the socket has not taken yet."""
+    n_buffered = len(transport.dataBuffer) - transport.offset
+    return n_buffered + transport._tempDataLen
--- a/features/steps/gateway_buffers_steps.py
+++ b/features/steps/gateway_buffers_steps.py
@@ -1,12 +1,18 @@
 """Steps for the memory of answers that are not complete."""
 
+import asyncio
+import socket
+
 from behave import then, when
 
 from damaskrill.gateway._buffers import MAX_ANSWER_BYTES, AnswerBuffer, BufferBudget
 from damaskrill.http1 import InvalidAnswerError
+from features.support.gateways import PROMPT, build_request
 
 MB = 1_000_000
 READ = b"x" * 65_536
+SMALL_RECEIVE_BUFFER_BYTES = 4_096
+SAMPLE_S = 0.005
 
 
 def fill(buffer, n_bytes):
@@ -76,3 +82,33 @@
 @then("the last of them was buffered completely")
 def step_last(context):
     assert context.is_accepted
+
+
+@when("a caller sends a chat and reads nothing for {duration_ms:d} ms")
+def step_reads_nothing(context, duration_ms):
+    gateway = context.testbed.gateways[0]
+    data, _ = build_request("/chat/1", headers=[PROMPT])
+
+    async def run():
+        caller = socket.socket()
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES
+        )
+        caller.connect(gateway._settings.caller_address)
+        caller.sendall(data)
+        context.max_unsent = 0
+        ends_at = asyncio.get_running_loop().time() + duration_ms / 1_000
+        while asyncio.get_running_loop().time() < ends_at:
+            await asyncio.sleep(SAMPLE_S)
+            for connection in gateway._callers.connections:
+                transport = connection.transport
+                n_unsent = len(transport.dataBuffer) + transport._tempDataLen
+                context.max_unsent = max(context.max_unsent, n_unsent)
+        caller.close()
+
+    context.testbed.call(run)
+
+
+@then("at most {n_mb:g} MB were left unsent for it")
+def step_unsent(context, n_mb):
+    assert context.max_unsent <= n_mb * MB, context.max_unsent
