Measure an endless event's processor time without the test runner's own

The scenario "an event that never ends costs little processor time and memory" failed once, with 1,061 ms of the 1,000 ms allowed, in the run of all gateway features.

The loop now counts in local variables; bytes and bounds are unchanged.

--- a/features/steps/gateway_endless_answers_steps.py
+++ b/features/steps/gateway_endless_answers_steps.py
@@ -122,16 +122,19 @@
 
 @when("an event arrives in pieces of {size:d} bytes and never ends")
 def step_endless_event(context, size):
+    # Local variables only: each access to behave's context takes some 50 us, which
+    # must not count as the splitter's processor time.
     splitter, piece = EventSplitter(), b"x" * size
-    context.n_bytes, context.is_refused = 0, False
+    n_bytes, is_refused = 0, False
     started_at = time.process_time()
-    while not context.is_refused and context.n_bytes < GIVE_UP_BYTES:
-        context.n_bytes += size
+    while not is_refused and n_bytes < GIVE_UP_BYTES:
+        n_bytes += size
         try:
             splitter.feed(piece)
         except DamaskrillError:
-            context.is_refused = True
+            is_refused = True
     context.cpu_ms = (time.process_time() - started_at) * 1_000
+    context.n_bytes, context.is_refused = n_bytes, is_refused
 
 
 @then(
