Keep the attempt at a silent server until another one has accepted the request

What callers saw: a stream was cut in its middle, with neither its end nor a refusal, or a request failed with 502, although its server was sound and only silent for a second.

Cause: when a server of a resumable stream or a read had been silent for a while, the router ended the attempt there first, and only then looked for another server. If the other one was full, refused connections or did not exist, if the retry budget was used up, or if the configuration had dropped the service, nothing was left.

Now a healthy server and a retry of the budget are reserved, and the connection is open, before the request is sent there; meanwhile the first attempt is held: what it receives is kept. It goes on if the other server refuses the request or if it makes progress first, and is ended when the other one has sent the head of a successful answer, or after 250 ms. Nothing to go to means waiting on.

The decision stands in steering/_silence.py; sending and hand-over moved from the exchange to gateway/_attempts.py.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -24,6 +24,7 @@
     "Broken",
     "CompleteAnswer",
     "NotRun",
+    "Stalled",
     "StreamEnded",
     "StreamProgress",
 ]
@@ -82,7 +83,20 @@
     failure: ExchangeFailure
 
 
-AttemptResult = CompleteAnswer | StreamEnded | NotRun | BadAnswer | Broken
+@frozen(kw_only=True)
+class Stalled:
+    """No progress for a while; the attempt is held while another server is tried.
+
+    Parameters
+    ----------
+    idle_ms : float
+        Time without progress, in milliseconds.
+    """
+
+    idle_ms: float
+
+
+AttemptResult = CompleteAnswer | StreamEnded | NotRun | BadAnswer | Broken | Stalled
 
 
 class StreamProgress:
@@ -164,6 +178,22 @@
         Forwards events to the caller; None if the request is not for a stream.
     on_metadata : callable
         Handles the metadata of the answer as soon as its headers have been received.
+
+    Attributes
+    ----------
+    done : asyncio.Future
+        Result of the attempt.
+    accepted : asyncio.Future
+        Done when the head of a successful answer to this request has been received.
+    revived : asyncio.Future
+        Done when a held attempt has made progress.
+    progress_at : float
+        Time of the last progress, on the clock of the event loop in seconds.
+
+    Notes
+    -----
+    A held attempt keeps what it receives instead of forwarding it, so that two attempts
+    at the same stream never forward events at the same time.
     """
 
     def __init__(
@@ -177,6 +207,11 @@
         loop = asyncio.get_running_loop()
         self._loop = loop
         self.done: asyncio.Future[AttemptResult] = loop.create_future()
+        self.accepted: asyncio.Future[None] = loop.create_future()
+        self.revived: asyncio.Future[None] = loop.create_future()
+        self._is_held = False
+        self._held_events = b""
+        self._has_held_end = False
         self._request_id = request_id
         self._read_answer = read_answer
         self._progress = progress
@@ -193,6 +228,19 @@
         """Whether status and headers have been received."""
         return self._head is not None
 
+    def hold(self) -> None:
+        """Keep received events until `release` is called."""
+        self._is_held = True
+
+    def release(self) -> None:
+        """Forward what has been received since `hold`, and all that follows."""
+        self._is_held = False
+        events, self._held_events = self._held_events, b""
+        if events:
+            self._forward(events)
+        if self._has_held_end:
+            self.handle_end()
+
     @property
     def _is_foreign(self) -> bool:
         # A server may send a second copy of an earlier answer on the connection, which
@@ -212,26 +260,40 @@
             content_type = head.find_header(b"content-type") or b""
             if content_type.startswith(EVENT_STREAM) and not self._find_fault():
                 self._splitter = EventSplitter()
+        if is_success and not metadata.is_not_run and not self._find_fault():
+            _set_done(self.accepted)
 
     def handle_data(self, data: bytes) -> None:
         """Handle a chunk of the body."""
         if self._splitter is not None and self._progress is not None:
             events = self._splitter.feed(data)
-            if events and self._head is not None and not self.done.done():
+            if events and not self.done.done():
                 # Only complete events count as progress: a stalled server may still
                 # send a byte now and then.
                 self.progress_at = self._loop.time()
-                self._progress.send(self._head, events)
+                self._forward(events)
             return
         self.progress_at = self._loop.time()
         self._n_bytes += len(data)
         if self._n_bytes <= MAX_BUFFERED_BYTES:
             self._chunks.append(data)
 
+    def _forward(self, events: bytes) -> None:
+        if self._is_held:
+            self._held_events += events
+            _set_done(self.revived)
+        elif self._progress is not None and self._head is not None:
+            self._progress.send(self._head, events)
+
     def handle_end(self) -> None:
         """Handle the end of a complete answer."""
-        if not self.done.done():
-            self.done.set_result(self._build_result())
+        if self.done.done():
+            return
+        if self._is_held:
+            self._has_held_end = True
+            _set_done(self.revived)
+            return
+        self.done.set_result(self._build_result())
 
     def handle_failure(self, failure: ExchangeFailure) -> None:
         """Handle a failure of the exchange."""
@@ -272,3 +334,8 @@
             if metadata.is_encoded:
                 return "body has a content encoding"
         return ""
+
+
+def _set_done(future: "asyncio.Future[None]") -> None:
+    if not future.done():
+        future.set_result(None)
--- /dev/null
+++ b/damaskrill/gateway/_attempt_records.py
@@ -0,0 +1,126 @@
+"""Log lines and server outcomes of attempts."""
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from damaskrill.catalog import BackendServer
+from damaskrill.gateway._attempt import AttemptResult
+from damaskrill.gateway._outcomes import classify_outcome
+from damaskrill.gateway._sent_request import SentRequest
+from damaskrill.steering import ServerOutcome
+
+if TYPE_CHECKING:
+    from damaskrill.gateway._dispatcher import RequestDispatcher
+
+__all__ = ["AttemptRecords"]
+
+# After this many targets without an answer, the server is considered unresponsive.
+SILENT_TARGETS = 2.0
+
+
+@define(kw_only=True, eq=False)
+class AttemptRecords:
+    """Records how the attempts of one request ended.
+
+    Parameters
+    ----------
+    dispatcher : RequestDispatcher
+        State that all exchanges share.
+    request_id : str
+        The caller's identifier of the request.
+    """
+
+    dispatcher: "RequestDispatcher"
+    request_id: str
+
+    def evaluate(
+        self,
+        sent: SentRequest,
+        result: AttemptResult,
+        *,
+        target_ms: float,
+        is_expired: bool,
+    ) -> ServerOutcome | None:
+        """Record the end of an attempt, and return its outcome for the server.
+
+        Parameters
+        ----------
+        sent : SentRequest
+            The attempt.
+        result : AttemptResult
+            How it ended.
+        target_ms : float
+            Latency target of the request, in milliseconds.
+        is_expired : bool
+            Whether the request's time limit has passed or its caller has left.
+
+        Returns
+        -------
+        ServerOutcome or None
+            None if the attempt gives no evidence about the server.
+        """
+        waited_ms = self.dispatcher.now_ms - sent.sent_at_ms
+        is_late = waited_ms > SILENT_TARGETS * target_ms
+        found = classify_outcome(
+            result,
+            is_expired=is_expired,
+            is_silent=is_late and not sent.attempt.has_head,
+            waited_ms=waited_ms,
+        )
+        if found is None:
+            return None
+        outcome, reason = found
+        self.record(sent.server, outcome, reason, sent_at_ms=sent.sent_at_ms)
+        return outcome
+
+    def record_stalled(self, sent: SentRequest) -> None:
+        """Record an attempt that is ended because another server has accepted."""
+        waited_ms = self.dispatcher.now_ms - sent.sent_at_ms
+        self.record(
+            sent.server,
+            ServerOutcome.STALLED,
+            f"another server has accepted the request after {waited_ms:.0f} ms",
+            sent_at_ms=sent.sent_at_ms,
+        )
+
+    def record(
+        self,
+        server: BackendServer,
+        outcome: ServerOutcome,
+        reason: str,
+        *,
+        sent_at_ms: float | None = None,
+    ) -> None:
+        """Record an outcome for a server, and log it unless it is good.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The server.
+        outcome : ServerOutcome
+            Outcome of an attempt.
+        reason : str
+            Description for the log.
+        sent_at_ms : float or None, default=None
+            Time of sending, in milliseconds; None if the request was not sent.
+        """
+        dispatcher, now_ms = self.dispatcher, self.dispatcher.now_ms
+        if outcome is not ServerOutcome.GOOD:
+            dispatcher.log.warn(
+                "attempt_failed",
+                request_id=self.request_id,
+                backend_server=server.server_id,
+                data_centre=server.data_centre,
+                causes=[
+                    {
+                        "code": outcome.value,
+                        "sentence": outcome.sentence,
+                        "subject": server.server_id,
+                    }
+                ],
+                detail=reason,
+                load=round(dispatcher.loads.estimate(server.key, now_ms)),
+                wait_ms=0 if sent_at_ms is None else round(now_ms - sent_at_ms),
+            )
+        dispatcher.record_outcome(server, outcome)
--- /dev/null
+++ b/damaskrill/gateway/_attempts.py
@@ -0,0 +1,342 @@
+"""Attempts of one request at servers, and the hand-over between two of them."""
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from attrs import frozen
+
+from damaskrill.catalog import BackendServer, RequestKind, Route, Team
+from damaskrill.gateway._attempt import (
+    Attempt,
+    AttemptResult,
+    Broken,
+    Stalled,
+    StreamProgress,
+)
+from damaskrill.gateway._attempt_records import AttemptRecords
+from damaskrill.gateway._responder import Responder
+from damaskrill.gateway._sent_request import SentRequest
+from damaskrill.http1 import (
+    CallerRequest,
+    ExchangeFailure,
+    FailureKind,
+    OutgoingRequest,
+    ServerConnection,
+)
+from damaskrill.steering import (
+    RequestMetadata,
+    ServerOutcome,
+    ServerRequirements,
+    silence_limit_ms,
+)
+
+if TYPE_CHECKING:
+    from damaskrill.gateway._dispatcher import RequestDispatcher
+
+__all__ = ["AttemptContext", "RequestAttempts"]
+
+# Interval at which another server is sought while the present one is silent.
+SILENCE_POLL_MS = 100
+# Time in which another server can accept a request before the held attempt is ended.
+# The users allow that both servers work on it for 400 ms, in which the close has to
+# reach the former one.
+HANDOVER_MS = 250
+
+
+@frozen(kw_only=True)
+class AttemptContext:
+    """What all attempts of a request have in common.
+
+    Parameters
+    ----------
+    route : Route
+        The request's route.
+    team : Team or None
+        The caller's team.
+    requirements : ServerRequirements
+        Requirements on its server.
+    limit_at_ms : float
+        Time at which the request ends without an answer, in milliseconds.
+    """
+
+    route: Route
+    team: Team | None
+    requirements: ServerRequirements
+    limit_at_ms: float
+
+
+class RequestAttempts:
+    """Sends a request to one server after the other.
+
+    Parameters
+    ----------
+    dispatcher : RequestDispatcher
+        State that all exchanges share.
+    request : CallerRequest
+        The complete request.
+    metadata : RequestMetadata
+        Metadata of the request.
+    progress : StreamProgress
+        Forwards the events of a stream.
+    responder : Responder
+        Sender of the final answer.
+
+    Attributes
+    ----------
+    context : AttemptContext
+        Set before the first attempt.
+    tried, sent_to, overloaded : set of tuple of (str, int)
+        Incarnations that were selected; of these, those that received the request, and
+        those that were full.
+    held : SentRequest or None
+        Attempt at a silent server. It goes on unless another server accepts the
+        request.
+
+    Notes
+    -----
+    A sound server may be silent for a while. Therefore an attempt is only ended for
+    another one that has a server, a connection and a retry of the budget, and that was
+    not refused.
+    """
+
+    context: AttemptContext
+
+    def __init__(
+        self,
+        *,
+        dispatcher: "RequestDispatcher",
+        request: CallerRequest,
+        metadata: RequestMetadata,
+        progress: StreamProgress,
+        responder: Responder,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._request = request
+        self._metadata = metadata
+        self._progress = progress
+        self._responder = responder
+        self._records = AttemptRecords(
+            dispatcher=dispatcher, request_id=metadata.request_id
+        )
+        self._reserved: BackendServer | None = None
+        self.tried: set[tuple[str, int]] = set()
+        self.sent_to: set[tuple[str, int]] = set()
+        self.overloaded: set[tuple[str, int]] = set()
+        self.held: SentRequest | None = None
+
+    @property
+    def is_held_revived(self) -> bool:
+        """Whether the held attempt has made progress."""
+        return self.held is not None and self.held.is_revived
+
+    def take_reserved(self) -> BackendServer | None:
+        """Return the server that was reserved when the present one fell silent."""
+        reserved, self._reserved = self._reserved, None
+        return reserved
+
+    def forget_overloaded(self) -> None:
+        """Make the servers that were full eligible again."""
+        self.tried -= self.overloaded
+        self.overloaded.clear()
+
+    async def try_server(self, server: BackendServer) -> AttemptResult | None:
+        """Send the request to a server and return the result.
+
+        Returns
+        -------
+        AttemptResult or None
+            None if the request was not sent. If a held attempt makes progress before
+            the server accepts the request, the result of the held attempt.
+        """
+        self._responder.record_server(server)
+        self.tried.add(server.key)
+        self._dispatcher.loads.start(server.key)
+        sent = None
+        try:
+            connection = await self._connect(server)
+            if connection is not None and not self.is_held_revived:
+                sent = self._send(server, connection)
+        finally:
+            if sent is None:
+                self._dispatcher.loads.end(server.key)
+        if sent is None:
+            if connection is not None:
+                self._dispatcher.pool.release(connection)
+            return None
+        if self.held is not None and await self._does_held_go_on(self.held, sent):
+            self._end(sent)
+            return await self.resume_held(self.held)
+        return await self._wait_for_end(sent)
+
+    async def resume_held(self, held: SentRequest) -> AttemptResult:
+        """Go on with the held attempt and return its result."""
+        self.held = None
+        self._responder.server = held.server
+        held.attempt.release()
+        return await self._wait_for_end(held)
+
+    def end_held(self) -> None:
+        """End the held attempt, if there is one."""
+        held, self.held = self.held, None
+        if held is not None:
+            self._end(held)
+
+    async def _connect(self, server: BackendServer) -> ServerConnection | None:
+        dispatcher = self._dispatcher
+        connection = dispatcher.pool.acquire_idle(server.key)
+        if connection is not None:
+            return connection
+        try:
+            connection = await dispatcher.pool.open(server.key, server.address)
+        except OSError as error:
+            self._records.record(server, ServerOutcome.NO_CONNECTION, str(error))
+            return None
+        if dispatcher.catalog.is_usable(server.key):
+            return connection
+        # It became unusable while the connection was being opened.
+        connection.abort()
+        return None
+
+    def _send(self, server: BackendServer, connection: ServerConnection) -> SentRequest:
+        dispatcher, context = self._dispatcher, self.context
+        is_stream = context.route.kind is RequestKind.STREAM
+        attempt = Attempt(
+            request_id=self._metadata.request_id,
+            read_answer=dispatcher.binding.read_answer,
+            progress=self._progress if is_stream else None,
+            on_metadata=lambda metadata: dispatcher.handle_metadata(server, metadata),
+        )
+        headers = dispatcher.binding.server_headers(
+            self._request,
+            server=server,
+            team=context.team,
+            remaining_ms=max(1, int(context.limit_at_ms - dispatcher.now_ms)),
+            resume_after=self._progress.last_id,
+            cache_source=dispatcher.find_cache_source(
+                context.route, self._metadata, server
+            ),
+        )
+        dispatcher.record_sent(server)
+        self.sent_to.add(server.key)
+        sent_at_ms = dispatcher.now_ms
+        self._responder.record_sent(sent_at_ms)
+        connection.start(
+            OutgoingRequest(
+                method=self._request.method,
+                target=self._request.target,
+                headers=headers,
+                body=self._request.body,
+            ),
+            attempt,
+        )
+        return SentRequest(
+            server=server,
+            attempt=attempt,
+            connection=connection,
+            sent_at_ms=sent_at_ms,
+        )
+
+    async def _does_held_go_on(self, held: SentRequest, sent: SentRequest) -> bool:
+        futures: list[asyncio.Future[Any]] = [
+            sent.attempt.done,
+            sent.attempt.accepted,
+            held.attempt.revived,
+            held.attempt.done,
+        ]
+        try:
+            await asyncio.wait(
+                futures,
+                timeout=HANDOVER_MS / 1_000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        except asyncio.CancelledError:
+            self._end(sent)
+            raise
+        if sent.is_accepted or not (held.is_revived or sent.is_refused):
+            self._records.record_stalled(held)
+            self.end_held()
+            return False
+        return held.is_revived
+
+    async def _wait_for_end(self, sent: SentRequest) -> AttemptResult:
+        try:
+            result = await self._wait_for_result(sent.attempt)
+        except asyncio.CancelledError:
+            self._end(sent)
+            self._evaluate_disconnect(sent)
+            raise
+        if isinstance(result, Stalled):
+            sent.attempt.hold()
+            self.held = sent
+            return result
+        self._end(sent)
+        is_expired = self._dispatcher.now_ms >= self.context.limit_at_ms
+        self._evaluate(sent, result, is_expired=is_expired)
+        return result
+
+    def _end(self, sent: SentRequest) -> None:
+        if not sent.attempt.done.done():
+            sent.connection.abort()
+        self._dispatcher.loads.end(sent.server.key)
+
+    async def _wait_for_result(self, attempt: Attempt) -> AttemptResult:
+        dispatcher, limit_at_ms = self._dispatcher, self.context.limit_at_ms
+        loop = asyncio.get_running_loop()
+        while True:
+            idle_ms = (loop.time() - attempt.progress_at) * 1_000
+            remaining_ms = wait_ms = limit_at_ms - dispatcher.now_ms
+            if self._may_hand_over:
+                silence_ms = silence_limit_ms(
+                    self.context.route,
+                    has_begun=self._progress.has_begun,
+                    remaining_ms=remaining_ms + idle_ms,
+                )
+                if idle_ms >= silence_ms and self._reserve_server():
+                    return Stalled(idle_ms=idle_ms)
+                wait_ms = min(wait_ms, max(silence_ms - idle_ms, SILENCE_POLL_MS))
+            if wait_ms > 0:
+                await asyncio.wait([attempt.done], timeout=wait_ms / 1_000)
+            if attempt.done.done():
+                return attempt.done.result()
+            if dispatcher.now_ms >= limit_at_ms:
+                failure = ExchangeFailure(
+                    kind=FailureKind.STALLED,
+                    reason=f"no progress for {idle_ms:.0f} ms",
+                    has_answer=attempt.has_head,
+                )
+                return Broken(failure=failure)
+
+    @property
+    def _may_hand_over(self) -> bool:
+        route = self.context.route
+        return route.may_repeat and len(self.sent_to) < route.max_servers
+
+    def _reserve_server(self) -> bool:
+        dispatcher, requirements = self._dispatcher, self.context.requirements
+        server = dispatcher.select(requirements, tried=self.tried, only_healthy=True)
+        if server is None or not dispatcher.try_acquire_retry(server.service):
+            return False
+        self._reserved = server
+        return True
+
+    def _evaluate(
+        self, sent: SentRequest, result: AttemptResult, *, is_expired: bool
+    ) -> None:
+        outcome = self._records.evaluate(
+            sent,
+            result,
+            target_ms=self.context.route.target_ms,
+            is_expired=is_expired,
+        )
+        if outcome is ServerOutcome.FULL:
+            self.overloaded.add(sent.server.key)
+
+    def _evaluate_disconnect(self, sent: SentRequest) -> None:
+        # A caller that disconnects for lack of an answer is evidence of an unresponsive
+        # server.
+        failure = ExchangeFailure(
+            kind=FailureKind.CLOSED,
+            reason="caller disconnected",
+            has_answer=sent.attempt.has_head,
+        )
+        self._evaluate(sent, Broken(failure=failure), is_expired=True)
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -188,6 +188,7 @@
         *,
         tried: set[tuple[str, int]],
         only: set[tuple[str, int]] | None = None,
+        only_healthy: bool = False,
     ) -> BackendServer | None:
         """Return the server to send a request to; None if none is eligible.
 
@@ -199,6 +200,8 @@
             Incarnations to exclude.
         only : set of tuple of (str, int), default=None
             Incarnations to choose from; any if None.
+        only_healthy : bool, default=False
+            Whether to choose no ejected server, even if no other is eligible.
         """
         now_ms = self.now_ms
         service = requirements.service
@@ -219,6 +222,8 @@
             and (not is_restricted or self._is_allowed(requirements, server))
             and (not has_cold or self._may_send(server, now_ms))
         ]
+        if only_healthy:
+            candidates = [each for each in candidates if each.is_preferred]
         holders: frozenset[int] = frozenset()
         if requirements.affinity_keys:
             holders = self._prefix_index.find_holders(
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -3,35 +3,28 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from damaskrill.catalog import BackendServer, RequestKind, Route, Team
+from damaskrill.catalog import BackendServer, Route, Team
 from damaskrill.feed import STARTUP_BACKOFF_MS
 from damaskrill.gateway._attempt import (
-    Attempt,
     AttemptResult,
     BadAnswer,
     Broken,
     CompleteAnswer,
     NotRun,
+    Stalled,
     StreamEnded,
     StreamProgress,
 )
-from damaskrill.gateway._outcomes import classify_outcome, find_refusal
+from damaskrill.gateway._attempts import AttemptContext, RequestAttempts
+from damaskrill.gateway._outcomes import find_refusal
 from damaskrill.gateway._responder import Responder
-from damaskrill.http1 import (
-    CallerConnection,
-    CallerRequest,
-    ExchangeFailure,
-    FailureKind,
-    OutgoingRequest,
-    ServerConnection,
-)
+from damaskrill.http1 import CallerConnection, CallerRequest
 from damaskrill.steering import (
     FULL_RETRY_DELAY_MS,
     ExecutionStatus,
     Refusal,
     RefusalCause,
     RetryState,
-    ServerOutcome,
     ServerRequirements,
     may_retry,
     may_retry_full,
@@ -50,14 +43,6 @@
 # an eighth of the target a refusal still lets the caller retry in time.
 SERVER_WAIT_FRACTION = 0.125
 POLL_INTERVAL_MS = 15
-# A request that may be retried goes to another server after this many targets without
-# an answer; a stream after this long without an event, or this many times the longest
-# pause that the operators accept, so that slow streams are not interrupted.
-IDLE_TIMEOUT_TARGETS = 1.0
-STREAM_IDLE_TIMEOUT_MS = 1_000
-STREAM_IDLE_TIMEOUT_PAUSES = 4
-# After this many targets without an answer, the server is considered unresponsive.
-SILENT_TARGETS = 2.0
 # Twice the longest pause between two calls to a store that is busy at start-up.
 START_WAIT_MS = 2 * STARTUP_BACKOFF_MS
 # While the store is unavailable, a router that has started waits for its return.
@@ -104,16 +89,19 @@
             request_id=self._metadata.request_id,
             arrived_at_ms=request.arrived_at_ms,
         )
+        self._attempts = RequestAttempts(
+            dispatcher=dispatcher,
+            request=request,
+            metadata=self._metadata,
+            progress=self._progress,
+            responder=self._responder,
+        )
         self._may_have_run = False
-        self._tried: set[tuple[str, int]] = set()
-        # Of these, the servers that received the request and those that were full.
-        self._sent_to: set[tuple[str, int]] = set()
-        self._overloaded: set[tuple[str, int]] = set()
+        self._stop_reason = ""
         self._execution_status = ExecutionStatus.NOT_SENT
         self._last_result: AttemptResult = NotRun(status=503)
         self._requirements = ServerRequirements(service="")
         self._limit_at_ms = 0.0
-        self._sent_at_ms = 0.0
 
     async def run(self) -> None:
         """Serve the request; cancellation means that the caller has disconnected."""
@@ -130,6 +118,8 @@
             self._responder.refuse(
                 Refusal(status=500, cause=RefusalCause.INTERNAL_ERROR), "internal_error"
             )
+        finally:
+            self._attempts.end_held()
 
     async def _serve(self) -> None:
         dispatcher, metadata = self._dispatcher, self._metadata
@@ -189,29 +179,49 @@
             route_regions=route.regions,
             team_regions=team.regions if team else frozenset(),
         )
+        attempts = self._attempts
+        attempts.context = AttemptContext(
+            route=route,
+            team=team,
+            requirements=self._requirements,
+            limit_at_ms=self._limit_at_ms,
+        )
         while True:
-            server = await self._find_server(route)
-            if server is None:
-                if await self._wait_for_capacity(route):
+            server = await self._choose_server(route)
+            if server is not None:
+                result = await attempts.try_server(server)
+                if result is None:
                     continue
+            elif attempts.held is not None:
+                result = await attempts.resume_held(attempts.held)
+            else:
                 self._refuse_unserved()
                 return
-            if self._responder.n_sent and not dispatcher.try_acquire_retry(service):
-                self._refuse_after(self._last_result, NO_RETRY_BUDGET)
-                return
-            result = await self._try_server(route, team, server)
-            if result is None:
-                continue
             if self._deliver(route, result):
                 return
             self._last_result = result
-            if not self._may_retry(route) and not await self._wait_for_capacity(route):
-                self._refuse_after(result, NO_RETRY_ALLOWED)
-                return
+
+    async def _choose_server(self, route: Route) -> BackendServer | None:
+        reserved = self._attempts.take_reserved()
+        if reserved is not None or self._attempts.is_held_revived:
+            return reserved
+        n_sent = self._responder.n_sent
+        may_retry = not n_sent or self._may_retry(route)
+        if not may_retry and not await self._wait_for_capacity(route):
+            self._stop_reason = NO_RETRY_ALLOWED
+            return None
+        while (server := await self._find_server(route)) is None:
+            if not await self._wait_for_capacity(route):
+                self._stop_reason = NO_OTHER_SERVER
+                return None
+        if n_sent and not self._dispatcher.try_acquire_retry(server.service):
+            self._stop_reason = NO_RETRY_BUDGET
+            return None
+        return server
 
     def _may_retry(self, route: Route) -> bool:
         state = RetryState(
-            n_servers=len(self._sent_to),
+            n_servers=len(self._attempts.sent_to),
             end=self._execution_status,
             remaining_ms=self._limit_at_ms - self._dispatcher.now_ms,
         )
@@ -221,7 +231,7 @@
         # After a pause, the servers that were full may be tried again: the request has
         # not run at any of them.
         now_ms = self._dispatcher.now_ms
-        if not self._overloaded or self._may_have_run:
+        if not self._attempts.overloaded or self._may_have_run:
             return False
         if not may_retry_full(
             elapsed_ms=now_ms - self._request.arrived_at_ms,
@@ -230,8 +240,7 @@
         ):
             return False
         await asyncio.sleep(FULL_RETRY_DELAY_MS / 1_000)
-        self._tried -= self._overloaded
-        self._overloaded.clear()
+        self._attempts.forget_overloaded()
         return True
 
     def _find_limit_ms(self, route: Route) -> float:
@@ -242,127 +251,20 @@
 
     async def _find_server(self, route: Route) -> BackendServer | None:
         dispatcher, requirements = self._dispatcher, self._requirements
+        attempts = self._attempts
         until_ms = dispatcher.now_ms + SERVER_WAIT_FRACTION * route.target_ms
-        is_at_limit = len(self._sent_to) >= route.max_servers
-        only = self._sent_to if is_at_limit else None
+        is_at_limit = len(attempts.sent_to) >= route.max_servers
+        only = attempts.sent_to if is_at_limit else None
         while True:
-            server = dispatcher.select(requirements, tried=self._tried, only=only)
-            if server is not None or dispatcher.now_ms >= until_ms or self._overloaded:
+            server = dispatcher.select(requirements, tried=attempts.tried, only=only)
+            is_over = dispatcher.now_ms >= until_ms
+            if server is not None or is_over or attempts.overloaded:
                 return server
-            pause_ms = dispatcher.find_pause_ms(requirements, tried=self._tried)
+            pause_ms = dispatcher.find_pause_ms(requirements, tried=attempts.tried)
             if pause_ms is not None and dispatcher.now_ms + pause_ms > until_ms:
                 return None
             await asyncio.sleep(POLL_INTERVAL_MS / 1_000)
 
-    async def _try_server(
-        self, route: Route, team: Team | None, server: BackendServer
-    ) -> AttemptResult | None:
-        dispatcher = self._dispatcher
-        self._responder.server = server
-        self._responder.load = dispatcher.loads.estimate(server.key, dispatcher.now_ms)
-        self._responder.load_age_ms = dispatcher.loads.age_ms(
-            server.key, dispatcher.now_ms
-        )
-        self._tried.add(server.key)
-        dispatcher.loads.start(server.key)
-        try:
-            connection = dispatcher.pool.acquire_idle(server.key)
-            if connection is None:
-                try:
-                    connection = await dispatcher.pool.open(server.key, server.address)
-                except OSError as error:
-                    self._record_outcome(
-                        server, ServerOutcome.NO_CONNECTION, str(error)
-                    )
-                    return None
-                if not dispatcher.catalog.is_usable(server.key):
-                    # It became unusable while the connection was being opened.
-                    connection.abort()
-                    return None
-            return await self._exchange(route, team, server, connection)
-        finally:
-            dispatcher.loads.end(server.key)
-
-    async def _exchange(
-        self,
-        route: Route,
-        team: Team | None,
-        server: BackendServer,
-        connection: ServerConnection,
-    ) -> AttemptResult:
-        dispatcher = self._dispatcher
-        is_stream = route.kind is RequestKind.STREAM
-        attempt = Attempt(
-            request_id=self._metadata.request_id,
-            read_answer=dispatcher.binding.read_answer,
-            progress=self._progress if is_stream else None,
-            on_metadata=lambda metadata: dispatcher.handle_metadata(server, metadata),
-        )
-        remaining_ms = max(1, int(self._limit_at_ms - dispatcher.now_ms))
-        headers = dispatcher.binding.server_headers(
-            self._request,
-            server=server,
-            team=team,
-            remaining_ms=remaining_ms,
-            resume_after=self._progress.last_id,
-            cache_source=dispatcher.find_cache_source(route, self._metadata, server),
-        )
-        dispatcher.record_sent(server)
-        self._sent_to.add(server.key)
-        self._sent_at_ms = dispatcher.now_ms
-        self._responder.record_sent(self._sent_at_ms)
-        connection.start(
-            OutgoingRequest(
-                method=self._request.method,
-                target=self._request.target,
-                headers=headers,
-                body=self._request.body,
-            ),
-            attempt,
-        )
-        try:
-            result = await self._wait_for_result(route, attempt)
-        except asyncio.CancelledError:
-            connection.abort()
-            self._evaluate_disconnect(route, server, attempt)
-            raise
-        if not attempt.done.done():
-            connection.abort()
-        self._evaluate_result(route, server, attempt, result)
-        return result
-
-    async def _wait_for_result(self, route: Route, attempt: Attempt) -> AttemptResult:
-        dispatcher = self._dispatcher
-        can_retry = route.may_repeat and len(self._sent_to) < route.max_servers
-        idle_timeout_ms = float("inf")
-        if can_retry:
-            idle_timeout_ms = IDLE_TIMEOUT_TARGETS * route.target_ms
-        loop = asyncio.get_running_loop()
-        while True:
-            timeout_ms = self._limit_at_ms - dispatcher.now_ms
-            if can_retry:
-                if self._progress.has_begun:
-                    idle_timeout_ms = max(
-                        STREAM_IDLE_TIMEOUT_MS,
-                        STREAM_IDLE_TIMEOUT_PAUSES * route.max_pause_ms,
-                    )
-                idle_ms = (loop.time() - attempt.progress_at) * 1_000
-                timeout_ms = min(timeout_ms, idle_timeout_ms - idle_ms)
-            if timeout_ms > 0:
-                await asyncio.wait([attempt.done], timeout=timeout_ms / 1_000)
-            if attempt.done.done():
-                return attempt.done.result()
-            now_ms = dispatcher.now_ms
-            idle_ms = (loop.time() - attempt.progress_at) * 1_000
-            if now_ms >= self._limit_at_ms or idle_ms >= idle_timeout_ms:
-                reason = f"no progress for {idle_ms:.0f} ms"
-                failure = ExchangeFailure(
-                    kind=FailureKind.STALLED,
-                    reason=reason,
-                    has_answer=attempt.has_head,
-                )
-                return Broken(failure=failure)
-
     def _deliver(self, route: Route, result: AttemptResult) -> bool:
         match result:
             case CompleteAnswer(head=head):
@@ -370,7 +272,7 @@
                 self._execution_status = ExecutionStatus.ERROR_ANSWER
                 if is_error and route.may_repeat:
                     self._may_have_run = True
-                    if self._may_retry(route):
+                    if self._attempts.held is not None or self._may_retry(route):
                         return False
                 if self._progress.has_begun:
                     self._responder.abort(f"the resume was answered with {head.status}")
@@ -383,77 +285,14 @@
             case NotRun():
                 self._execution_status = ExecutionStatus.NOT_RUN
                 return False
-            case BadAnswer() | Broken():
+            case BadAnswer() | Broken() | Stalled():
                 self._execution_status = ExecutionStatus.MAY_HAVE_RUN
                 self._may_have_run = True
                 return False
 
-    def _evaluate_result(
-        self,
-        route: Route,
-        server: BackendServer,
-        attempt: Attempt,
-        result: AttemptResult,
-        *,
-        is_expired: bool = False,
-    ) -> None:
-        now_ms = self._dispatcher.now_ms
-        waited_ms = now_ms - self._sent_at_ms
-        is_late = waited_ms > SILENT_TARGETS * route.target_ms
-        found = classify_outcome(
-            result,
-            is_expired=is_expired or now_ms >= self._limit_at_ms,
-            is_silent=is_late and not attempt.has_head,
-            waited_ms=waited_ms,
-        )
-        if found is None:
-            return
-        outcome, reason = found
-        if outcome is ServerOutcome.FULL:
-            self._overloaded.add(server.key)
-        self._record_outcome(server, outcome, reason)
-
-    def _evaluate_disconnect(
-        self, route: Route, server: BackendServer, attempt: Attempt
-    ) -> None:
-        # A caller that disconnects for lack of an answer is evidence of an unresponsive
-        # server.
-        failure = ExchangeFailure(
-            kind=FailureKind.CLOSED,
-            reason="caller disconnected",
-            has_answer=attempt.has_head,
-        )
-        result = Broken(failure=failure)
-        self._evaluate_result(route, server, attempt, result, is_expired=True)
-
-    def _record_outcome(
-        self, server: BackendServer, outcome: ServerOutcome, reason: str
-    ) -> None:
-        dispatcher = self._dispatcher
-        if outcome is not ServerOutcome.GOOD:
-            dispatcher.log.warn(
-                "attempt_failed",
-                request_id=self._metadata.request_id,
-                backend_server=server.server_id,
-                data_centre=server.data_centre,
-                causes=[
-                    {
-                        "code": outcome.value,
-                        "sentence": outcome.sentence,
-                        "subject": server.server_id,
-                    }
-                ],
-                detail=reason,
-                load=round(dispatcher.loads.estimate(server.key, dispatcher.now_ms)),
-                wait_ms=round(dispatcher.now_ms - self._sent_at_ms)
-                if self._responder.n_sent
-                else 0,
-            )
-        dispatcher.record_outcome(server, outcome)
-
     def _refuse_unserved(self) -> None:
         if self._responder.n_sent:
-            self._refuse_after(self._last_result, NO_OTHER_SERVER)
+            self._refuse_after(self._last_result)
             return
         cause, retry_after_ms = RefusalCause.NO_SERVER, RETRY_AFTER_NO_SERVER_MS
         pause_ms = self._find_retry_after_ms()
@@ -470,9 +309,9 @@
             return None
         return self._dispatcher.spread_retry_after(pause_ms)
 
-    def _refuse_after(self, result: AttemptResult, reason: str) -> None:
+    def _refuse_after(self, result: AttemptResult) -> None:
         if self._progress.has_begun:
-            self._responder.abort(f"the stream was not resumed: {reason}")
+            self._responder.abort(f"the stream was not resumed: {self._stop_reason}")
             return
         match result:
             case CompleteAnswer():
@@ -485,6 +324,6 @@
                     pause_ms=self._find_retry_after_ms(),
                 )
                 self._responder.refuse(refusal, detail)
-            case StreamEnded():
-                # The stream has ended as complete; nothing is left to send.
+            case StreamEnded() | Stalled():
+                # The stream has ended as complete, or the attempt goes on.
                 pass
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -6,6 +6,7 @@
     Broken,
     CompleteAnswer,
     NotRun,
+    Stalled,
     StreamEnded,
 )
 from damaskrill.http1 import FailureKind
@@ -64,13 +65,13 @@
         case Broken(failure=failure) if failure.kind is FailureKind.SILENT:
             return ServerOutcome.SILENT_CONNECTION, failure.reason
         case Broken(failure=failure) if not is_expired:
-            if failure.kind is FailureKind.STALLED:
-                return ServerOutcome.STALLED, failure.reason
             return ServerOutcome.BROKEN, failure.reason
         case Broken():
             if is_silent:
                 return ServerOutcome.SILENT, f"no answer for {waited_ms:.0f} ms"
             return None
+        case Stalled():
+            return None
 
 
 def find_refusal(
--- a/damaskrill/gateway/_responder.py
+++ b/damaskrill/gateway/_responder.py
@@ -77,6 +77,13 @@
     _answered_at_ms: float | None = field(default=None, init=False)
     _has_ended: bool = field(default=False, init=False)
 
+    def record_server(self, server: BackendServer) -> None:
+        """Record the selected server and what is known of its load."""
+        loads, now_ms = self.dispatcher.loads, self.dispatcher.now_ms
+        self.server = server
+        self.load = loads.estimate(server.key, now_ms)
+        self.load_age_ms = loads.age_ms(server.key, now_ms)
+
     def record_sent(self, now_ms: float) -> None:
         """Record that the request is sent to a server."""
         self.n_sent += 1
--- a/damaskrill/http1/_pool.py
+++ b/damaskrill/http1/_pool.py
@@ -100,6 +100,11 @@
         connection.on_idle = release
         return connection
 
+    def release(self, connection: ServerConnection) -> None:
+        """Return an open connection that was not used for an exchange."""
+        if connection.is_open and connection.on_idle is not None:
+            connection.on_idle(connection)
+
     def close_idle(self, key: ServerKey) -> None:
         """Close the idle connections to an incarnation that gets no new requests."""
         for connection in self._idle.pop(key, ()):
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -23,6 +23,7 @@
 )
 from damaskrill.steering._retry_budget import FleetRetryBudget
 from damaskrill.steering._selector import Candidate, ServerRequirements, ServerSelector
+from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
 
 __all__ = [
     "DIRECT_BOUNDS",
@@ -57,11 +58,13 @@
     "ServerPauses",
     "ServerRequirements",
     "ServerSelector",
+    "caller_patience_ms",
     "find_latency_cause",
     "is_region_allowed",
     "may_retry",
     "may_retry_full",
     "short_id",
     "short_server_id",
+    "silence_limit_ms",
     "spread_retry_after",
 ]
--- a/features/gateway_silent_servers.feature
+++ b/features/gateway_silent_servers.feature
@@ -44,6 +44,48 @@
       | the other app server refuses connections |
       | the retry budget is used up              |
 
+  Scenario: a stream goes on at its server if that one is the first to go on
+    Given the first engine of a prompt is silent for 1400 ms after 2 events
+    And the other engine hangs
+    When a caller sends a check with that prompt
+    Then the status is 200 and the body holds events 1 to 5 once each
+    And no pause between events exceeds 1700 ms
+
+  Scenario: a read is answered by the server that answers first
+    Given app server "a-1" is silent for 500 ms
+    And the other app server hangs
+    When 4 callers send a read
+    Then all statuses are 200
+
+  Scenario: a stream goes on at the other server if its own one breaks while it is held
+    Given the first engine of a prompt is silent for 60000 ms after 2 events
+    And the other engine takes 100 ms for an event
+    And the first engine crashes 1400 ms after its first event
+    When a caller sends a check with that prompt
+    Then the status is 200 and the body holds events 1 to 5 once each
+
+  Scenario: a stream goes on when the configuration drops its route and service
+    Given the first engine of a prompt is silent for 500 ms after 2 events
+    And the configuration drops the route's service meanwhile
+    When a caller sends a check with that prompt
+    Then the status is 200 and the body holds events 1 to 5 once each
+
+  Scenario Outline: a stream leaves a silent server after a second or more, and in time
+    Given a route with a target of <target> ms and pauses of <pause> ms
+    When a stream with <remaining> ms left falls silent
+    Then it is sought another server after at least 1000 ms
+    And at least 400 ms remain until its caller leaves or its time ends
+
+    Examples:
+      | target | pause | remaining |
+      | 500    | 300   | 2500      |
+      | 519    | 400   | 2700      |
+      | 400    | 250   | 2000      |
+      | 800    | 250   | 11000     |
+      | 300    | 250   | 9000      |
+      | 415    | 500   | 12000     |
+      | 400    | 0     | 3000      |
+
   Scenario: a stream whose server stays silent continues at the other one in time
     Given the first engine of a prompt is silent for 60000 ms after 2 events
     When a caller sends a check with that prompt
--- a/features/steps/gateway_silent_servers_steps.py
+++ b/features/steps/gateway_silent_servers_steps.py
@@ -7,7 +7,8 @@
 
 from damaskrill.fakes.platform import Misbehaviour
 from damaskrill.fakes.platform import build_configuration as build_content
-from damaskrill.steering import FleetRetryBudget
+from damaskrill.steering import FleetRetryBudget, caller_patience_ms, silence_limit_ms
+from features.support.builders import build_stream_route
 from features.support.gateways import PROMPT, Caller, build_request
 
 ENGINES = ("e-1", "e-2")
@@ -65,6 +66,49 @@
     assert testbed.wait_for(lambda: gateway._catalog._servers[name].server.is_leaving)
 
 
+@given("the other engine hangs")
+@given("the other app server hangs")
+def step_other_hangs(context):
+    context.other.misbehaviour = Misbehaviour.HANG
+
+
+@given("the other engine takes {event_ms:d} ms for an event")
+def step_other_slow(context, event_ms):
+    context.other._event_ms = event_ms
+
+
+@given("the first engine crashes {delay_ms:d} ms after its first event")
+def step_first_crashes(context, delay_ms):
+    def crash():
+        asyncio.get_running_loop().call_later(delay_ms / 1_000, context.first.close)
+
+    context.change_meanwhile = crash
+
+
+@given("a route with a target of {target_ms:d} ms and pauses of {pause_ms:d} ms")
+def step_route(context, target_ms, pause_ms):
+    context.route = build_stream_route(target_ms=target_ms, max_pause_ms=pause_ms)
+
+
+@when("a stream with {remaining_ms:d} ms left falls silent")
+def step_falls_silent(context, remaining_ms):
+    context.remaining_ms = remaining_ms
+    context.silence_ms = silence_limit_ms(
+        context.route, has_begun=True, remaining_ms=remaining_ms
+    )
+
+
+@then("it is sought another server after at least {limit_ms:d} ms")
+def step_not_before(context, limit_ms):
+    assert context.silence_ms >= limit_ms, context.silence_ms
+
+
+@then("at least {margin_ms:d} ms remain until its caller leaves or its time ends")
+def step_in_time(context, margin_ms):
+    end_ms = min(caller_patience_ms(context.route), context.remaining_ms)
+    assert context.silence_ms + margin_ms <= end_ms, context.silence_ms
+
+
 @given("the retry budget is used up")
 def step_no_budget(context):
     dispatcher = context.testbed.gateways[0]._dispatcher
--- a/features/support/builders.py
+++ b/features/support/builders.py
@@ -1,6 +1,6 @@
 """Builders of test data with harmless defaults."""
 
-from damaskrill.catalog import BackendServer
+from damaskrill.catalog import BackendServer, RequestKind, Route, ServiceShare
 from damaskrill.configuration import (
     BackendServerSpec,
     DataCentreSpec,
@@ -43,6 +43,24 @@
     )
 
 
+def build_stream_route(**fields):
+    """Return a route of resumable streams."""
+    values = {
+        "name": "r-check",
+        "host": "desk.example",
+        "prefix": "/check/",
+        "kind": RequestKind.STREAM,
+        "time_limit_ms": 3_000,
+        "target_ms": 400,
+        "priority": 1,
+        "shares": (ServiceShare(service="pool", weight=1),),
+        "max_servers": 2,
+        "is_resumable": True,
+        "has_prompt": True,
+    }
+    return Route(**{**values, **fields})
+
+
 def build_text(*, version=1, n_servers=5, servers=None, services=None, **fields):
     """Return a text with one engine service and one action service."""
     if servers is None:
