Send a repeatable request to full servers again after another one broke off

What callers saw: a stream was cut, or a read failed with 502, because its server had broken off and the only other one allowed was full at that moment, although both may be repeated and the second one had a free slot soon.

Cause: a request that may have run anywhere never waited for capacity, so that the first refusal by a full server ended it. This is the same class as the attempts ended at silent servers: giving up what may still succeed.

Now a repeatable request waits for the full servers as any other does, within its target; for a stream that has begun, the target counts from its last event.

The two scenarios added to gateway_silent_servers.feature failed before (status 502, and a stream that was cut) and pass now; 95 scenarios of the three features about forwarding pass.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -121,6 +121,11 @@
         """Monotonic time at which the first events were sent, in milliseconds."""
         return self._first_at_ms
 
+    @property
+    def sent_at_ms(self) -> float:
+        """Monotonic time at which the last events were sent; 0 if none were."""
+        return self._sent_at_ms
+
     @property
     def longest_pause_ms(self) -> float:
         """Longest time between two events, in milliseconds."""
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -229,12 +229,14 @@
 
     async def _wait_for_capacity(self, route: Route) -> bool:
         # After a pause, the servers that were full may be tried again: the request has
-        # not run at any of them.
+        # not run at any of them. If it may have run elsewhere, it has to be repeatable.
         now_ms = self._dispatcher.now_ms
-        if not self._attempts.overloaded or self._may_have_run:
+        is_barred = self._may_have_run and not route.may_repeat
+        if not self._attempts.overloaded or is_barred:
             return False
+        waiting_since_ms = self._progress.sent_at_ms or self._request.arrived_at_ms
         if not may_retry_full(
-            elapsed_ms=now_ms - self._request.arrived_at_ms,
+            elapsed_ms=now_ms - waiting_since_ms,
             target_ms=route.target_ms,
             remaining_ms=self._limit_at_ms - now_ms,
         ):
--- a/features/gateway_silent_servers.feature
+++ b/features/gateway_silent_servers.feature
@@ -44,6 +44,17 @@
       | the other app server refuses connections |
       | the retry budget is used up              |
 
+  Scenario: a stream that its server broke off is resumed at a full server once it can
+    Given the first engine of a prompt breaks its streams off after 2 events
+    And the other engine is full for 200 ms from the break on
+    When a caller sends a check with that prompt
+    Then the status is 200 and the body holds events 1 to 5 once each
+
+  Scenario: a read that its server broke off is sent to a full server until it can run it
+    Given app server "a-1" breaks off and the other is full for 150 ms
+    When 4 callers send a read
+    Then all statuses are 200
+
   Scenario: a stream goes on at its server if that one is the first to go on
     Given the first engine of a prompt is silent for 1400 ms after 2 events
     And the other engine hangs
--- a/features/steps/gateway_silent_servers_steps.py
+++ b/features/steps/gateway_silent_servers_steps.py
@@ -66,6 +66,39 @@
     assert testbed.wait_for(lambda: gateway._catalog._servers[name].server.is_leaving)
 
 
+@given("the first engine of a prompt breaks its streams off after 2 events")
+def step_breaking_engine(context):
+    step_silent_engine(context, 0, 2)
+    context.first.misbehaviour = Misbehaviour.CUT
+
+
+@given("the other engine is full for {duration_ms:d} ms from the break on")
+def step_full_for_a_while(context, duration_ms):
+    context.other.misbehaviour = Misbehaviour.FULL
+    end_when_full(context.other, duration_ms)
+
+
+@given('app server "a-1" breaks off and the other is full for {duration_ms:d} ms')
+def step_apps_break_off(context, duration_ms):
+    step_silent_app(context, "a-1", 0)
+    context.first.misbehaviour = Misbehaviour.CUT
+    step_full_for_a_while(context, duration_ms)
+
+
+def end_when_full(server, duration_ms):
+    """Let a server behave some time after it has refused a request as full."""
+    refuse = server._refusal_headers
+
+    def refuse_and_recover(request_id):
+        asyncio.get_running_loop().call_later(duration_ms / 1_000, recover)
+        return refuse(request_id)
+
+    def recover():
+        server.misbehaviour = Misbehaviour.NONE
+
+    server._refusal_headers = refuse_and_recover
+
+
 @given("the other engine hangs")
 @given("the other app server hangs")
 def step_other_hangs(context):
