End a held attempt once, and count only its success as progress

What callers saw: a read was answered with 500 or 502 although the other server was about to answer it, because the held attempt had received an error; and a request on a connection was ended, or stopped in its middle, when the caller of a former request on that connection left.

Cause: the end of a held answer was kept unread. It counted as progress whatever it was, so that the other server's attempt was ended for it; and the attempt did not count as over although its connection had gone back to the pool, so that ending the attempt aborted the next request there.

Now the result is built when the answer ends. Only a success waits for its turn to be forwarded; a failure ends the held attempt, and the other server goes on.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -191,7 +191,7 @@
     accepted : asyncio.Future
         Done when the head of a successful answer to this request has been received.
     revived : asyncio.Future
-        Done when a held attempt has made progress.
+        Done when a held attempt has received events or a successful answer.
     progress_at : float
         Time of the last progress, on the clock of the event loop in seconds.
 
@@ -216,7 +216,7 @@
         self.revived: asyncio.Future[None] = loop.create_future()
         self._is_held = False
         self._held_events = b""
-        self._has_held_end = False
+        self._held_result: AttemptResult | None = None
         self._request_id = request_id
         self._read_answer = read_answer
         self._progress = progress
@@ -233,6 +233,11 @@
         """Whether status and headers have been received."""
         return self._head is not None
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the exchange with the server is over."""
+        return self.done.done() or self._held_result is not None
+
     def hold(self) -> None:
         """Keep received events until `release` is called."""
         self._is_held = True
@@ -243,8 +248,8 @@
         events, self._held_events = self._held_events, b""
         if events:
             self._forward(events)
-        if self._has_held_end:
-            self.handle_end()
+        if self._held_result is not None and not self.done.done():
+            self._finish(self._held_result)
 
     @property
     def _is_foreign(self) -> bool:
@@ -294,11 +299,17 @@
         """Handle the end of a complete answer."""
         if self.done.done():
             return
-        if self._is_held:
-            self._has_held_end = True
+        result = self._build_result()
+        if self._is_held and _is_success(result):
+            self._held_result = result
             _set_done(self.revived)
-            return
-        self.done.set_result(self._build_result())
+        else:
+            self._finish(result)
+
+    def _finish(self, result: AttemptResult) -> None:
+        if isinstance(result, StreamEnded) and self._progress and self._head:
+            self._progress.end(self._head)
+        self.done.set_result(result)
 
     def handle_failure(self, failure: ExchangeFailure) -> None:
         """Handle a failure of the exchange."""
@@ -321,7 +332,6 @@
         if self._splitter is not None and self._progress is not None:
             if self._splitter.remainder:
                 return BadAnswer(reason="stream ends in the middle of an event")
-            self._progress.end(head)
             return StreamEnded()
         if self._n_bytes > MAX_BUFFERED_BYTES:
             return BadAnswer(reason=f"answer exceeds {MAX_BUFFERED_BYTES} bytes")
@@ -341,6 +351,16 @@
         return ""
 
 
+def _is_success(result: AttemptResult) -> bool:
+    match result:
+        case StreamEnded():
+            return True
+        case CompleteAnswer(head=head):
+            return STATUS_OK <= head.status < STATUS_MULTIPLE
+        case _:
+            return False
+
+
 def _set_done(future: "asyncio.Future[None]") -> None:
     if not future.done():
         future.set_result(None)
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -252,11 +252,13 @@
         except asyncio.CancelledError:
             self._end(sent)
             raise
-        if sent.is_accepted or not (held.is_revived or sent.is_refused):
+        if held.is_failed and not sent.is_refused:
+            self.held = None
+            await self._wait_for_end(held)
+        elif sent.is_accepted or not (held.is_revived or sent.is_refused):
             self._records.record_stalled(held)
             self.end_held()
-            return False
-        return held.is_revived
+        return self.held is not None and held.is_revived
 
     async def _wait_for_end(self, sent: SentRequest) -> AttemptResult:
         try:
@@ -275,14 +277,14 @@
         return result
 
     def _end(self, sent: SentRequest) -> None:
-        if not sent.attempt.done.done():
+        if not sent.attempt.has_ended:
             sent.connection.abort()
         self._dispatcher.loads.end(sent.server.key)
 
     async def _wait_for_result(self, attempt: Attempt) -> AttemptResult:
         dispatcher, limit_at_ms = self._dispatcher, self.context.limit_at_ms
         loop = asyncio.get_running_loop()
-        while True:
+        while not attempt.done.done():
             idle_ms = (loop.time() - attempt.progress_at) * 1_000
             remaining_ms = wait_ms = limit_at_ms - dispatcher.now_ms
             if self._may_hand_over:
@@ -296,15 +298,14 @@
                 wait_ms = min(wait_ms, max(silence_ms - idle_ms, SILENCE_POLL_MS))
             if wait_ms > 0:
                 await asyncio.wait([attempt.done], timeout=wait_ms / 1_000)
-            if attempt.done.done():
-                return attempt.done.result()
-            if dispatcher.now_ms >= limit_at_ms:
+            if not attempt.done.done() and dispatcher.now_ms >= limit_at_ms:
                 failure = ExchangeFailure(
                     kind=FailureKind.STALLED,
                     reason=f"no progress for {idle_ms:.0f} ms",
                     has_answer=attempt.has_head,
                 )
                 return Broken(failure=failure)
+        return attempt.done.result()
 
     @property
     def _may_hand_over(self) -> bool:
--- a/damaskrill/gateway/_sent_request.py
+++ b/damaskrill/gateway/_sent_request.py
@@ -35,6 +35,11 @@
         """Whether the held attempt has made progress."""
         return self.attempt.revived.done()
 
+    @property
+    def is_failed(self) -> bool:
+        """Whether the held attempt ended without success."""
+        return self.attempt.done.done()
+
     @property
     def is_accepted(self) -> bool:
         """Whether the head of a successful answer has been received."""
