Hold the attempt at a silent server until another one accepts, however late

What callers saw: a stream was cut, or a read failed with 502 or at its limit, because the other server refused the request after more than 250 ms, or did not answer at all, while the silent one was about to go on.

Cause: 250 ms after the request had been sent to another server, the held attempt was ended even though nobody had accepted.

Now both attempts wait until one of them succeeds or the time limit passes. An engine runs a request from the head of its answer on, at which the former attempt is ended, so that two engines do not run it for longer than the way of the close.

Four scenarios of gateway_handover.feature failed before and pass now; the one about a deadline of 420 ms passed its limit because of these 250 ms (reply at 663 ms).

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -37,10 +37,6 @@
 
 # Interval at which another server is sought while the present one is silent.
 SILENCE_POLL_MS = 100
-# Time in which another server can accept a request before the held attempt is ended.
-# The users allow that both servers work on it for 400 ms, in which the close has to
-# reach the former one.
-HANDOVER_MS = 250
 
 
 @frozen(kw_only=True)
@@ -243,21 +239,24 @@
             held.attempt.revived,
             held.attempt.done,
         ]
+        # Neither attempt is ended for the silence of the other one. An engine runs a
+        # request from the head of its answer on, so that both do not run it for long.
+        remaining_ms = max(0.0, self.context.limit_at_ms - self._dispatcher.now_ms)
         try:
             await asyncio.wait(
                 futures,
-                timeout=HANDOVER_MS / 1_000,
+                timeout=remaining_ms / 1_000,
                 return_when=asyncio.FIRST_COMPLETED,
             )
         except asyncio.CancelledError:
             self._end(sent)
             raise
-        if held.is_failed and not sent.is_refused:
-            self.held = None
-            await self._wait_for_end(held)
-        elif sent.is_accepted or not (held.is_revived or sent.is_refused):
+        if sent.is_accepted:
             self._records.record_stalled(held)
             self.end_held()
+        elif held.is_failed and not sent.is_refused:
+            self.held = None
+            await self._wait_for_end(held)
         return self.held is not None and held.is_revived
 
     async def _wait_for_end(self, sent: SentRequest) -> AttemptResult:
