Name no engine that failed or is silent as the source of a cached prefix

What callers saw: a stream that left a silent engine went on late, or not in time.

Cause: the engine that holds a prompt's prefix is named to the next one as its source, and that was the silent engine itself; the next one had to wait for it.

Engines at which this request was tried are no longer named.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -209,7 +209,11 @@
             remaining_ms=max(1, int(context.limit_at_ms - dispatcher.now_ms)),
             resume_after=self._progress.last_id,
             cache_source=dispatcher.find_cache_source(
-                context.route, self._metadata, server
+                context.route,
+                self._metadata,
+                server,
+                # An engine that failed or is silent may not send its cache either.
+                excluded=self.tried - {server.key},
             ),
         )
         dispatcher.record_sent(server)
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -1,7 +1,7 @@
 """Dispatch of callers' requests, and state that all exchanges of a router share."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from random import Random
 from typing import Any
 
@@ -275,10 +275,26 @@
         return spread_retry_after(duration_ms, self._random)
 
     def find_cache_source(
-        self, route: Route, metadata: RequestMetadata, server: BackendServer
+        self,
+        route: Route,
+        metadata: RequestMetadata,
+        server: BackendServer,
+        *,
+        excluded: Collection[tuple[str, int]] = (),
     ) -> BackendServer | None:
         """Return the engine to copy a prompt's prefix from; None if there is none.
 
+        Parameters
+        ----------
+        route : Route
+            Route of the request.
+        metadata : RequestMetadata
+            Metadata of the request.
+        server : BackendServer
+            Engine that gets the request.
+        excluded : collection of tuple of (str, int), default=()
+            Incarnations that must not be the source.
+
         Notes
         -----
         Also records that the server processes the shared parts of the prompt.
@@ -292,6 +308,7 @@
             each
             for each in self.catalog.find_all_servers(server.service)
             if not self._health.is_ejected(each.key, now_ms)
+            and each.key not in excluded
         ]
         registered_for_ms = self.catalog.registered_for_ms(server, round(now_ms))
         source = self._prefix_index.find(
