--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -317,6 +317,9 @@
 
     def _reserve_server(self) -> bool:
         dispatcher, requirements = self._dispatcher, self.context.requirements
+        # The selection counts a request for the prompt, so it comes second.
+        if not dispatcher.can_acquire_retry(requirements.service):
+            return False
         server = dispatcher.select(requirements, tried=self.tried, only_healthy=True)
         if server is None or not dispatcher.try_acquire_retry(server.service):
             return False
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -321,6 +321,10 @@
         self._prefix_index.record_sent(metadata.prompt, server, now_ms)
         return source
 
+    def can_acquire_retry(self, service: str) -> bool:
+        """Return whether the budget allows a retry."""
+        return self.budget.can_acquire(service, self._n_routers(), self.now_ms)
+
     def try_acquire_retry(self, service: str) -> bool:
         """Acquire one retry from the budget; return whether it allowed one."""
         return self.budget.try_acquire(service, self._n_routers(), self.now_ms)
--- a/damaskrill/steering/_retry_budget.py
+++ b/damaskrill/steering/_retry_budget.py
@@ -49,6 +49,23 @@
         span_ms = max(MIN_RATE_SPAN_MS, min(self._window_ms, observed_ms))
         return self._count(self._requests, service, now_ms) * 1_000 / span_ms
 
+    def can_acquire(self, service: str, n_routers: int, now_ms: float) -> bool:
+        """Return whether the budget allows a retry, without acquiring it.
+
+        Parameters
+        ----------
+        service : str
+            The service to which the request would be sent again.
+        n_routers : int
+            Number of routers that share the fixed allowance.
+        now_ms : float
+            Current time in milliseconds.
+        """
+        n_requests = self._count(self._requests, service, now_ms)
+        n_retries = self._count(self._retries, service, now_ms)
+        allowance = self._ratio * n_requests + self._slack / max(1, n_routers)
+        return n_retries + 1 <= SAFETY_FACTOR * allowance
+
     def try_acquire(self, service: str, n_routers: int, now_ms: float) -> bool:
         """Acquire one retry from the budget, if it allows one.
 
@@ -66,10 +83,7 @@
         bool
             Whether the request may be retried.
         """
-        n_requests = self._count(self._requests, service, now_ms)
-        n_retries = self._count(self._retries, service, now_ms)
-        allowance = self._ratio * n_requests + self._slack / max(1, n_routers)
-        if n_retries + 1 > SAFETY_FACTOR * allowance:
+        if not self.can_acquire(service, n_routers, now_ms):
             return False
         self._add(self._retries, service, now_ms)
         return True
