Go on with the held attempt whatever error status the other server answers

A stream was cut because the other server answered its resume with 404, although the silent one was held and went on; only statuses from 500 on went back to it.

The scenario "a stream goes on at a silent server if the other one answers the resume with 404" failed before.

--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -51,6 +51,7 @@
 RETRY_AFTER_STOPPING_MS = 20
 # Servers start and leave within seconds; callers wait a third of their time at most.
 RETRY_AFTER_NO_SERVER_MS = 500
+STATUS_MULTIPLE = 300
 STATUS_SERVER_ERROR = 500
 # Why a request was not sent to another server, as logged.
 NO_RETRY_BUDGET = "the retry budget is used up"
@@ -274,8 +275,10 @@
                 self._execution_status = ExecutionStatus.ERROR_ANSWER
                 if is_error and route.may_repeat:
                     self._may_have_run = True
-                    if self._attempts.held is not None or self._may_retry(route):
+                    if self._may_retry(route):
                         return False
+                if head.status >= STATUS_MULTIPLE and self._attempts.held is not None:
+                    return False
                 if self._progress.has_begun:
                     self._responder.abort(f"the resume was answered with {head.status}")
                     return True
