--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -37,6 +37,8 @@
 
 # Interval at which another server is sought while the present one is silent.
 SILENCE_POLL_MS = 100
+# Time below which no other server could answer.
+MIN_HANDOVER_MS = 50
 
 
 @frozen(kw_only=True)
@@ -182,8 +184,11 @@
         connection = dispatcher.pool.acquire_idle(server.key)
         if connection is not None:
             return connection
+        remaining_ms = max(1.0, self.context.limit_at_ms - dispatcher.now_ms)
         try:
-            connection = await dispatcher.pool.open(server.key, server.address)
+            connection = await dispatcher.pool.open(
+                server.key, server.address, limit_ms=remaining_ms
+            )
         except OSError as error:
             self._records.record(server, ServerOutcome.NO_CONNECTION, str(error))
             return None
@@ -290,7 +295,7 @@
         while not attempt.done.done():
             idle_ms = (loop.time() - attempt.progress_at) * 1_000
             remaining_ms = wait_ms = limit_at_ms - dispatcher.now_ms
-            if self._may_hand_over:
+            if self._may_hand_over and remaining_ms >= MIN_HANDOVER_MS:
                 silence_ms = silence_limit_ms(
                     self.context.route,
                     has_begun=self._progress.has_begun,
--- a/damaskrill/http1/_pool.py
+++ b/damaskrill/http1/_pool.py
@@ -1,5 +1,6 @@
 """Pool of connections to backend servers, by incarnation."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -77,17 +78,27 @@
             connection.abort()
         return None
 
-    async def open(self, key: ServerKey, address: tuple[str, int]) -> ServerConnection:
+    async def open(
+        self, key: ServerKey, address: tuple[str, int], *, limit_ms: float = math.inf
+    ) -> ServerConnection:
         """Open a connection to an incarnation.
 
+        Parameters
+        ----------
+        key : tuple of (str, int)
+            Incarnation of the server.
+        address : tuple of (str, int)
+            Its address.
+        limit_ms : float, default=math.inf
+            Time after which the connection is not needed any more, in milliseconds.
+
         Raises
         ------
         OSError
             If the connection cannot be opened in time.
         """
-        connection = await connect(
-            self._reactor, address, self._limits.connect_timeout_ms
-        )
+        timeout_ms = math.ceil(min(self._limits.connect_timeout_ms, limit_ms))
+        connection = await connect(self._reactor, address, timeout_ms)
         self._n_opened += 1
 
         def release(idle: ServerConnection) -> None:
--- a/features/steps/gateway_handover_steps.py
+++ b/features/steps/gateway_handover_steps.py
@@ -71,11 +71,11 @@
     open_connection = pool.open
     other_id = context.other.server_id
 
-    async def open_or_time_out(key, address):
+    async def open_or_time_out(key, address, **limits):
         if key[0] == other_id:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise OSError("timed out")
-        return await open_connection(key, address)
+        return await open_connection(key, address, **limits)
 
     pool.open = open_or_time_out
 
