Keep the idle time of a connection that was returned unused

A connection that was taken for a hand-over and not used went back to the pool as if it had just been used (3,900 ms of idle time became 0), so that it could be used again after its server had closed it. Its idle time goes on now.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -159,7 +159,7 @@
                 self._dispatcher.loads.end(server.key)
         if sent is None:
             if connection is not None:
-                self._dispatcher.pool.release(connection)
+                self._dispatcher.pool.release(server.key, connection)
             return None
         if self.held is not None and await self._does_held_go_on(self.held, sent):
             self._end(sent)
--- a/damaskrill/http1/_pool.py
+++ b/damaskrill/http1/_pool.py
@@ -101,6 +101,8 @@
         connection = await connect(self._reactor, address, timeout_ms)
         self._n_opened += 1
 
+        connection.idle_since_ms = monotonic_now_ms()
+
         def release(idle: ServerConnection) -> None:
             if not self._may_keep(key):
                 idle.close()
@@ -111,10 +113,17 @@
         connection.on_idle = release
         return connection
 
-    def release(self, connection: ServerConnection) -> None:
-        """Return an open connection that was not used for an exchange."""
-        if connection.is_open and connection.on_idle is not None:
-            connection.on_idle(connection)
+    def release(self, key: ServerKey, connection: ServerConnection) -> None:
+        """Return an open connection that was not used for an exchange.
+
+        Notes
+        -----
+        The server has counted its idle time on.
+        """
+        if connection.is_open and self._may_keep(key):
+            self._idle.setdefault(key, deque()).append(connection)
+        else:
+            connection.abort()
 
     def close_idle(self, key: ServerKey) -> None:
         """Close the idle connections to an incarnation that gets no new requests."""
