Answer the requests in progress when a stopping router must exit

What callers saw: a request that was in progress when the grace period ended got neither an answer nor a refusal; its connection just ended.

Cause: the exchanges were cancelled as if their callers had left. Now a request that was sent to a server ends with 502, one that was not with 503, both with the cause "stopping"; only a stream that has begun is still cut.

--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -135,6 +135,7 @@
         )
         self._tasks: set[asyncio.Task[Any]] = set()
         self._drain_times: tuple[float, float] | None = None
+        self._is_exiting = False
 
     @property
     def now_ms(self) -> float:
@@ -416,8 +417,14 @@
         self._health.retain_only(keys)
         self._pauses.retain_only(keys)
 
+    @property
+    def is_exiting(self) -> bool:
+        """Whether the process exits now, so that no request can be served any more."""
+        return self._is_exiting
+
     def cancel_all(self) -> None:
-        """Cancel all exchanges."""
+        """Cancel all exchanges, as the process exits."""
+        self._is_exiting = True
         for task in list(self._tasks):
             task.cancel()
 
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -109,7 +109,10 @@
         try:
             await self._serve()
         except asyncio.CancelledError:
-            self._responder.record_caller_left()
+            if self._dispatcher.is_exiting:
+                self._refuse_at_exit()
+            else:
+                self._responder.record_caller_left()
         except Exception as error:
             self._dispatcher.log.warn(
                 "internal_error",
@@ -295,6 +298,19 @@
                 self._may_have_run = True
                 return False
 
+    def _refuse_at_exit(self) -> None:
+        # What was sent may run on; only a request that was never sent has not run.
+        self._responder.refuse(
+            Refusal(
+                status=502 if self._responder.n_sent else 503,
+                cause=RefusalCause.STOPPING,
+                retry_after_ms=None
+                if self._responder.n_sent
+                else RETRY_AFTER_STOPPING_MS,
+            ),
+            "the process exits",
+        )
+
     def _refuse_unserved(self) -> None:
         if self._responder.n_sent:
             self._refuse_after(self._last_result)
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -445,6 +445,9 @@
             if not self._callers.connections:
                 break
         self._log.write("process_stopped", n_exchanges=self._dispatcher.n_exchanges)
+        self._dispatcher.cancel_all()
+        # The cancelled exchanges send their refusals in the next iteration.
+        await asyncio.sleep(0)
         self.close()
 
     def close(self) -> None:
