Let a slow caller read the whole last answer of its connection

What callers saw: the last answer on a connection, such as every answer of a stopping router, was cut if the caller took more than a second to read it (128,000 of 30,000,000 bytes arrived).

Cause: the second for which the read side stays open counted from the request to close, not from the sending of the last byte. It counts from then now; a caller that reads nothing at all is ended by the connection's own timeouts.

--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -11,7 +11,7 @@
 
 from damaskrill.catalog import CallerLimits
 from damaskrill.http1._messages import CallerRequest, Headers
-from damaskrill.http1._transport import write_now
+from damaskrill.http1._transport import is_flushed, write_now
 from damaskrill.utils import monotonic_now_ms
 
 __all__ = ["CallerConnection", "CallerConnectionFactory"]
@@ -253,7 +253,16 @@
         transport: Any = self.transport
         transport.resumeProducing()
         transport.loseWriteConnection()
-        self._timer = self._factory.call_later(LINGER_MS, transport.abortConnection)
+        self._linger()
+
+    def _linger(self) -> None:
+        # A caller that reads slowly gets the whole answer; the time counts from then.
+        action = self._abort_lingering if is_flushed(self.transport) else self._linger
+        self._timer = self._factory.call_later(LINGER_MS, action)
+
+    def _abort_lingering(self) -> None:
+        transport: Any = self.transport
+        transport.abortConnection()
 
     def _set_timer(self, delay_ms: int, *, for_head: bool = False) -> None:
         self._clear_timer()
--- a/damaskrill/http1/_transport.py
+++ b/damaskrill/http1/_transport.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.main import CONNECTION_LOST
 
-__all__ = ["write_now"]
+__all__ = ["is_flushed", "write_now"]
 
 
 def write_now(transport: Any, data: bytes) -> None:
@@ -31,10 +31,12 @@
         transport.write(data)
 
 
+def is_flushed(transport: Any) -> bool:
+    """Return whether the socket has taken all data."""
+    return not transport.dataBuffer and not transport._tempDataBuffer
+
+
 def _is_idle(transport: Any) -> bool:
     return bool(
-        transport.connected
-        and not transport.disconnecting
-        and not transport.dataBuffer
-        and not transport._tempDataBuffer
+        transport.connected and not transport.disconnecting and is_flushed(transport)
     )
