Give a server that reads nothing for a while time for a large request

What callers saw: an action or read with a body of 200 kB or more ended with 502 after 1.3 s, and its server was ejected, because the server had read nothing for 1.6 s.

Cause: bytes that a closed receive window holds back count as unacknowledged, for which a connection was given up after one second. For requests of more than 64 kB the time is three seconds now; smaller ones fit into the window, so that a lost host is found as fast as before.

--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -24,6 +24,10 @@
 # Time that sent bytes may stay unacknowledged, to detect an unresponsive path. It is
 # long enough for several retransmissions of a lost packet.
 USER_TIMEOUT_MS = 1_000
+# The same for a request larger than what the server's host takes while the server reads
+# nothing: a sound server may be silent for a second or two.
+LARGE_REQUEST_BYTES = 65_536
+LARGE_USER_TIMEOUT_MS = 3_000
 # Fraction of that time after which the loss of a connection counts as a timeout.
 SILENT_TIMEOUT_FRACTION = 0.9
 MAX_ANSWER_HEAD_BYTES = 65_536
@@ -51,6 +55,7 @@
         self._has_answer = False
         self._is_open = False
         self._started_at = 0.0
+        self._user_timeout_ms = 0
         self._idle_limit_ms = DEFAULT_IDLE_TIMEOUT_MS
         self.idle_since_ms = 0.0
         self.on_idle: Any = None
@@ -75,14 +80,15 @@
         self._is_open = True
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        handle = transport.getHandle()
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        self._set_user_timeout(USER_TIMEOUT_MS)
 
     def start(self, request: OutgoingRequest, sink: AnswerSink) -> None:
         """Send a request and pass its answer to a sink."""
         self._sink = sink
         self._has_answer = False
         self._started_at = time.monotonic()
+        is_large = len(request.body) > LARGE_REQUEST_BYTES
+        self._set_user_timeout(LARGE_USER_TIMEOUT_MS if is_large else USER_TIMEOUT_MS)
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             headers.append((b"Content-Length", b"%d" % len(request.body)))
@@ -95,6 +101,14 @@
         parts.append(self._http.send(h11.EndOfMessage()))
         self._write(b"".join(part for part in parts if part))
 
+    def _set_user_timeout(self, timeout_ms: int) -> None:
+        if timeout_ms != self._user_timeout_ms:
+            self._user_timeout_ms = timeout_ms
+            transport: Any = self.transport
+            transport.getHandle().setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+            )
+
     def abort(self) -> None:
         """Abort the connection, so that the server stops its work."""
         self._sink = None
@@ -135,7 +149,7 @@
         waited_ms = (time.monotonic() - self._started_at) * 1_000
         if (
             not self._has_answer
-            and waited_ms >= USER_TIMEOUT_MS * SILENT_TIMEOUT_FRACTION
+            and waited_ms >= self._user_timeout_ms * SILENT_TIMEOUT_FRACTION
         ):
             return FailureKind.SILENT
         return FailureKind.RESET
