End the connection of a caller whose answer failed while it was written

If writing an answer raised an error, the request already counted as ended, so that no refusal followed: the caller waited on an open connection until its own limit. No input is known that causes this; it was found by reading. The connection is aborted now.

The scenario "a caller whose answer cannot be written is not left waiting" failed before (3,001 ms).

--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -119,8 +119,8 @@
                 request_id=self._metadata.request_id,
                 sentence=f"{type(error).__name__}: {error}"[:300],
             )
-            self._responder.refuse(
-                Refusal(status=500, cause=RefusalCause.INTERNAL_ERROR), "internal_error"
+            self._responder.refuse_or_abort(
+                Refusal(status=500, cause=RefusalCause.INTERNAL_ERROR)
             )
         finally:
             self._attempts.end_held()
--- a/damaskrill/gateway/_responder.py
+++ b/damaskrill/gateway/_responder.py
@@ -139,6 +139,13 @@
             detail=detail,
         )
 
+    def refuse_or_abort(self, refusal: Refusal) -> None:
+        """Refuse the request, or abort the connection if its answer was cut short."""
+        if self._has_ended:
+            self.connection.abort()
+        else:
+            self.refuse(refusal, refusal.cause.value)
+
     def abort(self, detail: str) -> None:
         """Abort a stream so that it cannot look complete."""
         self._has_ended = True
--- a/features/gateway_unanswered.feature
+++ b/features/gateway_unanswered.feature
@@ -20,3 +20,9 @@
     And a gateway that is ready
     When a caller sends an issuance of 300000 bytes
     Then the issuance is answered with 200
+
+  Scenario: a caller whose answer cannot be written is not left waiting
+    Given a gateway that is ready
+    And the gateway fails to write the heads of answers
+    When a caller sends a read and waits for the end of its connection
+    Then the connection ends within 1000 ms
--- a/features/steps/gateway_unanswered_steps.py
+++ b/features/steps/gateway_unanswered_steps.py
@@ -9,6 +9,7 @@
 
 from damaskrill.fakes.platform import build_configuration as build_content
 from damaskrill.fakes.platform import build_entry
+from damaskrill.gateway import _responder
 from features.support.gateways import Caller, GatewayTestbed, build_request
 
 MAX_BODY_BYTES = 20_000_000
@@ -138,3 +139,37 @@
 @then("the issuance is answered with {status:d}")
 def step_issuance_status(context, status):
     assert context.reply.status == status, context.reply
+
+
+@given("the gateway fails to write the heads of answers")
+def step_unwritable_heads(context):
+    def fail(headers):
+        raise ValueError("a head that cannot be written")
+
+    original = _responder.forwarded_headers
+    _responder.forwarded_headers = fail
+    context.add_cleanup(setattr, _responder, "forwarded_headers", original)
+
+
+@when("a caller sends a read and waits for the end of its connection")
+def step_wait_for_end(context):
+    address = context.testbed.gateways[0]._settings.caller_address
+    data, _ = build_request("/read/1", method="GET", body=b"")
+
+    async def run():
+        caller = await Caller.open(address)
+        caller.send(data)
+        started_at = time.monotonic()
+        try:
+            await asyncio.wait_for(caller.reader.read(), TIMEOUT_S)
+        except (TimeoutError, ConnectionError):
+            pass
+        caller.close()
+        return (time.monotonic() - started_at) * 1_000
+
+    context.elapsed_ms = context.testbed.call(run)
+
+
+@then("the connection ends within {limit_ms:d} ms")
+def step_connection_ended(context, limit_ms):
+    assert context.elapsed_ms <= limit_ms, context.elapsed_ms
