Let the fake server send unframed and endless answers and crash at a prompt part

Streams can now have neither a length nor chunks and end with their connection, also inside an event; bytes can come without end in a head or a body, 64 kB each 5 ms with flow control; a part of a prompt other than the last can crash the server. The fake records when it was silent.

--- a/damaskrill/fakes/platform/__init__.py
+++ b/damaskrill/fakes/platform/__init__.py
@@ -7,7 +7,8 @@
     build_entry,
     build_settings,
 )
-from damaskrill.fakes.platform._server import FakeServer, Misbehaviour
+from damaskrill.fakes.platform._misbehaviour import Misbehaviour
+from damaskrill.fakes.platform._server import FakeServer
 from damaskrill.fakes.platform._store import FakeStore, StoreCopy, StoreMode
 
 __all__ = [
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -3,13 +3,19 @@
 import asyncio
 import time
 from collections import Counter
-from enum import Enum
+from collections.abc import Callable
 from typing import Any
 
 from damaskrill.fakes.platform._listener import Listener
+from damaskrill.fakes.platform._misbehaviour import Misbehaviour
+from damaskrill.fakes.platform._streams import (
+    UnframedStream,
+    break_off_stream,
+    send_without_end,
+)
 from damaskrill.http1 import CallerConnection, CallerRequest, Headers
 
-__all__ = ["FakeServer", "Misbehaviour"]
+__all__ = ["FakeServer"]
 
 SEAL = (b"Damaskrill-Response-Seal", b"seal")
 JSON = (b"Content-Type", b"application/json")
@@ -17,31 +23,7 @@
 ID_HEADER = b"damaskrill-request-id"
 # How long before its deadline the server abandons a request.
 DEADLINE_MARGIN_MS = 20
-
-
-class Misbehaviour(Enum):
-    """Defect of the answers of a server."""
-
-    NONE = "none"
-    FULL = "full"
-    MOVED = "moved"
-    ERROR = "error"
-    HANG = "hang"
-    DEADLINE = "deadline"
-    RESET = "reset"
-    CUT = "cut"
-    SECOND_ANSWER = "second_answer"
-    OTHER_ID = "other_id"
-    NO_SEAL = "no_seal"
-    ENCODED = "encoded"
-    NO_LENGTH = "no_length"
-    NO_LENGTH_RESET = "no_length_reset"
-    RUBBISH = "rubbish"
-    MID_EVENT = "mid_event"
-    DRIP = "drip"
-    LATE_COPY = "late_copy"
-    LATE_REFUSAL = "late_refusal"
-    PAUSE = "pause"
+UNFRAMED_STREAMS = (Misbehaviour.NO_LENGTH, Misbehaviour.NO_LENGTH_MID_EVENT)
 
 
 class FakeServer:
@@ -84,6 +66,15 @@
         on, in milliseconds.
     n_events_before_silence : int
         Number of events of a stream that it sends before.
+    silences : list of (float, str)
+        Times at which it became silent, on the monotonic clock in seconds, and request
+        IDs.
+    is_unframed : bool
+        Whether its sound answers have no length and end with their connection.
+    fatal_parts : set of str
+        Prompt parts, other than the last of a prompt, at which it crashes.
+    on_crash : callable or None
+        Called after such a crash.
     """
 
     def __init__(
@@ -106,6 +97,10 @@
         self.pauses: list[tuple[float, str]] = []
         self.silence_ms = 1_500
         self.n_events_before_silence = 2
+        self.silences: list[tuple[float, str]] = []
+        self.is_unframed = False
+        self.fatal_parts: set[str] = set()
+        self.on_crash: Callable[[], None] | None = None
         self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
         self._event_ms = event_ms
@@ -170,11 +165,19 @@
             SEAL,
             *self._leaving_headers,
         )
+        if self.misbehaviour is Misbehaviour.ENDLESS_HEAD:
+            await send_without_end(connection, b"HTTP/1.1 200 OK\r\nServer: ")
+        if self.misbehaviour is Misbehaviour.ENDLESS_BODY:
+            UnframedStream(connection).begin_stream(200, (*headers, EVENT_STREAM))
+            await send_without_end(connection, b"id: 1\ndata: ")
         if request.find_header(b"damaskrill-prompt-prefix") is not None:
+            if self._has_fatal_part(request):
+                self._crash()
+                return
             await self._stream(connection, request, headers)
             return
         if self.misbehaviour is Misbehaviour.PAUSE:
-            await asyncio.sleep(self.silence_ms / 1_000)
+            await self._be_silent(request_id)
         await asyncio.sleep(self._work_ms / 1_000)
         self._answer(connection, request_id, headers)
 
@@ -193,6 +196,20 @@
             headers = (*headers, (b"Retry-After", self.retry_after))
         return headers
 
+    async def _be_silent(self, request_id: bytes) -> None:
+        self.silences.append((time.monotonic(), request_id.decode()))
+        await asyncio.sleep(self.silence_ms / 1_000)
+
+    def _has_fatal_part(self, request: CallerRequest) -> bool:
+        prompt = request.find_header(b"damaskrill-prompt-prefix") or b""
+        shared = prompt.decode().split(",")[:-1]
+        return any(part.partition(":")[0] in self.fatal_parts for part in shared)
+
+    def _crash(self) -> None:
+        self.close()
+        if self.on_crash is not None:
+            self.on_crash()
+
     async def _stream(
         self,
         connection: CallerConnection,
@@ -200,34 +217,24 @@
         headers: tuple[tuple[bytes, bytes], ...],
     ) -> None:
         first = int(request.find_header(b"last-event-id") or b"0") + 1
-        connection.begin_stream(200, (*headers, EVENT_STREAM))
+        request_id = request.find_header(ID_HEADER) or b""
+        stream: CallerConnection | UnframedStream = connection
+        if self.is_unframed or self.misbehaviour in UNFRAMED_STREAMS:
+            stream = UnframedStream(connection)
+        stream.begin_stream(200, (*headers, EVENT_STREAM))
         for number in range(first, self._n_events + 1):
             await asyncio.sleep(self._event_ms / 1_000)
             event = b"id: %d\ndata: token-%d\n\n" % (number, number)
             is_second_half = number > self._n_events // 2
             is_next = number == self.n_events_before_silence + 1
             if is_next and self.misbehaviour is Misbehaviour.PAUSE:
-                await asyncio.sleep(self.silence_ms / 1_000)
-            if is_second_half and self.misbehaviour is Misbehaviour.MID_EVENT:
-                connection.send_chunk(event[:9])
-                await asyncio.sleep(0.02)
-                connection.abort()
-                return
-            if is_second_half and self.misbehaviour is Misbehaviour.DRIP:
-                await self._drip(connection, event)
+                await self._be_silent(request_id)
+            if is_second_half and await break_off_stream(
+                stream, event, self.misbehaviour
+            ):
                 return
-            if is_second_half and self.misbehaviour is Misbehaviour.CUT:
-                connection.abort()
-                return
-            connection.send_chunk(event)
-        connection.end_stream()
-
-    async def _drip(self, connection: CallerConnection, event: bytes) -> None:
-        # Bytes arrive until the connection is closed, but the event never ends.
-        connection.send_chunk(event[:1])
-        while True:
-            await asyncio.sleep(0.1)
-            connection.send_chunk(b"x")
+            stream.send_chunk(event)
+        stream.end_stream()
 
     def _answer(
         self,
@@ -254,9 +261,8 @@
             case Misbehaviour.CUT:
                 transport.write(sized + body[:4])
                 transport.loseConnection()
-            case Misbehaviour.NO_LENGTH:
-                transport.write(raw + b"Connection: close\r\n\r\n" + body)
-                transport.loseConnection()
+            case Misbehaviour.NO_LENGTH | Misbehaviour.NO_LENGTH_MID_EVENT:
+                _send_unframed(transport, raw, body)
             case Misbehaviour.NO_LENGTH_RESET:
                 transport.write(raw + b"\r\n" + body[:4])
                 asyncio.get_running_loop().call_later(0.03, transport.abortConnection)
@@ -275,5 +281,12 @@
                     ) % request_id
             case Misbehaviour.RUBBISH:
                 transport.write(b"\x00\x01\x02 no answer\r\n\r\n")
+            case _ if self.is_unframed:
+                _send_unframed(transport, raw, body)
             case _:
                 connection.send_answer(200, (*headers, JSON), body)
+
+
+def _send_unframed(transport: Any, raw: bytes, body: bytes) -> None:
+    transport.write(raw + b"Connection: close\r\n\r\n" + body)
+    transport.loseConnection()
