Let the soak's link deliver nothing after bytes that it has lost

A link that was cut one way or silent for a while dropped chunks and then went on, so that an answer could reach a router with a gap in its middle, or end cleanly without its last bytes; TCP does neither. With answers that end with their connection a router could not tell such a part from the whole. A connection that has lost bytes now stays silent.

The new scenario failed before: its reader got 'first later'.

--- a/damaskrill/soak/_proxy.py
+++ b/damaskrill/soak/_proxy.py
@@ -103,6 +103,8 @@
                     or is_dropped
                     or writer in self._silenced
                 ):
+                    # TCP delivers nothing after bytes that were lost.
+                    self._silenced.add(writer)
                     continue
                 writer.write(data)
                 await writer.drain()
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -17,6 +17,10 @@
     And a request at a server long after its leaving notice is found
     And a request that planned work interrupted is found
 
+  Scenario: a link that has lost bytes delivers nothing later
+    When a link loses a chunk of a stream and works again
+    Then its reader gets nothing after the loss
+
   Scenario: concurrent soak runs do not share addresses
     Then 2000 processes with consecutive IDs have distinct networks
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,5 +1,6 @@
 """Steps for the soak test."""
 
+import asyncio
 import itertools
 import json
 import subprocess
@@ -16,10 +17,13 @@
     check_leaving,
     check_planned_work,
 )
+from damaskrill.soak._proxy import FaultyProxy, LinkMode
 from damaskrill.soak._run import loopback_network
 
 ROOT = Path(__file__).resolve().parents[2]
 TIMEOUT_S = 120
+# Time in which a link delivers a few bytes, in seconds.
+LINK_S = 0.3
 
 
 def run_command(*words):
@@ -143,3 +147,43 @@
     networks = {loopback_network(4_190_000 + number) for number in range(n)}
     assert len(networks) == n
     assert all(0 <= int(part) <= 255 for each in networks for part in each.split("."))
+
+
+@when("a link loses a chunk of a stream and works again")
+def step_lossy_link(context):
+    async def send(reader, writer):
+        for chunk in (b"first ", b"lost ", b"later"):
+            await reader.readexactly(1)
+            writer.write(chunk)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(send, "127.0.0.1", 0)
+        proxy = FaultyProxy(target=server.sockets[0].getsockname()[:2])
+        await proxy.start()
+        reader, writer = await asyncio.open_connection(*proxy.address)
+        writer.write(b".")
+        received = await reader.readexactly(6)
+        proxy.mode = LinkMode.ONE_WAY
+        writer.write(b".")
+        await asyncio.sleep(LINK_S)
+        proxy.mode = LinkMode.GOOD
+        writer.write(b".")
+        try:
+            async with asyncio.timeout(LINK_S):
+                received += await reader.read()
+        except TimeoutError:
+            # The connection is silent, as one whose bytes are lost.
+            pass
+        writer.transport.abort()
+        proxy.close()
+        server.close()
+        await asyncio.sleep(LINK_S)
+        return received
+
+    context.received = asyncio.run(run())
+
+
+@then("its reader gets nothing after the loss")
+def step_nothing_later(context):
+    assert context.received == b"first ", context.received
