Add the newly described troubles and their promises to the soak

New checks: a request that reached a server ends with a complete answer or a refusal, unless its router or a server that ran it was in trouble, or its time was nearly used up: silent_server, planned_work or interrupted. After five crashes by a part few requests with it reach servers, and sound streams are served: fatal_part, sound_requests. Failures of the store excuse nothing. The existing checks are unchanged.

--- a/damaskrill/cli/_soak.py
+++ b/damaskrill/cli/_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import sys
+from collections.abc import Sequence
 from typing import Any
 
 from damaskrill.cli._errors import UsageError
@@ -19,6 +20,7 @@
     seeds: str = "1",
     routers: str = "3",
     seconds: str = "12",
+    fatal_part: bool = False,
     json: bool = False,
 ) -> int:
     """Inject seeded faults into real router processes and check the guarantees.
@@ -33,6 +35,9 @@
         Number of router processes.
     seconds : str, default="12"
         Time in seconds during which each seed sends requests.
+    fatal_part : bool, default=False
+        Whether a prompt part crashes each server that begins to answer it; needs 16
+        seconds or more.
     json : bool, default=False
         Whether to print one JSON object per seed.
 
@@ -49,7 +54,10 @@
     )
     if not 1 <= n_routers <= MAX_ROUTERS:
         raise UsageError(reason=f"routers must be between 1 and {MAX_ROUTERS}")
-    return _run_seeds(first, n_seeds, n_routers, duration_s, as_json=json)
+    options: dict[str, Any] = {"n_routers": n_routers, "duration_s": duration_s}
+    if fatal_part:
+        options["has_fatal_part"] = True
+    return _run_seeds(range(first, first + n_seeds), as_json=json, **options)
 
 
 def _parse_number(name: str, text: str) -> int:
@@ -58,9 +66,7 @@
     return int(text)
 
 
-def _run_seeds(
-    first: int, n_seeds: int, n_routers: int, duration_s: int, *, as_json: bool
-) -> int:
+def _run_seeds(seeds: Sequence[int], *, as_json: bool, **options: Any) -> int:
     from twisted.internet import asyncioreactor
 
     loop = asyncio.new_event_loop()
@@ -73,10 +79,8 @@
     running: Any = reactor
     running.startRunning(installSignalHandlers=False)
     n_failed_seeds = 0
-    for seed in range(first, first + n_seeds):
-        result = loop.run_until_complete(
-            run_soak(seed=seed, n_routers=n_routers, duration_s=duration_s)
-        )
+    for seed in seeds:
+        result = loop.run_until_complete(run_soak(seed=seed, **options))
         n_failed_seeds += bool(result.breaches)
         if as_json:
             print(json.dumps(result.to_map()), flush=True)
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -66,9 +66,9 @@
         on, in milliseconds.
     n_events_before_silence : int
         Number of events of a stream that it sends before.
-    silences : list of (float, str)
-        Times at which it became silent, on the monotonic clock in seconds, and request
-        IDs.
+    silences : list of (float, float, str)
+        Begin and intended end of its silences, on the monotonic clock in seconds, and
+        request IDs.
     is_unframed : bool
         Whether its sound answers have no length and end with their connection.
     fatal_parts : set of str
@@ -97,7 +97,7 @@
         self.pauses: list[tuple[float, str]] = []
         self.silence_ms = 1_500
         self.n_events_before_silence = 2
-        self.silences: list[tuple[float, str]] = []
+        self.silences: list[tuple[float, float, str]] = []
         self.is_unframed = False
         self.fatal_parts: set[str] = set()
         self.on_crash: Callable[[], None] | None = None
@@ -197,8 +197,9 @@
         return headers
 
     async def _be_silent(self, request_id: bytes) -> None:
-        self.silences.append((time.monotonic(), request_id.decode()))
-        await asyncio.sleep(self.silence_ms / 1_000)
+        now, silence_s = time.monotonic(), self.silence_ms / 1_000
+        self.silences.append((now, now + silence_s, request_id.decode()))
+        await asyncio.sleep(silence_s)
 
     def _has_fatal_part(self, request: CallerRequest) -> bool:
         prompt = request.find_header(b"damaskrill-prompt-prefix") or b""
--- a/damaskrill/soak/_callers.py
+++ b/damaskrill/soak/_callers.py
@@ -10,7 +10,7 @@
 from damaskrill.fakes.platform import build_caller_headers
 from damaskrill.utils import hash_to_int
 
-__all__ = ["Exchange", "send_requests_forever"]
+__all__ = ["DEADLINE_MS", "Exchange", "send_request_once", "send_requests_forever"]
 
 DEADLINE_MS = 3_000
 CONNECT_TIMEOUT_S = 1.0
@@ -34,25 +34,30 @@
     router : int
         Number of the router that received it.
     sent_at, ended_at : float
-        Times on the monotonic clock, in seconds; ``ended_at`` is 0 while the request
-        is open.
+        Times on the monotonic clock, in seconds; 0 until then.
     status : int
         Status of the answer; 0 if none was received.
     body : bytes
         Received part of the body.
     is_complete : bool
         Whether the answer was received completely.
+    prompt : str
+        Prompt parts; empty for a request without a stream.
+    has_fatal_part : bool
+        Whether servers crash at one of them.
     """
 
     request_id: str
     path: str
     key: str
     router: int
-    sent_at: float
+    sent_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
     body: bytes = b""
     is_complete: bool = False
+    prompt: str = ""
+    has_fatal_part: bool = False
 
 
 async def send_requests_forever(
@@ -89,20 +94,43 @@
                 await asyncio.sleep(random.uniform(0.02, 0.2))
                 continue
         method, path, is_stream = random.choice(REQUEST_KINDS)
+        request_id = f"{name}-{number}"
+        prompt = ""
+        if is_stream:
+            prompt = f"base:10,part-{hash_to_int(request_id) % 20}:10,own:5"
         exchange = Exchange(
-            request_id=f"{name}-{number}",
+            request_id=request_id,
             path=path,
+            prompt=prompt,
             key=random.choice(keys),
             router=connection.router,
             sent_at=time.monotonic(),
         )
         exchanges.append(exchange)
-        is_open = await connection.send_request(method, exchange, is_stream=is_stream)
+        is_open = await connection.send_request(method, exchange)
         exchange.ended_at = time.monotonic()
         connection = connection if is_open else None
         await asyncio.sleep(random.expovariate(20))
 
 
+async def send_request_once(address: tuple[str, int], exchange: Exchange) -> None:
+    """Send one request on a connection of its own.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Address of the router.
+    exchange : Exchange
+        The request, in which its answer is recorded.
+    """
+    exchange.sent_at = time.monotonic()
+    connection = await _Connection.open(exchange.router, address)
+    if connection is not None:
+        await connection.send_request("POST", exchange)
+        connection.close()
+    exchange.ended_at = time.monotonic()
+
+
 class _Connection:
     def __init__(
         self, router: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -121,12 +149,13 @@
             # The router is down or paused; the caller picks another one.
             return None
 
-    async def send_request(
-        self, method: str, exchange: Exchange, *, is_stream: bool
-    ) -> bool:
+    def close(self) -> None:
+        self._writer.transport.abort()
+
+    async def send_request(self, method: str, exchange: Exchange) -> bool:
         try:
             async with asyncio.timeout(DEADLINE_MS / 1_000):
-                await self._send_request(method, exchange, is_stream=is_stream)
+                await self._send_request(method, exchange)
                 exchange.is_complete = True
             if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
                 self._http.start_next_cycle()
@@ -134,20 +163,15 @@
         except (OSError, TimeoutError, h11.ProtocolError):
             # The part received until then is recorded.
             pass
-        self._writer.transport.abort()
+        self.close()
         return False
 
-    async def _send_request(
-        self, method: str, exchange: Exchange, *, is_stream: bool
-    ) -> None:
-        prompt = ""
-        if is_stream:
-            prompt = f"base:10,part-{hash_to_int(exchange.request_id) % 20}:10,own:5"
+    async def _send_request(self, method: str, exchange: Exchange) -> None:
         headers = build_caller_headers(
             request_id=exchange.request_id,
             key=exchange.key,
             deadline_ms=DEADLINE_MS,
-            prompt=prompt,
+            prompt=exchange.prompt,
         )
         request = h11.Request(method=method, target=exchange.path, headers=headers)
         self._writer.write(self._http.send(request) or b"")
--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -57,12 +57,15 @@
         Arrival times, on the monotonic clock in seconds, and request IDs.
     pauses : tuple of (float, str)
         Times at which it refused a request and asked for a pause, and request IDs.
+    silences : tuple of (float, float, str)
+        Begin and intended end of its silences, and request IDs.
     """
 
     server_id: str
     runs: dict[str, int]
     arrivals: tuple[tuple[float, str], ...]
     pauses: tuple[tuple[float, str], ...] = ()
+    silences: tuple[tuple[float, float, str], ...] = ()
 
 
 def check_exchanges(
--- /dev/null
+++ b/damaskrill/soak/_disruptions.py
@@ -0,0 +1,73 @@
+"""Times at which routers and servers of a soak test were in trouble, or worked on."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+__all__ = ["RECONNECT_S", "Disruptions"]
+
+# Time within which a killed or paused router must have reconnected. While the store or
+# its link fails, and for this time after, changes need not arrive within their bounds.
+RECONNECT_S = 3.0
+
+Window = tuple[float, float]
+
+
+class Disruptions:
+    """Windows of unplanned faults and of planned work.
+
+    Notes
+    -----
+    All times are on the monotonic clock, in seconds. Failures of the store are not
+    recorded: they excuse no interrupted request.
+    """
+
+    def __init__(self) -> None:
+        self._by_router: dict[int, list[Window]] = defaultdict(list)
+        self._by_server: dict[str, list[Window]] = defaultdict(list)
+        self._stops: dict[int, list[float]] = defaultdict(list)
+        self._planned: list[tuple[int | None, str, Window]] = []
+
+    def record_router(self, number: int, begin: float, end: float) -> None:
+        """Record an unplanned fault of a router."""
+        self._by_router[number].append((begin, end))
+
+    def record_server(
+        self, server_id: str, begin: float, end: float = float("inf")
+    ) -> None:
+        """Record an unplanned fault of a server or of its link."""
+        self._by_server[server_id].append((begin, end))
+
+    def record_planned(
+        self, name: str, router: int | None, begin: float, end: float
+    ) -> None:
+        """Record planned work at one router, or at all if the number is None."""
+        self._planned.append((router, name, (begin, end)))
+
+    def record_stop(self, router: int, at: float) -> None:
+        """Record that a router was told to stop."""
+        self._stops[router].append(at)
+
+    def stops_before(self, router: int, at: float) -> list[float]:
+        """Return when a router was told to stop before a time."""
+        return [each for each in self._stops.get(router, ()) if each <= at]
+
+    def hit_router(self, number: int, begin: float, end: float) -> bool:
+        """Return whether a router was in trouble at some time of a period."""
+        return _overlaps(self._by_router.get(number, ()), begin, end)
+
+    def hit_server(self, server_id: str, begin: float, end: float) -> bool:
+        """Return whether a server was in trouble at some time of a period."""
+        return _overlaps(self._by_server.get(server_id, ()), begin, end)
+
+    def find_planned(self, router: int, begin: float, end: float) -> list[str]:
+        """Return the names of the planned work that concerned a router in a period."""
+        names = {
+            name
+            for number, name, window in self._planned
+            if number in (None, router) and _overlaps([window], begin, end)
+        }
+        return sorted(names)
+
+
+def _overlaps(windows: Iterable[Window], begin: float, end: float) -> bool:
+    return any(a <= end and b >= begin for a, b in windows)
--- a/damaskrill/soak/_injection.py
+++ b/damaskrill/soak/_injection.py
@@ -1,53 +1,38 @@
 """Injection of the faults and the planned work of a plan."""
 
-import asyncio
 import time
-from collections.abc import Callable
 from random import Random
 
 from damaskrill.fakes.platform import (
-    FakeServer,
     FakeStore,
-    Misbehaviour,
     StoreMode,
     build_configuration,
 )
+from damaskrill.soak._disruptions import RECONNECT_S, Disruptions
 from damaskrill.soak._plan import Fault, FaultKind
 from damaskrill.soak._proxy import FaultyProxy, LinkMode
-from damaskrill.soak._routers import RouterProcesses
-from damaskrill.soak._servers import ServerFleet
+from damaskrill.soak._routers import GRACE_PERIOD_S, RouterProcesses
+from damaskrill.soak._schedule import Schedule
+from damaskrill.soak._server_faults import ServerFaults
+from damaskrill.soak._servers import SERVICES, ServerFleet
 
-__all__ = ["PAUSE_S", "RECONNECT_S", "FaultInjector"]
+__all__ = ["FaultInjector"]
 
 EVACUATED_DATA_CENTRE = "kality"
-# Time within which a killed or paused router must have reconnected. While the store or
-# its link fails, and for this time after, changes need not arrive within their bounds.
-RECONNECT_S = 3.0
-# Pause that servers ask for, in seconds.
-PAUSE_S = 1.5
 # Time within which operators and servers have written again what a restored store lost.
 WRITE_AGAIN_S = 1.0
-MISBEHAVIOURS = (
-    Misbehaviour.FULL,
-    Misbehaviour.MOVED,
-    Misbehaviour.ERROR,
-    Misbehaviour.RESET,
-    Misbehaviour.CUT,
-    Misbehaviour.SECOND_ANSWER,
-    Misbehaviour.OTHER_ID,
-    Misbehaviour.NO_SEAL,
-    Misbehaviour.NO_LENGTH_RESET,
-    Misbehaviour.RUBBISH,
-    Misbehaviour.MID_EVENT,
-    Misbehaviour.HANG,
-)
+# Time after which routers must have applied a configuration or a reload, in seconds.
+APPLY_S = 2.0
 PLANNED_WORK = (
     FaultKind.STOP_ROUTER,
     FaultKind.SIGNAL_RELOAD,
     FaultKind.CHANGE_CONFIGURATION,
+    FaultKind.MOVE_ROUTES,
     FaultKind.LEAVE_SERVER,
     FaultKind.DATA_CENTRE_OUT,
 )
+# Peculiarities of sound servers, which excuse nothing.
+SOUND = (FaultKind.SILENT_SERVER, FaultKind.UNFRAMED_ANSWERS)
 LINK_FAULTS = {
     FaultKind.LINK_DELAY: LinkMode.DELAY,
     FaultKind.LINK_ONE_WAY: LinkMode.ONE_WAY,
@@ -71,6 +56,10 @@
         The backend servers.
     routers : RouterProcesses
         The routers.
+    disruptions : Disruptions
+        Record of the faults by router and server, and of planned work.
+    schedule : Schedule
+        Ends of the faults.
     random : Random
         Source of the steps between two versions of the configuration.
 
@@ -80,9 +69,8 @@
         Number of injected faults.
     fault_windows : list of (float, float)
         Begin and end of all faults other than planned work, on the monotonic clock.
-    notified_at, announced_at : dict of str to float
-        Times at which a server announced in the store, and in its answers, that it
-        leaves.
+    servers : ServerFaults
+        Faults of the servers.
     store_failed_until : float
         End of the last failure of the store or its link.
     """
@@ -94,12 +82,12 @@
         store_proxy: FaultyProxy,
         fleet: ServerFleet,
         routers: RouterProcesses,
+        disruptions: Disruptions,
+        schedule: Schedule,
         random: Random,
     ) -> None:
         self.n_faults = 0
         self.fault_windows: list[tuple[float, float]] = []
-        self.notified_at: dict[str, float] = {}
-        self.announced_at: dict[str, float] = {}
         self.store_failed_until = 0.0
         self._store = store
         self._store_proxy = store_proxy
@@ -107,44 +95,72 @@
         self._routers = routers
         self._random = random
         self._version = 1
-        self._tasks: list[asyncio.Task[None]] = []
-
-    def put_configuration(self) -> None:
-        """Publish a new version of the configuration."""
+        self._disruptions = disruptions
+        self._schedule = schedule
+        self.servers = ServerFaults(
+            store=store,
+            fleet=fleet,
+            disruptions=disruptions,
+            schedule=schedule,
+            is_store_stable=self._is_store_stable,
+        )
+
+    def put_configuration(self, without: str | None = None) -> None:
+        """Publish a new version of the configuration.
+
+        Parameters
+        ----------
+        without : str or None
+            Service that it lacks; all routes lead to the others.
+        """
         self._version += self._random.randint(1, 3)
-        self._store.put_configuration(build_configuration(version=self._version))
-
-    async def stop(self) -> None:
-        """Cancel the ends of faults that are due."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        content = build_configuration(version=self._version)
+        services = [each for each in content["services"] if each["name"] != without]
+        for route in content["routes"]:
+            if route["service"] == without:
+                route["service"] = services[0]["name"]
+        self._store.put_configuration({**content, "services": services})
 
     def inject(self, fault: Fault) -> None:
         """Begin a fault and schedule its end."""
         self.n_faults += 1
-        if fault.kind not in PLANNED_WORK:
-            now = time.monotonic()
+        now = time.monotonic()
+        if fault.kind not in PLANNED_WORK + SOUND:
             self.fault_windows.append((now, now + fault.duration_s + RECONNECT_S))
         match fault.kind:
             case FaultKind.STOP_ROUTER:
-                self._routers.stop(fault.target)
+                if self._routers.stop(fault.target):
+                    number = fault.target % len(self._routers.addresses)
+                    self._disruptions.record_stop(number, now)
+                self._record_work(fault, fault.target, GRACE_PERIOD_S + 1)
             case FaultKind.KILL_ROUTER:
                 self._routers.kill(fault.target)
+                self._record_router(fault.target, 0)
             case FaultKind.KILL_ALL_ROUTERS:
                 for number in range(len(self._routers.addresses)):
                     self._routers.kill(number)
+                    self._record_router(number, 0)
             case FaultKind.PAUSE_ROUTER:
                 self._routers.pause(fault.target)
-                self._schedule_end(fault, lambda: self._routers.resume(fault.target))
+                self._record_router(fault.target, fault.duration_s)
+                self._schedule.call_later(
+                    fault.duration_s, lambda: self._routers.resume(fault.target)
+                )
             case FaultKind.SIGNAL_RELOAD:
                 self._routers.reload(fault.target)
+                self._record_work(fault, fault.target, APPLY_S)
             case FaultKind.CHANGE_CONFIGURATION | FaultKind.REVOKE_KEY:
                 self.put_configuration()
+                self._record_work(fault, None, APPLY_S)
+            case FaultKind.MOVE_ROUTES:
+                self.put_configuration(SERVICES[fault.target % len(SERVICES)])
+                self._record_work(fault, None, fault.duration_s + APPLY_S)
+                self._schedule.call_later(fault.duration_s, self.put_configuration)
             case FaultKind.DATA_CENTRE_OUT:
                 self._store.evacuate(EVACUATED_DATA_CENTRE)
-                self._schedule_end(
-                    fault, lambda: self._store.cancel_evacuation(EVACUATED_DATA_CENTRE)
+                self._schedule.call_later(
+                    fault.duration_s,
+                    lambda: self._store.cancel_evacuation(EVACUATED_DATA_CENTRE),
                 )
             case FaultKind.STORE_BUSY | FaultKind.STORE_SILENT:
                 self._fail_store(fault, STORE_FAULTS[fault.kind])
@@ -153,42 +169,33 @@
             case FaultKind.RESTORE_STORE:
                 self._restore_store(fault)
             case _:
-                self._inject_server_fault(fault)
-
-    def _inject_server_fault(self, fault: Fault) -> None:
-        match fault.kind:
-            case FaultKind.LEAVE_SERVER | FaultKind.CRASH_SERVER:
-                self._replace_server(fault)
-            case FaultKind.REUSE_ADDRESS:
-                # The server disappears without notice, and a server of another service
-                # registers its address immediately; the old entry expires later.
-                old = self._fleet.reuse_address(fault.target)
-                self._schedule_end(
-                    fault, lambda: self._store.remove_server(old.server_id)
-                )
-            case FaultKind.ANNOUNCE_LEAVING:
-                # The entry in the store stays as it is.
-                server = self._fleet.pick_registered(fault.target)
-                self._fleet.remove_entry(server)
-                server.is_leaving = True
-                self.announced_at[server.server_id] = time.monotonic()
-            case FaultKind.ASK_FOR_PAUSE:
-                server = self._fleet.pick_registered(fault.target)
-                server.retry_after = str(PAUSE_S).encode()
-                server.misbehaviour = Misbehaviour.FULL
-                self._schedule_end(fault, lambda: _clear_misbehaviour(server))
-            case FaultKind.SERVER_MISBEHAVES:
-                server = self._fleet.pick(fault.target)
-                server.misbehaviour = MISBEHAVIOURS[fault.target % len(MISBEHAVIOURS)]
-                self._schedule_end(fault, lambda: _clear_misbehaviour(server))
-            case _:
-                self._inject_link_fault(fault)
+                is_server_fault = self.servers.inject(fault)
+                if not is_server_fault:
+                    self._inject_link_fault(fault)
+
+    def _record_router(self, number: int, duration_s: float) -> None:
+        now = time.monotonic()
+        number %= len(self._routers.addresses)
+        self._disruptions.record_router(number, now, now + duration_s + RECONNECT_S)
+
+    def _record_work(self, fault: Fault, number: int | None, duration_s: float) -> None:
+        now = time.monotonic()
+        if number is not None:
+            number %= len(self._routers.addresses)
+        self._disruptions.record_planned(
+            fault.kind.value, number, now, now + duration_s
+        )
 
     def _inject_link_fault(self, fault: Fault) -> None:
         proxies = [self._store_proxy, *self._fleet.proxies]
         proxy = proxies[fault.target % len(proxies)]
         if proxy is self._store_proxy:
             self._record_store_failure(fault.duration_s)
+        for server, each in zip(self._fleet.servers, self._fleet.proxies):
+            if each is proxy:
+                now = time.monotonic()
+                ends_at = now + fault.duration_s + RECONNECT_S
+                self._disruptions.record_server(server.server_id, now, ends_at)
         match fault.kind:
             case FaultKind.LINK_RESET:
                 proxy.reset_all()
@@ -200,53 +207,35 @@
     def _fail_store(self, fault: Fault, mode: StoreMode) -> None:
         self._record_store_failure(fault.duration_s)
         self._store.set_mode(mode)
-        self._schedule_end(fault, lambda: self._store.set_mode(StoreMode.GOOD))
+        self._schedule.call_later(
+            fault.duration_s, lambda: self._store.set_mode(StoreMode.GOOD)
+        )
 
     def _fail_link(self, fault: Fault, proxy: FaultyProxy, mode: LinkMode) -> None:
         if proxy is self._store_proxy:
             self._record_store_failure(fault.duration_s)
         proxy.mode = mode
-        self._schedule_end(fault, lambda: _restore_link(proxy))
+        self._schedule.call_later(fault.duration_s, lambda: _restore_link(proxy))
 
     def _record_store_failure(self, duration_s: float) -> None:
         ends_at = time.monotonic() + duration_s
         self.store_failed_until = max(self.store_failed_until, ends_at)
 
-    def _schedule_end(self, fault: Fault, action: Callable[[], object]) -> None:
-        async def run() -> None:
-            await asyncio.sleep(fault.duration_s)
-            action()
-
-        self._tasks.append(asyncio.get_running_loop().create_task(run()))
-
-    def _replace_server(self, fault: Fault) -> None:
-        server = self._fleet.pick_registered(fault.target)
-        entry = self._fleet.remove_entry(server)
-        if fault.kind is FaultKind.CRASH_SERVER:
-            server.close()
-            self._store.remove_server(server.server_id)
-            return
-        self._store.put_leaving(server.server_id, entry)
-        if time.monotonic() > self.store_failed_until + RECONNECT_S:
-            self.notified_at[server.server_id] = time.monotonic()
-
     def _restore_store(self, fault: Fault) -> None:
         copy = self._store.take_copy()
         self._record_store_failure(fault.duration_s + WRITE_AGAIN_S)
 
-        async def run() -> None:
-            await asyncio.sleep(fault.duration_s)
+        def restore() -> None:
             writes = self._store.writes_since(copy)
             self._store.restore(copy)
-            await asyncio.sleep(WRITE_AGAIN_S)
-            self._store.write_again(writes)
-
-        self._tasks.append(asyncio.get_running_loop().create_task(run()))
+            self._schedule.call_later(
+                WRITE_AGAIN_S, lambda: self._store.write_again(writes)
+            )
 
+        self._schedule.call_later(fault.duration_s, restore)
 
-def _clear_misbehaviour(server: FakeServer) -> None:
-    server.misbehaviour = Misbehaviour.NONE
-    server.retry_after = None
+    def _is_store_stable(self) -> bool:
+        return time.monotonic() > self.store_failed_until + RECONNECT_S
 
 
 def _restore_link(proxy: FaultyProxy) -> None:
--- a/damaskrill/soak/_plan.py
+++ b/damaskrill/soak/_plan.py
@@ -33,6 +33,12 @@
     RESTORE_STORE = "restore_store"
     ANNOUNCE_LEAVING = "announce_leaving"
     ASK_FOR_PAUSE = "ask_for_pause"
+    MOVE_ROUTES = "move_routes"
+    SILENT_SERVER = "silent_server"
+    UNFRAMED_ANSWERS = "unframed_answers"
+    BROKEN_UNFRAMED_ANSWERS = "broken_unframed_answers"
+    ENDLESS_ANSWERS = "endless_answers"
+    FATAL_PART = "fatal_part"
 
 
 # Start of the first fault, in seconds, so that all routers are ready before it.
@@ -48,8 +54,31 @@
         FaultKind.ANNOUNCE_LEAVING,
         FaultKind.ASK_FOR_PAUSE,
     ),
+    "answers": (FaultKind.BROKEN_UNFRAMED_ANSWERS, FaultKind.ENDLESS_ANSWERS),
 }
+# Whether a prompt part crashes servers if the caller of ``build_plan`` does not say it.
+HAS_FATAL_PART = False
+# Latest start of that fault after the first one, in seconds.
+MAX_FATAL_PART_DELAY_S = 1.0
 MEAN_SEPARATE_INTERVAL_S = 5.0
+# Peculiarities of sound servers, which excuse nothing; planned work overlaps with them.
+PECULIARITIES = (FaultKind.SILENT_SERVER, FaultKind.UNFRAMED_ANSWERS)
+OVERLAPPING_WORK = (
+    FaultKind.CHANGE_CONFIGURATION,
+    FaultKind.MOVE_ROUTES,
+    FaultKind.STOP_ROUTER,
+    FaultKind.SIGNAL_RELOAD,
+    FaultKind.LEAVE_SERVER,
+    FaultKind.DATA_CENTRE_OUT,
+)
+MEAN_PECULIARITY_INTERVAL_S = 2.5
+# How often other servers refuse requests meanwhile, and how many.
+OTHERS_FULL_PROBABILITY = 0.3
+N_OTHERS_FULL = 4
+# In some runs all routers lose power shortly before the end, during a change of the
+# configuration.
+POWER_LOSS_PROBABILITY = 0.4
+POWER_LOSS_BEFORE_END_S = (1.2, 2.5)
 
 
 @frozen(kw_only=True)
@@ -74,11 +103,24 @@
     duration_s: float
 
 
-def build_plan(seed: int, duration_s: float) -> list[Fault]:
-    """Return the plan of a seed, ordered by start."""
+def build_plan(
+    seed: int, duration_s: float, *, has_fatal_part: bool = HAS_FATAL_PART
+) -> list[Fault]:
+    """Return the plan of a seed, ordered by start.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all choices.
+    duration_s : float
+        Time for which requests are sent, in seconds.
+    has_fatal_part : bool
+        Whether a prompt part crashes servers, from near the start to the end.
+    """
     random = Random(seed)
     plan = []
     separate = {kind for kinds in SEPARATELY_DRAWN_KINDS.values() for kind in kinds}
+    separate |= {*PECULIARITIES, FaultKind.MOVE_ROUTES, FaultKind.FATAL_PART}
     at_s = FIRST_FAULT_AT_S
     while at_s < duration_s - 1:
         kind = random.choice([each for each in FaultKind if each not in separate])
@@ -97,9 +139,76 @@
         at_s += random.expovariate(1.0)
     for name, kinds in SEPARATELY_DRAWN_KINDS.items():
         plan += _build_separate_faults(Random(f"{seed}-{name}"), kinds, duration_s)
+    plan += _build_peculiarities(Random(f"{seed}-peculiarities"), duration_s)
+    if has_fatal_part:
+        plan.append(_build_fatal_part(Random(f"{seed}-fatal-part"), duration_s))
+    plan += _build_power_loss(Random(f"{seed}-power"), duration_s)
     return sorted(plan, key=lambda fault: fault.at_s)
 
 
+def _build_peculiarities(random: Random, duration_s: float) -> list[Fault]:
+    plan, at_s = [], FIRST_FAULT_AT_S
+    while at_s < duration_s - 1:
+        kind = random.choice(PECULIARITIES)
+        for number in range(random.randint(1, MAX_SERIES)):
+            fault = Fault(
+                at_s=at_s + number * random.uniform(0.1, 0.6),
+                kind=kind,
+                target=random.randrange(1_000),
+                duration_s=random.uniform(0.5, 3.0),
+            )
+            plan += [fault, _build_overlapping_work(random, fault)]
+            if random.random() < OTHERS_FULL_PROBABILITY:
+                plan += _build_others_full(fault)
+        at_s += random.expovariate(1 / MEAN_PECULIARITY_INTERVAL_S)
+    return plan
+
+
+def _build_overlapping_work(random: Random, fault: Fault) -> Fault:
+    return Fault(
+        at_s=fault.at_s + random.uniform(0, fault.duration_s),
+        kind=random.choice(OVERLAPPING_WORK),
+        target=random.randrange(1_000),
+        duration_s=random.uniform(0.5, 2.0),
+    )
+
+
+def _build_others_full(fault: Fault) -> list[Fault]:
+    # Targets select servers in turn, so that these are others than that of the fault.
+    return [
+        Fault(
+            at_s=fault.at_s,
+            kind=FaultKind.ASK_FOR_PAUSE,
+            target=fault.target + number,
+            duration_s=fault.duration_s,
+        )
+        for number in range(1, N_OTHERS_FULL + 1)
+    ]
+
+
+def _build_fatal_part(random: Random, duration_s: float) -> Fault:
+    at_s = FIRST_FAULT_AT_S + random.uniform(0, MAX_FATAL_PART_DELAY_S)
+    return Fault(
+        at_s=at_s,
+        kind=FaultKind.FATAL_PART,
+        target=random.randrange(1_000),
+        duration_s=max(0.0, duration_s - at_s),
+    )
+
+
+def _build_power_loss(random: Random, duration_s: float) -> list[Fault]:
+    at_s = duration_s - random.uniform(*POWER_LOSS_BEFORE_END_S)
+    if at_s < FIRST_FAULT_AT_S or random.random() > POWER_LOSS_PROBABILITY:
+        return []
+    return [
+        Fault(at_s=each_at_s, kind=kind, target=0, duration_s=0.5)
+        for each_at_s, kind in (
+            (at_s - random.uniform(0, 0.5), FaultKind.CHANGE_CONFIGURATION),
+            (at_s, FaultKind.KILL_ALL_ROUTERS),
+        )
+    ]
+
+
 def _build_separate_faults(
     random: Random, kinds: tuple[FaultKind, ...], duration_s: float
 ) -> list[Fault]:
--- a/damaskrill/soak/_routers.py
+++ b/damaskrill/soak/_routers.py
@@ -97,12 +97,14 @@
             if router.stopping_since and now - router.stopping_since > GRACE_PERIOD_S:
                 self._signal(router, signal.SIGKILL)
 
-    def stop(self, number: int) -> None:
-        """Send SIGTERM unless the router is already stopping."""
+    def stop(self, number: int) -> bool:
+        """Send SIGTERM unless the router stops already; return whether it was sent."""
         router = self._pick(number)
-        if not router.stopping_since:
-            router.stopping_since = time.monotonic()
-            self._signal(router, signal.SIGTERM)
+        if router.stopping_since:
+            return False
+        router.stopping_since = time.monotonic()
+        self._signal(router, signal.SIGTERM)
+        return True
 
     def kill(self, number: int) -> None:
         """Send SIGKILL."""
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -20,10 +20,15 @@
     check_pauses,
     check_planned_work,
 )
-from damaskrill.soak._injection import PAUSE_S, RECONNECT_S, FaultInjector
-from damaskrill.soak._plan import build_plan
+from damaskrill.soak._disruptions import RECONNECT_S, Disruptions
+from damaskrill.soak._fatal_parts import check_fatal_parts, send_fatal_requests
+from damaskrill.soak._injection import FaultInjector
+from damaskrill.soak._interruptions import check_interruptions
+from damaskrill.soak._plan import HAS_FATAL_PART, Fault, FaultKind, build_plan
 from damaskrill.soak._proxy import FaultyProxy
 from damaskrill.soak._routers import RouterProcesses
+from damaskrill.soak._schedule import Schedule
+from damaskrill.soak._server_faults import PAUSE_S, fatal_part
 from damaskrill.soak._servers import N_EVENTS, ServerFleet
 
 __all__ = ["SoakResult", "run_soak"]
@@ -44,7 +49,7 @@
     seed : int
         Seed of the run.
     n_requests, n_served, n_faults : int
-        Requests sent, requests answered with success, and faults injected.
+        Requests without a fatal part, those answered with success, and faults.
     breaches : list of Violation
         Violated guarantees.
     folder : str
@@ -64,12 +69,18 @@
 
 
 class _SoakRun:
-    def __init__(self, *, seed: int, n_routers: int, duration_s: float) -> None:
+    def __init__(
+        self, *, seed: int, n_routers: int, duration_s: float, has_fatal_part: bool
+    ) -> None:
         from twisted.internet import reactor
 
         self._reactor = reactor
         self._seed = seed
         self._duration_s = duration_s
+        self._has_fatal_part = has_fatal_part
+        self._disruptions = Disruptions()
+        self._schedule = Schedule()
+        self._callers: list[asyncio.Task[None]] = []
         self._n_routers = n_routers
         self._keys = ["key-1", "key-2"]
         self._exchanges: list[Exchange] = []
@@ -79,7 +90,12 @@
         store = FakeStore(reactor=self._reactor)
         store_proxy = FaultyProxy(target=store.address)
         await store_proxy.start()
-        self._fleet = ServerFleet(reactor=self._reactor, store=store)
+        self._fleet = ServerFleet(
+            reactor=self._reactor,
+            store=store,
+            disruptions=self._disruptions,
+            schedule=self._schedule,
+        )
         network = loopback_network(os.getpid())
         self._routers = RouterProcesses(
             folder=folder,
@@ -92,6 +108,8 @@
             store_proxy=store_proxy,
             fleet=self._fleet,
             routers=self._routers,
+            disruptions=self._disruptions,
+            schedule=self._schedule,
             random=Random(self._seed),
         )
         self._injector.put_configuration()
@@ -107,7 +125,7 @@
 
     async def _run_plan(self) -> None:
         loop = asyncio.get_running_loop()
-        callers = [
+        self._callers = [
             loop.create_task(
                 send_requests_forever(
                     self._routers.addresses,
@@ -119,18 +137,32 @@
             )
             for number in range(2 * self._n_routers)
         ]
-        plan = build_plan(self._seed, self._duration_s)
+        plan = build_plan(
+            self._seed, self._duration_s, has_fatal_part=self._has_fatal_part
+        )
         started_at = time.monotonic()
         while time.monotonic() - started_at < self._duration_s:
             self._routers.supervise()
             while plan and plan[0].at_s <= time.monotonic() - started_at:
-                self._injector.inject(plan.pop(0))
+                self._inject(plan.pop(0))
             await asyncio.sleep(0.02)
-        for task in callers:
+        for task in self._callers:
             task.cancel()
-        await asyncio.gather(*callers, return_exceptions=True)
-        await self._injector.stop()
-        await self._fleet.stop_starting()
+        await asyncio.gather(*self._callers, return_exceptions=True)
+        await self._schedule.cancel()
+
+    def _inject(self, fault: Fault) -> None:
+        self._injector.inject(fault)
+        if fault.kind is FaultKind.FATAL_PART:
+            sending = send_fatal_requests(
+                self._routers.addresses,
+                part=fatal_part(fault),
+                keys=self._keys,
+                exchanges=self._exchanges,
+                name=f"s{self._seed}-fatal",
+                random=Random(f"{self._seed}-fatal"),
+            )
+            self._callers.append(asyncio.get_running_loop().create_task(sending))
 
     def _build_result(self, folder: Path) -> SoakResult:
         records = [
@@ -139,6 +171,7 @@
                 runs=dict(each.runs),
                 arrivals=tuple(each.arrivals),
                 pauses=tuple(each.pauses),
+                silences=tuple(each.silences),
             )
             for each in self._fleet.servers
         ]
@@ -146,15 +179,20 @@
         breaches += check_planned_work(
             self._exchanges, records, self._injector.fault_windows
         )
-        n_served = sum(e.status == 200 and e.is_complete for e in self._exchanges)
-        if n_served < MIN_SERVED_FRACTION * len(self._exchanges):
-            detail = f"{n_served} of {len(self._exchanges)}"
+        breaches += check_interruptions(self._exchanges, records, self._disruptions)
+        breaches += check_fatal_parts(
+            self._exchanges, records, self._fleet.crashes, self._disruptions
+        )
+        sound = [each for each in self._exchanges if not each.has_fatal_part]
+        n_served = sum(e.status == 200 and e.is_complete for e in sound)
+        if n_served < MIN_SERVED_FRACTION * len(sound):
+            detail = f"{n_served} of {len(sound)}"
             breaches.append(Violation(promise="served", request_id="", detail=detail))
         for record in records:
             breaches += self._check_server(record)
         return SoakResult(
             seed=self._seed,
-            n_requests=len(self._exchanges),
+            n_requests=len(sound),
             n_served=n_served,
             n_faults=self._injector.n_faults,
             breaches=breaches,
@@ -163,11 +201,13 @@
 
     def _check_server(self, record: ServerRecord) -> list[Violation]:
         violations = []
-        notice_at = self._injector.notified_at.get(record.server_id)
+        notice_at = self._injector.servers.notified_at.get(record.server_id)
         if notice_at is not None and self._was_store_available(notice_at):
             unaffected = self._unaffected_requests(notice_at)
             violations += check_leaving(record, notice_at, MAX_DRAIN_S, unaffected)
-        announced_at = self._injector.announced_at.get(record.server_id, float("inf"))
+        announced_at = self._injector.servers.announced_at.get(
+            record.server_id, float("inf")
+        )
         later = [at for at, _ in record.arrivals if at > announced_at]
         if later:
             # All routers learn of it from the one that passed the first answer on.
@@ -191,7 +231,13 @@
         ]
 
 
-async def run_soak(*, seed: int, n_routers: int, duration_s: float) -> SoakResult:
+async def run_soak(
+    *,
+    seed: int,
+    n_routers: int,
+    duration_s: float,
+    has_fatal_part: bool = HAS_FATAL_PART,
+) -> SoakResult:
     """Run the soak test with one seed.
 
     Parameters
@@ -202,13 +248,20 @@
         Number of router processes.
     duration_s : float
         Time for which requests are sent, in seconds.
+    has_fatal_part : bool
+        Whether a prompt part crashes servers.
 
     Returns
     -------
     SoakResult
         Counts, and the violated guarantees.
     """
-    return await _SoakRun(seed=seed, n_routers=n_routers, duration_s=duration_s).run()
+    return await _SoakRun(
+        seed=seed,
+        n_routers=n_routers,
+        duration_s=duration_s,
+        has_fatal_part=has_fatal_part,
+    ).run()
 
 
 def loopback_network(process_id: int) -> str:
--- a/damaskrill/soak/_servers.py
+++ b/damaskrill/soak/_servers.py
@@ -1,19 +1,26 @@
 """Backend servers of a soak test, each behind a proxy and registered in a store."""
 
-import asyncio
 import time
 from typing import Any
 
 from damaskrill.fakes.platform import FakeServer, FakeStore, build_entry
+from damaskrill.soak._disruptions import Disruptions
 from damaskrill.soak._proxy import FaultyProxy
+from damaskrill.soak._schedule import Schedule
 
-__all__ = ["N_EVENTS", "ServerFleet"]
+__all__ = ["N_EVENTS", "SERVICES", "ServerFleet"]
 
 N_EVENTS = 8
+ENGINES = "pool"
+PLAIN = "app"
+SERVICES = (ENGINES, PLAIN)
 N_ENGINES = 3
 N_PLAIN = 3
 EVENT_MS = 15
 WORK_MS = 20
+# Time after which the entry of a crashed server expires and its successor starts.
+EXPIRY_S = 1.5
+RESTART_S = 2.0
 DATA_CENTRES = ("bole", "kality", "sululta")
 
 
@@ -26,6 +33,10 @@
         Twisted's reactor.
     store : FakeStore
         Store in which they are registered.
+    disruptions : Disruptions
+        Record of crashes.
+    schedule : Schedule
+        Starts of servers that are due later.
 
     Attributes
     ----------
@@ -35,22 +46,36 @@
         Proxy of each server; successive servers of an address share one.
     entries : dict of str to dict
         Entries of the registered servers that are not leaving, by ID.
+    fatal_parts : set of str
+        Prompt parts at which all servers crash.
+    crashes : list of float
+        Times of these crashes, on the monotonic clock in seconds.
     """
 
-    def __init__(self, *, reactor: Any, store: FakeStore) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        store: FakeStore,
+        disruptions: Disruptions,
+        schedule: Schedule,
+    ) -> None:
         self.servers: list[FakeServer] = []
         self.proxies: list[FaultyProxy] = []
         self.entries: dict[str, dict[str, Any]] = {}
         self._reactor = reactor
+        self.fatal_parts: set[str] = set()
+        self.crashes: list[float] = []
         self._store = store
-        self._tasks: list[asyncio.Task[None]] = []
+        self._disruptions = disruptions
+        self._schedule = schedule
 
     async def start(self) -> None:
         """Start and register the first servers."""
         for number in range(N_ENGINES):
-            await self._add(f"e-{number}", "pool")
+            await self._add(f"e-{number}", ENGINES)
         for number in range(N_PLAIN):
-            await self._add(f"a-{number}", "app")
+            await self._add(f"a-{number}", PLAIN)
 
     def pick(self, number: int) -> FakeServer:
         """Return one of all servers, also of those that have ended."""
@@ -69,12 +94,7 @@
 
     def start_later(self, server_id: str, service: str, delay_s: float = 0.0) -> None:
         """Start and register a server, without waiting for it."""
-
-        async def run() -> None:
-            await asyncio.sleep(delay_s)
-            await self._add(server_id, service)
-
-        self._tasks.append(asyncio.get_running_loop().create_task(run()))
+        self._schedule.run_later(delay_s, lambda: self._add(server_id, service))
 
     def reuse_address(self, target: int) -> FakeServer:
         """Replace a server by one of the other service, and return the old one."""
@@ -92,7 +112,7 @@
         self.proxies[number].reset_all()
         self.servers.append(new)
         self.proxies.append(self.proxies[number])
-        service = "app" if entry["service"] == "pool" else "pool"
+        service = PLAIN if entry["service"] == ENGINES else ENGINES
         started_at_ms = round(time.time() * 1_000)
         self.entries[new.server_id] = {
             **entry,
@@ -102,12 +122,6 @@
         self._store.put_server(new.server_id, self.entries[new.server_id])
         return old
 
-    async def stop_starting(self) -> None:
-        """Cancel the starts that are due."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     def close(self) -> None:
         """Close all servers and proxies."""
         for server in self.servers:
@@ -127,10 +141,24 @@
         self._store.put_server(server_id, entry)
 
     def _start_server(self, server_id: str) -> FakeServer:
-        return FakeServer(
+        server = FakeServer(
             reactor=self._reactor,
             server_id=server_id,
             n_events=N_EVENTS,
             event_ms=EVENT_MS,
             work_ms=WORK_MS,
         )
+        server.fatal_parts = self.fatal_parts
+        server.on_crash = lambda: self._handle_crash(server)
+        return server
+
+    def _handle_crash(self, server: FakeServer) -> None:
+        now, server_id = time.monotonic(), server.server_id
+        self.crashes.append(now)
+        self._disruptions.record_server(server_id, now)
+        self._schedule.call_later(
+            EXPIRY_S, lambda: self._store.remove_server(server_id)
+        )
+        entry = self.entries.pop(server_id, None)
+        if entry is not None:
+            self.start_later(f"{server_id}r", entry["service"], RESTART_S)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -3,12 +3,25 @@
     When the plans of 50 seeds are built twice
     Then both builds are the same
     And every kind of fault occurs, and some overlap
+    And planned work begins while sound servers are silent or send unframed answers
+    And seed 1 keeps the entries that it has always had
 
   Scenario: no guarantee is violated with a few seeds
     When the soak runs seeds 1 to 2 with 3 routers for 7 seconds
     Then no guarantee is violated
     And faults were injected and requests served
 
+  Scenario Outline: no guarantee is violated with a seed that once found a fault
+    When the soak runs seed <seed> with 3 routers for <n> seconds <addition>
+    Then no guarantee is violated
+    And faults were injected and requests served
+
+    Examples:
+      | seed | n  | addition           |
+      | 4    | 12 | in full            |
+      | 5    | 12 | in full            |
+      | 1    | 24 | with a fatal part  |
+
   Scenario: the checks find each kind of violation
     Then an action that ran twice is found
     And a refusal of an action that has run is found
@@ -16,6 +29,11 @@
     And a stream with a missing event is found
     And a request at a server long after its leaving notice is found
     And a request that planned work interrupted is found
+    And a request that ended early at a silent server is found
+    And a request that ended early at a misbehaving server is excused
+    And a request whose server outlasts a router's grace period is excused
+    And too many requests with a fatal part are found
+    And sound requests that are not served after such crashes are found
 
   Scenario: a link that has lost bytes delivers nothing later
     When a link loses a chunk of a stream and works again
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -17,6 +17,10 @@
     check_leaving,
     check_planned_work,
 )
+from damaskrill.soak._disruptions import Disruptions
+from damaskrill.soak._fatal_parts import check_fatal_parts
+from damaskrill.soak._interruptions import check_interruptions
+from damaskrill.soak._plan import OVERLAPPING_WORK, PECULIARITIES
 from damaskrill.soak._proxy import FaultyProxy, LinkMode
 from damaskrill.soak._run import loopback_network
 
@@ -24,6 +28,18 @@
 TIMEOUT_S = 120
 # Time in which a link delivers a few bytes, in seconds.
 LINK_S = 0.3
+# Start in milliseconds, kind and target of the first and the last entries of seed 1,
+# drawn before other kinds were added.
+FORMER_ENTRIES = (
+    (2_500, "signal_reload", 64),
+    (3_184, "link_reset", 214),
+    (3_213, "store_cut", 2),
+    (3_523, "leave_server", 325),
+    (7_594, "pause_router", 996),
+    (8_282, "restore_store", 181),
+    (8_729, "restore_store", 934),
+    (10_350, "link_delay", 194),
+)
 
 
 def run_command(*words):
@@ -58,8 +74,8 @@
 
 @when("the plans of {n:d} seeds are built twice")
 def step_plans(context, n):
-    context.first = [build_plan(seed, 12) for seed in range(n)]
-    context.second = [build_plan(seed, 12) for seed in range(n)]
+    context.first = [build_plan(seed, 12, has_fatal_part=True) for seed in range(n)]
+    context.second = [build_plan(seed, 12, has_fatal_part=True) for seed in range(n)]
 
 
 @then("both builds are the same")
@@ -87,6 +103,16 @@
     context.results = [json.loads(line) for line in done.stdout.splitlines()]
 
 
+@when("the soak runs seed {seed:d} with 3 routers for {n:d} seconds {addition}")
+def step_soak_seed(context, seed, n, addition):
+    words = ["soak", "--seed", str(seed), "--seconds", str(n), "--json"]
+    if addition == "with a fatal part":
+        words.append("--fatal-part")
+    done = run_command(*words)
+    assert done.returncode in (0, 1), done.stderr
+    context.results = [json.loads(line) for line in done.stdout.splitlines()]
+
+
 @then("no guarantee is violated")
 def step_no_violation(context):
     assert all(not each["breaches"] for each in context.results), context.results
@@ -149,6 +175,110 @@
     assert all(0 <= int(part) <= 255 for each in networks for part in each.split("."))
 
 
+@then("planned work begins while sound servers are silent or send unframed answers")
+def step_planned_in_silence(context):
+    overlaps = {
+        (fault.kind, work.kind)
+        for plan in context.first
+        for fault in plan
+        for work in plan
+        if fault.kind in PECULIARITIES
+        and work.kind in OVERLAPPING_WORK
+        and fault.at_s <= work.at_s <= fault.at_s + fault.duration_s
+    }
+    assert overlaps == set(itertools.product(PECULIARITIES, OVERLAPPING_WORK))
+
+
+@then("seed 1 keeps the entries that it has always had")
+def step_former_entries(context):
+    entries = {
+        (round(fault.at_s * 1_000), fault.kind.value, fault.target)
+        for fault in build_plan(1, 12)
+    }
+    assert set(FORMER_ENTRIES) <= entries, entries
+
+
+def find_interruptions(disruptions=None, **changes):
+    """Return the promises broken by a request at a server that was silent until 2.5."""
+    record = ServerRecord(
+        server_id="a",
+        runs={"q9": 1},
+        arrivals=((1.1, "q9"),),
+        silences=((1.2, 2.5, "q9"),),
+    )
+    values = {"status": 502, **changes}
+    found = check_interruptions(
+        [build_exchange(**values)], [record], disruptions or Disruptions()
+    )
+    return [each.promise for each in found]
+
+
+@then("a request that ended early at a silent server is found")
+def step_ended_early(context):
+    assert find_interruptions() == ["silent_server"]
+    assert find_interruptions(status=200, is_complete=False) == ["silent_server"]
+    assert find_interruptions(status=200) == []
+    assert find_interruptions(status=503) == []
+    assert find_interruptions(ended_at=4.0) == []
+
+
+@then("a request that ended early at a misbehaving server is excused")
+def step_misbehaving(context):
+    disruptions = Disruptions()
+    disruptions.record_server("other", 0.0, 9.0)
+    disruptions.record_router(1, 0.0, 9.0)
+    assert find_interruptions(disruptions) == ["silent_server"]
+    disruptions.record_server("a", 1.9, 2.1)
+    assert find_interruptions(disruptions) == []
+
+
+@then("a request whose server outlasts a router's grace period is excused")
+def step_outlasts_grace(context):
+    disruptions = Disruptions()
+    disruptions.record_stop(0, 0.0)
+    assert find_interruptions(disruptions) == ["silent_server"]
+    disruptions.record_stop(0, -1.0)
+    assert find_interruptions(disruptions) == []
+
+
+def find_fatal(n_late, n_served_after=30):
+    """Return the promises broken after five crashes, the last of them at 5.0."""
+    fatal = [
+        build_exchange("/chat/1", request_id=f"f{n}", sent_at=12.0, has_fatal_part=True)
+        for n in range(n_late)
+    ]
+    last = build_exchange(request_id="last", sent_at=20.0, has_fatal_part=True)
+    before = [build_exchange("/chat/1", ended_at=0.9) for _ in range(30)]
+    after = [
+        build_exchange(
+            "/chat/1",
+            sent_at=12.0,
+            ended_at=13.0,
+            status=200 if n < n_served_after else 503,
+        )
+        for n in range(30)
+    ]
+    arrivals = tuple((12.0, each.request_id) for each in fatal)
+    record = ServerRecord(server_id="a", runs={}, arrivals=arrivals)
+    crashes = [1.0, 2.0, 3.0, 4.0, 5.0]
+    found = check_fatal_parts(
+        [*fatal, last, *before, *after], [record], crashes, Disruptions()
+    )
+    return [each.promise for each in found]
+
+
+@then("too many requests with a fatal part are found")
+def step_fatal_found(context):
+    assert find_fatal(3) == []
+    assert find_fatal(4) == ["fatal_part"]
+
+
+@then("sound requests that are not served after such crashes are found")
+def step_sound_found(context):
+    assert find_fatal(3, n_served_after=15) == []
+    assert find_fatal(3, n_served_after=14) == ["sound_requests"]
+
+
 @when("a link loses a chunk of a stream and works again")
 def step_lossy_link(context):
     async def send(reader, writer):
