Excuse routers that have started since a server announced its leaving to the soak

The users excuse a restart since the announcement; the check knew only kills and pauses. It now excuses exactly the requests that were sent after such a start; the notice in the store is checked as before.

--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -14,6 +14,7 @@
     "check_leaving",
     "check_pauses",
     "check_planned_work",
+    "was_sent_after_restart",
 ]
 
 REPEATABLE_PATHS = ("/check/", "/read/")
@@ -189,6 +190,23 @@
     ]
 
 
+def was_sent_after_restart(
+    exchange: Exchange, starts: Sequence[float], since: float
+) -> bool:
+    """Return whether its router's process started after some event.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    starts : sequence of float
+        Times at which processes of its router started, on the monotonic clock.
+    since : float
+        Time of the event, of which a later process need not know.
+    """
+    return any(since < at <= exchange.sent_at for at in starts)
+
+
 def check_pauses(
     server: ServerRecord,
     exchanges: Sequence[Exchange],
--- a/damaskrill/soak/_routers.py
+++ b/damaskrill/soak/_routers.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-from attrs import define
+from attrs import define, field
 
 from damaskrill.fakes.platform import build_settings
 from damaskrill.platform import SETTINGS_VARIABLE
@@ -31,6 +31,7 @@
     disrupted_at: float = 0.0
     stopping_since: float = 0.0
     is_paused: bool = False
+    starts: list[float] = field(factory=list)
 
 
 class RouterProcesses:
@@ -84,6 +85,10 @@
         router = self._routers[number]
         return time.monotonic() if router.is_paused else router.disrupted_at
 
+    def starts_of(self, number: int) -> list[float]:
+        """Return when processes of a router started, on the monotonic clock."""
+        return self._routers[number].starts
+
     def supervise(self) -> None:
         """Start processes that are due and kill those whose grace period expired."""
         now = time.monotonic()
@@ -144,6 +149,7 @@
             router.process.send_signal(number)
 
     def _start(self, router: _Router) -> None:
+        router.starts.append(time.monotonic())
         with router.log.open("ab") as log:
             router.process = subprocess.Popen(
                 [sys.executable, "-m", "damaskrill.platform"],
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -19,6 +19,7 @@
     check_leaving,
     check_pauses,
     check_planned_work,
+    was_sent_after_restart,
 )
 from damaskrill.soak._disruptions import RECONNECT_S, Disruptions
 from damaskrill.soak._fatal_parts import check_fatal_parts, send_fatal_requests
@@ -212,7 +213,16 @@
         if later:
             # All routers learn of it from the one that passed the first answer on.
             known_at = min(later) + ANSWER_S
+            # A process that has started since need not know of an answer.
+            restarted = {
+                each.request_id
+                for each in self._exchanges
+                if was_sent_after_restart(
+                    each, self._routers.starts_of(each.router), announced_at
+                )
+            }
             unaffected = self._unaffected_requests(announced_at)
+            unaffected = [each for each in unaffected if each not in restarted]
             violations += check_leaving(record, known_at, MAX_DRAIN_S, unaffected)
         if record.pauses:
             unaffected = self._unaffected_requests(record.pauses[0][0])
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,6 +16,7 @@
     check_exchanges,
     check_leaving,
     check_planned_work,
+    was_sent_after_restart,
 )
 from damaskrill.soak._disruptions import Disruptions
 from damaskrill.soak._fatal_parts import check_fatal_parts
@@ -152,6 +153,13 @@
     assert [each.request_id for each in late] == ["q9"]
 
 
+@then("only a router that has started since an announcement is excused")
+def step_restarted(context):
+    exchange = build_exchange(sent_at=3.0)
+    assert was_sent_after_restart(exchange, [1.0, 2.5], 2.0)
+    assert not was_sent_after_restart(exchange, [1.0, 3.5], 2.0)
+
+
 @then("a request that planned work interrupted is found")
 def step_cut(context):
     record = ServerRecord(server_id="a", runs={}, arrivals=((1.2, "q9"),))
