--- a/damaskrill/cli/_soak.py
+++ b/damaskrill/cli/_soak.py
@@ -36,8 +36,8 @@
     seconds : str, default="12"
         Time in seconds during which each seed sends requests.
     fatal_part : bool, default=False
-        Whether a prompt part crashes each server that begins to answer it; needs 16
-        seconds or more.
+        Whether a prompt part crashes each server that begins to answer it; with less
+        than about 24 seconds there is little time for its checks after the crashes.
     json : bool, default=False
         Whether to print one JSON object per seed.
 
