Remember a server's pause and failures while the server is out of use

Cause: what is known of servers was discarded for all that could get no requests just then. Pauses are kept until they end now, and failures as long as the server is registered.

Two scenarios of gateway_pauses_kept.feature failed before and pass now.

--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -270,6 +270,10 @@
         """Return all registered servers of a service, including leaving ones."""
         return self._grouped().all.get(service, ())
 
+    def registered_keys(self) -> set[ServerKey]:
+        """Return all registered incarnations, including those that get no requests."""
+        return {entry.server.key for entry in self._servers.values()}
+
     def is_usable(self, key: ServerKey) -> bool:
         """Return whether an incarnation may get requests."""
         return key in self._grouped().usable_keys
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -414,8 +414,9 @@
         for key in keys:
             self.loads.register_server(key)
         self.loads.retain_only(keys)
-        self._health.retain_only(keys)
-        self._pauses.retain_only(keys)
+        # Servers that are out of use for a moment return as they were.
+        self._health.retain_only(self.catalog.registered_keys())
+        self._pauses.discard_ended(self.now_ms)
 
     @property
     def is_exiting(self) -> bool:
--- a/damaskrill/steering/_pauses.py
+++ b/damaskrill/steering/_pauses.py
@@ -54,10 +54,15 @@
             return None
         return min(ends_at_ms) - now_ms
 
-    def retain_only(self, keys: set[ServerKey]) -> None:
-        """Discard the pauses of all other incarnations."""
-        for key in list(self._ends_at_ms):
-            if key not in keys:
+    def discard_ended(self, now_ms: float) -> None:
+        """Discard the pauses that have ended.
+
+        Notes
+        -----
+        A pause also counts for a server that is out of use for a part of it.
+        """
+        for key, ends_at_ms in list(self._ends_at_ms.items()):
+            if ends_at_ms <= now_ms:
                 del self._ends_at_ms[key]
 
 
