Reserve a tenth of a short grace period for the exit, not nearly a second

What callers saw: with a grace period of 4 s, requests that a stopping router had accepted were cut 3.1 s after SIGTERM.

Cause: the time reserved for the exit was 0.9 s whatever the period. It is at most 0.1125 of the period now, which changes nothing at the 8 s of the known deployments.

The scenario of gateway_short_grace.feature with 4 s failed before and passes now.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -62,6 +62,8 @@
 # Time reserved for sending the last bytes and for the exit of the process before it is
 # killed; a slow host needs some hundred milliseconds for the exit.
 STOP_MARGIN_MS = 900
+# The same as a fraction of a short grace period.
+STOP_MARGIN_FRACTION = 0.1125
 # Interval at which a stopping process checks whether all connections are closed.
 STOP_POLL_MS = 50
 METRICS_PATH = b"/metrics"
@@ -434,7 +436,9 @@
         self._log.write("process_stopping", n_exchanges=self._dispatcher.n_exchanges)
         for factory in (self._callers, self._readiness):
             factory.is_stopping = True
-        end_ms = started_ms + self._settings.grace_ms - STOP_MARGIN_MS
+        grace_ms = self._settings.grace_ms
+        margin_ms = min(STOP_MARGIN_MS, STOP_MARGIN_FRACTION * grace_ms)
+        end_ms = started_ms + grace_ms - margin_ms
         self._dispatcher.start_draining(started_ms, end_ms)
         while monotonic_now_ms() < end_ms:
             await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
