--- a/damaskrill/fakes/platform/__init__.py
+++ b/damaskrill/fakes/platform/__init__.py
@@ -7,7 +7,7 @@
     build_entry,
     build_settings,
 )
-from damaskrill.fakes.platform._misbehaviours import (
+from damaskrill.fakes.platform._misbehaviour import (
     EndlessPart,
     Misbehaviour,
     UnframedHead,
--- a/damaskrill/fakes/platform/_misbehaviours.py
+++ b/damaskrill/fakes/platform/_misbehaviour.py
@@ -1,4 +1,4 @@
-"""Defects of the answers of fake backend servers."""
+"""Kinds of misbehaviour of fake servers, and the parts and heads of their answers."""
 
 from enum import Enum
 
@@ -6,7 +6,7 @@
 
 
 class Misbehaviour(Enum):
-    """Defect of the answers of a server."""
+    """Defect or peculiarity of the answers of a server."""
 
     NONE = "none"
     FULL = "full"
@@ -22,16 +22,17 @@
     ENCODED = "encoded"
     NO_LENGTH = "no_length"
     NO_LENGTH_RESET = "no_length_reset"
+    NO_LENGTH_LATE_RESET = "no_length_late_reset"
+    NO_LENGTH_MID_EVENT = "no_length_mid_event"
+    ENDLESS = "endless"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_BODY = "endless_body"
     RUBBISH = "rubbish"
     MID_EVENT = "mid_event"
     DRIP = "drip"
     LATE_COPY = "late_copy"
     LATE_REFUSAL = "late_refusal"
     PAUSE = "pause"
-    ENDLESS = "endless"
-    UNFRAMED = "unframed"
-    UNFRAMED_MID_EVENT = "unframed_mid_event"
-    UNFRAMED_RESET = "unframed_reset"
 
 
 class EndlessPart(Enum):
@@ -40,6 +41,7 @@
     JUNK = "junk"
     SLOW_JUNK = "slow junk"
     STATUS_LINE = "a status line"
+    HEADER_VALUE = "a header's value"
     HEADERS = "headers"
     INFORMATIONAL_HEADS = "informational heads"
     CHUNK_LINE = "a chunk line"
@@ -51,6 +53,7 @@
     SIZED_BODY = "a body of false length"
     UNSEALED_BODY = "a slow body without seal"
     EVENT = "an event"
+    UNFRAMED_EVENT = "an event without length"
     TINY_EVENTS = "tiny events"
     NUMBERED_EVENTS = "numbered events"
 
--- a/damaskrill/fakes/platform/_raw_answers.py
+++ b/damaskrill/fakes/platform/_raw_answers.py
@@ -4,24 +4,20 @@
 import itertools
 from typing import Any
 
-from damaskrill.fakes.platform._misbehaviours import EndlessPart, UnframedHead
+from damaskrill.fakes.platform._misbehaviour import EndlessPart
 from damaskrill.http1 import CallerConnection, Headers
 
 __all__ = [
     "EVENT_STREAM",
     "build_endless_answer",
     "build_event",
+    "build_head",
     "send_endless",
-    "send_unframed",
 ]
 
 BLOCK_BYTES = 131_072
-# Bytes that a server of endless answers leaves unsent before it writes more.
-MAX_UNSENT_BYTES = 262_144
 ENDLESS_PAUSE_MS = 1
 SLOW_PAUSE_MS = 50
-# Time between the last bytes and a reset, so that the bytes arrive.
-RESET_DELAY_MS = 30
 EVENT_STREAM = (b"Content-Type", b"text/event-stream")
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 
@@ -43,8 +39,8 @@
     headers : tuple
         Headers of the answer apart from those that frame its body.
     """
-    plain = _build_head(b"HTTP/1.1 200 OK", headers)
-    chunked = _build_head(b"HTTP/1.1 200 OK", (*headers, CHUNKED))
+    plain = build_head(b"HTTP/1.1 200 OK", headers)
+    chunked = build_head(b"HTTP/1.1 200 OK", (*headers, CHUNKED))
     text = b"x" * BLOCK_BYTES
     match part:
         case EndlessPart.JUNK:
@@ -53,6 +49,8 @@
             return b"", b"x"
         case EndlessPart.STATUS_LINE:
             return b"HTTP/1.1 200 ", text
+        case EndlessPart.HEADER_VALUE:
+            return plain[:-2] + b"Server: ", text
         case EndlessPart.HEADERS:
             return plain[:-2], _repeat(b"X-More: 0123456789\r\n")
         case EndlessPart.INFORMATIONAL_HEADS:
@@ -71,16 +69,39 @@
             return plain, text
         case EndlessPart.SIZED_BODY:
             length = (b"Content-Length", b"%d" % 10**15)
-            return _build_head(b"HTTP/1.1 200 OK", (*headers, length)), text
+            return build_head(b"HTTP/1.1 200 OK", (*headers, length)), text
         case EndlessPart.UNSEALED_BODY:
             unsealed = tuple(each for each in headers if not _is_seal(each))
-            return _build_head(b"HTTP/1.1 200 OK", (*unsealed, CHUNKED)), _chunk(b"x")
+            return build_head(b"HTTP/1.1 200 OK", (*unsealed, CHUNKED)), _chunk(b"x")
+        case EndlessPart.UNFRAMED_EVENT:
+            head = build_head(b"HTTP/1.1 200 OK", (*headers, EVENT_STREAM))
+            return head + b"id: 1\ndata: ", text
         case EndlessPart.EVENT | EndlessPart.TINY_EVENTS | EndlessPart.NUMBERED_EVENTS:
-            head = _build_head(b"HTTP/1.1 200 OK", (*headers, EVENT_STREAM, CHUNKED))
+            head = build_head(b"HTTP/1.1 200 OK", (*headers, EVENT_STREAM, CHUNKED))
             block = text if part is EndlessPart.EVENT else _repeat(b":\n\n")
             return head + _chunk(build_event(1) + build_event(2)), _chunk(block)
 
 
+class _FlowControl:
+    """Producer that waits while the peer does not read."""
+
+    def __init__(self) -> None:
+        self.may_write = asyncio.Event()
+        self.may_write.set()
+
+    def pauseProducing(self) -> None:
+        """Wait until the peer reads again."""
+        self.may_write.clear()
+
+    def resumeProducing(self) -> None:
+        """Go on."""
+        self.may_write.set()
+
+    def stopProducing(self) -> None:
+        """Wait until the task is cancelled, as the connection is gone."""
+        self.may_write.clear()
+
+
 async def send_endless(
     connection: CallerConnection, part: EndlessPart, headers: Headers
 ) -> None:
@@ -89,62 +110,19 @@
     first, block = build_endless_answer(part, headers)
     is_slow = part in (EndlessPart.SLOW_JUNK, EndlessPart.UNSEALED_BODY)
     pause_ms = SLOW_PAUSE_MS if is_slow else ENDLESS_PAUSE_MS
+    flow = _FlowControl()
+    transport.registerProducer(flow, True)
     transport.write(first)
     for number in itertools.count(3):
         if part is EndlessPart.NUMBERED_EVENTS:
             block = _chunk(b"id: %d\ndata: %b\n\n" % (number, b"x" * BLOCK_BYTES))
-        if len(transport.dataBuffer) + transport._tempDataLen < MAX_UNSENT_BYTES:
-            transport.write(block)
-        await asyncio.sleep(pause_ms / 1_000)
-
-
-async def send_unframed(
-    connection: CallerConnection,
-    head: UnframedHead,
-    headers: Headers,
-    parts: list[bytes],
-    *,
-    pause_ms: float,
-    is_reset: bool,
-) -> None:
-    """Send an answer with neither length nor chunks and end its connection.
-
-    Parameters
-    ----------
-    connection : CallerConnection
-        Connection of the request.
-    head : UnframedHead
-        Form of the head.
-    headers : tuple
-        Headers of the answer.
-    parts : list of bytes
-        Body, in the parts in which it is sent.
-    pause_ms : float
-        Time before each part, in milliseconds.
-    is_reset : bool
-        Whether the connection is reset instead of closed.
-    """
-    transport: Any = connection.transport
-    match head:
-        case UnframedHead.CLOSE:
-            closing = (*headers, (b"Connection", b"close"))
-            transport.write(_build_head(b"HTTP/1.1 200 OK", closing))
-        case UnframedHead.PLAIN:
-            transport.write(_build_head(b"HTTP/1.1 200 OK", headers))
-        case UnframedHead.HTTP_10:
-            transport.write(_build_head(b"HTTP/1.0 200 OK", headers))
-    for part in parts:
+        await flow.may_write.wait()
+        transport.write(block)
         await asyncio.sleep(pause_ms / 1_000)
-        transport.write(part)
-    connection.on_disconnect = None
-    if is_reset:
-        await asyncio.sleep(RESET_DELAY_MS / 1_000)
-        transport.abortConnection()
-    else:
-        transport.loseConnection()
 
 
-def _build_head(status_line: bytes, headers: Headers) -> bytes:
+def build_head(status_line: bytes, headers: Headers) -> bytes:
+    """Return the head of an answer."""
     lines = b"".join(b"%b: %b\r\n" % each for each in headers)
     return b"%b\r\n%b\r\n" % (status_line, lines)
 
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -3,10 +3,11 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from damaskrill.fakes.platform._listener import Listener
-from damaskrill.fakes.platform._misbehaviours import (
+from damaskrill.fakes.platform._misbehaviour import (
     EndlessPart,
     Misbehaviour,
     UnframedHead,
@@ -15,6 +16,10 @@
     EVENT_STREAM,
     build_event,
     send_endless,
+)
+from damaskrill.fakes.platform._streams import (
+    UnframedStream,
+    break_off_stream,
     send_unframed,
 )
 from damaskrill.http1 import CallerConnection, CallerRequest, Headers
@@ -24,13 +29,18 @@
 SEAL = (b"Damaskrill-Response-Seal", b"seal")
 JSON = (b"Content-Type", b"application/json")
 ID_HEADER = b"damaskrill-request-id"
-UNFRAMED = (
-    Misbehaviour.UNFRAMED,
-    Misbehaviour.UNFRAMED_MID_EVENT,
-    Misbehaviour.UNFRAMED_RESET,
-)
 # How long before its deadline the server abandons a request.
 DEADLINE_MARGIN_MS = 20
+UNFRAMED_STREAMS = (
+    Misbehaviour.NO_LENGTH,
+    Misbehaviour.NO_LENGTH_LATE_RESET,
+    Misbehaviour.NO_LENGTH_MID_EVENT,
+)
+# Misbehaviours that are the one of `Misbehaviour.ENDLESS` with a certain part.
+ENDLESS_PARTS = {
+    Misbehaviour.ENDLESS_HEAD: EndlessPart.HEADER_VALUE,
+    Misbehaviour.ENDLESS_BODY: EndlessPart.UNFRAMED_EVENT,
+}
 
 
 class FakeServer:
@@ -77,6 +87,15 @@
         What a server with `Misbehaviour.ENDLESS` never ends.
     unframed_head : UnframedHead
         Head of its answers with neither length nor chunks.
+    silences : list of (float, float, str)
+        Begin and intended end of its silences, on the monotonic clock in seconds, and
+        request IDs.
+    is_unframed : bool
+        Whether its sound answers have no length and end with their connection.
+    fatal_parts : set of str
+        Prompt parts, other than the last of a prompt, at which it crashes.
+    on_crash : callable or None
+        Called after such a crash.
     """
 
     def __init__(
@@ -101,6 +120,10 @@
         self.n_events_before_silence = 2
         self.endless_part = EndlessPart.JUNK
         self.unframed_head = UnframedHead.CLOSE
+        self.silences: list[tuple[float, float, str]] = []
+        self.is_unframed = False
+        self.fatal_parts: set[str] = set()
+        self.on_crash: Callable[[], None] | None = None
         self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
         self._event_ms = event_ms
@@ -167,17 +190,18 @@
         )
         if self.misbehaviour is Misbehaviour.ENDLESS:
             await send_endless(connection, self.endless_part, headers)
+        if self.misbehaviour in ENDLESS_PARTS:
+            await send_endless(connection, ENDLESS_PARTS[self.misbehaviour], headers)
         if request.find_header(b"damaskrill-prompt-prefix") is not None:
+            if self._has_fatal_part(request):
+                self._crash()
+                return
             await self._stream(connection, request, headers)
             return
         if self.misbehaviour is Misbehaviour.PAUSE:
-            await asyncio.sleep(self.silence_ms / 1_000)
+            await self._be_silent(request_id)
         await asyncio.sleep(self._work_ms / 1_000)
-        if self.misbehaviour in UNFRAMED:
-            parts = [b'{"answer": ', b'"%b"}' % request_id]
-            await self._send_unframed(connection, (*headers, JSON), parts)
-            return
-        self._answer(connection, request_id, headers)
+        await self._answer(connection, request_id, headers)
 
     @property
     def _leaving_headers(self) -> Headers:
@@ -194,6 +218,21 @@
             headers = (*headers, (b"Retry-After", self.retry_after))
         return headers
 
+    async def _be_silent(self, request_id: bytes) -> None:
+        now, silence_s = time.monotonic(), self.silence_ms / 1_000
+        self.silences.append((now, now + silence_s, request_id.decode()))
+        await asyncio.sleep(silence_s)
+
+    def _has_fatal_part(self, request: CallerRequest) -> bool:
+        prompt = request.find_header(b"damaskrill-prompt-prefix") or b""
+        shared = prompt.decode().split(",")[:-1]
+        return any(part.partition(":")[0] in self.fatal_parts for part in shared)
+
+    def _crash(self) -> None:
+        self.close()
+        if self.on_crash is not None:
+            self.on_crash()
+
     async def _stream(
         self,
         connection: CallerConnection,
@@ -201,58 +240,26 @@
         headers: tuple[tuple[bytes, bytes], ...],
     ) -> None:
         first = int(request.find_header(b"last-event-id") or b"0") + 1
-        if self.misbehaviour in UNFRAMED:
-            events = [
-                build_event(number) for number in range(first, self._n_events + 1)
-            ]
-            if self.misbehaviour is not Misbehaviour.UNFRAMED:
-                del events[self._n_events // 2 :]
-            if self.misbehaviour is Misbehaviour.UNFRAMED_MID_EVENT:
-                events.append(build_event(first + len(events))[:9])
-            await self._send_unframed(connection, (*headers, EVENT_STREAM), events)
-            return
-        connection.begin_stream(200, (*headers, EVENT_STREAM))
+        request_id = request.find_header(ID_HEADER) or b""
+        stream: CallerConnection | UnframedStream = connection
+        if self.is_unframed or self.misbehaviour in UNFRAMED_STREAMS:
+            stream = UnframedStream(connection, self.unframed_head)
+        stream.begin_stream(200, (*headers, EVENT_STREAM))
         for number in range(first, self._n_events + 1):
             await asyncio.sleep(self._event_ms / 1_000)
             event = build_event(number)
             is_second_half = number > self._n_events // 2
             is_next = number == self.n_events_before_silence + 1
             if is_next and self.misbehaviour is Misbehaviour.PAUSE:
-                await asyncio.sleep(self.silence_ms / 1_000)
-            if is_second_half and self.misbehaviour is Misbehaviour.MID_EVENT:
-                connection.send_chunk(event[:9])
-                await asyncio.sleep(0.02)
-                connection.abort()
+                await self._be_silent(request_id)
+            if is_second_half and await break_off_stream(
+                stream, event, self.misbehaviour
+            ):
                 return
-            if is_second_half and self.misbehaviour is Misbehaviour.DRIP:
-                await self._drip(connection, event)
-                return
-            if is_second_half and self.misbehaviour is Misbehaviour.CUT:
-                connection.abort()
-                return
-            connection.send_chunk(event)
-        connection.end_stream()
-
-    async def _drip(self, connection: CallerConnection, event: bytes) -> None:
-        # Bytes arrive until the connection is closed, but the event never ends.
-        connection.send_chunk(event[:1])
-        while True:
-            await asyncio.sleep(0.1)
-            connection.send_chunk(b"x")
+            stream.send_chunk(event)
+        stream.end_stream()
 
-    async def _send_unframed(
-        self, connection: CallerConnection, headers: Headers, parts: list[bytes]
-    ) -> None:
-        await send_unframed(
-            connection,
-            self.unframed_head,
-            headers,
-            parts,
-            pause_ms=self._event_ms,
-            is_reset=self.misbehaviour is Misbehaviour.UNFRAMED_RESET,
-        )
-
-    def _answer(
+    async def _answer(
         self,
         connection: CallerConnection,
         request_id: bytes,
@@ -277,12 +284,15 @@
             case Misbehaviour.CUT:
                 transport.write(sized + body[:4])
                 transport.loseConnection()
-            case Misbehaviour.NO_LENGTH:
-                transport.write(raw + b"Connection: close\r\n\r\n" + body)
-                transport.loseConnection()
-            case Misbehaviour.NO_LENGTH_RESET:
-                transport.write(raw + b"\r\n" + body[:4])
-                asyncio.get_running_loop().call_later(0.03, transport.abortConnection)
+            case (
+                Misbehaviour.NO_LENGTH
+                | Misbehaviour.NO_LENGTH_RESET
+                | Misbehaviour.NO_LENGTH_LATE_RESET
+                | Misbehaviour.NO_LENGTH_MID_EVENT
+            ):
+                await self._send_unframed(
+                    connection, headers, body, pause_ms=self._event_ms
+                )
             case Misbehaviour.SECOND_ANSWER:
                 transport.write(sized + body + sized + body)
                 connection.on_disconnect = None
@@ -298,5 +308,26 @@
                     ) % request_id
             case Misbehaviour.RUBBISH:
                 transport.write(b"\x00\x01\x02 no answer\r\n\r\n")
+            case _ if self.is_unframed:
+                await self._send_unframed(connection, headers, body, pause_ms=0)
             case _:
                 connection.send_answer(200, (*headers, JSON), body)
+
+    async def _send_unframed(
+        self,
+        connection: CallerConnection,
+        headers: Headers,
+        body: bytes,
+        *,
+        pause_ms: float,
+    ) -> None:
+        is_early_reset = self.misbehaviour is Misbehaviour.NO_LENGTH_RESET
+        head = UnframedHead.PLAIN if is_early_reset else self.unframed_head
+        middle = len(body) // 2
+        await send_unframed(
+            UnframedStream(connection, head),
+            (*headers, JSON),
+            (body[:middle], body[middle:]),
+            misbehaviour=self.misbehaviour,
+            pause_ms=pause_ms,
+        )
--- a/damaskrill/fakes/platform/_store.py
+++ b/damaskrill/fakes/platform/_store.py
@@ -11,7 +11,7 @@
 from attrs import frozen
 
 from damaskrill.fakes.platform._listener import Listener
-from damaskrill.fakes.platform._misbehaviours import EndlessPart
+from damaskrill.fakes.platform._misbehaviour import EndlessPart
 from damaskrill.fakes.platform._raw_answers import send_endless
 from damaskrill.http1 import CallerConnection, CallerRequest, Headers
 
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -30,6 +30,7 @@
     "Broken",
     "CompleteAnswer",
     "NotRun",
+    "Stalled",
     "StreamEnded",
     "StreamProgress",
 ]
@@ -85,7 +86,20 @@
     failure: ExchangeFailure
 
 
-AttemptResult = CompleteAnswer | StreamEnded | NotRun | BadAnswer | Broken
+@frozen(kw_only=True)
+class Stalled:
+    """No progress for a while; the attempt is held while another server is tried.
+
+    Parameters
+    ----------
+    idle_ms : float
+        Time without progress, in milliseconds.
+    """
+
+    idle_ms: float
+
+
+AttemptResult = CompleteAnswer | StreamEnded | NotRun | BadAnswer | Broken | Stalled
 
 
 class StreamProgress:
@@ -110,6 +124,11 @@
         """Monotonic time at which the first events were sent, in milliseconds."""
         return self._first_at_ms
 
+    @property
+    def sent_at_ms(self) -> float:
+        """Monotonic time at which the last events were sent; 0 if none were."""
+        return self._sent_at_ms
+
     @property
     def longest_pause_ms(self) -> float:
         """Longest time between two events, in milliseconds."""
@@ -170,6 +189,23 @@
     buffer : AnswerBuffer
         Holds an answer other than a stream until it is complete, so that an incomplete
         one never looks complete to the caller.
+
+    Attributes
+    ----------
+    done : asyncio.Future
+        Result of the attempt.
+    accepted : asyncio.Future
+        Done when the head of a successful answer to this request has been received.
+    revived : asyncio.Future
+        Done when a held attempt has received events or a successful answer.
+    progress_at : float
+        Time of the last progress, on the clock of the event loop in seconds.
+
+    Notes
+    -----
+    A held attempt keeps what it receives instead of forwarding it, so that two attempts
+    at the same stream never forward events at the same time. The limits on an answer's
+    size hold for it too.
     """
 
     def __init__(
@@ -184,6 +220,11 @@
         loop = asyncio.get_running_loop()
         self._loop = loop
         self.done: asyncio.Future[AttemptResult] = loop.create_future()
+        self.accepted: asyncio.Future[None] = loop.create_future()
+        self.revived: asyncio.Future[None] = loop.create_future()
+        self._is_held = False
+        self._held_events = bytearray()
+        self._held_result: AttemptResult | None = None
         self._request_id = request_id
         self._read_answer = read_answer
         self._progress = progress
@@ -202,6 +243,24 @@
         """Whether status and headers have been received."""
         return self._head is not None
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the exchange with the server is over."""
+        return self.done.done() or self._held_result is not None
+
+    def hold(self) -> None:
+        """Keep received events until `release` is called."""
+        self._is_held = True
+
+    def release(self) -> None:
+        """Forward what has been received since `hold`, and all that follows."""
+        self._is_held = False
+        events, self._held_events = bytes(self._held_events), bytearray()
+        if events:
+            self._forward(events)
+        if self._held_result is not None and not self.done.done():
+            self._finish(self._held_result)
+
     @property
     def _is_foreign(self) -> bool:
         # A server may send a second copy of an earlier answer on the connection, which
@@ -228,6 +287,8 @@
             content_type = head.find_header(b"content-type") or b""
             if content_type.startswith(EVENT_STREAM) and not self._find_fault():
                 self._splitter = EventSplitter()
+        if is_success and not metadata.is_not_run and not self._find_fault():
+            _set_done(self.accepted)
 
     def handle_data(self, data: bytes) -> None:
         """Handle a chunk of the body.
@@ -242,19 +303,38 @@
             if self._n_stream_bytes > MAX_ANSWER_BYTES:
                 raise InvalidAnswerError(reason=f"it exceeds {MAX_ANSWER_BYTES} bytes")
             events = self._splitter.feed(data)
-            if events and self._head is not None and not self.done.done():
+            if events and not self.done.done():
                 # Only complete events count as progress: a stalled server may still
                 # send a byte now and then.
                 self.progress_at = self._loop.time()
-                self._send_events(self._progress, self._head, events)
+                self._forward(events)
+                self._check_numbers(events)
             return
         self.progress_at = self._loop.time()
         self._buffer.append(data)
 
+    def _forward(self, events: bytes) -> None:
+        if self._is_held:
+            self._held_events += events
+            _set_done(self.revived)
+        elif self._progress is not None and self._head is not None:
+            self._progress.send(self._head, events)
+
     def handle_end(self) -> None:
         """Handle the end of a complete answer."""
-        if not self.done.done():
-            self.done.set_result(self._build_result())
+        if self.done.done():
+            return
+        result = self._build_result()
+        if self._is_held and _is_success(result):
+            self._held_result = result
+            _set_done(self.revived)
+        else:
+            self._finish(result)
+
+    def _finish(self, result: AttemptResult) -> None:
+        if isinstance(result, StreamEnded) and self._progress and self._head:
+            self._progress.end(self._head)
+        self.done.set_result(result)
 
     def handle_failure(self, failure: ExchangeFailure) -> None:
         """Handle a failure of the exchange."""
@@ -262,13 +342,10 @@
         if not self.done.done():
             self.done.set_result(Broken(failure=failure))
 
-    def _send_events(
-        self, progress: StreamProgress, head: AnswerHead, events: bytes
-    ) -> None:
-        progress.send(head, events)
+    def _check_numbers(self, events: bytes) -> None:
         # The events' numbers increase; others, such as comments, are few.
         self._n_unnumbered_bytes += len(events)
-        last_id = progress.last_id or 0
+        last_id = parse_last_event_id(events) or 0
         if last_id > self._highest_id:
             self._highest_id = last_id
             self._n_unnumbered_bytes = 0
@@ -291,7 +368,6 @@
         if self._splitter is not None and self._progress is not None:
             if self._splitter.remainder:
                 return BadAnswer(reason="stream ends in the middle of an event")
-            self._progress.end(head)
             return StreamEnded()
         if self._buffer.is_dropped:
             return BadAnswer(reason="no memory is left for an answer so large")
@@ -317,3 +393,18 @@
             if metadata.is_encoded:
                 return "body has a content encoding"
         return ""
+
+
+def _is_success(result: AttemptResult) -> bool:
+    match result:
+        case StreamEnded():
+            return True
+        case CompleteAnswer(head=head):
+            return STATUS_OK <= head.status < STATUS_MULTIPLE
+        case _:
+            return False
+
+
+def _set_done(future: "asyncio.Future[None]") -> None:
+    if not future.done():
+        future.set_result(None)
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -1,7 +1,7 @@
 """Dispatch of callers' requests, and state that all exchanges of a router share."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from random import Random
 from typing import Any
 
@@ -137,6 +137,7 @@
         )
         self._tasks: set[asyncio.Task[Any]] = set()
         self._drain_times: tuple[float, float] | None = None
+        self._is_exiting = False
 
     @property
     def now_ms(self) -> float:
@@ -190,6 +191,7 @@
         *,
         tried: set[tuple[str, int]],
         only: set[tuple[str, int]] | None = None,
+        only_healthy: bool = False,
     ) -> BackendServer | None:
         """Return the server to send a request to; None if none is eligible.
 
@@ -201,6 +203,8 @@
             Incarnations to exclude.
         only : set of tuple of (str, int), default=None
             Incarnations to choose from; any if None.
+        only_healthy : bool, default=False
+            Whether to choose no ejected server, even if no other is eligible.
         """
         now_ms = self.now_ms
         service = requirements.service
@@ -221,6 +225,8 @@
             and (not is_restricted or self._is_allowed(requirements, server))
             and (not has_cold or self._may_send(server, now_ms))
         ]
+        if only_healthy:
+            candidates = [each for each in candidates if each.is_preferred]
         holders: frozenset[int] = frozenset()
         if requirements.affinity_keys:
             holders = self._prefix_index.find_holders(
@@ -272,10 +278,26 @@
         return spread_retry_after(duration_ms, self._random)
 
     def find_cache_source(
-        self, route: Route, metadata: RequestMetadata, server: BackendServer
+        self,
+        route: Route,
+        metadata: RequestMetadata,
+        server: BackendServer,
+        *,
+        excluded: Collection[tuple[str, int]] = (),
     ) -> BackendServer | None:
         """Return the engine to copy a prompt's prefix from; None if there is none.
 
+        Parameters
+        ----------
+        route : Route
+            Route of the request.
+        metadata : RequestMetadata
+            Metadata of the request.
+        server : BackendServer
+            Engine that gets the request.
+        excluded : collection of tuple of (str, int), default=()
+            Incarnations that must not be the source.
+
         Notes
         -----
         Also records that the server processes the shared parts of the prompt.
@@ -289,6 +311,7 @@
             each
             for each in self.catalog.find_all_servers(server.service)
             if not self._health.is_ejected(each.key, now_ms)
+            and each.key not in excluded
         ]
         registered_for_ms = self.catalog.registered_for_ms(server, round(now_ms))
         source = self._prefix_index.find(
@@ -301,6 +324,10 @@
         self._prefix_index.record_sent(metadata.prompt, server, now_ms)
         return source
 
+    def can_acquire_retry(self, service: str) -> bool:
+        """Return whether the budget allows a retry."""
+        return self.budget.can_acquire(service, self._n_routers(), self.now_ms)
+
     def try_acquire_retry(self, service: str) -> bool:
         """Acquire one retry from the budget; return whether it allowed one."""
         return self.budget.try_acquire(service, self._n_routers(), self.now_ms)
@@ -389,11 +416,18 @@
         for key in keys:
             self.loads.register_server(key)
         self.loads.retain_only(keys)
-        self._health.retain_only(keys)
-        self._pauses.retain_only(keys)
+        # Servers that are out of use for a moment return as they were.
+        self._health.retain_only(self.catalog.registered_keys())
+        self._pauses.discard_ended(self.now_ms)
+
+    @property
+    def is_exiting(self) -> bool:
+        """Whether the process exits now, so that no request can be served any more."""
+        return self._is_exiting
 
     def cancel_all(self) -> None:
-        """Cancel all exchanges."""
+        """Cancel all exchanges, as the process exits."""
+        self._is_exiting = True
         for task in list(self._tasks):
             task.cancel()
 
--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -14,6 +14,7 @@
     "check_leaving",
     "check_pauses",
     "check_planned_work",
+    "was_sent_after_restart",
 ]
 
 REPEATABLE_PATHS = ("/check/", "/read/")
@@ -57,12 +58,15 @@
         Arrival times, on the monotonic clock in seconds, and request IDs.
     pauses : tuple of (float, str)
         Times at which it refused a request and asked for a pause, and request IDs.
+    silences : tuple of (float, float, str)
+        Begin and intended end of its silences, and request IDs.
     """
 
     server_id: str
     runs: dict[str, int]
     arrivals: tuple[tuple[float, str], ...]
     pauses: tuple[tuple[float, str], ...] = ()
+    silences: tuple[tuple[float, float, str], ...] = ()
 
 
 def check_exchanges(
@@ -186,6 +190,23 @@
     ]
 
 
+def was_sent_after_restart(
+    exchange: Exchange, starts: Sequence[float], since: float
+) -> bool:
+    """Return whether its router's process started after some event.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    starts : sequence of float
+        Times at which processes of its router started, on the monotonic clock.
+    since : float
+        Time of the event, of which a later process need not know.
+    """
+    return any(since < at <= exchange.sent_at for at in starts)
+
+
 def check_pauses(
     server: ServerRecord,
     exchanges: Sequence[Exchange],
