--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -17,6 +18,8 @@
 ID_HEADER = b"damaskrill-request-id"
 # How long before its deadline the server abandons a request.
 DEADLINE_MARGIN_MS = 20
+# Time from the head of an answer to the crash that its prompt causes.
+CRASH_DELAY_MS = 30
 
 
 class Misbehaviour(Enum):
@@ -84,6 +87,10 @@
         on, in milliseconds.
     n_events_before_silence : int
         Number of events of a stream that it sends before.
+    crashing_parts : frozenset of str
+        Prompt parts on which the server crashes shortly after the head of its answer.
+    on_crash : callable or None
+        Called after such a crash.
     """
 
     def __init__(
@@ -106,6 +113,8 @@
         self.pauses: list[tuple[float, str]] = []
         self.silence_ms = 1_500
         self.n_events_before_silence = 2
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.on_crash: Callable[[], None] | None = None
         self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
         self._event_ms = event_ms
@@ -201,6 +210,10 @@
     ) -> None:
         first = int(request.find_header(b"last-event-id") or b"0") + 1
         connection.begin_stream(200, (*headers, EVENT_STREAM))
+        if self._is_crashing(request):
+            await asyncio.sleep(CRASH_DELAY_MS / 1_000)
+            self._crash()
+            return
         for number in range(first, self._n_events + 1):
             await asyncio.sleep(self._event_ms / 1_000)
             event = b"id: %d\ndata: token-%d\n\n" % (number, number)
@@ -222,6 +235,20 @@
             connection.send_chunk(event)
         connection.end_stream()
 
+    def _is_crashing(self, request: CallerRequest) -> bool:
+        prompt = (request.find_header(b"damaskrill-prompt-prefix") or b"").decode()
+        parts = {each.strip().partition(":")[0] for each in prompt.split(",")[:-1]}
+        return not self.crashing_parts.isdisjoint(parts)
+
+    def _crash(self) -> None:
+        current = asyncio.current_task()
+        self._listener.close()
+        for task in self._tasks:
+            if task is not current:
+                task.cancel()
+        if self.on_crash is not None:
+            self.on_crash()
+
     async def _drip(self, connection: CallerConnection, event: bytes) -> None:
         # Bytes arrive until the connection is closed, but the event never ends.
         connection.send_chunk(event[:1])
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one backend server, and its result."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from attrs import frozen
@@ -34,6 +35,7 @@
 EVENT_STREAM = b"text/event-stream"
 STATUS_OK = 200
 STATUS_MULTIPLE = 300
+MS_PER_S = 1_000
 
 
 @frozen(kw_only=True)
@@ -187,12 +189,24 @@
         self._chunks: list[bytes] = []
         self._n_bytes = 0
         self.progress_at = loop.time()
+        self._head_at = math.inf
+        self._first_event_at = math.inf
 
     @property
     def has_head(self) -> bool:
         """Whether status and headers have been received."""
         return self._head is not None
 
+    @property
+    def begun_ms(self) -> float | None:
+        """Time since the answer's head in milliseconds; None before it."""
+        return self._elapsed_ms(self._head_at)
+
+    @property
+    def first_event_ms(self) -> float | None:
+        """Time since the stream's first event in milliseconds; None before it."""
+        return self._elapsed_ms(self._first_event_at)
+
     @property
     def _is_foreign(self) -> bool:
         # A server may send a second copy of an earlier answer on the connection, which
@@ -202,7 +216,7 @@
 
     def handle_head(self, head: AnswerHead) -> None:
         """Handle status and headers."""
-        self.progress_at = self._loop.time()
+        self.progress_at = self._head_at = self._loop.time()
         self._head = head
         self._metadata = metadata = self._read_answer(head)
         if not self._is_foreign:
@@ -221,6 +235,7 @@
                 # Only complete events count as progress: a stalled server may still
                 # send a byte now and then.
                 self.progress_at = self._loop.time()
+                self._first_event_at = min(self._first_event_at, self.progress_at)
                 self._progress.send(self._head, events)
             return
         self.progress_at = self._loop.time()
@@ -238,6 +253,9 @@
         if not self.done.done():
             self.done.set_result(Broken(failure=failure))
 
+    def _elapsed_ms(self, since: float) -> float | None:
+        return None if math.isinf(since) else (self._loop.time() - since) * MS_PER_S
+
     def _build_result(self) -> AttemptResult:
         head = self._head
         if head is None:
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -15,7 +15,11 @@
     StreamEnded,
     StreamProgress,
 )
-from damaskrill.gateway._outcomes import classify_outcome, find_refusal
+from damaskrill.gateway._outcomes import (
+    classify_outcome,
+    describe_prompt,
+    find_refusal,
+)
 from damaskrill.gateway._responder import Responder
 from damaskrill.http1 import (
     CallerConnection,
@@ -411,7 +415,7 @@
         outcome, reason = found
         if outcome is ServerOutcome.FULL:
             self._overloaded.add(server.key)
-        self._record_outcome(server, outcome, reason)
+        self._record_outcome(server, outcome, reason, attempt)
 
     def _evaluate_disconnect(
         self, route: Route, server: BackendServer, attempt: Attempt
@@ -427,7 +431,11 @@
         self._evaluate_result(route, server, attempt, result, is_expired=True)
 
     def _record_outcome(
-        self, server: BackendServer, outcome: ServerOutcome, reason: str
+        self,
+        server: BackendServer,
+        outcome: ServerOutcome,
+        reason: str,
+        attempt: Attempt | None = None,
     ) -> None:
         dispatcher = self._dispatcher
         if outcome is not ServerOutcome.GOOD:
@@ -448,6 +456,7 @@
                 wait_ms=round(dispatcher.now_ms - self._sent_at_ms)
                 if self._responder.n_sent
                 else 0,
+                **describe_prompt(self._metadata, attempt),
             )
         dispatcher.record_outcome(server, outcome)
 
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -1,6 +1,7 @@
 """Classification of attempts: outcome for the server and refusal for the caller."""
 
 from damaskrill.gateway._attempt import (
+    Attempt,
     AttemptResult,
     BadAnswer,
     Broken,
@@ -9,9 +10,14 @@
     StreamEnded,
 )
 from damaskrill.http1 import FailureKind
-from damaskrill.steering import Refusal, RefusalCause, ServerOutcome
+from damaskrill.steering import (
+    Refusal,
+    RefusalCause,
+    RequestMetadata,
+    ServerOutcome,
+)
 
-__all__ = ["classify_outcome", "find_refusal"]
+__all__ = ["classify_outcome", "describe_prompt", "find_refusal"]
 
 # About the time in which a plain server finishes a request.
 RETRY_AFTER_FULL_MS = 150
@@ -120,3 +126,31 @@
             return Refusal(status=502, cause=cause), failure.reason
         case Broken():
             return Refusal(status=504, cause=RefusalCause.TIME_LIMIT), ""
+
+
+def describe_prompt(
+    metadata: RequestMetadata, attempt: Attempt | None
+) -> dict[str, object]:
+    """Return log fields that show what failed requests with prompts have in common.
+
+    Parameters
+    ----------
+    metadata : RequestMetadata
+        Metadata of the request.
+    attempt : Attempt or None
+        The failed attempt; None if no connection was opened.
+
+    Returns
+    -------
+    dict of str to object
+        Empty for a request without a prompt.
+    """
+    if not metadata.prompt:
+        return {}
+    fields: dict[str, object] = {
+        "has_answer": attempt is not None and attempt.has_head,
+        "prompt_parts": [part.part_id for part in metadata.prompt[:-1]],
+    }
+    if attempt is not None and attempt.begun_ms is not None:
+        fields["begun_ms"] = round(attempt.begun_ms)
+    return fields
