Show by failing tests that prompts crash one server after the other

Gateways on loopback retry a request that has crashed a server, and send on every further one with the same part: 8 chats, none rejected; 2 checks crashed 4 engines. An answer that a server cuts off counts as malformed.

The scenarios on a virtual clock state what routers that report crashes to each other must reach; they end in an ImportError until that decider exists. Bounds are those of the users' rules: 3 requests after the fifth crash and contact time, no sound request rejected after twice that time.

--- a/features/gateway_crashing_prompts.feature
+++ b/features/gateway_crashing_prompts.feature
@@ -7,3 +7,136 @@
     And all engines crash on the prompt part "bad"
     When a caller sends a chat with the prompt "aa,bad,q1"
     Then a line of a failed attempt names the parts "aa,bad" and an answer just begun
+
+  Scenario Outline: a bad part is blocked before it has crashed many servers
+    Given <n> routers before <servers> engines that may crash under prompts
+    When two requests a second whose <place> part is bad arrive among sound ones for 40 s
+    Then at most 6 engines crash
+    And at most 3 bad requests reach an engine later than 3 s after the fifth crash
+    And no sound request is rejected later than 6 s after the fifth crash
+
+    Examples:
+      | n  | servers | place                                    |
+      | 7  | 5       | first                                    |
+      | 7  | 5       | second                                   |
+      | 7  | 5       | second, after the most popular first one |
+      | 7  | 30      | first                                    |
+      | 7  | 30      | second                                   |
+      | 7  | 30      | second, after the most popular first one |
+      | 77 | 5       | first                                    |
+      | 77 | 5       | second                                   |
+      | 77 | 5       | second, after the most popular first one |
+      | 77 | 30      | first                                    |
+      | 77 | 30      | second                                   |
+      | 77 | 30      | second, after the most popular first one |
+
+  Scenario Outline: a bad part is blocked also if its requests arrive in bursts
+    Given <n> routers before <servers> engines that may crash under prompts
+    When requests whose <place> part is bad arrive in bursts among sound ones for 40 s
+    Then at most 3 bad requests reach an engine later than 3 s after the fifth crash
+    And no sound request is rejected later than 6 s after the fifth crash
+
+    Examples:
+      | n  | servers | place  |
+      | 7  | 5       | second |
+      | 77 | 30      | first  |
+      | 77 | 30      | second |
+
+  Scenario Outline: two bad parts at once are both blocked
+    Given <n> routers before 30 engines that may crash under prompts
+    When requests with two different bad parts arrive among sound ones for 40 s
+    Then every router blocks both bad parts
+    And no sound request is rejected in the last 20 s
+
+    Examples:
+      | n  |
+      | 7  |
+      | 77 |
+
+  Scenario Outline: other failures of servers block no part
+    Given <n> routers before 30 engines that may crash under prompts
+    When sound requests arrive for 40 s and <fault>
+    Then requests were served and no part was ever blocked
+
+    Examples:
+      | n  | fault                                           |
+      | 7  | a third of the engines lose their power at once |
+      | 7  | two engines flap with a period of 1 s           |
+      | 7  | engines break off 2 of 100 answers              |
+      | 77 | a third of the engines lose their power at once |
+      | 77 | two engines flap with a period of 1 s           |
+      | 77 | engines break off 2 of 100 answers              |
+
+  Scenario Outline: a router that starts blocks a part as soon as it has a link
+    Given 7 routers before 5 engines that may crash under prompts
+    When two requests a second whose second part is bad arrive among sound ones for 40 s
+    And <seconds> s pass in which only bad requests arrive
+    And a router starts and one of the others opens a link to it
+    Then the router that has started blocks the bad part
+
+    Examples:
+      | seconds |
+      | 0       |
+      | 300     |
+
+  Scenario: a router that starts again learns its own reports from its peers
+    Given the only router that has seen three crashes under a part
+    When it starts again and a peer that it had told opens a link to it
+    Then the router that has started blocks the bad part
+
+  Scenario Outline: a part that no longer crashes servers is released by a trial
+    Given <n> routers before 5 engines that may crash under prompts
+    When two requests a second whose second part is bad arrive among sound ones for 40 s
+    And the part is sound again, and its requests go on for 120 s
+    Then no router blocks the part
+    And at most 1 of them was at an engine before all others were let through
+
+    Examples:
+      | n  |
+      | 7  |
+      | 77 |
+
+  Scenario: trials of a part that still crashes servers become rare
+    Given 7 routers before 5 engines that may crash under prompts
+    When two requests a second whose second part is bad arrive among sound ones for 40 s
+    And 600 s pass in which only bad requests arrive
+    Then the trials were 1 at a time, at least 60 s apart and at most 4
+    And every router blocks the bad part
+
+  Scenario: the memory for reports is bounded
+    Given the only router that has seen three crashes under a part
+    When 2000 servers crash at once
+    Then the detector holds at most 256 crashes and still blocks the part
+
+  Scenario: gateways reject requests with a blocked part and serve the others
+    Given a platform with 5 engines that crash on the part "bad" and come back
+    And 3 gateways that know each other
+    When chats with the part "bad" arrive at the gateways in turn until one is rejected
+    Then 3 to 5 engines have crashed
+    And all gateways reject further chats with the part as not run, without an engine
+    And all gateways serve chats with the same first part
+    And the metrics and the log of a gateway name the blocked part
+
+  Scenario: a request that crashed a server like another one is not sent again
+    Given a platform with 5 engines that crash on the part "bad" and come back
+    And 3 gateways that know each other
+    When a check with the part "bad" arrives
+    Then 2 engines have crashed
+    When a check with the part "bad" arrives
+    Then 3 engines have crashed
+    And its caller got status 502 after one attempt
+
+  Scenario: a gateway that starts rejects requests with a blocked part
+    Given a platform with 5 engines that crash on the part "bad" and come back
+    And 3 gateways that know each other
+    When chats with the part "bad" arrive at the gateways in turn until one is rejected
+    And another gateway starts and has links
+    Then all gateways reject further chats with the part as not run, without an engine
+
+  Scenario: an answer that a server breaks off is told from a malformed one
+    Given a server that ends a chunked answer in its middle
+    When a connection receives it
+    Then the exchange failed as "closed"
+    Given a server whose chunked answer has a wrong length
+    When a connection receives it
+    Then the exchange failed as "malformed"
--- /dev/null
+++ b/features/steps/crashing_fleet_steps.py
@@ -0,0 +1,250 @@
+"""Steps for prompts that crash servers, with routers on a virtual clock."""
+
+from itertools import pairwise
+
+from behave import given, then, when
+
+from features.support.crash_reports import (
+    BAD,
+    build_detector,
+    crash_under_bad_part,
+    is_blocking,
+)
+
+SEEDS = (1, 2, 3)
+N_BEFORE_MS = 5_000
+ARRIVAL_MS = 40_000
+# Far fewer requests than a real router gets, but each part is used several times a
+# second in the whole fleet.
+SOUND_PER_S = 40
+# The fifth crash counts, or the last one if there are fewer.
+FIFTH = 5
+CONTACT_MS = 3_000
+BAD_IDS = ("bad", "bad-2")
+
+
+def build_fleets(context, n, servers):
+    from features.support.crashing_fleet import CrashingFleet
+
+    return [
+        CrashingFleet(n_routers=n, n_servers=servers, random_state=seed)
+        for seed in SEEDS
+    ]
+
+
+@given("{n:d} routers before {servers:d} engines that may crash under prompts")
+def step_fleets(context, n, servers):
+    context.fleets = build_fleets(context, n, servers)
+    for fleet in context.fleets:
+        until_ms = N_BEFORE_MS + ARRIVAL_MS
+        fleet.send_all(sound_per_s=SOUND_PER_S, until_ms=until_ms)
+        fleet.run(N_BEFORE_MS)
+
+
+def send_bad_ones(context, choices, *, is_regular):
+    until_ms = N_BEFORE_MS + ARRIVAL_MS
+    for fleet in context.fleets:
+        fleet.bad_parts = set(BAD_IDS)
+        for choose in choices:
+            fleet.send_bad_ones(choose, until_ms=until_ms, is_regular=is_regular)
+        fleet.run(until_ms)
+
+
+@when(
+    "two requests a second whose {place} part is bad arrive among sound ones for 40 s"
+)
+def step_bad_arrive(context, place):
+    from features.support.crashing_fleet import CHOICES
+
+    context.choose = CHOICES[place]
+    send_bad_ones(context, [context.choose], is_regular=True)
+
+
+@when("requests whose {place} part is bad arrive in bursts among sound ones for 40 s")
+def step_bad_bursts(context, place):
+    from features.support.crashing_fleet import CHOICES
+
+    send_bad_ones(context, [CHOICES[place]], is_regular=False)
+
+
+@when("requests with two different bad parts arrive among sound ones for 40 s")
+def step_two_bad(context):
+    from features.support.crashing_fleet import CHOICES, choose_other_bad_part
+
+    choices = [CHOICES["second"], choose_other_bad_part]
+    send_bad_ones(context, choices, is_regular=True)
+
+
+def find_fifth_crash(fleet):
+    return fleet.crashes[min(FIFTH, len(fleet.crashes)) - 1]
+
+
+@then("at most {n:d} engines crash")
+def step_n_crashes(context, n):
+    found = [len(fleet.crashes) for fleet in context.fleets]
+    assert all(0 < each <= n for each in found), found
+
+
+@then(
+    "at most {n:d} bad requests reach an engine "
+    "later than {s:d} s after the fifth crash"
+)
+def step_n_late(context, n, s):
+    found = []
+    for fleet in context.fleets:
+        from_ms = find_fifth_crash(fleet) + s * 1_000
+        found.append(sum(at_ms > from_ms for at_ms in fleet.bad_reached))
+    assert all(each <= n for each in found), found
+
+
+@then("no sound request is rejected later than {s:d} s after the fifth crash")
+def step_none_rejected(context, s):
+    for fleet in context.fleets:
+        from_ms = find_fifth_crash(fleet) + s * 1_000
+        late = [each for each in fleet.sound_rejected if each[0] > from_ms]
+        assert not late, late[:5]
+        assert fleet.n_served > 0
+
+
+@then("no sound request is rejected in the last 20 s")
+def step_none_rejected_at_last(context):
+    for fleet in context.fleets:
+        from_ms = fleet.now_ms - 20_000
+        late = [each for each in fleet.sound_rejected if each[0] > from_ms]
+        assert not late, late[:5]
+
+
+@then("every router blocks both bad parts")
+def step_both_blocked(context):
+    for fleet in context.fleets:
+        for part in BAD_IDS:
+            n_blocking = len(fleet.find_blocking(part))
+            assert n_blocking == len(fleet.detectors), (part, n_blocking)
+
+
+@then("every router blocks the bad part")
+def step_all_block(context):
+    for fleet in context.fleets:
+        assert len(fleet.find_blocking(BAD)) == len(fleet.detectors)
+
+
+@when("sound requests arrive for 40 s and {fault}")
+def step_other_fault(context, fault):
+    until_ms = N_BEFORE_MS + ARRIVAL_MS
+    for fleet in context.fleets:
+        if fault.startswith("a third"):
+            fleet.at(1_000, lose_power, fleet)
+        elif fault.startswith("two engines flap"):
+            for at_ms in range(500, ARRIVAL_MS, 1_000):
+                fleet.at(at_ms, flap, fleet)
+        else:
+            fleet.break_share = 0.02
+        fleet.run(until_ms)
+
+
+def lose_power(fleet):
+    for server in fleet.servers[: len(fleet.servers) // 3]:
+        fleet.crash(server)
+
+
+def flap(fleet):
+    for server in fleet.servers[:2]:
+        fleet.crash(server, restart_ms=50)
+
+
+@then("requests were served and no part was ever blocked")
+def step_none_blocked(context):
+    for fleet in context.fleets:
+        assert fleet.n_served > ARRIVAL_MS / 1_000 * SOUND_PER_S / 2
+        assert not fleet.ever_blocked and not fleet.sound_rejected
+
+
+@when("{s:d} s pass in which only bad requests arrive")
+def step_only_bad(context, s):
+    for fleet in context.fleets:
+        fleet.n_crashes_before = len(fleet.crashes)
+        until_ms = fleet.now_ms + s * 1_000
+        fleet.send_bad_ones(context.choose, until_ms=until_ms)
+        fleet.run(until_ms)
+
+
+@when("a router starts and one of the others opens a link to it")
+def step_start_router(context):
+    context.started = []
+    for fleet in context.fleets:
+        started = build_detector("r-new", first_number=9)
+        reports, _ = fleet.detectors[0].reports_after(-1, now_ms=fleet.now_ms)
+        started.apply_reports(reports, now_ms=fleet.now_ms, source="link")
+        context.started.append((started, fleet.now_ms))
+
+
+@then("the router that has started blocks the bad part")
+def step_started_blocks(context):
+    for detector, now_ms in context.started:
+        assert is_blocking(detector, now_ms)
+
+
+@given("the only router that has seen three crashes under a part")
+def step_only_router(context):
+    context.detector = build_detector("r-1", first_number=1)
+    crash_under_bad_part(context.detector, at_ms=(1_000, 2_000, 3_000))
+
+
+@when("it starts again and a peer that it had told opens a link to it")
+def step_starts_again(context):
+    peer, started = build_detector("r-2"), build_detector("r-1", first_number=9)
+    reports, _ = context.detector.reports_after(-1, now_ms=3_050.0)
+    peer.apply_reports(reports, now_ms=3_050.0, source="r-1")
+    told, _ = peer.reports_after(
+        -1, now_ms=3_500.0, exclude_link="r-1", include_relayed=False
+    )
+    started.apply_reports(told, now_ms=3_500.0, source="r-2")
+    context.started = [(started, 3_500.0)]
+
+
+@when("{n:d} servers crash at once")
+def step_many_crashes(context, n):
+    for number in range(n):
+        key = (f"e-many-{number}", 0)
+        context.detector.record_crash(key, (number, 7), 5_000.0)
+
+
+@then("the detector holds at most {n:d} crashes and still blocks the part")
+def step_bounded_crashes(context, n):
+    assert context.detector.n_crashes <= n, context.detector.n_crashes
+    assert is_blocking(context.detector, 5_100.0)
+
+
+@when("the part is sound again, and its requests go on for 120 s")
+def step_sound_again(context):
+    for fleet in context.fleets:
+        fleet.bad_parts = set()
+        until_ms = fleet.now_ms + 120_000
+        fleet.n_reached_before = len(fleet.bad_reached)
+        fleet.send_bad_ones(context.choose, until_ms=until_ms)
+        fleet.run(until_ms)
+
+
+@then("no router blocks the part")
+def step_released(context):
+    for fleet in context.fleets:
+        assert fleet.find_blocking(BAD) == []
+
+
+@then("at most 1 of them was at an engine before all others were let through")
+def step_one_trial(context):
+    for fleet in context.fleets:
+        reached = fleet.bad_reached[fleet.n_reached_before :]
+        assert len(reached) > 2, "no request was let through"
+        # An answer takes some hundred milliseconds at least, then the others know.
+        first_ms = reached[0]
+        early = [at_ms for at_ms in reached if at_ms < first_ms + 300]
+        assert len(early) == 1, early
+
+
+@then("the trials were 1 at a time, at least 60 s apart and at most {n:d}")
+def step_rare_trials(context, n):
+    for fleet in context.fleets:
+        times = fleet.crashes[fleet.n_crashes_before :]
+        gaps = [later - at_ms for at_ms, later in pairwise(times)]
+        assert 0 < len(times) <= n and min(gaps, default=60_000) >= 60_000, times
--- a/features/steps/gateway_crashing_prompts_steps.py
+++ b/features/steps/gateway_crashing_prompts_steps.py
@@ -1,7 +1,27 @@
 """Steps for prompts that crash servers, with gateways on loopback."""
 
+import asyncio
+import itertools
+import time
+from unittest.mock import Mock
+
 from behave import given, then, when
 
+from damaskrill.fakes.platform import FakeServer, build_entry
+from damaskrill.http1 import AnswerSink, OutgoingRequest, ServerConnection
+from features.support.gateways import GatewayTestbed
+
+RESTART_S = 0.2
+# Longer than the time in which reports cross a link.
+LINK_S = 0.4
+# Time between two requests, so that the crashes are told apart.
+BETWEEN_S = 0.3
+MAX_CHATS = 8
+# No caller waits for so long.
+MIN_RETRY_AFTER_S = 10
+NUMBERS = itertools.count(1)
+HOST = ((b"Host", b"desk.example"),)
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 # Time within which the line of a failed attempt says that the answer had just begun.
 JUST_BEGUN_MS = 500
 
@@ -30,3 +50,181 @@
     assert failed and failed[0].get("prompt_parts") == parts.split(","), failed
     assert failed[0]["has_answer"] is True, failed
     assert 0 <= failed[0]["begun_ms"] <= JUST_BEGUN_MS, failed
+
+
+@given('a platform with {n:d} engines that crash on the part "{part}" and come back')
+def step_crashing_platform(context, n, part):
+    context.testbed = testbed = GatewayTestbed()
+    context.add_cleanup(testbed.close)
+    testbed.configure()
+    context.crashed = []
+    context.part = part
+    for number in range(n):
+        add_crashing_engine(context, f"e-{number}")
+
+
+def add_crashing_engine(context, name):
+    testbed = context.testbed
+    testbed.add_server(name, "pool")
+    server = testbed.servers[name]
+
+    def handle_crash():
+        context.crashed.append(name)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESTART_S, restart)
+
+    def restart():
+        fresh = FakeServer(reactor=testbed.reactor, server_id=f"{name}-again")
+        testbed.servers[fresh.server_id] = fresh
+        fresh.crashing_parts, fresh.on_crash = server.crashing_parts, handle_crash
+        entry = build_entry(service="pool", address=fresh.address)
+        testbed.store.put(f"servers/{fresh.server_id}", entry)
+
+    server.crashing_parts = frozenset({context.part})
+    server.on_crash = handle_crash
+
+
+@given("{n:d} gateways that know each other")
+def step_gateways(context, n):
+    testbed = context.testbed
+    for _ in range(n):
+        testbed.add_gateway()
+    for gateway in testbed.gateways:
+        testbed.wait_until_ready(gateway)
+        assert testbed.wait_for(lambda each=gateway: each._mesh.n_links == n - 1)
+
+
+def send_with_part(context, path="/chat/1", *, gateway=None, part=None):
+    number = next(NUMBERS)
+    parts = f"aa,{part or context.part},q{number}"
+    headers = [build_prompt_header(parts)]
+    return context.testbed.send(path, gateway=gateway, headers=headers)
+
+
+@when(
+    'chats with the part "{part}" arrive at the gateways in turn until one is rejected'
+)
+def step_until_rejected(context, part):
+    gateways = itertools.cycle(context.testbed.gateways)
+    for gateway in itertools.islice(gateways, MAX_CHATS):
+        reply = send_with_part(context, gateway=gateway)
+        if reply.status == 503 and b"crashing_prompt" in reply.body:
+            break
+        time.sleep(BETWEEN_S)
+    else:
+        raise AssertionError("no chat was rejected")
+
+
+@then("{least:d} to {most:d} engines have crashed")
+def step_crashed_range(context, least, most):
+    assert least <= len(context.crashed) <= most, context.crashed
+
+
+@then("{n:d} engines have crashed")
+def step_crashed(context, n):
+    assert len(context.crashed) == n, context.crashed
+
+
+@then("all gateways reject further chats with the part as not run, without an engine")
+def step_all_reject(context):
+    testbed = context.testbed
+    time.sleep(LINK_S)
+    n_crashed = len(context.crashed)
+    for gateway in testbed.gateways:
+        reply = send_with_part(context, gateway=gateway)
+        assert reply.status == 503, reply
+        assert reply.body.startswith(b"crashing_prompt: "), reply
+        assert float(reply.headers["retry-after"]) >= MIN_RETRY_AFTER_S, reply
+        assert testbed.runs_of(reply.request_id) == 0
+    assert len(context.crashed) == n_crashed
+
+
+@then("all gateways serve chats with the same first part")
+def step_others_served(context):
+    for gateway in context.testbed.gateways:
+        reply = send_with_part(context, gateway=gateway, part="cc")
+        assert reply.status == 200 and reply.is_complete, reply
+
+
+@then("the metrics and the log of a gateway name the blocked part")
+def step_told(context):
+    from damaskrill.steering import short_id
+
+    testbed = context.testbed
+    lines = testbed.logs[0].lines
+    (line,) = (each for each in lines if each["event"] == "prompt_part_blocked")
+    assert line["part"] == f"{short_id(context.part):08x}", line
+    ends = [each for each in lines if each["event"] == "request_ended"]
+    assert ends[-2]["detail"] == f"prompt part {context.part}", ends[-2]
+    assert ends[-2]["outcome"] == "not_run", ends[-2]
+    metrics = testbed.gateways[0]._metrics.render({}).decode()
+    assert "damaskrill_gateway_prompt_parts_blocked_total 1" in metrics
+
+
+@when('a check with the part "{part}" arrives')
+def step_check_arrives(context, part):
+    time.sleep(BETWEEN_S)
+    context.reply = send_with_part(context, "/check/1", part=part)
+
+
+@then("its caller got status {status:d} after one attempt")
+def step_one_attempt(context, status):
+    assert context.reply.status == status, context.reply
+    ends = [
+        line
+        for line in context.testbed.logs[0].lines
+        if line["event"] == "request_ended"
+        and line["request_id"] == context.reply.request_id
+    ]
+    assert ends[0]["n_attempts"] == 1, ends
+
+
+@when("another gateway starts and has links")
+def step_another_gateway(context):
+    testbed = context.testbed
+    gateway = testbed.add_gateway()
+    assert testbed.wait_for(lambda: gateway.is_ready and gateway._mesh.n_links > 0)
+
+
+class RecordingSink(AnswerSink):
+    def __init__(self):
+        self.failures = []
+
+    def handle_head(self, head):
+        pass
+
+    def handle_data(self, data):
+        pass
+
+    def handle_end(self):
+        raise AssertionError("the answer looked complete")
+
+    def handle_failure(self, failure):
+        self.failures.append(failure)
+
+
+@given("a server that ends a chunked answer in its middle")
+def step_cut_answer(context):
+    context.data, context.is_closed = CHUNKED + b"5\r\nhel", True
+
+
+@given("a server whose chunked answer has a wrong length")
+def step_malformed_answer(context):
+    context.data, context.is_closed = CHUNKED + b"xyz\r\nhello", False
+
+
+@when("a connection receives it")
+def step_receive(context):
+    connection, context.sink = ServerConnection(), RecordingSink()
+    connection.transport = Mock()
+    connection._is_open = True
+    request = OutgoingRequest(method=b"GET", target=b"/", headers=HOST, body=b"")
+    connection.start(request, context.sink)
+    connection.dataReceived(context.data)
+    if context.is_closed:
+        connection.connectionLost()
+
+
+@then('the exchange failed as "{kind}"')
+def step_failed_as(context, kind):
+    assert [each.kind.value for each in context.sink.failures] == [kind]
