Tell an answer that a server breaks off from a malformed one

Callers saw nothing of it, but the lines and deciders could not tell a crash from bytes that are no answer: an answer with chunks whose connection ended was reported as malformed, because the parser raises its error at the end of the input. After the end of the connection the failure's kind is now "closed".

The scenario "an answer that a server breaks off is told from a malformed one" failed before (malformed) and passes.

--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -151,7 +151,10 @@
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
-            self._fail(FailureKind.MALFORMED, str(error))
+            # After the end of the connection the answer is incomplete, not malformed.
+            is_cut = not self._is_open
+            kind = FailureKind.CLOSED if is_cut else FailureKind.MALFORMED
+            self._fail(kind, str(error))
             self.abort()
 
     def _handle_event(self, event: Any) -> None:
