Reject requests with a prompt part that crashes backend servers

Routers now report answers that a server broke off within 300 ms of the first event (1 s of the head, if no event came), with short hashes of the prompt's parts without the last one. A part that stands in reports of three servers that ended at times 100 ms apart is blocked, by greedy cover over the crashes, unless a request with it was served in the 2 s before a crash or later; routers tell each other that only for parts in such reports. Every router rejects requests with a blocked part as crashing_prompt before a server is chosen. Before that, a request whose part stands in an earlier crash is not sent to a second server. One trial after 60 s without a crash, doubled at each failure, ends the block. A new link gets all retained reports. The protocol of routers is version 3.

The table of invalid frames has the two new fields in each row, rows of its own for them, and a check that the empty layout is valid; without it the new layout would have made all rows invalid for one and the same reason.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -197,6 +197,14 @@
         """Whether status and headers have been received."""
         return self._head is not None
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the head of a successful answer to this request was received."""
+        head = self._head
+        if head is None or self._find_fault():
+            return False
+        return STATUS_OK <= head.status < STATUS_MULTIPLE
+
     @property
     def begun_ms(self) -> float | None:
         """Time since the answer's head in milliseconds; None before it."""
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -10,6 +10,7 @@
 from damaskrill.gateway._binding import PlatformBinding
 from damaskrill.gateway._exchange import Exchange
 from damaskrill.gateway._metrics import GatewayMetrics
+from damaskrill.gateway._prompt_blocking import PromptBlocking
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
 from damaskrill.steering import (
     DIRECT_BOUNDS,
@@ -17,6 +18,7 @@
     AnswerMetadata,
     Candidate,
     ColdStartLimiter,
+    CrashDetector,
     FailureDetector,
     FleetHealth,
     FleetRetryBudget,
@@ -71,8 +73,13 @@
         Engines from which prompt prefixes can be copied.
     failures : FailureDetector
         Failures of servers' requests observed by all routers.
+    crashes : CrashDetector
+        Prompt parts that may crash servers.
+    ranks_first : callable
+        Returns whether this router is the one that tries a blocked prompt part, given
+        its short hash.
     publish_failures : callable
-        Publishes failures to other routers after a short delay.
+        Publishes failures and crashes to other routers after a short delay.
     publish_departure : callable
         Publishes that an incarnation leaves to other routers after a short delay.
     data_centre : str
@@ -101,6 +108,8 @@
         hot_keys: HotKeys,
         prefix_index: PrefixIndex,
         failures: FailureDetector,
+        crashes: CrashDetector,
+        ranks_first: Callable[[int], bool],
         publish_failures: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
         data_centre: str,
@@ -123,6 +132,13 @@
         self._publish_failures = publish_failures
         self._publish_departure = publish_departure
         self._pauses = ServerPauses()
+        self.prompts = PromptBlocking(
+            detector=crashes,
+            publish=publish_failures,
+            ranks_first=ranks_first,
+            log=log,
+            metrics=metrics,
+        )
         self._region_of = region_of
         self._n_routers = n_routers
         self.store_age_ms = store_age_ms
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -20,6 +20,7 @@
     describe_prompt,
     find_refusal,
 )
+from damaskrill.gateway._prompt_blocking import PROMPT_REJECTED
 from damaskrill.gateway._responder import Responder
 from damaskrill.http1 import (
     CallerConnection,
@@ -75,6 +76,7 @@
 NO_RETRY_BUDGET = "the retry budget is used up"
 NO_RETRY_ALLOWED = "the route allows no further server, or no time is left"
 NO_OTHER_SERVER = "no other server is available"
+SUSPECTED_PROMPT = "another server crashed under a part of its prompt"
 
 
 class Exchange:
@@ -100,6 +102,7 @@
         self._dispatcher = dispatcher
         self._request = request
         self._metadata = dispatcher.binding.read_request(request)
+        self._guard = dispatcher.prompts.guard(self._metadata)
         self._progress = StreamProgress(connection)
         self._responder = Responder(
             dispatcher=dispatcher,
@@ -134,6 +137,8 @@
             self._responder.refuse(
                 Refusal(status=500, cause=RefusalCause.INTERNAL_ERROR), "internal_error"
             )
+        finally:
+            self._guard.close()
 
     async def _serve(self) -> None:
         dispatcher, metadata = self._dispatcher, self._metadata
@@ -193,8 +198,10 @@
             route_regions=route.regions,
             team_regions=team.regions if team else frozenset(),
         )
-        while True:
+        while not self._refuse_crashing():
             server = await self._find_server(route)
+            if self._refuse_crashing():
+                return
             if server is None:
                 if await self._wait_for_capacity(route):
                     continue
@@ -212,6 +219,9 @@
             if not self._may_retry(route) and not await self._wait_for_capacity(route):
                 self._refuse_after(result, NO_RETRY_ALLOWED)
                 return
+            if self._guard.is_suspected:
+                self._refuse_after(result, SUSPECTED_PROMPT)
+                return
 
     def _may_retry(self, route: Route) -> bool:
         state = RetryState(
@@ -333,6 +343,7 @@
         if not attempt.done.done():
             connection.abort()
         self._evaluate_result(route, server, attempt, result)
+        dispatcher.prompts.record_attempt(self._guard, server, attempt, result)
         return result
 
     async def _wait_for_result(self, route: Route, attempt: Attempt) -> AttemptResult:
@@ -460,6 +471,17 @@
             )
         dispatcher.record_outcome(server, outcome)
 
+    def _refuse_crashing(self) -> bool:
+        part = self._guard.find_rejected(self._dispatcher.now_ms)
+        if not part:
+            return False
+        detail = f"prompt part {part}"
+        if self._may_have_run:
+            self._refuse_after(self._last_result, detail)
+        else:
+            self._responder.refuse(PROMPT_REJECTED, detail)
+        return True
+
     def _refuse_unserved(self) -> None:
         if self._responder.n_sent:
             self._refuse_after(self._last_result, NO_OTHER_SERVER)
--- a/damaskrill/gateway/_metrics.py
+++ b/damaskrill/gateway/_metrics.py
@@ -33,6 +33,11 @@
             "Attempts at backend servers that failed, by cause.",
             registry=self._registry,
         )
+        self._blocked_parts = Counter(
+            "damaskrill_gateway_prompt_parts_blocked_total",
+            "Prompt parts that were blocked because servers crashed under them.",
+            registry=self._registry,
+        )
         self._wait_times = self._histogram("wait", "Arrival until the last sending.")
         self._first_answer_times = self._histogram(
             "first_answer", "Arrival until the first event."
@@ -68,6 +73,10 @@
         """Record a failed attempt."""
         self._failures.inc({"cause": cause})
 
+    def record_blocked_part(self) -> None:
+        """Record that a prompt part was blocked."""
+        self._blocked_parts.inc({})
+
     def _histogram(self, name: str, doc: str) -> Histogram:
         return Histogram(
             f"damaskrill_gateway_{name}_seconds",
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -17,12 +17,22 @@
     ServerOutcome,
 )
 
-__all__ = ["classify_outcome", "describe_prompt", "find_refusal"]
+__all__ = [
+    "classify_outcome",
+    "describe_prompt",
+    "find_refusal",
+    "has_crashed",
+    "shows_sound_prompt",
+]
 
 # About the time in which a plain server finishes a request.
 RETRY_AFTER_FULL_MS = 150
 # All routers eject the replaced server within this time.
 RETRY_AFTER_REPLACED_MS = 100
+# A server that crashes under a prompt does so within some hundred milliseconds of the
+# first event. Until the first event, an answer may be waiting for its turn.
+YOUNG_STREAM_MS = 300
+YOUNG_ANSWER_MS = 1_000
 STATUS_SERVER_ERROR = 500
 STATUS_DEADLINE = 504
 
@@ -154,3 +164,38 @@
     if attempt is not None and attempt.begun_ms is not None:
         fields["begun_ms"] = round(attempt.begun_ms)
     return fields
+
+
+def has_crashed(result: AttemptResult, attempt: Attempt) -> bool:
+    """Return whether the server broke off the answer shortly after its beginning.
+
+    Notes
+    -----
+    An attempt that the router ended, a refusal, an error status and an answer that had
+    not begun are no evidence of a crash under the request's prompt.
+    """
+    match result:
+        case Broken(failure=failure):
+            is_server = failure.kind in (FailureKind.CLOSED, FailureKind.RESET)
+            begun_ms, first_event_ms = attempt.begun_ms, attempt.first_event_ms
+            if not is_server or begun_ms is None or not attempt.is_success:
+                return False
+            if first_event_ms is None:
+                return begun_ms <= YOUNG_ANSWER_MS
+            return first_event_ms <= YOUNG_STREAM_MS
+        case _:
+            return False
+
+
+def shows_sound_prompt(result: AttemptResult, attempt: Attempt) -> bool:
+    """Return whether the server answered for so long that the prompt is sound."""
+    match result:
+        case CompleteAnswer():
+            return attempt.is_success
+        case StreamEnded():
+            return attempt.first_event_ms is not None
+        case Broken():
+            first_event_ms = attempt.first_event_ms
+            return first_event_ms is not None and first_event_ms > YOUNG_STREAM_MS
+        case _:
+            return False
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -41,6 +41,7 @@
 )
 from damaskrill.steering import (
     ColdStartLimiter,
+    CrashDetector,
     FailureDetector,
     FleetRetryBudget,
     HotKeys,
@@ -48,7 +49,7 @@
     ServerLoads,
     short_id,
 )
-from damaskrill.utils import monotonic_now_ms
+from damaskrill.utils import monotonic_now_ms, rank_by_rendezvous
 
 __all__ = ["GatewayProcess"]
 
@@ -189,14 +190,17 @@
             data_centre=own.data_centre,
             first_number=own.incarnation,
         )
+        self._crashes = CrashDetector(router=own.address, first_number=own.incarnation)
         self._reports = ReportExchange(
             members=self._members,
             loads=self._loads,
             hot_keys=self._hot_keys,
             prefix_index=self._prefix_index,
             failures=self._failures,
+            crashes=self._crashes,
             apply_failures=lambda servers: self._dispatcher.apply_failures(servers),
             apply_departure=self._apply_departure,
+            apply_crashes=lambda: self._dispatcher.prompts.log_changes(),
             report=self._log.write,
         )
         self._mesh = Mesh(
@@ -242,6 +246,8 @@
             hot_keys=self._hot_keys,
             prefix_index=self._prefix_index,
             failures=self._failures,
+            crashes=self._crashes,
+            ranks_first=self._ranks_first,
             publish_failures=self._mesh.push_urgent_reports,
             publish_departure=self._publish_departure,
             data_centre=settings.data_centre,
@@ -391,6 +397,10 @@
         if changes:
             self._dispatcher.purge_removed_servers()
 
+    def _ranks_first(self, part: int) -> bool:
+        addresses = self._members.addresses()
+        return rank_by_rendezvous(str(part), addresses)[0] == self._members.own.address
+
     def _apply_departure(self, departure: Departure) -> bool:
         key = (departure.server_id, departure.started_at_ms)
         if not self._catalog.mark_leaving(key, cause="peer"):
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -11,7 +11,14 @@
 
 from damaskrill.exceptions import PeerFrameError
 from damaskrill.feed import START, Change, Contact, Position
-from damaskrill.steering import FailureReport, KeyCounts, LoadReport, PrefixReport
+from damaskrill.steering import (
+    CrashReport,
+    FailureReport,
+    KeyCounts,
+    LoadReport,
+    PrefixReport,
+    ServedReport,
+)
 
 __all__ = [
     "Departure",
@@ -29,13 +36,16 @@
 
 # Routers of other versions refuse the first frame, so that fleets of two versions run
 # beside each other during a rolling update, each with its own readers of the store.
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
 MIN_COMPRESSED_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
-# Unsigned 32-bit numbers in a report of a load or a prefix, and in one of failures.
+# Unsigned 32-bit numbers in a report of a load or a prefix, in one of failures, in one
+# of a served part, and in one of a crash before those of the parts.
 N_REPORT_NUMBERS = 3
 N_FAILURE_NUMBERS = 7
+N_SERVED_NUMBERS = 4
+N_CRASH_NUMBERS = 4
 NUMBER_BYTES = 4
 MAX_UINT32 = 0xFFFF_FFFF
 
@@ -124,6 +134,10 @@
         Prompt parts that engines have processed.
     failures : tuple of FailureReport
         Servers whose requests have failed.
+    crashes : tuple of CrashReport
+        Answers that servers broke off shortly after their beginning.
+    served : tuple of ServedReport
+        Prompt parts in such reports that were served.
     key_counts : KeyCounts or None
         The sender's recent requests; None if they are not part of the frame.
     """
@@ -136,6 +150,8 @@
     loads: tuple[LoadReport, ...] = ()
     prefixes: tuple[PrefixReport, ...] = ()
     failures: tuple[FailureReport, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+    served: tuple[ServedReport, ...] = ()
     key_counts: KeyCounts | None = None
 
 
@@ -257,6 +273,8 @@
         _pack((each.load_id, each.n_requests, each.age_ms) for each in update.loads),
         _pack((each.part, each.engine, each.age_ms) for each in update.prefixes),
         _pack(astuple(each) for each in update.failures),
+        [_pack([(*astuple(each)[:-1], *each.parts)]) for each in update.crashes],
+        _pack(astuple(each) for each in update.served),
         None
         if counts is None
         else [counts.n_requests, [list(each) for each in counts.by_key.items()]],
@@ -274,6 +292,8 @@
             bytes(loads),
             bytes(prefixes),
             bytes(failures),
+            list(crashes),
+            bytes(served),
             [float(), list()] | None as counts,
         ]:
             return Update(
@@ -289,6 +309,8 @@
                 failures=tuple(
                     starmap(FailureReport, _unpack(failures, N_FAILURE_NUMBERS))
                 ),
+                crashes=tuple(_to_crash(each) for each in crashes),
+                served=tuple(starmap(ServedReport, _unpack(served, N_SERVED_NUMBERS))),
                 key_counts=_to_key_counts(counts),
             )
         case _:
@@ -321,6 +343,14 @@
             raise ValueError("invalid departure")
 
 
+def _to_crash(data: Any) -> CrashReport:
+    numbers = [number for (number,) in _unpack(data, 1)]
+    if len(numbers) <= N_CRASH_NUMBERS:
+        raise ValueError("report of a crash without a prompt part")
+    server, router, number, age_ms, *parts = numbers
+    return CrashReport(server, router, number, age_ms, tuple(parts))
+
+
 def _to_key_counts(fields: Any) -> KeyCounts | None:
     if fields is None:
         return None
--- a/damaskrill/mesh/_link.py
+++ b/damaskrill/mesh/_link.py
@@ -8,6 +8,7 @@
 
 from damaskrill.feed import START, Position
 from damaskrill.mesh._frames import Frame, encode
+from damaskrill.steering import NEW_LINK
 
 __all__ = ["Cursors", "Link"]
 
@@ -26,6 +27,7 @@
     n_loads: int = 0
     n_prefixes: int = 0
     n_failures: int = 0
+    n_crashes: int = NEW_LINK
 
 
 @define(kw_only=True, eq=False)
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -384,7 +384,9 @@
             case Update():
                 self._apply_contact(link, frame, now_ms)
                 self._reports.apply(link, frame, now_ms)
-                has_urgent = frame.failures or frame.departures
+                has_urgent = (
+                    frame.failures or frame.departures or frame.crashes or frame.served
+                )
                 if has_urgent and not self._members.is_full_mesh:
                     self.push_urgent_reports()
                 self._replication.handle_position(link, frame.position, now_ms)
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -9,12 +9,15 @@
 from damaskrill.mesh._link import Link
 from damaskrill.mesh._members import MemberTable
 from damaskrill.steering import (
+    CrashDetector,
+    CrashReport,
     FailureDetector,
     GossipLog,
     HotKeys,
     KeyCounts,
     LoadReport,
     PrefixIndex,
+    ServedReport,
     ServerLoads,
 )
 
@@ -40,10 +43,14 @@
         Engines that hold prompt parts.
     failures : FailureDetector
         Failures of servers' requests.
+    crashes : CrashDetector
+        Prompt parts that may crash servers.
     apply_failures : callable
         Handles the short hashes of the servers with new failure reports.
     apply_departure : callable
         Handles a server that has announced that it leaves; returns whether this is new.
+    apply_crashes : callable
+        Handles new reports of crashes and of served prompt parts.
     report : callable
         Logs an event, given its name and fields.
 
@@ -58,8 +65,10 @@
     hot_keys: HotKeys
     prefix_index: PrefixIndex
     failures: FailureDetector
+    crashes: CrashDetector
     apply_failures: Callable[[frozenset[int]], None]
     apply_departure: Callable[[Departure], bool]
+    apply_crashes: Callable[[], None]
     report: Callable[..., None]
     _departures: GossipLog[Departure] = field(
         factory=lambda: GossipLog(max_reports=MAX_DEPARTURES), init=False
@@ -114,6 +123,12 @@
             exclude_link=address,
             include_relayed=is_relaying,
         )
+        crashes, cursors.n_crashes = self.crashes.reports_after(
+            cursors.n_crashes,
+            now_ms=now_ms,
+            exclude_link=address,
+            include_relayed=is_relaying,
+        )
         departures, cursors.n_departures = self._departures.reports_after(
             cursors.n_departures, exclude_link=address, include_relayed=is_relaying
         )
@@ -143,6 +158,8 @@
             loads=tuple(loads),
             prefixes=tuple(prefixes),
             failures=tuple(failures),
+            crashes=tuple(each for each in crashes if isinstance(each, CrashReport)),
+            served=tuple(each for each in crashes if isinstance(each, ServedReport)),
             key_counts=key_counts,
         )
 
@@ -166,6 +183,11 @@
         )
         if servers:
             self.apply_failures(servers)
+        if update.crashes or update.served:
+            reports: list[CrashReport | ServedReport] = [*update.crashes]
+            reports += update.served
+            self.crashes.apply_reports(reports, now_ms=now_ms, source=source)
+            self.apply_crashes()
 
 
 def has_reports(update: Update) -> bool:
@@ -177,4 +199,6 @@
         or update.loads
         or update.prefixes
         or update.failures
+        or update.crashes
+        or update.served
     )
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -1,6 +1,9 @@
 """Routing decisions for a request: server selection, retries and refusals."""
 
 from damaskrill.steering._cold_start_limiter import ColdStartLimiter
+from damaskrill.steering._crash_cover import BlockedPart
+from damaskrill.steering._crash_detector import NEW_LINK, BlockChanges, CrashDetector
+from damaskrill.steering._crash_reports import CrashReport, ServedReport
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
 from damaskrill.steering._fleet_health import FleetHealth
 from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
@@ -12,6 +15,7 @@
 from damaskrill.steering._metadata import AnswerMetadata, PromptPart, RequestMetadata
 from damaskrill.steering._pauses import ServerPauses, spread_retry_after
 from damaskrill.steering._prefix_index import PrefixIndex, PrefixReport
+from damaskrill.steering._prompt_guard import PromptGuard
 from damaskrill.steering._refusals import LoggedOutcome, Refusal, RefusalCause
 from damaskrill.steering._regions import is_region_allowed
 from damaskrill.steering._retry import (
@@ -27,11 +31,16 @@
 __all__ = [
     "DIRECT_BOUNDS",
     "FULL_RETRY_DELAY_MS",
+    "NEW_LINK",
     "RELAYED_BOUNDS",
     "AnswerMetadata",
     "AnswerTimings",
+    "BlockChanges",
+    "BlockedPart",
     "Candidate",
     "ColdStartLimiter",
+    "CrashDetector",
+    "CrashReport",
     "ExecutionStatus",
     "FailureDetector",
     "FailureReport",
@@ -47,11 +56,13 @@
     "LoggedOutcome",
     "PrefixIndex",
     "PrefixReport",
+    "PromptGuard",
     "PromptPart",
     "Refusal",
     "RefusalCause",
     "RequestMetadata",
     "RetryState",
+    "ServedReport",
     "ServerLoads",
     "ServerOutcome",
     "ServerPauses",
--- /dev/null
+++ b/damaskrill/steering/_crash_cover.py
@@ -0,0 +1,104 @@
+"""Selection of the prompt parts that explain the crashes of servers."""
+
+from collections import defaultdict
+from collections.abc import Callable, Collection
+
+from attrs import frozen
+
+from damaskrill.steering._crash_reports import PartCrash, find_instants
+
+__all__ = ["BlockedPart", "find_crashing_parts"]
+
+# Crashes at distinct times before a part is blocked. Two may have been a coincidence;
+# each further one costs a server.
+MIN_CRASHES = 3
+# Time from the last crash to the first trial of a blocked part. It is doubled whenever
+# a trial crashes a server.
+FIRST_TRIAL_MS = 60_000
+MAX_TRIAL_INTERVAL_MS = 3_600_000
+
+
+@frozen
+class BlockedPart:
+    """Prompt part that requests may not have.
+
+    Parameters
+    ----------
+    part : int
+        Short hash of the part.
+    last_crash_ms : float
+        Time of the last crash that it explains, in milliseconds.
+    trial_at_ms : float
+        Time from which one request may try the part.
+    """
+
+    part: int
+    last_crash_ms: float
+    trial_at_ms: float
+
+
+def find_crashing_parts(
+    crashes: Collection[PartCrash], is_sound: Callable[[int, float], bool]
+) -> dict[int, BlockedPart]:
+    """Return the parts that explain the crashes, by greedy set cover.
+
+    Parameters
+    ----------
+    crashes : collection of PartCrash
+        The known crashes.
+    is_sound : callable
+        Returns whether a part is known to have been sound at a time in milliseconds.
+        A crash at such a time does not count against the part.
+
+    Notes
+    -----
+    The part with the most crashes is chosen first. Among parts with the same crashes,
+    it is the one in the fewest answers, since a crashing part has one answer a crash
+    and widely shared ones may have several; then the one nearest to the end of the
+    prompt, since parts at its beginning are shared with more requests. A crash that is
+    explained by one part does not count against the others, in whatever reports they
+    stand: those are of answers that were broken off by the same crash.
+    """
+    crashes_by_part: dict[int, list[PartCrash]] = defaultdict(list)
+    for crash in crashes:
+        for part in crash.parts:
+            if not is_sound(part, crash.at_ms):
+                crashes_by_part[part].append(crash)
+    candidates = {
+        part: each for part, each in crashes_by_part.items() if len(each) >= MIN_CRASHES
+    }
+    found: dict[int, BlockedPart] = {}
+    explained: set[int] = set()
+    while candidates:
+        remaining = {
+            part: [crash for crash in each if id(crash) not in explained]
+            for part, each in candidates.items()
+        }
+        part = max(remaining, key=lambda each: _rank(each, remaining[each]))
+        instants = find_instants(remaining[part])
+        if len(instants) < MIN_CRASHES:
+            break
+        found[part] = BlockedPart(part, instants[-1], _find_trial_time(instants))
+        explained.update(id(crash) for crash in candidates.pop(part))
+    return found
+
+
+def _rank(part: int, crashes: list[PartCrash]) -> tuple[int, int, int, int]:
+    distances = [
+        len(report.parts) - report.parts.index(part)
+        for crash in crashes
+        for report in crash.reports
+        if part in report.parts
+    ]
+    n_instants = len(find_instants(crashes))
+    return n_instants, -len(distances), -min(distances, default=0), part
+
+
+def _find_trial_time(instants: list[float]) -> float:
+    interval_ms = FIRST_TRIAL_MS
+    trial_at_ms = instants[MIN_CRASHES - 1] + interval_ms
+    for at_ms in instants[MIN_CRASHES:]:
+        if at_ms >= trial_at_ms:
+            interval_ms = min(2 * interval_ms, MAX_TRIAL_INTERVAL_MS)
+        trial_at_ms = at_ms + interval_ms
+    return trial_at_ms
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -26,6 +26,7 @@
     SERVER_FULL = "server_full"
     SERVERS_PAUSED = "servers_paused"
     SERVER_REPLACED = "server_replaced"
+    CRASHING_PROMPT = "crashing_prompt"
     OUTCOME_UNKNOWN = "outcome_unknown"
     BAD_ANSWER = "bad_answer"
     SERVER_ERROR = "server_error"
@@ -57,6 +58,9 @@
     RefusalCause.SERVER_REPLACED: (
         "another backend server answered at the address of the selected one"
     ),
+    RefusalCause.CRASHING_PROMPT: (
+        "backend servers have crashed under a part of the prompt"
+    ),
     RefusalCause.OUTCOME_UNKNOWN: (
         "an attempt failed after the request had been sent to a backend server, "
         "which may have run it"
--- a/features/gateway_crashing_prompts.feature
+++ b/features/gateway_crashing_prompts.feature
@@ -116,6 +116,7 @@
     And all gateways reject further chats with the part as not run, without an engine
     And all gateways serve chats with the same first part
     And the metrics and the log of a gateway name the blocked part
+    And each line of the log can be read
 
   Scenario: a request that crashed a server like another one is not sent again
     Given a platform with 5 engines that crash on the part "bad" and come back
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -34,6 +34,7 @@
     AnswerTimings,
     Candidate,
     ColdStartLimiter,
+    CrashReport,
     ExecutionStatus,
     FailureReport,
     FleetRetryBudget,
@@ -45,6 +46,7 @@
     PrefixReport,
     PromptPart,
     RetryState,
+    ServedReport,
     ServerLoads,
     ServerOutcome,
     ServerSelector,
@@ -55,6 +57,8 @@
 from damaskrill.utils import rank_by_rendezvous
 from features.support.builders import build_engine
 
+EMPTY_REPORTS = ([], [], [], b"", b"", b"", [], b"", None)
+
 N_RUNS = 200
 NETWORK_DELAY_MS = (0.2, 12.0)
 
@@ -451,6 +455,11 @@
             loads=(LoadReport(5, 3, 90),),
             prefixes=(PrefixReport(7, 5, 90),),
             failures=(FailureReport(7, 5, 2**32 - 1, 9, 2, 1, 90),),
+            crashes=(
+                CrashReport(7, 5, 2**32 - 1, 90, (3,)),
+                CrashReport(8, 5, 2, 90, (1, 2**32 - 1, 3)),
+            ),
+            served=(ServedReport(3, 5, 4, 90),),
         ),
     ):
         assert decode(encode(frame)) == frame
@@ -482,23 +491,35 @@
     frames += [
         cbor2.dumps(["u", 1, 1, None, *reports])
         for reports in (
-            [[], [], [], triple[:-1], b"", b"", None],
-            [[], [], [], b"", triple + b"1", b"", None],
-            [[], [], [], b"", b"", triple, None],
-            [[], [], [], b"", b"", None],
-            [[], [], [], b"", b"", b""],
-            [[], [], [], [1, 2, 3], b"", b"", None],
-            [[["10.0.0.1:9", 5, "bole"]], [], [], b"", b"", b"", None],
-            [[["10.0.0.1:9", "5", "bole", 3]], [], [], b"", b"", b"", None],
-            [[], [["10.0.0.1:9", 5]], [], b"", b"", b"", None],
-            [[], [], [["i-7f", "5"]], b"", b"", b"", None],
-            [[], [], [], b"", b"", b"", [1.5]],
-            [[], [], [], b"", b"", b"", [1.5, [[7]]]],
+            [[], [], [], triple[:-1], b"", b"", [], b"", None],
+            [[], [], [], b"", triple + b"1", b"", [], b"", None],
+            [[], [], [], b"", b"", triple, [], b"", None],
+            [[], [], [], b"", b"", b"", [triple], b"", None],
+            [[], [], [], b"", b"", b"", [bytes(16)], b"", None],
+            [[], [], [], b"", b"", b"", [bytes(21)], b"", None],
+            [[], [], [], b"", b"", b"", [[1, 2, 3, 4, 5]], b"", None],
+            [[], [], [], b"", b"", b"", b"", b"", None],
+            [[], [], [], b"", b"", b"", [], triple, None],
+            [[], [], [], b"", b"", b"", [], [], None],
+            [[], [], [], b"", b"", [], b"", None],
+            [[], [], [], b"", b"", b"", [], None],
+            [[], [], [], b"", b"", b"", [], b""],
+            [[], [], [], [1, 2, 3], b"", b"", [], b"", None],
+            [[["10.0.0.1:9", 5, "bole"]], [], [], b"", b"", b"", [], b"", None],
+            [[["10.0.0.1:9", "5", "bole", 3]], [], [], b"", b"", b"", [], b"", None],
+            [[], [["10.0.0.1:9", 5]], [], b"", b"", b"", [], b"", None],
+            [[], [], [["i-7f", "5"]], b"", b"", b"", [], b"", None],
+            [[], [], [], b"", b"", b"", [], b"", [1.5]],
+            [[], [], [], b"", b"", b"", [], b"", [1.5, [[7]]]],
         )
     ]
+    # Without this, a change of the layout would make all these frames invalid.
+    assert decode(cbor2.dumps(["u", 1, 1, None, *EMPTY_REPORTS])) == Update(
+        position=Position(1, 1)
+    )
     frames += [
-        cbor2.dumps(["u", 1, "1", None, [], [], [], b"", b"", b"", None]),
-        cbor2.dumps(["u", 1, 1, [5, 5], [], [], [], b"", b"", b"", None]),
+        cbor2.dumps(["u", 1, "1", None, *EMPTY_REPORTS]),
+        cbor2.dumps(["u", 1, 1, [5, 5], *EMPTY_REPORTS]),
         cbor2.dumps(["h", 1, "10.0.0.1:9", 5, "bole", 3]),
         cbor2.dumps(["r", 1]),
     ]
