Let another router try a blocked prompt part each minute

The one router that might try a blocked part was the first by rendezvous hash. If no caller sends it such a request, the part would have stayed blocked although it no longer crashes servers. The turn now passes to another router each minute, with 10 s between turns so that trials do not overlap.

The scenario "a part is tried even if the first router by rank gets no such request" fails with a turn that never passes (trial with that constant raised) and passes.

--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -76,8 +76,7 @@
     crashes : CrashDetector
         Prompt parts that may crash servers.
     ranks_first : callable
-        Returns whether this router is the one that tries a blocked prompt part, given
-        its short hash.
+        Returns whether this router is the first one by rendezvous hash for a key.
     publish_failures : callable
         Publishes failures and crashes to other routers after a short delay.
     publish_departure : callable
@@ -109,7 +108,7 @@
         prefix_index: PrefixIndex,
         failures: FailureDetector,
         crashes: CrashDetector,
-        ranks_first: Callable[[int], bool],
+        ranks_first: Callable[[str], bool],
         publish_failures: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
         data_centre: str,
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -397,9 +397,9 @@
         if changes:
             self._dispatcher.purge_removed_servers()
 
-    def _ranks_first(self, part: int) -> bool:
+    def _ranks_first(self, key: str) -> bool:
         addresses = self._members.addresses()
-        return rank_by_rendezvous(str(part), addresses)[0] == self._members.own.address
+        return rank_by_rendezvous(key, addresses)[0] == self._members.own.address
 
     def _apply_departure(self, departure: Departure) -> bool:
         key = (departure.server_id, departure.started_at_ms)
--- a/damaskrill/gateway/_prompt_blocking.py
+++ b/damaskrill/gateway/_prompt_blocking.py
@@ -35,8 +35,7 @@
     publish : callable
         Publishes reports to other routers after a short delay.
     ranks_first : callable
-        Returns whether this router is the one that tries a blocked part, given its
-        short hash.
+        Returns whether this router is the first one by rendezvous hash for a key.
     log : DecisionLog
         Log of decisions.
     metrics : GatewayMetrics
@@ -48,7 +47,7 @@
         *,
         detector: CrashDetector,
         publish: Callable[[], None],
-        ranks_first: Callable[[int], bool],
+        ranks_first: Callable[[str], bool],
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
--- a/damaskrill/steering/_crash_cover.py
+++ b/damaskrill/steering/_crash_cover.py
@@ -16,6 +16,10 @@
 # a trial crashes a server.
 FIRST_TRIAL_MS = 60_000
 MAX_TRIAL_INTERVAL_MS = 3_600_000
+# Time for which one router may try a part, until the turn of the next one: the first
+# may get no such requests. A trial that begins late would overlap with the next turn.
+TRIAL_TURN_MS = 60_000
+TRIAL_MARGIN_MS = 10_000
 
 
 @frozen
@@ -36,6 +40,24 @@
     last_crash_ms: float
     trial_at_ms: float
 
+    def trial_key(self, now_ms: float) -> str | None:
+        """Return the key whose first router by rendezvous hash may try the part.
+
+        Parameters
+        ----------
+        now_ms : float
+            Current time in milliseconds.
+
+        Returns
+        -------
+        str or None
+            None if no router may begin a trial now.
+        """
+        turn, since_ms = divmod(now_ms - self.trial_at_ms, TRIAL_TURN_MS)
+        if turn < 0 or since_ms > TRIAL_TURN_MS - TRIAL_MARGIN_MS:
+            return None
+        return f"{self.part} {round(turn)}"
+
 
 def find_crashing_parts(
     crashes: Collection[PartCrash], is_sound: Callable[[int, float], bool]
--- a/damaskrill/steering/_crash_detector.py
+++ b/damaskrill/steering/_crash_detector.py
@@ -184,17 +184,16 @@
             for part in crash.parts
         )
 
-    def try_begin_trial(self, blocked: BlockedPart, now_ms: float) -> bool:
-        """Return whether a request may try a blocked part now, and reserve the trial.
+    def try_begin_trial(self, part: int) -> bool:
+        """Reserve the trial of a part; return False if this router is trying it.
 
         Notes
         -----
-        The caller must make sure that no other router tries the part, and end the trial
-        when the request has ended.
+        The trial must be ended when its request has ended.
         """
-        if now_ms < blocked.trial_at_ms or blocked.part in self._trials:
+        if part in self._trials:
             return False
-        self._trials.add(blocked.part)
+        self._trials.add(part)
         return True
 
     def end_trial(self, part: int) -> None:
--- a/damaskrill/steering/_prompt_guard.py
+++ b/damaskrill/steering/_prompt_guard.py
@@ -22,8 +22,7 @@
     prompt : sequence of PromptPart
         Parts of the prompt; the last one is the request's own.
     ranks_first : callable
-        Returns whether this router is the one that tries a blocked part, given its
-        short hash.
+        Returns whether this router is the first one by rendezvous hash for a key.
     """
 
     def __init__(
@@ -31,7 +30,7 @@
         *,
         detector: CrashDetector,
         prompt: Sequence[PromptPart],
-        ranks_first: Callable[[int], bool],
+        ranks_first: Callable[[str], bool],
     ) -> None:
         self._detector = detector
         self._names = {short_id(part.part_id): part.part_id for part in prompt[:-1]}
@@ -100,9 +99,10 @@
         (only,) = blocked
         if self._trial == only.part:
             return now_ms >= only.trial_at_ms
-        if not self._ranks_first(only.part):
+        key = only.trial_key(now_ms)
+        if key is None or not self._ranks_first(key):
             return False
-        if not self._detector.try_begin_trial(only, now_ms):
+        if not self._detector.try_begin_trial(only.part):
             return False
         self._trial = only.part
         return True
--- a/features/gateway_crashing_prompts.feature
+++ b/features/gateway_crashing_prompts.feature
@@ -87,7 +87,7 @@
   Scenario Outline: a part that no longer crashes servers is released by a trial
     Given <n> routers before 5 engines that may crash under prompts
     When two requests a second whose second part is bad arrive among sound ones for 40 s
-    And the part is sound again, and its requests go on for 120 s
+    And the part is sound again, and its requests go on for 300 s
     Then no router blocks the part
     And at most 1 of them was at an engine before all others were let through
 
@@ -96,6 +96,12 @@
       | 7  |
       | 77 |
 
+  Scenario: a part is tried even if the first router by rank gets no such request
+    Given 7 routers before 5 engines that may crash under prompts
+    When two requests a second whose second part is bad arrive among sound ones for 40 s
+    And the part is sound again, and its requests go on at one of the routers for 1800 s
+    Then no router blocks the part
+
   Scenario: trials of a part that still crashes servers become rare
     Given 7 routers before 5 engines that may crash under prompts
     When two requests a second whose second part is bad arrive among sound ones for 40 s
@@ -141,3 +147,28 @@
     Given a server whose chunked answer has a wrong length
     When a connection receives it
     Then the exchange failed as "malformed"
+
+  Scenario: crashes at the same moment count once
+    Given a router that has seen no crash
+    When 20 servers crash within 90 ms under a part that no request was served with
+    Then it blocks nothing
+
+  Scenario Outline: of parts with the same crashes one is blocked, the other goes on
+    In the prompts, # stands for the number of the crash.
+
+    Given a router that has seen no crash
+    When three servers crash while they begin answers to the prompts "<prompts>"
+    Then it blocks only the part "bad"
+
+    Examples:
+      | prompts                  |
+      | aa bad                   |
+      | aa bb bad                |
+      | bad c#, aa d#, aa e#     |
+      | bad aa, aa d#            |
+      | aa bad, aa d#, aa e#, b# |
+
+  Scenario: a part that was served again counts no earlier crash
+    Given a router that has seen no crash
+    When two servers crash under a part, it is served, and a third one crashes later
+    Then it blocks nothing
--- a/features/steps/crashing_fleet_steps.py
+++ b/features/steps/crashing_fleet_steps.py
@@ -215,14 +215,27 @@
     assert is_blocking(context.detector, 5_100.0)
 
 
-@when("the part is sound again, and its requests go on for 120 s")
-def step_sound_again(context):
+@when("the part is sound again, and its requests go on for {s:d} s")
+def step_sound_again(context, s):
     for fleet in context.fleets:
-        fleet.bad_parts = set()
-        until_ms = fleet.now_ms + 120_000
-        fleet.n_reached_before = len(fleet.bad_reached)
-        fleet.send_bad_ones(context.choose, until_ms=until_ms)
-        fleet.run(until_ms)
+        send_sound_again(context, fleet, s)
+
+
+@when(
+    "the part is sound again, and its requests go on at one of the routers for {s:d} s"
+)
+def step_sound_at_one(context, s):
+    # A router of its own in each fleet: at most one of them can be the first by rank.
+    for number, fleet in enumerate(context.fleets):
+        send_sound_again(context, fleet, s, routers=[number])
+
+
+def send_sound_again(context, fleet, s, *, routers=None):
+    fleet.bad_parts = set()
+    until_ms = fleet.now_ms + s * 1_000
+    fleet.n_reached_before = len(fleet.bad_reached)
+    fleet.send_bad_ones(context.choose, until_ms=until_ms, routers=routers)
+    fleet.run(until_ms)
 
 
 @then("no router blocks the part")
@@ -248,3 +261,53 @@
         times = fleet.crashes[fleet.n_crashes_before :]
         gaps = [later - at_ms for at_ms, later in pairwise(times)]
         assert 0 < len(times) <= n and min(gaps, default=60_000) >= 60_000, times
+
+
+@given("a router that has seen no crash")
+def step_fresh(context):
+    context.detector = build_detector("r-1")
+
+
+@when(
+    "{n:d} servers crash within {ms:d} ms under a part that no request was served with"
+)
+def step_crash_at_once(context, n, ms):
+    crash_under_bad_part(
+        context.detector, at_ms=[1_000 + number * ms / n for number in range(n)]
+    )
+    context.now_ms = 1_200.0
+
+
+@when('three servers crash while they begin answers to the prompts "{prompts}"')
+def step_crash_under_prompts(context, prompts):
+    from damaskrill.steering import short_id
+
+    for number in range(3):
+        for prompt in prompts.replace("#", str(number)).split(","):
+            parts = [short_id(part) for part in prompt.split()]
+            key, now_ms = (f"e-{number}", 0), 1_000.0 * number
+            context.detector.record_crash(key, parts, now_ms)
+    context.now_ms = 2_100.0
+
+
+@when("two servers crash under a part, it is served, and a third one crashes later")
+def step_served_between(context):
+    from damaskrill.steering import short_id
+
+    crash_under_bad_part(context.detector, at_ms=(1_000, 2_000))
+    context.detector.record_served([short_id(BAD)], 3_000.0)
+    context.detector.record_crash(("e-9", 0), (short_id(BAD),), 9_000.0)
+    context.now_ms = 9_100.0
+
+
+@then("it blocks nothing")
+def step_blocks_nothing(context):
+    assert not context.detector.take_changes(context.now_ms).blocked
+
+
+@then('it blocks only the part "{part}"')
+def step_blocks_only(context, part):
+    from damaskrill.steering import short_id
+
+    blocked = context.detector.take_changes(context.now_ms).blocked
+    assert blocked == {short_id(part)}, blocked
--- a/features/support/crashing_fleet.py
+++ b/features/support/crashing_fleet.py
@@ -106,11 +106,14 @@
         """Send sound requests from now on."""
         self.every(sound_per_s, self.send_sound, until_ms=until_ms)
 
-    def send_bad_ones(self, choose, *, until_ms, is_regular=True):
-        """Send two requests a second with a bad part from now on."""
+    def send_bad_ones(self, choose, *, until_ms, is_regular=True, routers=None):
+        """Send two requests a second with a bad part, to all or some routers."""
+        routers = routers or range(len(self.detectors))
         self.every(
             BAD_PER_S,
-            lambda: self.send(choose(self.random), is_bad=True),
+            lambda: self.send(
+                choose(self.random), is_bad=True, router=self.random.choice(routers)
+            ),
             until_ms=until_ms,
             is_regular=is_regular,
         )
@@ -129,15 +132,15 @@
         guard = PromptGuard(
             detector=self.detectors[router],
             prompt=prompt,
-            ranks_first=lambda part: self._ranks_first(router, part),
+            ranks_first=lambda key: self._ranks_first(router, key),
         )
         request = SimRequest(router, tuple(parts), is_bad, guard)
         request.breaks_off = self.random.random() < self.break_share
         self._try_send(request)
         return request
 
-    def _ranks_first(self, router, part):
-        return rank_by_rendezvous(str(part), self._names)[0] == self._names[router]
+    def _ranks_first(self, router, key):
+        return rank_by_rendezvous(key, self._names)[0] == self._names[router]
 
     def _try_send(self, request):
         rejected = request.guard.find_rejected(self.now_ms)
