Judge late notices of a broken answer and reports by several ways with care

A busy router notices the end of a connection late, so that an answer under which a server crashed could look 300 ms old and count as served, which would have cleared the bad part. An answer is evidence of a crash up to 500 ms after the first event, and of a sound prompt from 1 s on.

A crash report that arrives over a second link corrects the time of the crash if it took less time, since ages do not include the time on links.

--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -31,8 +31,10 @@
 RETRY_AFTER_REPLACED_MS = 100
 # A server that crashes under a prompt does so within some hundred milliseconds of the
 # first event. Until the first event, an answer may be waiting for its turn.
-YOUNG_STREAM_MS = 300
+YOUNG_STREAM_MS = 500
 YOUNG_ANSWER_MS = 1_000
+# A longer time, as a busy router notices the end of a connection late.
+SOUND_STREAM_MS = 1_000
 STATUS_SERVER_ERROR = 500
 STATUS_DEADLINE = 504
 
@@ -196,6 +198,6 @@
             return attempt.first_event_ms is not None
         case Broken():
             first_event_ms = attempt.first_event_ms
-            return first_event_ms is not None and first_event_ms > YOUNG_STREAM_MS
+            return first_event_ms is not None and first_event_ms > SOUND_STREAM_MS
         case _:
             return False
--- a/damaskrill/steering/_crash_detector.py
+++ b/damaskrill/steering/_crash_detector.py
@@ -138,9 +138,10 @@
         is_news = False
         self._purge(now_ms)
         for each in reports:
+            at_ms = now_ms - each.age_ms
             if (each.router, each.number) in self._seen:
+                self._correct_time(each, at_ms)
                 continue
-            at_ms = now_ms - each.age_ms
             match each:
                 case CrashReport():
                     self._add_crash(each, at_ms, source, now_ms)
@@ -295,6 +296,14 @@
                 report = ServedReport(part, self._router, self._next_number(), 0)
                 self._add_served(report, at_ms, "")
 
+    def _correct_time(self, report: CrashReport | ServedReport, at_ms: float) -> None:
+        # An age does not include the time on the links: the fastest way tells best.
+        if isinstance(report, CrashReport) and report.server in self._crashes:
+            crash = self._crashes[report.server]
+            if at_ms < crash.at_ms:
+                crash.at_ms = at_ms
+                self._evaluated_ms = NEVER_MS
+
     def _evict(self, now_ms: float) -> None:
         # Several at once, since the evaluation takes time in proportion to them.
         self._evaluate(now_ms)
--- a/features/support/crashing_fleet.py
+++ b/features/support/crashing_fleet.py
@@ -16,8 +16,10 @@
 ANSWER_MS = (300, 2_500)
 # Time from the beginning of an answer to the crash that its prompt causes.
 CRASH_MS = (30, 110)
-# An answer that a server has been sending for longer shows that its parts are sound.
-YOUNG_MS = 300
+# Age of an answer up to which its end may show a crash under it, and from which it
+# shows that its parts are sound.
+YOUNG_MS = 500
+SOUND_MS = 1_000
 PUBLISH_MS = 50
 LINK_MS = (0, 150)
 MAX_SENT = 2
@@ -206,9 +208,10 @@
 
     def _handle_break(self, request, server):
         if request.begun_ms is not None:
-            if self.now_ms - request.begun_ms > YOUNG_MS:
+            age_ms = self.now_ms - request.begun_ms
+            if age_ms > SOUND_MS:
                 self._record_served(request)
-            else:
+            elif age_ms <= YOUNG_MS:
                 request.guard.record_crash(server.key, self.now_ms)
                 self._publish_soon(request.router)
         if request.n_sent < MAX_SENT and not request.guard.is_suspected:
