--- a/features/gateway_crashing_prompts.feature
+++ b/features/gateway_crashing_prompts.feature
@@ -172,3 +172,21 @@
     Given a router that has seen no crash
     When two servers crash under a part, it is served, and a third one crashes later
     Then it blocks nothing
+
+  Scenario Outline: only an answer that its server broke off early tells of a crash
+    Given an attempt with head <status> that <end>, <ms> ms after the first event
+    Then it tells of a crash: <crash>, and of a sound prompt: <sound>
+
+    Examples:
+      | status | end              | ms   | crash | sound |
+      | 200    | was closed       | 60   | yes   | no    |
+      | 200    | was reset        | 60   | yes   | no    |
+      | 200    | was closed       | 700  | no    | no    |
+      | 200    | was closed       | 2000 | no    | yes   |
+      | 200    | stalled          | 60   | no    | no    |
+      | 200    | was malformed    | 60   | no    | no    |
+      | 500    | was closed       | 60   | no    | no    |
+      | 0      | was closed       | 60   | no    | no    |
+      | 200    | was refused      | 60   | no    | no    |
+      | 200    | had a bad answer | 60   | no    | no    |
+      | 200    | ended            | 60   | no    | yes   |
--- a/features/steps/gateway_crashing_prompts_steps.py
+++ b/features/steps/gateway_crashing_prompts_steps.py
@@ -8,7 +8,15 @@
 from behave import given, then, when
 
 from damaskrill.fakes.platform import FakeServer, build_entry
-from damaskrill.http1 import AnswerSink, OutgoingRequest, ServerConnection
+from damaskrill.gateway._attempt import BadAnswer, Broken, NotRun, StreamEnded
+from damaskrill.gateway._outcomes import has_crashed, shows_sound_prompt
+from damaskrill.http1 import (
+    AnswerSink,
+    ExchangeFailure,
+    FailureKind,
+    OutgoingRequest,
+    ServerConnection,
+)
 from features.support.gateways import GatewayTestbed
 
 RESTART_S = 0.2
@@ -228,3 +236,38 @@
 @then('the exchange failed as "{kind}"')
 def step_failed_as(context, kind):
     assert [each.kind.value for each in context.sink.failures] == [kind]
+
+
+def build_broken_attempt(kind):
+    failure = ExchangeFailure(kind=kind, reason="it ended", has_answer=True)
+    return Broken(failure=failure)
+
+
+ENDS = {
+    "was closed": build_broken_attempt(FailureKind.CLOSED),
+    "was reset": build_broken_attempt(FailureKind.RESET),
+    "stalled": build_broken_attempt(FailureKind.STALLED),
+    "was malformed": build_broken_attempt(FailureKind.MALFORMED),
+    "was refused": NotRun(status=503),
+    "had a bad answer": BadAnswer(reason="no proof"),
+    "ended": StreamEnded(),
+}
+
+
+@given("an attempt with head {status:d} that {end}, {ms:d} ms after the first event")
+def step_attempt(context, status, end, ms):
+    has_head = status > 0
+    context.attempt = Mock(
+        is_success=status == 200,
+        begun_ms=ms if has_head else None,
+        first_event_ms=ms if status == 200 else None,
+    )
+    context.result = ENDS[end]
+
+
+@then("it tells of a crash: {crash}, and of a sound prompt: {sound}")
+def step_tells(context, crash, sound):
+    found = has_crashed(context.result, context.attempt)
+    assert found is (crash == "yes"), found
+    found = shows_sound_prompt(context.result, context.attempt)
+    assert found is (sound == "yes"), found
