--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -23,6 +23,8 @@
 ID_HEADER = b"damaskrill-request-id"
 # How long before its deadline the server abandons a request.
 DEADLINE_MARGIN_MS = 20
+# Time from the head of an answer to the crash that its prompt causes.
+CRASH_DELAY_MS = 30
 UNFRAMED_STREAMS = (Misbehaviour.NO_LENGTH, Misbehaviour.NO_LENGTH_MID_EVENT)
 
 
@@ -72,7 +74,8 @@
     is_unframed : bool
         Whether its sound answers have no length and end with their connection.
     fatal_parts : set of str
-        Prompt parts, other than the last of a prompt, at which it crashes.
+        Prompt parts, other than the last of a prompt, on which it crashes shortly after
+        the head of its answer.
     on_crash : callable or None
         Called after such a crash.
     """
@@ -171,9 +174,6 @@
             UnframedStream(connection).begin_stream(200, (*headers, EVENT_STREAM))
             await send_without_end(connection, b"id: 1\ndata: ")
         if request.find_header(b"damaskrill-prompt-prefix") is not None:
-            if self._has_fatal_part(request):
-                self._crash()
-                return
             await self._stream(connection, request, headers)
             return
         if self.misbehaviour is Misbehaviour.PAUSE:
@@ -223,6 +223,10 @@
         if self.is_unframed or self.misbehaviour in UNFRAMED_STREAMS:
             stream = UnframedStream(connection)
         stream.begin_stream(200, (*headers, EVENT_STREAM))
+        if self._has_fatal_part(request):
+            await asyncio.sleep(CRASH_DELAY_MS / 1_000)
+            self._crash()
+            return
         for number in range(first, self._n_events + 1):
             await asyncio.sleep(self._event_ms / 1_000)
             event = b"id: %d\ndata: token-%d\n\n" % (number, number)
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one backend server, and its result."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from attrs import frozen
@@ -35,6 +36,7 @@
 EVENT_STREAM = b"text/event-stream"
 STATUS_OK = 200
 STATUS_MULTIPLE = 300
+MS_PER_S = 1_000
 
 
 @frozen(kw_only=True)
@@ -74,6 +76,7 @@
     """Answer that must not be forwarded; the request may have run."""
 
     reason: str
+    is_cut: bool = False
 
 
 @frozen(kw_only=True)
@@ -227,12 +230,29 @@
         self._chunks: list[bytes] = []
         self._n_bytes = 0
         self.progress_at = loop.time()
+        self._head_at = math.inf
+        self._first_event_at = math.inf
 
     @property
     def has_head(self) -> bool:
         """Whether status and headers have been received."""
         return self._head is not None
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the head of a successful answer to this request was received."""
+        return self.accepted.done()
+
+    @property
+    def begun_ms(self) -> float | None:
+        """Time since the answer's head in milliseconds; None before it."""
+        return self._elapsed_ms(self._head_at)
+
+    @property
+    def first_event_ms(self) -> float | None:
+        """Time since the stream's first event in milliseconds; None before it."""
+        return self._elapsed_ms(self._first_event_at)
+
     @property
     def has_ended(self) -> bool:
         """Whether the exchange with the server is over."""
@@ -260,7 +280,7 @@
 
     def handle_head(self, head: AnswerHead) -> None:
         """Handle status and headers."""
-        self.progress_at = self._loop.time()
+        self.progress_at = self._head_at = self._loop.time()
         self._head = head
         self._metadata = metadata = self._read_answer(head)
         if not self._is_foreign:
@@ -281,6 +301,7 @@
                 # Only complete events count as progress: a stalled server may still
                 # send a byte now and then.
                 self.progress_at = self._loop.time()
+                self._first_event_at = min(self._first_event_at, self.progress_at)
                 self._forward(events)
             return
         self.progress_at = self._loop.time()
@@ -316,6 +337,9 @@
         if not self.done.done():
             self.done.set_result(Broken(failure=failure))
 
+    def _elapsed_ms(self, since: float) -> float | None:
+        return None if math.isinf(since) else (self._loop.time() - since) * MS_PER_S
+
     def _build_result(self) -> AttemptResult:
         head = self._head
         if head is None:
@@ -331,7 +355,8 @@
             return BadAnswer(reason=fault)
         if self._splitter is not None and self._progress is not None:
             if self._splitter.remainder:
-                return BadAnswer(reason="stream ends in the middle of an event")
+                reason = "stream ends in the middle of an event"
+                return BadAnswer(reason=reason, is_cut=True)
             return StreamEnded()
         if self._n_bytes > MAX_BUFFERED_BYTES:
             return BadAnswer(reason=f"answer exceeds {MAX_BUFFERED_BYTES} bytes")
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -24,6 +24,7 @@
     ServerConnection,
 )
 from damaskrill.steering import (
+    PromptGuard,
     RequestMetadata,
     ServerOutcome,
     ServerRequirements,
@@ -74,6 +75,8 @@
         The complete request.
     metadata : RequestMetadata
         Metadata of the request.
+    guard : PromptGuard
+        What is known of crashes under the request's prompt.
     progress : StreamProgress
         Forwards the events of a stream.
     responder : Responder
@@ -105,17 +108,17 @@
         dispatcher: "RequestDispatcher",
         request: CallerRequest,
         metadata: RequestMetadata,
+        guard: PromptGuard,
         progress: StreamProgress,
         responder: Responder,
     ) -> None:
         self._dispatcher = dispatcher
         self._request = request
         self._metadata = metadata
+        self._guard = guard
         self._progress = progress
         self._responder = responder
-        self._records = AttemptRecords(
-            dispatcher=dispatcher, request_id=metadata.request_id
-        )
+        self._records = AttemptRecords(dispatcher=dispatcher, metadata=metadata)
         self._reserved: BackendServer | None = None
         self.tried: set[tuple[str, int]] = set()
         self.sent_to: set[tuple[str, int]] = set()
@@ -282,6 +285,9 @@
         self._end(sent)
         is_expired = self._dispatcher.now_ms >= self.context.limit_at_ms
         self._evaluate(sent, result, is_expired=is_expired)
+        self._dispatcher.prompts.record_attempt(
+            self._guard, sent.server, sent.attempt, result
+        )
         return result
 
     def _end(self, sent: SentRequest) -> None:
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -1,6 +1,7 @@
 """Classification of attempts: outcome for the server and refusal for the caller."""
 
 from damaskrill.gateway._attempt import (
+    Attempt,
     AttemptResult,
     BadAnswer,
     Broken,
@@ -10,14 +11,31 @@
     StreamEnded,
 )
 from damaskrill.http1 import FailureKind
-from damaskrill.steering import Refusal, RefusalCause, ServerOutcome
+from damaskrill.steering import (
+    Refusal,
+    RefusalCause,
+    RequestMetadata,
+    ServerOutcome,
+)
 
-__all__ = ["classify_outcome", "find_refusal"]
+__all__ = [
+    "classify_outcome",
+    "describe_prompt",
+    "find_refusal",
+    "has_crashed",
+    "shows_sound_prompt",
+]
 
 # About the time in which a plain server finishes a request.
 RETRY_AFTER_FULL_MS = 150
 # All routers eject the replaced server within this time.
 RETRY_AFTER_REPLACED_MS = 100
+# A server that crashes under a prompt does so within some hundred milliseconds of the
+# first event. Until the first event, an answer may be waiting for its turn.
+YOUNG_STREAM_MS = 500
+YOUNG_ANSWER_MS = 1_000
+# A longer time, as a busy router notices the end of a connection late.
+SOUND_STREAM_MS = 1_000
 STATUS_SERVER_ERROR = 500
 STATUS_DEADLINE = 504
 
@@ -121,3 +139,68 @@
             return Refusal(status=502, cause=cause), failure.reason
         case Broken():
             return Refusal(status=504, cause=RefusalCause.TIME_LIMIT), ""
+
+
+def describe_prompt(
+    metadata: RequestMetadata, attempt: Attempt | None
+) -> dict[str, object]:
+    """Return log fields that show what failed requests with prompts have in common.
+
+    Parameters
+    ----------
+    metadata : RequestMetadata
+        Metadata of the request.
+    attempt : Attempt or None
+        The failed attempt; None if no connection was opened.
+
+    Returns
+    -------
+    dict of str to object
+        Empty for a request without a prompt.
+    """
+    if not metadata.prompt:
+        return {}
+    fields: dict[str, object] = {
+        "has_answer": attempt is not None and attempt.has_head,
+        "prompt_parts": [part.part_id for part in metadata.prompt[:-1]],
+    }
+    if attempt is not None and attempt.begun_ms is not None:
+        fields["begun_ms"] = round(attempt.begun_ms)
+    return fields
+
+
+def has_crashed(result: AttemptResult, attempt: Attempt) -> bool:
+    """Return whether the server broke off the answer shortly after its beginning.
+
+    Notes
+    -----
+    An attempt that the router ended, a refusal, an error status and an answer that had
+    not begun are no evidence of a crash under the request's prompt.
+    """
+    match result:
+        case Broken(failure=failure):
+            is_cut = failure.kind in (FailureKind.CLOSED, FailureKind.RESET)
+        case BadAnswer():
+            is_cut = result.is_cut
+        case _:
+            return False
+    begun_ms, first_event_ms = attempt.begun_ms, attempt.first_event_ms
+    if not is_cut or begun_ms is None or not attempt.is_success:
+        return False
+    if first_event_ms is None:
+        return begun_ms <= YOUNG_ANSWER_MS
+    return first_event_ms <= YOUNG_STREAM_MS
+
+
+def shows_sound_prompt(result: AttemptResult, attempt: Attempt) -> bool:
+    """Return whether the server answered for so long that the prompt is sound."""
+    match result:
+        case CompleteAnswer():
+            return attempt.is_success
+        case StreamEnded():
+            return attempt.first_event_ms is not None
+        case Broken():
+            first_event_ms = attempt.first_event_ms
+            return first_event_ms is not None and first_event_ms > SOUND_STREAM_MS
+        case _:
+            return False
