--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -31,6 +31,8 @@
 ID_HEADER = b"damaskrill-request-id"
 # How long before its deadline the server abandons a request.
 DEADLINE_MARGIN_MS = 20
+# Time from the head of an answer to the crash that its prompt causes.
+CRASH_DELAY_MS = 30
 UNFRAMED_STREAMS = (
     Misbehaviour.NO_LENGTH,
     Misbehaviour.NO_LENGTH_LATE_RESET,
@@ -93,7 +95,8 @@
     is_unframed : bool
         Whether its sound answers have no length and end with their connection.
     fatal_parts : set of str
-        Prompt parts, other than the last of a prompt, at which it crashes.
+        Prompt parts, other than the last of a prompt, on which it crashes shortly after
+        the head of its answer.
     on_crash : callable or None
         Called after such a crash.
     """
@@ -193,9 +196,6 @@
         if self.misbehaviour in ENDLESS_PARTS:
             await send_endless(connection, ENDLESS_PARTS[self.misbehaviour], headers)
         if request.find_header(b"damaskrill-prompt-prefix") is not None:
-            if self._has_fatal_part(request):
-                self._crash()
-                return
             await self._stream(connection, request, headers)
             return
         if self.misbehaviour is Misbehaviour.PAUSE:
@@ -245,6 +245,10 @@
         if self.is_unframed or self.misbehaviour in UNFRAMED_STREAMS:
             stream = UnframedStream(connection, self.unframed_head)
         stream.begin_stream(200, (*headers, EVENT_STREAM))
+        if self._has_fatal_part(request):
+            await asyncio.sleep(CRASH_DELAY_MS / 1_000)
+            self._crash()
+            return
         for number in range(first, self._n_events + 1):
             await asyncio.sleep(self._event_ms / 1_000)
             event = build_event(number)
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one backend server, and its result."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from attrs import frozen
@@ -38,6 +39,7 @@
 EVENT_STREAM = b"text/event-stream"
 STATUS_OK = 200
 STATUS_MULTIPLE = 300
+MS_PER_S = 1_000
 
 
 @frozen(kw_only=True)
@@ -77,6 +79,7 @@
     """Answer that must not be forwarded; the request may have run."""
 
     reason: str
+    is_cut: bool = False
 
 
 @frozen(kw_only=True)
@@ -237,12 +240,29 @@
         self._n_unnumbered_bytes = 0
         self._highest_id = 0
         self.progress_at = loop.time()
+        self._head_at = math.inf
+        self._first_event_at = math.inf
 
     @property
     def has_head(self) -> bool:
         """Whether status and headers have been received."""
         return self._head is not None
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the head of a successful answer to this request was received."""
+        return self.accepted.done()
+
+    @property
+    def begun_ms(self) -> float | None:
+        """Time since the answer's head in milliseconds; None before it."""
+        return self._elapsed_ms(self._head_at)
+
+    @property
+    def first_event_ms(self) -> float | None:
+        """Time since the stream's first event in milliseconds; None before it."""
+        return self._elapsed_ms(self._first_event_at)
+
     @property
     def has_ended(self) -> bool:
         """Whether the exchange with the server is over."""
@@ -276,7 +296,7 @@
         InvalidAnswerError
             If they show that the body is of no use.
         """
-        self.progress_at = self._loop.time()
+        self.progress_at = self._head_at = self._loop.time()
         self._head = head
         self._metadata = metadata = self._read_answer(head)
         if not self._is_foreign:
@@ -307,6 +327,7 @@
                 # Only complete events count as progress: a stalled server may still
                 # send a byte now and then.
                 self.progress_at = self._loop.time()
+                self._first_event_at = min(self._first_event_at, self.progress_at)
                 self._forward(events)
                 self._check_numbers(events)
             return
@@ -352,6 +373,9 @@
         if self._n_unnumbered_bytes > MAX_EVENT_BYTES:
             raise InvalidAnswerError(reason="its events have no new numbers")
 
+    def _elapsed_ms(self, since: float) -> float | None:
+        return None if math.isinf(since) else (self._loop.time() - since) * MS_PER_S
+
     def _build_result(self) -> AttemptResult:
         head = self._head
         if head is None:
@@ -367,7 +391,8 @@
             return BadAnswer(reason=fault)
         if self._splitter is not None and self._progress is not None:
             if self._splitter.remainder:
-                return BadAnswer(reason="stream ends in the middle of an event")
+                reason = "stream ends in the middle of an event"
+                return BadAnswer(reason=reason, is_cut=True)
             return StreamEnded()
         if self._buffer.is_dropped:
             return BadAnswer(reason="no memory is left for an answer so large")
--- a/damaskrill/gateway/_attempt_records.py
+++ b/damaskrill/gateway/_attempt_records.py
@@ -6,9 +6,9 @@
 
 from damaskrill.catalog import BackendServer
 from damaskrill.gateway._attempt import AttemptResult
-from damaskrill.gateway._outcomes import classify_outcome
+from damaskrill.gateway._outcomes import classify_outcome, describe_prompt
 from damaskrill.gateway._sent_request import SentRequest
-from damaskrill.steering import ServerOutcome
+from damaskrill.steering import RequestMetadata, ServerOutcome
 
 if TYPE_CHECKING:
     from damaskrill.gateway._dispatcher import RequestDispatcher
@@ -27,12 +27,12 @@
     ----------
     dispatcher : RequestDispatcher
         State that all exchanges share.
-    request_id : str
-        The caller's identifier of the request.
+    metadata : RequestMetadata
+        Metadata of the request.
     """
 
     dispatcher: "RequestDispatcher"
-    request_id: str
+    metadata: RequestMetadata
 
     def evaluate(
         self,
@@ -71,7 +71,7 @@
         if found is None:
             return None
         outcome, reason = found
-        self.record(sent.server, outcome, reason, sent_at_ms=sent.sent_at_ms)
+        self.record(sent.server, outcome, reason, sent=sent)
         return outcome
 
     def record_stalled(self, sent: SentRequest) -> None:
@@ -81,7 +81,7 @@
             sent.server,
             ServerOutcome.STALLED,
             f"another server has accepted the request after {waited_ms:.0f} ms",
-            sent_at_ms=sent.sent_at_ms,
+            sent=sent,
         )
 
     def record(
@@ -90,7 +90,7 @@
         outcome: ServerOutcome,
         reason: str,
         *,
-        sent_at_ms: float | None = None,
+        sent: SentRequest | None = None,
     ) -> None:
         """Record an outcome for a server, and log it unless it is good.
 
@@ -102,14 +102,14 @@
             Outcome of an attempt.
         reason : str
             Description for the log.
-        sent_at_ms : float or None, default=None
-            Time of sending, in milliseconds; None if the request was not sent.
+        sent : SentRequest or None, default=None
+            The attempt; None if the request was not sent.
         """
         dispatcher, now_ms = self.dispatcher, self.dispatcher.now_ms
         if outcome is not ServerOutcome.GOOD:
             dispatcher.log.warn(
                 "attempt_failed",
-                request_id=self.request_id,
+                request_id=self.metadata.request_id,
                 backend_server=server.server_id,
                 data_centre=server.data_centre,
                 causes=[
@@ -121,6 +121,7 @@
                 ],
                 detail=reason,
                 load=round(dispatcher.loads.estimate(server.key, now_ms)),
-                wait_ms=0 if sent_at_ms is None else round(now_ms - sent_at_ms),
+                wait_ms=0 if sent is None else round(now_ms - sent.sent_at_ms),
+                **describe_prompt(self.metadata, sent.attempt if sent else None),
             )
         dispatcher.record_outcome(server, outcome)
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -17,6 +17,7 @@
 )
 from damaskrill.gateway._attempts import AttemptContext, RequestAttempts
 from damaskrill.gateway._outcomes import find_refusal
+from damaskrill.gateway._prompt_blocking import PROMPT_REJECTED
 from damaskrill.gateway._responder import Responder
 from damaskrill.http1 import CallerConnection, CallerRequest
 from damaskrill.steering import (
@@ -57,6 +58,7 @@
 NO_RETRY_BUDGET = "the retry budget is used up"
 NO_RETRY_ALLOWED = "the route allows no further server, or no time is left"
 NO_OTHER_SERVER = "no other server is available"
+SUSPECTED_PROMPT = "another server crashed under a part of its prompt"
 
 
 class Exchange:
@@ -82,6 +84,7 @@
         self._dispatcher = dispatcher
         self._request = request
         self._metadata = dispatcher.binding.read_request(request)
+        self._guard = dispatcher.prompts.guard(self._metadata)
         self._progress = StreamProgress(connection)
         self._responder = Responder(
             dispatcher=dispatcher,
@@ -94,6 +97,7 @@
             dispatcher=dispatcher,
             request=request,
             metadata=self._metadata,
+            guard=self._guard,
             progress=self._progress,
             responder=self._responder,
         )
@@ -124,6 +128,7 @@
             )
         finally:
             self._attempts.end_held()
+            self._guard.close()
 
     async def _serve(self) -> None:
         dispatcher, metadata = self._dispatcher, self._metadata
@@ -191,8 +196,12 @@
             limit_at_ms=self._limit_at_ms,
         )
         while True:
+            if self._refuse_crashing():
+                return
             server = await self._choose_server(route)
-            if server is not None:
+            if self._refuse_crashing():
+                return
+            if server is not None and not self._find_crashing_part():
                 result = await attempts.try_server(server)
                 if result is None:
                     continue
@@ -214,6 +223,9 @@
         if not may_retry and not await self._wait_for_capacity(route):
             self._stop_reason = NO_RETRY_ALLOWED
             return None
+        if n_sent and self._guard.is_suspected:
+            self._stop_reason = SUSPECTED_PROMPT
+            return None
         while (server := await self._find_server(route)) is None:
             if not await self._wait_for_capacity(route):
                 self._stop_reason = NO_OTHER_SERVER
@@ -298,6 +310,20 @@
                 self._may_have_run = True
                 return False
 
+    def _find_crashing_part(self) -> str:
+        return self._guard.find_rejected(self._dispatcher.now_ms)
+
+    def _refuse_crashing(self) -> bool:
+        part = self._find_crashing_part()
+        if not part or self._attempts.held is not None:
+            return False
+        self._stop_reason = f"prompt part {part}"
+        if self._may_have_run:
+            self._refuse_after(self._last_result)
+        else:
+            self._responder.refuse(PROMPT_REJECTED, self._stop_reason)
+        return True
+
     def _refuse_at_exit(self) -> None:
         # What was sent may run on; only a request that was never sent has not run.
         self._responder.refuse(
--- a/damaskrill/gateway/_sent_request.py
+++ b/damaskrill/gateway/_sent_request.py
@@ -43,7 +43,7 @@
     @property
     def is_accepted(self) -> bool:
         """Whether the head of a successful answer has been received."""
-        return self.attempt.accepted.done()
+        return self.attempt.is_success
 
     @property
     def is_refused(self) -> bool:
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -173,9 +173,15 @@
                     self._check_bounds()
                     return
                 self._handle_event(event)
-        except (h11.RemoteProtocolError, InvalidAnswerError) as error:
+        except InvalidAnswerError as error:
             self._fail(FailureKind.MALFORMED, str(error))
             self.abort()
+        except h11.RemoteProtocolError as error:
+            # After the end of the connection the answer is incomplete, not malformed.
+            is_cut = not self._is_open
+            kind = FailureKind.CLOSED if is_cut else FailureKind.MALFORMED
+            self._fail(kind, str(error))
+            self.abort()
 
     def _check_bounds(self) -> None:
         self._bounds.check_framing()
--- a/features/gateway_unanswered.feature
+++ b/features/gateway_unanswered.feature
@@ -11,9 +11,9 @@
 
   Scenario: a caller that reads slowly gets the whole last answer of a connection
     Given a gateway that is ready
-    And both app servers answer with 30000000 bytes
+    And both app servers answer with 7900000 bytes
     When a caller sends a read with "Connection: close" and reads after 1800 ms
-    Then it receives all 30000000 bytes
+    Then it receives all 7900000 bytes
 
   Scenario: a sound server that reads nothing for a while receives a large request
     Given a platform with an app server that reads nothing for 1600 ms
--- a/features/steps/gateway_unanswered_steps.py
+++ b/features/steps/gateway_unanswered_steps.py
@@ -14,6 +14,7 @@
 
 MAX_BODY_BYTES = 20_000_000
 RECEIVE_BYTES = 1 << 20
+RECEIVE_BUFFER_BYTES = 4_096
 TIMEOUT_S = 3.0
 
 
@@ -72,7 +73,11 @@
     headers = [("Connection", "close")]
     data, _ = build_request("/read/1", method="GET", body=b"", headers=headers)
     received = bytearray()
-    with socket.create_connection(address, TIMEOUT_S) as caller:
+    with socket.socket() as caller:
+        # A small window, so that the answer does not fit into the sockets' buffers.
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        caller.settimeout(TIMEOUT_S)
+        caller.connect(address)
         caller.sendall(data)
         time.sleep(delay_ms / 1_000)
         try:
