Record no failure of a server when the request's own limit ended the connect

A request with little time left bounds its connect since it may be handed over. When that time passed, the server was ejected as unreachable, so that the next requests avoided a sound server.

The scenario "a connect that a request's limit ends does not eject the server" failed before.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -194,7 +194,9 @@
                 server.key, server.address, limit_ms=remaining_ms
             )
         except OSError as error:
-            self._records.record(server, ServerOutcome.NO_CONNECTION, str(error))
+            # A connect that the request's own limit ended says nothing of the server.
+            if dispatcher.now_ms < self.context.limit_at_ms:
+                self._records.record(server, ServerOutcome.NO_CONNECTION, str(error))
             return None
         if dispatcher.catalog.is_usable(server.key):
             return connection
--- a/features/gateway_handover.feature
+++ b/features/gateway_handover.feature
@@ -65,3 +65,8 @@
     Given the first engine of a prompt is silent for 60000 ms after 2 events
     When a caller sends a check with that prompt
     Then the other engine received it without the silent engine as its cache source
+
+  Scenario: a connect that a request's limit ends does not eject the server
+    Given connections to both app servers hang
+    When a caller sends a read with a deadline of 120 ms
+    Then no server is ejected
--- a/features/steps/gateway_handover_steps.py
+++ b/features/steps/gateway_handover_steps.py
@@ -80,6 +80,17 @@
     pool.open = open_or_time_out
 
 
+@given("connections to both app servers hang")
+def step_connects_hang(context):
+    pool = context.testbed.gateways[0]._dispatcher.pool
+
+    async def hang(key, address, *, limit_ms):
+        await asyncio.sleep(min(CONNECT_TIMEOUT_S, limit_ms / 1_000))
+        raise OSError("timed out")
+
+    pool.open = hang
+
+
 @given("the gateway's counts of prompts are observed")
 def step_observe_counts(context):
     hot_keys = context.testbed.gateways[0]._dispatcher._selector._hot_keys
