Read an event's number only if it has at most 20 digits

A number of more than 4,300 digits raised an error after its event had been sent to the caller. It is read as no number now. The scenario "an event number without end is no number" failed before (ValueError).

--- a/damaskrill/gateway/_events.py
+++ b/damaskrill/gateway/_events.py
@@ -6,6 +6,8 @@
 
 # Size of an event. Events carry a few tokens; this leaves room for a whole text.
 MAX_EVENT_BYTES = 196_608
+# Digits of an event's number; the largest 64-bit number has as many.
+MAX_ID_DIGITS = 20
 SEPARATORS = (b"\n\n", b"\r\n\r\n")
 # Bytes of a separator that may have arrived before its last byte.
 MAX_SPLIT_BYTES = max(len(each) for each in SEPARATORS) - 1
@@ -61,4 +63,5 @@
         position = -1
     line_end = events.find(b"\n", position + 4)
     value = events[position + 4 : line_end].strip()
-    return int(value) if value.isdigit() else None
+    is_number = value.isdigit() and len(value) <= MAX_ID_DIGITS
+    return int(value) if is_number else None
--- a/features/gateway_endless_answers.feature
+++ b/features/gateway_endless_answers.feature
@@ -112,3 +112,7 @@
       | a chunked body         |
       | a body without length  |
       | a body of false length |
+
+  Scenario: an event number without end is no number
+    Given an event whose number has 5000 digits
+    Then the event is read as one without a number
--- a/features/steps/gateway_endless_answers_steps.py
+++ b/features/steps/gateway_endless_answers_steps.py
@@ -13,7 +13,7 @@
     StoreMode,
     build_endless_answer,
 )
-from damaskrill.gateway._events import EventSplitter
+from damaskrill.gateway._events import EventSplitter, parse_last_event_id
 from damaskrill.http1 import FailureKind, OutgoingRequest, fetch
 from features.support.reactor_thread import get_reactor_thread
 from features.support.server_answers import open_exchange
@@ -199,3 +199,13 @@
     while connections and time.monotonic() < ends_at:
         time.sleep(0.01)
     assert not connections
+
+
+@given("an event whose number has {n_digits:d} digits")
+def step_long_number(context, n_digits):
+    context.event = b"id: " + b"1" * n_digits + b"\ndata: x\n\n"
+
+
+@then("the event is read as one without a number")
+def step_no_number(context):
+    assert parse_last_event_id(context.event) is None
