Excuse routers that have started since a server asked for a pause to the soak

The users excuse a restart; the check of pauses did not know it, as the one of announcements did not before. Exactly the requests sent after such a start are excused.

The new step fails without the excuse, and finds requests of a process that knew.

--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -1,6 +1,6 @@
 """Guarantees that a soak test checks against the records of callers and servers."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from attrs import frozen
 
@@ -212,6 +212,7 @@
     exchanges: Sequence[Exchange],
     pause_s: float,
     unaffected_ids: Sequence[str],
+    starts_of: Callable[[int], Sequence[float]],
 ) -> list[Violation]:
     """Return the pauses in which a server got more than some requests in transit.
 
@@ -225,18 +226,26 @@
         Pause that the server asks for, in seconds.
     unaffected_ids : sequence of str
         Requests whose router was neither killed nor paused around that time.
+    starts_of : callable
+        Returns when processes of a router, given its number, started. A process that
+        has started since a refusal need not know of the pause.
     """
-    router_of = {each.request_id: each.router for each in exchanges}
+    by_id = {each.request_id: each for each in exchanges}
     unaffected = set(unaffected_ids)
     violations = []
     for paused_at, refused_id in server.pauses:
         if refused_id not in unaffected:
             continue
+        router = by_id[refused_id].router
         later = [
             request_id
             for at, request_id in server.arrivals
             if paused_at + PAUSE_SLACK_S < at < paused_at + pause_s
-            and router_of.get(request_id) == router_of[refused_id]
+            and request_id in by_id
+            and by_id[request_id].router == router
+            and not was_sent_after_restart(
+                by_id[request_id], starts_of(router), paused_at
+            )
         ]
         if len(later) > MAX_IN_PAUSE:
             detail = f"{server.server_id} got {len(later)} requests in a pause"
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -226,7 +226,9 @@
             violations += check_leaving(record, known_at, MAX_DRAIN_S, unaffected)
         if record.pauses:
             unaffected = self._unaffected_requests(record.pauses[0][0])
-            violations += check_pauses(record, self._exchanges, PAUSE_S, unaffected)
+            violations += check_pauses(
+                record, self._exchanges, PAUSE_S, unaffected, self._routers.starts_of
+            )
         return violations
 
     def _was_store_available(self, notice_at: float) -> bool:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -15,6 +15,7 @@
     ServerRecord,
     check_exchanges,
     check_leaving,
+    check_pauses,
     check_planned_work,
     was_sent_after_restart,
 )
@@ -160,6 +161,21 @@
     assert not was_sent_after_restart(exchange, [1.0, 3.5], 2.0)
 
 
+@then("requests in a pause are found unless their router has started since")
+def step_pauses(context):
+    exchanges = [build_exchange(request_id=f"q{n}", sent_at=float(n)) for n in range(5)]
+    record = ServerRecord(
+        server_id="a",
+        runs={},
+        arrivals=tuple((each.sent_at, each.request_id) for each in exchanges),
+        pauses=((0.0, "q0"),),
+    )
+    unaffected = ["q0"]
+    found = check_pauses(record, exchanges, 4.5, unaffected, lambda router: [])
+    assert [each.promise for each in found] == ["pause"], found
+    assert check_pauses(record, exchanges, 4.5, unaffected, lambda router: [2.5]) == []
+
+
 @then("a request that planned work interrupted is found")
 def step_cut(context):
     record = ServerRecord(server_id="a", runs={}, arrivals=((1.2, "q9"),))
