Log the request rates that backend servers state as their limit

Three hypotheses explain why servers that state a limit get more requests; the routers' lines said nothing of what servers state. Now each router logs server_limited and server_unlimited and counts such servers in a metric. Nothing decides on it yet.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -77,6 +77,8 @@
         Whether its answers announce that it leaves.
     retry_after : bytes or None
         Value of the header ``Retry-After`` of its refusals.
+    rate_limit : bytes or None
+        Value of the header ``Server-Limit`` of its answers.
     pauses : list of (float, str)
         Times of the refusals with that header, on the monotonic clock in seconds, and
         request IDs.
@@ -118,6 +120,7 @@
         self.drops: list[tuple[float, str]] = []
         self.is_leaving = False
         self.retry_after: bytes | None = None
+        self.rate_limit: bytes | None = None
         self.pauses: list[tuple[float, str]] = []
         self.silence_ms = 1_500
         self.n_events_before_silence = 2
@@ -189,7 +192,7 @@
             (b"Damaskrill-Request-Id", request_id),
             (b"Damaskrill-Server-Load", b"1,0,8"),
             SEAL,
-            *self._leaving_headers,
+            *self._state_headers,
         )
         if self.misbehaviour is Misbehaviour.ENDLESS:
             await send_endless(connection, self.endless_part, headers)
@@ -204,14 +207,19 @@
         await self._answer(connection, request_id, headers)
 
     @property
-    def _leaving_headers(self) -> Headers:
-        return ((b"Server-Leaving", b"1"),) if self.is_leaving else ()
+    def _state_headers(self) -> Headers:
+        headers: Headers = ()
+        if self.is_leaving:
+            headers = (*headers, (b"Server-Leaving", b"1"))
+        if self.rate_limit is not None:
+            headers = (*headers, (b"Server-Limit", self.rate_limit))
+        return headers
 
     def _refusal_headers(self, request_id: bytes) -> Headers:
         headers: Headers = (
             (b"Damaskrill-Request-Id", request_id),
             (b"Damaskrill-Not-Executed", b"1"),
-            *self._leaving_headers,
+            *self._state_headers,
         )
         if self.retry_after is not None:
             self.pauses.append((time.monotonic(), request_id.decode()))
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -31,6 +31,7 @@
     ServerPauses,
     ServerRequirements,
     ServerSelector,
+    StatedLimits,
     is_region_allowed,
     short_server_id,
     spread_retry_after,
@@ -133,6 +134,7 @@
         self._publish_failures = publish_failures
         self._publish_departure = publish_departure
         self._pauses = ServerPauses()
+        self._limits = StatedLimits()
         self.prompts = PromptBlocking(
             detector=crashes,
             publish=publish_failures,
@@ -164,6 +166,11 @@
         """Number of requests in progress."""
         return len(self._tasks)
 
+    @property
+    def n_limited(self) -> int:
+        """Number of servers that limit their rate of requests."""
+        return self._limits.n_limited
+
     def handle_request(
         self, connection: CallerConnection, request: CallerRequest
     ) -> None:
@@ -369,6 +376,14 @@
                 backend_server=server.server_id,
                 pause_ms=round(pause_ms),
             )
+        if metadata.is_other_server:
+            return
+        limit_per_s = metadata.limit_per_s
+        if self._limits.observe(server.key, limit_per_s, now_ms):
+            event = "server_limited" if limit_per_s is not None else "server_unlimited"
+            self.log.warn(
+                event, backend_server=server.server_id, limit_per_s=limit_per_s
+            )
 
     def record_outcome(self, server: BackendServer, outcome: ServerOutcome) -> None:
         """Record the outcome of an attempt at a server."""
@@ -432,7 +447,9 @@
             self.loads.register_server(key)
         self.loads.retain_only(keys)
         # Servers that are out of use for a moment return as they were.
-        self._health.retain_only(self.catalog.registered_keys())
+        registered = self.catalog.registered_keys()
+        self._health.retain_only(registered)
+        self._limits.retain_only(registered)
         self._pauses.discard_ended(self.now_ms)
 
     @property
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -319,6 +319,7 @@
             "routers": float(self._members.n_members),
             "links": float(self._mesh.n_links),
             "servers": float(self._catalog.n_servers),
+            "servers_limited": float(self._dispatcher.n_limited),
             "exchanges": float(self._dispatcher.n_exchanges),
             "store_calls": float(self._reader.n_calls),
             "store_era": float(self._replica.position.era),
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -38,6 +38,8 @@
 LEAVING = b"server-leaving"
 IS_LEAVING = b"1"
 RETRY_AFTER = b"retry-after"
+# Requests per second that a server takes from all routers together.
+RATE_LIMIT = b"server-limit"
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 MS_PER_S = 1_000
@@ -126,17 +128,28 @@
         pause_ms=_read_pause_ms(headers.get(RETRY_AFTER, b""))
         if head.status == STATUS_UNAVAILABLE
         else None,
+        limit_per_s=_read_limit(headers.get(RATE_LIMIT, b"")),
     )
 
 
 def _read_pause_ms(value: bytes) -> float | None:
     # The platform states seconds, with fractions. A date, which HTTP also allows, would
     # depend on the clocks of both hosts.
+    seconds = _read_decimal(value)
+    return seconds * MS_PER_S if seconds is not None and seconds > 0 else None
+
+
+def _read_limit(value: bytes) -> float | None:
+    per_s = _read_decimal(value)
+    return per_s if per_s is not None and per_s >= 0 else None
+
+
+def _read_decimal(value: bytes) -> float | None:
     try:
-        seconds = float(value)
+        number = float(value)
     except ValueError:
         return None
-    return seconds * MS_PER_S if math.isfinite(seconds) and seconds > 0 else None
+    return number if math.isfinite(number) else None
 
 
 def _read_key(value: bytes) -> str | None:
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -28,6 +28,7 @@
 from damaskrill.steering._retry_budget import FleetRetryBudget
 from damaskrill.steering._selector import Candidate, ServerRequirements, ServerSelector
 from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
+from damaskrill.steering._stated_limits import StatedLimits
 
 __all__ = [
     "DIRECT_BOUNDS",
@@ -69,6 +70,7 @@
     "ServerPauses",
     "ServerRequirements",
     "ServerSelector",
+    "StatedLimits",
     "caller_patience_ms",
     "find_latency_cause",
     "is_region_allowed",
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -88,6 +88,9 @@
         Whether the server announces that it leaves.
     pause_ms : float or None
         Time for which the server wants no requests from this router, in milliseconds.
+    limit_per_s : float or None
+        Requests per second that the server takes from all routers together; None if it
+        states no limit.
     """
 
     request_id: str | None = None
@@ -98,3 +101,4 @@
     load: tuple[int, int] | None = None
     is_leaving: bool = False
     pause_ms: float | None = None
+    limit_per_s: float | None = None
