Share the request rate that a backend server states among the routers

Callers saw nothing, but servers in need got up to 33 requests in 4 s where 19 are allowed: no router read the rate that a server states, and none could know the sum of all.

The decision that limited cold servers now takes any limit on the fleet's requests in a sliding window; a stated rate is one, over four seconds. Routers tell each other when a limit starts, changes and ends, and a new link gets all known ones, so that a router that starts has them before its first answer. Requests are counted when they are assigned, not when their connection is open. Pauses, cold rates and stated rates answer one question, when a server may get a request; if no server of a service may, callers are refused at once with that time (servers_limited). Before, that held for pauses only.

The three scenarios of gateway_stated_limits.feature failed before (158 requests in 4 s at a server that takes 1.5 a second, 14 allowed) and pass now; 1,200 seeded turns with 2 to 195 routers never pass the rate.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -152,15 +152,22 @@
         """
         self._responder.record_server(server)
         self.tried.add(server.key)
-        self._dispatcher.loads.start(server.key)
+        dispatcher = self._dispatcher
+        dispatcher.loads.start(server.key)
+        # Other requests may be assigned while the connection is being opened.
+        acquired_at_ms = dispatcher.throttle.acquire(server, dispatcher.now_ms)
         sent = None
         try:
             connection = await self._connect(server)
             if connection is not None and not self.is_held_revived:
                 sent = self._send(server, connection)
+                dispatcher.throttle.record_sent(
+                    server, acquired_at_ms, dispatcher.now_ms
+                )
         finally:
             if sent is None:
-                self._dispatcher.loads.end(server.key)
+                dispatcher.loads.end(server.key)
+                dispatcher.throttle.release(server, acquired_at_ms)
         if sent is None:
             if connection is not None:
                 self._dispatcher.pool.release(server.key, connection)
@@ -228,7 +235,6 @@
                 excluded=self.tried - {server.key},
             ),
         )
-        dispatcher.record_sent(server)
         self.sent_to.add(server.key)
         sent_at_ms = dispatcher.now_ms
         self._responder.record_sent(sent_at_ms)
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -12,13 +12,13 @@
 from damaskrill.gateway._exchange import Exchange
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._prompt_blocking import PromptBlocking
+from damaskrill.gateway._server_throttle import ServerThrottle, ServiceWait
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
 from damaskrill.steering import (
     DIRECT_BOUNDS,
     RELAYED_BOUNDS,
     AnswerMetadata,
     Candidate,
-    ColdStartLimiter,
     CrashDetector,
     FailureDetector,
     FleetHealth,
@@ -28,10 +28,8 @@
     RequestMetadata,
     ServerLoads,
     ServerOutcome,
-    ServerPauses,
     ServerRequirements,
     ServerSelector,
-    StatedLimits,
     is_region_allowed,
     short_server_id,
     spread_retry_after,
@@ -59,8 +57,8 @@
         Configuration and servers.
     pool : ServerPool
         Connections to servers.
-    cold_start_limiter : ColdStartLimiter
-        Limit on requests to cold servers.
+    throttle : ServerThrottle
+        Pauses and rate limits of servers.
     budget : FleetRetryBudget
         Limit on retries.
     log : DecisionLog
@@ -79,8 +77,8 @@
         Prompt parts that may crash servers.
     ranks_first : callable
         Returns whether this router is the first one by rendezvous hash for a key.
-    publish_failures : callable
-        Publishes failures and crashes to other routers after a short delay.
+    publish_reports : callable
+        Publishes failures, crashes and limits to other routers after a short delay.
     publish_departure : callable
         Publishes that an incarnation leaves to other routers after a short delay.
     data_centre : str
@@ -101,7 +99,7 @@
         binding: PlatformBinding,
         catalog: Catalog,
         pool: ServerPool,
-        cold_start_limiter: ColdStartLimiter,
+        throttle: ServerThrottle,
         budget: FleetRetryBudget,
         log: DecisionLog,
         metrics: GatewayMetrics,
@@ -111,7 +109,7 @@
         failures: FailureDetector,
         crashes: CrashDetector,
         ranks_first: Callable[[str], bool],
-        publish_failures: Callable[[], None],
+        publish_reports: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
         data_centre: str,
         region_of: Mapping[str, str],
@@ -127,17 +125,15 @@
         self.metrics = metrics
         self.loads = loads
         self.buffer_budget = BufferBudget()
-        self._cold_start_limiter = cold_start_limiter
+        self.throttle = throttle
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
         self._failures = failures
-        self._publish_failures = publish_failures
+        self._publish_reports = publish_reports
         self._publish_departure = publish_departure
-        self._pauses = ServerPauses()
-        self._limits = StatedLimits()
         self.prompts = PromptBlocking(
             detector=crashes,
-            publish=publish_failures,
+            publish=publish_reports,
             ranks_first=ranks_first,
             log=log,
             metrics=metrics,
@@ -166,11 +162,6 @@
         """Number of requests in progress."""
         return len(self._tasks)
 
-    @property
-    def n_limited(self) -> int:
-        """Number of servers that limit their rate of requests."""
-        return self._limits.n_limited
-
     def handle_request(
         self, connection: CallerConnection, request: CallerRequest
     ) -> None:
@@ -233,7 +224,6 @@
         configuration = self.catalog.configuration
         if configuration is None or service not in configuration.services:
             return None
-        has_cold = self.catalog.has_cold_servers(service, round(now_ms))
         is_restricted = bool(requirements.route_regions or requirements.team_regions)
         candidates = [
             Candidate(
@@ -243,9 +233,8 @@
             for server in self.catalog.find_servers(service)
             if server.key not in tried
             and (only is None or server.key in only)
-            and not self._pauses.is_paused(server.key, now_ms)
             and (not is_restricted or self._is_allowed(requirements, server))
-            and (not has_cold or self._may_send(server, now_ms))
+            and self.throttle.may_send(server, now_ms)
         ]
         if only_healthy:
             candidates = [each for each in candidates if each.is_preferred]
@@ -267,13 +256,13 @@
             else None,
         )
 
-    def find_pause_ms(
+    def find_wait(
         self,
         requirements: ServerRequirements,
         *,
         tried: set[tuple[str, int]] | None = None,
-    ) -> float | None:
-        """Return the time until a server accepts requests again, in milliseconds.
+    ) -> ServiceWait | None:
+        """Return how long no server may get a request; None if one may get it now.
 
         Parameters
         ----------
@@ -281,19 +270,14 @@
             Requirements of the request.
         tried : set of tuple of (str, int), default=None
             Incarnations to exclude.
-
-        Returns
-        -------
-        float or None
-            None unless all servers have asked for a pause.
         """
-        keys = [
-            server.key
+        servers = [
+            server
             for server in self.catalog.find_servers(requirements.service)
             if (tried is None or server.key not in tried)
             and self._is_allowed(requirements, server)
         ]
-        return self._pauses.remaining_ms(keys, self.now_ms)
+        return self.throttle.find_wait(servers, self.now_ms)
 
     def spread_retry_after(self, duration_ms: float) -> int:
         """Return a time after which to retry, at random after the given one."""
@@ -354,11 +338,6 @@
         """Acquire one retry from the budget; return whether it allowed one."""
         return self.budget.try_acquire(service, self._n_routers(), self.now_ms)
 
-    def record_sent(self, server: BackendServer) -> None:
-        """Record a request that is being sent."""
-        if self.catalog.is_cold(server, round(self.now_ms)):
-            self._cold_start_limiter.record_sent(server, self.now_ms)
-
     def handle_metadata(self, server: BackendServer, metadata: AnswerMetadata) -> None:
         """Handle what a server states about itself in an answer."""
         now_ms = self.now_ms
@@ -369,21 +348,8 @@
         ):
             self.purge_removed_servers()
             self._publish_departure(server.key)
-        pause_ms = metadata.pause_ms
-        if pause_ms is not None and self._pauses.pause(server.key, pause_ms, now_ms):
-            self.log.warn(
-                "server_paused",
-                backend_server=server.server_id,
-                pause_ms=round(pause_ms),
-            )
-        if metadata.is_other_server:
-            return
-        limit_per_s = metadata.limit_per_s
-        if self._limits.observe(server.key, limit_per_s, now_ms):
-            event = "server_limited" if limit_per_s is not None else "server_unlimited"
-            self.log.warn(
-                event, backend_server=server.server_id, limit_per_s=limit_per_s
-            )
+        if self.throttle.handle_metadata(server, metadata, now_ms):
+            self._publish_reports()
 
     def record_outcome(self, server: BackendServer, outcome: ServerOutcome) -> None:
         """Record the outcome of an attempt at a server."""
@@ -392,7 +358,7 @@
         if self._health.record(server.key, outcome, self.now_ms):
             self._log_ejection(server, outcome.value)
         if self._failures.has_unpublished:
-            self._publish_failures()
+            self._publish_reports()
 
     def apply_failures(self, servers: frozenset[int]) -> None:
         """Eject servers for failures that other routers have reported.
@@ -447,10 +413,8 @@
             self.loads.register_server(key)
         self.loads.retain_only(keys)
         # Servers that are out of use for a moment return as they were.
-        registered = self.catalog.registered_keys()
-        self._health.retain_only(registered)
-        self._limits.retain_only(registered)
-        self._pauses.discard_ended(self.now_ms)
+        self._health.retain_only(self.catalog.registered_keys())
+        self.throttle.discard_ended(self.now_ms)
 
     @property
     def is_exiting(self) -> bool:
@@ -474,13 +438,6 @@
             team_regions=requirements.team_regions,
         )
 
-    def _may_send(self, server: BackendServer, now_ms: float) -> bool:
-        configuration = self.catalog.configuration
-        spec = configuration.services.get(server.service) if configuration else None
-        if spec is None or not self.catalog.is_cold(server, round(now_ms)):
-            return True
-        return self._cold_start_limiter.may_send(server, spec, now_ms)
-
 
 def _cancel(task: asyncio.Task[Any]) -> None:
     task.cancel()
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -278,8 +278,8 @@
             is_over = dispatcher.now_ms >= until_ms
             if server is not None or is_over or attempts.overloaded:
                 return server
-            pause_ms = dispatcher.find_pause_ms(requirements, tried=attempts.tried)
-            if pause_ms is not None and dispatcher.now_ms + pause_ms > until_ms:
+            wait = dispatcher.find_wait(requirements, tried=attempts.tried)
+            if wait is not None and dispatcher.now_ms + wait.duration_ms > until_ms:
                 return None
             await asyncio.sleep(POLL_INTERVAL_MS / 1_000)
 
@@ -341,20 +341,19 @@
         if self._responder.n_sent:
             self._refuse_after(self._last_result)
             return
-        cause, retry_after_ms = RefusalCause.NO_SERVER, RETRY_AFTER_NO_SERVER_MS
-        pause_ms = self._find_retry_after_ms()
-        if pause_ms is not None:
-            cause, retry_after_ms = RefusalCause.SERVERS_PAUSED, pause_ms
-        self._responder.refuse(
-            Refusal(status=503, cause=cause, retry_after_ms=retry_after_ms),
-            self._requirements.service,
+        refusal = self._find_wait_refusal() or Refusal(
+            status=503,
+            cause=RefusalCause.NO_SERVER,
+            retry_after_ms=RETRY_AFTER_NO_SERVER_MS,
         )
+        self._responder.refuse(refusal, self._requirements.service)
 
-    def _find_retry_after_ms(self) -> int | None:
-        pause_ms = self._dispatcher.find_pause_ms(self._requirements)
-        if pause_ms is None:
+    def _find_wait_refusal(self) -> Refusal | None:
+        wait = self._dispatcher.find_wait(self._requirements)
+        if wait is None:
             return None
-        return self._dispatcher.spread_retry_after(pause_ms)
+        retry_after_ms = self._dispatcher.spread_retry_after(wait.duration_ms)
+        return Refusal(status=503, cause=wait.cause, retry_after_ms=retry_after_ms)
 
     def _refuse_after(self, result: AttemptResult) -> None:
         if self._progress.has_begun:
@@ -368,7 +367,7 @@
                     result,
                     may_have_run=self._may_have_run,
                     is_expired=self._dispatcher.now_ms >= self._limit_at_ms,
-                    pause_ms=self._find_retry_after_ms(),
+                    wait_refusal=self._find_wait_refusal(),
                 )
                 self._responder.refuse(refusal, detail)
             case StreamEnded() | Stalled():
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -97,7 +97,7 @@
     *,
     may_have_run: bool,
     is_expired: bool,
-    pause_ms: int | None = None,
+    wait_refusal: Refusal | None = None,
 ) -> tuple[Refusal, str]:
     """Return the refusal for the caller after the last attempt, and a detail to log.
 
@@ -109,20 +109,15 @@
         Whether some attempt may have run.
     is_expired : bool
         Whether the request's time limit has passed.
-    pause_ms : int or None, default=None
-        Time after which the caller may retry, in milliseconds, if all servers have
-        asked for a pause.
+    wait_refusal : Refusal or None, default=None
+        Refusal that tells when to retry, if no server may get a request now.
     """
     match result:
         case NotRun() if may_have_run:
             cause = RefusalCause.OUTCOME_UNKNOWN
             return Refusal(status=502, cause=cause), "an earlier attempt may have run"
-        case NotRun(status=status) if pause_ms is not None:
-            cause = RefusalCause.SERVERS_PAUSED
-            return (
-                Refusal(status=503, cause=cause, retry_after_ms=pause_ms),
-                f"the server answered with status {status}",
-            )
+        case NotRun(status=status) if wait_refusal is not None:
+            return wait_refusal, f"the server answered with status {status}"
         case NotRun(status=status):
             cause, retry_after_ms = RefusalCause.SERVER_FULL, RETRY_AFTER_FULL_MS
             if result.is_other_server:
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -24,6 +24,7 @@
 from damaskrill.gateway._binding import PlatformBinding
 from damaskrill.gateway._dispatcher import RequestDispatcher
 from damaskrill.gateway._metrics import GatewayMetrics
+from damaskrill.gateway._server_throttle import ServerThrottle
 from damaskrill.gateway._settings import Address, GatewaySettings
 from damaskrill.http1 import (
     CallerConnection,
@@ -40,13 +41,14 @@
     ReportExchange,
 )
 from damaskrill.steering import (
-    ColdStartLimiter,
     CrashDetector,
     FailureDetector,
+    FleetRateLimiter,
     FleetRetryBudget,
     HotKeys,
     PrefixIndex,
     ServerLoads,
+    StatedLimits,
     short_id,
 )
 from damaskrill.utils import monotonic_now_ms, rank_by_rendezvous
@@ -193,6 +195,7 @@
             first_number=own.incarnation,
         )
         self._crashes = CrashDetector(router=own.address, first_number=own.incarnation)
+        self._limits = StatedLimits()
         self._reports = ReportExchange(
             members=self._members,
             loads=self._loads,
@@ -200,9 +203,11 @@
             prefix_index=self._prefix_index,
             failures=self._failures,
             crashes=self._crashes,
+            limits=self._limits,
             apply_failures=lambda servers: self._dispatcher.apply_failures(servers),
             apply_departure=self._apply_departure,
             apply_crashes=lambda: self._dispatcher.prompts.log_changes(),
+            apply_limits=lambda limits: self._dispatcher.throttle.log_reported(limits),
             report=self._log.write,
         )
         self._mesh = Mesh(
@@ -226,17 +231,22 @@
             random_state=self._random,
             leaving_limit_ms=settings.leaving_limit_ms,
         )
-        self._cold_start_limiter = ColdStartLimiter(
-            factor=settings.cold_factor,
-            slack=settings.cold_slack,
-            own_address=own.address,
-            started_at_ms=now_ms,
+        self._rate_limiter = FleetRateLimiter(
+            own_address=own.address, started_at_ms=now_ms
+        )
+        throttle = ServerThrottle(
+            catalog=self._catalog,
+            limiter=self._rate_limiter,
+            limits=self._limits,
+            cold_factor=settings.cold_factor,
+            cold_slack=settings.cold_slack,
+            log=self._log,
         )
         self._dispatcher = RequestDispatcher(
             binding=self._binding,
             catalog=self._catalog,
             pool=ServerPool(reactor=self._reactor, may_keep=self._catalog.is_usable),
-            cold_start_limiter=self._cold_start_limiter,
+            throttle=throttle,
             budget=FleetRetryBudget(
                 ratio=settings.repeat_ratio,
                 slack=settings.repeat_slack,
@@ -250,7 +260,7 @@
             failures=self._failures,
             crashes=self._crashes,
             ranks_first=self._ranks_first,
-            publish_failures=self._mesh.push_urgent_reports,
+            publish_reports=self._mesh.push_urgent_reports,
             publish_departure=self._publish_departure,
             data_centre=settings.data_centre,
             region_of=settings.region_of,
@@ -319,7 +329,7 @@
             "routers": float(self._members.n_members),
             "links": float(self._mesh.n_links),
             "servers": float(self._catalog.n_servers),
-            "servers_limited": float(self._dispatcher.n_limited),
+            "servers_limited": float(self._limits.n_limited),
             "exchanges": float(self._dispatcher.n_exchanges),
             "store_calls": float(self._reader.n_calls),
             "store_era": float(self._replica.position.era),
@@ -429,7 +439,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_S)
             self._detect_pause()
             self._catalog.purge(round(monotonic_now_ms()))
-            self._cold_start_limiter.set_members(self._members.addresses())
+            self._rate_limiter.set_members(self._members.addresses())
 
     def _detect_pause(self) -> None:
         # The monotonic clock does not advance while the host is suspended.
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -15,6 +15,7 @@
     CrashReport,
     FailureReport,
     KeyCounts,
+    LimitReport,
     LoadReport,
     PrefixReport,
     ServedReport,
@@ -36,12 +37,12 @@
 
 # Routers of other versions refuse the first frame, so that fleets of two versions run
 # beside each other during a rolling update, each with its own readers of the store.
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
 MIN_COMPRESSED_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
-# Unsigned 32-bit numbers in a report of a load or a prefix, in one of failures, in one
-# of a served part, and in one of a crash before those of the parts.
+# Unsigned 32-bit numbers in a report of a load, a prefix or a limit, in one of
+# failures, in one of a served part, and in one of a crash before those of the parts.
 N_REPORT_NUMBERS = 3
 N_FAILURE_NUMBERS = 7
 N_SERVED_NUMBERS = 4
@@ -138,6 +139,8 @@
         Answers that servers broke off shortly after their beginning.
     served : tuple of ServedReport
         Prompt parts in such reports that were served.
+    limits : tuple of LimitReport
+        Rate limits that servers have stated.
     key_counts : KeyCounts or None
         The sender's recent requests; None if they are not part of the frame.
     """
@@ -152,6 +155,7 @@
     failures: tuple[FailureReport, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     served: tuple[ServedReport, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
     key_counts: KeyCounts | None = None
 
 
@@ -275,6 +279,7 @@
         _pack(astuple(each) for each in update.failures),
         [_pack([(*astuple(each)[:-1], *each.parts)]) for each in update.crashes],
         _pack(astuple(each) for each in update.served),
+        _pack(astuple(each) for each in update.limits),
         None
         if counts is None
         else [counts.n_requests, [list(each) for each in counts.by_key.items()]],
@@ -294,6 +299,7 @@
             bytes(failures),
             list(crashes),
             bytes(served),
+            bytes(limits),
             [float(), list()] | None as counts,
         ]:
             return Update(
@@ -311,6 +317,7 @@
                 ),
                 crashes=tuple(_to_crash(each) for each in crashes),
                 served=tuple(starmap(ServedReport, _unpack(served, N_SERVED_NUMBERS))),
+                limits=tuple(starmap(LimitReport, _unpack(limits, N_REPORT_NUMBERS))),
                 key_counts=_to_key_counts(counts),
             )
         case _:
--- a/damaskrill/mesh/_link.py
+++ b/damaskrill/mesh/_link.py
@@ -28,6 +28,7 @@
     n_prefixes: int = 0
     n_failures: int = 0
     n_crashes: int = NEW_LINK
+    n_limits: int = NEW_LINK
 
 
 @define(kw_only=True, eq=False)
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -385,7 +385,11 @@
                 self._apply_contact(link, frame, now_ms)
                 self._reports.apply(link, frame, now_ms)
                 has_urgent = (
-                    frame.failures or frame.departures or frame.crashes or frame.served
+                    frame.failures
+                    or frame.departures
+                    or frame.crashes
+                    or frame.served
+                    or frame.limits
                 )
                 if has_urgent and not self._members.is_full_mesh:
                     self.push_urgent_reports()
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -19,6 +19,7 @@
     PrefixIndex,
     ServedReport,
     ServerLoads,
+    StatedLimits,
 )
 
 __all__ = ["ReportExchange", "has_reports"]
@@ -45,12 +46,16 @@
         Failures of servers' requests.
     crashes : CrashDetector
         Prompt parts that may crash servers.
+    limits : StatedLimits
+        Rate limits that servers state.
     apply_failures : callable
         Handles the short hashes of the servers with new failure reports.
     apply_departure : callable
         Handles a server that has announced that it leaves; returns whether this is new.
     apply_crashes : callable
         Handles new reports of crashes and of served prompt parts.
+    apply_limits : callable
+        Handles new rate limits, by short hash of the server.
     report : callable
         Logs an event, given its name and fields.
 
@@ -66,9 +71,11 @@
     prefix_index: PrefixIndex
     failures: FailureDetector
     crashes: CrashDetector
+    limits: StatedLimits
     apply_failures: Callable[[frozenset[int]], None]
     apply_departure: Callable[[Departure], bool]
     apply_crashes: Callable[[], None]
+    apply_limits: Callable[[dict[int, float | None]], None]
     report: Callable[..., None]
     _departures: GossipLog[Departure] = field(
         factory=lambda: GossipLog(max_reports=MAX_DEPARTURES), init=False
@@ -129,6 +136,12 @@
             exclude_link=address,
             include_relayed=is_relaying,
         )
+        limits, cursors.n_limits = self.limits.reports_after(
+            cursors.n_limits,
+            now_ms=now_ms,
+            exclude_link=address,
+            include_relayed=is_relaying,
+        )
         departures, cursors.n_departures = self._departures.reports_after(
             cursors.n_departures, exclude_link=address, include_relayed=is_relaying
         )
@@ -160,6 +173,7 @@
             failures=tuple(failures),
             crashes=tuple(each for each in crashes if isinstance(each, CrashReport)),
             served=tuple(each for each in crashes if isinstance(each, ServedReport)),
+            limits=tuple(limits),
             key_counts=key_counts,
         )
 
@@ -188,6 +202,9 @@
             reports += update.served
             self.crashes.apply_reports(reports, now_ms=now_ms, source=source)
             self.apply_crashes()
+        limits = self.limits.apply_reports(update.limits, now_ms=now_ms, source=source)
+        if limits:
+            self.apply_limits(limits)
 
 
 def has_reports(update: Update) -> bool:
@@ -201,4 +218,5 @@
         or update.failures
         or update.crashes
         or update.served
+        or update.limits
     )
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -1,11 +1,11 @@
 """Routing decisions for a request: server selection, retries and refusals."""
 
-from damaskrill.steering._cold_start_limiter import ColdStartLimiter
 from damaskrill.steering._crash_cover import BlockedPart
 from damaskrill.steering._crash_detector import NEW_LINK, BlockChanges, CrashDetector
 from damaskrill.steering._crash_reports import CrashReport, ServedReport
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
 from damaskrill.steering._fleet_health import FleetHealth
+from damaskrill.steering._fleet_rate_limiter import FleetRateLimiter
 from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
 from damaskrill.steering._health import HealthTracker, ServerOutcome
 from damaskrill.steering._hot_keys import HotKeys, KeyCounts
@@ -16,6 +16,11 @@
 from damaskrill.steering._pauses import ServerPauses, spread_retry_after
 from damaskrill.steering._prefix_index import PrefixIndex, PrefixReport
 from damaskrill.steering._prompt_guard import PromptGuard
+from damaskrill.steering._rate_limits import (
+    RateLimit,
+    cold_start_limit,
+    stated_limit,
+)
 from damaskrill.steering._refusals import LoggedOutcome, Refusal, RefusalCause
 from damaskrill.steering._regions import is_region_allowed
 from damaskrill.steering._retry import (
@@ -28,7 +33,7 @@
 from damaskrill.steering._retry_budget import FleetRetryBudget
 from damaskrill.steering._selector import Candidate, ServerRequirements, ServerSelector
 from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
-from damaskrill.steering._stated_limits import StatedLimits
+from damaskrill.steering._stated_limits import LimitReport, StatedLimits
 
 __all__ = [
     "DIRECT_BOUNDS",
@@ -40,19 +45,20 @@
     "BlockChanges",
     "BlockedPart",
     "Candidate",
-    "ColdStartLimiter",
     "CrashDetector",
     "CrashReport",
     "ExecutionStatus",
     "FailureDetector",
     "FailureReport",
     "FleetHealth",
+    "FleetRateLimiter",
     "FleetRetryBudget",
     "GossipLog",
     "HealthTracker",
     "HotKeys",
     "KeyCounts",
     "LatencyCause",
+    "LimitReport",
     "LoadBounds",
     "LoadReport",
     "LoggedOutcome",
@@ -60,6 +66,7 @@
     "PrefixReport",
     "PromptGuard",
     "PromptPart",
+    "RateLimit",
     "Refusal",
     "RefusalCause",
     "RequestMetadata",
@@ -72,6 +79,7 @@
     "ServerSelector",
     "StatedLimits",
     "caller_patience_ms",
+    "cold_start_limit",
     "find_latency_cause",
     "is_region_allowed",
     "may_retry",
@@ -80,4 +88,5 @@
     "short_server_id",
     "silence_limit_ms",
     "spread_retry_after",
+    "stated_limit",
 ]
--- /dev/null
+++ b/damaskrill/steering/_fleet_rate_limiter.py
@@ -0,0 +1,116 @@
+"""Fleet-wide limits on the rate of requests to a server."""
+
+from collections import deque
+
+from damaskrill.steering._rate_limits import RateLimit
+from damaskrill.utils import rank_by_rendezvous
+
+__all__ = ["FleetRateLimiter"]
+
+ServerKey = tuple[str, int]
+# Longer than any window of a limit.
+RETENTION_MS = 60_000
+# Number of routers that is assumed until the others are discovered.
+MIN_ASSUMED_ROUTERS = 12
+# Within this time, routers that start together have discovered each other.
+DISCOVERY_MS = 2_500
+# When a router without a share may expect a place at another one, as a fraction of the
+# window: each share that is used up becomes available again within the window.
+ELSEWHERE_FRACTION = 0.5
+
+
+class FleetRateLimiter:
+    """Divides limits on the requests to a server among the routers.
+
+    Parameters
+    ----------
+    own_address : str
+        This router's address among the members.
+    started_at_ms : float
+        When this router started, in milliseconds.
+
+    Notes
+    -----
+    Handles servers that take only a few requests a second from the whole fleet, such as
+    one that returns with cold caches while all routers have requests waiting for it.
+    Every router gets an equal share of the limit, and the routers that rank first for
+    the server get the requests that are left over.
+    """
+
+    def __init__(self, *, own_address: str, started_at_ms: float) -> None:
+        self._own_address = own_address
+        self._started_at_ms = started_at_ms
+        self._members: frozenset[str] = frozenset({own_address})
+        self._max_members = 1
+        # Routers in the order in which they may send to a server.
+        self._rankings: dict[str, list[str]] = {}
+        self._sent: dict[ServerKey, deque[float]] = {}
+
+    def set_members(self, members: frozenset[str]) -> None:
+        """Set the routers that are alive, including this one."""
+        if members != self._members:
+            self._members = members
+            self._rankings.clear()
+        self._max_members = max(self._max_members, len(members))
+
+    def quota(self, key: ServerKey, limit: RateLimit, now_ms: float) -> int:
+        """Return how many requests this router may send in a window of the limit."""
+        n_routers = max(1, self._max_members)
+        is_discovering = now_ms - self._started_at_ms < DISCOVERY_MS
+        if is_discovering:
+            n_routers = max(n_routers, MIN_ASSUMED_ROUTERS)
+        share, n_left = divmod(limit.n_requests, n_routers)
+        if is_discovering and share:
+            return share
+        return share + (self._own_address in self._rank(key[0])[:n_left])
+
+    def wait_ms(self, key: ServerKey, limit: RateLimit, now_ms: float) -> float:
+        """Return the time until another request may be sent, in milliseconds.
+
+        Parameters
+        ----------
+        key : tuple of (str, int)
+            Incarnation of the server.
+        limit : RateLimit
+            Limit on its requests.
+        now_ms : float
+            Current time in milliseconds.
+
+        Returns
+        -------
+        float
+            0 if a request may be sent now. For a router without a share, the time after
+            which another router is expected to have a place.
+        """
+        quota = self.quota(key, limit, now_ms)
+        if quota == 0:
+            return ELSEWHERE_FRACTION * limit.window_ms
+        sent = self._sent.get(key, ())
+        if len(sent) < quota:
+            return 0.0
+        return max(0.0, sent[-quota] + limit.window_ms - now_ms)
+
+    def acquire(self, key: ServerKey, now_ms: float) -> None:
+        """Count a request to a limited server."""
+        sent = self._sent.setdefault(key, deque())
+        while sent and sent[0] <= now_ms - RETENTION_MS:
+            sent.popleft()
+        sent.append(now_ms)
+
+    def release(self, key: ServerKey, acquired_at_ms: float) -> None:
+        """Remove a request that was not sent from the count."""
+        sent = self._sent.get(key)
+        if sent is not None and acquired_at_ms in sent:
+            sent.remove(acquired_at_ms)
+
+    def retain_only(self, keys: set[ServerKey]) -> None:
+        """Discard the counts of all other incarnations."""
+        for key in self._sent.keys() - keys:
+            del self._sent[key]
+
+    def _rank(self, server_id: str) -> list[str]:
+        ranked = self._rankings.get(server_id)
+        if ranked is None:
+            ranked = rank_by_rendezvous(server_id, self._members)
+            self._rankings[server_id] = ranked
+        return ranked
--- a/damaskrill/steering/_pauses.py
+++ b/damaskrill/steering/_pauses.py
@@ -1,6 +1,5 @@
 """Pauses that backend servers have asked for."""
 
-from collections.abc import Iterable
 from random import Random
 
 __all__ = ["ServerPauses", "spread_retry_after"]
@@ -39,20 +38,9 @@
         """Return whether a server must get no requests now."""
         return now_ms < self._ends_at_ms.get(key, 0.0)
 
-    def remaining_ms(self, keys: Iterable[ServerKey], now_ms: float) -> float | None:
-        """Return the shortest remaining pause; None if some server is not paused.
-
-        Parameters
-        ----------
-        keys : iterable of tuple of (str, int)
-            Servers that a request may be sent to.
-        now_ms : float
-            Current time in milliseconds.
-        """
-        ends_at_ms = [self._ends_at_ms.get(key, 0.0) for key in keys]
-        if not ends_at_ms or min(ends_at_ms) <= now_ms:
-            return None
-        return min(ends_at_ms) - now_ms
+    def remaining_ms(self, key: ServerKey, now_ms: float) -> float:
+        """Return the remaining pause of a server in milliseconds; 0 if it has none."""
+        return max(0.0, self._ends_at_ms.get(key, 0.0) - now_ms)
 
     def discard_ended(self, now_ms: float) -> None:
         """Discard the pauses that have ended.
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -25,6 +25,7 @@
     NO_SERVER = "no_server"
     SERVER_FULL = "server_full"
     SERVERS_PAUSED = "servers_paused"
+    SERVERS_LIMITED = "servers_limited"
     SERVER_REPLACED = "server_replaced"
     CRASHING_PROMPT = "crashing_prompt"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -55,6 +56,10 @@
     RefusalCause.SERVERS_PAUSED: (
         "all backend servers that could run the request have asked for a pause"
     ),
+    RefusalCause.SERVERS_LIMITED: (
+        "all backend servers that could run the request get as many requests as they "
+        "take at the moment"
+    ),
     RefusalCause.SERVER_REPLACED: (
         "another backend server answered at the address of the selected one"
     ),
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -17,6 +17,21 @@
     When all of them have requests for it for 2 seconds in 200 seeded runs
     Then in no second of any run does it get more than 24 requests
 
+  Scenario Outline: a server that states a limit gets no more requests from the fleet
+    Given <n> routers that have discovered each other and a server that states a limit of <rate> requests per second
+    When they have requests for it for 12 seconds in 200 seeded runs
+    Then in no 4 seconds of any run does it get more than it states, at most <most>
+    And it gets at least <fewest> requests in every run
+
+    Examples:
+      | n   | rate | most | fewest |
+      | 2   | 1.5  | 6    | 12     |
+      | 7   | 3.1  | 12   | 24     |
+      | 7   | 0.2  | 1    | 2      |
+      | 7   | 0    | 1    | 1      |
+      | 77  | 3.1  | 12   | 24     |
+      | 195 | 40   | 160  | 320    |
+
   Scenario Outline: a service that fails for all callers is not flooded with retries
     Given <n> routers that share a retry budget with a ratio of 0.2 and a slack of 54 in 10 seconds
     When 400 requests per second all fail for 30 seconds
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -33,14 +33,15 @@
     RELAYED_BOUNDS,
     AnswerTimings,
     Candidate,
-    ColdStartLimiter,
     CrashReport,
     ExecutionStatus,
     FailureReport,
+    FleetRateLimiter,
     FleetRetryBudget,
     HealthTracker,
     HotKeys,
     KeyCounts,
+    LimitReport,
     LoadReport,
     PrefixIndex,
     PrefixReport,
@@ -50,14 +51,16 @@
     ServerLoads,
     ServerOutcome,
     ServerSelector,
+    cold_start_limit,
     find_latency_cause,
     is_region_allowed,
     may_retry,
+    stated_limit,
 )
 from damaskrill.utils import rank_by_rendezvous
 from features.support.builders import build_engine
 
-EMPTY_REPORTS = ([], [], [], b"", b"", b"", [], b"", None)
+EMPTY_REPORTS = ([], [], [], b"", b"", b"", [], b"", b"", None)
 
 N_RUNS = 200
 NETWORK_DELAY_MS = (0.2, 12.0)
@@ -98,17 +101,18 @@
 @when("all of them have requests for it for {seconds:d} seconds in 200 seeded runs")
 def step_cold_runs(context, seconds):
     spec = Spec(name="pool", cold_requests_per_s=context.rate)
+    run_limited(context, seconds, cold_start_limit(spec, factor=1.5, slack=5))
+
+
+def run_limited(context, seconds, limit):
     context.arrivals = []
     for seed in range(N_RUNS):
         random = Random(seed)
         server = build_engine(f"e-{seed}")
         limiters = []
         for address in context.routers:
-            limiter = ColdStartLimiter(
-                factor=1.5,
-                slack=5,
-                own_address=address,
-                started_at_ms=context.started_ms,
+            limiter = FleetRateLimiter(
+                own_address=address, started_at_ms=context.started_ms
             )
             limiter.set_members(context.members or frozenset({address}))
             limiters.append(limiter)
@@ -116,8 +120,8 @@
         for _ in range(seconds * 100):
             now_ms = random.uniform(0, 10) + _ * 10
             limiter = random.choice(limiters)
-            if limiter.may_send(server, spec, now_ms):
-                limiter.record_sent(server, now_ms)
+            if not limiter.wait_ms(server.key, limit, now_ms):
+                limiter.acquire(server.key, now_ms)
                 arrivals.append(now_ms + random.uniform(*NETWORK_DELAY_MS))
         context.arrivals.append(sorted(arrivals))
 
@@ -128,6 +132,32 @@
     assert most <= limit, most
 
 
+@given(
+    "{n:d} routers that have discovered each other and a server that states a limit of "
+    "{rate:g} requests per second"
+)
+def step_stated(context, n, rate):
+    step_cold_known(context, n)
+    context.rate = rate
+
+
+@when("they have requests for it for {seconds:d} seconds in 200 seeded runs")
+def step_stated_runs(context, seconds):
+    run_limited(context, seconds, stated_limit(context.rate))
+
+
+@then("in no 4 seconds of any run does it get more than it states, at most {n:d}")
+def step_stated_limit(context, n):
+    most = max(max_within(times, 4_000) for times in context.arrivals)
+    assert most <= n, most
+
+
+@then("it gets at least {n:d} requests in every run")
+def step_stated_use(context, n):
+    fewest = min(len(times) for times in context.arrivals)
+    assert fewest >= n, fewest
+
+
 @then("it gets requests in every run")
 def step_cold_requests(context):
     assert all(context.arrivals)
@@ -460,6 +490,7 @@
                 CrashReport(8, 5, 2, 90, (1, 2**32 - 1, 3)),
             ),
             served=(ServedReport(3, 5, 4, 90),),
+            limits=(LimitReport(7, 2**32 - 1, 90), LimitReport(8, 1_500, 0)),
         ),
     ):
         assert decode(encode(frame)) == frame
--- a/features/steps/gateway_stated_limits_steps.py
+++ b/features/steps/gateway_stated_limits_steps.py
@@ -90,5 +90,5 @@
 
 @then("within {limit_ms:d} ms the third gateway knows a limit")
 def step_knows_limit(context, limit_ms):
-    dispatcher = context.third._dispatcher
-    assert context.testbed.wait_for(lambda: dispatcher.n_limited, limit_ms / 1_000)
+    limits = context.third._limits
+    assert context.testbed.wait_for(lambda: limits.n_limited, limit_ms / 1_000)
