--- a/damaskrill/soak/_plan.py
+++ b/damaskrill/soak/_plan.py
@@ -39,6 +39,7 @@
     BROKEN_UNFRAMED_ANSWERS = "broken_unframed_answers"
     ENDLESS_ANSWERS = "endless_answers"
     FATAL_PART = "fatal_part"
+    STATE_LIMIT = "state_limit"
 
 
 # Start of the first fault, in seconds, so that all routers are ready before it.
@@ -55,6 +56,7 @@
         FaultKind.ASK_FOR_PAUSE,
     ),
     "answers": (FaultKind.BROKEN_UNFRAMED_ANSWERS, FaultKind.ENDLESS_ANSWERS),
+    "limits": (FaultKind.STATE_LIMIT,),
 }
 # Whether a prompt part crashes servers if the caller of ``build_plan`` does not say it.
 HAS_FATAL_PART = False
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -25,6 +25,7 @@
 from damaskrill.soak._fatal_parts import check_fatal_parts, send_fatal_requests
 from damaskrill.soak._injection import FaultInjector
 from damaskrill.soak._interruptions import check_interruptions
+from damaskrill.soak._limits import check_limits
 from damaskrill.soak._plan import HAS_FATAL_PART, Fault, FaultKind, build_plan
 from damaskrill.soak._proxy import FaultyProxy
 from damaskrill.soak._routers import RouterProcesses
@@ -229,6 +230,10 @@
             violations += check_pauses(
                 record, self._exchanges, PAUSE_S, unaffected, self._routers.starts_of
             )
+        for period in self._injector.servers.limit_periods:
+            if period.server_id == record.server_id:
+                unaffected = self._unaffected_requests(period.begin)
+                violations += check_limits(period, record, set(unaffected))
         return violations
 
     def _was_store_available(self, notice_at: float) -> bool:
--- a/damaskrill/soak/_server_faults.py
+++ b/damaskrill/soak/_server_faults.py
@@ -5,6 +5,7 @@
 
 from damaskrill.fakes.platform import FakeServer, FakeStore, Misbehaviour
 from damaskrill.soak._disruptions import RECONNECT_S, Disruptions
+from damaskrill.soak._limits import LIMIT_PER_S, LimitPeriod
 from damaskrill.soak._plan import Fault, FaultKind
 from damaskrill.soak._schedule import Schedule
 from damaskrill.soak._servers import N_EVENTS, ServerFleet
@@ -33,6 +34,9 @@
 # Silences of sound servers, in milliseconds.
 MIN_SILENCE_MS = 700
 MAX_SILENCE_MS = 1_500
+# Time for which a server states a limit beyond the duration of the fault, in seconds:
+# the limit only binds after some seconds.
+MIN_LIMIT_S = 5.0
 
 
 class ServerFaults:
@@ -56,6 +60,8 @@
     notified_at, announced_at : dict of str to float
         Times at which a server announced in the store, and in its answers, that it
         leaves.
+    limit_periods : list of LimitPeriod
+        Times for which servers stated a limit.
     """
 
     def __init__(
@@ -69,6 +75,7 @@
     ) -> None:
         self.notified_at: dict[str, float] = {}
         self.announced_at: dict[str, float] = {}
+        self.limit_periods: list[LimitPeriod] = []
         self._store = store
         self._fleet = fleet
         self._disruptions = disruptions
@@ -117,6 +124,8 @@
                 self._schedule.call_later(
                     fault.duration_s, lambda: _restore_framing(server)
                 )
+            case FaultKind.STATE_LIMIT:
+                self._state_limit(fault)
             case FaultKind.FATAL_PART:
                 self._fleet.fatal_parts.add(fatal_part(fault))
             case _:
@@ -132,6 +141,18 @@
         self._disruptions.record_server(server.server_id, now, ends_at)
         self._schedule.call_later(fault.duration_s, lambda: _clear_misbehaviour(server))
 
+    def _state_limit(self, fault: Fault) -> None:
+        server = self._fleet.pick_registered(fault.target)
+        if server.rate_limit is not None:
+            return
+        duration_s = MIN_LIMIT_S + fault.duration_s
+        server.rate_limit = str(LIMIT_PER_S).encode()
+        now = time.monotonic()
+        self.limit_periods.append(
+            LimitPeriod(server_id=server.server_id, begin=now, end=now + duration_s)
+        )
+        self._schedule.call_later(duration_s, lambda: _end_limit(server))
+
     def _silence_server(self, fault: Fault) -> None:
         server = self._fleet.pick_registered(fault.target)
         if server.misbehaviour is not Misbehaviour.NONE:
@@ -170,5 +191,9 @@
         server.misbehaviour = Misbehaviour.NONE
 
 
+def _end_limit(server: FakeServer) -> None:
+    server.rate_limit = None
+
+
 def _restore_framing(server: FakeServer) -> None:
     server.is_unframed = False
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -30,6 +30,7 @@
     And a request at a server long after its leaving notice is found
     And only a router that has started since an announcement is excused
     And requests in a pause are found unless their router has started since
+    And requests beyond a stated limit are found
     And a request that planned work interrupted is found
     And a request that ended early at a silent server is found
     And a request that ended early at a misbehaving server is excused
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -22,6 +22,7 @@
 from damaskrill.soak._disruptions import Disruptions
 from damaskrill.soak._fatal_parts import check_fatal_parts
 from damaskrill.soak._interruptions import check_interruptions
+from damaskrill.soak._limits import LimitPeriod, check_limits
 from damaskrill.soak._plan import OVERLAPPING_WORK, PECULIARITIES
 from damaskrill.soak._proxy import FaultyProxy, LinkMode
 from damaskrill.soak._run import loopback_network
@@ -176,6 +177,24 @@
     assert check_pauses(record, exchanges, 4.5, unaffected, lambda router: [2.5]) == []
 
 
+@then("requests beyond a stated limit are found")
+def step_limits(context):
+    period = LimitPeriod(server_id="a", begin=0.0, end=9.0)
+    first = [(1.0, "q0")]
+    allowed = [(4.5 + n / 10, f"q{n}") for n in range(11)]
+    further = [(6.0, "q99")]
+    ids = {f"q{n}" for n in range(100)}
+
+    def find(arrivals, unaffected=ids):
+        record = ServerRecord(server_id="a", runs={}, arrivals=tuple(arrivals))
+        return [each.promise for each in check_limits(period, record, unaffected)]
+
+    assert find(first + allowed) == []
+    assert find(first + allowed + further) == ["limit"]
+    assert find(first + allowed + further, ids - {"q99"}) == []
+    assert find(first + allowed + [(3.9, "q99"), (9.1, "q99")]) == []
+
+
 @then("a request that planned work interrupted is found")
 def step_cut(context):
     record = ServerRecord(server_id="a", runs={}, arrivals=((1.2, "q9"),))
