Log the fingerprint of a request whose attempt failed

The lines of failed attempts named the request's ID only, and each attempt of a caller has a new one: that the same request had been at each server that ended could not be seen. Now they give a hash of host, path, caller's key and body, and whether an answer had begun also for requests without a prompt. Nothing decides on it yet.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -31,7 +31,8 @@
 ID_HEADER = b"damaskrill-request-id"
 # How long before its deadline the server abandons a request.
 DEADLINE_MARGIN_MS = 20
-# Time from the head of an answer to the crash that its prompt causes.
+# Time from the head of an answer to the crash that its prompt causes, and from the
+# beginning of a run to the crash that the request causes.
 CRASH_DELAY_MS = 30
 UNFRAMED_STREAMS = (
     Misbehaviour.NO_LENGTH,
@@ -99,6 +100,9 @@
     fatal_parts : set of str
         Prompt parts, other than the last of a prompt, on which it crashes shortly after
         the head of its answer.
+    fatal_requests : set of (bytes, bytes)
+        Targets and bodies of requests at which it crashes shortly after it has begun to
+        run them.
     on_crash : callable or None
         Called after such a crash.
     """
@@ -129,6 +133,7 @@
         self.silences: list[tuple[float, float, str]] = []
         self.is_unframed = False
         self.fatal_parts: set[str] = set()
+        self.fatal_requests: set[tuple[bytes, bytes]] = set()
         self.on_crash: Callable[[], None] | None = None
         self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
@@ -177,6 +182,10 @@
             connection.send_answer(503, self._refusal_headers(request_id), b"")
             return
         self.runs[request_id.decode()] += 1
+        if (request.target, request.body) in self.fatal_requests:
+            await asyncio.sleep(CRASH_DELAY_MS / 1_000)
+            self._crash()
+            return
         if self.misbehaviour is Misbehaviour.HANG:
             await asyncio.sleep(60)
         if self.misbehaviour is Misbehaviour.DEADLINE:
--- a/damaskrill/gateway/_attempt_records.py
+++ b/damaskrill/gateway/_attempt_records.py
@@ -6,7 +6,7 @@
 
 from damaskrill.catalog import BackendServer
 from damaskrill.gateway._attempt import AttemptResult
-from damaskrill.gateway._outcomes import classify_outcome, describe_prompt
+from damaskrill.gateway._outcomes import classify_outcome, describe_request
 from damaskrill.gateway._sent_request import SentRequest
 from damaskrill.steering import RequestMetadata, ServerOutcome
 
@@ -122,6 +122,6 @@
                 detail=reason,
                 load=round(dispatcher.loads.estimate(server.key, now_ms)),
                 wait_ms=0 if sent is None else round(now_ms - sent.sent_at_ms),
-                **describe_prompt(self.metadata, sent.attempt if sent else None),
+                **describe_request(self.metadata, sent.attempt if sent else None),
             )
         dispatcher.record_outcome(server, outcome)
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -20,7 +20,7 @@
 
 __all__ = [
     "classify_outcome",
-    "describe_prompt",
+    "describe_request",
     "find_refusal",
     "has_crashed",
     "shows_sound_prompt",
@@ -136,10 +136,10 @@
             return Refusal(status=504, cause=RefusalCause.TIME_LIMIT), ""
 
 
-def describe_prompt(
+def describe_request(
     metadata: RequestMetadata, attempt: Attempt | None
 ) -> dict[str, object]:
-    """Return log fields that show what failed requests with prompts have in common.
+    """Return log fields that show what failed requests have in common.
 
     Parameters
     ----------
@@ -147,18 +147,13 @@
         Metadata of the request.
     attempt : Attempt or None
         The failed attempt; None if no connection was opened.
-
-    Returns
-    -------
-    dict of str to object
-        Empty for a request without a prompt.
     """
-    if not metadata.prompt:
-        return {}
     fields: dict[str, object] = {
+        "fingerprint": f"{metadata.fingerprint:08x}",
         "has_answer": attempt is not None and attempt.has_head,
-        "prompt_parts": [part.part_id for part in metadata.prompt[:-1]],
     }
+    if metadata.prompt:
+        fields["prompt_parts"] = [part.part_id for part in metadata.prompt[:-1]]
     if attempt is not None and attempt.begun_ms is not None:
         fields["begun_ms"] = round(attempt.begun_ms)
     return fields
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -4,7 +4,12 @@
 
 from damaskrill.catalog import BackendServer, Team
 from damaskrill.http1 import AnswerHead, CallerRequest, Headers, forwarded_headers
-from damaskrill.steering import AnswerMetadata, PromptPart, RequestMetadata
+from damaskrill.steering import (
+    AnswerMetadata,
+    PromptPart,
+    RequestMetadata,
+    fingerprint_request,
+)
 
 __all__ = ["READINESS_PATH", "read_answer", "read_request", "server_headers"]
 
@@ -50,13 +55,18 @@
     headers = {name.lower(): value for name, value in reversed(request.headers)}
     usage = _read_numbers(headers.get(b"damaskrill-token-usage", b""))
     path, _, _ = request.target.partition(b"?")
-    host, _, _ = headers.get(b"host", b"").partition(b":")
+    host_name, _, _ = headers.get(b"host", b"").partition(b":")
+    host = host_name.decode("latin-1").lower()
+    key = _read_key(headers.get(b"authorization", b""))
     return RequestMetadata(
         request_id=headers.get(b"damaskrill-request-id", b"").decode("latin-1"),
-        host=host.decode("latin-1").lower(),
+        host=host,
         path=path.decode("latin-1"),
-        key=_read_key(headers.get(b"authorization", b"")),
+        key=key,
         deadline_ms=_read_number(headers.get(b"damaskrill-request-deadline", b"")),
+        fingerprint=fingerprint_request(
+            host=host, target=request.target, key=key, body=request.body
+        ),
         prompt=_read_prompt(headers.get(b"damaskrill-prompt-prefix", b"")),
         n_prompt_tokens=usage[0] if usage else 0,
         n_output_tokens=usage[1] if len(usage) > 1 else 0,
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -4,6 +4,7 @@
 from damaskrill.steering._crash_detector import NEW_LINK, BlockChanges, CrashDetector
 from damaskrill.steering._crash_reports import CrashReport, ServedReport
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
+from damaskrill.steering._fingerprint import fingerprint_request
 from damaskrill.steering._fleet_health import FleetHealth
 from damaskrill.steering._fleet_rate_limiter import FleetRateLimiter
 from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
@@ -81,6 +82,7 @@
     "caller_patience_ms",
     "cold_start_limit",
     "find_latency_cause",
+    "fingerprint_request",
     "is_region_allowed",
     "may_retry",
     "may_retry_full",
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -35,6 +35,8 @@
         Secret that identifies the caller's team.
     deadline_ms : int or None
         How long the caller waits from the request's arrival, in milliseconds.
+    fingerprint : int
+        Short hash of host, target, key and body; the same when the request comes again.
     prompt : tuple of PromptPart
         Parts of the prompt in order; the last one is the request's own.
     n_prompt_tokens, n_output_tokens : int
@@ -48,6 +50,7 @@
     path: str = ""
     key: str | None = None
     deadline_ms: int | None = None
+    fingerprint: int = 0
     prompt: tuple[PromptPart, ...] = ()
     n_prompt_tokens: int = 0
     n_output_tokens: int = 0
