--- a/features/steps/gateway_crashing_requests_steps.py
+++ b/features/steps/gateway_crashing_requests_steps.py
@@ -1,14 +1,26 @@
 """Steps for requests that crash servers, with gateways on loopback."""
 
 import asyncio
+import itertools
 import time
 
 from behave import given, then, when
 
 from damaskrill.fakes.platform import FakeServer, build_entry
-from features.steps.gateway_crashing_prompts_steps import BETWEEN_S, RESTART_S
+from features.steps.gateway_crashing_prompts_steps import (
+    BETWEEN_S,
+    LINK_S,
+    MIN_RETRY_AFTER_S,
+    RESTART_S,
+)
 from features.support.gateways import GatewayTestbed
 
+MAX_REQUESTS = 10
+REJECTED = b"crashing_request"
+TENANTS = [
+    {"name": "desk", "apiKeys": ["key-1", "key-2"], "priority": 1},
+    {"name": "field", "apiKeys": ["key-3"], "priority": 1},
+]
 SERVICES = {"app": "app", "engine": "pool"}
 
 
@@ -19,7 +31,7 @@
 def step_platform(context, n, kind, target):
     context.testbed = testbed = GatewayTestbed()
     context.add_cleanup(testbed.close)
-    testbed.configure()
+    testbed.configure(tenants=TENANTS)
     context.crashed = []
     context.target, context.body = target, b""
     if not target.startswith("/read"):
@@ -70,3 +82,64 @@
     failed = [each for each in lines if each["event"] == "attempt_failed"]
     assert len(failed) > 1, failed
     assert len({each["fingerprint"] for each in failed}) == 1, failed
+
+
+@when("the request arrives at the gateways in turn until one rejects it")
+def step_until_rejected(context):
+    send_until_rejected(context, BETWEEN_S)
+
+
+@when(
+    "the request arrives at the gateways in turn, {ms:d} ms apart, until one rejects it"
+)
+def step_quickly_until_rejected(context, ms):
+    send_until_rejected(context, ms / 1_000)
+
+
+def send_until_rejected(context, between_s):
+    gateways = itertools.cycle(context.testbed.gateways)
+    for gateway in itertools.islice(gateways, MAX_REQUESTS):
+        if REJECTED in send_bad(context, gateway).body:
+            return
+        time.sleep(between_s)
+    raise AssertionError(f"never rejected, {len(context.crashed)} servers crashed")
+
+
+@then("{least:d} to {most:d} servers have crashed")
+def step_n_crashed(context, least, most):
+    assert least <= len(context.crashed) <= most, context.crashed
+
+
+@then("all gateways reject the request as not run, without a server")
+def step_all_reject(context):
+    time.sleep(LINK_S)
+    n_crashed = len(context.crashed)
+    context.keys = itertools.cycle(("key-1", "key-2"))
+    for gateway in context.testbed.gateways:
+        # Both keys are of the team that has sent the request.
+        reply = send_bad(context, gateway, key=next(context.keys))
+        assert reply.status == 503 and REJECTED in reply.body, reply
+        assert float(reply.headers["retry-after"]) >= MIN_RETRY_AFTER_S, reply
+        assert context.testbed.runs_of(reply.request_id) == 0
+    assert len(context.crashed) == n_crashed, context.crashed
+
+
+@then("all gateways serve the same path with another body, and by another team")
+def step_others_served(context):
+    for gateway in context.testbed.gateways:
+        for changes in ({"body": b"other"}, {"key": "key-3"}):
+            # The fake servers do not tell callers apart.
+            for server in context.testbed.servers.values():
+                server.fatal_requests = set()
+            reply = send_bad(context, gateway, **changes)
+            assert reply.status == 200 and reply.is_complete, reply
+
+
+@then("the metrics and the log of a gateway name the blocked request")
+def step_told(context):
+    lines = context.testbed.logs[0].lines
+    failed = [each for each in lines if each["event"] == "attempt_failed"]
+    (line,) = (each for each in lines if each["event"] == "request_blocked")
+    assert line["fingerprint"] == failed[0]["fingerprint"], line
+    metrics = context.testbed.gateways[0]._metrics.render({}).decode()
+    assert "damaskrill_gateway_requests_blocked_total 1" in metrics
