Reserve no other server for a request that may not be sent to one

A stream at a silent server, with a prompt part under which servers have crashed meanwhile, reserved another server and a retry of the budget, was not let through to it, went on at the silent one and reserved again, some ten times a second, until the budget of the service was used up: retries of other callers' requests were then refused. Found by reading.

The hand-over asks the guard first. The scenario failed before (retries without end in the budget within two seconds, none allowed) and passes now, with those of hand-over, silent servers and crashing requests.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -341,6 +341,8 @@
 
     def _reserve_server(self) -> bool:
         dispatcher, requirements = self._dispatcher, self._context.requirements
+        if self._guard.is_blocked(dispatcher.now_ms):
+            return False
         # The selection counts a request for the prompt, so it comes second.
         if not dispatcher.can_acquire_retry(requirements.service):
             return False
--- a/damaskrill/steering/_crash_guard.py
+++ b/damaskrill/steering/_crash_guard.py
@@ -68,6 +68,16 @@
         """Whether the request probably crashed the server that it was sent to."""
         return self._is_suspected
 
+    def is_blocked(self, now_ms: float) -> bool:
+        """Return whether the request, or a part of its prompt, is blocked.
+
+        Notes
+        -----
+        Unlike `find_rejection` it begins no trial, for which a request that a server
+        is still running is not suited.
+        """
+        return bool(self._detector.find_blocked(self._suspects, now_ms))
+
     def find_rejection(self, now_ms: float) -> Rejection | None:
         """Return why the request must not be sent; None if it may be.
 
--- a/features/gateway_silent_servers.feature
+++ b/features/gateway_silent_servers.feature
@@ -108,3 +108,10 @@
     When a caller sends a check with that prompt
     Then the status is 200 and the body holds events 1 to 5 once each
     And the silent engine's run was dropped within 400 ms of the other's start
+
+  Scenario: a stream that may not be sent to another server takes no retry of the budget
+    Given the first engine of a prompt is silent for 2000 ms after 2 events
+    And servers crash under a part of that prompt meanwhile
+    When a caller sends a check with that prompt
+    Then the status is 200 and the body holds events 1 to 5 once each
+    And no retry was taken from the budget
--- a/features/steps/gateway_silent_servers_steps.py
+++ b/features/steps/gateway_silent_servers_steps.py
@@ -7,7 +7,13 @@
 
 from damaskrill.fakes.platform import Misbehaviour
 from damaskrill.fakes.platform import build_configuration as build_content
-from damaskrill.steering import FleetRetryBudget, caller_patience_ms, silence_limit_ms
+from damaskrill.steering import (
+    FleetRetryBudget,
+    caller_patience_ms,
+    short_id,
+    silence_limit_ms,
+)
+from damaskrill.utils import monotonic_now_ms
 from features.support.builders import build_stream_route
 from features.support.gateways import PROMPT, Caller, build_request
 
@@ -200,3 +206,27 @@
     (started_at,) = (at for at, each in context.other.arrivals if each == request_id)
     (dropped_at,) = (at for at, each in context.first.drops if each == request_id)
     assert dropped_at - started_at <= limit_ms / 1_000, (started_at, dropped_at)
+
+
+@given("servers crash under a part of that prompt meanwhile")
+def step_part_crashes(context):
+    gateway = context.testbed.gateways[0]
+    # The last shared part of the prompt.
+    parts = [short_id(PROMPT[1].split(",")[-2].partition(":")[0])]
+
+    def crash():
+        now_ms = monotonic_now_ms()
+        for number in range(3):
+            key = (f"e-crashed-{number}", 0)
+            gateway._crashes.record_crash(key, parts, now_ms - 5_000 + 200 * number)
+        # They had been served until then.
+        for part in parts:
+            gateway._crashes._served._served.pop(part, None)
+
+    context.change_meanwhile = crash
+
+
+@then("no retry was taken from the budget")
+def step_no_retry(context):
+    dispatcher = context.testbed.gateways[0]._dispatcher
+    assert not dispatcher.budget._retries.get("pool"), dispatcher.budget._retries
