Let only answers of the server itself refute that it has crashed

Two things were taken as a sign of life: an answer 421, which another server at the address sends, and a connection that something in front of a dead server closes. The latter also counted as a crash under whatever request it met. Now only an answer of the selected server refutes, and a break long after the crash of its server counts for nothing.

The scenario of dead servers failed before (nothing blocked). The two features of crashing requests and prompts pass.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -248,6 +248,15 @@
         """Whether status and headers have been received."""
         return self._head is not None
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the selected server itself has begun to answer this request."""
+        return (
+            self.has_head
+            and not self._metadata.is_other_server
+            and not self._is_foreign
+        )
+
     @property
     def is_success(self) -> bool:
         """Whether the head of a successful answer to this request was received."""
--- a/damaskrill/gateway/_crash_blocking.py
+++ b/damaskrill/gateway/_crash_blocking.py
@@ -81,7 +81,7 @@
         attempt, key, now_ms = sent.attempt, sent.server.key, monotonic_now_ms()
         waited_ms = now_ms - sent.sent_at_ms
         has_begun = has_crashed(result, attempt)
-        if attempt.has_head and self._detector.record_answer(key, sent.sent_at_ms):
+        if attempt.is_answered and self._detector.record_answer(key, sent.sent_at_ms):
             self._publish()
         if has_begun or may_have_crashed(result, attempt, waited_ms=waited_ms):
             guard.record_crash(key, now_ms, waited_ms=waited_ms, has_begun=has_begun)
--- a/damaskrill/steering/_crash_detector.py
+++ b/damaskrill/steering/_crash_detector.py
@@ -323,12 +323,9 @@
     ) -> None:
         self._remember(report)
         self._log.add(_Timed(report, at_ms), source=source)
-        crash = self._crashes.get(report.server)
-        sent_ms = at_ms - report.waited_ms
-        if crash is not None and refutes_crash(crash.sent_ms, at_ms=at_ms):
+        crash = self._crashes.setdefault(report.server, ServerCrash(at_ms))
+        if not crash.includes(report, at_ms):
             return
-        if crash is None or refutes_crash(sent_ms, at_ms=crash.at_ms):
-            crash = self._crashes[report.server] = ServerCrash(at_ms)
         crash.add(report, at_ms)
         if len(self._crashes) > MAX_CRASHES:
             self._evict(now_ms)
@@ -338,11 +335,9 @@
 
     def _add_served(self, report: ServedReport, at_ms: float, source: str) -> bool:
         self._remember(report)
-        if report.part in self._crashes:
-            is_refuted = self._remove_refuted(report.part, at_ms)
-            if is_refuted:
-                self._log.add(_Timed(report, at_ms), source=source)
-            return is_refuted
+        if self._remove_refuted(report.part, at_ms):
+            self._log.add(_Timed(report, at_ms), source=source)
+            return True
         told_ms = self._served.told_ms(report.part)
         self._served.record(report.part, at_ms, is_told=True)
         self._evaluated_ms = NEVER_MS
@@ -372,7 +367,7 @@
         crash = self._crashes.get(report.server)
         if crash is None or at_ms >= crash.at_ms:
             return
-        if not refutes_crash(crash.sent_ms, at_ms=at_ms):
+        if crash.includes(report, at_ms):
             crash.at_ms = at_ms
             self._evaluated_ms = NEVER_MS
 
--- a/damaskrill/steering/_crash_reports.py
+++ b/damaskrill/steering/_crash_reports.py
@@ -20,7 +20,7 @@
 # Answers that begin at one server within some hundred milliseconds, and as many
 # requests without an answer.
 MAX_REPORTS_PER_CRASH = 64
-# A server that handles a request that was sent so much later than it seemed to crash
+# A server that answers a request that was sent so much later than it seemed to crash
 # had not crashed. Routers notice the end of a connection late.
 ALIVE_AFTER_MS = 500
 # Fingerprint in a report that is only about prompt parts.
@@ -122,6 +122,20 @@
             self.reports.append(report)
             self.suspects.update(report.suspects)
 
+    def includes(self, report: CrashReport, at_ms: float) -> bool:
+        """Return whether a report is of this crash, given its local time.
+
+        Notes
+        -----
+        It is not if its request was sent long after the crash, or one of this crash
+        long after the report: something in front of a dead server may close all
+        connections to it.
+        """
+        return not (
+            refutes_crash(at_ms - report.waited_ms, at_ms=self.at_ms)
+            or refutes_crash(self.sent_ms, at_ms=at_ms)
+        )
+
     def last_sent_ms(self, suspect: int) -> float:
         """Return when the last request with a suspect was sent, in milliseconds."""
         return max(
@@ -132,7 +146,7 @@
 
 
 def refutes_crash(sent_ms: float, *, at_ms: float) -> bool:
-    """Return whether a server cannot have crashed, as it handled a later request.
+    """Return whether a server cannot have crashed, if it answered a later request.
 
     Parameters
     ----------
--- a/features/gateway_crashing_requests.feature
+++ b/features/gateway_crashing_requests.feature
@@ -75,3 +75,20 @@
       | n  |
       | 7  |
       | 77 |
+
+  Scenario: what dead servers still break off counts against no request
+    Given a router that has seen no crash
+    When three servers crash under a request, and break off others for 3 s afterwards
+    Then it blocks only that request
+
+  Scenario Outline: only an answer of the selected server shows that it lives
+    When an attempt receives an answer with status <status> <sender>
+    Then the server has answered: <is_answered>
+
+    Examples:
+      | status | sender                     | is_answered |
+      | 200    | from the selected server   | yes         |
+      | 500    | from the selected server   | yes         |
+      | 503    | from the selected server   | yes         |
+      | 421    | from another server        | no          |
+      | 200    | to another request         | no          |
--- a/features/steps/crashing_fleet_steps.py
+++ b/features/steps/crashing_fleet_steps.py
@@ -413,3 +413,22 @@
         for detector in fleet.detectors:
             detector.take_changes(fleet.now_ms)
             assert not detector._blocked, detector._blocked
+
+
+@when("three servers crash under a request, and break off others for 3 s afterwards")
+def step_dead_servers(context):
+    record = context.detector.record_crash
+    keys = [(f"e-{number}", 0) for number in range(3)]
+    for number, key in enumerate(keys):
+        at_ms = 1_000.0 + 60 * number
+        record(key, (), at_ms, request=BAD_REQUEST, waited_ms=40)
+    for at_ms in range(1_700, 4_700, 50):
+        for key in keys:
+            record(key, (), float(at_ms), request=1_001, waited_ms=2)
+    context.now_ms = 4_700.0
+
+
+@then("it blocks only that request")
+def step_blocks_only_request(context):
+    changes = context.detector.take_changes(context.now_ms)
+    assert changes.blocked == changes.requests == {BAD_REQUEST}, changes
--- a/features/steps/gateway_held_attempts_steps.py
+++ b/features/steps/gateway_held_attempts_steps.py
@@ -86,3 +86,29 @@
     assert context.is_refused
     assert isinstance(attempt.done.result(), BadAnswer), attempt.done
     assert not attempt.accepted.done() and not attempt.revived.done()
+
+
+@when("an attempt receives an answer with status {status:d} {sender}")
+def step_answer_from(context, status, sender):
+    metadata = AnswerMetadata(
+        request_id="r-2" if sender == "to another request" else REQUEST_ID,
+        is_sealed=True,
+        is_other_server=sender == "from another server",
+        is_not_run=status in (421, 503),
+    )
+
+    async def run():
+        attempt = hold_attempt(metadata)
+        try:
+            attempt.handle_head(AnswerHead(status=status, headers=()))
+        except InvalidAnswerError:
+            # The body of such an answer is of no use.
+            pass
+        context.attempt = attempt
+
+    asyncio.run(run())
+
+
+@then("the server has answered: {is_answered}")
+def step_is_answered(context, is_answered):
+    assert context.attempt.is_answered == (is_answered == "yes")
