--- a/damaskrill/cli/_soak.py
+++ b/damaskrill/cli/_soak.py
@@ -21,6 +21,7 @@
     routers: str = "3",
     seconds: str = "12",
     fatal_part: bool = False,
+    fatal_request: bool = False,
     json: bool = False,
 ) -> int:
     """Inject seeded faults into real router processes and check the guarantees.
@@ -38,6 +39,9 @@
     fatal_part : bool, default=False
         Whether a prompt part crashes each server that begins to answer it; with less
         than about 24 seconds there is little time for its checks after the crashes.
+    fatal_request : bool, default=False
+        Whether a request that comes again crashes each server that begins to run it;
+        not together with a fatal part.
     json : bool, default=False
         Whether to print one JSON object per seed.
 
@@ -55,8 +59,14 @@
     if not 1 <= n_routers <= MAX_ROUTERS:
         raise UsageError(reason=f"routers must be between 1 and {MAX_ROUTERS}")
     options: dict[str, Any] = {"n_routers": n_routers, "duration_s": duration_s}
-    if fatal_part:
-        options["has_fatal_part"] = True
+    if fatal_part and fatal_request:
+        raise UsageError(reason="fatal-part and fatal-request exclude each other")
+    if fatal_part or fatal_request:
+        from damaskrill.soak import FaultKind
+
+        options["fatal_kind"] = (
+            FaultKind.FATAL_PART if fatal_part else FaultKind.FATAL_REQUEST
+        )
     return _run_seeds(range(first, first + n_seeds), as_json=json, **options)
 
 
--- a/damaskrill/soak/_callers.py
+++ b/damaskrill/soak/_callers.py
@@ -43,8 +43,8 @@
         Whether the answer was received completely.
     prompt : str
         Prompt parts; empty for a request without a stream.
-    has_fatal_part : bool
-        Whether servers crash at one of them.
+    is_fatal : bool
+        Whether servers crash at it.
     """
 
     request_id: str
@@ -57,7 +57,7 @@
     body: bytes = b""
     is_complete: bool = False
     prompt: str = ""
-    has_fatal_part: bool = False
+    is_fatal: bool = False
 
 
 async def send_requests_forever(
--- a/damaskrill/soak/_fatal_requests.py
+++ b/damaskrill/soak/_fatal_requests.py
@@ -1,20 +1,29 @@
-"""Requests with a prompt part at which servers crash, and the check of their number."""
+"""Requests at which servers crash, and the check of their number."""
 
 import asyncio
 from collections.abc import Sequence
 from random import Random
 
+from attrs import frozen
+
 from damaskrill.soak._callers import Exchange, send_request_once
 from damaskrill.soak._checks import ServerRecord, Violation
 from damaskrill.soak._disruptions import Disruptions
 
-__all__ = ["check_fatal_parts", "send_fatal_requests"]
+__all__ = [
+    "FATAL_PATH",
+    "FatalInput",
+    "FatalPart",
+    "FatalRequest",
+    "check_fatal_requests",
+    "send_fatal_requests",
+]
 
 MEAN_INTERVAL_S = 0.15
 STREAM_PATHS = ("/chat/1", "/check/1")
+PLAIN_PATHS = ("/issue/1", "/read/1")
+FATAL_PATH = "/read/fatal"
 STATUS_OK = 200
-# Crashes after which the routers must recognize the part.
-N_CRASHES = 5
 # Time after the last of them from which servers must get no more than a few requests
 # with the part, and from which sound requests must be served again, in seconds.
 MAX_RECOGNITION_S = 4.0
@@ -25,23 +34,44 @@
 MIN_SOUND_FRACTION = 0.5
 
 
+@frozen(kw_only=True)
+class FatalPart:
+    """Prompt part at which servers crash; its requests all differ.
+
+    Parameters
+    ----------
+    part_id : str
+        ID of the part.
+    """
+
+    part_id: str
+
+
+@frozen(kw_only=True)
+class FatalRequest:
+    """Request at which servers crash, and which comes again with other IDs."""
+
+
+FatalInput = FatalPart | FatalRequest
+
+
 async def send_fatal_requests(
     addresses: list[tuple[str, int]],
     *,
-    part: str,
+    fatal: FatalInput,
     keys: list[str],
     exchanges: list[Exchange],
     name: str,
     random: Random,
 ) -> None:
-    """Send requests with a fatal part to any router until cancelled.
+    """Send fatal requests to any router until cancelled.
 
     Parameters
     ----------
     addresses : list of (str, int)
         Addresses of the routers for callers.
-    part : str
-        ID of the fatal part.
+    fatal : FatalInput
+        What the servers crash at.
     keys : list of str
         API keys to choose from.
     exchanges : list of Exchange
@@ -59,11 +89,11 @@
             router = random.randrange(len(addresses))
             exchange = Exchange(
                 request_id=f"{name}-{number}",
-                path=random.choice(STREAM_PATHS),
+                path=_choose_path(fatal, random),
                 key=random.choice(keys),
                 router=router,
-                prompt=f"base:10,part-{random.randrange(20)}:10,{part}:30,own-{number}:5",
-                has_fatal_part=True,
+                prompt=_build_prompt(fatal, number, random),
+                is_fatal=True,
             )
             exchanges.append(exchange)
             task = asyncio.create_task(send_request_once(addresses[router], exchange))
@@ -75,7 +105,41 @@
             each.cancel()
 
 
-def check_fatal_parts(
+def _choose_path(fatal: FatalInput, random: Random) -> str:
+    match fatal:
+        case FatalPart():
+            return random.choice(STREAM_PATHS)
+        case FatalRequest():
+            return FATAL_PATH
+
+
+def _build_prompt(fatal: FatalInput, number: int, random: Random) -> str:
+    match fatal:
+        case FatalPart(part_id=part):
+            other = f"part-{random.randrange(20)}"
+            return f"base:10,{other}:10,{part}:30,own-{number}:5"
+        case FatalRequest():
+            return ""
+
+
+def _n_crashes_until_known(fatal: FatalInput) -> int:
+    match fatal:
+        case FatalPart():
+            return 5
+        case FatalRequest():
+            return 3
+
+
+def _find_sound_paths(fatal: FatalInput) -> tuple[str, ...]:
+    match fatal:
+        case FatalPart():
+            return STREAM_PATHS
+        case FatalRequest():
+            return PLAIN_PATHS
+
+
+def check_fatal_requests(
+    fatal_input: FatalInput,
     exchanges: Sequence[Exchange],
     servers: Sequence[ServerRecord],
     crashes: Sequence[float],
@@ -85,26 +149,30 @@
 
     Parameters
     ----------
+    fatal_input : FatalInput
+        What the servers crashed at.
     exchanges : sequence of Exchange
         All requests.
     servers : sequence of ServerRecord
         Records of all servers.
     crashes : sequence of float
-        Times at which the part crashed a server, on the monotonic clock in seconds.
+        Times at which it crashed a server, on the monotonic clock in seconds.
     disruptions : Disruptions
         Times of faults; requests at a router that was killed or paused do not count.
 
     Returns
     -------
     list of Violation
-        ``fatal_part`` if too many requests with the part reached servers after enough
-        crashes, ``sound_requests`` if less than half as many sound streams were then
-        served as before the first crash.
+        ``fatal_request`` if too many fatal requests reached servers after enough
+        crashes, ``sound_requests`` if less than half as many sound ones of the same
+        service were then served as before the first crash.
     """
-    if len(crashes) < N_CRASHES:
+    n_crashes = _n_crashes_until_known(fatal_input)
+    if len(crashes) < n_crashes:
         return []
-    recognized_at = sorted(crashes)[N_CRASHES - 1] + MAX_RECOGNITION_S
-    fatal = {each.request_id: each for each in exchanges if each.has_fatal_part}
+    known_at = sorted(crashes)[n_crashes - 1]
+    recognized_at = known_at + MAX_RECOGNITION_S
+    fatal = {each.request_id: each for each in exchanges if each.is_fatal}
     late = [
         at
         for server in servers
@@ -116,25 +184,36 @@
     violations = []
     if len(late) > MAX_LATE_REQUESTS:
         detail = f"{len(late)} requests later than {MAX_RECOGNITION_S:.0f} s"
-        violations.append(Violation(promise="fatal_part", request_id="", detail=detail))
-    return violations + _check_sound(exchanges, crashes, disruptions)
+        violations.append(
+            Violation(promise="fatal_request", request_id="", detail=detail)
+        )
+    paths = _find_sound_paths(fatal_input)
+    sound = [each for each in exchanges if each.path in paths and not each.is_fatal]
+    last_at = max((each.sent_at for each in fatal.values()), default=0.0)
+    return violations + _check_sound(
+        sound,
+        before_s=min(crashes),
+        after_s=(known_at + MAX_RECOVERY_S, last_at),
+        disruptions=disruptions,
+    )
 
 
 def _check_sound(
-    exchanges: Sequence[Exchange], crashes: Sequence[float], disruptions: Disruptions
+    exchanges: Sequence[Exchange],
+    *,
+    before_s: float,
+    after_s: tuple[float, float],
+    disruptions: Disruptions,
 ) -> list[Violation]:
-    recovered_at = sorted(crashes)[N_CRASHES - 1] + MAX_RECOVERY_S
-    last_at = max((e.sent_at for e in exchanges if e.has_fatal_part), default=0.0)
     sound = [
         each
         for each in exchanges
-        if each.path in STREAM_PATHS
-        and not each.has_fatal_part
-        and each.ended_at
+        if each.ended_at
         and not disruptions.hit_router(each.router, each.sent_at, each.ended_at)
     ]
-    before = [each for each in sound if each.ended_at < min(crashes)]
-    after = [each for each in sound if recovered_at < each.sent_at < last_at]
+    begin, end = after_s
+    before = [each for each in sound if each.ended_at < before_s]
+    after = [each for each in sound if begin < each.sent_at < end]
     if min(len(before), len(after)) < MIN_COMPARED:
         return []
     if _served(after) >= MIN_SOUND_FRACTION * _served(before):
--- a/damaskrill/soak/_plan.py
+++ b/damaskrill/soak/_plan.py
@@ -40,6 +40,7 @@
     ENDLESS_ANSWERS = "endless_answers"
     FATAL_PART = "fatal_part"
     STATE_LIMIT = "state_limit"
+    FATAL_REQUEST = "fatal_request"
 
 
 # Start of the first fault, in seconds, so that all routers are ready before it.
@@ -58,10 +59,10 @@
     "answers": (FaultKind.BROKEN_UNFRAMED_ANSWERS, FaultKind.ENDLESS_ANSWERS),
     "limits": (FaultKind.STATE_LIMIT,),
 }
-# Whether a prompt part crashes servers if the caller of ``build_plan`` does not say it.
-HAS_FATAL_PART = False
+# Faults of which a plan has at most one, and only if the caller says so.
+FATAL_KINDS = (FaultKind.FATAL_PART, FaultKind.FATAL_REQUEST)
 # Latest start of that fault after the first one, in seconds.
-MAX_FATAL_PART_DELAY_S = 1.0
+MAX_FATAL_DELAY_S = 1.0
 MEAN_SEPARATE_INTERVAL_S = 5.0
 # Peculiarities of sound servers, which excuse nothing; planned work overlaps with them.
 PECULIARITIES = (FaultKind.SILENT_SERVER, FaultKind.UNFRAMED_ANSWERS)
@@ -106,7 +107,7 @@
 
 
 def build_plan(
-    seed: int, duration_s: float, *, has_fatal_part: bool = HAS_FATAL_PART
+    seed: int, duration_s: float, *, fatal_kind: FaultKind | None = None
 ) -> list[Fault]:
     """Return the plan of a seed, ordered by start.
 
@@ -116,13 +117,13 @@
         Seed of all choices.
     duration_s : float
         Time for which requests are sent, in seconds.
-    has_fatal_part : bool
-        Whether a prompt part crashes servers, from near the start to the end.
+    fatal_kind : FaultKind or None, default=None
+        What crashes servers, from near the start to the end.
     """
     random = Random(seed)
     plan = []
     separate = {kind for kinds in SEPARATELY_DRAWN_KINDS.values() for kind in kinds}
-    separate |= {*PECULIARITIES, FaultKind.MOVE_ROUTES, FaultKind.FATAL_PART}
+    separate |= {*PECULIARITIES, FaultKind.MOVE_ROUTES, *FATAL_KINDS}
     at_s = FIRST_FAULT_AT_S
     while at_s < duration_s - 1:
         kind = random.choice([each for each in FaultKind if each not in separate])
@@ -142,8 +143,9 @@
     for name, kinds in SEPARATELY_DRAWN_KINDS.items():
         plan += _build_separate_faults(Random(f"{seed}-{name}"), kinds, duration_s)
     plan += _build_peculiarities(Random(f"{seed}-peculiarities"), duration_s)
-    if has_fatal_part:
-        plan.append(_build_fatal_part(Random(f"{seed}-fatal-part"), duration_s))
+    if fatal_kind is not None:
+        random = Random(f"{seed}-fatal-part")
+        plan.append(_build_fatal_fault(fatal_kind, random, duration_s))
     plan += _build_power_loss(Random(f"{seed}-power"), duration_s)
     return sorted(plan, key=lambda fault: fault.at_s)
 
@@ -188,11 +190,11 @@
     ]
 
 
-def _build_fatal_part(random: Random, duration_s: float) -> Fault:
-    at_s = FIRST_FAULT_AT_S + random.uniform(0, MAX_FATAL_PART_DELAY_S)
+def _build_fatal_fault(kind: FaultKind, random: Random, duration_s: float) -> Fault:
+    at_s = FIRST_FAULT_AT_S + random.uniform(0, MAX_FATAL_DELAY_S)
     return Fault(
         at_s=at_s,
-        kind=FaultKind.FATAL_PART,
+        kind=kind,
         target=random.randrange(1_000),
         duration_s=max(0.0, duration_s - at_s),
     )
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -22,15 +22,19 @@
     was_sent_after_restart,
 )
 from damaskrill.soak._disruptions import RECONNECT_S, Disruptions
-from damaskrill.soak._fatal_parts import check_fatal_parts, send_fatal_requests
+from damaskrill.soak._fatal_requests import (
+    FatalInput,
+    check_fatal_requests,
+    send_fatal_requests,
+)
 from damaskrill.soak._injection import FaultInjector
 from damaskrill.soak._interruptions import check_interruptions
 from damaskrill.soak._limits import check_limits
-from damaskrill.soak._plan import HAS_FATAL_PART, Fault, FaultKind, build_plan
+from damaskrill.soak._plan import Fault, FaultKind, build_plan
 from damaskrill.soak._proxy import FaultyProxy
 from damaskrill.soak._routers import RouterProcesses
 from damaskrill.soak._schedule import Schedule
-from damaskrill.soak._server_faults import PAUSE_S, fatal_part
+from damaskrill.soak._server_faults import PAUSE_S, find_fatal_input
 from damaskrill.soak._servers import N_EVENTS, ServerFleet
 
 __all__ = ["SoakResult", "run_soak"]
@@ -51,7 +55,7 @@
     seed : int
         Seed of the run.
     n_requests, n_served, n_faults : int
-        Requests without a fatal part, those answered with success, and faults.
+        Requests at which no server crashes, those answered with success, and faults.
     breaches : list of Violation
         Violated guarantees.
     folder : str
@@ -72,14 +76,20 @@
 
 class _SoakRun:
     def __init__(
-        self, *, seed: int, n_routers: int, duration_s: float, has_fatal_part: bool
+        self,
+        *,
+        seed: int,
+        n_routers: int,
+        duration_s: float,
+        fatal_kind: FaultKind | None,
     ) -> None:
         from twisted.internet import reactor
 
         self._reactor = reactor
         self._seed = seed
         self._duration_s = duration_s
-        self._has_fatal_part = has_fatal_part
+        self._fatal_kind = fatal_kind
+        self._fatal: FatalInput | None = None
         self._disruptions = Disruptions()
         self._schedule = Schedule()
         self._callers: list[asyncio.Task[None]] = []
@@ -139,9 +149,7 @@
             )
             for number in range(2 * self._n_routers)
         ]
-        plan = build_plan(
-            self._seed, self._duration_s, has_fatal_part=self._has_fatal_part
-        )
+        plan = build_plan(self._seed, self._duration_s, fatal_kind=self._fatal_kind)
         started_at = time.monotonic()
         while time.monotonic() - started_at < self._duration_s:
             self._routers.supervise()
@@ -155,10 +163,12 @@
 
     def _inject(self, fault: Fault) -> None:
         self._injector.inject(fault)
-        if fault.kind is FaultKind.FATAL_PART:
+        fatal = find_fatal_input(fault)
+        if fatal is not None:
+            self._fatal = fatal
             sending = send_fatal_requests(
                 self._routers.addresses,
-                part=fatal_part(fault),
+                fatal=fatal,
                 keys=self._keys,
                 exchanges=self._exchanges,
                 name=f"s{self._seed}-fatal",
@@ -182,10 +192,15 @@
             self._exchanges, records, self._injector.fault_windows
         )
         breaches += check_interruptions(self._exchanges, records, self._disruptions)
-        breaches += check_fatal_parts(
-            self._exchanges, records, self._fleet.crashes, self._disruptions
-        )
-        sound = [each for each in self._exchanges if not each.has_fatal_part]
+        if self._fatal is not None:
+            breaches += check_fatal_requests(
+                self._fatal,
+                self._exchanges,
+                records,
+                self._fleet.crashes,
+                self._disruptions,
+            )
+        sound = [each for each in self._exchanges if not each.is_fatal]
         n_served = sum(e.status == 200 and e.is_complete for e in sound)
         if n_served < MIN_SERVED_FRACTION * len(sound):
             detail = f"{n_served} of {len(sound)}"
@@ -253,7 +268,7 @@
     seed: int,
     n_routers: int,
     duration_s: float,
-    has_fatal_part: bool = HAS_FATAL_PART,
+    fatal_kind: FaultKind | None = None,
 ) -> SoakResult:
     """Run the soak test with one seed.
 
@@ -265,8 +280,8 @@
         Number of router processes.
     duration_s : float
         Time for which requests are sent, in seconds.
-    has_fatal_part : bool
-        Whether a prompt part crashes servers.
+    fatal_kind : FaultKind or None, default=None
+        What crashes servers: a prompt part, a request, or nothing.
 
     Returns
     -------
@@ -277,7 +292,7 @@
         seed=seed,
         n_routers=n_routers,
         duration_s=duration_s,
-        has_fatal_part=has_fatal_part,
+        fatal_kind=fatal_kind,
     ).run()
 
 
--- a/damaskrill/soak/_server_faults.py
+++ b/damaskrill/soak/_server_faults.py
@@ -5,12 +5,18 @@
 
 from damaskrill.fakes.platform import FakeServer, FakeStore, Misbehaviour
 from damaskrill.soak._disruptions import RECONNECT_S, Disruptions
+from damaskrill.soak._fatal_requests import (
+    FATAL_PATH,
+    FatalInput,
+    FatalPart,
+    FatalRequest,
+)
 from damaskrill.soak._limits import LIMIT_PER_S, LimitPeriod
 from damaskrill.soak._plan import Fault, FaultKind
 from damaskrill.soak._schedule import Schedule
 from damaskrill.soak._servers import N_EVENTS, ServerFleet
 
-__all__ = ["PAUSE_S", "ServerFaults", "fatal_part"]
+__all__ = ["PAUSE_S", "ServerFaults", "find_fatal_input"]
 
 # Pause that servers ask for, in seconds.
 PAUSE_S = 1.5
@@ -127,7 +133,9 @@
             case FaultKind.STATE_LIMIT:
                 self._state_limit(fault)
             case FaultKind.FATAL_PART:
-                self._fleet.fatal_parts.add(fatal_part(fault))
+                self._fleet.fatal_parts.add(_fatal_part_id(fault))
+            case FaultKind.FATAL_REQUEST:
+                self._fleet.fatal_requests.add((FATAL_PATH.encode(), b""))
             case _:
                 return False
         return True
@@ -176,8 +184,18 @@
             self.notified_at[server.server_id] = time.monotonic()
 
 
-def fatal_part(fault: Fault) -> str:
-    """Return the ID of the prompt part at which servers crash."""
+def find_fatal_input(fault: Fault) -> FatalInput | None:
+    """Return what servers crash at, if it is a fault of this kind."""
+    match fault.kind:
+        case FaultKind.FATAL_PART:
+            return FatalPart(part_id=_fatal_part_id(fault))
+        case FaultKind.FATAL_REQUEST:
+            return FatalRequest()
+        case _:
+            return None
+
+
+def _fatal_part_id(fault: Fault) -> str:
     return f"{FATAL_PART_IDS + fault.target:x}"
 
 
--- a/damaskrill/soak/_servers.py
+++ b/damaskrill/soak/_servers.py
@@ -48,6 +48,8 @@
         Entries of the registered servers that are not leaving, by ID.
     fatal_parts : set of str
         Prompt parts at which all servers crash.
+    fatal_requests : set of (bytes, bytes)
+        Targets and bodies of requests at which all servers crash.
     crashes : list of float
         Times of these crashes, on the monotonic clock in seconds.
     """
@@ -65,6 +67,7 @@
         self.entries: dict[str, dict[str, Any]] = {}
         self._reactor = reactor
         self.fatal_parts: set[str] = set()
+        self.fatal_requests: set[tuple[bytes, bytes]] = set()
         self.crashes: list[float] = []
         self._store = store
         self._disruptions = disruptions
@@ -149,6 +152,7 @@
             work_ms=WORK_MS,
         )
         server.fatal_parts = self.fatal_parts
+        server.fatal_requests = self.fatal_requests
         server.on_crash = lambda: self._handle_crash(server)
         return server
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -22,6 +22,11 @@
       | 5    | 12 | in full            |
       | 1    | 24 | with a fatal part  |
 
+  Scenario: no guarantee is violated while a request crashes each server that runs it
+    When the soak runs seed 2 with 3 routers for 16 seconds with a fatal request
+    Then no guarantee is violated
+    And faults were injected and requests served
+
   Scenario: the checks find each kind of violation
     Then an action that ran twice is found
     And a refusal of an action that has run is found
@@ -35,7 +40,7 @@
     And a request that ended early at a silent server is found
     And a request that ended early at a misbehaving server is excused
     And a request whose server outlasts a router's grace period is excused
-    And too many requests with a fatal part are found
+    And too many fatal requests are found
     And sound requests that are not served after such crashes are found
 
   Scenario: a link that has lost bytes delivers nothing later
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -20,13 +20,19 @@
     was_sent_after_restart,
 )
 from damaskrill.soak._disruptions import Disruptions
-from damaskrill.soak._fatal_parts import check_fatal_parts
+from damaskrill.soak._fatal_requests import (
+    FatalPart,
+    FatalRequest,
+    check_fatal_requests,
+)
 from damaskrill.soak._interruptions import check_interruptions
 from damaskrill.soak._limits import LimitPeriod, check_limits
 from damaskrill.soak._plan import OVERLAPPING_WORK, PECULIARITIES
 from damaskrill.soak._proxy import FaultyProxy, LinkMode
 from damaskrill.soak._run import loopback_network
 
+# What crashes servers in the plans that are built.
+KINDS = (FaultKind.FATAL_PART, FaultKind.FATAL_REQUEST)
 ROOT = Path(__file__).resolve().parents[2]
 TIMEOUT_S = 120
 # Time in which a link delivers a few bytes, in seconds.
@@ -77,8 +83,12 @@
 
 @when("the plans of {n:d} seeds are built twice")
 def step_plans(context, n):
-    context.first = [build_plan(seed, 12, has_fatal_part=True) for seed in range(n)]
-    context.second = [build_plan(seed, 12, has_fatal_part=True) for seed in range(n)]
+    context.first = [
+        build_plan(seed, 12, fatal_kind=KINDS[seed % 2]) for seed in range(n)
+    ]
+    context.second = [
+        build_plan(seed, 12, fatal_kind=KINDS[seed % 2]) for seed in range(n)
+    ]
 
 
 @then("both builds are the same")
@@ -111,6 +121,8 @@
     words = ["soak", "--seed", str(seed), "--seconds", str(n), "--json"]
     if addition == "with a fatal part":
         words.append("--fatal-part")
+    if addition == "with a fatal request":
+        words.append("--fatal-request")
     done = run_command(*words)
     assert done.returncode in (0, 1), done.stderr
     context.results = [json.loads(line) for line in done.stdout.splitlines()]
@@ -284,17 +296,31 @@
     assert find_interruptions(disruptions) == []
 
 
+# What servers crash at, the path of sound requests, and the crashes until it is known.
+FATAL_INPUTS = (
+    (FatalPart(part_id="bad"), "/chat/1", (1.0, 2.0, 3.0, 4.0, 5.0)),
+    (FatalRequest(), "/read/1", (1.0, 2.0, 3.0)),
+)
+
+
 def find_fatal(n_late, n_served_after=30):
-    """Return the promises broken after five crashes, the last of them at 5.0."""
+    """Return the promises broken after enough crashes by each kind of fatal input."""
+    return [
+        find_fatal_of(*each, n_late=n_late, n_served_after=n_served_after)
+        for each in FATAL_INPUTS
+    ]
+
+
+def find_fatal_of(fatal_input, path, crashes, *, n_late, n_served_after):
     fatal = [
-        build_exchange("/chat/1", request_id=f"f{n}", sent_at=12.0, has_fatal_part=True)
+        build_exchange(path, request_id=f"f{n}", sent_at=12.0, is_fatal=True)
         for n in range(n_late)
     ]
-    last = build_exchange(request_id="last", sent_at=20.0, has_fatal_part=True)
-    before = [build_exchange("/chat/1", ended_at=0.9) for _ in range(30)]
+    last = build_exchange(request_id="last", sent_at=20.0, is_fatal=True)
+    before = [build_exchange(path, ended_at=0.9) for _ in range(30)]
     after = [
         build_exchange(
-            "/chat/1",
+            path,
             sent_at=12.0,
             ended_at=13.0,
             status=200 if n < n_served_after else 503,
@@ -303,23 +329,24 @@
     ]
     arrivals = tuple((12.0, each.request_id) for each in fatal)
     record = ServerRecord(server_id="a", runs={}, arrivals=arrivals)
-    crashes = [1.0, 2.0, 3.0, 4.0, 5.0]
-    found = check_fatal_parts(
-        [*fatal, last, *before, *after], [record], crashes, Disruptions()
+    exchanges = [*fatal, last, *before, *after]
+    found = check_fatal_requests(
+        fatal_input, exchanges, [record], crashes, Disruptions()
     )
     return [each.promise for each in found]
 
 
-@then("too many requests with a fatal part are found")
+@then("too many fatal requests are found")
 def step_fatal_found(context):
-    assert find_fatal(3) == []
-    assert find_fatal(4) == ["fatal_part"]
+    assert find_fatal(3) == [[], []]
+    assert find_fatal(4) == [["fatal_request"], ["fatal_request"]]
 
 
 @then("sound requests that are not served after such crashes are found")
 def step_sound_found(context):
-    assert find_fatal(3, n_served_after=15) == []
-    assert find_fatal(3, n_served_after=14) == ["sound_requests"]
+    assert find_fatal(3, n_served_after=15) == [[], []]
+    expected = [["sound_requests"], ["sound_requests"]]
+    assert find_fatal(3, n_served_after=14) == expected
 
 
 @when("a link loses a chunk of a stream and works again")
