Attribute what a fatal request costs in the soak, and let crashed servers refuse

The check beside a fatal request now finds each sound request that is rejected as crashing_request, of which none is allowed; the check beside a fatal part is as it was.

--- a/damaskrill/soak/_fatal_requests.py
+++ b/damaskrill/soak/_fatal_requests.py
@@ -22,6 +22,7 @@
 MEAN_INTERVAL_S = 0.15
 STREAM_PATHS = ("/chat/1", "/check/1")
 PLAIN_PATHS = ("/issue/1", "/read/1")
+BLOCKED = b"crashing_"
 FATAL_PATH = "/read/fatal"
 STATUS_OK = 200
 # Time after the last of them from which servers must get no more than a few requests
@@ -130,14 +131,6 @@
             return 3
 
 
-def _find_sound_paths(fatal: FatalInput) -> tuple[str, ...]:
-    match fatal:
-        case FatalPart():
-            return STREAM_PATHS
-        case FatalRequest():
-            return PLAIN_PATHS
-
-
 def check_fatal_requests(
     fatal_input: FatalInput,
     exchanges: Sequence[Exchange],
@@ -164,8 +157,9 @@
     -------
     list of Violation
         ``fatal_request`` if too many fatal requests reached servers after enough
-        crashes, ``sound_requests`` if less than half as many sound ones of the same
-        service were then served as before the first crash.
+        crashes. ``sound_requests``, beside a fatal part, if less than half as many
+        sound ones were then served as before the first crash; beside a fatal request,
+        if a sound one was rejected as if servers crashed under it.
     """
     n_crashes = _n_crashes_until_known(fatal_input)
     if len(crashes) < n_crashes:
@@ -187,33 +181,60 @@
         violations.append(
             Violation(promise="fatal_request", request_id="", detail=detail)
         )
-    paths = _find_sound_paths(fatal_input)
-    sound = [each for each in exchanges if each.path in paths and not each.is_fatal]
     last_at = max((each.sent_at for each in fatal.values()), default=0.0)
-    return violations + _check_sound(
-        sound,
-        before_s=min(crashes),
-        after_s=(known_at + MAX_RECOVERY_S, last_at),
-        disruptions=disruptions,
-    )
+    period = (known_at + MAX_RECOVERY_S, last_at)
+    match fatal_input:
+        case FatalPart():
+            sound = _select_sound(exchanges, STREAM_PATHS)
+            before = [each for each in sound if each.ended_at < min(crashes)]
+            violations += _check_served(before, sound, period, disruptions)
+        case FatalRequest():
+            sound = _select_sound(exchanges, PLAIN_PATHS)
+            violations += _check_blocked(sound, period)
+    return violations
 
 
-def _check_sound(
-    exchanges: Sequence[Exchange],
-    *,
-    before_s: float,
-    after_s: tuple[float, float],
-    disruptions: Disruptions,
-) -> list[Violation]:
-    sound = [
+def _select_sound(
+    exchanges: Sequence[Exchange], paths: tuple[str, ...]
+) -> list[Exchange]:
+    return [
         each
         for each in exchanges
-        if each.ended_at
-        and not disruptions.hit_router(each.router, each.sent_at, each.ended_at)
+        if each.path in paths and not each.is_fatal and each.ended_at
+    ]
+
+
+def _check_blocked(
+    sound: Sequence[Exchange], period: tuple[float, float]
+) -> list[Violation]:
+    begin, end = period
+    return [
+        Violation(
+            promise="sound_requests",
+            request_id=each.request_id,
+            detail=f"{each.path}: {each.body.decode(errors='replace')[:80]}",
+        )
+        for each in sound
+        if begin < each.sent_at < end and each.body.startswith(BLOCKED)
     ]
-    begin, end = after_s
-    before = [each for each in sound if each.ended_at < before_s]
+
+
+def _check_served(
+    before: Sequence[Exchange],
+    sound: Sequence[Exchange],
+    period: tuple[float, float],
+    disruptions: Disruptions,
+) -> list[Violation]:
+    begin, end = period
     after = [each for each in sound if begin < each.sent_at < end]
+    before, after = (
+        [
+            each
+            for each in group
+            if not disruptions.hit_router(each.router, each.sent_at, each.ended_at)
+        ]
+        for group in (before, after)
+    )
     if min(len(before), len(after)) < MIN_COMPARED:
         return []
     if _served(after) >= MIN_SOUND_FRACTION * _served(before):
--- a/damaskrill/soak/_proxy.py
+++ b/damaskrill/soak/_proxy.py
@@ -56,6 +56,11 @@
         for writer in list(self._writers):
             _reset(writer)
 
+    def refuse_all(self) -> None:
+        """Refuse new connections, as the host of a server that has ended does."""
+        if self._server is not None:
+            self._server.close()
+
     def silence_all(self) -> None:
         """Drop all data of the open connections from now on; new ones work."""
         self._silenced.update(self._writers)
--- a/damaskrill/soak/_servers.py
+++ b/damaskrill/soak/_servers.py
@@ -159,6 +159,8 @@
     def _handle_crash(self, server: FakeServer) -> None:
         now, server_id = time.monotonic(), server.server_id
         self.crashes.append(now)
+        # Otherwise a request would be sent to a server that never gets it.
+        self.proxies[self.servers.index(server)].refuse_all()
         self._disruptions.record_server(server_id, now)
         self._schedule.call_later(
             EXPIRY_S, lambda: self._store.remove_server(server_id)
