End the attempt of a request whose handling fails with an internal error

Callers could get another request's answer: after an internal error during an attempt, the attempt went on at its server, and what it sent later reached the caller's connection, on which the next request was waiting.

Any error ends the attempt now, as the cancellation of the exchange did. Two scenarios failed before (a read answered with the events of the stream before it; a run that was never dropped) and pass now.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -177,9 +177,15 @@
             if connection is not None:
                 self._dispatcher.pool.release(server.key, connection)
             return None
-        if self.held is not None and await self._does_held_go_on(self.held, sent):
-            self._end(sent)
-            return await self.resume_held(self.held)
+        if self.held is not None:
+            try:
+                does_held_go_on = await self._does_held_go_on(self.held, sent)
+            except BaseException:
+                self._end(sent)
+                raise
+            if does_held_go_on:
+                self._end(sent)
+                return await self.resume_held(self.held)
         return await self._wait_for_end(sent)
 
     async def resume_held(self, held: SentRequest) -> AttemptResult:
@@ -269,15 +275,11 @@
         # Neither attempt is ended for the silence of the other one. An engine runs a
         # request from the head of its answer on, so that both do not run it for long.
         remaining_ms = max(0.0, self._context.limit_at_ms - self._dispatcher.now_ms)
-        try:
-            await asyncio.wait(
-                futures,
-                timeout=remaining_ms / 1_000,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        except asyncio.CancelledError:
-            self._end(sent)
-            raise
+        await asyncio.wait(
+            futures,
+            timeout=remaining_ms / 1_000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
         if sent.is_accepted:
             self._records.record_stalled(held)
             self.end_held()
@@ -293,6 +295,10 @@
             self._end(sent)
             self._evaluate_disconnect(sent)
             raise
+        except Exception:
+            # Otherwise its events would reach the caller's next request.
+            self._end(sent)
+            raise
         if isinstance(result, Stalled):
             sent.attempt.hold()
             self.held = sent
--- a/features/gateway_silent_servers.feature
+++ b/features/gateway_silent_servers.feature
@@ -115,3 +115,15 @@
     When a caller sends a check with that prompt
     Then the status is 200 and the body holds events 1 to 5 once each
     And no retry was taken from the budget
+
+  Scenario Outline: an internal error leaves no answer behind on the caller's connection
+    Given the first engine of a prompt is silent for 1500 ms after <n> events
+    And an internal check fails when another server is sought
+    When a caller sends a check with that prompt and then a read on the same connection
+    Then the read is answered with its own answer, or the connection was closed before
+    And the silent engine's run was dropped within 2000 ms
+
+    Examples:
+      | n |
+      | 0 |
+      | 2 |
--- a/features/steps/gateway_silent_servers_steps.py
+++ b/features/steps/gateway_silent_servers_steps.py
@@ -230,3 +230,52 @@
 def step_no_retry(context):
     dispatcher = context.testbed.gateways[0]._dispatcher
     assert not dispatcher.budget._retries.get("pool"), dispatcher.budget._retries
+
+
+@given("an internal check fails when another server is sought")
+def step_internal_error(context):
+    dispatcher = context.testbed.gateways[0]._dispatcher
+    select = dispatcher.select
+
+    def fail_on_hand_over(*args, **options):
+        if options.get("only_healthy"):
+            raise AssertionError("internal check")
+        return select(*args, **options)
+
+    dispatcher.select = fail_on_hand_over
+
+
+@when("a caller sends a check with that prompt and then a read on the same connection")
+def step_check_and_read(context):
+    address = context.testbed.gateways[0]._settings.caller_address
+    check, context.check_id = build_request("/check/1", headers=[PROMPT])
+    read, context.read_id = build_request("/read/1", method="GET", body=b"")
+
+    async def run():
+        caller = await Caller.open(address)
+        caller.send(check)
+        await caller.read_reply()
+        # Long enough for what the silent engine sends afterwards.
+        await asyncio.sleep(1.0)
+        caller.send(read)
+        reply = await caller.read_reply()
+        caller.close()
+        return reply
+
+    context.reply = context.testbed.thread.run(run())
+
+
+@then("the read is answered with its own answer, or the connection was closed before")
+def step_own_read(context):
+    reply = context.reply
+    if reply.status:
+        assert reply.status == 200, reply
+        assert context.read_id.encode() in reply.body, reply
+
+
+@then("the silent engine's run was dropped within {limit_ms:d} ms")
+def step_run_dropped(context, limit_ms):
+    assert context.testbed.wait_for(
+        lambda: context.check_id in [each for _, each in context.first.drops],
+        limit_ms / 1_000,
+    )
