Pass no request on that arrives while the process exits

A connection that is still open then, at the end of a short grace period for instance, let a request through that could not be answered any more.

The dispatcher closes the connection of such a request, which no server gets. The scenario failed before (the server received the issuance) and passes now.

--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -165,7 +165,16 @@
     def handle_request(
         self, connection: CallerConnection, request: CallerRequest
     ) -> None:
-        """Serve a request in a separate task."""
+        """Serve a request in a separate task.
+
+        Notes
+        -----
+        While the process exits, a request is not passed on, as its answer could not be
+        returned; the connection is closed instead.
+        """
+        if self._is_exiting:
+            connection.abort()
+            return
         exchange = Exchange(dispatcher=self, connection=connection, request=request)
         task = asyncio.get_running_loop().create_task(exchange.run())
         self._tasks.add(task)
--- a/features/gateway_short_grace.feature
+++ b/features/gateway_short_grace.feature
@@ -12,3 +12,8 @@
       | grace |
       | 8000  |
       | 4000  |
+
+  Scenario: a request that arrives while the process exits is not passed on
+    When a caller whose connection is open sends an issuance as the process exits
+    Then no server has received the issuance
+    And the caller's connection was closed without an answer
--- a/features/steps/gateway_short_grace_steps.py
+++ b/features/steps/gateway_short_grace_steps.py
@@ -8,6 +8,9 @@
 from damaskrill.fakes.platform import Misbehaviour
 from features.support.gateways import Caller, CallerReply, build_request
 
+# Idle connections are still open at its end.
+SHORT_GRACE_MS = 1_000
+
 
 @given("both app servers are silent for {silence_ms:d} ms before they answer")
 def step_both_silent(context, silence_ms):
@@ -47,3 +50,30 @@
 @then("its answer is complete")
 def step_complete(context):
     assert context.reply.status == 200 and context.reply.is_complete, context.reply
+
+
+@when("a caller whose connection is open sends an issuance as the process exits")
+def step_at_exit(context):
+    gateway = context.testbed.gateways[0]
+    gateway._settings = evolve(gateway._settings, grace_ms=SHORT_GRACE_MS)
+    data, context.request_id = build_request("/issue/1")
+
+    async def run():
+        caller = await Caller.open(gateway._settings.caller_address)
+        await gateway.stop()
+        # The process ends some iterations later.
+        caller.send(data)
+        return await caller.read_reply()
+
+    context.reply = context.testbed.thread.run(run())
+
+
+@then("no server has received the issuance")
+def step_not_received(context):
+    for server in context.testbed.servers.values():
+        assert context.request_id not in [each for _, each in server.arrivals]
+
+
+@then("the caller's connection was closed without an answer")
+def step_closed(context):
+    assert context.reply.status == 0, context.reply
