Do not kill a router in the soak for a stop that it never got

The check could not know of that kill.

A stop without a running process is none now. The new scenario failed before.

--- a/damaskrill/soak/_routers.py
+++ b/damaskrill/soak/_routers.py
@@ -103,9 +103,15 @@
                 self._signal(router, signal.SIGKILL)
 
     def stop(self, number: int) -> bool:
-        """Send SIGTERM unless the router stops already; return whether it was sent."""
+        """Send SIGTERM to a running router; return whether it was sent.
+
+        Notes
+        -----
+        A process that starts later has not got it, and must not be killed for it.
+        """
         router = self._pick(number)
-        if router.stopping_since:
+        is_running = router.process is not None and router.process.poll() is None
+        if router.stopping_since or not is_running:
             return False
         router.stopping_since = time.monotonic()
         self._signal(router, signal.SIGTERM)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -47,6 +47,10 @@
     When a link loses a chunk of a stream and works again
     Then its reader gets nothing after the loss
 
+  Scenario: a router is not killed for a stop that it was not asked for
+    When a router is stopped while it has no process
+    Then its next process is not killed at the end of the grace period
+
   Scenario: concurrent soak runs do not share addresses
     Then 2000 processes with consecutive IDs have distinct networks
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+import tempfile
 from pathlib import Path
 
 from behave import then, when
@@ -29,6 +30,7 @@
 from damaskrill.soak._limits import LimitPeriod, check_limits
 from damaskrill.soak._plan import OVERLAPPING_WORK, PECULIARITIES
 from damaskrill.soak._proxy import FaultyProxy, LinkMode
+from damaskrill.soak._routers import RouterProcesses
 from damaskrill.soak._run import loopback_network
 
 # What crashes servers in the plans that are built.
@@ -384,3 +386,22 @@
 @then("its reader gets nothing after the loss")
 def step_nothing_later(context):
     assert context.received == b"first ", context.received
+
+
+@when("a router is stopped while it has no process")
+def step_stop_without_process(context):
+    with tempfile.TemporaryDirectory() as folder:
+        context.routers = RouterProcesses(
+            folder=Path(folder),
+            hosts=["127.0.0.1"],
+            ports=(1, 2, 3),
+            store=("127.0.0.1", 4),
+        )
+    context.was_sent = context.routers.stop(0)
+
+
+@then("its next process is not killed at the end of the grace period")
+def step_not_killed(context):
+    (router,) = context.routers._routers
+    assert not context.was_sent
+    assert router.stopping_since == 0.0
