--- a/damaskrill/gateway/_server_throttle.py
+++ b/damaskrill/gateway/_server_throttle.py
@@ -73,11 +73,6 @@
         self._log = log
         self._pauses = ServerPauses()
 
-    @property
-    def n_limited(self) -> int:
-        """Number of servers that state a rate limit."""
-        return self._limits.n_limited
-
     def may_send(self, server: BackendServer, now_ms: float) -> bool:
         """Return whether a server may get a request now."""
         return self._find_wait(server, now_ms) is None
