Let a stream go on only at the software version that began it

A stream now has an origin, the hash of service and version. After its first event, only servers of this origin are selected. What is not recorded follows from the versions that served. If the version is unknown or has left, callers are refused at once as not run. The same cause is fixed in copies of cached prompt parts and in routes that are split.

--- a/damaskrill/catalog/_model.py
+++ b/damaskrill/catalog/_model.py
@@ -177,6 +177,7 @@
     team_by_key: Mapping[str, Team]
     limits: CallerLimits
     _by_prefix: dict[tuple[str, str], Route] = field(init=False, repr=False, eq=False)
+    _longest_stream_ms: int = field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
         # If two routes have the same prefix, the first one is used.
@@ -184,6 +185,17 @@
             (route.host, route.prefix): route for route in reversed(self.routes)
         }
         object.__setattr__(self, "_by_prefix", by_prefix)
+        streams = (
+            route.time_limit_ms
+            for route in self.routes
+            if route.kind is RequestKind.STREAM
+        )
+        object.__setattr__(self, "_longest_stream_ms", max(streams, default=0))
+
+    @property
+    def longest_stream_ms(self) -> int:
+        """Longest time limit of a route with streams, in milliseconds; 0 if none."""
+        return self._longest_stream_ms
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path.
@@ -223,6 +235,8 @@
         Whether it is draining and must get no new requests.
     cold_for_ms : int
         Remaining duration of its cold start when it reported it, in milliseconds.
+    version : str
+        Version of its software; empty if its entry names none.
     """
 
     server_id: str
@@ -233,6 +247,7 @@
     n_slots: int = 1
     is_leaving: bool = False
     cold_for_ms: int = 0
+    version: str = ""
 
     # Identity of the incarnation; looked up for each server in each selection.
     key: tuple[str, int] = field(init=False, eq=False, repr=False)
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -189,6 +189,8 @@
         Forwards events to the caller; None if the request is not for a stream.
     on_metadata : callable
         Handles the metadata of the answer as soon as its headers have been received.
+    on_forward : callable
+        Called before events of the answer are forwarded to the caller.
     buffer : AnswerBuffer
         Holds an answer other than a stream until it is complete, so that an incomplete
         one never looks complete to the caller.
@@ -218,6 +220,7 @@
         read_answer: Callable[[AnswerHead], AnswerMetadata],
         progress: StreamProgress | None,
         on_metadata: Callable[[AnswerMetadata], None],
+        on_forward: Callable[[], None],
         buffer: AnswerBuffer,
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -232,6 +235,7 @@
         self._read_answer = read_answer
         self._progress = progress
         self._on_metadata = on_metadata
+        self._on_forward = on_forward
         self._head: AnswerHead | None = None
         self._metadata = AnswerMetadata()
         self._splitter: EventSplitter | None = None
@@ -348,6 +352,7 @@
             self._held_events += events
             _set_done(self.revived)
         elif self._progress is not None and self._head is not None:
+            self._on_forward()
             self._progress.send(self._head, events)
 
     def handle_end(self) -> None:
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from damaskrill.catalog import BackendServer, RequestKind, Route, Team
 from damaskrill.gateway._attempt import (
@@ -54,7 +54,7 @@
     team : Team or None
         The caller's team.
     requirements : ServerRequirements
-        Requirements on its server.
+        Requirements on its first server.
     limit_at_ms : float
         Time at which the request ends without an answer, in milliseconds.
     """
@@ -98,6 +98,7 @@
     """
 
     _context: AttemptContext
+    _requirements: ServerRequirements
     _guard: CrashGuard
     _records: AttemptRecords
 
@@ -124,6 +125,7 @@
     def begin(self, context: AttemptContext, guard: CrashGuard) -> None:
         """Set what the attempts have in common, and what is known of crashes."""
         self._context = context
+        self._requirements = context.requirements
         self._guard = guard
         self._records = AttemptRecords(
             dispatcher=self._dispatcher,
@@ -131,6 +133,11 @@
             team=context.team.name if context.team else "",
         )
 
+    @property
+    def requirements(self) -> ServerRequirements:
+        """Requirements on the next server."""
+        return self._requirements
+
     @property
     def is_held_revived(self) -> bool:
         """Whether the held attempt has made progress."""
@@ -230,6 +237,7 @@
             read_answer=dispatcher.binding.read_answer,
             progress=self._progress if is_stream else None,
             on_metadata=lambda metadata: dispatcher.handle_metadata(server, metadata),
+            on_forward=lambda: self._bind_stream(server),
             buffer=AnswerBuffer(budget=dispatcher.buffer_budget),
         )
         headers = dispatcher.binding.server_headers(
@@ -265,6 +273,18 @@
             sent_at_ms=sent_at_ms,
         )
 
+    def _bind_stream(self, server: BackendServer) -> None:
+        # What two software versions write does not fit together.
+        if self._progress.has_begun or not self._context.route.is_resumable:
+            return
+        streams = self._dispatcher.streams
+        origin = self._requirements.origin
+        if origin is None:
+            origin = streams.origin_of(server)
+            self._requirements = evolve(self._requirements, origin=origin)
+        if origin is not None:
+            streams.record_begun(self._metadata.stream_id, server, origin)
+
     async def _does_held_go_on(self, held: SentRequest, sent: SentRequest) -> bool:
         futures: list[asyncio.Future[Any]] = [
             sent.attempt.done,
@@ -346,7 +366,7 @@
         return route.may_repeat and len(self.sent_to) < route.max_servers
 
     def _reserve_server(self) -> bool:
-        dispatcher, requirements = self._dispatcher, self._context.requirements
+        dispatcher, requirements = self._dispatcher, self._requirements
         if self._guard.is_blocked(dispatcher.now_ms):
             return False
         # The selection counts a request for the prompt, so it comes second.
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -13,6 +13,7 @@
 from damaskrill.gateway._exchange import Exchange
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._server_throttle import ServerThrottle, ServiceWait
+from damaskrill.gateway._stream_versions import StreamVersions
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
 from damaskrill.steering import (
     DIRECT_BOUNDS,
@@ -34,7 +35,7 @@
     short_server_id,
     spread_retry_after,
 )
-from damaskrill.utils import monotonic_now_ms
+from damaskrill.utils import hash_to_int, monotonic_now_ms
 
 __all__ = ["RequestDispatcher"]
 
@@ -77,6 +78,8 @@
         Requests and prompt parts that may crash servers.
     ranks_first : callable
         Returns whether this router is the first one by rendezvous hash for a key.
+    streams : StreamVersions
+        Software versions at which streams began.
     publish_reports : callable
         Publishes failures, crashes and limits to other routers after a short delay.
     publish_departure : callable
@@ -109,6 +112,7 @@
         failures: FailureDetector,
         crashes: CrashDetector,
         ranks_first: Callable[[str], bool],
+        streams: StreamVersions,
         publish_reports: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
         data_centre: str,
@@ -126,6 +130,7 @@
         self.loads = loads
         self.buffer_budget = BufferBudget()
         self.throttle = throttle
+        self.streams = streams
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
         self._failures = failures
@@ -198,14 +203,29 @@
         started_ms, end_ms = self._drain_times
         return limit_at_ms <= end_ms or self.now_ms <= started_ms + ACCEPT_ALL_MS
 
-    def pick_service(self, route: Route) -> str:
-        """Pick one of the services that share a route at random, by weight."""
+    def pick_service(self, route: Route, stream_id: str = "") -> str:
+        """Pick one of the services that share a route at random, by weight.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+        stream_id : str, default=""
+            Attempt that began a stream, which goes on at the same service as long as
+            the shares stay the same.
+        """
         if len(route.shares) == 1:
             return route.shares[0].service
         weights = [each.weight for each in route.shares]
         if not any(weights):
             return route.shares[0].service
-        return self._random.choices(route.shares, weights)[0].service
+        random = Random(hash_to_int(stream_id)) if stream_id else self._random
+        return random.choices(route.shares, weights)[0].service
+
+    def has_origin(self, requirements: ServerRequirements) -> bool:
+        """Return whether a server may serve that a begun stream can go on at."""
+        origin = requirements.origin
+        return origin is None or self.streams.has_origin(requirements.service, origin)
 
     def select(
         self,
@@ -243,6 +263,7 @@
             if server.key not in tried
             and (only is None or server.key in only)
             and (not is_restricted or self._is_allowed(requirements, server))
+            and self._fits_stream(requirements, server)
             and self.throttle.may_send(server, now_ms)
         ]
         if only_healthy:
@@ -285,6 +306,7 @@
             for server in self.catalog.find_servers(requirements.service)
             if (tried is None or server.key not in tried)
             and self._is_allowed(requirements, server)
+            and self._fits_stream(requirements, server)
         ]
         return self.throttle.find_wait(servers, self.now_ms)
 
@@ -322,11 +344,14 @@
         if spec is None or not spec.is_engine or not route.has_prompt:
             return None
         now_ms = self.now_ms
+        # What another software version has cached does not fit.
+        origin = self.streams.origin_of(server)
         holders = [
             each
             for each in self.catalog.find_all_servers(server.service)
             if not self._health.is_ejected(each.key, now_ms)
             and each.key not in excluded
+            and self.streams.origin_of(each) == origin
         ]
         registered_for_ms = self.catalog.registered_for_ms(server, round(now_ms))
         source = self._prefix_index.find(
@@ -410,6 +435,7 @@
         configuration = self.catalog.configuration
         if configuration is None:
             return
+        self.streams.observe_all()
         keys = {
             server.key
             for service in configuration.services
@@ -436,6 +462,12 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def _fits_stream(
+        self, requirements: ServerRequirements, server: BackendServer
+    ) -> bool:
+        origin = requirements.origin
+        return origin is None or self.streams.origin_of(server) == origin
+
     def _is_allowed(
         self, requirements: ServerRequirements, server: BackendServer
     ) -> bool:
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -105,7 +105,6 @@
         self._stop_reason = ""
         self._execution_status = ExecutionStatus.NOT_SENT
         self._last_result: AttemptResult = NotRun(status=503)
-        self._requirements = ServerRequirements(service="")
         self._limit_at_ms = 0.0
 
     async def run(self) -> None:
@@ -181,13 +180,20 @@
                 )
             )
             return
-        service = self._responder.service = dispatcher.pick_service(route)
+        stream_id = self._metadata.stream_id if route.is_resumable else ""
+        service = self._responder.service = dispatcher.pick_service(route, stream_id)
         dispatcher.budget.record_request(service, dispatcher.now_ms)
-        self._requirements = ServerRequirements(
+        origin = None
+        if route.is_resumable and self._metadata.is_resumed:
+            origin = await self._find_origin(service)
+            if origin is None:
+                return
+        requirements = ServerRequirements(
             service=service,
             affinity_keys=self._metadata.affinity_keys if route.has_prompt else (),
             route_regions=route.regions,
             team_regions=team.regions if team else frozenset(),
+            origin=origin,
         )
         attempts = self._attempts
         guard = self._guard = dispatcher.crashes.guard(self._metadata, team)
@@ -195,7 +201,7 @@
             AttemptContext(
                 route=route,
                 team=team,
-                requirements=self._requirements,
+                requirements=requirements,
                 limit_at_ms=self._limit_at_ms,
             ),
             guard,
@@ -219,6 +225,19 @@
                 return
             self._last_result = result
 
+    async def _find_origin(self, service: str) -> int | None:
+        """Return where the resumed stream began; refuse the request if none serves."""
+        streams = self._dispatcher.streams
+        stream_id = self._metadata.resumed_request_id
+        origin = await streams.find_origin(stream_id, service)
+        if origin is not None and streams.has_origin(service, origin):
+            return origin
+        cause = RefusalCause.STREAM_VERSION_GONE
+        if origin is None:
+            cause = RefusalCause.STREAM_VERSION_UNKNOWN
+        self._responder.refuse(Refusal(status=503, cause=cause), stream_id)
+        return None
+
     async def _choose_server(
         self, route: Route, guard: CrashGuard
     ) -> BackendServer | None:
@@ -275,8 +294,8 @@
         return limit_ms
 
     async def _find_server(self, route: Route) -> BackendServer | None:
-        dispatcher, requirements = self._dispatcher, self._requirements
-        attempts = self._attempts
+        dispatcher, attempts = self._dispatcher, self._attempts
+        requirements = attempts.requirements
         until_ms = dispatcher.now_ms + SERVER_WAIT_FRACTION * route.target_ms
         is_at_limit = len(attempts.sent_to) >= route.max_servers
         only = attempts.sent_to if is_at_limit else None
@@ -285,6 +304,8 @@
             is_over = dispatcher.now_ms >= until_ms
             if server is not None or is_over or attempts.overloaded:
                 return server
+            if not dispatcher.has_origin(requirements):
+                return None
             wait = dispatcher.find_wait(requirements, tried=attempts.tried)
             if wait is not None and dispatcher.now_ms + wait.duration_ms > until_ms:
                 return None
@@ -350,10 +371,10 @@
             cause=RefusalCause.NO_SERVER,
             retry_after_ms=RETRY_AFTER_NO_SERVER_MS,
         )
-        self._responder.refuse(refusal, self._requirements.service)
+        self._responder.refuse(refusal, self._attempts.requirements.service)
 
     def _find_wait_refusal(self) -> Refusal | None:
-        wait = self._dispatcher.find_wait(self._requirements)
+        wait = self._dispatcher.find_wait(self._attempts.requirements)
         if wait is None:
             return None
         retry_after_ms = self._dispatcher.spread_retry_after(wait.duration_ms)
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -26,6 +26,7 @@
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._server_throttle import ServerThrottle
 from damaskrill.gateway._settings import Address, GatewaySettings
+from damaskrill.gateway._stream_versions import StreamVersions
 from damaskrill.http1 import (
     CallerConnection,
     CallerConnectionFactory,
@@ -196,6 +197,12 @@
         )
         self._crashes = CrashDetector(router=own.address, first_number=own.incarnation)
         self._limits = StatedLimits()
+        self._streams = StreamVersions(
+            catalog=self._catalog,
+            own_address=own.address,
+            rank_keepers=self._members.rank_keepers,
+            send=lambda address, message: self._mesh.send_message(address, message),
+        )
         self._reports = ReportExchange(
             members=self._members,
             loads=self._loads,
@@ -220,6 +227,7 @@
             record_contact=self._record_contact,
             reports=self._reports,
             needs_fresh_loads=lambda: self._catalog.has_major_capacity_loss,
+            handle_message=self._streams.handle_message,
             report=self._log.write,
         )
         self._reader = FeedReader(
@@ -260,6 +268,7 @@
             failures=self._failures,
             crashes=self._crashes,
             ranks_first=self._ranks_first,
+            streams=self._streams,
             publish_reports=self._mesh.push_urgent_reports,
             publish_departure=self._publish_departure,
             data_centre=settings.data_centre,
@@ -330,6 +339,7 @@
             "links": float(self._mesh.n_links),
             "servers": float(self._catalog.n_servers),
             "servers_limited": float(self._limits.n_limited),
+            "streams_recorded": float(self._streams.n_records),
             "exchanges": float(self._dispatcher.n_exchanges),
             "store_calls": float(self._reader.n_calls),
             "store_era": float(self._replica.position.era),
@@ -439,6 +449,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_S)
             self._detect_pause()
             self._catalog.purge(round(monotonic_now_ms()))
+            self._streams.observe_all()
             self._rate_limiter.set_members(self._members.addresses())
 
     def _detect_pause(self) -> None:
--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -14,6 +14,7 @@
 )
 from damaskrill.mesh._members import MemberTable
 from damaskrill.mesh._mesh import Mesh
+from damaskrill.mesh._messages import Message, StreamNotice, StreamQuery, StreamReply
 from damaskrill.mesh._reports import ReportExchange
 
 __all__ = [
@@ -25,7 +26,11 @@
     "MemberEntry",
     "MemberTable",
     "Mesh",
+    "Message",
     "ReportExchange",
+    "StreamNotice",
+    "StreamQuery",
+    "StreamReply",
     "Suspicion",
     "Update",
     "decode",
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -11,6 +11,14 @@
 
 from damaskrill.exceptions import PeerFrameError
 from damaskrill.feed import START, Change, Contact, Position
+from damaskrill.mesh._messages import (
+    Message,
+    StreamNotice,
+    StreamQuery,
+    StreamReply,
+    decode_message,
+    encode_message,
+)
 from damaskrill.steering import (
     NO_REQUEST,
     CrashReport,
@@ -24,6 +32,7 @@
 
 __all__ = [
     "Departure",
+    "DirectHello",
     "FeedRequest",
     "FeedUpdate",
     "Frame",
@@ -38,7 +47,7 @@
 
 # Routers of other versions refuse the first frame, so that fleets of two versions run
 # beside each other during a rolling update, each with its own readers of the store.
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
 MIN_COMPRESSED_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
@@ -81,6 +90,19 @@
     entry: MemberEntry
 
 
+@frozen(kw_only=True)
+class DirectHello:
+    """First frame from the router that opens a link for messages only.
+
+    Parameters
+    ----------
+    address : str
+        Address at which other routers reach it.
+    """
+
+    address: str
+
+
 @frozen
 class Suspicion:
     """Suspicion that a router is dead.
@@ -200,7 +222,7 @@
     position: Position
 
 
-Frame = Hello | Update | FeedUpdate | FeedRequest | Goodbye
+Frame = Hello | DirectHello | Update | FeedUpdate | FeedRequest | Goodbye | Message
 
 
 def encode(frame: Frame) -> bytes:
@@ -208,6 +230,10 @@
     match frame:
         case Hello():
             content: list[Any] = ["h", PROTOCOL_VERSION, *astuple(frame.entry)]
+        case DirectHello():
+            content = ["d", PROTOCOL_VERSION, frame.address]
+        case StreamNotice() | StreamQuery() | StreamReply():
+            content = encode_message(frame)
         case Update():
             at = frame.position
             contact = frame.contact and list(astuple(frame.contact))
@@ -246,9 +272,11 @@
             unpacker = zlib.decompressobj()
             return _decode(unpacker.decompress(packed, MAX_FRAME_BYTES))
         case ["h", version, *fields]:
-            if version != PROTOCOL_VERSION:
-                raise ValueError("the peer uses another version of the protocol")
+            _check_protocol(version)
             return Hello(entry=_to_entry(fields))
+        case ["d", version, str(address)]:
+            _check_protocol(version)
+            return DirectHello(address=address)
         case ["u", int(era), int(revision), contact, *reports]:
             return _to_update(Position(era, revision), _to_contact(contact), reports)
         case ["r", int(era), int(revision)]:
@@ -262,8 +290,13 @@
                 changes=tuple(_to_change(each) for each in changes),
                 superseded=tuple(_to_change(each) for each in lost),
             )
-        case _:
-            raise ValueError("unknown type or layout of frame")
+        case content:
+            return decode_message(content)
+
+
+def _check_protocol(version: Any) -> None:
+    if version != PROTOCOL_VERSION:
+        raise ValueError("the peer uses another version of the protocol")
 
 
 def _encode_reports(update: Update) -> list[Any]:
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -1,5 +1,7 @@
 """Membership table of the fleet: liveness, readers of the store and links."""
 
+from collections import Counter
+
 from attrs import define, evolve
 
 from damaskrill.mesh._frames import MemberEntry, Suspicion
@@ -31,6 +33,10 @@
 N_STANDBY_READERS = 4
 # Routers that dial a lost one, as a network partition may have healed.
 N_LOST_DIALLERS = 3
+# Routers of a group that may keep a record, one of which may be the router that begins
+# the stream; and the size from which the routers of a data centre are such a group.
+N_KEEPERS = 3
+MIN_GROUP = 4
 
 
 @define(kw_only=True)
@@ -72,6 +78,7 @@
         self._own_reader_rank: int | None = None
         self._wanted_links: list[str] | None = None
         self._lost_dials: dict[str, bool] = {}
+        self._group_sizes: Counter[str] | None = None
 
     @property
     def own(self) -> MemberEntry:
@@ -265,6 +272,34 @@
         """Return whether this router is among the first to replace the readers."""
         return self._reader_rank() < N_READERS + N_STANDBY_READERS
 
+    def rank_keepers(self, key: str) -> list[list[str]]:
+        """Return the routers that may keep a record for a key.
+
+        Parameters
+        ----------
+        key : str
+            Key of the record.
+
+        Returns
+        -------
+        list of list of str
+            A list for each group of routers, the group of this one first. A router
+            tells the first ones of its own group, so that it needs no links to all.
+        """
+        groups: dict[str, list[str]] = {}
+        own = self._group_of(self._own)
+        groups[own] = []
+        for entry in self.entries():
+            groups.setdefault(self._group_of(entry), []).append(entry.address)
+        return [rank_by_rendezvous(key, each)[:N_KEEPERS] for each in groups.values()]
+
+    def _group_of(self, entry: MemberEntry) -> str:
+        # Data centres with few routers form one group.
+        if self._group_sizes is None:
+            self._group_sizes = Counter(each.data_centre for each in self.entries())
+        is_small = self._group_sizes[entry.data_centre] < MIN_GROUP
+        return "" if self.is_full_mesh or is_small else entry.data_centre
+
     def dials_lost(self, address: str) -> bool:
         """Return whether this router is one of those that dial a lost one."""
         if self.is_full_mesh:
@@ -301,6 +336,7 @@
         self._own_reader_rank = None
         self._wanted_links = None
         self._lost_dials.clear()
+        self._group_sizes = None
 
     def _reader_rank(self) -> int:
         if self._own_reader_rank is None:
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -10,8 +10,10 @@
 
 from damaskrill.exceptions import PeerFrameError
 from damaskrill.feed import Contact, FeedReplica, Freshness
+from damaskrill.mesh._direct import DIAL_OPTIONS, DirectLinks
 from damaskrill.mesh._frames import (
     MAX_FRAME_BYTES,
+    DirectHello,
     FeedRequest,
     FeedUpdate,
     Frame,
@@ -24,6 +26,7 @@
 )
 from damaskrill.mesh._link import Link
 from damaskrill.mesh._members import MemberTable
+from damaskrill.mesh._messages import Message, StreamNotice, StreamQuery, StreamReply
 from damaskrill.mesh._replication import FeedReplication
 from damaskrill.mesh._reports import ReportExchange, has_reports
 from damaskrill.steering import KeyCounts
@@ -88,6 +91,8 @@
         Reports that are published to and received from other routers.
     needs_fresh_loads : callable
         Returns whether loads must be published as early as possible.
+    handle_message : callable
+        Handles a message to this router, given the address of its sender.
     report : callable
         Logs an event, given its name and fields.
     """
@@ -104,6 +109,7 @@
         record_contact: Callable[[Contact], None],
         reports: ReportExchange,
         needs_fresh_loads: Callable[[], bool],
+        handle_message: Callable[[str, Message], None],
         report: Callable[..., None],
     ) -> None:
         self._members = members
@@ -117,6 +123,10 @@
         self._record_contact = record_contact
         self._reports = reports
         self._needs_fresh_loads = needs_fresh_loads
+        self._handle_message = handle_message
+        self._direct = DirectLinks(
+            own_address=members.own.address, handle=handle_message, report=report
+        )
         self._urgent_timer: asyncio.TimerHandle | None = None
         self._contact_timer: asyncio.TimerHandle | None = None
         self._report = report
@@ -141,6 +151,15 @@
             await self._run(host, port)
         finally:
             self._is_running = False
+            self._direct.close()
+
+    def send_message(self, address: str, message: Message) -> None:
+        """Send a message to one router, over its link if there is one."""
+        link = self._links.get(address)
+        if link is not None and not link.is_released:
+            self._send(link, message)
+        else:
+            self._direct.send(address, message)
 
     async def _run(self, host: str, port: int) -> None:
         async with websockets.asyncio.server.serve(
@@ -289,13 +308,7 @@
     async def _dial(self, address: str) -> None:
         try:
             socket = await websockets.asyncio.client.connect(
-                f"ws://{address}/",
-                compression=None,
-                ping_interval=None,
-                proxy=None,
-                max_size=MAX_FRAME_BYTES,
-                open_timeout=DIAL_TIMEOUT_MS / 1_000,
-                close_timeout=0.2,
+                f"ws://{address}/", max_size=MAX_FRAME_BYTES, **DIAL_OPTIONS
             )
         except (OSError, TimeoutError, WebSocketException):
             # A router that is down is dialled again; its loss is logged once, when its
@@ -320,6 +333,9 @@
             await socket.send(encode(Hello(entry=self._members.own)))
             async with asyncio.timeout(HELLO_TIMEOUT_MS / 1_000):
                 hello = decode(await socket.recv())
+            if isinstance(hello, DirectHello):
+                await self._direct.serve(socket, hello.address)
+                return
             if not isinstance(hello, Hello):
                 return
             link = self._add_link(socket, hello.entry, has_dialled=has_dialled)
@@ -402,7 +418,9 @@
             case Goodbye():
                 link.is_released = True
                 self._close_link(link, "link not needed")
-            case Hello():
+            case StreamNotice() | StreamQuery() | StreamReply():
+                self._handle_message(link.address, frame)
+            case Hello() | DirectHello():
                 pass
 
     def _publish_urgent_reports(self) -> None:
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -17,6 +17,8 @@
 TENANT = b"Damaskrill-Tenant"
 EXPECTED_SERVER = b"Damaskrill-Expect-Instance"
 LAST_EVENT_ID = b"Last-Event-Id"
+# ID of the caller's attempt that brought the first event of a stream it takes up.
+RESUMED_REQUEST = b"resumes"
 # Address of the engine to copy a prompt's cached prefix from.
 CACHE_SOURCE = b"Kv-Fetch"
 # Headers that only routers may set; they are dropped from callers' requests.
@@ -64,6 +66,7 @@
         n_prompt_tokens=usage[0] if usage else 0,
         n_output_tokens=usage[1] if len(usage) > 1 else 0,
         last_event_id=_read_number(headers.get(b"last-event-id", b"")),
+        resumed_request_id=headers.get(RESUMED_REQUEST, b"").decode("latin-1"),
     )
 
 
--- a/damaskrill/platform/_items.py
+++ b/damaskrill/platform/_items.py
@@ -198,6 +198,7 @@
     started_at_ms = content.get("born", 0)
     if type(started_at_ms) is not int:
         raise TypeError("born is not an integer")
+    version = content.get("version")
     return BackendServer(
         server_id=server_id,
         started_at_ms=started_at_ms,
@@ -207,4 +208,5 @@
         n_slots=int(content["slotCount"]),
         is_leaving=IS_LEAVING_BY_STATE[content["state"]],
         cold_for_ms=max(0, math.ceil(content["coldRemainingMs"])),
+        version=version if isinstance(version, str) else "",
     )
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -38,6 +38,12 @@
 from damaskrill.steering._selector import Candidate, ServerRequirements, ServerSelector
 from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
 from damaskrill.steering._stated_limits import LimitReport, StatedLimits
+from damaskrill.steering._stream_origins import (
+    OriginEvidence,
+    StreamOrigins,
+    choose_origin,
+    find_origins,
+)
 
 __all__ = [
     "DIRECT_BOUNDS",
@@ -68,6 +74,7 @@
     "LoadBounds",
     "LoadReport",
     "LoggedOutcome",
+    "OriginEvidence",
     "PrefixIndex",
     "PrefixReport",
     "PromptPart",
@@ -84,9 +91,12 @@
     "ServerRequirements",
     "ServerSelector",
     "StatedLimits",
+    "StreamOrigins",
     "caller_patience_ms",
+    "choose_origin",
     "cold_start_limit",
     "find_latency_cause",
+    "find_origins",
     "is_region_allowed",
     "may_retry",
     "may_retry_full",
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -47,6 +47,8 @@
         Length of the prompt, and the maximum length of the output; 0 if unknown.
     last_event_id : int or None
         Last event that the caller already received of a stream that it resumes.
+    resumed_request_id : str
+        Attempt that brought the first event of the stream; empty if it gave none.
     """
 
     request_id: str = ""
@@ -59,6 +61,17 @@
     n_prompt_tokens: int = 0
     n_output_tokens: int = 0
     last_event_id: int | None = None
+    resumed_request_id: str = ""
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller resumes a stream that an earlier attempt began."""
+        return self.last_event_id is not None or bool(self.resumed_request_id)
+
+    @property
+    def stream_id(self) -> str:
+        """Attempt that began the stream; the request itself if it does not resume."""
+        return self.resumed_request_id or self.request_id
 
     def fingerprint_for(self, team: str) -> int:
         """Return what the request has in common with itself when it comes again.
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -23,6 +23,8 @@
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
     NO_SERVER = "no_server"
+    STREAM_VERSION_GONE = "stream_version_gone"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     SERVER_FULL = "server_full"
     SERVERS_PAUSED = "servers_paused"
     SERVERS_LIMITED = "servers_limited"
@@ -53,6 +55,12 @@
     RefusalCause.NO_SERVER: (
         "no backend server of the service can receive a request at the moment"
     ),
+    RefusalCause.STREAM_VERSION_GONE: (
+        "no backend server of the software version that began the stream is left"
+    ),
+    RefusalCause.STREAM_VERSION_UNKNOWN: (
+        "no router knows at which software version the stream began"
+    ),
     RefusalCause.SERVER_FULL: ("the backend server has no capacity for the request"),
     RefusalCause.SERVERS_PAUSED: (
         "all backend servers that could run the request have asked for a pause"
--- a/damaskrill/steering/_selector.py
+++ b/damaskrill/steering/_selector.py
@@ -45,12 +45,15 @@
         Shared parts of its prompt; empty if it has none.
     route_regions, team_regions : frozenset of str
         Regions to which the route and the team are restricted; empty if unrestricted.
+    origin : int or None
+        Origin of the stream that goes on; None if it has not begun.
     """
 
     service: str
     affinity_keys: tuple[str, ...] = ()
     route_regions: frozenset[str] = frozenset()
     team_regions: frozenset[str] = frozenset()
+    origin: int | None = None
 
 
 class ServerSelector:
--- /dev/null
+++ b/damaskrill/steering/_stream_origins.py
@@ -0,0 +1,207 @@
+"""Software versions at which streams began, and where they may go on."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+from attrs import define, field, frozen
+
+from damaskrill.catalog import BackendServer
+from damaskrill.steering._gossip import short_id
+
+__all__ = ["OriginEvidence", "StreamOrigins", "choose_origin", "find_origins"]
+
+# Bounds the memory for records: at the largest fleets a router keeps about 50 a second.
+MAX_RECORDS = 20_000
+# Times that a caller may take for a stream and all its attempts, in time limits.
+RETENTION_LIMITS = 2
+# Routes without a limit on streams keep records for this time, in milliseconds.
+MIN_RETENTION_MS = 10_000
+
+
+def find_origins(servers: Sequence[BackendServer]) -> dict[tuple[str, int], int]:
+    """Return the origin of the streams that begin at each server of a service.
+
+    Parameters
+    ----------
+    servers : sequence of BackendServer
+        All servers of a service.
+
+    Returns
+    -------
+    dict of (str, int) to int
+        Short hash of service and software version, by incarnation. A stream may go on
+        at a server with the same origin only.
+
+    Notes
+    -----
+    A server whose entry names no version is an origin of its own, unless no entry of
+    the service names one: then nothing says that the servers differ.
+    """
+    has_versions = any(server.version for server in servers)
+    return {
+        server.key: _hash_origin(server, has_versions=has_versions)
+        for server in servers
+    }
+
+
+def _hash_origin(server: BackendServer, *, has_versions: bool) -> int:
+    if server.version or not has_versions:
+        return short_id(f"{server.service}\0{server.version}")
+    return short_id(f"{server.service}\0{server.server_id}\0{server.started_at_ms}")
+
+
+@frozen(kw_only=True)
+class OriginEvidence:
+    """What one router knows of the origin of a stream.
+
+    Parameters
+    ----------
+    origin : int or None
+        Origin of the stream; None if it is not known.
+    is_recorded : bool
+        Whether the router was told of the stream when it began.
+    observed_ms : int
+        Time for which the router has known the servers, in milliseconds.
+    """
+
+    origin: int | None = None
+    is_recorded: bool = False
+    observed_ms: int = 0
+
+
+def choose_origin(evidence: Iterable[OriginEvidence]) -> int | None:
+    """Return the origin that the best evidence names; None if there is none.
+
+    Notes
+    -----
+    A record goes before a conclusion from the versions that were serving. Of the
+    conclusions, that of the router which has known the servers longest counts.
+    """
+    known = [each for each in evidence if each.origin is not None]
+    if not known:
+        return None
+    best = max(known, key=lambda each: (each.is_recorded, each.observed_ms))
+    return best.origin
+
+
+@define(kw_only=True)
+class _ServiceHistory:
+    """Origins of a service over the last retention time."""
+
+    since_ms: float
+    seen_at_ms: dict[int, float] = field(factory=dict)
+    mixed_since_ms: float | None = None
+    origin_before: int | None = None
+
+    def observe(self, origins: set[int], now_ms: float, retention_ms: float) -> None:
+        known = set(self.seen_at_ms)
+        for origin in origins:
+            self.seen_at_ms[origin] = now_ms
+        for origin, seen_at_ms in list(self.seen_at_ms.items()):
+            if now_ms - seen_at_ms > retention_ms:
+                del self.seen_at_ms[origin]
+        if len(self.seen_at_ms) <= 1:
+            self.mixed_since_ms = self.origin_before = None
+        elif self.mixed_since_ms is None:
+            self.mixed_since_ms = now_ms
+            self.origin_before = next(iter(known)) if len(known) == 1 else None
+
+    def find_unrecorded(self, now_ms: float, retention_ms: float) -> int | None:
+        """Return the origin of a stream that was not recorded when it began."""
+        if self.mixed_since_ms is None:
+            return next(iter(self.seen_at_ms), None)
+        # It began while only one version was serving.
+        is_recent = now_ms - self.mixed_since_ms < retention_ms
+        return self.origin_before if is_recent else None
+
+
+class StreamOrigins:
+    """Records of the software versions at which streams began.
+
+    Notes
+    -----
+    Load pattern: servers of two software versions serve side by side, and streams break
+    off when servers crash or routers restart. What two versions write does not fit
+    together, so that a stream goes on only at the version that began it.
+
+    Streams are recorded only while two versions serve or have served shortly before.
+    Others began at the one version that was serving.
+    """
+
+    def __init__(self) -> None:
+        self._retention_ms: float = MIN_RETENTION_MS
+        self._records: OrderedDict[int, tuple[int, float]] = OrderedDict()
+        self._histories: dict[str, _ServiceHistory] = {}
+        self._servers: dict[str, Sequence[BackendServer]] = {}
+        self._origins: dict[str, dict[tuple[str, int], int]] = {}
+
+    @property
+    def n_records(self) -> int:
+        """Number of streams that are recorded."""
+        return len(self._records)
+
+    def set_longest_stream(self, longest_stream_ms: float) -> None:
+        """Keep records until the callers of the longest streams have given up."""
+        self._retention_ms = max(MIN_RETENTION_MS, RETENTION_LIMITS * longest_stream_ms)
+
+    def observe(
+        self, service: str, servers: Sequence[BackendServer], now_ms: float
+    ) -> dict[tuple[str, int], int]:
+        """Record which servers a service has; return the origin of each."""
+        if self._servers.get(service) is not servers:
+            self._servers[service] = servers
+            self._origins[service] = find_origins(servers)
+        origins = self._origins[service]
+        if origins:
+            history = self._histories.get(service)
+            if history is None:
+                history = self._histories[service] = _ServiceHistory(since_ms=now_ms)
+            history.observe(set(origins.values()), now_ms, self._retention_ms)
+        return origins
+
+    def is_mixed(self, service: str) -> bool:
+        """Return whether several versions serve, or have served shortly before."""
+        history = self._histories.get(service)
+        return history is not None and history.mixed_since_ms is not None
+
+    def record(self, stream: int, origin: int, now_ms: float) -> None:
+        """Record that a stream has begun, or goes on."""
+        self._records[stream] = (origin, now_ms)
+        self._records.move_to_end(stream)
+        while self._records:
+            oldest, (_, recorded_at_ms) = next(iter(self._records.items()))
+            is_expired = now_ms - recorded_at_ms > self._retention_ms
+            if not is_expired and len(self._records) <= MAX_RECORDS:
+                break
+            del self._records[oldest]
+
+    def find(self, stream: int, service: str, now_ms: float) -> OriginEvidence:
+        """Return what is known of the origin of a stream.
+
+        Parameters
+        ----------
+        stream : int
+            Hash of the attempt that began the stream.
+        service : str
+            Service of the route that resumes it.
+        now_ms : float
+            Current time in milliseconds.
+        """
+        history = self._histories.get(service)
+        observed_ms = round(now_ms - history.since_ms) if history else 0
+        record = self._records.get(stream)
+        if record is not None and now_ms - record[1] <= self._retention_ms:
+            return OriginEvidence(
+                origin=record[0], is_recorded=True, observed_ms=observed_ms
+            )
+        if history is None:
+            return OriginEvidence()
+        origin = history.find_unrecorded(now_ms, self._retention_ms)
+        return OriginEvidence(origin=origin, observed_ms=observed_ms)
+
+    def is_certain(self, service: str, evidence: OriginEvidence) -> bool:
+        """Return whether no other router can know more than this evidence says."""
+        if evidence.is_recorded:
+            return True
+        is_sole = evidence.origin is not None and not self.is_mixed(service)
+        return is_sole and evidence.observed_ms >= self._retention_ms
--- a/features/gateway_stream_version_comes.feature
+++ b/features/gateway_stream_version_comes.feature
@@ -29,3 +29,33 @@
     And engines "e-1" and "e-3" are full
     And these callers resume their checks at the new router
     Then at least 22 of these streams are complete
+
+  Scenario Outline: where an unrecorded stream began follows from the versions that served
+    Given servers of the versions "<before>" are known from 0 ms on
+    And servers of the versions "<then>" are known from 30000 ms on
+    When the origin of an unrecorded stream is sought at <at> ms
+    Then it is "<origin>"
+
+    Examples:
+      | before | then    | at    | origin |
+      | v1     | v1      | 30001 | v1     |
+      | v1     | v1 v1.1 | 30001 | v1     |
+      | v1     | v1 v1.1 | 39999 | v1     |
+      | v1     | v1 v1.1 | 40001 | none   |
+      | v1     | v1.1    | 30500 | v1     |
+      | v1     | v1.1    | 45000 | v1.1   |
+      | v1 v2  | v2      | 30500 | none   |
+      | v1 v2  | v2      | 45000 | v2     |
+
+  Scenario Outline: the best evidence of several routers counts
+    When routers answer with <evidence>
+    Then the chosen origin is <origin>
+
+    Examples:
+      | evidence                                      | origin |
+      | nothing                                       | none   |
+      | unknown, unknown                              | none   |
+      | concluded 1 after 50 ms                       | 1      |
+      | concluded 1 after 50 ms, concluded 2 after 90 | 2      |
+      | concluded 1 after 90 ms, recorded 2 after 5   | 2      |
+      | unknown, recorded 3 after 0                   | 3      |
