Send requests through a peer while a router has no path to the servers

The path counts as cut if at least two servers have failed without an answer from any, and other routers report later answers of these servers (ServerPath). The router tells its peers with its membership entry, and sends requests to the caller port of a peer that has a path, one hop at most; key, deadline, resumption and cancellation go with them, and the peer chooses the server, counts limits and keeps to at most once. Failures of that time say nothing about the servers. A connection that opens again ends it.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -15,6 +15,7 @@
 )
 from damaskrill.gateway._attempt_records import AttemptRecords
 from damaskrill.gateway._buffers import AnswerBuffer
+from damaskrill.gateway._peer_relay import peer_key
 from damaskrill.gateway._responder import Responder
 from damaskrill.gateway._sent_request import SentRequest
 from damaskrill.http1 import (
@@ -24,7 +25,9 @@
     OutgoingRequest,
     ServerConnection,
 )
+from damaskrill.mesh import MemberEntry
 from damaskrill.steering import (
+    AnswerMetadata,
     CrashGuard,
     RequestMetadata,
     ServerOutcome,
@@ -195,6 +198,45 @@
                 return await self.resume_held(self.held)
         return await self._wait_for_end(sent)
 
+    async def try_peer(self, peer: MemberEntry) -> AttemptResult | None:
+        """Send the request through a peer; return None if it was not sent."""
+        dispatcher, context = self._dispatcher, self._context
+        self.tried.add(peer_key(peer))
+        remaining_ms = max(1, int(context.limit_at_ms - dispatcher.now_ms))
+        connection = await dispatcher.relay.connect(peer, remaining_ms)
+        if connection is None:
+            return None
+        is_stream = context.route.kind is RequestKind.STREAM
+        attempt = Attempt(
+            request_id=self._metadata.request_id,
+            read_answer=dispatcher.binding.read_peer_answer,
+            progress=self._progress if is_stream else None,
+            on_metadata=_ignore_metadata,
+            on_forward=_ignore_events,
+            buffer=AnswerBuffer(budget=dispatcher.buffer_budget),
+        )
+        headers = dispatcher.binding.peer_headers(
+            self._request,
+            remaining_ms=max(1, int(context.limit_at_ms - dispatcher.now_ms)),
+            resume_after=self._progress.last_id,
+        )
+        self.sent_to.add(peer_key(peer))
+        self._responder.record_sent(dispatcher.now_ms)
+        connection.start(
+            OutgoingRequest(
+                method=self._request.method,
+                target=self._request.target,
+                headers=headers,
+                body=self._request.body,
+            ),
+            attempt,
+        )
+        try:
+            return await self._wait_for_result(attempt, may_hand_over=False)
+        finally:
+            if not attempt.has_ended:
+                connection.abort()
+
     async def resume_held(self, held: SentRequest) -> AttemptResult:
         """Go on with the held attempt and return its result."""
         self.held = None
@@ -222,6 +264,7 @@
             # A connect that the request's own limit ended says nothing of the server.
             if dispatcher.now_ms < self._context.limit_at_ms:
                 self._records.record(server, ServerOutcome.NO_CONNECTION, str(error))
+                dispatcher.relay.record_failure(server)
             return None
         if dispatcher.catalog.is_usable(server.key):
             return connection
@@ -334,13 +377,19 @@
             sent.connection.abort()
         self._dispatcher.loads.end(sent.server.key)
 
-    async def _wait_for_result(self, attempt: Attempt) -> AttemptResult:
+    async def _wait_for_result(
+        self, attempt: Attempt, *, may_hand_over: bool = True
+    ) -> AttemptResult:
         dispatcher, limit_at_ms = self._dispatcher, self._context.limit_at_ms
         loop = asyncio.get_running_loop()
         while not attempt.done.done():
             idle_ms = (loop.time() - attempt.progress_at) * 1_000
             remaining_ms = wait_ms = limit_at_ms - dispatcher.now_ms
-            if self._may_hand_over and remaining_ms >= MIN_HANDOVER_MS:
+            if (
+                may_hand_over
+                and self._may_hand_over
+                and remaining_ms >= MIN_HANDOVER_MS
+            ):
                 silence_ms = silence_limit_ms(
                     self._context.route,
                     has_begun=self._progress.has_begun,
@@ -387,6 +436,8 @@
             target_ms=self._context.route.target_ms,
             is_expired=is_expired,
         )
+        if outcome is not None and not sent.attempt.has_head:
+            self._dispatcher.relay.record_failure(sent.server)
         if outcome is ServerOutcome.FULL:
             self.overloaded.add(sent.server.key)
 
@@ -399,3 +450,11 @@
             has_answer=sent.attempt.has_head,
         )
         self._evaluate(sent, Broken(failure=failure), is_expired=True)
+
+
+def _ignore_metadata(metadata: AnswerMetadata) -> None:
+    """Leave what a server states to the peer that it answers."""
+
+
+def _ignore_events() -> None:
+    """Leave the record of the stream's version to the peer."""
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -10,7 +10,7 @@
 from damaskrill.http1 import AnswerHead, CallerRequest, Headers
 from damaskrill.steering import AnswerMetadata, RequestMetadata
 
-__all__ = ["PlatformBinding", "ServerHeaders"]
+__all__ = ["PeerHeaders", "PlatformBinding", "ServerHeaders"]
 
 
 class ServerHeaders(Protocol):
@@ -29,6 +29,15 @@
         """Return the headers."""
 
 
+class PeerHeaders(Protocol):
+    """Callable that builds the headers of a request to another router."""
+
+    def __call__(
+        self, request: CallerRequest, *, remaining_ms: int, resume_after: int | None
+    ) -> Headers:
+        """Return the headers."""
+
+
 @frozen(kw_only=True)
 class PlatformBinding:
     """Adapter between the platform's protocol and the gateway.
@@ -45,6 +54,10 @@
         Extract metadata from the headers of a request and of an answer.
     server_headers : callable
         Builds the headers of a request to a backend server.
+    read_peer_answer : callable
+        Extracts metadata from the headers of an answer of another router.
+    peer_headers : callable
+        Builds the headers of a request to another router.
     store : BaseStoreClient
         Client of the store.
     """
@@ -55,4 +68,6 @@
     read_request: Callable[[CallerRequest], RequestMetadata]
     read_answer: Callable[[AnswerHead], AnswerMetadata]
     server_headers: ServerHeaders
+    read_peer_answer: Callable[[AnswerHead], AnswerMetadata]
+    peer_headers: PeerHeaders
     store: BaseStoreClient
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -12,6 +12,7 @@
 from damaskrill.gateway._crash_blocking import CrashBlocking
 from damaskrill.gateway._exchange import Exchange
 from damaskrill.gateway._metrics import GatewayMetrics
+from damaskrill.gateway._peer_relay import PeerRelay
 from damaskrill.gateway._server_throttle import ServerThrottle, ServiceWait
 from damaskrill.gateway._stream_versions import StreamVersions
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
@@ -78,6 +79,8 @@
         Requests and prompt parts that may crash servers.
     ranks_first : callable
         Returns whether this router is the first one by rendezvous hash for a key.
+    relay : PeerRelay
+        Peers that requests go through while the path to the servers is cut.
     streams : StreamVersions
         Software versions at which streams began.
     publish_reports : callable
@@ -112,6 +115,7 @@
         failures: FailureDetector,
         crashes: CrashDetector,
         ranks_first: Callable[[str], bool],
+        relay: PeerRelay,
         streams: StreamVersions,
         publish_reports: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
@@ -130,6 +134,7 @@
         self.loads = loads
         self.buffer_budget = BufferBudget()
         self.throttle = throttle
+        self.relay = relay
         self.streams = streams
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
@@ -375,6 +380,7 @@
     def handle_metadata(self, server: BackendServer, metadata: AnswerMetadata) -> None:
         """Handle what a server states about itself in an answer."""
         now_ms = self.now_ms
+        self.relay.record_heard()
         if metadata.load is not None:
             self.loads.observe_load(server.key, sum(metadata.load), now_ms)
         if metadata.is_leaving and self.catalog.mark_leaving(
@@ -389,6 +395,9 @@
         """Record the outcome of an attempt at a server."""
         if outcome is not ServerOutcome.GOOD:
             self.metrics.record_failure(outcome.value)
+        if self.relay.is_needed:
+            # It is this router that has no path; the server is not at fault.
+            return
         if self._health.record(server.key, outcome, self.now_ms):
             self._log_ejection(server, outcome.value)
         if self._failures.has_unpublished:
@@ -450,6 +459,7 @@
         # Servers that are out of use for a moment return as they were.
         self._health.retain_only(self.catalog.registered_keys())
         self.throttle.discard_ended(self.now_ms)
+        self.relay.discard_ended()
 
     @property
     def is_exiting(self) -> bool:
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -20,6 +20,7 @@
 from damaskrill.gateway._outcomes import find_refusal
 from damaskrill.gateway._responder import Responder
 from damaskrill.http1 import CallerConnection, CallerRequest
+from damaskrill.mesh import MemberEntry
 from damaskrill.steering import (
     FULL_RETRY_DELAY_MS,
     CrashGuard,
@@ -182,7 +183,9 @@
             return
         stream_id = self._metadata.stream_id if route.is_resumable else ""
         service = self._responder.service = dispatcher.pick_service(route, stream_id)
-        dispatcher.budget.record_request(service, dispatcher.now_ms)
+        if not self._metadata.is_relayed:
+            # The router that sent it has counted it.
+            dispatcher.budget.record_request(service, dispatcher.now_ms)
         origin = None
         if route.is_resumable and self._metadata.is_resumed:
             origin = await self._find_origin(service)
@@ -209,6 +212,11 @@
         while True:
             if self._refuse_crashing(guard):
                 return
+            peer = self._choose_peer(route)
+            if peer is not None:
+                if await self._relay(route, peer):
+                    return
+                continue
             server = await self._choose_server(route, guard)
             if self._refuse_crashing(guard):
                 return
@@ -225,6 +233,42 @@
                 return
             self._last_result = result
 
+    def _choose_peer(self, route: Route) -> MemberEntry | None:
+        """Return the peer to send the request through; None to send it directly."""
+        dispatcher, attempts = self._dispatcher, self._attempts
+        is_direct = not dispatcher.relay.is_needed or self._metadata.is_relayed
+        if is_direct or attempts.held is not None:
+            return None
+        peer = dispatcher.relay.choose_peer(attempts.tried)
+        if peer is None or not self._responder.n_sent:
+            return peer
+        service = attempts.requirements.service
+        is_allowed = self._may_retry(route) and dispatcher.try_acquire_retry(service)
+        return peer if is_allowed else None
+
+    async def _relay(self, route: Route, peer: MemberEntry) -> bool:
+        """Send the request through a peer; return whether it has ended."""
+        result = await self._attempts.try_peer(peer)
+        if result is None:
+            return False
+        self._dispatcher.log.write(
+            "request_relayed", request_id=self._metadata.request_id, peer=peer.address
+        )
+        if isinstance(result, NotRun) and not self._may_have_run:
+            self._responder.refuse(
+                Refusal(
+                    status=503,
+                    cause=RefusalCause.PEER_REFUSED,
+                    retry_after_ms=None
+                    if result.pause_ms is None
+                    else round(result.pause_ms),
+                ),
+                peer.address,
+            )
+            return True
+        self._last_result = result
+        return self._deliver(route, result)
+
     async def _find_origin(self, service: str) -> int | None:
         """Return where the resumed stream began; refuse the request if none serves."""
         streams = self._dispatcher.streams
--- /dev/null
+++ b/damaskrill/gateway/_peer_relay.py
@@ -0,0 +1,172 @@
+"""Requests that go through a peer while this router has no path to the servers."""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+
+from damaskrill.catalog import BackendServer, Catalog
+from damaskrill.eventlog import DecisionLog
+from damaskrill.http1 import ServerConnection, ServerPool
+from damaskrill.mesh import MemberEntry
+from damaskrill.steering import ServerPath, short_server_id
+from damaskrill.utils import monotonic_now_ms
+
+__all__ = ["PeerRelay", "peer_key"]
+
+# Peers that one request tries to connect to.
+MAX_PEERS = 3
+
+
+class PeerRelay:
+    """Finds out whether the path is cut, and selects peers for requests.
+
+    Parameters
+    ----------
+    path : ServerPath
+        Evidence on the path to the servers.
+    server_pool, peer_pool : ServerPool
+        Connections to servers and to peers.
+    catalog : Catalog
+        Configuration and servers.
+    own_entry : callable
+        Returns this router's membership entry.
+    find_peers : callable
+        Returns the membership entries of the other routers.
+    announce : callable
+        Tells the peers whether this router has a path.
+    region_of : mapping of str to str
+        Region of each data centre.
+    log : DecisionLog
+        Log of decisions.
+    random_state : Random
+        Random number generator.
+    """
+
+    def __init__(
+        self,
+        *,
+        path: ServerPath,
+        server_pool: ServerPool,
+        peer_pool: ServerPool,
+        catalog: Catalog,
+        own_entry: Callable[[], MemberEntry],
+        find_peers: Callable[[], Sequence[MemberEntry]],
+        announce: Callable[[bool], None],
+        region_of: Mapping[str, str],
+        log: DecisionLog,
+        random_state: Random,
+    ) -> None:
+        self._path = path
+        self._server_pool = server_pool
+        self._peer_pool = peer_pool
+        self._catalog = catalog
+        self._own_entry = own_entry
+        self._find_peers = find_peers
+        self._announce = announce
+        self._region_of = region_of
+        self._log = log
+        self._random = random_state
+        self._probe: asyncio.Task[None] | None = None
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether this router itself cannot reach the servers."""
+        return self._path.is_cut
+
+    def record_heard(self) -> None:
+        """Record that a server has answered or accepted a connection."""
+        if self._path.record_heard():
+            self._announce(True)
+            self._log.write("server_path_back")
+
+    def record_failure(self, server: BackendServer) -> None:
+        """Record that a server has not responded."""
+        server_hash = short_server_id(server.key)
+        self._handle(self._path.record_failure(server_hash, monotonic_now_ms()))
+
+    def record_peer_answers(self, answers: Sequence[tuple[int, float]]) -> None:
+        """Record which servers have answered other routers, and how long ago."""
+        self._handle(self._path.record_peer_answers(answers, monotonic_now_ms()))
+
+    def choose_peer(self, tried: set[tuple[str, int]]) -> MemberEntry | None:
+        """Return the peer to send a request through; None if there is none.
+
+        Notes
+        -----
+        Peers of the own data centre are preferred while most of its routers have a
+        path. The region stays the same, as callers' data may be bound to it.
+        """
+        own = self._own_entry()
+        region = self._region_of.get(own.data_centre, "")
+        peers = self._find_peers()
+        n_tried = sum(peer_key(each) in tried for each in peers)
+        usable = [
+            each
+            for each in peers
+            if each.has_path
+            and each.caller_port
+            and peer_key(each) not in tried
+            and self._region_of.get(each.data_centre, "") == region
+        ]
+        if not usable or n_tried >= MAX_PEERS:
+            return None
+        local = [each for each in usable if each.data_centre == own.data_centre]
+        n_local = sum(each.data_centre == own.data_centre for each in peers)
+        if 2 * len(local) > n_local:
+            usable = local
+        return self._random.choice(usable)
+
+    async def connect(
+        self, peer: MemberEntry, limit_ms: float
+    ) -> ServerConnection | None:
+        """Return a connection to a peer; None if it cannot be opened in time."""
+        connection = self._peer_pool.acquire_idle(peer_key(peer))
+        if connection is not None:
+            return connection
+        host = peer.address.rpartition(":")[0]
+        try:
+            return await self._peer_pool.open(
+                peer_key(peer), (host, peer.caller_port), limit_ms=limit_ms
+            )
+        except OSError:
+            self._log.warn("peer_not_reached", peer=peer.address)
+            return None
+
+    def probe(self) -> None:
+        """Try to reach a server, if the path is cut."""
+        if self._path.is_cut and (self._probe is None or self._probe.done()):
+            self._probe = asyncio.get_running_loop().create_task(self._run_probe())
+
+    def discard_ended(self) -> None:
+        """Discard what is known of servers that are not listed any more."""
+        keys = self._catalog.registered_keys()
+        self._path.retain_only({short_server_id(key) for key in keys})
+
+    async def _run_probe(self) -> None:
+        configuration = self._catalog.configuration
+        services = configuration.services if configuration else ()
+        servers = [
+            server
+            for service in services
+            for server in self._catalog.find_servers(service)
+        ]
+        if not servers:
+            return
+        server = self._random.choice(servers)
+        try:
+            connection = await self._server_pool.open(server.key, server.address)
+        except OSError:
+            # The path is still cut, or this server is down; the next probe tells.
+            return
+        self._server_pool.release(server.key, connection)
+        self.record_heard()
+
+    def _handle(self, is_newly_cut: bool) -> None:
+        if is_newly_cut:
+            self._announce(False)
+            self._log.warn("server_path_cut", n_peers=len(self._find_peers()))
+
+
+def peer_key(peer: MemberEntry) -> tuple[str, int]:
+    """Return the key of a peer's connections."""
+    return (f"router {peer.address}", peer.incarnation)
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -24,6 +24,7 @@
 from damaskrill.gateway._binding import PlatformBinding
 from damaskrill.gateway._dispatcher import RequestDispatcher
 from damaskrill.gateway._metrics import GatewayMetrics
+from damaskrill.gateway._peer_relay import PeerRelay
 from damaskrill.gateway._server_throttle import ServerThrottle
 from damaskrill.gateway._settings import Address, GatewaySettings
 from damaskrill.gateway._stream_versions import StreamVersions
@@ -49,6 +50,7 @@
     HotKeys,
     PrefixIndex,
     ServerLoads,
+    ServerPath,
     StatedLimits,
     short_id,
 )
@@ -178,6 +180,7 @@
             time.time_ns() // 1_000_000,
             settings.data_centre,
             1,
+            settings.caller_address[1],
         )
         self._catalog = Catalog(report=self._log.write)
         self._replica = FeedReplica(is_retained=self._binding.is_operator_item)
@@ -214,6 +217,7 @@
             apply_failures=lambda servers: self._dispatcher.apply_failures(servers),
             apply_departure=self._apply_departure,
             apply_crashes=lambda: self._dispatcher.crashes.log_changes(),
+            apply_answers=lambda answers: self._relay.record_peer_answers(answers),
             apply_limits=lambda limits: self._dispatcher.throttle.log_reported(limits),
             report=self._log.write,
         )
@@ -250,10 +254,24 @@
             cold_slack=settings.cold_slack,
             log=self._log,
         )
+        pool = ServerPool(reactor=self._reactor, may_keep=self._catalog.is_usable)
+        self._relay = PeerRelay(
+            path=ServerPath(),
+            server_pool=pool,
+            peer_pool=ServerPool(reactor=self._reactor),
+            catalog=self._catalog,
+            own_entry=lambda: self._members.own,
+            find_peers=self._members.peers,
+            announce=self._announce_path,
+            region_of=settings.region_of,
+            log=self._log,
+            random_state=self._random,
+        )
         self._dispatcher = RequestDispatcher(
             binding=self._binding,
             catalog=self._catalog,
-            pool=ServerPool(reactor=self._reactor, may_keep=self._catalog.is_usable),
+            pool=pool,
+            relay=self._relay,
             throttle=throttle,
             budget=FleetRetryBudget(
                 ratio=settings.repeat_ratio,
@@ -340,6 +358,7 @@
             "servers": float(self._catalog.n_servers),
             "servers_limited": float(self._limits.n_limited),
             "streams_recorded": float(self._streams.n_records),
+            "server_path_cut": float(self._relay.is_needed),
             "exchanges": float(self._dispatcher.n_exchanges),
             "store_calls": float(self._reader.n_calls),
             "store_era": float(self._replica.position.era),
@@ -420,6 +439,10 @@
         if changes:
             self._dispatcher.purge_removed_servers()
 
+    def _announce_path(self, has_path: bool) -> None:
+        self._members.set_path(has_path, monotonic_now_ms())
+        self._mesh.push_urgent_reports()
+
     def _ranks_first(self, key: str) -> bool:
         addresses = self._members.addresses()
         return rank_by_rendezvous(key, addresses)[0] == self._members.own.address
@@ -450,6 +473,7 @@
             self._detect_pause()
             self._catalog.purge(round(monotonic_now_ms()))
             self._streams.observe_all()
+            self._relay.probe()
             self._rate_limiter.set_members(self._members.addresses())
 
     def _detect_pause(self) -> None:
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -75,12 +75,18 @@
         Data centre that it runs in.
     heartbeat : int
         Counter that it increments while it is alive.
+    caller_port : int
+        Port for callers, on the same host as the address; 0 if unknown.
+    has_path : bool
+        Whether it can reach the backend servers.
     """
 
     address: str
     incarnation: int
     data_centre: str
     heartbeat: int
+    caller_port: int = 0
+    has_path: bool = True
 
 
 @frozen(kw_only=True)
@@ -302,10 +308,7 @@
 def _encode_reports(update: Update) -> list[Any]:
     counts = update.key_counts
     return [
-        [
-            [e.address, e.incarnation, e.data_centre, e.heartbeat]
-            for e in update.entries
-        ],
+        [list(astuple(each)) for each in update.entries],
         [[s.address, s.incarnation, s.heartbeat] for s in update.suspicions],
         [[d.server_id, d.started_at_ms] for d in update.departures],
         _pack((each.load_id, each.n_requests, each.age_ms) for each in update.loads),
@@ -403,8 +406,17 @@
 
 def _to_entry(fields: Any) -> MemberEntry:
     match list(fields):
-        case [str(address), int(incarnation), str(data_centre), int(heartbeat)]:
-            return MemberEntry(address, incarnation, data_centre, heartbeat)
+        case [
+            str(address),
+            int(incarnation),
+            str(data_centre),
+            int(heartbeat),
+            int(caller_port),
+            bool(has_path),
+        ]:
+            return MemberEntry(
+                address, incarnation, data_centre, heartbeat, caller_port, has_path
+            )
         case _:
             raise ValueError("invalid membership entry")
 
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -122,6 +122,11 @@
         if now_ms - self._heartbeat_at_ms >= interval_ms:
             self._increment_heartbeat(now_ms)
 
+    def set_path(self, has_path: bool, now_ms: float) -> None:
+        """Publish whether this router can reach the backend servers."""
+        self._own = evolve(self._own, has_path=has_path)
+        self._increment_heartbeat(now_ms)
+
     def merge(self, entry: MemberEntry, now_ms: float, *, source: str = "") -> bool:
         """Merge an entry received from a peer; ignore it if it is not newer.
 
@@ -252,6 +257,10 @@
         """Return the entries of all routers, this one first."""
         return [self._own, *(member.entry for member in self._members.values())]
 
+    def peers(self) -> list[MemberEntry]:
+        """Return the entries of the other routers."""
+        return [member.entry for member in self._members.values()]
+
     def addresses(self) -> frozenset[str]:
         """Return the addresses of all routers, this one included."""
         if self._addresses is None:
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -54,6 +54,8 @@
         Handles a server that has announced that it leaves; returns whether this is new.
     apply_crashes : callable
         Handles new reports of crashes and of served prompt parts.
+    apply_answers : callable
+        Handles which servers have answered other routers, and how long ago.
     apply_limits : callable
         Handles new rate limits, by short hash of the server.
     report : callable
@@ -75,6 +77,7 @@
     apply_failures: Callable[[frozenset[int]], None]
     apply_departure: Callable[[Departure], bool]
     apply_crashes: Callable[[], None]
+    apply_answers: Callable[[list[tuple[int, float]]], None]
     apply_limits: Callable[[dict[int, float | None]], None]
     report: Callable[..., None]
     _departures: GossipLog[Departure] = field(
@@ -189,6 +192,8 @@
             if self.apply_departure(departure):
                 self._departures.add(departure, source=source)
         self.loads.apply_reports(update.loads, now_ms=now_ms, source=source)
+        if update.loads:
+            self.apply_answers([(each.load_id, each.age_ms) for each in update.loads])
         self.prefix_index.apply_reports(update.prefixes, now_ms=now_ms, source=source)
         if update.key_counts is not None:
             self.hot_keys.apply_counts(source, update.key_counts, now_ms)
--- a/damaskrill/platform/_binding.py
+++ b/damaskrill/platform/_binding.py
@@ -5,7 +5,9 @@
 from damaskrill.gateway import PlatformBinding
 from damaskrill.platform._headers import (
     READINESS_PATH,
+    peer_headers,
     read_answer,
+    read_peer_answer,
     read_request,
     server_headers,
 )
@@ -26,5 +28,7 @@
         read_request=read_request,
         read_answer=read_answer,
         server_headers=server_headers,
+        read_peer_answer=read_peer_answer,
+        peer_headers=peer_headers,
         store=PlatformStore(reactor=reactor, address=address),
     )
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -7,7 +7,14 @@
 from damaskrill.steering import AnswerMetadata, PromptPart, RequestMetadata
 from damaskrill.utils import hash_fields
 
-__all__ = ["READINESS_PATH", "read_answer", "read_request", "server_headers"]
+__all__ = [
+    "READINESS_PATH",
+    "peer_headers",
+    "read_answer",
+    "read_peer_answer",
+    "read_request",
+    "server_headers",
+]
 
 READINESS_PATH = b"/damaskrill/readiness"
 
@@ -21,6 +28,10 @@
 RESUMED_REQUEST = b"resumes"
 # Address of the engine to copy a prompt's cached prefix from.
 CACHE_SOURCE = b"Kv-Fetch"
+# Marks a request that a router sends through another one.
+RELAYED = b"damaskrill-router-hop"
+# Statuses with which a router promises that the request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Headers that only routers may set; they are dropped from callers' requests.
 ROUTER_HEADERS = frozenset(
     {
@@ -32,6 +43,7 @@
         b"damaskrill-pin-ms",
         b"damaskrill-request-deadline",
         b"damaskrill-request-priority",
+        RELAYED,
         b"damaskrill-tenant",
         b"kv-fetch",
         b"kv-from",
@@ -67,6 +79,7 @@
         n_output_tokens=usage[1] if len(usage) > 1 else 0,
         last_event_id=_read_number(headers.get(b"last-event-id", b"")),
         resumed_request_id=headers.get(RESUMED_REQUEST, b"").decode("latin-1"),
+        is_relayed=RELAYED in headers,
     )
 
 
@@ -116,6 +129,52 @@
     return tuple(forwarded)
 
 
+def peer_headers(
+    request: CallerRequest, *, remaining_ms: int, resume_after: int | None
+) -> Headers:
+    """Return the headers of a request that goes through another router.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        Caller's request.
+    remaining_ms : int
+        Timeout of the answer, in milliseconds.
+    resume_after : int or None
+        Last event that the caller has received; None forwards the caller's header.
+
+    Notes
+    -----
+    The other router needs the caller's key, which it does not pass to servers.
+    """
+    dropped = {DEADLINE.lower(), RELAYED}
+    if resume_after is not None:
+        dropped.add(b"last-event-id")
+    headers = [
+        (name, value)
+        for name, value in forwarded_headers(request.headers)
+        if name.lower() not in dropped
+    ]
+    headers.append((DEADLINE, b"%d" % remaining_ms))
+    headers.append((RELAYED, b"1"))
+    if resume_after is not None:
+        headers.append((LAST_EVENT_ID, b"%d" % resume_after))
+    return tuple(headers)
+
+
+def read_peer_answer(head: AnswerHead) -> AnswerMetadata:
+    """Return the metadata of an answer that another router sent or passed on."""
+    metadata = read_answer(head)
+    if metadata.is_sealed:
+        return metadata
+    headers = {name.lower(): value for name, value in head.headers}
+    return AnswerMetadata(
+        request_id=metadata.request_id,
+        is_not_run=head.status in NOT_RUN_STATUSES,
+        pause_ms=_read_pause_ms(headers.get(RETRY_AFTER, b"")),
+    )
+
+
 def read_answer(head: AnswerHead) -> AnswerMetadata:
     """Return the metadata of a backend server's answer from its headers."""
     headers = {name.lower(): value for name, value in head.headers}
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -36,6 +36,7 @@
 )
 from damaskrill.steering._retry_budget import FleetRetryBudget
 from damaskrill.steering._selector import Candidate, ServerRequirements, ServerSelector
+from damaskrill.steering._server_path import ServerPath
 from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
 from damaskrill.steering._stated_limits import LimitReport, StatedLimits
 from damaskrill.steering._stream_origins import (
@@ -87,6 +88,7 @@
     "ServedReport",
     "ServerLoads",
     "ServerOutcome",
+    "ServerPath",
     "ServerPauses",
     "ServerRequirements",
     "ServerSelector",
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -49,6 +49,8 @@
         Last event that the caller already received of a stream that it resumes.
     resumed_request_id : str
         Attempt that brought the first event of the stream; empty if it gave none.
+    is_relayed : bool
+        Whether another router sent it, which cannot reach the servers.
     """
 
     request_id: str = ""
@@ -62,6 +64,7 @@
     n_output_tokens: int = 0
     last_event_id: int | None = None
     resumed_request_id: str = ""
+    is_relayed: bool = False
 
     @property
     def is_resumed(self) -> bool:
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -29,6 +29,7 @@
     SERVERS_PAUSED = "servers_paused"
     SERVERS_LIMITED = "servers_limited"
     SERVER_REPLACED = "server_replaced"
+    PEER_REFUSED = "peer_refused"
     CRASHING_PROMPT = "crashing_prompt"
     CRASHING_REQUEST = "crashing_request"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -72,6 +73,9 @@
     RefusalCause.SERVER_REPLACED: (
         "another backend server answered at the address of the selected one"
     ),
+    RefusalCause.PEER_REFUSED: (
+        "this router cannot reach the backend servers, and its peer refused the request"
+    ),
     RefusalCause.CRASHING_PROMPT: (
         "backend servers have crashed under a part of the prompt"
     ),
--- a/features/gateway_cut_path.feature
+++ b/features/gateway_cut_path.feature
@@ -25,3 +25,34 @@
     When the first 4 gateways lose their path to all servers, with connections that are reset
     And from 3 s after that each gateway gets 5 reads, checks and actions a second for 1 s
     Then none is served, and each is answered within 1000 ms
+
+  Scenario Outline: a path counts as cut only if other routers get answers meanwhile
+    When a router records <records>
+    Then its path counts as <state>
+
+    Examples:
+      | records                                                              | state |
+      | failure 1 at 100, failure 2 at 150                                   | open  |
+      | failure 1 at 100, failure 2 at 150, peer 1 at 90                     | open  |
+      | failure 1 at 100, failure 2 at 150, peer 1 at 120                    | cut   |
+      | peer 1 at 120, failure 1 at 100, failure 2 at 150                    | cut   |
+      | failure 1 at 100, failure 1 at 200, peer 1 at 300                    | open  |
+      | failure 1 at 100, heard at 120, failure 2 at 150, peer 1 at 200      | open  |
+      | failure 1 at 100, failure 2 at 150, peer 2 at 200, heard at 220      | open  |
+      | failure 1 at 100, failure 2 at 150, peer 3 at 200                    | open  |
+
+  Scenario: a relayed request carries what the peer needs and nothing that a caller set
+    When a caller's request with a hop mark is prepared for a peer and for a server
+    Then the peer gets key, one hop mark and the time that is left, the server no mark
+
+  Scenario Outline: an answer of a peer says whether the request has run
+    When a peer answers with <status> and <headers>
+    Then the request counts as <meaning>
+
+    Examples:
+      | status | headers | meaning |
+      | 503    | nothing | not run |
+      | 429    | nothing | not run |
+      | 502    | nothing | unknown |
+      | 504    | nothing | unknown |
+      | 503    | a seal  | unknown |
--- a/features/steps/gateway_cut_path_steps.py
+++ b/features/steps/gateway_cut_path_steps.py
@@ -2,10 +2,19 @@
 
 import asyncio
 import itertools
+import re
 import time
 
 from behave import then, when
 
+from damaskrill.catalog import BackendServer
+from damaskrill.http1 import AnswerHead, CallerRequest
+from damaskrill.platform._headers import (
+    peer_headers,
+    read_peer_answer,
+    server_headers,
+)
+from damaskrill.steering import ServerPath
 from features.support.gateways import Caller, build_request
 
 NUMBERS = itertools.count(1)
@@ -139,3 +148,72 @@
     assert served_share(context.results) == 0.0
     slowest = max(reply.elapsed_ms for _, _, reply in context.results)
     assert slowest <= limit_ms, slowest
+
+
+@when("a router records {records}")
+def step_records(context, records):
+    context.path = ServerPath()
+    for record in records.split(","):
+        kind, *numbers = re.findall(r"[a-z]+|\d+", record.replace(" at ", " "))
+        match kind:
+            case "failure":
+                context.path.record_failure(int(numbers[0]), float(numbers[1]))
+            case "peer":
+                at_ms = float(numbers[1])
+                context.path.record_peer_answers([(int(numbers[0]), 0.0)], at_ms)
+            case "heard":
+                context.path.record_heard()
+
+
+@then("its path counts as {state}")
+def step_path_state(context, state):
+    assert context.path.is_cut == (state == "cut")
+
+
+@when("a caller's request with a hop mark is prepared for a peer and for a server")
+def step_prepare(context):
+    request = CallerRequest(
+        method=b"GET",
+        target=b"/read/1",
+        headers=(
+            (b"Host", b"desk.example"),
+            (b"Authorization", b"Bearer key-1"),
+            (b"Damaskrill-Router-Hop", b"9"),
+            (b"Damaskrill-Request-Deadline", b"3000"),
+        ),
+        body=b"",
+        arrived_at_ms=0.0,
+    )
+    context.for_peer = peer_headers(request, remaining_ms=700, resume_after=3)
+    context.for_server = server_headers(
+        request,
+        server=BackendServer(server_id="i", service="s", address=("127.0.0.1", 1)),
+        team=None,
+        remaining_ms=700,
+        resume_after=None,
+        cache_source=None,
+    )
+
+
+@then("the peer gets key, one hop mark and the time that is left, the server no mark")
+def step_prepared(context):
+    names = [name.lower() for name, _ in context.for_peer]
+    by_name = {name.lower(): value for name, value in context.for_peer}
+    assert by_name[b"authorization"] == b"Bearer key-1"
+    assert names.count(b"damaskrill-router-hop") == 1
+    assert by_name[b"damaskrill-router-hop"] == b"1"
+    assert by_name[b"damaskrill-request-deadline"] == b"700"
+    assert by_name[b"last-event-id"] == b"3"
+    sent = {name.lower() for name, _ in context.for_server}
+    assert not sent & {b"damaskrill-router-hop", b"authorization"}
+
+
+@when("a peer answers with {status:d} and {headers}")
+def step_peer_answers(context, status, headers):
+    names = ((b"Damaskrill-Response-Seal", b"s"),) if headers == "a seal" else ()
+    context.metadata = read_peer_answer(AnswerHead(status=status, headers=names))
+
+
+@then("the request counts as {meaning}")
+def step_meaning(context, meaning):
+    assert context.metadata.is_not_run == (meaning == "not run")
