--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -105,6 +105,14 @@
         run them.
     on_crash : callable or None
         Called after such a crash.
+    capacity : int or None
+        Requests that it runs at the same time, beyond which it rejects others; None for
+        any number.
+    brittle_per_s : int or None
+        Value of the header ``Server-Brittle`` of its answers: it crashes if it has to
+        reject more requests within a second.
+    n_falls : int
+        Number of these crashes.
     """
 
     def __init__(
@@ -135,6 +143,11 @@
         self.fatal_parts: set[str] = set()
         self.fatal_requests: set[tuple[bytes, bytes]] = set()
         self.on_crash: Callable[[], None] | None = None
+        self.capacity: int | None = None
+        self.brittle_per_s: int | None = None
+        self.n_falls = 0
+        self._n_active = 0
+        self._rejections: list[float] = []
         self.arrivals: list[tuple[float, str]] = []
         self._n_events = n_events
         self._event_ms = event_ms
@@ -178,9 +191,20 @@
         if is_other_instance or self.misbehaviour is Misbehaviour.MOVED:
             connection.send_answer(421, ((b"Damaskrill-Instance-Id", b"i-other"),), b"")
             return
-        if self.misbehaviour is Misbehaviour.FULL:
+        is_full = self.capacity is not None and self._n_active >= self.capacity
+        if is_full or self.misbehaviour is Misbehaviour.FULL:
             connection.send_answer(503, self._refusal_headers(request_id), b"")
+            self._count_rejection()
             return
+        self._n_active += 1
+        try:
+            await self._run_request(connection, request, request_id)
+        finally:
+            self._n_active -= 1
+
+    async def _run_request(
+        self, connection: CallerConnection, request: CallerRequest, request_id: bytes
+    ) -> None:
         self.runs[request_id.decode()] += 1
         if (request.target, request.body) in self.fatal_requests:
             await asyncio.sleep(CRASH_DELAY_MS / 1_000)
@@ -222,8 +246,19 @@
             headers = (*headers, (b"Server-Leaving", b"1"))
         if self.rate_limit is not None:
             headers = (*headers, (b"Server-Limit", self.rate_limit))
+        if self.brittle_per_s is not None:
+            headers = (*headers, (b"Server-Brittle", b"%d" % self.brittle_per_s))
         return headers
 
+    def _count_rejection(self) -> None:
+        if self.brittle_per_s is None:
+            return
+        now = time.monotonic()
+        self._rejections = [at for at in self._rejections if now - at < 1.0] + [now]
+        if len(self._rejections) > self.brittle_per_s:
+            self.n_falls += 1
+            self._crash()
+
     def _refusal_headers(self, request_id: bytes) -> Headers:
         headers: Headers = (
             (b"Damaskrill-Request-Id", request_id),
