Limit the requests that the fleet has at a brittle server at the same time

Routers tell each other which services are brittle (a second StatedLimits). Each has an equal share of such a server's places (FleetRateLimiter), starts with a quarter of it at a new server, halves it at a rejection and stays away for a second. Beyond the shares callers are refused at once as servers_limited with the time. Routers without a place send while half of the places are free.

--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -395,6 +395,7 @@
         """Record the outcome of an attempt at a server."""
         if outcome is not ServerOutcome.GOOD:
             self.metrics.record_failure(outcome.value)
+        self.throttle.record_outcome(server, outcome, self.now_ms)
         if self.relay.is_needed:
             # It is this router that has no path; the server is not at fault.
             return
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -43,6 +43,7 @@
     ReportExchange,
 )
 from damaskrill.steering import (
+    BrittleServices,
     CrashDetector,
     FailureDetector,
     FleetRateLimiter,
@@ -200,6 +201,7 @@
         )
         self._crashes = CrashDetector(router=own.address, first_number=own.incarnation)
         self._limits = StatedLimits()
+        self._brittle = BrittleServices(StatedLimits())
         self._streams = StreamVersions(
             catalog=self._catalog,
             own_address=own.address,
@@ -214,6 +216,7 @@
             failures=self._failures,
             crashes=self._crashes,
             limits=self._limits,
+            brittle=self._brittle.statements,
             apply_failures=lambda servers: self._dispatcher.apply_failures(servers),
             apply_departure=self._apply_departure,
             apply_crashes=lambda: self._dispatcher.crashes.log_changes(),
@@ -250,6 +253,8 @@
             catalog=self._catalog,
             limiter=self._rate_limiter,
             limits=self._limits,
+            brittle=self._brittle,
+            loads=self._loads,
             cold_factor=settings.cold_factor,
             cold_slack=settings.cold_slack,
             log=self._log,
@@ -358,6 +363,7 @@
             "servers": float(self._catalog.n_servers),
             "servers_limited": float(self._limits.n_limited),
             "streams_recorded": float(self._streams.n_records),
+            "services_brittle": float(self._brittle.statements.n_limited),
             "server_path_cut": float(self._relay.is_needed),
             "exchanges": float(self._dispatcher.n_exchanges),
             "store_calls": float(self._reader.n_calls),
--- a/damaskrill/gateway/_server_throttle.py
+++ b/damaskrill/gateway/_server_throttle.py
@@ -8,9 +8,12 @@
 from damaskrill.eventlog import DecisionLog
 from damaskrill.steering import (
     AnswerMetadata,
+    BrittleServices,
     FleetRateLimiter,
     RateLimit,
     RefusalCause,
+    ServerLoads,
+    ServerOutcome,
     ServerPauses,
     StatedLimits,
     cold_start_limit,
@@ -48,6 +51,10 @@
         Shares of the routers in rate limits.
     limits : StatedLimits
         Rate limits that servers state.
+    brittle : BrittleServices
+        Concurrent requests at servers that crash if they reject many.
+    loads : ServerLoads
+        Number of requests at each server.
     cold_factor, cold_slack : float
         A cold server can handle ``rate * cold_factor + cold_slack`` requests in any
         second.
@@ -61,6 +68,8 @@
         catalog: Catalog,
         limiter: FleetRateLimiter,
         limits: StatedLimits,
+        brittle: BrittleServices,
+        loads: ServerLoads,
         cold_factor: float,
         cold_slack: float,
         log: DecisionLog,
@@ -68,6 +77,8 @@
         self._catalog = catalog
         self._limiter = limiter
         self._limits = limits
+        self._brittle = brittle
+        self._loads = loads
         self._cold_factor = cold_factor
         self._cold_slack = cold_slack
         self._log = log
@@ -145,10 +156,28 @@
         if metadata.is_other_server:
             return False
         per_s = metadata.limit_per_s
-        if not self._limits.observe(server.key, per_s, now_ms):
-            return False
-        self._log_limit(server.server_id, per_s, cause="answer")
-        return True
+        has_changed = self._limits.observe(server.key, per_s, now_ms)
+        if has_changed:
+            self._log_limit(server.server_id, per_s, cause="answer")
+        rejections_per_s = metadata.rejections_per_s
+        if self._brittle.observe(server.service, rejections_per_s, now_ms):
+            has_changed = True
+            self._log.warn(
+                "servers_brittle" if rejections_per_s is not None else "servers_sturdy",
+                service=server.service,
+                rejections_per_s=rejections_per_s,
+            )
+        return has_changed
+
+    def record_outcome(
+        self, server: BackendServer, outcome: ServerOutcome, now_ms: float
+    ) -> None:
+        """Record the outcome of a request at a server."""
+        if self._brittle.is_brittle(server.service):
+            n_own = self._loads.n_own(server.key)
+            self._brittle.record_outcome(
+                server.key, outcome, n_own=n_own, now_ms=now_ms
+            )
 
     def log_reported(self, limits: dict[int, float | None]) -> None:
         """Log limits that another router has reported, by short hash of the server."""
@@ -165,6 +194,9 @@
         registered = self._catalog.registered_keys()
         self._limits.retain_only(registered, now_ms)
         self._limiter.retain_only(registered)
+        configuration = self._catalog.configuration
+        services = set(configuration.services) if configuration else set()
+        self._brittle.retain_only(registered, services, now_ms)
         # A pause also counts for a server that is out of use for a part of it.
         self._pauses.discard_ended(now_ms)
 
@@ -175,10 +207,27 @@
             limited_ms = self._limiter.wait_ms(server.key, limit, now_ms)
             if limited_ms > wait_ms:
                 wait_ms, cause = limited_ms, RefusalCause.SERVERS_LIMITED
+        if self._brittle.is_brittle(server.service):
+            place_ms = self._find_place_wait_ms(server, now_ms)
+            if place_ms > wait_ms:
+                wait_ms, cause = place_ms, RefusalCause.SERVERS_LIMITED
         if wait_ms <= 0:
             return None
         return ServiceWait(duration_ms=wait_ms, cause=cause)
 
+    def _find_place_wait_ms(self, server: BackendServer, now_ms: float) -> float:
+        n_slots = max(1, server.n_slots)
+        places = RateLimit(n_requests=n_slots, window_ms=0.0)
+        registered_for_ms = self._catalog.registered_for_ms(server, round(now_ms))
+        return self._brittle.wait_ms(
+            server.key,
+            n_own=self._loads.n_own(server.key),
+            n_places=self._limiter.quota(server.key, places, now_ms),
+            utilization=self._loads.estimate(server.key, now_ms) / n_slots,
+            registered_for_ms=registered_for_ms,
+            now_ms=now_ms,
+        )
+
     def _find_limits(self, server: BackendServer, now_ms: float) -> list[RateLimit]:
         limits = []
         per_s = self._limits.find(server.key)
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -170,6 +170,8 @@
         Prompt parts in such reports that were served.
     limits : tuple of LimitReport
         Rate limits that servers have stated.
+    brittle : tuple of LimitReport
+        Services whose servers are brittle.
     key_counts : KeyCounts or None
         The sender's recent requests; None if they are not part of the frame.
     """
@@ -185,6 +187,7 @@
     crashes: tuple[CrashReport, ...] = ()
     served: tuple[ServedReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    brittle: tuple[LimitReport, ...] = ()
     key_counts: KeyCounts | None = None
 
 
@@ -317,6 +320,7 @@
         [_pack([(*astuple(each)[:-1], *each.parts)]) for each in update.crashes],
         _pack(astuple(each) for each in update.served),
         _pack(astuple(each) for each in update.limits),
+        _pack(astuple(each) for each in update.brittle),
         None
         if counts is None
         else [counts.n_requests, [list(each) for each in counts.by_key.items()]],
@@ -337,6 +341,7 @@
             list(crashes),
             bytes(served),
             bytes(limits),
+            bytes(brittle),
             [float(), list()] | None as counts,
         ]:
             return Update(
@@ -355,6 +360,7 @@
                 crashes=tuple(_to_crash(each) for each in crashes),
                 served=tuple(starmap(ServedReport, _unpack(served, N_SERVED_NUMBERS))),
                 limits=tuple(starmap(LimitReport, _unpack(limits, N_REPORT_NUMBERS))),
+                brittle=tuple(starmap(LimitReport, _unpack(brittle, N_REPORT_NUMBERS))),
                 key_counts=_to_key_counts(counts),
             )
         case _:
--- a/damaskrill/mesh/_link.py
+++ b/damaskrill/mesh/_link.py
@@ -29,6 +29,7 @@
     n_failures: int = 0
     n_crashes: int = NEW_LINK
     n_limits: int = NEW_LINK
+    n_brittle: int = NEW_LINK
 
 
 @define(kw_only=True, eq=False)
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -406,6 +406,7 @@
                     or frame.crashes
                     or frame.served
                     or frame.limits
+                    or frame.brittle
                 )
                 if has_urgent and not self._members.is_full_mesh:
                     self.push_urgent_reports()
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -48,6 +48,8 @@
         Prompt parts that may crash servers.
     limits : StatedLimits
         Rate limits that servers state.
+    brittle : StatedLimits
+        Services whose servers are brittle.
     apply_failures : callable
         Handles the short hashes of the servers with new failure reports.
     apply_departure : callable
@@ -74,6 +76,7 @@
     failures: FailureDetector
     crashes: CrashDetector
     limits: StatedLimits
+    brittle: StatedLimits
     apply_failures: Callable[[frozenset[int]], None]
     apply_departure: Callable[[Departure], bool]
     apply_crashes: Callable[[], None]
@@ -145,6 +148,12 @@
             exclude_link=address,
             include_relayed=is_relaying,
         )
+        brittle, cursors.n_brittle = self.brittle.reports_after(
+            cursors.n_brittle,
+            now_ms=now_ms,
+            exclude_link=address,
+            include_relayed=is_relaying,
+        )
         departures, cursors.n_departures = self._departures.reports_after(
             cursors.n_departures, exclude_link=address, include_relayed=is_relaying
         )
@@ -177,6 +186,7 @@
             crashes=tuple(each for each in crashes if isinstance(each, CrashReport)),
             served=tuple(each for each in crashes if isinstance(each, ServedReport)),
             limits=tuple(limits),
+            brittle=tuple(brittle),
             key_counts=key_counts,
         )
 
@@ -207,6 +217,7 @@
             reports += update.served
             self.crashes.apply_reports(reports, now_ms=now_ms, source=source)
             self.apply_crashes()
+        self.brittle.apply_reports(update.brittle, now_ms=now_ms, source=source)
         limits = self.limits.apply_reports(update.limits, now_ms=now_ms, source=source)
         if limits:
             self.apply_limits(limits)
@@ -224,4 +235,5 @@
         or update.crashes
         or update.served
         or update.limits
+        or update.brittle
     )
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -55,6 +55,8 @@
 RETRY_AFTER = b"retry-after"
 # Requests per second that a server takes from all routers together.
 RATE_LIMIT = b"server-limit"
+# Rejections per second beyond which a server falls over.
+BRITTLE = b"server-brittle"
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 MS_PER_S = 1_000
@@ -194,6 +196,7 @@
         if head.status == STATUS_UNAVAILABLE
         else None,
         limit_per_s=_read_limit(headers.get(RATE_LIMIT, b"")),
+        rejections_per_s=_read_limit(headers.get(BRITTLE, b"")),
     )
 
 
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -1,5 +1,6 @@
 """Routing decisions for a request: server selection, retries and refusals."""
 
+from damaskrill.steering._brittle_services import BrittleServices
 from damaskrill.steering._crash_cover import BlockedPart
 from damaskrill.steering._crash_detector import NEW_LINK, BlockChanges, CrashDetector
 from damaskrill.steering._crash_guard import CrashGuard, Rejection
@@ -56,6 +57,7 @@
     "AnswerTimings",
     "BlockChanges",
     "BlockedPart",
+    "BrittleServices",
     "Candidate",
     "CrashDetector",
     "CrashGuard",
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -131,6 +131,9 @@
     limit_per_s : float or None
         Requests per second that the server takes from all routers together; None if it
         states no limit.
+    rejections_per_s : float or None
+        Rejections per second that the server bears; None if it does not say that it is
+        brittle.
     """
 
     request_id: str | None = None
@@ -142,3 +145,4 @@
     is_leaving: bool = False
     pause_ms: float | None = None
     limit_per_s: float | None = None
+    rejections_per_s: float | None = None
--- a/features/gateway_brittle_servers.feature
+++ b/features/gateway_brittle_servers.feature
@@ -24,3 +24,33 @@
     And the servers are not brittle any more
     And the gateways get 40 reads a second for 3 s
     Then at least 115 reads are served
+
+  Scenario Outline: what one router may have at a brittle server
+    Given a router with <places> places at a brittle server that is known for <known> ms
+    When it has <own> requests there and <events>
+    Then it may <send> at a utilization of <utilization>
+
+    Examples:
+      | places | known | own | events                         | send      | utilization |
+      | 4      | 9000  | 3   | nothing happens                | send      | 0.9         |
+      | 4      | 9000  | 4   | nothing happens                | not send  | 0.1         |
+      | 8      | 100   | 1   | nothing happens                | send      | 0.1         |
+      | 8      | 100   | 2   | nothing happens                | not send  | 0.1         |
+      | 8      | 100   | 2   | 2 requests are served          | send      | 0.1         |
+      | 8      | 9000  | 6   | one is rejected                | not send  | 0.1         |
+      | 8      | 9000  | 2   | one is rejected 1100 ms before | not send  | 0.1         |
+      | 8      | 9000  | 0   | one is rejected 1100 ms before | send      | 0.1         |
+      | 0      | 9000  | 0   | nothing happens                | send      | 0.4         |
+      | 0      | 9000  | 0   | nothing happens                | not send  | 0.6         |
+      | 0      | 9000  | 1   | nothing happens                | not send  | 0.1         |
+
+  Scenario Outline: a value that does not say so is ignored
+    Then the value "<value>" of the header states <stated>
+
+    Examples:
+      | value | stated  |
+      | 5     | 5       |
+      | 0     | 0       |
+      | -1    | nothing |
+      | many  | nothing |
+      | nan   | nothing |
--- a/features/steps/gateway_brittle_servers_steps.py
+++ b/features/steps/gateway_brittle_servers_steps.py
@@ -6,6 +6,9 @@
 from behave import given, then, when
 
 from damaskrill.fakes.platform import FakeServer, build_entry
+from damaskrill.http1 import AnswerHead
+from damaskrill.platform._headers import read_answer
+from damaskrill.steering import BrittleServices, ServerOutcome, StatedLimits
 from features.steps.gateway_crashing_prompts_steps import step_gateways
 from features.support.gateways import Caller, GatewayTestbed, build_request
 
@@ -17,6 +20,8 @@
 # Two, and a tenth of the servers.
 MAX_FALLS = 2
 NUMBERS = itertools.count(1)
+KEY = ("b-1", 1)
+NOW_MS = 20_000.0
 
 
 @given("a platform with 4 brittle servers")
@@ -104,3 +109,47 @@
     assert len(unexpected) <= MAX_FALLS * CAPACITY, len(unexpected)
     refused = [each for each in others if each.status == 503]
     assert all("retry-after" in each.headers for each in refused)
+
+
+@given(
+    "a router with {n:d} places at a brittle server that is known for {known_ms:d} ms"
+)
+def step_router(context, n, known_ms):
+    context.brittle = BrittleServices(StatedLimits())
+    assert context.brittle.observe("app", 5.0, 0.0)
+    context.places = {"n_places": n, "registered_for_ms": known_ms}
+
+
+def find_wait(context, utilization):
+    return context.brittle.wait_ms(
+        KEY,
+        n_own=context.n_own,
+        utilization=utilization,
+        now_ms=NOW_MS,
+        **context.places,
+    )
+
+
+@when("it has {n_own:d} requests there and {events}")
+def step_events(context, n_own, events):
+    context.n_own = n_own
+    find_wait(context, 0.0)
+    at_ms = NOW_MS - 1_100 if "before" in events else NOW_MS
+    if "served" in events:
+        outcomes = [ServerOutcome.GOOD] * 2
+    else:
+        outcomes = [ServerOutcome.FULL] if "rejected" in events else []
+    for outcome in outcomes:
+        context.brittle.record_outcome(KEY, outcome, n_own=n_own, now_ms=at_ms)
+
+
+@then("it may {send} at a utilization of {utilization:f}")
+def step_may_send(context, send, utilization):
+    assert (find_wait(context, utilization) == 0) == (send == "send")
+
+
+@then('the value "{value}" of the header states {stated}')
+def step_value(context, value, stated):
+    headers = ((b"Server-Brittle", value.encode()),)
+    found = read_answer(AnswerHead(status=200, headers=headers)).rejections_per_s
+    assert found == (None if stated == "nothing" else float(stated))
