Wait for the replies of busy routers on where a stream began

The other data centres are asked after 150 ms or as soon as all have replied, and replies count until 600 ms.

--- a/damaskrill/gateway/_stream_versions.py
+++ b/damaskrill/gateway/_stream_versions.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+
+from attrs import field, frozen
 
 from damaskrill.catalog import BackendServer, Catalog
 from damaskrill.mesh import Message, StreamNotice, StreamQuery, StreamReply
@@ -11,8 +13,10 @@
 
 __all__ = ["StreamVersions"]
 
-# Many times the latency between data centres, with the opening of a link.
-REPLY_TIMEOUT_MS = 200
+# Time for the opening of a link and a reply on a busy host.
+REPLY_TIMEOUT_MS = 600
+# Many times the latency between data centres; then the next group is asked as well.
+NEXT_GROUP_MS = 150
 # Routers that are told of a stream.
 N_TOLD = 2
 
@@ -108,12 +112,13 @@
             return own.origin
         if not stream_id:
             return None if self._origins.is_mixed(service) else own.origin
-        evidence = [own]
-        for group in self._rank_keepers(stream_id):
-            evidence += await self._ask(group, stream, service)
-            if any(each.is_recorded for each in evidence):
-                break
-        return choose_origin(evidence)
+        query = _Query(stream=stream, service=service)
+        try:
+            await self._ask_groups(query, self._rank_keepers(stream_id))
+        finally:
+            for number in query.replies:
+                del self._replies[number]
+        return choose_origin([own, *query.evidence])
 
     def handle_message(self, source: str, message: Message) -> None:
         """Handle a message from another router."""
@@ -145,37 +150,56 @@
         servers = self._catalog.find_all_servers(service)
         return self._origins.observe(service, servers, monotonic_now_ms())
 
-    async def _ask(
-        self, addresses: Iterable[str], stream: int, service: str
-    ) -> list[OriginEvidence]:
+    async def _ask_groups(self, query: "_Query", groups: list[list[str]]) -> None:
         loop = asyncio.get_running_loop()
-        pending: dict[int, asyncio.Future[OriginEvidence]] = {}
-        for address in addresses:
-            if address != self._own_address:
-                number = next(self._numbers)
-                pending[number] = self._replies[number] = loop.create_future()
-                query = StreamQuery(number=number, stream=stream, service=service)
-                self._send(address, query)
-        try:
-            return await _gather(list(pending.values()))
-        finally:
-            for number in pending:
-                del self._replies[number]
+        ends_at = loop.time() + REPLY_TIMEOUT_MS / 1_000
+        for group in groups:
+            for address in group:
+                if address != self._own_address:
+                    self._ask(query, address)
+            # A router that has just ended does not reply; the next group is asked soon.
+            next_at = loop.time() + NEXT_GROUP_MS / 1_000
+            await query.wait(min(next_at, ends_at))
+            if query.has_record:
+                return
+        await query.wait(ends_at)
+
+    def _ask(self, query: "_Query", address: str) -> None:
+        number = next(self._numbers)
+        future: asyncio.Future[OriginEvidence]
+        future = asyncio.get_running_loop().create_future()
+        query.replies[number] = self._replies[number] = future
+        message = StreamQuery(number=number, stream=query.stream, service=query.service)
+        self._send(address, message)
+
+
+@frozen(kw_only=True, eq=False)
+class _Query:
+    """Query for the origin of a stream, and the replies to it."""
+
+    stream: int
+    service: str
+    replies: dict[int, "asyncio.Future[OriginEvidence]"] = field(factory=dict)
 
+    @property
+    def evidence(self) -> list[OriginEvidence]:
+        """What the routers that have replied know."""
+        return [each.result() for each in self.replies.values() if each.done()]
 
-async def _gather(
-    futures: list["asyncio.Future[OriginEvidence]"],
-) -> list[OriginEvidence]:
-    """Return the replies until one is from a record, all are there, or time is over."""
-    loop = asyncio.get_running_loop()
-    until = loop.time() + REPLY_TIMEOUT_MS / 1_000
-    waiting = set(futures)
-    while waiting and loop.time() < until:
-        done, waiting = await asyncio.wait(
-            waiting,
-            timeout=max(0.0, until - loop.time()),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if any(each.result().is_recorded for each in done):
-            break
-    return [each.result() for each in futures if each.done()]
+    @property
+    def has_record(self) -> bool:
+        """Whether a router has a record of the stream."""
+        return any(each.is_recorded for each in self.evidence)
+
+    async def wait(self, ends_at: float) -> None:
+        """Wait until a router has a record, all have replied, or time is over."""
+        loop = asyncio.get_running_loop()
+        while not self.has_record and loop.time() < ends_at:
+            waiting = [each for each in self.replies.values() if not each.done()]
+            if not waiting:
+                return
+            await asyncio.wait(
+                waiting,
+                timeout=ends_at - loop.time(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
