Bind streams to their version across the hop between routers

Found by reading: a stream that had begun at a peer could go on at any version once the path was back (1 of 12 mixed without the fix), and one that the router had begun itself was resumed through a peer without naming the attempt, so that the peer refused it as of unknown version (9 of 12 complete instead of 12, with the name left out). Both have a scenario, seen failing with the guard taken out. The origins of a service's servers are looked up once for each selection.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -22,6 +22,7 @@
     CallerRequest,
     ExchangeFailure,
     FailureKind,
+    Headers,
     OutgoingRequest,
     ServerConnection,
 )
@@ -219,18 +220,11 @@
             self._request,
             remaining_ms=max(1, int(context.limit_at_ms - dispatcher.now_ms)),
             resume_after=self._progress.last_id,
+            stream_id=self._metadata.stream_id,
         )
         self.sent_to.add(peer_key(peer))
         self._responder.record_sent(dispatcher.now_ms)
-        connection.start(
-            OutgoingRequest(
-                method=self._request.method,
-                target=self._request.target,
-                headers=headers,
-                body=self._request.body,
-            ),
-            attempt,
-        )
+        connection.start(self._build_request(headers), attempt)
         try:
             return await self._wait_for_result(attempt, may_hand_over=False)
         finally:
@@ -300,15 +294,7 @@
         self.sent_to.add(server.key)
         sent_at_ms = dispatcher.now_ms
         self._responder.record_sent(sent_at_ms)
-        connection.start(
-            OutgoingRequest(
-                method=self._request.method,
-                target=self._request.target,
-                headers=headers,
-                body=self._request.body,
-            ),
-            attempt,
-        )
+        connection.start(self._build_request(headers), attempt)
         return SentRequest(
             server=server,
             attempt=attempt,
@@ -316,6 +302,10 @@
             sent_at_ms=sent_at_ms,
         )
 
+    def bind_origin(self, origin: int | None) -> None:
+        """Require servers at which a stream with this origin may go on."""
+        self._requirements = evolve(self._requirements, origin=origin)
+
     def _bind_stream(self, server: BackendServer) -> None:
         # What two software versions write does not fit together.
         if self._progress.has_begun or not self._context.route.is_resumable:
@@ -323,11 +313,19 @@
         streams = self._dispatcher.streams
         origin = self._requirements.origin
         if origin is None:
-            origin = streams.origin_of(server)
-            self._requirements = evolve(self._requirements, origin=origin)
+            origin = streams.origins_of(server.service).get(server.key)
+            self.bind_origin(origin)
         if origin is not None:
             streams.record_begun(self._metadata.stream_id, server, origin)
 
+    def _build_request(self, headers: Headers) -> OutgoingRequest:
+        return OutgoingRequest(
+            method=self._request.method,
+            target=self._request.target,
+            headers=headers,
+            body=self._request.body,
+        )
+
     async def _does_held_go_on(self, held: SentRequest, sent: SentRequest) -> bool:
         futures: list[asyncio.Future[Any]] = [
             sent.attempt.done,
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -33,7 +33,12 @@
     """Callable that builds the headers of a request to another router."""
 
     def __call__(
-        self, request: CallerRequest, *, remaining_ms: int, resume_after: int | None
+        self,
+        request: CallerRequest,
+        *,
+        remaining_ms: int,
+        resume_after: int | None,
+        stream_id: str,
     ) -> Headers:
         """Return the headers."""
 
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -259,6 +259,7 @@
         if configuration is None or service not in configuration.services:
             return None
         is_restricted = bool(requirements.route_regions or requirements.team_regions)
+        origin, origins = requirements.origin, self.streams.origins_of(service)
         candidates = [
             Candidate(
                 server=server,
@@ -268,7 +269,7 @@
             if server.key not in tried
             and (only is None or server.key in only)
             and (not is_restricted or self._is_allowed(requirements, server))
-            and self._fits_stream(requirements, server)
+            and (origin is None or origins.get(server.key) == origin)
             and self.throttle.may_send(server, now_ms)
         ]
         if only_healthy:
@@ -306,12 +307,14 @@
         tried : set of tuple of (str, int), default=None
             Incarnations to exclude.
         """
+        origin = requirements.origin
+        origins = self.streams.origins_of(requirements.service)
         servers = [
             server
             for server in self.catalog.find_servers(requirements.service)
             if (tried is None or server.key not in tried)
             and self._is_allowed(requirements, server)
-            and self._fits_stream(requirements, server)
+            and (origin is None or origins.get(server.key) == origin)
         ]
         return self.throttle.find_wait(servers, self.now_ms)
 
@@ -350,13 +353,14 @@
             return None
         now_ms = self.now_ms
         # What another software version has cached does not fit.
-        origin = self.streams.origin_of(server)
+        origins = self.streams.origins_of(server.service)
+        origin = origins.get(server.key)
         holders = [
             each
             for each in self.catalog.find_all_servers(server.service)
             if not self._health.is_ejected(each.key, now_ms)
             and each.key not in excluded
-            and self.streams.origin_of(each) == origin
+            and origins.get(each.key) == origin
         ]
         registered_for_ms = self.catalog.registered_for_ms(server, round(now_ms))
         source = self._prefix_index.find(
@@ -473,12 +477,6 @@
         for task in list(self._tasks):
             task.cancel()
 
-    def _fits_stream(
-        self, requirements: ServerRequirements, server: BackendServer
-    ) -> bool:
-        origin = requirements.origin
-        return origin is None or self.streams.origin_of(server) == origin
-
     def _is_allowed(
         self, requirements: ServerRequirements, server: BackendServer
     ) -> bool:
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -60,6 +60,7 @@
 NO_RETRY_BUDGET = "the retry budget is used up"
 NO_RETRY_ALLOWED = "the route allows no further server, or no time is left"
 NO_OTHER_SERVER = "no other server is available"
+UNKNOWN_VERSION = "the software version that began it is not known"
 SUSPECTED_REQUEST = "another server crashed under it or a part of its prompt"
 
 
@@ -296,6 +297,9 @@
         if n_sent and guard.is_suspected:
             self._stop_reason = SUSPECTED_REQUEST
             return None
+        if not await self._bind_relayed_stream(route):
+            self._stop_reason = UNKNOWN_VERSION
+            return None
         while (server := await self._find_server(route)) is None:
             if not await self._wait_for_capacity(route):
                 self._stop_reason = NO_OTHER_SERVER
@@ -305,6 +309,19 @@
             return None
         return server
 
+    async def _bind_relayed_stream(self, route: Route) -> bool:
+        """Find the origin of a stream that began at a peer, if it goes on here."""
+        attempts = self._attempts
+        requirements = attempts.requirements
+        has_begun = self._progress.has_begun and route.is_resumable
+        if not has_begun or requirements.origin is not None:
+            return True
+        origin = await self._dispatcher.streams.find_origin(
+            self._metadata.stream_id, requirements.service
+        )
+        attempts.bind_origin(origin)
+        return origin is not None
+
     def _may_retry(self, route: Route) -> bool:
         state = RetryState(
             n_servers=len(self._attempts.sent_to),
--- a/damaskrill/gateway/_stream_versions.py
+++ b/damaskrill/gateway/_stream_versions.py
@@ -66,16 +66,16 @@
         for service in configuration.services:
             self._observe(service)
 
-    def origin_of(self, server: BackendServer) -> int | None:
-        """Return the origin of the streams that begin at a server."""
-        return self._observe(server.service).get(server.key)
+    def origins_of(self, service: str) -> dict[tuple[str, int], int]:
+        """Return the origins of a service's servers, by incarnation."""
+        servers = self._catalog.find_all_servers(service)
+        return self._origins.origins_of(service, servers)
 
     def has_origin(self, service: str, origin: int) -> bool:
         """Return whether a server that may get requests has an origin."""
-        return any(
-            self.origin_of(server) == origin
-            for server in self._catalog.find_servers(service)
-        )
+        origins = self.origins_of(service)
+        servers = self._catalog.find_servers(service)
+        return any(origins.get(server.key) == origin for server in servers)
 
     def record_begun(self, stream_id: str, server: BackendServer, origin: int) -> None:
         """Record that a stream has begun or goes on, and tell the keepers.
@@ -146,9 +146,9 @@
                         )
                     )
 
-    def _observe(self, service: str) -> dict[tuple[str, int], int]:
+    def _observe(self, service: str) -> None:
         servers = self._catalog.find_all_servers(service)
-        return self._origins.observe(service, servers, monotonic_now_ms())
+        self._origins.observe(service, servers, monotonic_now_ms())
 
     async def _ask_groups(self, query: "_Query", groups: list[list[str]]) -> None:
         loop = asyncio.get_running_loop()
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -132,7 +132,11 @@
 
 
 def peer_headers(
-    request: CallerRequest, *, remaining_ms: int, resume_after: int | None
+    request: CallerRequest,
+    *,
+    remaining_ms: int,
+    resume_after: int | None,
+    stream_id: str,
 ) -> Headers:
     """Return the headers of a request that goes through another router.
 
@@ -143,7 +147,9 @@
     remaining_ms : int
         Timeout of the answer, in milliseconds.
     resume_after : int or None
-        Last event that the caller has received; None forwards the caller's header.
+        Last event that the caller has received; None forwards the caller's headers.
+    stream_id : str
+        Attempt that began the stream.
 
     Notes
     -----
@@ -151,7 +157,7 @@
     """
     dropped = {DEADLINE.lower(), RELAYED}
     if resume_after is not None:
-        dropped.add(b"last-event-id")
+        dropped |= {b"last-event-id", RESUMED_REQUEST}
     headers = [
         (name, value)
         for name, value in forwarded_headers(request.headers)
@@ -161,6 +167,7 @@
     headers.append((RELAYED, b"1"))
     if resume_after is not None:
         headers.append((LAST_EVENT_ID, b"%d" % resume_after))
+        headers.append((RESUMED_REQUEST, stream_id.encode("latin-1")))
     return tuple(headers)
 
 
--- a/damaskrill/steering/_stream_origins.py
+++ b/damaskrill/steering/_stream_origins.py
@@ -144,20 +144,25 @@
         """Keep records until the callers of the longest streams have given up."""
         self._retention_ms = max(MIN_RETENTION_MS, RETENTION_LIMITS * longest_stream_ms)
 
-    def observe(
-        self, service: str, servers: Sequence[BackendServer], now_ms: float
+    def origins_of(
+        self, service: str, servers: Sequence[BackendServer]
     ) -> dict[tuple[str, int], int]:
-        """Record which servers a service has; return the origin of each."""
+        """Return the origins of a service's servers, by incarnation."""
         if self._servers.get(service) is not servers:
             self._servers[service] = servers
             self._origins[service] = find_origins(servers)
-        origins = self._origins[service]
+        return self._origins[service]
+
+    def observe(
+        self, service: str, servers: Sequence[BackendServer], now_ms: float
+    ) -> None:
+        """Record which servers a service has."""
+        origins = self.origins_of(service, servers)
         if origins:
             history = self._histories.get(service)
             if history is None:
                 history = self._histories[service] = _ServiceHistory(since_ms=now_ms)
             history.observe(set(origins.values()), now_ms, self._retention_ms)
-        return origins
 
     def is_mixed(self, service: str) -> bool:
         """Return whether several versions serve, or have served shortly before."""
--- a/features/gateway_stream_versions.feature
+++ b/features/gateway_stream_versions.feature
@@ -96,3 +96,18 @@
     Given the route of checks is split between two services
     When 24 callers break checks off after 2 events and resume them elsewhere
     Then no stream has events of two versions
+
+  Scenario: a stream that breaks while the path is cut goes on through a peer
+    Given engines "e-1" and "e-3" break streams off in the middle
+    And events take 120 ms
+    When 12 callers send a check to the first gateway, whose path is cut after 300 ms
+    Then no stream has events of two versions
+    And at least 10 of these streams are complete
+
+  Scenario: a stream that began through a peer goes on here when the path is back
+    Given events take 120 ms
+    And the path of the first gateway is cut
+    When 12 callers send a check to the first gateway, whose path is back after 300 ms
+    And its peers and engines "e-1" and "e-3" end at that time
+    Then no stream has events of two versions
+    And at least 10 of these streams are complete
--- a/features/steps/gateway_cut_path_steps.py
+++ b/features/steps/gateway_cut_path_steps.py
@@ -184,7 +184,9 @@
         body=b"",
         arrived_at_ms=0.0,
     )
-    context.for_peer = peer_headers(request, remaining_ms=700, resume_after=3)
+    context.for_peer = peer_headers(
+        request, remaining_ms=700, resume_after=3, stream_id="r-9"
+    )
     context.for_server = server_headers(
         request,
         server=BackendServer(server_id="i", service="s", address=("127.0.0.1", 1)),
@@ -204,6 +206,7 @@
     assert by_name[b"damaskrill-router-hop"] == b"1"
     assert by_name[b"damaskrill-request-deadline"] == b"700"
     assert by_name[b"last-event-id"] == b"3"
+    assert by_name[b"resumes"] == b"r-9"
     sent = {name.lower() for name, _ in context.for_server}
     assert not sent & {b"damaskrill-router-hop", b"authorization"}
 
--- a/features/steps/gateway_stream_origins_steps.py
+++ b/features/steps/gateway_stream_origins_steps.py
@@ -175,7 +175,8 @@
                 send=send,
             )
             server = CountingCatalog.servers[0]
-            origin = streams.origin_of(server)
+            streams._observe("pool")
+            origin = streams.origins_of("pool")[server.key]
             for number in range(per_s):
                 streams.record_begun(f"{entry.address}-{number}", server, origin)
 
--- a/features/steps/gateway_stream_versions_steps.py
+++ b/features/steps/gateway_stream_versions_steps.py
@@ -337,3 +337,60 @@
         if context.version_of[each[0]] != context.version_of[each[1]]
     ]
     assert not mixed, mixed
+
+
+@given("events take {event_ms:d} ms")
+def step_slow_events(context, event_ms):
+    for server in context.testbed.servers.values():
+        server._event_ms = event_ms
+
+
+def set_cut(gateway, is_cut):
+    gateway._relay._path._is_cut = is_cut
+    gateway._relay.probe = lambda: None
+    gateway._relay._path.record_heard = lambda: False
+
+
+@given("the path of the first gateway is cut")
+def step_cut(context):
+    set_cut(context.testbed.gateways[0], True)
+
+
+@when(
+    "{n:d} callers send a check to the first gateway, whose path is cut after "
+    "{delay_ms:d} ms"
+)
+def step_cut_later(context, n, delay_ms):
+    change_path(context, n, delay_ms, is_cut=True)
+
+
+@when(
+    "{n:d} callers send a check to the first gateway, whose path is back after "
+    "{delay_ms:d} ms"
+)
+def step_back_later(context, n, delay_ms):
+    change_path(context, n, delay_ms, is_cut=False)
+
+
+@when('its peers and engines "e-1" and "e-3" end at that time')
+def step_peers_end(context):
+    # The step before has done this.
+    assert not any(each._ports[0].connected for each in context.testbed.gateways[1:])
+
+
+def change_path(context, n, delay_ms, *, is_cut):
+    first, *peers = context.testbed.gateways
+
+    async def run():
+        checks = [asyncio.create_task(send_check(first, i)) for i in range(n)]
+        await asyncio.sleep(delay_ms / 1_000)
+        set_cut(first, is_cut)
+        if not is_cut:
+            for engine in ("e-1", "e-3"):
+                context.testbed.servers[engine].close()
+            for peer in peers:
+                peer.close()
+        return await asyncio.gather(*checks)
+
+    replies = context.testbed.thread.run(run())
+    context.streams = [(each,) for each in replies]
