Keep the scenario of invalid frames valid but for the fault that each one has

The frames of this scenario had lacked a field since limits were added, so that all were refused for that alone; each now differs in one report from a valid frame, and the messages between two routers are covered as well.

--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -2,6 +2,7 @@
 
 from damaskrill.mesh._frames import (
     Departure,
+    DirectHello,
     FeedRequest,
     FeedUpdate,
     Goodbye,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "Departure",
+    "DirectHello",
     "FeedRequest",
     "FeedUpdate",
     "Goodbye",
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -18,12 +18,16 @@
 from damaskrill.gateway._events import EventSplitter, parse_last_event_id
 from damaskrill.mesh import (
     Departure,
+    DirectHello,
     FeedRequest,
     FeedUpdate,
     Goodbye,
     Hello,
     MemberEntry,
     MemberTable,
+    StreamNotice,
+    StreamQuery,
+    StreamReply,
     Suspicion,
     Update,
     decode,
@@ -60,7 +64,7 @@
 from damaskrill.utils import rank_by_rendezvous
 from features.support.builders import build_engine
 
-EMPTY_REPORTS = ([], [], [], b"", b"", b"", [], b"", b"", None)
+EMPTY_REPORTS = ([], [], [], b"", b"", b"", [], b"", b"", b"", None)
 
 N_RUNS = 200
 NETWORK_DELAY_MS = (0.2, 12.0)
@@ -492,7 +496,13 @@
             ),
             served=(ServedReport(3, 5, 4, 90),),
             limits=(LimitReport(7, 2**32 - 1, 90), LimitReport(8, 1_500, 0)),
+            brittle=(LimitReport(9, 5_000, 10),),
         ),
+        DirectHello(address="10.0.0.1:9"),
+        StreamNotice(stream=2**64 - 1, origin=2**32 - 1),
+        StreamQuery(number=1, stream=2, service="pool"),
+        StreamReply(number=1, origin=None, is_recorded=False, observed_ms=5),
+        StreamReply(number=2, origin=7, is_recorded=True, observed_ms=0),
     ):
         assert decode(encode(frame)) == frame
 
@@ -515,36 +525,67 @@
     assert decode(encode(frame)).loads == (LoadReport(5, 2**32 - 1, 90),)
 
 
+def replace_report(index, value):
+    return [*EMPTY_REPORTS[:index], value, *EMPTY_REPORTS[index + 1 :]]
+
+
 @then("gossip that is truncated or has wrong types is refused with a typed error")
 def step_invalid_gossip(context):
     encoded = encode(Update(prefixes=(PrefixReport(7, 5, 90), PrefixReport(8, 5, 90))))
     frames = [encoded[:length] for length in range(len(encoded))]
     triple = bytes(12)
+    entry = ["10.0.0.1:9", 5, "bole", 3, 80, True]
+    frames += [
+        cbor2.dumps(["u", 1, 1, None, *replace_report(index, value)])
+        for index, value in (
+            (3, triple[:-1]),
+            (4, triple + b"1"),
+            (5, triple),
+            (6, [triple]),
+            (6, [bytes(16)]),
+            (6, [bytes(21)]),
+            (6, [[1, 2, 3, 4, 5]]),
+            (6, b""),
+            (7, triple),
+            (7, []),
+            (8, triple[:-1]),
+            (8, []),
+            (9, triple[:-1]),
+            (9, []),
+            (3, [1, 2, 3]),
+            (0, [entry[:3]]),
+            (0, [entry[:4]]),
+            (0, [["10.0.0.1:9", "5", *entry[2:]]]),
+            (0, [[*entry[:4], "80", True]]),
+            (0, [[*entry[:5], "yes"]]),
+            (1, [["10.0.0.1:9", 5]]),
+            (2, [["i-7f", "5"]]),
+            (10, [1.5]),
+            (10, [1.5, [[7]]]),
+        )
+    ]
+    frames += [
+        cbor2.dumps(
+            ["u", 1, 1, None, *EMPTY_REPORTS[:index], *EMPTY_REPORTS[index + 1 :]]
+        )
+        for index in range(len(EMPTY_REPORTS))
+    ]
     frames += [
-        cbor2.dumps(["u", 1, 1, None, *reports])
-        for reports in (
-            [[], [], [], triple[:-1], b"", b"", [], b"", None],
-            [[], [], [], b"", triple + b"1", b"", [], b"", None],
-            [[], [], [], b"", b"", triple, [], b"", None],
-            [[], [], [], b"", b"", b"", [triple], b"", None],
-            [[], [], [], b"", b"", b"", [bytes(16)], b"", None],
-            [[], [], [], b"", b"", b"", [bytes(21)], b"", None],
-            [[], [], [], b"", b"", b"", [[1, 2, 3, 4, 5]], b"", None],
-            [[], [], [], b"", b"", b"", b"", b"", None],
-            [[], [], [], b"", b"", b"", [], triple, None],
-            [[], [], [], b"", b"", b"", [], [], None],
-            [[], [], [], b"", b"", [], b"", None],
-            [[], [], [], b"", b"", b"", [], None],
-            [[], [], [], b"", b"", b"", [], b""],
-            [[], [], [], [1, 2, 3], b"", b"", [], b"", None],
-            [[["10.0.0.1:9", 5, "bole"]], [], [], b"", b"", b"", [], b"", None],
-            [[["10.0.0.1:9", "5", "bole", 3]], [], [], b"", b"", b"", [], b"", None],
-            [[], [["10.0.0.1:9", 5]], [], b"", b"", b"", [], b"", None],
-            [[], [], [["i-7f", "5"]], b"", b"", b"", [], b"", None],
-            [[], [], [], b"", b"", b"", [], b"", [1.5]],
-            [[], [], [], b"", b"", b"", [], b"", [1.5, [[7]]]],
+        cbor2.dumps(content)
+        for content in (
+            ["s", 1],
+            ["s", 1, "2"],
+            ["q", 1, 2],
+            ["q", 1, 2, 3],
+            ["a", 1, None, 1, 5],
+            ["a", 1, "2", True, 5],
+            ["d", 1, "10.0.0.1:9"],
+            ["d", 6, 5],
         )
     ]
+    # Valid in every field, so that each frame above is invalid for its own fault only.
+    valid = replace_report(0, [entry])
+    assert decode(cbor2.dumps(["u", 1, 1, None, *valid])).entries[0].caller_port == 80
     # Without this, a change of the layout would make all these frames invalid.
     assert decode(cbor2.dumps(["u", 1, 1, None, *EMPTY_REPORTS])) == Update(
         position=Position(1, 1)
