Log who reads the store and from whom a router has each configuration

Only the time at which a version came into force was written.

store_reading and store_not_reading tell when a router begins and ceases to read, with the age of its replica; configuration_received names the source of each version, the revision and the age. The choice of readers moves to ReaderRole without a change in what it decides. gateway_store.feature and peers.feature: 44 scenarios passed.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -40,6 +40,7 @@
     MemberEntry,
     MemberTable,
     Mesh,
+    ReaderRole,
     ReportExchange,
 )
 from damaskrill.steering import (
@@ -191,6 +192,10 @@
             first_number=own.incarnation,
         )
         self._members = MemberTable(own=own)
+        self._reader_role = ReaderRole(
+            members=self._members, freshness=self._freshness, replica=self._replica
+        )
+        self._is_reading = False
         self._loads = ServerLoads()
         self._hot_keys = HotKeys()
         self._prefix_index = PrefixIndex()
@@ -356,7 +361,6 @@
         if request.target != METRICS_PATH:
             connection.send_answer(404, (), b"")
             return
-        configuration = self._catalog.configuration
         state = {
             "routers": float(self._members.n_members),
             "links": float(self._mesh.n_links),
@@ -370,7 +374,7 @@
             "store_era": float(self._replica.position.era),
             "store_revision": float(self._replica.revision),
             "store_age_ms": float(self._store_age_ms()),
-            "text_version": float(configuration.version if configuration else 0),
+            "text_version": float(self._text_version),
             "connections_opened": float(self._dispatcher.pool.n_opened),
         }
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
@@ -381,22 +385,30 @@
         return -1 if age_ms is None else age_ms
 
     def _should_read(self) -> bool:
-        if not self._replica.revision or self._members.is_reader():
-            return True
-        return not self._freshness.is_fresh(
-            round(monotonic_now_ms()), is_standby=self._members.is_standby_reader()
-        )
+        should_read = self._reader_role.should_read(round(monotonic_now_ms()))
+        if should_read != self._is_reading:
+            self._is_reading = should_read
+            self._log.write(
+                "store_reading" if should_read else "store_not_reading",
+                store_age_ms=self._store_age_ms(),
+                n_readers_before=len(self._members.readers_before()),
+            )
+        return should_read
 
     def _apply_read(self, listed: ListedChanges) -> None:
         now_ms = round(monotonic_now_ms())
+        version_before = self._text_version
+        store_age_ms = self._store_age_ms()
         self._handle_contact(had_outage=self._freshness.record_own(now_ms))
         self._apply_listed(listed)
+        self._log_configuration(version_before, source="store", age_ms=store_age_ms)
         self._mesh.push_changes()
         if not self._members.is_full_mesh:
             self._mesh.push_contact()
 
-    def _apply_feed(self, feed: FeedUpdate) -> None:
+    def _apply_feed(self, feed: FeedUpdate, source: str) -> None:
         replica = self._replica
+        version_before = self._text_version
         if feed.after == 0:
             listed = replica.apply_list(feed.changes, feed.position)
             if listed.is_restored:
@@ -408,6 +420,26 @@
         superseded = replica.add_superseded(feed.superseded, feed.position.era)
         if superseded:
             self._apply_superseded(superseded)
+        self._log_configuration(version_before, source=source)
+
+    @property
+    def _text_version(self) -> int:
+        configuration = self._catalog.configuration
+        return configuration.version if configuration else 0
+
+    def _log_configuration(
+        self, version_before: int, *, source: str, age_ms: int | None = None
+    ) -> None:
+        # Beside the time of the change in the store, this line tells which step between
+        # the store and this router took long.
+        if self._text_version != version_before:
+            self._log.write(
+                "configuration_received",
+                text_version=self._text_version,
+                source=source,
+                revision=self._replica.revision,
+                store_age_ms=self._store_age_ms() if age_ms is None else age_ms,
+            )
 
     def _apply_listed(self, listed: ListedChanges) -> None:
         if listed.is_restored:
--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -16,6 +16,7 @@
 from damaskrill.mesh._members import MemberTable
 from damaskrill.mesh._mesh import Mesh
 from damaskrill.mesh._messages import Message, StreamNotice, StreamQuery, StreamReply
+from damaskrill.mesh._reader_role import ReaderRole
 from damaskrill.mesh._reports import ReportExchange
 
 __all__ = [
@@ -29,6 +30,7 @@
     "MemberTable",
     "Mesh",
     "Message",
+    "ReaderRole",
     "ReportExchange",
     "StreamNotice",
     "StreamQuery",
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -5,6 +5,7 @@
 from attrs import define, evolve
 
 from damaskrill.mesh._frames import MemberEntry, Suspicion
+from damaskrill.steering import short_id
 from damaskrill.utils import LatestOrder, hash_to_int, rank_by_rendezvous
 
 __all__ = ["MemberTable"]
@@ -75,7 +76,7 @@
         self._suspected: LatestOrder[str] = LatestOrder()
         # Ranks take time in proportion to the fleet, so they are kept until it changes.
         self._addresses: frozenset[str] | None = None
-        self._own_reader_rank: int | None = None
+        self._readers_before: tuple[int, ...] | None = None
         self._wanted_links: list[str] | None = None
         self._lost_dials: dict[str, bool] = {}
         self._group_sizes: Counter[str] | None = None
@@ -275,11 +276,25 @@
         The readers are spread over different data centres if there are several, so
         that one remains when a data centre is lost.
         """
-        return self._reader_rank() < N_READERS
+        return len(self.readers_before()) < N_READERS
 
     def is_standby_reader(self) -> bool:
         """Return whether this router is among the first to replace the readers."""
-        return self._reader_rank() < N_READERS + N_STANDBY_READERS
+        return len(self.readers_before()) < N_READERS + N_STANDBY_READERS
+
+    def readers_before(self) -> tuple[int, ...]:
+        """Return the short hashes of the routers that rank before this one as readers."""
+        if self._readers_before is None:
+            centre_of = {each.address: each.data_centre for each in self.entries()}
+            ranked = rank_by_rendezvous("reader", centre_of)
+            first_by_centre: dict[str, str] = {}
+            for address in ranked:
+                first_by_centre.setdefault(centre_of[address], address)
+            first = list(first_by_centre.values())
+            order = first + [each for each in ranked if each not in first]
+            before = order[: order.index(self._own.address)]
+            self._readers_before = tuple(short_id(each) for each in before)
+        return self._readers_before
 
     def rank_keepers(self, key: str) -> list[list[str]]:
         """Return the routers that may keep a record for a key.
@@ -342,23 +357,11 @@
 
     def _reset_cache(self) -> None:
         self._addresses = None
-        self._own_reader_rank = None
+        self._readers_before = None
         self._wanted_links = None
         self._lost_dials.clear()
         self._group_sizes = None
 
-    def _reader_rank(self) -> int:
-        if self._own_reader_rank is None:
-            centre_of = {each.address: each.data_centre for each in self.entries()}
-            ranked = rank_by_rendezvous("reader", centre_of)
-            first_by_centre: dict[str, str] = {}
-            for address in ranked:
-                first_by_centre.setdefault(centre_of[address], address)
-            first = list(first_by_centre.values())
-            others = [each for each in ranked if each not in first]
-            self._own_reader_rank = (first + others).index(self._own.address)
-        return self._own_reader_rank
-
     def _find_wanted_links(self) -> list[str]:
         others = [member.entry for member in self._members.values()]
         if self.is_full_mesh:
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -84,7 +84,8 @@
     seeds : sequence of str
         Addresses to dial first.
     apply_feed : callable
-        Applies changes or all items of the store received from a router.
+        Applies changes or all items of the store received from a router, given its
+        address.
     record_contact : callable
         Records a contact with the store that a router has reported.
     reports : ReportExchange
@@ -105,7 +106,7 @@
         freshness: Freshness,
         listen: tuple[str, int],
         seeds: tuple[str, ...],
-        apply_feed: Callable[[FeedUpdate], None],
+        apply_feed: Callable[[FeedUpdate, str], None],
         record_contact: Callable[[Contact], None],
         reports: ReportExchange,
         needs_fresh_loads: Callable[[], bool],
--- a/damaskrill/mesh/_replication.py
+++ b/damaskrill/mesh/_replication.py
@@ -26,7 +26,7 @@
     replica : FeedReplica
         Replica of the store.
     apply_feed : callable
-        Applies received changes.
+        Applies received changes, given the address of their sender.
     send : callable
         Sends a frame or an encoded frame over a link.
     """
@@ -35,7 +35,7 @@
         self,
         *,
         replica: FeedReplica,
-        apply_feed: Callable[[FeedUpdate], None],
+        apply_feed: Callable[[FeedUpdate, str], None],
         send: Callable[[Link, Frame | bytes], None],
     ) -> None:
         self._replica = replica
@@ -81,7 +81,7 @@
         """Apply changes received from a peer."""
         if self._requested_from is link:
             self._requested_from = None
-        self._apply_feed(feed)
+        self._apply_feed(feed, link.address)
         link.peer_position = max(link.peer_position, feed.position)
 
     def handle_link_closed(self, link: Link) -> None:
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -314,7 +314,7 @@
 )
 def step_no_changes(context, name):
     second = context.testbed.gateways[1]
-    second._mesh._replication._apply_feed = lambda feed: None
+    second._mesh._replication._apply_feed = lambda feed, source: None
     context.testbed.change_entry(name, state="draining")
 
 
