Let routers that replace the readers of the store go on until these are back

Cause: when both readers lost the store (17.57 s, a cut of three routers in ten), others read it once their replicas were stale, which made all replicas fresh, so that they ceased, while the readers were still cut off. From 20.3 s to 22.95 s no router reached the store; the version of 19.95 s was known first at 22.96 s and everywhere at 24.18 s (3 s are allowed). A router that has replaced the readers now goes on until one that ranks before it reaches the store. Readers confirm their contact after 0.25 instead of 0.35 of the bound, and replicas are stale after 0.4 instead of 0.6 of it, so that the first change after the loss is known in time too; in small fleets contacts are told at once as well.

--- a/damaskrill/feed/_freshness.py
+++ b/damaskrill/feed/_freshness.py
@@ -1,13 +1,15 @@
 """Age of the store's replica."""
 
+from collections.abc import Iterable
+
 from attrs import frozen
 
 __all__ = ["Contact", "Freshness"]
 
 # A replica older than this fraction of the time within which a leaving server must get
 # no new requests is stale: the readers have failed or are partitioned. The rest is left
-# for reading the store.
-MAX_AGE_FRACTION = 0.6
+# for reading the store and for the way of a change through a large fleet of slow hosts.
+MAX_AGE_FRACTION = 0.4
 # Routers that do not replace the readers first wait longer by this factor.
 STANDBY_FACTOR = 1.25
 # A gap between contacts that is longer than this counts as an outage of the store.
@@ -72,6 +74,11 @@
         # Number of the newest contact of each router, and when it became known.
         self._numbers: dict[int, tuple[int, int]] = {}
 
+    @property
+    def max_age_ms(self) -> float:
+        """Age from which on the replica is stale, in milliseconds."""
+        return self._max_age_ms
+
     @property
     def newest(self) -> tuple[int, int]:
         """Origin and number of the newest contact."""
@@ -104,6 +111,26 @@
             return False
         return age_ms <= self._max_age_ms * (1.0 if is_standby else STANDBY_FACTOR)
 
+    def own_contact_age_ms(self, now_ms: int) -> float:
+        """Return the time since this router itself reached the store."""
+        return now_ms - self._known_at_ms(self._origin)
+
+    def has_contact_since(self, origins: Iterable[int], since_ms: int) -> bool:
+        """Return whether a contact of some router has become known since a time.
+
+        Parameters
+        ----------
+        origins : iterable of int
+            Short hashes of the routers' addresses.
+        since_ms : int
+            The time in milliseconds.
+        """
+        return any(self._known_at_ms(each) > since_ms for each in origins)
+
+    def _known_at_ms(self, origin: int) -> float:
+        known = self._numbers.get(origin)
+        return float("-inf") if known is None else known[1]
+
     def mark_stale(self) -> None:
         """Treat the replica as stale, for example after a pause of the process."""
         self._contact_at_ms = None
--- a/damaskrill/feed/_reader.py
+++ b/damaskrill/feed/_reader.py
@@ -22,7 +22,7 @@
 # How long a watch waits for changes, as a fraction of the time within which a leaving
 # server must get no new requests. Its end confirms that the store still answers; the
 # rest of the replica's maximum age is left for this contact to propagate in the fleet.
-WATCH_WAIT_FRACTION = 0.35
+WATCH_WAIT_FRACTION = 0.25
 # Changes within this time are read by one call, because calls to the store are billed.
 COALESCE_MS = 250
 # Backoff between calls to a failing store: short enough to detect its recovery within
@@ -33,7 +33,7 @@
 # is called more often.
 STARTUP_BACKOFF_MS = 150
 # How often a router that is not a reader checks whether it has become one.
-IDLE_POLL_MS = 250
+IDLE_POLL_MS = 100
 
 
 @frozen(kw_only=True)
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -399,12 +399,12 @@
         now_ms = round(monotonic_now_ms())
         version_before = self._text_version
         store_age_ms = self._store_age_ms()
+        self._reader_role.record_read(now_ms)
         self._handle_contact(had_outage=self._freshness.record_own(now_ms))
         self._apply_listed(listed)
         self._log_configuration(version_before, source="store", age_ms=store_age_ms)
         self._mesh.push_changes()
-        if not self._members.is_full_mesh:
-            self._mesh.push_contact()
+        self._mesh.push_contact()
 
     def _apply_feed(self, feed: FeedUpdate, source: str) -> None:
         replica = self._replica
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -283,7 +283,7 @@
         return len(self.readers_before()) < N_READERS + N_STANDBY_READERS
 
     def readers_before(self) -> tuple[int, ...]:
-        """Return the short hashes of the routers that rank before this one as readers."""
+        """Return the short hashes of the routers that rank before it as readers."""
         if self._readers_before is None:
             centre_of = {each.address: each.data_centre for each in self.entries()}
             ranked = rank_by_rendezvous("reader", centre_of)
