Conclude where a stream began only from what was watched, or the store's history tells

Cause: a router took the only version that it had seen since its own start for the one at which every unrecorded stream had begun. The absence of records was taken for a fact, although nobody was left who could have had them.

A conclusion now needs that a router has known the servers for as long as callers may wait for a stream (1.25 of the longest time limit, 10 s at least). A router that has not reads the store's history of servers' entries once, when a stream is taken up that nobody remembers; the removal of an entry whose version is not in it, a store without changes, or a server that has started within that time and is missing from it leave the version unknown. Then the caller is refused at once as not run, with the time until such streams are too old. Streams that begin while a router is that young are recorded at their keepers. No frame changes.

--- a/damaskrill/fakes/platform/_store.py
+++ b/damaskrill/fakes/platform/_store.py
@@ -77,6 +77,7 @@
         self._revision = 100
         self._items: dict[str, _Write] = {}
         self._log: list[_Write] = []
+        self._history_start = 0
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener = Listener(reactor=reactor, handle=self._handle_request)
@@ -119,6 +120,15 @@
         """Withdraw the evacuation of a data centre."""
         self.delete(f"op/evacuate/{data_centre}")
 
+    def discard_history(self) -> None:
+        """Discard all changes, so that a watch after an older revision is refused."""
+        self._history_start = self._revision
+        self._log.clear()
+
+    def forget_keys(self, keys: set[str]) -> None:
+        """Discard all changes of some keys, as if they had never been written."""
+        self._log = [each for each in self._log if each.key not in keys]
+
     def take_copy(self) -> "StoreCopy":
         """Return a copy of the items, to which the store can be restored later."""
         return StoreCopy(dict(self._items), list(self._log), self._revision)
@@ -207,7 +217,8 @@
         if parts.path == "/damaskrill/kv-range":
             content = self._list(prefix, query.get("after", ""))
         elif parts.path == "/damaskrill/kv-watch":
-            is_unknown = int(query["after"]) > self._revision
+            after = int(query["after"])
+            is_unknown = not self._history_start <= after <= self._revision
             if self.mode is StoreMode.COMPACTED or is_unknown:
                 connection.send_answer(410, self._era_headers, b"")
                 return
--- a/damaskrill/feed/__init__.py
+++ b/damaskrill/feed/__init__.py
@@ -9,6 +9,7 @@
     StoreUnreachableError,
 )
 from damaskrill.feed._freshness import Contact, Freshness
+from damaskrill.feed._history import read_history
 from damaskrill.feed._position import START, Position
 from damaskrill.feed._reader import (
     STARTUP_BACKOFF_MS,
@@ -36,4 +37,5 @@
     "StoreRefusedError",
     "StoreRestoredError",
     "StoreUnreachableError",
+    "read_history",
 ]
--- /dev/null
+++ b/damaskrill/feed/_history.py
@@ -0,0 +1,68 @@
+"""Changes that the store has made before this router read it."""
+
+from damaskrill.feed._errors import HistoryExpiredError
+from damaskrill.feed._position import Position
+from damaskrill.feed._reader import BaseStoreClient
+from damaskrill.feed._replica import Change
+
+__all__ = ["read_history"]
+
+# Changes before the present position that are asked for first, and by how many times
+# more the next probes go back.
+FIRST_STEP = 64
+STEP_FACTOR = 4
+
+
+async def read_history(client: BaseStoreClient, at: Position) -> tuple[Change, ...]:
+    """Read the servers' changes as far back as the store still has them.
+
+    Parameters
+    ----------
+    client : BaseStoreClient
+        Client of the store.
+    at : Position
+        Present position.
+
+    Returns
+    -------
+    tuple of Change
+        Changes of the entries of backend servers, oldest first.
+
+    Raises
+    ------
+    HistoryExpiredError
+        If the store has no change at all, so that nothing tells how far its history
+        goes back.
+    DamaskrillError
+        If the store does not answer.
+
+    Notes
+    -----
+    The store does not say where its history begins, so that this is found by bisection.
+    """
+    start = await _find_start(client, at)
+    if start == at.revision:
+        raise HistoryExpiredError(revision=start)
+    return await client.read_server_changes(after=Position(at.era, start))
+
+
+async def _find_start(client: BaseStoreClient, at: Position) -> int:
+    async def has_history(revision: int) -> bool:
+        return await client.has_history(after=Position(at.era, revision))
+
+    if await has_history(0):
+        return 0
+    available, missing, step = at.revision, 0, FIRST_STEP
+    while missing < available - step:
+        if not await has_history(available - step):
+            missing = available - step
+            break
+        available -= step
+        step *= STEP_FACTOR
+    while available - missing > 1:
+        middle = (available + missing) // 2
+        if await has_history(middle):
+            available = middle
+        else:
+            missing = middle
+    return available
--- a/damaskrill/feed/_reader.py
+++ b/damaskrill/feed/_reader.py
@@ -55,6 +55,20 @@
     async def watch(self, *, after: Position, wait_ms: int) -> Page:
         """Wait for changes after a position, at most ``wait_ms`` milliseconds."""
 
+    async def has_history(self, *, after: Position) -> bool:
+        """Return whether the store still has all changes after a position."""
+        return False
+
+    async def read_server_changes(self, *, after: Position) -> tuple[Change, ...]:
+        """Read the changes of backend servers' entries after a position.
+
+        Raises
+        ------
+        HistoryExpiredError
+            If the store does not have all of them any more.
+        """
+        raise HistoryExpiredError(revision=after.revision)
+
 
 class FeedReader:
     """Updates a ``FeedReplica`` from the store.
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -277,10 +277,14 @@
         origin = await streams.find_origin(stream_id, service)
         if origin is not None and streams.has_origin(service, origin):
             return origin
-        cause = RefusalCause.STREAM_VERSION_GONE
+        refusal = Refusal(status=503, cause=RefusalCause.STREAM_VERSION_GONE)
         if origin is None:
-            cause = RefusalCause.STREAM_VERSION_UNKNOWN
-        self._responder.refuse(Refusal(status=503, cause=cause), stream_id)
+            refusal = Refusal(
+                status=503,
+                cause=RefusalCause.STREAM_VERSION_UNKNOWN,
+                retry_after_ms=streams.retry_after_ms(service),
+            )
+        self._responder.refuse(refusal, stream_id)
         return None
 
     async def _choose_server(
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -13,6 +13,7 @@
 
 from damaskrill.catalog import CallerLimits, Catalog
 from damaskrill.eventlog import DecisionLog
+from damaskrill.exceptions import DamaskrillError
 from damaskrill.feed import (
     Change,
     Contact,
@@ -20,11 +21,13 @@
     FeedReplica,
     Freshness,
     ListedChanges,
+    read_history,
 )
 from damaskrill.gateway._binding import PlatformBinding
 from damaskrill.gateway._dispatcher import RequestDispatcher
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._peer_relay import PeerRelay
+from damaskrill.gateway._server_history import ServerHistory, build_server_history
 from damaskrill.gateway._server_throttle import ServerThrottle
 from damaskrill.gateway._settings import Address, GatewaySettings
 from damaskrill.gateway._stream_versions import StreamVersions
@@ -165,8 +168,6 @@
 
     def reload(self) -> None:
         """Read the settings again; keep the active ones if the new ones are invalid."""
-        from damaskrill.exceptions import DamaskrillError
-
         try:
             self._settings = self._reread_settings()
         except DamaskrillError as error:
@@ -212,6 +213,7 @@
             own_address=own.address,
             rank_keepers=self._members.rank_keepers,
             send=lambda address, message: self._mesh.send_message(address, message),
+            read_history=self._read_server_history,
         )
         self._reports = ReportExchange(
             members=self._members,
@@ -395,6 +397,28 @@
             )
         return should_read
 
+    async def _read_server_history(self) -> ServerHistory | None:
+        replica, history = self._replica, None
+        try:
+            changes = await read_history(self._binding.store, replica.position)
+            history = build_server_history(
+                changes,
+                replica.items,
+                decode=self._binding.decode_item,
+                duration_ms=self._settings.store_history_ms,
+                now_ms=time.time() * MS_PER_S,
+            )
+        except DamaskrillError as error:
+            self._log.warn("server_history_unknown", sentence=error.sentence)
+            return None
+        self._log.write(
+            "server_history_read",
+            n_changes=len(changes),
+            is_complete=history is not None,
+            n_servers={} if history is None else history.n_servers,
+        )
+        return history
+
     def _apply_read(self, listed: ListedChanges) -> None:
         now_ms = round(monotonic_now_ms())
         version_before = self._text_version
--- a/damaskrill/gateway/_settings.py
+++ b/damaskrill/gateway/_settings.py
@@ -39,6 +39,8 @@
         requests, in milliseconds.
     cold_factor, cold_slack : float
         A cold server gets at most its rate times the factor plus the slack per second.
+    store_history_ms : float
+        Time for which the store keeps its changes, in milliseconds.
     """
 
     name: str
@@ -57,3 +59,4 @@
     leaving_limit_ms: float = 2_000
     cold_factor: float = 1.0
     cold_slack: float = 0.0
+    store_history_ms: float = 20_000
--- a/damaskrill/gateway/_stream_versions.py
+++ b/damaskrill/gateway/_stream_versions.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import field, frozen
 
 from damaskrill.catalog import BackendServer, Catalog
+from damaskrill.gateway._server_history import ServerHistory
 from damaskrill.mesh import Message, StreamNotice, StreamQuery, StreamReply
 from damaskrill.steering import OriginEvidence, StreamOrigins, choose_origin
 from damaskrill.utils import hash_to_int, monotonic_now_ms
@@ -17,6 +18,8 @@
 REPLY_TIMEOUT_MS = 600
 # Many times the latency between data centres; then the next group is asked as well.
 NEXT_GROUP_MS = 150
+# Time after which a history that could not be read is sought again.
+HISTORY_RETRY_MS = 2_000
 # Routers that are told of a stream.
 N_TOLD = 2
 
@@ -34,6 +37,9 @@
         Returns the routers that may keep a record, by group, the own group first.
     send : callable
         Sends a message to the router with an address.
+    read_history : callable
+        Returns the servers that were listed before this router read the store, by
+        service, and for how long they are known; None if this cannot be known.
     """
 
     def __init__(
@@ -43,11 +49,15 @@
         own_address: str,
         rank_keepers: Callable[[str], list[list[str]]],
         send: Callable[[str, Message], None],
+        read_history: Callable[[], Awaitable[ServerHistory | None]],
     ) -> None:
         self._catalog = catalog
         self._own_address = own_address
         self._rank_keepers = rank_keepers
         self._send = send
+        self._read_history = read_history
+        self._history: asyncio.Task[None] | None = None
+        self._history_sought_at_ms = 0.0
         self._origins = StreamOrigins()
         self._numbers = itertools.count(1)
         self._replies: dict[int, asyncio.Future[OriginEvidence]] = {}
@@ -82,12 +92,13 @@
 
         Notes
         -----
-        While only one version serves, nobody needs to know.
+        While only one version is known to have served, nobody needs to know.
         """
-        if not self._origins.is_mixed(server.service):
+        now_ms = monotonic_now_ms()
+        if not self._origins.needs_records(server.service, now_ms):
             return
         stream = hash_to_int(stream_id)
-        self._origins.record(stream, origin, monotonic_now_ms())
+        self._origins.record(stream, origin, now_ms)
         own_group = self._rank_keepers(stream_id)[0]
         others = [each for each in own_group if each != self._own_address]
         # A router that resumes the stream asks one more than are told, as it cannot
@@ -110,15 +121,55 @@
         own = self._origins.find(stream, service, monotonic_now_ms())
         if self._origins.is_certain(service, own):
             return own.origin
-        if not stream_id:
-            return None if self._origins.is_mixed(service) else own.origin
         query = _Query(stream=stream, service=service)
+        # A store that does not answer must not delay the answer of a peer, and the
+        # other way round.
+        work = [self._learn_history(service)]
+        if stream_id:
+            work.append(self._ask_groups(query, self._rank_keepers(stream_id)))
         try:
-            await self._ask_groups(query, self._rank_keepers(stream_id))
+            await asyncio.gather(*work)
         finally:
             for number in query.replies:
                 del self._replies[number]
-        return choose_origin([own, *query.evidence])
+        own = self._origins.find(stream, service, monotonic_now_ms())
+        if not stream_id and self._origins.is_mixed(service):
+            return None
+        return choose_origin([own, *query.evidence], self._origins.max_age_ms)
+
+    def retry_after_ms(self, service: str) -> int | None:
+        """Return after which time the caller of an unknown stream may come back.
+
+        Returns
+        -------
+        int or None
+            Time in milliseconds until streams from before this router's start are too
+            old to go on; None if they are, so that time does not help.
+        """
+        remaining_ms = self._origins.unremembered_ms(service, monotonic_now_ms())
+        return round(remaining_ms) or None
+
+    async def _learn_history(self, service: str) -> None:
+        now_ms = monotonic_now_ms()
+        if self._origins.observed_ms(service, now_ms) >= self._origins.max_age_ms:
+            return
+        is_due = now_ms - self._history_sought_at_ms >= HISTORY_RETRY_MS
+        if self._history is None or (self._history.done() and is_due):
+            loop = asyncio.get_running_loop()
+            self._history = loop.create_task(self._add_history())
+            self._history_sought_at_ms = now_ms
+        # The callers of several streams wait for it.
+        await asyncio.wait([self._history], timeout=REPLY_TIMEOUT_MS / 1_000)
+
+    async def _add_history(self) -> None:
+        history = await self._read_history()
+        if history is None:
+            return
+        since_ms = monotonic_now_ms() - history.duration_ms
+        configuration = self._catalog.configuration
+        for service in configuration.services if configuration else ():
+            servers = history.servers.get(service, ())
+            self._origins.add_history(service, servers, since_ms)
 
     def handle_message(self, source: str, message: Message) -> None:
         """Handle a message from another router."""
--- a/damaskrill/platform/_items.py
+++ b/damaskrill/platform/_items.py
@@ -23,7 +23,7 @@
     UnusableServerError,
 )
 
-__all__ = ["ItemDecoder", "is_operator_item"]
+__all__ = ["SERVER_PREFIX", "ItemDecoder", "is_operator_item"]
 
 CONFIGURATION_KEY = "op/config"
 DATA_CENTRE_OUT_PREFIX = "op/evacuate/"
--- a/damaskrill/platform/_settings.py
+++ b/damaskrill/platform/_settings.py
@@ -72,6 +72,7 @@
         "leaving_limit_ms": ("bounds.drainTimeoutMs", 1),
         "cold_factor": ("bounds.coldFactor", 1),
         "cold_slack": ("bounds.coldSlack", 1),
+        "store_history_ms": ("platform.historyTtlS", MS_PER_S),
     }
     return {
         name: float(fields[field]) * unit
--- a/damaskrill/platform/_store.py
+++ b/damaskrill/platform/_store.py
@@ -19,6 +19,7 @@
     StoreUnreachableError,
 )
 from damaskrill.http1 import AnswerHead, OutgoingRequest, ServerConnection, fetch
+from damaskrill.platform._items import SERVER_PREFIX
 
 __all__ = ["PlatformStore"]
 
@@ -26,6 +27,8 @@
 WATCH_PATH = "/damaskrill/kv-watch"
 # Empty, so that one call covers the operators' items and the servers' entries.
 ALL_ITEMS_PREFIX = ""
+# Of no item, so that a watch only tells whether the store has the history.
+NO_ITEMS_PREFIX = "none/"
 # Counts how often the store has been restored from a copy.
 ERA_HEADER = b"store-era"
 # Time that an answer may take beyond the wait of a watch, as the store may be slow.
@@ -81,6 +84,34 @@
         changes = tuple(_to_change(each) for each in content["events"])
         return Page(changes=changes, at=at)
 
+    async def has_history(self, *, after: Position) -> bool:
+        """Return whether the store still has all changes after a position."""
+        try:
+            await self._read_changes(NO_ITEMS_PREFIX, after)
+        except HistoryExpiredError:
+            return False
+        return True
+
+    async def read_server_changes(self, *, after: Position) -> tuple[Change, ...]:
+        """Read the changes of backend servers' entries after a position."""
+        return await self._read_changes(SERVER_PREFIX, after)
+
+    async def _read_changes(self, prefix: str, after: Position) -> tuple[Change, ...]:
+        # A call of its own connection, as a watch may wait on the other one.
+        client = PlatformStore(reactor=self._reactor, address=self._address)
+        query = {"prefix": prefix, "after": after.revision, "maxWaitMs": 1}
+        revision = after.revision
+        try:
+            content, at = await client._call(
+                WATCH_PATH, query, wait_ms=1, after=revision
+            )
+        finally:
+            if client._connection is not None:
+                client._connection.abort()
+        if at.era != after.era:
+            raise StoreRestoredError(era=at.era)
+        return tuple(_to_change(each) for each in content["events"])
+
     async def _call(
         self, path: str, query: dict[str, Any], *, wait_ms: int, after: int
     ) -> tuple[dict[str, Any], Position]:
--- a/damaskrill/steering/_stream_origins.py
+++ b/damaskrill/steering/_stream_origins.py
@@ -16,6 +16,9 @@
 RETENTION_LIMITS = 2
 # Routes without a limit on streams keep records for this time, in milliseconds.
 MIN_RETENTION_MS = 10_000
+# Time after its beginning in which a caller may still take a stream up, in time limits
+# of its route: callers wait for about the same time. What served earlier is not needed.
+MAX_AGE_LIMITS = 1.25
 
 
 def find_origins(servers: Sequence[BackendServer]) -> dict[tuple[str, int], int]:
@@ -69,15 +72,30 @@
     observed_ms: int = 0
 
 
-def choose_origin(evidence: Iterable[OriginEvidence]) -> int | None:
+def choose_origin(
+    evidence: Iterable[OriginEvidence], min_observed_ms: float = 0.0
+) -> int | None:
     """Return the origin that the best evidence names; None if there is none.
 
+    Parameters
+    ----------
+    evidence : iterable of OriginEvidence
+        What each router knows.
+    min_observed_ms : float, default=0.0
+        Time for which a router must have known the servers so that it may conclude
+        anything from them, in milliseconds.
+
     Notes
     -----
     A record goes before a conclusion from the versions that were serving. Of the
     conclusions, that of the router which has known the servers longest counts.
     """
-    known = [each for each in evidence if each.origin is not None]
+    known = [
+        each
+        for each in evidence
+        if each.origin is not None
+        and (each.is_recorded or each.observed_ms >= min_observed_ms)
+    ]
     if not known:
         return None
     best = max(known, key=lambda each: (each.is_recorded, each.observed_ms))
@@ -89,10 +107,14 @@
     """Origins of a service over the last retention time."""
 
     since_ms: float
+    watched_since_ms: float = field(init=False)
     seen_at_ms: dict[int, float] = field(factory=dict)
     mixed_since_ms: float | None = None
     origin_before: int | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self.watched_since_ms = self.since_ms
+
     def observe(self, origins: set[int], now_ms: float, retention_ms: float) -> None:
         known = set(self.seen_at_ms)
         for origin in origins:
@@ -106,10 +128,33 @@
             self.mixed_since_ms = now_ms
             self.origin_before = next(iter(known)) if len(known) == 1 else None
 
-    def find_unrecorded(self, now_ms: float, retention_ms: float) -> int | None:
+    def extend(self, origins: set[int], since_ms: float) -> None:
+        """Add what served before this router knew the servers.
+
+        Parameters
+        ----------
+        origins : set of int
+            Origins of the servers that were listed at some time.
+        since_ms : float
+            Time from which on they are known, in milliseconds.
+        """
+        for origin in origins:
+            self.seen_at_ms.setdefault(origin, self.watched_since_ms)
+        if len(self.seen_at_ms) > 1 and self.origin_before not in origins:
+            self.mixed_since_ms, self.origin_before = since_ms, None
+        self.since_ms = min(self.since_ms, since_ms)
+
+    def find_unrecorded(
+        self, now_ms: float, *, max_age_ms: float, retention_ms: float
+    ) -> int | None:
         """Return the origin of a stream that was not recorded when it began."""
-        if self.mixed_since_ms is None:
-            return next(iter(self.seen_at_ms), None)
+        recent = [
+            origin
+            for origin, seen_at_ms in self.seen_at_ms.items()
+            if now_ms - seen_at_ms <= max_age_ms
+        ]
+        if len(recent) <= 1 or self.mixed_since_ms is None:
+            return next(iter(recent), None)
         # It began while only one version was serving.
         is_recent = now_ms - self.mixed_since_ms < retention_ms
         return self.origin_before if is_recent else None
@@ -124,12 +169,15 @@
     off when servers crash or routers restart. What two versions write does not fit
     together, so that a stream goes on only at the version that began it.
 
-    Streams are recorded only while two versions serve or have served shortly before.
-    Others began at the one version that was serving.
+    Streams are recorded only while two versions serve or have served shortly before,
+    and as long as this is not known. Others began at the one version that was serving.
+    This holds only for what a router has watched: after a restart of all, none knows
+    which versions served before, unless the store's history tells.
     """
 
     def __init__(self) -> None:
         self._retention_ms: float = MIN_RETENTION_MS
+        self._max_age_ms: float = MIN_RETENTION_MS
         self._records: OrderedDict[int, tuple[int, float]] = OrderedDict()
         self._histories: dict[str, _ServiceHistory] = {}
         self._servers: dict[str, Sequence[BackendServer]] = {}
@@ -140,9 +188,15 @@
         """Number of streams that are recorded."""
         return len(self._records)
 
+    @property
+    def max_age_ms(self) -> float:
+        """Age up to which streams are taken up, in milliseconds."""
+        return self._max_age_ms
+
     def set_longest_stream(self, longest_stream_ms: float) -> None:
         """Keep records until the callers of the longest streams have given up."""
         self._retention_ms = max(MIN_RETENTION_MS, RETENTION_LIMITS * longest_stream_ms)
+        self._max_age_ms = max(MIN_RETENTION_MS, MAX_AGE_LIMITS * longest_stream_ms)
 
     def origins_of(
         self, service: str, servers: Sequence[BackendServer]
@@ -164,6 +218,51 @@
                 history = self._histories[service] = _ServiceHistory(since_ms=now_ms)
             history.observe(set(origins.values()), now_ms, self._retention_ms)
 
+    def add_history(
+        self, service: str, servers: Sequence[BackendServer], since_ms: float
+    ) -> None:
+        """Add which servers a service had before this router knew them.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        servers : sequence of BackendServer
+            All servers that were listed at some time, in all states.
+        since_ms : float
+            Time from which on they are known, in milliseconds.
+        """
+        history = self._histories.get(service)
+        if history is not None:
+            history.extend(set(find_origins(servers).values()), since_ms)
+
+    def observed_ms(self, service: str, now_ms: float) -> float:
+        """Return for how long the servers of a service have been known."""
+        history = self._histories.get(service)
+        return now_ms - history.since_ms if history is not None else 0.0
+
+    def unremembered_ms(self, service: str, now_ms: float) -> float:
+        """Return the time until streams from before this router's start are too old.
+
+        Returns
+        -------
+        float
+            Time in milliseconds; 0 if they are too old.
+        """
+        history = self._histories.get(service)
+        since_ms = now_ms if history is None else history.watched_since_ms
+        return max(0.0, since_ms + self._max_age_ms - now_ms)
+
+    def needs_records(self, service: str, now_ms: float) -> bool:
+        """Return whether streams that begin now must be recorded.
+
+        Notes
+        -----
+        Otherwise all routers conclude that they began at the one version that serves.
+        """
+        is_new = self.observed_ms(service, now_ms) < self._max_age_ms
+        return is_new or self.is_mixed(service)
+
     def is_mixed(self, service: str) -> bool:
         """Return whether several versions serve, or have served shortly before."""
         history = self._histories.get(service)
@@ -193,7 +292,7 @@
             Current time in milliseconds.
         """
         history = self._histories.get(service)
-        observed_ms = round(now_ms - history.since_ms) if history else 0
+        observed_ms = round(self.observed_ms(service, now_ms))
         record = self._records.get(stream)
         if record is not None and now_ms - record[1] <= self._retention_ms:
             return OriginEvidence(
@@ -201,7 +300,9 @@
             )
         if history is None:
             return OriginEvidence()
-        origin = history.find_unrecorded(now_ms, self._retention_ms)
+        origin = history.find_unrecorded(
+            now_ms, max_age_ms=self._max_age_ms, retention_ms=self._retention_ms
+        )
         return OriginEvidence(origin=origin, observed_ms=observed_ms)
 
     def is_certain(self, service: str, evidence: OriginEvidence) -> bool:
@@ -209,4 +310,4 @@
         if evidence.is_recorded:
             return True
         is_sole = evidence.origin is not None and not self.is_mixed(service)
-        return is_sole and evidence.observed_ms >= self._retention_ms
+        return is_sole and evidence.observed_ms >= self._max_age_ms
--- a/features/steps/gateway_stream_origins_steps.py
+++ b/features/steps/gateway_stream_origins_steps.py
@@ -25,6 +25,10 @@
 MEMBERS_KNOWN_S = 15
 
 
+async def read_nothing():
+    return None
+
+
 def build_servers(versions):
     return tuple(
         BackendServer(
@@ -64,8 +68,7 @@
     assert context.found == wanted
 
 
-@when("routers answer with {evidence}")
-def step_answers(context, evidence):
+def parse_evidence(evidence):
     found = []
     for each in evidence.split(","):
         match = re.match(r"\s*(concluded|recorded) (\d+) after (\d+)", each)
@@ -80,7 +83,17 @@
             )
         elif "unknown" in each:
             found.append(OriginEvidence())
-    context.found = choose_origin(found)
+    return found
+
+
+@when("routers answer with {evidence}, having watched for {min_ms:d} ms at least")
+def step_answers_watched(context, evidence, min_ms):
+    context.found = choose_origin(parse_evidence(evidence), min_ms)
+
+
+@when("routers answer with {evidence}")
+def step_answers(context, evidence):
+    context.found = choose_origin(parse_evidence(evidence))
 
 
 @then("the chosen origin is {origin}")
@@ -173,6 +186,7 @@
                 own_address=entry.address,
                 rank_keepers=members.rank_keepers,
                 send=send,
+                read_history=read_nothing,
             )
             server = CountingCatalog.servers[0]
             streams._observe("pool")
