Let routers of this build and of later ones form one fleet with the build before

What callers saw: none yet.

Decoding takes any version of the protocol from 6 on, ignores further fields and unknown kinds of frames, and reads missing trailing reports as empty. This build sends the frames of the former one unchanged.

--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -39,15 +39,22 @@
     "Goodbye",
     "Hello",
     "MemberEntry",
+    "SentFrame",
     "Suspicion",
+    "UnknownFrame",
     "Update",
     "decode",
     "encode",
 ]
 
-# Routers of other versions refuse the first frame, so that fleets of two versions run
-# beside each other during a rolling update, each with its own readers of the store.
+# Oldest version of the protocol that routers of this build understand, which is the one
+# that they send. Later ones only append fields to a frame, or add kinds of frames: what
+# a router does not know it ignores, and what a peer does not send has a default.
 PROTOCOL_VERSION = 6
+# Kinds of frames in which a field may be invalid.
+KNOWN_KINDS = frozenset("zhdurgfsqa")
+# Reports of a frame that a peer does not send.
+NO_REPORTS: tuple[Any, ...] = ([], [], [], b"", b"", b"", [], b"", b"", b"", None)
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
 MIN_COMPRESSED_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
@@ -196,6 +203,19 @@
     """Frame before the sender closes a link that it does not need."""
 
 
+@frozen(kw_only=True)
+class UnknownFrame:
+    """Frame of a kind that a later build has added; it is ignored.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the frame.
+    """
+
+    kind: str
+
+
 @frozen(kw_only=True)
 class FeedUpdate:
     """Frame with changes of the store.
@@ -231,10 +251,11 @@
     position: Position
 
 
-Frame = Hello | DirectHello | Update | FeedUpdate | FeedRequest | Goodbye | Message
+SentFrame = Hello | DirectHello | Update | FeedUpdate | FeedRequest | Goodbye | Message
+Frame = SentFrame | UnknownFrame
 
 
-def encode(frame: Frame) -> bytes:
+def encode(frame: SentFrame) -> bytes:
     """Encode a frame."""
     match frame:
         case Hello():
@@ -277,34 +298,36 @@
 
 def _decode(data: bytes) -> Frame:
     match cbor2.loads(data):
-        case ["z", bytes(packed)]:
+        case ["z", bytes(packed), *_]:
             unpacker = zlib.decompressobj()
             return _decode(unpacker.decompress(packed, MAX_FRAME_BYTES))
         case ["h", version, *fields]:
             _check_protocol(version)
             return Hello(entry=_to_entry(fields))
-        case ["d", version, str(address)]:
+        case ["d", version, str(address), *_]:
             _check_protocol(version)
             return DirectHello(address=address)
         case ["u", int(era), int(revision), contact, *reports]:
             return _to_update(Position(era, revision), _to_contact(contact), reports)
-        case ["r", int(era), int(revision)]:
+        case ["r", int(era), int(revision), *_]:
             return FeedRequest(position=Position(era, revision))
-        case ["g"]:
+        case ["g", *_]:
             return Goodbye()
-        case ["f", int(era), int(after), int(revision), list(changes), list(lost)]:
+        case ["f", int(era), int(after), int(revision), list(changes), list(lost), *_]:
             return FeedUpdate(
                 after=after,
                 position=Position(era, revision),
                 changes=tuple(_to_change(each) for each in changes),
                 superseded=tuple(_to_change(each) for each in lost),
             )
+        case [str(kind), *_] if kind not in KNOWN_KINDS:
+            return UnknownFrame(kind=kind)
         case content:
             return decode_message(content)
 
 
 def _check_protocol(version: Any) -> None:
-    if version != PROTOCOL_VERSION:
+    if type(version) is not int or version < PROTOCOL_VERSION:
         raise ValueError("the peer uses another version of the protocol")
 
 
@@ -330,7 +353,8 @@
 def _to_update(
     position: Position, contact: Contact | None, reports: Sequence[Any]
 ) -> Update:
-    match reports:
+    n_known = len(NO_REPORTS)
+    match [*reports[:n_known], *NO_REPORTS[len(reports) :]]:
         case [
             list(entries),
             list(suspicions),
@@ -342,7 +366,7 @@
             bytes(served),
             bytes(limits),
             bytes(brittle),
-            [float(), list()] | None as counts,
+            [float(), list(), *_] | None as counts,
         ]:
             return Update(
                 position=position,
@@ -371,7 +395,7 @@
     match fields:
         case None:
             return None
-        case [int(origin), int(number), int(age_ms)]:
+        case [int(origin), int(number), int(age_ms), *_]:
             return Contact(origin, number, age_ms)
         case _:
             raise ValueError("invalid contact")
@@ -379,7 +403,7 @@
 
 def _to_suspicion(fields: Any) -> Suspicion:
     match fields:
-        case [str(address), int(incarnation), int(heartbeat)]:
+        case [str(address), int(incarnation), int(heartbeat), *_]:
             return Suspicion(address, incarnation, heartbeat)
         case _:
             raise ValueError("invalid suspicion")
@@ -387,7 +411,7 @@
 
 def _to_departure(fields: Any) -> Departure:
     match fields:
-        case [str(server_id), int(started_at_ms)]:
+        case [str(server_id), int(started_at_ms), *_]:
             return Departure(server_id, started_at_ms)
         case _:
             raise ValueError("invalid departure")
@@ -406,7 +430,7 @@
 def _to_key_counts(fields: Any) -> KeyCounts | None:
     if fields is None:
         return None
-    n_requests, counts = fields
+    n_requests, counts, *_ = fields
     return KeyCounts(n_requests, dict(_to_count(each) for each in counts))
 
 
@@ -419,6 +443,7 @@
             int(heartbeat),
             int(caller_port),
             bool(has_path),
+            *_,
         ]:
             return MemberEntry(
                 address, incarnation, data_centre, heartbeat, caller_port, has_path
@@ -459,7 +484,7 @@
 
 def _to_change(fields: Any) -> Change:
     match list(fields):
-        case [str(key), bytes() | None as value, int(revision)]:
+        case [str(key), bytes() | None as value, int(revision), *_]:
             return Change(key=key, value=value, revision=revision)
         case _:
             raise ValueError("invalid change of the store")
--- a/damaskrill/mesh/_link.py
+++ b/damaskrill/mesh/_link.py
@@ -7,7 +7,7 @@
 from websockets.exceptions import WebSocketException
 
 from damaskrill.feed import START, Position
-from damaskrill.mesh._frames import Frame, encode
+from damaskrill.mesh._frames import SentFrame, encode
 from damaskrill.steering import NEW_LINK
 
 __all__ = ["Cursors", "Link"]
@@ -88,7 +88,7 @@
         """Start both timers when the link is opened."""
         self.last_seen_ms = self.last_sent_ms = self.opened_at_ms
 
-    def send(self, frame: Frame | bytes, now_ms: float) -> bool:
+    def send(self, frame: SentFrame | bytes, now_ms: float) -> bool:
         """Queue a frame or an encoded frame; return False if the queue is full."""
         self.last_sent_ms = now_ms
         data = frame if isinstance(frame, bytes) else encode(frame)
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -20,6 +20,8 @@
     Goodbye,
     Hello,
     MemberEntry,
+    SentFrame,
+    UnknownFrame,
     Update,
     decode,
     encode,
@@ -422,7 +424,7 @@
                 self._close_link(link, "link not needed")
             case StreamNotice() | StreamQuery() | StreamReply():
                 self._handle_message(link.address, frame)
-            case Hello() | DirectHello():
+            case Hello() | DirectHello() | UnknownFrame():
                 pass
 
     def _publish_urgent_reports(self) -> None:
@@ -463,7 +465,7 @@
         ):
             self.push_contact()
 
-    def _send(self, link: Link, frame: Frame | bytes) -> None:
+    def _send(self, link: Link, frame: SentFrame | bytes) -> None:
         now_ms = monotonic_now_ms()
         if isinstance(frame, Update) and frame.contact is not None:
             link.contact = (frame.contact.origin, frame.contact.number)
--- a/damaskrill/mesh/_messages.py
+++ b/damaskrill/mesh/_messages.py
@@ -95,9 +95,9 @@
         If the array is not a valid message.
     """
     match content:
-        case ["s", int(stream), int(origin)]:
+        case ["s", int(stream), int(origin), *_]:
             return StreamNotice(stream=stream, origin=origin)
-        case ["q", int(number), int(stream), str(service)]:
+        case ["q", int(number), int(stream), str(service), *_]:
             return StreamQuery(number=number, stream=stream, service=service)
         case [
             "a",
@@ -105,6 +105,7 @@
             int() | None as origin,
             bool(is_recorded),
             int(observed_ms),
+            *_,
         ]:
             return StreamReply(
                 number=number,
--- a/damaskrill/mesh/_replication.py
+++ b/damaskrill/mesh/_replication.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from damaskrill.feed import START, FeedReplica, Position
-from damaskrill.mesh._frames import FeedRequest, FeedUpdate, Frame, Update, encode
+from damaskrill.mesh._frames import FeedRequest, FeedUpdate, SentFrame, Update, encode
 from damaskrill.mesh._link import Link
 
 __all__ = ["FeedReplication"]
@@ -36,7 +36,7 @@
         *,
         replica: FeedReplica,
         apply_feed: Callable[[FeedUpdate, str], None],
-        send: Callable[[Link, Frame | bytes], None],
+        send: Callable[[Link, SentFrame | bytes], None],
     ) -> None:
         self._replica = replica
         self._apply_feed = apply_feed
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -463,12 +463,12 @@
     assert set(context.last_ids) == {50}
 
 
-@then("every kind of message is unchanged after encoding and decoding")
-def step_frames(context):
+def build_frames():
+    """Return frames of all kinds, with all kinds of reports."""
     entry = MemberEntry("10.0.0.1:9", 5, "bole", 3)
     change = Change(key="k", value=b"v" * 3_000, revision=9)
     removal = Change(key="gone", value=None, revision=10)
-    for frame in (
+    return [
         Hello(entry=entry),
         Goodbye(),
         Update(position=Position(1, 7)),
@@ -503,7 +503,12 @@
         StreamQuery(number=1, stream=2, service="pool"),
         StreamReply(number=1, origin=None, is_recorded=False, observed_ms=5),
         StreamReply(number=2, origin=7, is_recorded=True, observed_ms=0),
-    ):
+    ]
+
+
+@then("every kind of message is unchanged after encoding and decoding")
+def step_frames(context):
+    for frame in build_frames():
         assert decode(encode(frame)) == frame
 
 
@@ -568,7 +573,8 @@
         cbor2.dumps(
             ["u", 1, 1, None, *EMPTY_REPORTS[:index], *EMPTY_REPORTS[index + 1 :]]
         )
-        for index in range(len(EMPTY_REPORTS))
+        # A peer may leave the last ones out, but none between others.
+        for index in range(len(EMPTY_REPORTS) - 1)
     ]
     frames += [
         cbor2.dumps(content)
--- /dev/null
+++ b/features/support/former_build.py
@@ -0,0 +1,98 @@
+"""The build of the last landing, made from the repository's history."""
+
+import atexit
+import io
+import os
+import shutil
+import subprocess
+import sys
+import tarfile
+import tempfile
+from functools import cache
+from pathlib import Path
+
+from damaskrill.fakes.platform import build_settings
+from damaskrill.platform import SETTINGS_VARIABLE
+from features.support.gateways import free_addresses
+
+COMMIT = "91059935fc09142150dac158bfe5f4464dee4947"
+ROOT = Path(__file__).resolve().parent.parent.parent
+# Decodes each frame in hexadecimal and prints it as encoded again.
+ECHO = """
+import sys
+from damaskrill.mesh import decode, encode
+for line in sys.stdin:
+    print(encode(decode(bytes.fromhex(line))).hex())
+"""
+
+
+@cache
+def former_build():
+    """Return the folder of the former build's sources."""
+    folder = tempfile.mkdtemp(prefix="former-build-")
+    atexit.register(shutil.rmtree, folder, ignore_errors=True)
+    archive = subprocess.run(
+        ["git", "archive", COMMIT, "damaskrill"],
+        cwd=ROOT,
+        capture_output=True,
+        check=True,
+    )
+    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as sources:
+        sources.extractall(folder, filter="data")
+    return folder
+
+
+def echo_frames(frames):
+    """Return encoded frames as the former build decodes and encodes them."""
+    completed = subprocess.run(
+        [sys.executable, "-c", ECHO],
+        cwd=former_build(),
+        env={**os.environ, "PYTHONPATH": former_build()},
+        input="\n".join(each.hex() for each in frames),
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return [bytes.fromhex(line) for line in completed.stdout.splitlines()]
+
+
+class FormerRouter:
+    """Process of a router of the former build."""
+
+    def __init__(self, *, number, seeds, store):
+        host = f"127.201.{os.getpid() % 250}.{number + 1}"
+        ports = tuple(port for _, port in free_addresses(host, 3))
+        self.callers, self.peers = (host, ports[0]), (host, ports[2])
+        self._folder = tempfile.mkdtemp(prefix="former-router-")
+        settings = Path(self._folder) / "router.conf"
+        settings.write_text(
+            build_settings(
+                name=f"former-{number}",
+                data_centre="bole",
+                host=host,
+                ports=ports,
+                seeds=seeds,
+                store=store,
+                grace_s=4,
+            ),
+            encoding="utf-8",
+        )
+        self.log = Path(self._folder) / "router.log"
+        with self.log.open("wb") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "damaskrill.platform"],
+                cwd=former_build(),
+                env={
+                    **os.environ,
+                    "PYTHONPATH": former_build(),
+                    SETTINGS_VARIABLE: str(settings),
+                },
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def close(self):
+        """End the process."""
+        self._process.kill()
+        self._process.wait()
+        shutil.rmtree(self._folder, ignore_errors=True)
