End a cut of the path to the servers only with an answer of a server

Cause: the probe took a connection that opened for a path, so that the path was back and cut by turns, and requests went to the servers in between. A proxy or a full backlog accepts connections that lead nowhere.

--- a/damaskrill/catalog/_model.py
+++ b/damaskrill/catalog/_model.py
@@ -115,6 +115,8 @@
         Capacity of a cold backend server in requests per second; 0 if unlimited.
     is_engine : bool
         Whether its backend servers run models with a prompt cache.
+    health_path : str
+        Path at which a backend server answers without running a request.
     """
 
     name: str
@@ -122,6 +124,7 @@
     cold_duration_ms: int = 0
     cold_requests_per_s: float = 0.0
     is_engine: bool = False
+    health_path: str = "/"
 
 
 @frozen(kw_only=True)
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -57,6 +57,8 @@
         Returns whether operators write the item with a key.
     read_request, read_answer : callable
         Extract metadata from the headers of a request and of an answer.
+    is_server_answer : callable
+        Returns whether a backend server itself has sent an answer.
     server_headers : callable
         Builds the headers of a request to a backend server.
     read_peer_answer : callable
@@ -72,6 +74,7 @@
     is_operator_item: Callable[[str], bool]
     read_request: Callable[[CallerRequest], RequestMetadata]
     read_answer: Callable[[AnswerHead], AnswerMetadata]
+    is_server_answer: Callable[[AnswerHead], bool]
     server_headers: ServerHeaders
     read_peer_answer: Callable[[AnswerHead], AnswerMetadata]
     peer_headers: PeerHeaders
--- a/damaskrill/gateway/_peer_relay.py
+++ b/damaskrill/gateway/_peer_relay.py
@@ -3,10 +3,17 @@
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
+from typing import Any
 
 from damaskrill.catalog import BackendServer, Catalog
 from damaskrill.eventlog import DecisionLog
-from damaskrill.http1 import ServerConnection, ServerPool
+from damaskrill.http1 import (
+    AnswerHead,
+    OutgoingRequest,
+    ServerConnection,
+    ServerPool,
+    fetch,
+)
 from damaskrill.mesh import MemberEntry
 from damaskrill.steering import ServerPath, short_server_id
 from damaskrill.utils import monotonic_now_ms
@@ -15,6 +22,8 @@
 
 # Peers that one request tries to connect to.
 MAX_PEERS = 3
+# A sound server answers a health check sooner, unless it is full.
+PROBE_TIMEOUT_MS = 750
 
 
 class PeerRelay:
@@ -22,6 +31,8 @@
 
     Parameters
     ----------
+    reactor : object
+        Twisted's reactor.
     path : ServerPath
         Evidence on the path to the servers.
     server_pool, peer_pool : ServerPool
@@ -34,6 +45,8 @@
         Returns the membership entries of the other routers.
     announce : callable
         Tells the peers whether this router has a path.
+    is_server_answer : callable
+        Returns whether a backend server itself has sent an answer.
     region_of : mapping of str to str
         Region of each data centre.
     log : DecisionLog
@@ -45,6 +58,7 @@
     def __init__(
         self,
         *,
+        reactor: Any,
         path: ServerPath,
         server_pool: ServerPool,
         peer_pool: ServerPool,
@@ -52,10 +66,12 @@
         own_entry: Callable[[], MemberEntry],
         find_peers: Callable[[], Sequence[MemberEntry]],
         announce: Callable[[bool], None],
+        is_server_answer: Callable[[AnswerHead], bool],
         region_of: Mapping[str, str],
         log: DecisionLog,
         random_state: Random,
     ) -> None:
+        self._reactor = reactor
         self._path = path
         self._server_pool = server_pool
         self._peer_pool = peer_pool
@@ -63,6 +79,7 @@
         self._own_entry = own_entry
         self._find_peers = find_peers
         self._announce = announce
+        self._is_server_answer = is_server_answer
         self._region_of = region_of
         self._log = log
         self._random = random_state
@@ -74,7 +91,7 @@
         return self._path.is_cut
 
     def record_heard(self) -> None:
-        """Record that a server has answered or accepted a connection."""
+        """Record that a server has answered."""
         if self._path.record_heard():
             self._announce(True)
             self._log.write("server_path_back")
@@ -143,23 +160,33 @@
         self._path.retain_only({short_server_id(key) for key in keys})
 
     async def _run_probe(self) -> None:
+        # A connection that opens shows nothing: a proxy, or the full backlog of a host,
+        # accepts it and is silent or resets it.
         configuration = self._catalog.configuration
-        services = configuration.services if configuration else ()
-        servers = [
-            server
+        services = configuration.services.values() if configuration else ()
+        targets = [
+            (server, service.health_path)
             for service in services
-            for server in self._catalog.find_servers(service)
+            for server in self._catalog.find_servers(service.name)
         ]
-        if not servers:
+        if not targets:
             return
-        server = self._random.choice(servers)
+        server, path = self._random.choice(targets)
         try:
             connection = await self._server_pool.open(server.key, server.address)
+            head, _, connection = await fetch(
+                self._reactor,
+                server.address,
+                _build_probe(server, path),
+                timeout_ms=PROBE_TIMEOUT_MS,
+                connection=connection,
+            )
         except OSError:
             # The path is still cut, or this server is down; the next probe tells.
             return
         self._server_pool.release(server.key, connection)
-        self.record_heard()
+        if self._is_server_answer(head):
+            self.record_heard()
 
     def _handle(self, is_newly_cut: bool) -> None:
         if is_newly_cut:
@@ -170,3 +197,12 @@
 def peer_key(peer: MemberEntry) -> tuple[str, int]:
     """Return the key of a peer's connections."""
     return (f"router {peer.address}", peer.incarnation)
+
+
+def _build_probe(server: BackendServer, path: str) -> OutgoingRequest:
+    host, port = server.address
+    return OutgoingRequest(
+        method=b"GET",
+        target=path.encode(),
+        headers=((b"Host", f"{host}:{port}".encode()),),
+    )
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -268,6 +268,7 @@
         )
         pool = ServerPool(reactor=self._reactor, may_keep=self._catalog.is_usable)
         self._relay = PeerRelay(
+            reactor=self._reactor,
             path=ServerPath(),
             server_pool=pool,
             peer_pool=ServerPool(reactor=self._reactor),
@@ -275,6 +276,7 @@
             own_entry=lambda: self._members.own,
             find_peers=self._members.peers,
             announce=self._announce_path,
+            is_server_answer=self._binding.is_server_answer,
             region_of=settings.region_of,
             log=self._log,
             random_state=self._random,
--- a/damaskrill/platform/_binding.py
+++ b/damaskrill/platform/_binding.py
@@ -5,6 +5,7 @@
 from damaskrill.gateway import PlatformBinding
 from damaskrill.platform._headers import (
     READINESS_PATH,
+    is_server_answer,
     peer_headers,
     read_answer,
     read_peer_answer,
@@ -27,6 +28,7 @@
         is_operator_item=is_operator_item,
         read_request=read_request,
         read_answer=read_answer,
+        is_server_answer=is_server_answer,
         server_headers=server_headers,
         read_peer_answer=read_peer_answer,
         peer_headers=peer_headers,
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "READINESS_PATH",
+    "is_server_answer",
     "peer_headers",
     "read_answer",
     "read_peer_answer",
@@ -32,6 +33,14 @@
 RELAYED = b"damaskrill-router-hop"
 # Statuses with which a router promises that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Headers that only backend servers send.
+SERVER_MARKS = frozenset(
+    {
+        b"damaskrill-instance-id",
+        b"damaskrill-not-executed",
+        b"damaskrill-response-seal",
+    }
+)
 # Headers that only routers may set; they are dropped from callers' requests.
 ROUTER_HEADERS = frozenset(
     {
@@ -207,6 +216,11 @@
     )
 
 
+def is_server_answer(head: AnswerHead) -> bool:
+    """Return whether a backend server itself has sent an answer, not a proxy."""
+    return any(name.lower() in SERVER_MARKS for name, _ in head.headers)
+
+
 def _read_pause_ms(value: bytes) -> float | None:
     # The platform states seconds, with fractions. A date, which HTTP also allows, would
     # depend on the clocks of both hosts.
--- a/damaskrill/platform/_items.py
+++ b/damaskrill/platform/_items.py
@@ -157,6 +157,7 @@
         cold_requests_per_s=float(content.get("coldPerS", 0)),
         # The field is not a name, but contains the properties of the engine.
         is_engine=bool(content.get("engineName")),
+        health_path=str(content.get("healthPath") or "/"),
     )
 
 
--- a/damaskrill/steering/_server_path.py
+++ b/damaskrill/steering/_server_path.py
@@ -19,7 +19,8 @@
 
     The path counts as cut if at least two servers have failed without an answer from
     any server since, although other routers report answers of failed servers of the
-    same time. Any later answer or connection shows that the path is back.
+    same time. Only a later answer of a server shows that the path is back: a proxy may
+    accept connections that lead nowhere.
     """
 
     def __init__(self) -> None:
@@ -33,7 +34,7 @@
         return self._is_cut
 
     def record_heard(self) -> bool:
-        """Record an answer or a new connection; return whether the path is back."""
+        """Record an answer of a server; return whether the path is back."""
         was_cut, self._is_cut = self._is_cut, False
         if self._failed_at_ms:
             self._failed_at_ms.clear()
--- a/features/gateway_cut_path.feature
+++ b/features/gateway_cut_path.feature
@@ -13,6 +13,26 @@
       | how    |
       | silent |
       | reset  |
+      | accepted and then reset  |
+      | accepted and then silent |
+
+  Scenario Outline: a path that only accepts connections does not count as back
+    When the first 2 gateways lose their path to all servers, with connections that are <how>
+    And from 3 s after that each gateway gets 10 reads, checks and actions a second for 5 s
+    Then the first 2 gateways serve at least two thirds as many as the others
+    And each of them has lost its path once and not found it again
+
+    Examples:
+      | how                      |
+      | accepted and then reset  |
+      | accepted and then silent |
+
+  Scenario: a router whose path accepts again only at first sends directly in the end
+    When the first 2 gateways lose their path to all servers, with connections that are accepted and then reset
+    And from 3 s after that each gateway gets 10 reads, checks and actions a second for 1 s
+    And the path is back for 2 s
+    And each gateway gets 10 reads, checks and actions a second for 1 s
+    Then all of these are served without a peer
 
   Scenario: a router whose path is back sends to the servers itself
     When the first 2 gateways lose their path to all servers, with connections that are reset
--- a/features/steps/gateway_cut_path_steps.py
+++ b/features/steps/gateway_cut_path_steps.py
@@ -1,6 +1,7 @@
 """Steps for routers that are cut off from all backend servers."""
 
 import asyncio
+import contextlib
 import itertools
 import re
 import time
@@ -25,14 +26,26 @@
     pool = gateway._dispatcher.pool
     gateway.open_before_cut = pool.open
 
+    async def accept(reader, writer):
+        with contextlib.suppress(ConnectionError):
+            await (reader.read(1) if how.endswith("reset") else reader.read())
+        writer.transport.abort()
+
+    async def lead_nowhere(key, address, *, limit_ms=350.0):
+        if gateway.proxy is None:
+            gateway.proxy = await asyncio.start_server(accept, address[0], 0)
+        nowhere = gateway.proxy.sockets[0].getsockname()
+        return await gateway.open_before_cut(key, nowhere, limit_ms=limit_ms)
+
     async def fail(key, address, *, limit_ms=350.0):
         if how == "silent":
             await asyncio.sleep(min(350.0, limit_ms) / 1_000)
         raise OSError("no path to the server")
 
-    pool.open = fail
+    gateway.proxy = None
+    pool.open = lead_nowhere if how.startswith("accepted") else fail
     for key in pool.keys():
-        if how == "reset":
+        if how.endswith("reset"):
             pool.close_idle(key)
             continue
         for connection in pool._idle[key]:
@@ -123,6 +136,14 @@
     assert shares[0] >= shares[1] * 2 / 3, shares
 
 
+@then("each of them has lost its path once and not found it again")
+def step_once(context):
+    logs = context.testbed.logs[: len(context.cut)]
+    events = [[line["event"] for line in log.lines] for log in logs]
+    assert all(each.count("server_path_cut") == 1 for each in events)
+    assert not any("server_path_back" in each for each in events)
+
+
 @then("no action has run twice")
 def step_not_twice(context):
     runs = [
