Let no peer decide on a relayed request by an older configuration

A router without a path to the servers sends requests through a peer. If the peer had not got the newest version yet, it decided by the older one: a route that the router had in force was answered 404, and a route that had moved ran at the former service, after the router had served by the newer version.

The mark of a relayed request names the sender's version instead of the constant 1. Routers of the former build ignore the value and send 1, which no peer waits for. The check of the mark's value follows it.

Not covered: a peer with a newer version than the sender's.

--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -101,6 +101,11 @@
         """Active configuration; None before the first one."""
         return self._configuration
 
+    @property
+    def text_version(self) -> int:
+        """Version of the active configuration; 0 before the first one."""
+        return 0 if self._configuration is None else self._configuration.version
+
     @property
     def data_centres_out(self) -> frozenset[str]:
         """Data centres out of service, which get no requests."""
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -221,6 +221,7 @@
             remaining_ms=max(1, int(context.limit_at_ms - dispatcher.now_ms)),
             resume_after=self._progress.last_id,
             stream_id=self._metadata.stream_id,
+            text_version=dispatcher.catalog.text_version,
         )
         self.sent_to.add(peer_key(peer))
         self._responder.record_sent(dispatcher.now_ms)
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -39,6 +39,7 @@
         remaining_ms: int,
         resume_after: int | None,
         stream_id: str,
+        text_version: int,
     ) -> Headers:
         """Return the headers."""
 
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -144,6 +144,16 @@
                 Refusal(status=503, cause=cause, retry_after_ms=RETRY_AFTER_START_MS)
             )
             return
+        if configuration.version < metadata.min_text_version:
+            # The sender has served by the newer version already.
+            self._responder.refuse(
+                Refusal(
+                    status=503,
+                    cause=RefusalCause.CONFIGURATION_OUTDATED,
+                    retry_after_ms=START_WAIT_MS,
+                )
+            )
+            return
         route = configuration.find_route(metadata.host, metadata.path)
         if route is None:
             self._responder.refuse(Refusal(status=404, cause=RefusalCause.NO_ROUTE))
@@ -162,9 +172,11 @@
     async def _wait_for_start(self) -> None:
         # A router that has just started is up to date within some milliseconds if the
         # store or a peer answers; a refusal would use up one of the caller's retries.
+        # The same holds for one that lags behind the router that sent the request.
         until_ms = self._request.arrived_at_ms + START_WAIT_MS
+        catalog, version = self._dispatcher.catalog, self._metadata.min_text_version
         while (
-            not self._dispatcher.catalog.is_complete
+            not (catalog.is_complete and catalog.text_version >= version)
             and self._dispatcher.now_ms < until_ms
         ):
             await asyncio.sleep(POLL_INTERVAL_MS / 1_000)
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -378,7 +378,7 @@
             "store_era": float(self._replica.position.era),
             "store_revision": float(self._replica.revision),
             "store_age_ms": float(self._store_age_ms()),
-            "text_version": float(self._text_version),
+            "text_version": float(self._catalog.text_version),
             "connections_opened": float(self._dispatcher.pool.n_opened),
         }
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
@@ -423,7 +423,7 @@
 
     def _apply_read(self, listed: ListedChanges) -> None:
         now_ms = round(monotonic_now_ms())
-        version_before = self._text_version
+        version_before = self._catalog.text_version
         store_age_ms = self._store_age_ms()
         self._reader_role.record_read(now_ms)
         self._handle_contact(had_outage=self._freshness.record_own(now_ms))
@@ -434,7 +434,7 @@
 
     def _apply_feed(self, feed: FeedUpdate, source: str) -> None:
         replica = self._replica
-        version_before = self._text_version
+        version_before = self._catalog.text_version
         if feed.after == 0:
             listed = replica.apply_list(feed.changes, feed.position)
             if listed.is_restored:
@@ -448,20 +448,15 @@
             self._apply_superseded(superseded)
         self._log_configuration(version_before, source=source)
 
-    @property
-    def _text_version(self) -> int:
-        configuration = self._catalog.configuration
-        return configuration.version if configuration else 0
-
     def _log_configuration(
         self, version_before: int, *, source: str, age_ms: int | None = None
     ) -> None:
         # Beside the time of the change in the store, this line tells which step between
         # the store and this router took long.
-        if self._text_version != version_before:
+        if self._catalog.text_version != version_before:
             self._log.write(
                 "configuration_received",
-                text_version=self._text_version,
+                text_version=self._catalog.text_version,
                 source=source,
                 revision=self._replica.revision,
                 store_age_ms=self._store_age_ms() if age_ms is None else age_ms,
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -29,7 +29,8 @@
 RESUMED_REQUEST = b"resumes"
 # Address of the engine to copy a prompt's cached prefix from.
 CACHE_SOURCE = b"Kv-Fetch"
-# Marks a request that a router sends through another one.
+# Marks a request that a router sends through another one. The value is the version of
+# the sender's configuration.
 RELAYED = b"damaskrill-router-hop"
 # Statuses with which a router promises that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -91,6 +92,7 @@
         last_event_id=_read_number(headers.get(b"last-event-id", b"")),
         resumed_request_id=headers.get(RESUMED_REQUEST, b"").decode("latin-1"),
         is_relayed=RELAYED in headers,
+        min_text_version=_read_number(headers.get(RELAYED, b"")) or 0,
     )
 
 
@@ -146,6 +148,7 @@
     remaining_ms: int,
     resume_after: int | None,
     stream_id: str,
+    text_version: int,
 ) -> Headers:
     """Return the headers of a request that goes through another router.
 
@@ -159,6 +162,8 @@
         Last event that the caller has received; None forwards the caller's headers.
     stream_id : str
         Attempt that began the stream.
+    text_version : int
+        Version of the configuration that this router has in force.
 
     Notes
     -----
@@ -173,7 +178,7 @@
         if name.lower() not in dropped
     ]
     headers.append((DEADLINE, b"%d" % remaining_ms))
-    headers.append((RELAYED, b"1"))
+    headers.append((RELAYED, b"%d" % text_version))
     if resume_after is not None:
         headers.append((LAST_EVENT_ID, b"%d" % resume_after))
         headers.append((RESUMED_REQUEST, stream_id.encode("latin-1")))
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -51,6 +51,8 @@
         Attempt that brought the first event of the stream; empty if it gave none.
     is_relayed : bool
         Whether another router sent it, which cannot reach the servers.
+    min_text_version : int
+        Version of the configuration that the router which sent it has in force.
     """
 
     request_id: str = ""
@@ -65,6 +67,7 @@
     last_event_id: int | None = None
     resumed_request_id: str = ""
     is_relayed: bool = False
+    min_text_version: int = 0
 
     @property
     def is_resumed(self) -> bool:
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -20,6 +20,7 @@
     """Why a request was not served as requested."""
 
     NO_CONFIGURATION = "no_configuration"
+    CONFIGURATION_OUTDATED = "configuration_outdated"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
     NO_SERVER = "no_server"
@@ -51,6 +52,9 @@
     RefusalCause.NO_CONFIGURATION: (
         "this router has not loaded the operators' configuration yet"
     ),
+    RefusalCause.CONFIGURATION_OUTDATED: (
+        "this router has an older configuration than the router that sent the request"
+    ),
     RefusalCause.NO_ROUTE: ("no route of the configuration matches this host and path"),
     RefusalCause.UNKNOWN_KEY: ("no team of the configuration has this key"),
     RefusalCause.NO_SERVER: (
--- a/features/gateway_cut_path.feature
+++ b/features/gateway_cut_path.feature
@@ -76,3 +76,16 @@
       | 502    | nothing | unknown |
       | 504    | nothing | unknown |
       | 503    | a seal  | unknown |
+
+  Scenario: a peer with an older configuration does not decide on a relayed request
+    Given the operators add a route that only the first gateway knows
+    And the first gateway has no path to the servers
+    When 12 callers send a read on this route to the first gateway
+    Then no reply has status 404, and each 503 comes within 600 ms
+
+  Scenario: a peer that is about to get the configuration waits for it
+    Given the operators add a route that only the first gateway knows
+    And the first gateway has no path to the servers
+    And its peers get the configuration after 150 ms
+    When 12 callers send a read on this route to the first gateway
+    Then all replies have status 200
--- a/features/steps/gateway_cut_path_steps.py
+++ b/features/steps/gateway_cut_path_steps.py
@@ -5,10 +5,12 @@
 import itertools
 import re
 import time
+from collections import Counter
 
-from behave import then, when
+from behave import given, then, when
 
-from damaskrill.catalog import BackendServer
+from damaskrill.catalog import BackendServer, ConfigurationItem
+from damaskrill.fakes.platform import build_configuration
 from damaskrill.http1 import AnswerHead, CallerRequest
 from damaskrill.platform._headers import (
     peer_headers,
@@ -75,7 +77,7 @@
     number = next(NUMBERS)
     headers = [("Damaskrill-Request-Deadline", "1500")]
     method, body = "POST", b"x"
-    if path == "/read/1":
+    if path in ("/read/1", "/new/1"):
         method, body = "GET", b""
     if path == "/check/1":
         headers.append(("Damaskrill-Prompt-Prefix", f"a{number % 7}:100,z{number}:10"))
@@ -206,7 +208,7 @@
         arrived_at_ms=0.0,
     )
     context.for_peer = peer_headers(
-        request, remaining_ms=700, resume_after=3, stream_id="r-9"
+        request, remaining_ms=700, resume_after=3, stream_id="r-9", text_version=7
     )
     context.for_server = server_headers(
         request,
@@ -224,7 +226,7 @@
     by_name = {name.lower(): value for name, value in context.for_peer}
     assert by_name[b"authorization"] == b"Bearer key-1"
     assert names.count(b"damaskrill-router-hop") == 1
-    assert by_name[b"damaskrill-router-hop"] == b"1"
+    assert by_name[b"damaskrill-router-hop"] == b"7"
     assert by_name[b"damaskrill-request-deadline"] == b"700"
     assert by_name[b"last-event-id"] == b"3"
     assert by_name[b"resumes"] == b"r-9"
@@ -241,3 +243,75 @@
 @then("the request counts as {meaning}")
 def step_meaning(context, meaning):
     assert context.metadata.is_not_run == (meaning == "not run")
+
+
+@given("the operators add a route that only the first gateway knows")
+def step_new_route(context):
+    testbed = context.testbed
+    context.peers = testbed.gateways[1:]
+    context.held = []
+    for gateway in context.peers:
+        hold_configuration(context, gateway)
+    content = build_configuration(version=7)
+    route = next(each for each in content["routes"] if each["name"] == "r-read")
+    content["routes"].append({**route, "name": "r-new", "prefix": "/new/"})
+    testbed.call(testbed.store.put, "op/config", content)
+    first = testbed.gateways[0]
+    assert testbed.wait_for(lambda: first._catalog.configuration.version == 7)
+
+
+def hold_configuration(context, gateway):
+    put = gateway._catalog.put
+
+    def hold(item, now_ms, **options):
+        if isinstance(item, ConfigurationItem):
+            context.held.append((put, item, now_ms))
+        else:
+            put(item, now_ms, **options)
+
+    gateway._catalog.put = hold
+
+
+@given("the first gateway has no path to the servers")
+def step_no_path(context):
+    context.testbed.call(cut_path, context.testbed.gateways[0], "reset")
+    context.testbed.gateways[0]._relay._path._is_cut = True
+
+
+@given("its peers get the configuration after {delay_ms:d} ms")
+def step_peers_later(context, delay_ms):
+    def put_held():
+        for put, item, now_ms in context.held:
+            put(item, now_ms)
+
+    loop_call(context, delay_ms, put_held)
+
+
+def loop_call(context, delay_ms, work):
+    async def schedule():
+        asyncio.get_running_loop().call_later(delay_ms / 1_000, work)
+
+    context.testbed.thread.run(schedule())
+
+
+@when("{n:d} callers send a read on this route to the first gateway")
+def step_read_new(context, n):
+    first = context.testbed.gateways[0]
+
+    async def run():
+        return await asyncio.gather(*(send_one(first, "/new/1") for _ in range(n)))
+
+    context.replies = [each[2] for each in context.testbed.thread.run(run())]
+
+
+@then("no reply has status 404, and each 503 comes within {limit_ms:d} ms")
+def step_no_404(context, limit_ms):
+    statuses = Counter(each.status for each in context.replies)
+    assert set(statuses) <= {200, 503}, statuses
+    assert max(each.elapsed_ms for each in context.replies) <= limit_ms
+
+
+@then("all replies have status 200")
+def step_all_served(context):
+    statuses = Counter(each.status for each in context.replies)
+    assert set(statuses) == {200}, statuses
