Find out through a peer whether the path is cut where no server states its load

Cause: reported loads were the only evidence that others still get answers. If two servers or more have failed without an answer from any since, a request that a server has failed, and one other at a time, goes through a peer. If an answer of a server comes back, the path counts as cut. Servers that have all ended are not taken for a cut, as peers get no answer either.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -143,6 +143,7 @@
         self.fatal_parts: set[str] = set()
         self.fatal_requests: set[tuple[bytes, bytes]] = set()
         self.on_crash: Callable[[], None] | None = None
+        self.states_load = True
         self.capacity: int | None = None
         self.brittle_per_s: int | None = None
         self.n_falls = 0
@@ -223,7 +224,7 @@
             return
         headers = (
             (b"Damaskrill-Request-Id", request_id),
-            (b"Damaskrill-Server-Load", b"1,0,8"),
+            *([(b"Damaskrill-Server-Load", b"1,0,8")] if self.states_load else []),
             SEAL,
             *self._state_headers,
         )
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -249,8 +249,11 @@
     def _choose_peer(self, route: Route) -> MemberEntry | None:
         """Return the peer to send the request through; None to send it directly."""
         dispatcher, attempts = self._dispatcher, self._attempts
-        is_direct = not dispatcher.relay.is_needed or self._metadata.is_relayed
-        if is_direct or attempts.held is not None:
+        relay = dispatcher.relay
+        is_needed = relay.is_needed or relay.is_trial_due(
+            has_failed=bool(attempts.tried)
+        )
+        if not is_needed or self._metadata.is_relayed or attempts.held is not None:
             return None
         peer = dispatcher.relay.choose_peer(attempts.tried)
         if peer is None or not self._responder.n_sent:
@@ -261,7 +264,8 @@
 
     async def _relay(self, route: Route, peer: MemberEntry) -> bool:
         """Send the request through a peer; return whether it has ended."""
-        result = await self._attempts.try_peer(peer)
+        with self._dispatcher.relay.count_relayed():
+            result = await self._attempts.try_peer(peer)
         if result is None:
             return False
         self._dispatcher.log.write(
@@ -279,6 +283,8 @@
                 peer.address,
             )
             return True
+        if isinstance(result, CompleteAnswer | StreamEnded):
+            self._dispatcher.relay.record_relayed()
         self._last_result = result
         return self._deliver(route, result)
 
--- a/damaskrill/gateway/_peer_relay.py
+++ b/damaskrill/gateway/_peer_relay.py
@@ -1,7 +1,8 @@
 """Requests that go through a peer while this router has no path to the servers."""
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from random import Random
 from typing import Any
 
@@ -84,12 +85,37 @@
         self._log = log
         self._random = random_state
         self._probe: asyncio.Task[None] | None = None
+        self._n_in_transit = 0
 
     @property
     def is_needed(self) -> bool:
         """Whether this router itself cannot reach the servers."""
         return self._path.is_cut
 
+    def is_trial_due(self, *, has_failed: bool) -> bool:
+        """Return whether to send a request through a peer to find out about the path.
+
+        Parameters
+        ----------
+        has_failed : bool
+            Whether a server has failed this request. Of the others one at a time is
+            sent, as a failed one may have no time left.
+        """
+        return self._path.is_suspected and (has_failed or not self._n_in_transit)
+
+    @contextmanager
+    def count_relayed(self) -> Iterator[None]:
+        """Count a request that is sent through a peer."""
+        self._n_in_transit += 1
+        try:
+            yield
+        finally:
+            self._n_in_transit -= 1
+
+    def record_relayed(self) -> None:
+        """Record that a server has answered a request that went through a peer."""
+        self._handle(self._path.record_relayed())
+
     def record_heard(self) -> None:
         """Record that a server has answered."""
         if self._path.record_heard():
--- a/damaskrill/steering/_server_path.py
+++ b/damaskrill/steering/_server_path.py
@@ -19,8 +19,9 @@
 
     The path counts as cut if at least two servers have failed without an answer from
     any server since, although other routers report answers of failed servers of the
-    same time. Only a later answer of a server shows that the path is back: a proxy may
-    accept connections that lead nowhere.
+    same time, or get one for a request that this router has sent through them: servers
+    that state no load are in no report. Only a later answer of a server shows that the
+    path is back: a proxy may accept connections that lead nowhere.
     """
 
     def __init__(self) -> None:
@@ -33,6 +34,18 @@
         """Whether no server can be reached from here."""
         return self._is_cut
 
+    @property
+    def is_suspected(self) -> bool:
+        """Whether several servers have failed without an answer from any since."""
+        return not self._is_cut and len(self._failed_at_ms) >= MIN_FAILED_SERVERS
+
+    def record_relayed(self) -> bool:
+        """Record that a peer has got an answer; return whether the path is now cut."""
+        if not self.is_suspected:
+            return False
+        self._is_cut = True
+        return True
+
     def record_heard(self) -> bool:
         """Record an answer of a server; return whether the path is back."""
         was_cut, self._is_cut = self._is_cut, False
--- a/features/gateway_cut_path.feature
+++ b/features/gateway_cut_path.feature
@@ -16,6 +16,25 @@
       | accepted and then reset  |
       | accepted and then silent |
 
+  Scenario Outline: a path is known to be cut where no server states its load
+    Given no server states its load
+    When the first 2 gateways lose their path to all servers, with connections that are <how>
+    And from 3 s after that each gateway gets 10 reads, checks and actions a second for 2 s
+    Then the first 2 gateways serve at least two thirds as many as the others
+    And no action has run twice
+
+    Examples:
+      | how                      |
+      | silent                   |
+      | reset                    |
+      | accepted and then reset  |
+      | accepted and then silent |
+
+  Scenario: servers that have all ended are not taken for a cut path
+    Given no server states its load
+    When all servers end and each gateway gets 5 reads, checks and actions a second for 2 s
+    Then no path counts as cut
+
   Scenario Outline: a path that only accepts connections does not count as back
     When the first 2 gateways lose their path to all servers, with connections that are <how>
     And from 3 s after that each gateway gets 10 reads, checks and actions a second for 5 s
--- a/features/steps/gateway_cut_path_steps.py
+++ b/features/steps/gateway_cut_path_steps.py
@@ -66,6 +66,28 @@
         context.testbed.call(cut_path, gateway, how)
 
 
+@given("no server states its load")
+def step_no_load(context):
+    for server in context.testbed.servers.values():
+        server.states_load = False
+
+
+@when(
+    "all servers end and each gateway gets {per_s:d} reads, checks and actions a "
+    "second for {seconds:d} s"
+)
+def step_all_end(context, per_s, seconds):
+    for server in context.testbed.servers.values():
+        context.testbed.call(server.close)
+    run_load(context, per_s=per_s, seconds=seconds)
+
+
+@then("no path counts as cut")
+def step_none_cut(context):
+    lines = [line["event"] for log in context.testbed.logs for line in log.lines]
+    assert "server_path_cut" not in lines
+
+
 @when("the path is back for {seconds:d} s")
 def step_back(context, seconds):
     for gateway in context.cut:
