--- a/features/steps/gateway_cut_path_steps.py
+++ b/features/steps/gateway_cut_path_steps.py
@@ -66,6 +66,15 @@
         context.testbed.call(cut_path, gateway, how)
 
 
+@when("{n:d} routers of a data centre lose their path, with connections that are {how}")
+def step_cut_data_centre(context, n, how):
+    run_load(context, per_s=3, seconds=1)
+    context.cut = context.testbed.gateways[: 2 * n : 2]
+    assert len({each._settings.data_centre for each in context.cut}) == 1
+    for gateway in context.cut:
+        context.testbed.call(cut_path, gateway, how)
+
+
 @given("no server states its load")
 def step_no_load(context):
     for server in context.testbed.servers.values():
