Read the servers' history once, and no configuration for it

Found on reading: a history that does not tell all versions was read again every two seconds while streams were taken up, about 20 calls to the store each, and each reading decoded the configuration. A history without all versions counts as known for no time and is read once; only a store that did not answer is asked again.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -20,6 +20,7 @@
     FeedReader,
     FeedReplica,
     Freshness,
+    HistoryExpiredError,
     ListedChanges,
     read_history,
 )
@@ -400,24 +401,30 @@
         return should_read
 
     async def _read_server_history(self) -> ServerHistory | None:
-        replica, history = self._replica, None
+        binding, replica = self._binding, self._replica
+        duration_ms = self._settings.store_history_ms
         try:
-            changes = await read_history(self._binding.store, replica.position)
-            history = build_server_history(
-                changes,
-                replica.items,
-                decode=self._binding.decode_item,
-                duration_ms=self._settings.store_history_ms,
-                now_ms=time.time() * MS_PER_S,
-            )
+            changes = await read_history(binding.store, replica.position)
+        except HistoryExpiredError:
+            changes, duration_ms = (), 0.0
         except DamaskrillError as error:
             self._log.warn("server_history_unknown", sentence=error.sentence)
             return None
+        items = [
+            each for each in replica.items if not binding.is_operator_item(each.key)
+        ]
+        history = build_server_history(
+            changes,
+            items,
+            decode=binding.decode_item,
+            duration_ms=duration_ms,
+            now_ms=time.time() * MS_PER_S,
+        )
         self._log.write(
             "server_history_read",
             n_changes=len(changes),
-            is_complete=history is not None,
-            n_servers={} if history is None else history.n_servers,
+            duration_ms=history.duration_ms,
+            n_servers=history.n_servers,
         )
         return history
 
--- a/damaskrill/gateway/_server_history.py
+++ b/damaskrill/gateway/_server_history.py
@@ -34,6 +34,9 @@
         return {service: len(group) for service, group in self.servers.items()}
 
 
+UNKNOWN_HISTORY = ServerHistory(servers={}, duration_ms=0.0)
+
+
 def build_server_history(
     changes: Iterable[Change],
     items: Iterable[Change],
@@ -41,8 +44,8 @@
     decode: Callable[[str, bytes], CatalogItem],
     duration_ms: float,
     now_ms: float,
-) -> ServerHistory | None:
-    """Return which servers were listed; None if this is not known of all.
+) -> ServerHistory:
+    """Return which servers were listed, for no time if this is not known of all.
 
     Parameters
     ----------
@@ -66,7 +69,7 @@
     written = [*items, *changes]
     known = {each.key for each in written if each.value is not None}
     if any(each.value is None and each.key not in known for each in written):
-        return None
+        return UNKNOWN_HISTORY
     changed = {each.key for each in changes}
     earliest_ms = now_ms - duration_ms + CLOCK_TOLERANCE_MS
     servers: dict[str, list[BackendServer]] = {}
@@ -74,7 +77,7 @@
         match decode(change.key, change.value or b""):
             case ServerItem(server=BackendServer() as server):
                 if server.started_at_ms > earliest_ms and change.key not in changed:
-                    return None
+                    return UNKNOWN_HISTORY
                 servers.setdefault(server.service, []).append(server)
             case _:
                 pass
--- a/damaskrill/gateway/_stream_versions.py
+++ b/damaskrill/gateway/_stream_versions.py
@@ -39,7 +39,7 @@
         Sends a message to the router with an address.
     read_history : callable
         Returns the servers that were listed before this router read the store, by
-        service, and for how long they are known; None if this cannot be known.
+        service, and for how long they are known; None if the store did not answer.
     """
 
     def __init__(
@@ -58,6 +58,7 @@
         self._read_history = read_history
         self._history: asyncio.Task[None] | None = None
         self._history_sought_at_ms = 0.0
+        self._has_history = False
         self._origins = StreamOrigins()
         self._numbers = itertools.count(1)
         self._replies: dict[int, asyncio.Future[OriginEvidence]] = {}
@@ -151,7 +152,8 @@
 
     async def _learn_history(self, service: str) -> None:
         now_ms = monotonic_now_ms()
-        if self._origins.observed_ms(service, now_ms) >= self._origins.max_age_ms:
+        observed_ms = self._origins.observed_ms(service, now_ms)
+        if self._has_history or observed_ms >= self._origins.max_age_ms:
             return
         is_due = now_ms - self._history_sought_at_ms >= HISTORY_RETRY_MS
         if self._history is None or (self._history.done() and is_due):
@@ -165,6 +167,7 @@
         history = await self._read_history()
         if history is None:
             return
+        self._has_history = True
         since_ms = monotonic_now_ms() - history.duration_ms
         configuration = self._catalog.configuration
         for service in configuration.services if configuration else ():
--- a/features/steps/gateway_streams_after_restart_steps.py
+++ b/features/steps/gateway_streams_after_restart_steps.py
@@ -199,7 +199,7 @@
 @then('the versions that served are "{versions}"')
 def step_versions(context, versions):
     if versions == "unknown":
-        assert context.history is None
+        assert context.history.duration_ms == 0
         return
     served = {each.version for each in context.history.servers["pool"]}
     assert served == set(versions.split()), served
