Do not repeat a request that a peer's server has failed on a suspicion of the path

Only servers of which no peer reports anything raise the suspicion now; a request that may have run through a peer on a suspicion ends there, and one that a server may have crashed under is not relayed at all.

--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -225,7 +225,7 @@
         while True:
             if self._refuse_crashing(guard):
                 return
-            peer = self._choose_peer(route)
+            peer = self._choose_peer(route, guard)
             if peer is not None:
                 if await self._relay(route, peer):
                     return
@@ -246,7 +246,7 @@
                 return
             self._last_result = result
 
-    def _choose_peer(self, route: Route) -> MemberEntry | None:
+    def _choose_peer(self, route: Route, guard: CrashGuard) -> MemberEntry | None:
         """Return the peer to send the request through; None to send it directly."""
         dispatcher, attempts = self._dispatcher, self._attempts
         relay = dispatcher.relay
@@ -255,8 +255,11 @@
         )
         if not is_needed or self._metadata.is_relayed or attempts.held is not None:
             return None
-        peer = dispatcher.relay.choose_peer(attempts.tried)
-        if peer is None or not self._responder.n_sent:
+        n_sent = self._responder.n_sent
+        if n_sent and guard.is_suspected:
+            return None
+        peer = relay.choose_peer(attempts.tried)
+        if peer is None or not n_sent:
             return peer
         service = attempts.requirements.service
         is_allowed = self._may_retry(route) and dispatcher.try_acquire_retry(service)
@@ -264,7 +267,9 @@
 
     async def _relay(self, route: Route, peer: MemberEntry) -> bool:
         """Send the request through a peer; return whether it has ended."""
-        with self._dispatcher.relay.count_relayed():
+        relay = self._dispatcher.relay
+        is_trial = not relay.is_needed
+        with relay.count_relayed():
             result = await self._attempts.try_peer(peer)
         if result is None:
             return False
@@ -284,9 +289,16 @@
             )
             return True
         if isinstance(result, CompleteAnswer | StreamEnded):
-            self._dispatcher.relay.record_relayed()
+            relay.record_relayed()
         self._last_result = result
-        return self._deliver(route, result)
+        if self._deliver(route, result):
+            return True
+        if is_trial and self._may_have_run:
+            # The servers may have failed because of this very request.
+            self._stop_reason = SUSPECTED_REQUEST
+            self._refuse_after(result)
+            return True
+        return False
 
     async def _find_origin(self, service: str) -> int | None:
         """Return where the resumed stream began; refuse the request if none serves."""
--- a/damaskrill/gateway/_peer_relay.py
+++ b/damaskrill/gateway/_peer_relay.py
@@ -23,6 +23,9 @@
 
 # Peers that one request tries to connect to.
 MAX_PEERS = 3
+# Requests at a time that are sent through peers to find out about the path; some of
+# these peers may be cut off as well, and wait for the whole time of a request.
+MAX_TRIALS = 3
 # A sound server answers a health check sooner, unless it is full.
 PROBE_TIMEOUT_MS = 750
 
@@ -98,10 +101,11 @@
         Parameters
         ----------
         has_failed : bool
-            Whether a server has failed this request. Of the others one at a time is
-            sent, as a failed one may have no time left.
+            Whether a server has failed this request. Of the others a few are sent, as a
+            failed one may have no time left.
         """
-        return self._path.is_suspected and (has_failed or not self._n_in_transit)
+        is_free = self._n_in_transit < MAX_TRIALS
+        return self._path.is_suspected and (has_failed or is_free)
 
     @contextmanager
     def count_relayed(self) -> Iterator[None]:
--- a/damaskrill/steering/_server_path.py
+++ b/damaskrill/steering/_server_path.py
@@ -36,8 +36,12 @@
 
     @property
     def is_suspected(self) -> bool:
-        """Whether several servers have failed without an answer from any since."""
-        return not self._is_cut and len(self._failed_at_ms) >= MIN_FAILED_SERVERS
+        """Whether several servers have failed that other routers do not report on."""
+        return (
+            not self._is_cut
+            and len(self._failed_at_ms) >= MIN_FAILED_SERVERS
+            and not self._failed_at_ms.keys() & self._peers_heard_at_ms.keys()
+        )
 
     def record_relayed(self) -> bool:
         """Record that a peer has got an answer; return whether the path is now cut."""
--- a/features/gateway_cut_path.feature
+++ b/features/gateway_cut_path.feature
@@ -79,6 +79,9 @@
       | failure 1 at 100, heard at 120, failure 2 at 150, peer 1 at 200      | open  |
       | failure 1 at 100, failure 2 at 150, peer 2 at 200, heard at 220      | open  |
       | failure 1 at 100, failure 2 at 150, peer 3 at 200                    | open  |
+      | failure 1 at 100, failure 2 at 150, relayed 0 at 200                 | cut   |
+      | failure 1 at 100, relayed 0 at 200                                   | open  |
+      | peer 1 at 50, failure 1 at 100, failure 2 at 150, relayed 0 at 200   | open  |
 
   Scenario: a relayed request carries what the peer needs and nothing that a caller set
     When a caller's request with a hop mark is prepared for a peer and for a server
--- a/features/steps/gateway_cut_path_steps.py
+++ b/features/steps/gateway_cut_path_steps.py
@@ -215,6 +215,8 @@
             case "peer":
                 at_ms = float(numbers[1])
                 context.path.record_peer_answers([(int(numbers[0]), 0.0)], at_ms)
+            case "relayed":
+                context.path.record_relayed()
             case "heard":
                 context.path.record_heard()
 
