Answer health checks in the stand-in servers without running a request

A router that suspects its path asks a server for its health since, and the stand-in ran the health check as a request of no caller. On the platform a health check waits for a slot and runs nothing. The check of the soak stays as it is.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -31,6 +31,8 @@
 ID_HEADER = b"damaskrill-request-id"
 # How long before its deadline the server abandons a request.
 DEADLINE_MARGIN_MS = 20
+# Path of health checks in the configurations of the builders.
+HEALTH_PATH = b"/health"
 # Time from the head of an answer to the crash that its prompt causes, and from the
 # beginning of a run to the crash that the request causes.
 CRASH_DELAY_MS = 30
@@ -171,9 +173,10 @@
     def _handle_request(
         self, connection: CallerConnection, request: CallerRequest
     ) -> None:
-        self.requests.append(request)
         request_id = request.find_header(ID_HEADER) or b""
-        self.arrivals.append((time.monotonic(), request_id.decode()))
+        if request.target != HEALTH_PATH:
+            self.requests.append(request)
+            self.arrivals.append((time.monotonic(), request_id.decode()))
         task = asyncio.get_running_loop().create_task(self._run(connection, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -197,12 +200,22 @@
             connection.send_answer(503, self._refusal_headers(request_id), b"")
             self._count_rejection()
             return
+        if request.target == HEALTH_PATH:
+            await self._answer_health(connection)
+            return
         self._n_active += 1
         try:
             await self._run_request(connection, request, request_id)
         finally:
             self._n_active -= 1
 
+    async def _answer_health(self, connection: CallerConnection) -> None:
+        # A health check waits like a request, but runs none.
+        if self.misbehaviour is Misbehaviour.HANG:
+            await asyncio.sleep(60)
+        headers = ((b"Damaskrill-Instance-Id", self.server_id.encode()),)
+        connection.send_answer(503 if self.is_leaving else 200, headers, b"")
+
     async def _run_request(
         self, connection: CallerConnection, request: CallerRequest, request_id: bytes
     ) -> None:
