--- a/damaskrill/feed/_history.py
+++ b/damaskrill/feed/_history.py
@@ -11,6 +11,8 @@
 # more the next probes go back.
 FIRST_STEP = 64
 STEP_FACTOR = 4
+# Part of the history that is given up if its beginning is discarded meanwhile.
+SKIPPED_PART = 32
 
 
 async def read_history(client: BaseStoreClient, at: Position) -> tuple[Change, ...]:
@@ -41,9 +43,13 @@
     The store does not say where its history begins, so that this is found by bisection.
     """
     start = await _find_start(client, at)
-    if start == at.revision:
-        raise HistoryExpiredError(revision=start)
-    return await client.read_server_changes(after=Position(at.era, start))
+    while start < at.revision:
+        try:
+            return await client.read_server_changes(after=Position(at.era, start))
+        except HistoryExpiredError:
+            # The oldest change has been discarded since it was found.
+            start += max(1, (at.revision - start) // SKIPPED_PART)
+    raise HistoryExpiredError(revision=start)
 
 
 async def _find_start(client: BaseStoreClient, at: Position) -> int:
--- a/features/gateway_streams_after_restart.feature
+++ b/features/gateway_streams_after_restart.feature
@@ -71,6 +71,10 @@
       | 40      | 0       | 1     |
       | 5000000 | 100     | 45    |
 
+  Scenario: the oldest change is discarded while the history is read
+    When a store at revision 5000 that has the changes after 4000 discards 20 meanwhile
+    Then they are read from a revision between 4020 and 4100
+
   Scenario: a store without any change does not tell how far its history goes back
     When a store at revision 40 has no changes any more
     Then its history is not known
--- a/features/steps/gateway_streams_after_restart_steps.py
+++ b/features/steps/gateway_streams_after_restart_steps.py
@@ -120,8 +120,9 @@
 class ProbedStore(BaseStoreClient):
     """Store with the changes after some revision, whose probes are counted."""
 
-    def __init__(self, start):
+    def __init__(self, start, *, n_discarded=0):
         self.start = start
+        self.n_discarded = n_discarded
         self.n_probes = 0
         self.read_after = None
 
@@ -130,6 +131,10 @@
         return after.revision >= self.start
 
     async def read_server_changes(self, *, after):
+        self.start += self.n_discarded
+        self.n_discarded = 0
+        if after.revision < self.start:
+            raise HistoryExpiredError(revision=after.revision)
         self.read_after = after.revision
         return ()
 
@@ -146,6 +151,20 @@
     asyncio.run(read_history(context.probed, Position(1, at)))
 
 
+@when(
+    "a store at revision {at:d} that has the changes after {start:d} discards {n:d} "
+    "meanwhile"
+)
+def step_probe_discarding(context, at, start, n):
+    context.probed = ProbedStore(start, n_discarded=n)
+    asyncio.run(read_history(context.probed, Position(1, at)))
+
+
+@then("they are read from a revision between {first:d} and {last:d}")
+def step_between(context, first, last):
+    assert first <= context.probed.read_after <= last, context.probed.read_after
+
+
 @when("a store at revision {at:d} has no changes any more")
 def step_probe_none(context, at):
     context.probed = ProbedStore(at)
