--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from damaskrill.fakes.platform._listener import Listener
@@ -85,6 +86,9 @@
     pauses : list of (float, str)
         Times of the refusals with that header, on the monotonic clock in seconds, and
         request IDs.
+    failure_share : float
+        Share of the requests that a server with `Misbehaviour.FULL`, `ERROR` or `RESET`
+        fails, drawn at random; it serves the others.
     silence_ms : int
         Time for which a server with `Misbehaviour.PAUSE` sends nothing before it goes
         on, in milliseconds.
@@ -136,6 +140,8 @@
         self.retry_after: bytes | None = None
         self.rate_limit: bytes | None = None
         self.pauses: list[tuple[float, str]] = []
+        self.failure_share = 1.0
+        self._random = Random(server_id)
         self.silence_ms = 1_500
         self.n_events_before_silence = 2
         self.endless_part = EndlessPart.JUNK
@@ -196,7 +202,7 @@
             connection.send_answer(421, ((b"Damaskrill-Instance-Id", b"i-other"),), b"")
             return
         is_full = self.capacity is not None and self._n_active >= self.capacity
-        if is_full or self.misbehaviour is Misbehaviour.FULL:
+        if is_full or self._fails_as(Misbehaviour.FULL):
             connection.send_answer(503, self._refusal_headers(request_id), b"")
             self._count_rejection()
             return
@@ -232,7 +238,7 @@
             echo = (b"Damaskrill-Request-Id", request_id)
             connection.send_answer(504, (echo, SEAL), b"")
             return
-        if self.misbehaviour is Misbehaviour.RESET:
+        if self._fails_as(Misbehaviour.RESET):
             connection.abort()
             return
         headers = (
@@ -253,6 +259,10 @@
         await asyncio.sleep(self._work_ms / 1_000)
         await self._answer(connection, request_id, headers)
 
+    def _fails_as(self, misbehaviour: Misbehaviour) -> bool:
+        is_spared = self._random.random() >= self.failure_share
+        return self.misbehaviour is misbehaviour and not is_spared
+
     @property
     def _state_headers(self) -> Headers:
         headers: Headers = ()
@@ -341,7 +351,7 @@
         raw += b"".join(b"%b: %b\r\n" % each for each in (*headers, JSON))
         sized = raw + b"Content-Length: %d\r\n\r\n" % len(body)
         match self.misbehaviour:
-            case Misbehaviour.ERROR:
+            case Misbehaviour.ERROR if self._fails_as(Misbehaviour.ERROR):
                 connection.send_answer(500, headers, b"failed")
             case Misbehaviour.OTHER_ID:
                 others = ((b"Damaskrill-Request-Id", b"another"), SEAL)
