Log to how many servers each router has sent a request, and of how many

The lines of a request did not show the limit of its route, nor, at a router that got it from another one, from which. request_ended has n_servers, max_servers and peer (the host of the sender); explain adds the servers up over the routers. With it the hypotheses on BUDGET can be told apart from logs: a line with more than max_servers shows an attempt that was not counted, a sum above it a limit that each router counts for itself.

--- a/damaskrill/explain/_sentences.py
+++ b/damaskrill/explain/_sentences.py
@@ -41,6 +41,7 @@
         *_describe_events(chain),
         "",
         _describe_outcome(chain),
+        *_describe_servers(chain),
         *_describe_causes(chain),
     ]
     if chain.damaged.sentence:
@@ -207,6 +208,16 @@
     )
 
 
+def _describe_servers(chain: RequestChain) -> list[str]:
+    ended = [each for each in chain.lines if each.event == "request_ended"]
+    limits = [each.max_servers for each in ended if each.max_servers]
+    if not limits:
+        return []
+    # Each router that the request went through counts those that it has sent it to.
+    n_servers = sum(each.n_servers for each in ended)
+    return [f"It was sent to {n_servers} of at most {min(limits)} backend servers."]
+
+
 def _describe_causes(chain: RequestChain) -> list[str]:
     ended = [each for each in chain.lines if each.event == "request_ended"]
     causes = ended[-1].causes if ended else ()
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -292,7 +292,9 @@
                 excluded=self.tried - {server.key},
             ),
         )
-        self.sent_to.add(server.key)
+        if server.key not in self.sent_to:
+            self.sent_to.add(server.key)
+            self._responder.n_servers += 1
         sent_at_ms = dispatcher.now_ms
         self._responder.record_sent(sent_at_ms)
         connection.start(self._build_request(headers), attempt)
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -94,6 +94,7 @@
             progress=self._progress,
             request_id=self._metadata.request_id,
             arrived_at_ms=request.arrived_at_ms,
+            sender=connection.peer_host if self._metadata.is_relayed else "",
         )
         self._attempts = RequestAttempts(
             dispatcher=dispatcher,
--- a/damaskrill/gateway/_responder.py
+++ b/damaskrill/gateway/_responder.py
@@ -51,6 +51,10 @@
         Server of the last attempt.
     n_sent : int
         Number of times that the request was sent to a server.
+    n_servers : int
+        Number of servers to which this router has sent it.
+    sender : str
+        Host of the router that sent it here; empty if a caller did.
     route : Route or None
         Route of the request; None while unknown.
     load, load_age_ms : float
@@ -69,6 +73,8 @@
     team: str = ""
     server: BackendServer | None = None
     n_sent: int = 0
+    n_servers: int = 0
+    sender: str = ""
     route: Route | None = None
     load: float = 0.0
     load_age_ms: float = -1.0
@@ -199,6 +205,10 @@
             fields["first_ms"] = round(times.first_ms)
         if self.route is not None:
             fields["target_ms"] = self.route.target_ms
+            fields["n_servers"] = self.n_servers
+            fields["max_servers"] = self.route.max_servers
+        if self.sender:
+            fields["peer"] = self.sender
         if times.longest_pause_ms:
             fields["longest_pause_ms"] = round(times.longest_pause_ms)
         if cause is not None:
--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -63,6 +63,12 @@
         """Whether a request is being answered."""
         return self._is_busy
 
+    @property
+    def peer_host(self) -> str:
+        """Host from which the connection was opened."""
+        transport: Any = self.transport
+        return str(transport.getPeer().host)
+
     @property
     def is_reading(self) -> bool:
         """Whether a request has been received in part."""
--- a/damaskrill/logs/_line.py
+++ b/damaskrill/logs/_line.py
@@ -30,7 +30,14 @@
 
 @frozen(kw_only=True)
 class LogLine:
-    """One line of a router's log; the fields are those of ``LoggedEvent``."""
+    """One line of a router's log; the fields are those of ``LoggedEvent``.
+
+    Parameters
+    ----------
+    n_servers, max_servers : int
+        Backend servers to which the router has sent the request, and how many its route
+        allows for all routers together; 0 if unknown.
+    """
 
     event: str
     at_ms: int
@@ -51,6 +58,8 @@
     between_tokens_ms: int = 0
     n_bytes: int = 0
     n_attempts: int = 0
+    n_servers: int = 0
+    max_servers: int = 0
     text_version: int = 0
     detail: str = ""
 
@@ -75,6 +84,8 @@
     "between_tokens_ms",
     "n_bytes",
     "n_attempts",
+    "n_servers",
+    "max_servers",
     "text_version",
 )
 
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -53,3 +53,10 @@
       | words |
       | Outcome: not run |
       | 3 damaged lines skipped |
+
+  Scenario: a request that two routers have sent to backend servers
+    Given the logs of a router that sent 1 of 2 servers a request, and of a peer that sent it to 2
+    When "request-9" is explained
+    Then its sentences come in this order:
+      | words |
+      | It was sent to 3 of at most 2 backend servers. |
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -115,6 +115,25 @@
     write_log(context, ENTRY, [(-1_001, out), (0, arrived), (3, ended)])
 
 
+@given(
+    "the logs of a router that sent {n:d} of {limit:d} servers a request, and of a "
+    "peer that sent it to {n_peer:d}"
+)
+def step_two_senders(context, n, limit, n_peer):
+    for n_servers, peer in ((n, ""), (n_peer, "10.0.0.1")):
+        ended = {
+            "event": "request_ended",
+            "at_ms": START_MS,
+            "request_id": "request-9",
+            "outcome": "completed",
+            "peer": peer,
+            "n_servers": n_servers,
+            "max_servers": limit,
+        }
+        write_log(context, peer or ENTRY, [])
+        Path(context.log_paths[-1]).write_bytes(orjson.dumps(ended))
+
+
 @given("damaged lines in that log")
 def step_damaged(context):
     with Path(context.log_paths[-1]).open("ab") as stream:
