Count the servers of a request over all routers that it goes through

What callers and operators saw: reads and checks at routers without a path to the servers ran on up to four servers, two allowed.

Cause: each router enforced the limit of the route for itself. The router that got the request counted a peer as one server, and the peer counted from zero. Class of fault: a bound on a whole request that each hop enforces for itself.

Change: the hop carries how many servers are left and which have been reached, the peer avoids them and says in its answer what is left; a peer that breaks off or tells nothing has spent all (ServerAllowance). The membership entry says whether a router keeps to grants; routers of earlier builds get only requests that no server has got, and theirs reach one server here, as their senders count. After a crash under a request, a router tells that nothing is left. request_ended shows n_servers_in_all; explain prints the sum and the limit.

--- a/damaskrill/explain/_sentences.py
+++ b/damaskrill/explain/_sentences.py
@@ -213,9 +213,13 @@
     limits = [each.max_servers for each in ended if each.max_servers]
     if not limits:
         return []
-    # Each router that the request went through counts those that it has sent it to.
-    n_servers = sum(each.n_servers for each in ended)
-    return [f"It was sent to {n_servers} of at most {min(limits)} backend servers."]
+    # Each router counts its own. The one that got the request knows those of others,
+    # but not what a router of an earlier build has done.
+    n_servers = max(
+        sum(each.n_servers for each in ended),
+        *(each.n_servers_in_all for each in ended),
+    )
+    return [f"It was sent to {n_servers} of at most {max(limits)} backend servers."]
 
 
 def _describe_causes(chain: RequestChain) -> list[str]:
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -88,7 +88,8 @@
         request IDs.
     failure_share : float
         Share of the requests that a server with `Misbehaviour.FULL`, `ERROR` or `RESET`
-        fails, drawn at random; it serves the others.
+        fails, and of the streams that it breaks off, drawn at random; it serves the
+        others.
     silence_ms : int
         Time for which a server with `Misbehaviour.PAUSE` sends nothing before it goes
         on, in milliseconds.
@@ -325,6 +326,7 @@
             await asyncio.sleep(CRASH_DELAY_MS / 1_000)
             self._crash()
             return
+        is_spared = self._random.random() >= self.failure_share
         for number in range(first, self._n_events + 1):
             await asyncio.sleep(self._event_ms / 1_000)
             event = build_event(number)
@@ -332,8 +334,10 @@
             is_next = number == self.n_events_before_silence + 1
             if is_next and self.misbehaviour is Misbehaviour.PAUSE:
                 await self._be_silent(request_id)
-            if is_second_half and await break_off_stream(
-                stream, event, self.misbehaviour
+            if (
+                is_second_half
+                and not is_spared
+                and await break_off_stream(stream, event, self.misbehaviour)
             ):
                 return
             stream.send_chunk(event)
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -10,7 +10,10 @@
     Attempt,
     AttemptResult,
     Broken,
+    CompleteAnswer,
+    NotRun,
     Stalled,
+    StreamEnded,
     StreamProgress,
 )
 from damaskrill.gateway._attempt_records import AttemptRecords
@@ -28,11 +31,13 @@
 )
 from damaskrill.mesh import MemberEntry
 from damaskrill.steering import (
-    AnswerMetadata,
     CrashGuard,
     RequestMetadata,
+    ServerAllowance,
+    ServerGrant,
     ServerOutcome,
     ServerRequirements,
+    short_server_id,
     silence_limit_ms,
 )
 
@@ -84,12 +89,14 @@
         Forwards the events of a stream.
     responder : Responder
         Sender of the final answer.
+    allowance : ServerAllowance
+        Servers that the request has reached, also through peers, and may still reach.
 
     Attributes
     ----------
     tried, sent_to, overloaded : set of tuple of (str, int)
-        Incarnations that were selected; of these, those that received the request, and
-        those that were full.
+        Incarnations that were selected, and peers; of the former, those that received
+        the request from this router, and those that were full.
     held : SentRequest or None
         Attempt at a silent server. It goes on unless another server accepts the
         request.
@@ -114,6 +121,7 @@
         metadata: RequestMetadata,
         progress: StreamProgress,
         responder: Responder,
+        allowance: ServerAllowance,
     ) -> None:
         self._dispatcher = dispatcher
         self._request = request
@@ -121,6 +129,7 @@
         self._progress = progress
         self._responder = responder
         self._reserved: BackendServer | None = None
+        self._allowance = allowance
         self.tried: set[tuple[str, int]] = set()
         self.sent_to: set[tuple[str, int]] = set()
         self.overloaded: set[tuple[str, int]] = set()
@@ -131,12 +140,22 @@
         self._context = context
         self._requirements = context.requirements
         self._guard = guard
+        self._allowance.restrict(context.route.max_servers)
+        self._exclude_reached()
         self._records = AttemptRecords(
             dispatcher=self._dispatcher,
             metadata=self._metadata,
             team=context.team.name if context.team else "",
         )
 
+    def _exclude_reached(self) -> None:
+        reached = self._allowance.reached
+        if reached:
+            catalog = self._dispatcher.catalog
+            servers = catalog.find_all_servers(self._requirements.service)
+            keys = (server.key for server in servers)
+            self.tried.update(key for key in keys if short_server_id(key) in reached)
+
     @property
     def requirements(self) -> ServerRequirements:
         """Requirements on the next server."""
@@ -208,11 +227,12 @@
         if connection is None:
             return None
         is_stream = context.route.kind is RequestKind.STREAM
+        reports: list[ServerGrant | None] = []
         attempt = Attempt(
             request_id=self._metadata.request_id,
             read_answer=dispatcher.binding.read_peer_answer,
             progress=self._progress if is_stream else None,
-            on_metadata=_ignore_metadata,
+            on_metadata=lambda metadata: reports.append(metadata.grant),
             on_forward=_ignore_events,
             buffer=AnswerBuffer(budget=dispatcher.buffer_budget),
         )
@@ -222,15 +242,19 @@
             resume_after=self._progress.last_id,
             stream_id=self._metadata.stream_id,
             text_version=dispatcher.catalog.text_version,
+            grant=self._allowance.lend(),
         )
-        self.sent_to.add(peer_key(peer))
         self._responder.record_sent(dispatcher.now_ms)
         connection.start(self._build_request(headers), attempt)
         try:
-            return await self._wait_for_result(attempt, may_hand_over=False)
+            result = await self._wait_for_result(attempt, may_hand_over=False)
         finally:
             if not attempt.has_ended:
                 connection.abort()
+        is_complete = isinstance(result, CompleteAnswer | StreamEnded | NotRun)
+        self._allowance.settle(reports[0] if reports else None, is_complete=is_complete)
+        self._exclude_reached()
+        return result
 
     async def resume_held(self, held: SentRequest) -> AttemptResult:
         """Go on with the held attempt and return its result."""
@@ -292,9 +316,9 @@
                 excluded=self.tried - {server.key},
             ),
         )
-        if server.key not in self.sent_to:
-            self.sent_to.add(server.key)
-            self._responder.n_servers += 1
+        self.sent_to.add(server.key)
+        self._allowance.record_sent(short_server_id(server.key))
+        self._responder.n_servers = len(self.sent_to)
         sent_at_ms = dispatcher.now_ms
         self._responder.record_sent(sent_at_ms)
         connection.start(self._build_request(headers), attempt)
@@ -412,8 +436,7 @@
 
     @property
     def _may_hand_over(self) -> bool:
-        route = self._context.route
-        return route.may_repeat and len(self.sent_to) < route.max_servers
+        return self._context.route.may_repeat and self._allowance.n_left > 0
 
     def _reserve_server(self) -> bool:
         dispatcher, requirements = self._dispatcher, self._requirements
@@ -453,9 +476,5 @@
         self._evaluate(sent, Broken(failure=failure), is_expired=True)
 
 
-def _ignore_metadata(metadata: AnswerMetadata) -> None:
-    """Leave what a server states to the peer that it answers."""
-
-
 def _ignore_events() -> None:
     """Leave the record of the stream's version to the peer."""
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -8,7 +8,7 @@
 from damaskrill.catalog import BackendServer, CatalogItem, Team
 from damaskrill.feed import BaseStoreClient
 from damaskrill.http1 import AnswerHead, CallerRequest, Headers
-from damaskrill.steering import AnswerMetadata, RequestMetadata
+from damaskrill.steering import AnswerMetadata, RequestMetadata, ServerGrant
 
 __all__ = ["PeerHeaders", "PlatformBinding", "ServerHeaders"]
 
@@ -40,6 +40,7 @@
         resume_after: int | None,
         stream_id: str,
         text_version: int,
+        grant: ServerGrant,
     ) -> Headers:
         """Return the headers."""
 
@@ -66,6 +67,8 @@
         Extracts metadata from the headers of an answer of another router.
     peer_headers : callable
         Builds the headers of a request to another router.
+    grant_headers : callable
+        Builds the headers that tell another router about the servers of a request.
     store : BaseStoreClient
         Client of the store.
     """
@@ -79,4 +82,5 @@
     server_headers: ServerHeaders
     read_peer_answer: Callable[[AnswerHead], AnswerMetadata]
     peer_headers: PeerHeaders
+    grant_headers: Callable[[ServerGrant], Headers]
     store: BaseStoreClient
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -19,15 +19,17 @@
 from damaskrill.gateway._crash_blocking import build_refusal
 from damaskrill.gateway._outcomes import find_refusal
 from damaskrill.gateway._responder import Responder
-from damaskrill.http1 import CallerConnection, CallerRequest
+from damaskrill.http1 import CallerConnection, CallerRequest, Headers
 from damaskrill.mesh import MemberEntry
 from damaskrill.steering import (
     FULL_RETRY_DELAY_MS,
+    UNKNOWN_SENDER_GRANT,
     CrashGuard,
     ExecutionStatus,
     Refusal,
     RefusalCause,
     RetryState,
+    ServerAllowance,
     ServerRequirements,
     may_retry,
     may_retry_full,
@@ -88,12 +90,19 @@
         self._request = request
         self._metadata = dispatcher.binding.read_request(request)
         self._progress = StreamProgress(connection)
+        grant = self._metadata.grant or UNKNOWN_SENDER_GRANT
+        self._allowance = ServerAllowance(
+            grant=grant if self._metadata.is_relayed else None
+        )
+        if self._metadata.is_relayed:
+            connection.extra_headers = self._report_servers
         self._responder = Responder(
             dispatcher=dispatcher,
             connection=connection,
             progress=self._progress,
             request_id=self._metadata.request_id,
             arrived_at_ms=request.arrived_at_ms,
+            allowance=self._allowance,
             sender=connection.peer_host if self._metadata.is_relayed else "",
         )
         self._attempts = RequestAttempts(
@@ -102,6 +111,7 @@
             metadata=self._metadata,
             progress=self._progress,
             responder=self._responder,
+            allowance=self._allowance,
         )
         self._guard: CrashGuard | None = None
         self._may_have_run = False
@@ -133,6 +143,9 @@
             if self._guard is not None:
                 self._guard.close()
 
+    def _report_servers(self) -> Headers:
+        return self._dispatcher.binding.grant_headers(self._allowance.report())
+
     async def _serve(self) -> None:
         dispatcher, metadata = self._dispatcher, self._metadata
         await self._wait_for_start()
@@ -259,7 +272,7 @@
         n_sent = self._responder.n_sent
         if n_sent and guard.is_suspected:
             return None
-        peer = relay.choose_peer(attempts.tried)
+        peer = relay.choose_peer(attempts.tried, self._allowance)
         if peer is None or not n_sent:
             return peer
         service = attempts.requirements.service
@@ -275,7 +288,10 @@
         if result is None:
             return False
         self._dispatcher.log.write(
-            "request_relayed", request_id=self._metadata.request_id, peer=peer.address
+            "request_relayed",
+            request_id=self._metadata.request_id,
+            peer=peer.address,
+            n_servers_in_all=self._allowance.n_spent,
         )
         if isinstance(result, NotRun) and not self._may_have_run:
             self._responder.refuse(
@@ -296,11 +312,16 @@
             return True
         if is_trial and self._may_have_run:
             # The servers may have failed because of this very request.
-            self._stop_reason = SUSPECTED_REQUEST
+            self._stop(SUSPECTED_REQUEST)
             self._refuse_after(result)
             return True
         return False
 
+    def _stop(self, reason: str) -> None:
+        """Let the request reach no further server, at no other router either."""
+        self._stop_reason = reason
+        self._allowance.exhaust()
+
     async def _find_origin(self, service: str) -> int | None:
         """Return where the resumed stream began; refuse the request if none serves."""
         streams = self._dispatcher.streams
@@ -330,7 +351,7 @@
             self._stop_reason = NO_RETRY_ALLOWED
             return None
         if n_sent and guard.is_suspected:
-            self._stop_reason = SUSPECTED_REQUEST
+            self._stop(SUSPECTED_REQUEST)
             return None
         if not await self._bind_relayed_stream(route):
             self._stop_reason = UNKNOWN_VERSION
@@ -359,7 +380,7 @@
 
     def _may_retry(self, route: Route) -> bool:
         state = RetryState(
-            n_servers=len(self._attempts.sent_to),
+            n_servers_left=self._allowance.n_left,
             end=self._execution_status,
             remaining_ms=self._limit_at_ms - self._dispatcher.now_ms,
         )
@@ -393,8 +414,7 @@
         dispatcher, attempts = self._dispatcher, self._attempts
         requirements = attempts.requirements
         until_ms = dispatcher.now_ms + SERVER_WAIT_FRACTION * route.target_ms
-        is_at_limit = len(attempts.sent_to) >= route.max_servers
-        only = attempts.sent_to if is_at_limit else None
+        only = None if self._allowance.n_left else attempts.sent_to
         while True:
             server = dispatcher.select(requirements, tried=attempts.tried, only=only)
             is_over = dispatcher.now_ms >= until_ms
@@ -438,7 +458,7 @@
         rejection = guard.find_rejection(self._dispatcher.now_ms)
         if rejection is None or self._attempts.held is not None:
             return False
-        self._stop_reason = rejection.detail
+        self._stop(rejection.detail)
         if self._may_have_run:
             self._refuse_after(self._last_result)
         else:
--- a/damaskrill/gateway/_peer_relay.py
+++ b/damaskrill/gateway/_peer_relay.py
@@ -16,7 +16,7 @@
     fetch,
 )
 from damaskrill.mesh import MemberEntry
-from damaskrill.steering import ServerPath, short_server_id
+from damaskrill.steering import ServerAllowance, ServerPath, short_server_id
 from damaskrill.utils import monotonic_now_ms
 
 __all__ = ["PeerRelay", "peer_key"]
@@ -135,9 +135,18 @@
         """Record which servers have answered other routers, and how long ago."""
         self._handle(self._path.record_peer_answers(answers, monotonic_now_ms()))
 
-    def choose_peer(self, tried: set[tuple[str, int]]) -> MemberEntry | None:
+    def choose_peer(
+        self, tried: set[tuple[str, int]], allowance: ServerAllowance
+    ) -> MemberEntry | None:
         """Return the peer to send a request through; None if there is none.
 
+        Parameters
+        ----------
+        tried : set of tuple of (str, int)
+            Peers to exclude, among others.
+        allowance : ServerAllowance
+            Servers that the request may still reach.
+
         Notes
         -----
         Peers of the own data centre are preferred while most of its routers have a
@@ -153,6 +162,7 @@
             if each.has_path
             and each.caller_port
             and peer_key(each) not in tried
+            and allowance.may_lend(keeps_grants=each.keeps_grants)
             and self._region_of.get(each.data_centre, "") == region
         ]
         if not usable or n_tried >= MAX_PEERS:
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -185,6 +185,7 @@
             settings.data_centre,
             1,
             settings.caller_address[1],
+            keeps_grants=True,
         )
         self._catalog = Catalog(report=self._log.write)
         self._replica = FeedReplica(is_retained=self._binding.is_operator_item)
--- a/damaskrill/gateway/_responder.py
+++ b/damaskrill/gateway/_responder.py
@@ -13,6 +13,7 @@
     LoggedOutcome,
     Refusal,
     RefusalCause,
+    ServerAllowance,
     find_latency_cause,
 )
 
@@ -42,6 +43,8 @@
         The caller's identifier of the request.
     arrived_at_ms : float
         Time of arrival in milliseconds.
+    allowance : ServerAllowance
+        Servers that the request has reached and may reach.
 
     Attributes
     ----------
@@ -69,6 +72,7 @@
     progress: StreamProgress
     request_id: str
     arrived_at_ms: float
+    allowance: ServerAllowance
     service: str = ""
     team: str = ""
     server: BackendServer | None = None
@@ -206,7 +210,8 @@
         if self.route is not None:
             fields["target_ms"] = self.route.target_ms
             fields["n_servers"] = self.n_servers
-            fields["max_servers"] = self.route.max_servers
+            fields["n_servers_in_all"] = self.allowance.n_spent
+            fields["max_servers"] = self.allowance.limit
         if self.sender:
             fields["peer"] = self.sender
         if times.longest_pause_ms:
--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -57,6 +57,8 @@
         self._has_discarded = False
         self._timer: Any = None
         self.on_disconnect: Callable[[], None] | None = None
+        # Returns further headers of the answer to the current request.
+        self.extra_headers: Callable[[], Headers] | None = None
 
     @property
     def is_busy(self) -> bool:
@@ -206,6 +208,7 @@
             return
         self._clear_timer()
         self._is_busy = True
+        self.extra_headers = None
         request = CallerRequest(
             method=bytes(head.method),
             target=bytes(head.target),
@@ -221,6 +224,8 @@
         return self._head is not None and self._head.method == b"HEAD"
 
     def _send_head(self, status: int, headers: Headers) -> None:
+        if self.extra_headers is not None:
+            headers = (*headers, *self.extra_headers())
         if self._factory.is_stopping:
             headers = (*headers, (b"Connection", b"close"))
         self._send(h11.Response(status_code=status, headers=list(headers), reason=b""))
--- a/damaskrill/logs/_line.py
+++ b/damaskrill/logs/_line.py
@@ -34,9 +34,10 @@
 
     Parameters
     ----------
-    n_servers, max_servers : int
-        Backend servers to which the router has sent the request, and how many its route
-        allows for all routers together; 0 if unknown.
+    n_servers, n_servers_in_all, max_servers : int
+        Backend servers to which the router has sent the request, those that it has
+        reached in all as far as the router knows, and how many it might reach; 0 if
+        unknown.
     """
 
     event: str
@@ -59,6 +60,7 @@
     n_bytes: int = 0
     n_attempts: int = 0
     n_servers: int = 0
+    n_servers_in_all: int = 0
     max_servers: int = 0
     text_version: int = 0
     detail: str = ""
@@ -85,6 +87,7 @@
     "n_bytes",
     "n_attempts",
     "n_servers",
+    "n_servers_in_all",
     "max_servers",
     "text_version",
 )
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -86,6 +86,9 @@
         Port for callers, on the same host as the address; 0 if unknown.
     has_path : bool
         Whether it can reach the backend servers.
+    keeps_grants : bool
+        Whether requests of other routers reach no more servers there than these grant.
+        Routers of earlier builds do not say so, nor pass it on.
     """
 
     address: str
@@ -94,6 +97,7 @@
     heartbeat: int
     caller_port: int = 0
     has_path: bool = True
+    keeps_grants: bool = False
 
 
 @frozen(kw_only=True)
@@ -443,10 +447,16 @@
             int(heartbeat),
             int(caller_port),
             bool(has_path),
-            *_,
+            *later,
         ]:
             return MemberEntry(
-                address, incarnation, data_centre, heartbeat, caller_port, has_path
+                address,
+                incarnation,
+                data_centre,
+                heartbeat,
+                caller_port,
+                has_path,
+                later[:1] == [True],
             )
         case _:
             raise ValueError("invalid membership entry")
--- a/damaskrill/platform/_binding.py
+++ b/damaskrill/platform/_binding.py
@@ -5,6 +5,7 @@
 from damaskrill.gateway import PlatformBinding
 from damaskrill.platform._headers import (
     READINESS_PATH,
+    grant_headers,
     is_server_answer,
     peer_headers,
     read_answer,
@@ -32,5 +33,6 @@
         server_headers=server_headers,
         read_peer_answer=read_peer_answer,
         peer_headers=peer_headers,
+        grant_headers=grant_headers,
         store=PlatformStore(reactor=reactor, address=address),
     )
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -2,13 +2,21 @@
 
 import math
 
+from attrs import evolve
+
 from damaskrill.catalog import BackendServer, Team
 from damaskrill.http1 import AnswerHead, CallerRequest, Headers, forwarded_headers
-from damaskrill.steering import AnswerMetadata, PromptPart, RequestMetadata
+from damaskrill.steering import (
+    AnswerMetadata,
+    PromptPart,
+    RequestMetadata,
+    ServerGrant,
+)
 from damaskrill.utils import hash_fields
 
 __all__ = [
     "READINESS_PATH",
+    "grant_headers",
     "is_server_answer",
     "peer_headers",
     "read_answer",
@@ -32,6 +40,10 @@
 # Marks a request that a router sends through another one. The value is the version of
 # the sender's configuration.
 RELAYED = b"damaskrill-router-hop"
+# Between routers: the number of servers that a request may still reach, and the hashes
+# of those that it has reached. Named in Connection, so that no router passes it on.
+SERVER_GRANT = b"damaskrill-router-servers"
+CONNECTION = b"Connection"
 # Statuses with which a router promises that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Headers that only backend servers send.
@@ -54,6 +66,7 @@
         b"damaskrill-request-deadline",
         b"damaskrill-request-priority",
         RELAYED,
+        SERVER_GRANT,
         b"damaskrill-tenant",
         b"kv-fetch",
         b"kv-from",
@@ -93,6 +106,7 @@
         resumed_request_id=headers.get(RESUMED_REQUEST, b"").decode("latin-1"),
         is_relayed=RELAYED in headers,
         min_text_version=_read_number(headers.get(RELAYED, b"")) or 0,
+        grant=_read_grant(headers.get(SERVER_GRANT, b"")),
     )
 
 
@@ -149,6 +163,7 @@
     resume_after: int | None,
     stream_id: str,
     text_version: int,
+    grant: ServerGrant,
 ) -> Headers:
     """Return the headers of a request that goes through another router.
 
@@ -164,12 +179,14 @@
         Attempt that began the stream.
     text_version : int
         Version of the configuration that this router has in force.
+    grant : ServerGrant
+        Servers that the request has reached and may still reach.
 
     Notes
     -----
     The other router needs the caller's key, which it does not pass to servers.
     """
-    dropped = {DEADLINE.lower(), RELAYED}
+    dropped = {DEADLINE.lower(), RELAYED, SERVER_GRANT}
     if resume_after is not None:
         dropped |= {b"last-event-id", RESUMED_REQUEST}
     headers = [
@@ -179,22 +196,32 @@
     ]
     headers.append((DEADLINE, b"%d" % remaining_ms))
     headers.append((RELAYED, b"%d" % text_version))
+    headers.extend(grant_headers(grant))
     if resume_after is not None:
         headers.append((LAST_EVENT_ID, b"%d" % resume_after))
         headers.append((RESUMED_REQUEST, stream_id.encode("latin-1")))
     return tuple(headers)
 
 
+def grant_headers(grant: ServerGrant) -> Headers:
+    """Return the headers that tell another router about the servers of a request."""
+    numbers = (grant.n_left, *grant.reached)
+    value = b" ".join(b"%d" % each for each in numbers)
+    return ((SERVER_GRANT, value), (CONNECTION, SERVER_GRANT))
+
+
 def read_peer_answer(head: AnswerHead) -> AnswerMetadata:
     """Return the metadata of an answer that another router sent or passed on."""
     metadata = read_answer(head)
-    if metadata.is_sealed:
-        return metadata
     headers = {name.lower(): value for name, value in head.headers}
+    grant = _read_grant(headers.get(SERVER_GRANT, b""))
+    if metadata.is_sealed:
+        return evolve(metadata, grant=grant)
     return AnswerMetadata(
         request_id=metadata.request_id,
         is_not_run=head.status in NOT_RUN_STATUSES,
         pause_ms=_read_pause_ms(headers.get(RETRY_AFTER, b"")),
+        grant=grant,
     )
 
 
@@ -262,6 +289,15 @@
     return [each for each in numbers if each is not None]
 
 
+def _read_grant(value: bytes) -> ServerGrant | None:
+    numbers = [_read_number(each) for each in value.split()]
+    known = [each for each in numbers if each is not None]
+    if not known or len(known) < len(numbers):
+        return None
+    n_left, *reached = known
+    return ServerGrant(n_left=n_left, reached=tuple(reached))
+
+
 def _read_prompt(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for each in value.split(b","):
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -37,6 +37,11 @@
 )
 from damaskrill.steering._retry_budget import FleetRetryBudget
 from damaskrill.steering._selector import Candidate, ServerRequirements, ServerSelector
+from damaskrill.steering._server_allowance import (
+    UNKNOWN_SENDER_GRANT,
+    ServerAllowance,
+    ServerGrant,
+)
 from damaskrill.steering._server_path import ServerPath
 from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
 from damaskrill.steering._stated_limits import LimitReport, StatedLimits
@@ -53,6 +58,7 @@
     "NEW_LINK",
     "NO_REQUEST",
     "RELAYED_BOUNDS",
+    "UNKNOWN_SENDER_GRANT",
     "AnswerMetadata",
     "AnswerTimings",
     "BlockChanges",
@@ -88,6 +94,8 @@
     "RequestMetadata",
     "RetryState",
     "ServedReport",
+    "ServerAllowance",
+    "ServerGrant",
     "ServerLoads",
     "ServerOutcome",
     "ServerPath",
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from damaskrill.steering._server_allowance import ServerGrant
 from damaskrill.utils import hash_to_int
 
 __all__ = ["AnswerMetadata", "PromptPart", "RequestMetadata"]
@@ -53,6 +54,8 @@
         Whether another router sent it, which cannot reach the servers.
     min_text_version : int
         Version of the configuration that the router which sent it has in force.
+    grant : ServerGrant or None
+        How many servers the router which sent it allows; None if it does not say.
     """
 
     request_id: str = ""
@@ -68,6 +71,7 @@
     resumed_request_id: str = ""
     is_relayed: bool = False
     min_text_version: int = 0
+    grant: ServerGrant | None = None
 
     @property
     def is_resumed(self) -> bool:
@@ -137,6 +141,9 @@
     rejections_per_s : float or None
         Rejections per second that the server bears; None if it does not say that it is
         brittle.
+    grant : ServerGrant or None
+        Which servers a request has reached through the router that answers, and how
+        many it may still reach; None if a server answers or it is not known.
     """
 
     request_id: str | None = None
@@ -149,3 +156,4 @@
     pause_ms: float | None = None
     limit_per_s: float | None = None
     rejections_per_s: float | None = None
+    grant: ServerGrant | None = None
--- a/damaskrill/steering/_retry.py
+++ b/damaskrill/steering/_retry.py
@@ -34,15 +34,15 @@
 
     Parameters
     ----------
-    n_servers : int
-        Number of servers to which the request was sent.
+    n_servers_left : int
+        Number of further servers that the request may reach.
     end : ExecutionStatus
         How the last attempt ended.
     remaining_ms : float
         Time left for an answer, in milliseconds.
     """
 
-    n_servers: int
+    n_servers_left: int
     end: ExecutionStatus
     remaining_ms: float
 
@@ -69,9 +69,9 @@
         case ExecutionStatus.NOT_SENT:
             return True
         case ExecutionStatus.NOT_RUN:
-            return state.n_servers < route.max_servers
+            return state.n_servers_left > 0
         case ExecutionStatus.MAY_HAVE_RUN | ExecutionStatus.ERROR_ANSWER:
-            return route.may_repeat and state.n_servers < route.max_servers
+            return route.may_repeat and state.n_servers_left > 0
 
 
 def may_retry_full(*, elapsed_ms: float, target_ms: float, remaining_ms: float) -> bool:
--- a/features/steps/gateway_cut_path_steps.py
+++ b/features/steps/gateway_cut_path_steps.py
@@ -17,7 +17,7 @@
     read_peer_answer,
     server_headers,
 )
-from damaskrill.steering import ServerPath
+from damaskrill.steering import ServerGrant, ServerPath
 from features.support.gateways import Caller, build_request
 
 NUMBERS = itertools.count(1)
@@ -241,7 +241,12 @@
         arrived_at_ms=0.0,
     )
     context.for_peer = peer_headers(
-        request, remaining_ms=700, resume_after=3, stream_id="r-9", text_version=7
+        request,
+        remaining_ms=700,
+        resume_after=3,
+        stream_id="r-9",
+        text_version=7,
+        grant=ServerGrant(n_left=1, reached=(5, 9)),
     )
     context.for_server = server_headers(
         request,
@@ -263,6 +268,8 @@
     assert by_name[b"damaskrill-request-deadline"] == b"700"
     assert by_name[b"last-event-id"] == b"3"
     assert by_name[b"resumes"] == b"r-9"
+    assert by_name[b"damaskrill-router-servers"] == b"1 5 9"
+    assert by_name[b"connection"] == b"damaskrill-router-servers"
     sent = {name.lower() for name, _ in context.for_server}
     assert not sent & {b"damaskrill-router-hop", b"authorization"}
 
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -430,7 +430,7 @@
             is_resumable=row["resumable"] == "yes",
         )
         state = RetryState(
-            n_servers=int(row["sent"]),
+            n_servers_left=route.max_servers - int(row["sent"]),
             end=ExecutionStatus(row["end"]),
             remaining_ms=500,
         )
--- a/features/steps/gateway_server_limit_steps.py
+++ b/features/steps/gateway_server_limit_steps.py
@@ -1,18 +1,27 @@
 """Steps for the number of backend servers that one request reaches."""
 
 import asyncio
+import re
 
 from behave import given, then, when
 
 from damaskrill.fakes.platform import Misbehaviour
+from damaskrill.http1 import CallerRequest
+from damaskrill.platform._headers import read_request
+from damaskrill.steering import ServerAllowance, ServerGrant
 from features.steps.gateway_cut_path_steps import send_one, served_share
 from features.steps.gateway_path_steps import start_testbed
+from features.steps.gateway_upgrade_steps import by_build
 
 FAILURES = {
     "run and answer with 500": Misbehaviour.ERROR,
     "run and break off": Misbehaviour.RESET,
     "reject unread": Misbehaviour.FULL,
 }
+BREAKS = {
+    "before the head": Misbehaviour.RESET,
+    "in a later event": Misbehaviour.MID_EVENT,
+}
 SHARES = {"half": 0.5, "all": 1.0}
 
 
@@ -34,21 +43,38 @@
             server.failure_share = SHARES[share]
 
 
-def send_reads(context, *, per_s, seconds):
+@given("{n:d} further engines")
+def step_engines(context, n):
+    for number in range(n):
+        context.testbed.add_server(f"e-further-{number}", "pool")
+    for gateway in context.testbed.gateways:
+        context.testbed.wait_until_ready(gateway)
+
+
+@when("the engines break half of the streams off {where}")
+def step_break(context, where):
+    for server_id, server in context.testbed.servers.items():
+        if server_id.startswith("e-"):
+            server.misbehaviour = BREAKS[where]
+            server.failure_share = 0.5
+
+
+def send_all(context, path, *, per_s, seconds, others=()):
     async def run():
         tasks = []
         for _ in range(per_s * seconds):
-            for gateway in context.testbed.gateways:
-                tasks.append(asyncio.create_task(send_one(gateway, "/read/1")))
+            for gateway in (*context.testbed.gateways, *others):
+                tasks.append(asyncio.create_task(send_one(gateway, path)))
             await asyncio.sleep(1 / per_s)
         return await asyncio.gather(*tasks)
 
     return context.testbed.thread.run(run())
 
 
-@when("each gateway gets {per_s:d} reads a second for {seconds:d} s")
-def step_reads(context, per_s, seconds):
-    context.results = send_reads(context, per_s=per_s, seconds=seconds)
+@when("each gateway gets {per_s:d} {kind:w}s a second for {seconds:d} s")
+def step_requests(context, per_s, kind, seconds):
+    path = f"/{kind}/1"
+    context.results = send_all(context, path, per_s=per_s, seconds=seconds)
 
 
 @when(
@@ -56,8 +82,20 @@
     "{seconds:d} s"
 )
 def step_reads_twice(context, per_s, first_s, seconds):
-    context.results = send_reads(context, per_s=per_s, seconds=first_s)
-    context.later = send_reads(context, per_s=per_s, seconds=seconds)
+    context.results = send_all(context, "/read/1", per_s=per_s, seconds=first_s)
+    context.later = send_all(context, "/read/1", per_s=per_s, seconds=seconds)
+    context.results += context.later
+
+
+@when(
+    "each router of both builds gets {per_s:d} reads a second for {first_s:d} s, and "
+    "again for {seconds:d} s"
+)
+def step_reads_at_both(context, per_s, first_s, seconds):
+    former = by_build(context)[1]
+    options = {"per_s": per_s, "others": former}
+    context.results = send_all(context, "/read/1", seconds=first_s, **options)
+    context.later = send_all(context, "/read/1", seconds=seconds, **options)
     context.results += context.later
 
 
@@ -79,8 +117,8 @@
     return sorted(each for each in servers if servers[each].runs[request_id])
 
 
-@then("no read has run on more than {n:d} servers")
-def step_within_limit(context, n):
+@then("no {kind:w} has run on more than {n:d} servers")
+def step_within_limit(context, kind, n):
     ids = [reply.request_id for _, _, reply in context.results]
     over = {each: servers_of(context, each) for each in ids}
     over = {each: servers for each, servers in over.items() if len(servers) > n}
@@ -100,3 +138,105 @@
     n_repeats = len(arrivals) - len(set(arrivals))
     n_allowed = settings.repeat_ratio * len(ids) + settings.repeat_slack
     assert n_repeats <= n_allowed, f"{n_repeats} of {n_allowed}"
+
+
+@then("the line of the router that got a read tells how many servers it reached")
+def step_lines(context):
+    lines = {
+        line["request_id"]: line
+        for log in context.testbed.logs
+        for line in log.lines
+        if line["event"] == "request_ended" and "peer" not in line
+    }
+    for _, _, reply in context.results:
+        line = lines[reply.request_id]
+        n_servers = len(servers_of(context, reply.request_id))
+        assert n_servers <= line["n_servers_in_all"] <= line["max_servers"] == 2, line
+
+
+@when("a router of an earlier build sends {n:d} reads through the first gateway")
+def step_earlier_sender(context, n):
+    replies = [
+        context.testbed.send(
+            "/read/1", method="GET", body=b"", headers=[("Damaskrill-Router-Hop", "1")]
+        )
+        for _ in range(n)
+    ]
+    context.ids = [each.request_id for each in replies]
+
+
+@then("each of these reads has run on {n:d} server")
+def step_one_server(context, n):
+    counts = [len(servers_of(context, each)) for each in context.ids]
+    assert set(counts) == {n}, counts
+
+
+def parse_grant(text):
+    """Return the grant that a text like "left 1 of 5 9" describes."""
+    n_left, *reached = [int(each) for each in re.findall(r"\d+", text)]
+    return ServerGrant(n_left=n_left, reached=tuple(reached))
+
+
+@when("a request of {limit:d} servers meets {events}")
+def step_meets(context, limit, events):
+    first, *others = events.split(", ")
+    if first.startswith("granted"):
+        context.allowance = ServerAllowance(grant=parse_grant(first))
+    else:
+        context.allowance = ServerAllowance()
+        others = [first, *others]
+    context.allowance.restrict(limit)
+    for event in others:
+        apply_event(context.allowance, event)
+
+
+def apply_event(allowance, event):
+    match event.split():
+        case ["nothing"]:
+            pass
+        case ["sent", server]:
+            allowance.record_sent(int(server))
+        case ["lent"]:
+            allowance.lend()
+        case ["silent"]:
+            allowance.settle(None, is_complete=False)
+        case ["exhausted"]:
+            allowance.exhaust()
+        case [told, *_]:
+            grant = parse_grant(event)
+            allowance.settle(grant, is_complete=told == "told")
+
+
+@then("it has reached {spent:d} servers and may reach {left:d} more")
+def step_left(context, spent, left):
+    found = context.allowance.n_spent, context.allowance.n_left
+    assert found == (spent, left), found
+
+
+@then("a peer that {peer} may {get} it")
+def step_may_get(context, peer, get):
+    keeps_grants = peer == "keeps to its grant"
+    may_lend = context.allowance.may_lend(keeps_grants=keeps_grants)
+    assert may_lend == (get == "get")
+
+
+@when("the header {value} comes with a relayed request")
+def step_header(context, value):
+    headers = [(b"Damaskrill-Router-Hop", b"1")]
+    if value != "nothing":
+        headers.append((b"Damaskrill-Router-Servers", value.encode()))
+    context.metadata = read_request(
+        CallerRequest(
+            method=b"GET",
+            target=b"/read/1",
+            headers=tuple(headers),
+            body=b"",
+            arrived_at_ms=0.0,
+        )
+    )
+
+
+@then("the grant is read as {grant}")
+def step_grant(context, grant):
+    expected = None if grant == "unknown" else parse_grant(grant)
+    assert context.metadata.grant == expected
--- a/features/support/former_build.py
+++ b/features/support/former_build.py
@@ -15,7 +15,7 @@
 from damaskrill.platform import SETTINGS_VARIABLE
 from features.support.gateways import free_addresses
 
-COMMIT = "91059935fc09142150dac158bfe5f4464dee4947"
+COMMIT = "5df66a4cf4be215717eb10af7692833aa5f92844"
 ROOT = Path(__file__).resolve().parent.parent.parent
 # Decodes each frame in hexadecimal and prints it as encoded again.
 ECHO = """
