Test that requests of this build reach no more servers than allowed during an upgrade

Two routers of this build without a path, two of the build before behind them, servers that fail half of the requests. Counted are reads that callers sent to the routers of this build.

--- a/features/steps/gateway_server_limit_steps.py
+++ b/features/steps/gateway_server_limit_steps.py
@@ -125,6 +125,13 @@
     assert not over, f"{len(over)} of {len(ids)}: {over}"
 
 
+@then("no read that these gateways got from callers has run on more than {n:d} servers")
+def step_own_within_limit(context, n):
+    own = [each for each in context.results if each[0] in context.testbed.gateways]
+    counts = [len(servers_of(context, reply.request_id)) for _, _, reply in own]
+    assert max(counts) <= n, counts
+
+
 @then("the service gets no more repeats than the retry budget allows")
 def step_within_budget(context):
     settings = context.testbed.gateways[0]._settings
