Cut routers off from all servers in the soak, and count the servers of each request

The soak played neither cut paths nor errors of servers beside them, so that it could not see requests that run on too many servers. CUT_PATH lets the servers' proxies refuse one router, known by the process that owns the port, for 3.5 s to 5.5 s while all servers fail half of the requests; open connections are reset or live on. max_servers is checked in every run, and excuses nothing.

--- a/damaskrill/fakes/platform/__init__.py
+++ b/damaskrill/fakes/platform/__init__.py
@@ -1,6 +1,7 @@
 """Fakes of the users' platform on loopback: its store and its servers."""
 
 from damaskrill.fakes.platform._builders import (
+    MAX_SERVERS,
     NOT_RUN_STATUSES,
     build_caller_headers,
     build_configuration,
@@ -17,6 +18,7 @@
 from damaskrill.fakes.platform._store import FakeStore, StoreCopy, StoreMode
 
 __all__ = [
+    "MAX_SERVERS",
     "NOT_RUN_STATUSES",
     "EndlessPart",
     "FakeServer",
--- a/damaskrill/fakes/platform/_builders.py
+++ b/damaskrill/fakes/platform/_builders.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 __all__ = [
+    "MAX_SERVERS",
     "NOT_RUN_STATUSES",
     "build_caller_headers",
     "build_configuration",
@@ -10,6 +11,8 @@
     "build_settings",
 ]
 
+# Servers to which a request may be sent by the routes of the configurations.
+MAX_SERVERS = 2
 # Statuses with which a router or server states that the request was not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -29,7 +32,7 @@
         "timeoutMs": 3_000,
         "targetLatencyMs": 400,
         "priority": 1,
-        "maxAttempts": 2,
+        "maxAttempts": MAX_SERVERS,
         "public": False,
     }
     stream = {**route, "kind": "streaming", "service": "pool", "stickySessions": True}
--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from damaskrill.fakes.platform import NOT_RUN_STATUSES
+from damaskrill.fakes.platform import MAX_SERVERS, NOT_RUN_STATUSES
 from damaskrill.soak._callers import Exchange
 
 __all__ = [
@@ -86,14 +86,27 @@
     Returns
     -------
     list of Violation
-        Violations of at-most-once execution, truthful refusals, complete streams and
-        answers to the caller's own request, and runs of requests that no caller sent.
+        Violations of at-most-once execution, the limit of servers, truthful refusals,
+        complete streams and answers to the caller's own request, and runs of requests
+        that no caller sent.
     """
     violations = []
     sent_ids = {each.request_id for each in exchanges}
     for exchange in exchanges:
         n_runs = sum(each.runs.get(exchange.request_id, 0) for each in servers)
         violations += _check_exchange(exchange, n_runs, n_events)
+        ran_at = [
+            each.server_id for each in servers if each.runs.get(exchange.request_id)
+        ]
+        if len(ran_at) > MAX_SERVERS:
+            detail = f"{exchange.path} ran at {', '.join(ran_at)}"
+            violations.append(
+                Violation(
+                    promise="max_servers",
+                    request_id=exchange.request_id,
+                    detail=detail,
+                )
+            )
     for server in servers:
         violations += [
             Violation(promise="unasked", request_id=each, detail=server.server_id)
--- a/damaskrill/soak/_injection.py
+++ b/damaskrill/soak/_injection.py
@@ -9,6 +9,7 @@
     build_configuration,
 )
 from damaskrill.soak._disruptions import RECONNECT_S, Disruptions
+from damaskrill.soak._path_cuts import PathCuts
 from damaskrill.soak._plan import Fault, FaultKind
 from damaskrill.soak._proxy import FaultyProxy, LinkMode
 from damaskrill.soak._routers import GRACE_PERIOD_S, RouterProcesses
@@ -105,6 +106,10 @@
             is_store_stable=self._is_store_stable,
         )
 
+        self._path_cuts = PathCuts(
+            fleet=fleet, routers=routers, disruptions=disruptions, schedule=schedule
+        )
+
     def put_configuration(self, without: str | None = None) -> None:
         """Publish a new version of the configuration.
 
@@ -169,8 +174,11 @@
             case FaultKind.RESTORE_STORE:
                 self._restore_store(fault)
             case _:
-                is_server_fault = self.servers.inject(fault)
-                if not is_server_fault:
+                if self.servers.inject(fault):
+                    return
+                if fault.kind is FaultKind.CUT_PATH:
+                    self._path_cuts.begin(fault)
+                else:
                     self._inject_link_fault(fault)
 
     def _record_router(self, number: int, duration_s: float) -> None:
--- a/damaskrill/soak/_plan.py
+++ b/damaskrill/soak/_plan.py
@@ -41,6 +41,7 @@
     FATAL_PART = "fatal_part"
     STATE_LIMIT = "state_limit"
     FATAL_REQUEST = "fatal_request"
+    CUT_PATH = "cut_path"
 
 
 # Start of the first fault, in seconds, so that all routers are ready before it.
@@ -58,12 +59,15 @@
     ),
     "answers": (FaultKind.BROKEN_UNFRAMED_ANSWERS, FaultKind.ENDLESS_ANSWERS),
     "limits": (FaultKind.STATE_LIMIT,),
+    "paths": (FaultKind.CUT_PATH,),
 }
 # Faults of which a plan has at most one, and only if the caller says so.
 FATAL_KINDS = (FaultKind.FATAL_PART, FaultKind.FATAL_REQUEST)
 # Latest start of that fault after the first one, in seconds.
 MAX_FATAL_DELAY_S = 1.0
 MEAN_SEPARATE_INTERVAL_S = 5.0
+# A router finds out after a second or so that it is cut off.
+MIN_DURATIONS_S = {FaultKind.CUT_PATH: 3.0}
 # Peculiarities of sound servers, which excuse nothing; planned work overlaps with them.
 PECULIARITIES = (FaultKind.SILENT_SERVER, FaultKind.UNFRAMED_ANSWERS)
 OVERLAPPING_WORK = (
@@ -218,12 +222,13 @@
 ) -> list[Fault]:
     plan, at_s = [], FIRST_FAULT_AT_S + random.expovariate(1 / MEAN_SEPARATE_INTERVAL_S)
     while at_s < duration_s - 1:
+        kind = random.choice(kinds)
         plan.append(
             Fault(
                 at_s=at_s,
-                kind=random.choice(kinds),
+                kind=kind,
                 target=random.randrange(1_000),
-                duration_s=random.uniform(0.5, 2.5),
+                duration_s=MIN_DURATIONS_S.get(kind, 0.0) + random.uniform(0.5, 2.5),
             )
         )
         at_s += random.expovariate(1 / MEAN_SEPARATE_INTERVAL_S)
--- a/damaskrill/soak/_proxy.py
+++ b/damaskrill/soak/_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable, Collection
 from enum import Enum
 
 __all__ = ["FaultyProxy", "LinkMode"]
@@ -27,10 +28,18 @@
     ----------
     target : tuple of (str, int)
         Address to which connections are forwarded.
+    is_cut : callable, default=None
+        Returns whether a client, given its port, is cut off; none is by default.
     """
 
-    def __init__(self, *, target: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        *,
+        target: tuple[str, int],
+        is_cut: Callable[[int], bool] = lambda port: False,
+    ) -> None:
         self.mode = LinkMode.GOOD
+        self._is_cut = is_cut
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -56,6 +65,12 @@
         for writer in list(self._writers):
             _reset(writer)
 
+    def reset_clients(self, ports: Collection[int]) -> None:
+        """Reset the open connections of the clients with these ports."""
+        for writer in list(self._writers):
+            if _client_port(writer) in ports:
+                _reset(writer)
+
     def refuse_all(self) -> None:
         """Refuse new connections, as the host of a server that has ended does."""
         if self._server is not None:
@@ -74,6 +89,9 @@
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._is_cut(_client_port(writer)):
+            _reset(writer)
+            return
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
                 *self._target
@@ -120,6 +138,11 @@
             _reset(writer)
 
 
+def _client_port(writer: asyncio.StreamWriter) -> int:
+    peer = writer.get_extra_info("peername")
+    return peer[1] if peer else 0
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     # A linger time of 0 makes the close send RST instead of FIN.
     sock = writer.get_extra_info("socket")
--- a/damaskrill/soak/_routers.py
+++ b/damaskrill/soak/_routers.py
@@ -89,6 +89,11 @@
         """Return when processes of a router started, on the monotonic clock."""
         return self._routers[number].starts
 
+    def process_id(self, number: int) -> int | None:
+        """Return the ID of a router's process; None if none runs."""
+        process = self._pick(number).process
+        return process.pid if process and process.poll() is None else None
+
     def supervise(self) -> None:
         """Start processes that are due and kill those whose grace period expired."""
         now = time.monotonic()
--- a/damaskrill/soak/_server_faults.py
+++ b/damaskrill/soak/_server_faults.py
@@ -14,7 +14,7 @@
 from damaskrill.soak._limits import LIMIT_PER_S, LimitPeriod
 from damaskrill.soak._plan import Fault, FaultKind
 from damaskrill.soak._schedule import Schedule
-from damaskrill.soak._servers import N_EVENTS, ServerFleet
+from damaskrill.soak._servers import N_EVENTS, PLAIN, ServerFleet
 
 __all__ = ["PAUSE_S", "ServerFaults", "find_fatal_input"]
 
@@ -43,6 +43,8 @@
 # Time for which a server states a limit beyond the duration of the fault, in seconds:
 # the limit only binds after some seconds.
 MIN_LIMIT_S = 5.0
+# Share of the requests that servers fail while a router is cut off from them.
+FAILURE_SHARE = 0.5
 
 
 class ServerFaults:
@@ -130,6 +132,9 @@
                 self._schedule.call_later(
                     fault.duration_s, lambda: _restore_framing(server)
                 )
+            case FaultKind.CUT_PATH:
+                self._fail_requests(fault)
+                return False
             case FaultKind.STATE_LIMIT:
                 self._state_limit(fault)
             case FaultKind.FATAL_PART:
@@ -149,6 +154,18 @@
         self._disruptions.record_server(server.server_id, now, ends_at)
         self._schedule.call_later(fault.duration_s, lambda: _clear_misbehaviour(server))
 
+    def _fail_requests(self, fault: Fault) -> None:
+        for server_id, entry in self._fleet.entries.items():
+            server = self._fleet.find(server_id)
+            if server.misbehaviour is Misbehaviour.NONE:
+                server.failure_share = FAILURE_SHARE
+                is_plain = entry["service"] == PLAIN
+                self._misbehave(
+                    fault,
+                    server,
+                    Misbehaviour.ERROR if is_plain else Misbehaviour.MID_EVENT,
+                )
+
     def _state_limit(self, fault: Fault) -> None:
         server = self._fleet.pick_registered(fault.target)
         if server.rate_limit is not None:
@@ -201,6 +218,7 @@
 
 def _clear_misbehaviour(server: FakeServer) -> None:
     server.misbehaviour = Misbehaviour.NONE
+    server.failure_share = 1.0
     server.retry_after = None
 
 
--- a/damaskrill/soak/_servers.py
+++ b/damaskrill/soak/_servers.py
@@ -1,6 +1,7 @@
 """Backend servers of a soak test, each behind a proxy and registered in a store."""
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 from damaskrill.fakes.platform import FakeServer, FakeStore, build_entry
@@ -8,7 +9,7 @@
 from damaskrill.soak._proxy import FaultyProxy
 from damaskrill.soak._schedule import Schedule
 
-__all__ = ["N_EVENTS", "SERVICES", "ServerFleet"]
+__all__ = ["N_EVENTS", "PLAIN", "SERVICES", "ServerFleet"]
 
 N_EVENTS = 8
 ENGINES = "pool"
@@ -52,6 +53,8 @@
         Targets and bodies of requests at which all servers crash.
     crashes : list of float
         Times of these crashes, on the monotonic clock in seconds.
+    is_cut : callable
+        Returns whether a client, given its port, is cut off from all servers.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         self.fatal_parts: set[str] = set()
         self.fatal_requests: set[tuple[bytes, bytes]] = set()
         self.crashes: list[float] = []
+        self.is_cut: Callable[[int], bool] = lambda port: False
         self._store = store
         self._disruptions = disruptions
         self._schedule = schedule
@@ -84,6 +88,10 @@
         """Return one of all servers, also of those that have ended."""
         return self.servers[number % len(self.servers)]
 
+    def find(self, server_id: str) -> FakeServer:
+        """Return the last server with an ID."""
+        return next(e for e in reversed(self.servers) if e.server_id == server_id)
+
     def pick_registered(self, number: int) -> FakeServer:
         """Return one of the registered servers."""
         registered = [each for each in self.servers if each.server_id in self.entries]
@@ -125,6 +133,15 @@
         self._store.put_server(new.server_id, self.entries[new.server_id])
         return old
 
+    def crash(self, server: FakeServer) -> None:
+        """End a server at once, as its host does."""
+        server.close()
+        self._refuse(server)
+
+    def _refuse(self, server: FakeServer) -> None:
+        # Otherwise a request would be sent to a server that never gets it.
+        self.proxies[self.servers.index(server)].refuse_all()
+
     def close(self) -> None:
         """Close all servers and proxies."""
         for server in self.servers:
@@ -134,7 +151,9 @@
 
     async def _add(self, server_id: str, service: str) -> None:
         server = self._start_server(server_id)
-        proxy = FaultyProxy(target=server.address)
+        proxy = FaultyProxy(
+            target=server.address, is_cut=lambda port: self.is_cut(port)
+        )
         await proxy.start()
         self.servers.append(server)
         self.proxies.append(proxy)
@@ -159,8 +178,7 @@
     def _handle_crash(self, server: FakeServer) -> None:
         now, server_id = time.monotonic(), server.server_id
         self.crashes.append(now)
-        # Otherwise a request would be sent to a server that never gets it.
-        self.proxies[self.servers.index(server)].refuse_all()
+        self._refuse(server)
         self._disruptions.record_server(server_id, now)
         self._schedule.call_later(
             EXPIRY_S, lambda: self._store.remove_server(server_id)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -30,6 +30,7 @@
   Scenario: the checks find each kind of violation
     Then an action that ran twice is found
     And a refusal of an action that has run is found
+    And a read that ran at more servers than its route allows is found
     And an answer to another request is found
     And a stream with a missing event is found
     And a request at a server long after its leaving notice is found
@@ -47,6 +48,10 @@
     When a link loses a chunk of a stream and works again
     Then its reader gets nothing after the loss
 
+  Scenario: a process that is cut off is known by its ports
+    When a process opens a connection
+    Then its port is among those of the process until it is closed
+
   Scenario: a router is not killed for a stop that it was not asked for
     When a router is stopped while it has no process
     Then its next process is not killed at the end of the grace period
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 import json
+import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -28,6 +30,7 @@
 )
 from damaskrill.soak._interruptions import check_interruptions
 from damaskrill.soak._limits import LimitPeriod, check_limits
+from damaskrill.soak._path_cuts import find_ports
 from damaskrill.soak._plan import OVERLAPPING_WORK, PECULIARITIES
 from damaskrill.soak._proxy import FaultyProxy, LinkMode
 from damaskrill.soak._routers import RouterProcesses
@@ -151,6 +154,32 @@
     assert find_violated(build_exchange(status=503), 1) == ["not_run"]
 
 
+@then("a read that ran at more servers than its route allows is found")
+def step_too_many_servers(context):
+    for n_servers, promises in ((2, []), (3, ["max_servers"])):
+        servers = [
+            ServerRecord(server_id=f"a-{n}", runs={"q9": 1}, arrivals=())
+            for n in range(n_servers)
+        ]
+        found = check_exchanges([build_exchange("/read/1")], servers, 2)
+        assert [each.promise for each in found] == promises, found
+
+
+@when("a process opens a connection")
+def step_open_connection(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    context.client = socket.create_connection(listener.getsockname())
+
+
+@then("its port is among those of the process until it is closed")
+def step_ports(context):
+    port = context.client.getsockname()[1]
+    assert port in find_ports(os.getpid())
+    context.client.close()
+    assert port not in find_ports(os.getpid())
+
+
 @then("an answer to another request is found")
 def step_other(context):
     assert find_violated(build_exchange(body=b"other"), 1) == ["own_answer"]
