Let the hosts of crashed servers in the soak refuse connections

Cause, from the routers' lines: the proxy of a server that CRASH_SERVER had ended went on to accept connections and reset them, so that the request may have run, while the check saw no arrival and excused nothing. The host of a server that has ended refuses connections; servers that crash under a request did so already. The check is unchanged.

--- a/damaskrill/soak/_server_faults.py
+++ b/damaskrill/soak/_server_faults.py
@@ -192,7 +192,7 @@
         server = self._fleet.pick_registered(fault.target)
         entry = self._fleet.remove_entry(server)
         if fault.kind is FaultKind.CRASH_SERVER:
-            server.close()
+            self._fleet.crash(server)
             self._disruptions.record_server(server.server_id, time.monotonic())
             self._store.remove_server(server.server_id)
             return
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -48,6 +48,10 @@
     When a link loses a chunk of a stream and works again
     Then its reader gets nothing after the loss
 
+  Scenario: the host of a server that has crashed refuses connections
+    When a server of the soak crashes
+    Then a connection to its address is refused
+
   Scenario: a process that is cut off is known by its ports
     When a process opens a connection
     Then its port is among those of the process until it is closed
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -31,10 +31,14 @@
 from damaskrill.soak._interruptions import check_interruptions
 from damaskrill.soak._limits import LimitPeriod, check_limits
 from damaskrill.soak._path_cuts import find_ports
-from damaskrill.soak._plan import OVERLAPPING_WORK, PECULIARITIES
+from damaskrill.soak._plan import OVERLAPPING_WORK, PECULIARITIES, Fault
 from damaskrill.soak._proxy import FaultyProxy, LinkMode
 from damaskrill.soak._routers import RouterProcesses
 from damaskrill.soak._run import loopback_network
+from damaskrill.soak._schedule import Schedule
+from damaskrill.soak._server_faults import ServerFaults
+from damaskrill.soak._servers import ServerFleet
+from features.support.gateways import GatewayTestbed
 
 # What crashes servers in the plans that are built.
 KINDS = (FaultKind.FATAL_PART, FaultKind.FATAL_REQUEST)
@@ -165,6 +169,47 @@
         assert [each.promise for each in found] == promises, found
 
 
+@when("a server of the soak crashes")
+def step_server_crashes(context):
+    testbed = GatewayTestbed()
+    context.add_cleanup(testbed.close)
+
+    async def crash():
+        disruptions, schedule = Disruptions(), Schedule()
+        fleet = ServerFleet(
+            reactor=testbed.reactor,
+            store=testbed.store,
+            disruptions=disruptions,
+            schedule=schedule,
+        )
+        await fleet.start()
+        address = fleet.proxies[0].address
+        faults = ServerFaults(
+            store=testbed.store,
+            fleet=fleet,
+            disruptions=disruptions,
+            schedule=schedule,
+            is_store_stable=lambda: True,
+        )
+        faults.inject(
+            Fault(at_s=0, kind=FaultKind.CRASH_SERVER, target=0, duration_s=1)
+        )
+        try:
+            await asyncio.open_connection(*address)
+        except ConnectionRefusedError:
+            context.is_refused = True
+        fleet.close()
+        await schedule.cancel()
+
+    context.is_refused = False
+    testbed.call(crash)
+
+
+@then("a connection to its address is refused")
+def step_refused(context):
+    assert context.is_refused
+
+
 @when("a process opens a connection")
 def step_open_connection(context):
     listener = socket.create_server(("127.0.0.1", 0))
