--- a/features/gateway_crashing_requests.feature
+++ b/features/gateway_crashing_requests.feature
@@ -31,6 +31,19 @@
     When the request arrives at the gateways in turn, 60 ms apart, until one rejects it
     Then 3 to 5 servers have crashed
 
+  Scenario Outline: a request that arrives where no path leads to the servers crashes no more
+    Given a platform with 8 app servers that crash on the request "/read/bad" and come back
+    And 4 gateways that know each other
+    When the first 2 gateways have no path to the servers
+    And the request arrives at the first <n> gateways <pause> ms apart until one rejects it
+    Then <least> to <most> servers have crashed
+
+    Examples:
+      | n | pause | least | most |
+      | 2 | 500   | 3     | 4    |
+      | 2 | 60    | 3     | 6    |
+      | 4 | 500   | 3     | 4    |
+
   Scenario: a gateway that starts rejects a request that has crashed servers
     Given a platform with 6 app servers that crash on the request "/read/bad" and come back
     And 3 gateways that know each other
--- a/features/gateway_cut_path.feature
+++ b/features/gateway_cut_path.feature
@@ -83,6 +83,12 @@
       | failure 1 at 100, relayed 0 at 200                                   | open  |
       | peer 1 at 50, failure 1 at 100, failure 2 at 150, relayed 0 at 200   | open  |
 
+  Scenario: servers stop work for callers who leave a router without a path
+    Given the first gateway has no path to the servers
+    And the app servers work for 3000 ms on each request
+    When 10 callers send a read to the first gateway and leave after 300 ms
+    Then each read has reached a server, which stops work within 500 ms
+
   Scenario: a relayed request carries what the peer needs and nothing that a caller set
     When a caller's request with a hop mark is prepared for a peer and for a server
     Then the peer gets key, one hop mark and the time that is left, the server no mark
--- a/features/steps/gateway_crashing_requests_steps.py
+++ b/features/steps/gateway_crashing_requests_steps.py
@@ -13,6 +13,7 @@
     MIN_RETRY_AFTER_S,
     RESTART_S,
 )
+from features.steps.gateway_cut_path_steps import cut_path
 from features.support.gateways import GatewayTestbed
 
 MAX_REQUESTS = 10
@@ -72,6 +73,26 @@
     )
 
 
+@when("the first {n:d} gateways have no path to the servers")
+def step_no_path(context, n):
+    for gateway in context.testbed.gateways[:n]:
+        context.testbed.call(cut_path, gateway, "reset")
+        gateway._relay._path._is_cut = True
+
+
+@when(
+    "the request arrives at the first {n:d} gateways {pause_ms:d} ms apart until one "
+    "rejects it"
+)
+def step_arrives_at_first(context, n, pause_ms):
+    for number in range(MAX_REQUESTS):
+        reply = send_bad(context, context.testbed.gateways[number % n])
+        if REJECTED in reply.body:
+            return
+        time.sleep(pause_ms / 1_000)
+    assert len(context.crashed) >= 3, context.crashed
+
+
 @when("the request arrives at the first gateway")
 def step_arrives(context):
     time.sleep(BETWEEN_S)
--- a/features/steps/gateway_cut_path_steps.py
+++ b/features/steps/gateway_cut_path_steps.py
@@ -318,6 +318,44 @@
     context.testbed.gateways[0]._relay._path._is_cut = True
 
 
+@given("the app servers work for {work_ms:d} ms on each request")
+def step_long_work(context, work_ms):
+    for server in context.testbed.servers.values():
+        server._work_ms = work_ms
+
+
+@when("{n:d} callers send a read to the first gateway and leave after {after_ms:d} ms")
+def step_leave(context, n, after_ms):
+    address = context.testbed.gateways[0]._settings.caller_address
+
+    async def run():
+        callers, context.ids = [], []
+        for _ in range(n):
+            data, request_id = build_request("/read/1", method="GET", body=b"")
+            caller = await Caller.open(address)
+            caller.send(data)
+            callers.append(caller)
+            context.ids.append(request_id)
+        await asyncio.sleep(after_ms / 1_000)
+        for caller in callers:
+            caller.close()
+
+    context.testbed.thread.run(run())
+    context.left_at = time.monotonic()
+
+
+@then("each read has reached a server, which stops work within {limit_ms:d} ms")
+def step_stopped(context, limit_ms):
+    servers = context.testbed.servers.values()
+    assert all(context.testbed.runs_of(each) for each in context.ids)
+
+    def has_stopped():
+        dropped = {request_id for each in servers for _, request_id in each.drops}
+        return dropped >= set(context.ids)
+
+    assert context.testbed.wait_for(has_stopped, limit_ms / 1_000)
+
+
 @given("its peers get the configuration after {delay_ms:d} ms")
 def step_peers_later(context, delay_ms):
     def put_held():
