Test that each repeat at a server takes one retry, also through a peer

Six of eight hosts refuse connections, so that routers send through peers meanwhile; four reads that run on two servers each take four retries from the budgets of four routers.

--- a/features/gateway_server_limit.feature
+++ b/features/gateway_server_limit.feature
@@ -48,6 +48,12 @@
       | before the head     |
       | in a later event    |
 
+  Scenario: each repeat at a server takes one retry, also through a peer
+    Given the hosts of 6 app servers refuse connections
+    When the app servers fail all of the requests, which they run and answer with 500
+    And each gateway gets one read that runs on 2 servers
+    Then the gateways have taken 4 retries from their budgets
+
   Scenario: a router that does not know what a sender has spent reaches one server
     When the app servers fail all of the requests, which they run and answer with 500
     And a router of an earlier build sends 12 reads through the first gateway
--- a/features/steps/gateway_server_limit_steps.py
+++ b/features/steps/gateway_server_limit_steps.py
@@ -51,6 +51,28 @@
         context.testbed.wait_until_ready(gateway)
 
 
+@given("the hosts of {n:d} app servers refuse connections")
+def step_refusing(context, n):
+    names = [each for each in context.testbed.servers if each.startswith("a-")]
+    for name in names[:n]:
+        context.testbed.call(context.testbed.servers[name].close)
+
+
+@when("each gateway gets one read that runs on {n:d} servers")
+def step_one_read(context, n):
+    for gateway in context.testbed.gateways:
+        reply = context.testbed.send("/read/1", method="GET", body=b"", gateway=gateway)
+        assert len(servers_of(context, reply.request_id)) == n
+
+
+@then("the gateways have taken {n:d} retries from their budgets")
+def step_budget(context, n):
+    budgets = [each._dispatcher.budget for each in context.testbed.gateways]
+    # One of them may have sent its read through another one.
+    taken = [len(each._retries.get("app", ())) for each in budgets]
+    assert sum(taken) == n, taken
+
+
 @when("the engines break half of the streams off {where}")
 def step_break(context, where):
     for server_id, server in context.testbed.servers.items():
