Log the route's limit of servers also for requests that are refused at once

A request that a stopping router refuses had max_servers 1000000 in its line, as the limit was applied after the refusal. Found on reading the change; the scenario failed before.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -140,7 +140,6 @@
         self._context = context
         self._requirements = context.requirements
         self._guard = guard
-        self._allowance.restrict(context.route.max_servers)
         self._exclude_reached()
         self._records = AttemptRecords(
             dispatcher=self._dispatcher,
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -198,6 +198,7 @@
     async def _send_until_answered(self, route: Route, team: Team | None) -> None:
         dispatcher = self._dispatcher
         self._responder.route = route
+        self._allowance.restrict(route.max_servers)
         self._limit_at_ms = self._request.arrived_at_ms + self._find_limit_ms(route)
         if not dispatcher.can_finish(self._limit_at_ms):
             self._responder.refuse(
--- a/features/gateway_server_limit.feature
+++ b/features/gateway_server_limit.feature
@@ -111,3 +111,7 @@
       | x          | unknown       |
       | 1 x        | unknown       |
       | -1         | unknown       |
+
+  Scenario: the line of a request that no server got names the limit of its route
+    When the first gateway stops, too soon for a read to end
+    Then its line says that it reached 0 of at most 2 servers
--- a/features/steps/gateway_server_limit_steps.py
+++ b/features/steps/gateway_server_limit_steps.py
@@ -269,3 +269,21 @@
 def step_grant(context, grant):
     expected = None if grant == "unknown" else parse_grant(grant)
     assert context.metadata.grant == expected
+
+
+@when("the first gateway stops, too soon for a read to end")
+def step_stops(context):
+    context.testbed.gateways[0]._dispatcher.start_draining(0.0, 1.0)
+    context.reply = context.testbed.send("/read/1", method="GET", body=b"")
+    assert context.reply.status == 503
+
+
+@then("its line says that it reached {n:d} of at most {limit:d} servers")
+def step_line(context, n, limit):
+    lines = [
+        line
+        for line in context.testbed.logs[0].lines
+        if line.get("request_id") == context.reply.request_id
+    ]
+    found = lines[-1]["n_servers_in_all"], lines[-1]["max_servers"]
+    assert found == (n, limit), lines
