Let streams go on that break off because a peer has ended

Cause, mine in: a peer that breaks off counted as having spent all that it was granted, and the servers that it had reached were avoided although it was the peer that failed.

Change: once its answer has begun, a peer tells of each further server within the stream, in a comment, before that server gets the request; the router that holds the request removes it. So what a peer has spent is known up to the end of its connection. A peer that breaks off before its answer or falls silent has still spent all. Its servers are not avoided after that.

New: streams that go on behind a peer reach callers as the servers' events alone.

--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -167,6 +167,10 @@
             self._longest_pause_ms = max(self._longest_pause_ms, pause_ms)
         self._sent_at_ms = now_ms
 
+    def send_to_router(self, data: bytes) -> None:
+        """Send what only the router that passes the stream on reads."""
+        self._connection.send_chunk(data)
+
     def end(self, head: AnswerHead) -> None:
         """End the answer as complete."""
         if not self._has_begun:
@@ -194,6 +198,9 @@
     buffer : AnswerBuffer
         Holds an answer other than a stream until it is complete, so that an incomplete
         one never looks complete to the caller.
+    read_events : callable, default=None
+        Removes what a router has added to the events; they are the server's own by
+        default.
 
     Attributes
     ----------
@@ -222,6 +229,7 @@
         on_metadata: Callable[[AnswerMetadata], None],
         on_forward: Callable[[], None],
         buffer: AnswerBuffer,
+        read_events: Callable[[bytes], bytes] | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         self._loop = loop
@@ -240,6 +248,7 @@
         self._metadata = AnswerMetadata()
         self._splitter: EventSplitter | None = None
         self._buffer = buffer
+        self._read_events = read_events
         self._n_stream_bytes = 0
         self._n_unnumbered_bytes = 0
         self._highest_id = 0
@@ -336,6 +345,8 @@
             if self._n_stream_bytes > MAX_ANSWER_BYTES:
                 raise InvalidAnswerError(reason=f"it exceeds {MAX_ANSWER_BYTES} bytes")
             events = self._splitter.feed(data)
+            if self._read_events is not None:
+                events = self._read_events(events)
             if events and not self.done.done():
                 # Only complete events count as progress: a stalled server may still
                 # send a byte now and then.
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -31,6 +31,7 @@
 )
 from damaskrill.mesh import MemberEntry
 from damaskrill.steering import (
+    AnswerMetadata,
     CrashGuard,
     RequestMetadata,
     ServerAllowance,
@@ -226,14 +227,26 @@
         if connection is None:
             return None
         is_stream = context.route.kind is RequestKind.STREAM
-        reports: list[ServerGrant | None] = []
+        report: ServerGrant | None = None
+
+        def read_events(events: bytes) -> bytes:
+            nonlocal report
+            events, told = dispatcher.binding.read_peer_events(events)
+            report = told or report
+            return events
+
+        def read_metadata(metadata: AnswerMetadata) -> None:
+            nonlocal report
+            report = metadata.grant
+
         attempt = Attempt(
             request_id=self._metadata.request_id,
             read_answer=dispatcher.binding.read_peer_answer,
             progress=self._progress if is_stream else None,
-            on_metadata=lambda metadata: reports.append(metadata.grant),
+            on_metadata=read_metadata,
             on_forward=_ignore_events,
             buffer=AnswerBuffer(budget=dispatcher.buffer_budget),
+            read_events=read_events,
         )
         headers = dispatcher.binding.peer_headers(
             self._request,
@@ -250,9 +263,10 @@
         finally:
             if not attempt.has_ended:
                 connection.abort()
-        is_complete = isinstance(result, CompleteAnswer | StreamEnded | NotRun)
-        self._allowance.settle(reports[0] if reports else None, is_complete=is_complete)
-        self._exclude_reached()
+        self._allowance.settle(report if _has_told_all(result) else None)
+        if not isinstance(result, Broken):
+            # Otherwise the peer has failed, and its servers may be sound.
+            self._exclude_reached()
         return result
 
     async def resume_held(self, held: SentRequest) -> AttemptResult:
@@ -317,6 +331,10 @@
         )
         self.sent_to.add(server.key)
         self._allowance.record_sent(short_server_id(server.key))
+        if self._metadata.grant is not None and self._progress.has_begun:
+            # The router that granted it must know even if this one ends meanwhile.
+            report = self._allowance.report()
+            self._progress.send_to_router(dispatcher.binding.grant_event(report))
         self._responder.n_servers = len(self.sent_to)
         sent_at_ms = dispatcher.now_ms
         self._responder.record_sent(sent_at_ms)
@@ -475,5 +493,22 @@
         self._evaluate(sent, Broken(failure=failure), is_expired=True)
 
 
+def _has_told_all(result: AttemptResult) -> bool:
+    """Return whether a peer has told of all servers that a request reached.
+
+    Notes
+    -----
+    The head of its answer tells of those before, a stream of each further one before
+    this one gets the request. A peer that falls silent may have sent that in vain.
+    """
+    match result:
+        case CompleteAnswer() | StreamEnded() | NotRun():
+            return True
+        case Broken(failure=failure):
+            return failure.kind in (FailureKind.CLOSED, FailureKind.RESET)
+        case _:
+            return False
+
+
 def _ignore_events() -> None:
     """Leave the record of the stream's version to the peer."""
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -67,8 +67,11 @@
         Extracts metadata from the headers of an answer of another router.
     peer_headers : callable
         Builds the headers of a request to another router.
-    grant_headers : callable
-        Builds the headers that tell another router about the servers of a request.
+    read_peer_events : callable
+        Splits events of another router into those for the caller and what it tells.
+    grant_headers, grant_event : callable
+        Build the headers, or the part of a stream, that tell another router about the
+        servers of a request.
     store : BaseStoreClient
         Client of the store.
     """
@@ -82,5 +85,7 @@
     server_headers: ServerHeaders
     read_peer_answer: Callable[[AnswerHead], AnswerMetadata]
     peer_headers: PeerHeaders
+    read_peer_events: Callable[[bytes], tuple[bytes, ServerGrant | None]]
     grant_headers: Callable[[ServerGrant], Headers]
+    grant_event: Callable[[ServerGrant], bytes]
     store: BaseStoreClient
--- a/damaskrill/platform/_binding.py
+++ b/damaskrill/platform/_binding.py
@@ -5,11 +5,13 @@
 from damaskrill.gateway import PlatformBinding
 from damaskrill.platform._headers import (
     READINESS_PATH,
+    grant_event,
     grant_headers,
     is_server_answer,
     peer_headers,
     read_answer,
     read_peer_answer,
+    read_peer_events,
     read_request,
     server_headers,
 )
@@ -33,6 +35,8 @@
         server_headers=server_headers,
         read_peer_answer=read_peer_answer,
         peer_headers=peer_headers,
+        read_peer_events=read_peer_events,
         grant_headers=grant_headers,
+        grant_event=grant_event,
         store=PlatformStore(reactor=reactor, address=address),
     )
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -1,6 +1,7 @@
 """Headers of the platform's requests and answers."""
 
 import math
+import re
 
 from attrs import evolve
 
@@ -16,11 +17,13 @@
 
 __all__ = [
     "READINESS_PATH",
+    "grant_event",
     "grant_headers",
     "is_server_answer",
     "peer_headers",
     "read_answer",
     "read_peer_answer",
+    "read_peer_events",
     "read_request",
     "server_headers",
 ]
@@ -44,6 +47,11 @@
 # of those that it has reached. Named in Connection, so that no router passes it on.
 SERVER_GRANT = b"damaskrill-router-servers"
 CONNECTION = b"Connection"
+# The same within a stream: a comment, which is no event for callers.
+GRANT_COMMENT = b": " + SERVER_GRANT
+GRANT_COMMENTS = re.compile(
+    rb"(?:\A|(?<=\n\n)|(?<=\r\n\r\n))" + re.escape(GRANT_COMMENT) + rb"([0-9 ]*)\n\n"
+)
 # Statuses with which a router promises that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Headers that only backend servers send.
@@ -106,7 +114,9 @@
         resumed_request_id=headers.get(RESUMED_REQUEST, b"").decode("latin-1"),
         is_relayed=RELAYED in headers,
         min_text_version=_read_number(headers.get(RELAYED, b"")) or 0,
-        grant=_read_grant(headers.get(SERVER_GRANT, b"")),
+        grant=_read_grant(headers.get(SERVER_GRANT, b""))
+        if RELAYED in headers
+        else None,
     )
 
 
@@ -205,9 +215,27 @@
 
 def grant_headers(grant: ServerGrant) -> Headers:
     """Return the headers that tell another router about the servers of a request."""
-    numbers = (grant.n_left, *grant.reached)
-    value = b" ".join(b"%d" % each for each in numbers)
-    return ((SERVER_GRANT, value), (CONNECTION, SERVER_GRANT))
+    return ((SERVER_GRANT, _write_grant(grant)), (CONNECTION, SERVER_GRANT))
+
+
+def grant_event(grant: ServerGrant) -> bytes:
+    """Return what tells another router the same within a stream."""
+    return b"%b %b\n\n" % (GRANT_COMMENT, _write_grant(grant))
+
+
+def read_peer_events(events: bytes) -> tuple[bytes, ServerGrant | None]:
+    """Return the events for the caller, and what the peer has told last.
+
+    Parameters
+    ----------
+    events : bytes
+        Complete events.
+    """
+    if GRANT_COMMENT not in events:
+        return events, None
+    values = GRANT_COMMENTS.findall(events)
+    grant = _read_grant(values[-1]) if values else None
+    return GRANT_COMMENTS.sub(b"", events), grant
 
 
 def read_peer_answer(head: AnswerHead) -> AnswerMetadata:
@@ -289,6 +317,10 @@
     return [each for each in numbers if each is not None]
 
 
+def _write_grant(grant: ServerGrant) -> bytes:
+    return b" ".join(b"%d" % each for each in (grant.n_left, *grant.reached))
+
+
 def _read_grant(value: bytes) -> ServerGrant | None:
     numbers = [_read_number(each) for each in value.split()]
     known = [each for each in numbers if each is not None]
--- a/damaskrill/steering/_server_allowance.py
+++ b/damaskrill/steering/_server_allowance.py
@@ -43,7 +43,7 @@
     each router counted for itself, a request would reach up to the square of its limit.
 
     What is left goes to one peer at a time, which says in its answer what it has spent.
-    A peer that breaks off, or that says nothing, has spent all of it.
+    A peer of which this is not known has spent all of it.
     """
 
     def __init__(self, *, grant: ServerGrant | None = None) -> None:
@@ -97,25 +97,19 @@
         self._n_lent = self.n_left
         return grant
 
-    def settle(self, report: ServerGrant | None, *, is_complete: bool) -> None:
+    def settle(self, report: ServerGrant | None) -> None:
         """Take back what a peer has not spent.
 
         Parameters
         ----------
         report : ServerGrant or None
-            What the peer has told; None if nothing.
-        is_complete : bool
-            Whether it told so at the end. One that broke off later may have spent all.
+            What the peer has told in the end; None if it is not known.
         """
         if report is None:
             return
-        n_before = len(self._reached)
         self._reached.update(report.reached)
-        n_spent = len(self._reached) - n_before
-        self._n_lent = max(0, self._n_lent - n_spent)
-        if is_complete:
-            self._n_lent = 0
-            self._limit = min(self._limit, len(self._reached) + report.n_left)
+        self._n_lent = 0
+        self._limit = min(self._limit, len(self._reached) + report.n_left)
 
     def exhaust(self) -> None:
         """Allow no further server at any router."""
--- a/features/gateway_server_limit.feature
+++ b/features/gateway_server_limit.feature
@@ -42,6 +42,8 @@
     And the engines break half of the streams off <where>
     And each gateway gets 10 checks a second for 4 s
     Then no check has run on more than 2 servers
+    And the line of the router that got a check tells how many servers it reached
+    And callers get nothing but events, each once and in order
 
     Examples:
       | where               |
@@ -74,7 +76,6 @@
       | 2     | lent, told left 2 of                    | 0     | 2    |
       | 2     | lent, told left 0 of 5 6                | 2     | 0    |
       | 2     | lent, silent                            | 2     | 0    |
-      | 3     | lent, broken left 2 of 5                | 3     | 0    |
       | 3     | sent 5, lent, told left 1 of 5 6        | 2     | 1    |
       | 3     | sent 5, lent, told left 3 of 5 6        | 2     | 1    |
       | 3     | sent 5, exhausted                       | 1     | 0    |
@@ -98,6 +99,18 @@
       | sent 5           | knows no grants      | not get |
       | sent 5, sent 6   | keeps to its grant   | not get |
 
+  Scenario Outline: what a peer tells within a stream is not forwarded
+    When a peer sends <stream>
+    Then the caller gets <events>, and the grant is read as <grant>
+
+    Examples:
+      | stream           | events    | grant         |
+      | 1                | 1         | unknown       |
+      | told 0 5 9       | nothing   | left 0 of 5 9 |
+      | 1, told 1 5, 2   | 1, 2      | left 1 of 5   |
+      | told 1 5, told 0 5 9, 3 | 3  | left 0 of 5 9 |
+      | data like told 0 5 | data like told 0 5 | unknown |
+
   Scenario Outline: what a router tells about servers is read as it was written
     When the header <value> comes with a relayed request
     Then the grant is read as <grant>
--- a/features/steps/gateway_server_limit_steps.py
+++ b/features/steps/gateway_server_limit_steps.py
@@ -6,8 +6,13 @@
 from behave import given, then, when
 
 from damaskrill.fakes.platform import Misbehaviour
+from damaskrill.fakes.platform._raw_answers import build_event
 from damaskrill.http1 import CallerRequest
-from damaskrill.platform._headers import read_request
+from damaskrill.platform._headers import (
+    grant_event,
+    read_peer_events,
+    read_request,
+)
 from damaskrill.steering import ServerAllowance, ServerGrant
 from features.steps.gateway_cut_path_steps import send_one, served_share
 from features.steps.gateway_path_steps import start_testbed
@@ -169,8 +174,8 @@
     assert n_repeats <= n_allowed, f"{n_repeats} of {n_allowed}"
 
 
-@then("the line of the router that got a read tells how many servers it reached")
-def step_lines(context):
+@then("the line of the router that got a {kind:w} tells how many servers it reached")
+def step_lines(context, kind):
     lines = {
         line["request_id"]: line
         for log in context.testbed.logs
@@ -228,12 +233,11 @@
         case ["lent"]:
             allowance.lend()
         case ["silent"]:
-            allowance.settle(None, is_complete=False)
+            allowance.settle(None)
         case ["exhausted"]:
             allowance.exhaust()
-        case [told, *_]:
-            grant = parse_grant(event)
-            allowance.settle(grant, is_complete=told == "told")
+        case ["told", *_]:
+            allowance.settle(parse_grant(event))
 
 
 @then("it has reached {spent:d} servers and may reach {left:d} more")
@@ -287,3 +291,50 @@
     ]
     found = lines[-1]["n_servers_in_all"], lines[-1]["max_servers"]
     assert found == (n, limit), lines
+
+
+@then("callers get nothing but events, each once and in order")
+def step_events(context):
+    streams = [each for each in context.results if each[2].status == 200]
+    for _, _, reply in streams:
+        n_events = reply.body.count(b"\n\n")
+        assert reply.body == b"".join(build_event(n + 1) for n in range(n_events))
+    # Some of them went on at another server behind a peer.
+    cut = context.testbed.gateways[:2]
+    assert any(
+        reply.is_complete
+        and gateway in cut
+        and len(servers_of(context, reply.request_id)) == 2
+        for gateway, _, reply in streams
+    )
+
+
+def build_stream(text):
+    """Return the bytes of a stream that a text like "1, told 0 5, 2" describes."""
+    parts = []
+    for part in text.split(", "):
+        match part.split():
+            case ["nothing"]:
+                pass
+            case ["told", *numbers]:
+                grant = ServerGrant(
+                    n_left=int(numbers[0]), reached=tuple(int(n) for n in numbers[1:])
+                )
+                parts.append(grant_event(grant))
+            case ["data", "like", *_]:
+                event = grant_event(ServerGrant(n_left=0, reached=(5,)))
+                parts.append(b"id: 1\ndata" + event)
+            case [number]:
+                parts.append(b"id: %b\ndata: x\n\n" % number.encode())
+    return b"".join(parts)
+
+
+@when("a peer sends {stream}")
+def step_peer_sends(context, stream):
+    context.read = read_peer_events(build_stream(stream))
+
+
+@then("the caller gets {events}, and the grant is read as {grant}")
+def step_caller_gets(context, events, grant):
+    expected = None if grant == "unknown" else parse_grant(grant)
+    assert context.read == (build_stream(events), expected), context.read
