--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -10,15 +10,13 @@
     Attempt,
     AttemptResult,
     Broken,
-    CompleteAnswer,
-    NotRun,
     Stalled,
-    StreamEnded,
     StreamProgress,
 )
 from damaskrill.gateway._attempt_records import AttemptRecords
 from damaskrill.gateway._buffers import AnswerBuffer
 from damaskrill.gateway._peer_relay import peer_key
+from damaskrill.gateway._peer_report import PeerReport
 from damaskrill.gateway._responder import Responder
 from damaskrill.gateway._sent_request import SentRequest
 from damaskrill.http1 import (
@@ -31,11 +29,9 @@
 )
 from damaskrill.mesh import MemberEntry
 from damaskrill.steering import (
-    AnswerMetadata,
     CrashGuard,
     RequestMetadata,
     ServerAllowance,
-    ServerGrant,
     ServerOutcome,
     ServerRequirements,
     short_server_id,
@@ -227,26 +223,15 @@
         if connection is None:
             return None
         is_stream = context.route.kind is RequestKind.STREAM
-        report: ServerGrant | None = None
-
-        def read_events(events: bytes) -> bytes:
-            nonlocal report
-            events, told = dispatcher.binding.read_peer_events(events)
-            report = told or report
-            return events
-
-        def read_metadata(metadata: AnswerMetadata) -> None:
-            nonlocal report
-            report = metadata.grant
-
+        report = PeerReport(dispatcher.binding.read_peer_events)
         attempt = Attempt(
             request_id=self._metadata.request_id,
             read_answer=dispatcher.binding.read_peer_answer,
             progress=self._progress if is_stream else None,
-            on_metadata=read_metadata,
+            on_metadata=report.read_metadata,
             on_forward=_ignore_events,
             buffer=AnswerBuffer(budget=dispatcher.buffer_budget),
-            read_events=read_events,
+            read_events=report.read_events,
         )
         headers = dispatcher.binding.peer_headers(
             self._request,
@@ -263,7 +248,7 @@
         finally:
             if not attempt.has_ended:
                 connection.abort()
-        self._allowance.settle(report if _has_told_all(result) else None)
+        self._allowance.settle(report.find_grant(result))
         if not isinstance(result, Broken):
             # Otherwise the peer has failed, and its servers may be sound.
             self._exclude_reached()
@@ -493,22 +478,5 @@
         self._evaluate(sent, Broken(failure=failure), is_expired=True)
 
 
-def _has_told_all(result: AttemptResult) -> bool:
-    """Return whether a peer has told of all servers that a request reached.
-
-    Notes
-    -----
-    The head of its answer tells of those before, a stream of each further one before
-    this one gets the request. A peer that falls silent may have sent that in vain.
-    """
-    match result:
-        case CompleteAnswer() | StreamEnded() | NotRun():
-            return True
-        case Broken(failure=failure):
-            return failure.kind in (FailureKind.CLOSED, FailureKind.RESET)
-        case _:
-            return False
-
-
 def _ignore_events() -> None:
     """Leave the record of the stream's version to the peer."""
--- a/features/gateway_server_limit.feature
+++ b/features/gateway_server_limit.feature
@@ -99,6 +99,19 @@
       | sent 5           | knows no grants      | not get |
       | sent 5, sent 6   | keeps to its grant   | not get |
 
+  Scenario Outline: what a peer has spent is known by how its connection ends
+    When a peer tells 1 5 in the head and 0 5 9 in the stream, which ends <how>
+    Then what it has spent is <known>
+
+    Examples:
+      | how       | known   |
+      | complete  | known   |
+      | closed    | known   |
+      | reset     | known   |
+      | silent    | unknown |
+      | stalled   | unknown |
+      | malformed | unknown |
+
   Scenario Outline: what a peer tells within a stream is not forwarded
     When a peer sends <stream>
     Then the caller gets <events>, and the grant is read as <grant>
--- a/features/steps/gateway_server_limit_steps.py
+++ b/features/steps/gateway_server_limit_steps.py
@@ -7,13 +7,15 @@
 
 from damaskrill.fakes.platform import Misbehaviour
 from damaskrill.fakes.platform._raw_answers import build_event
-from damaskrill.http1 import CallerRequest
+from damaskrill.gateway._attempt import Broken, StreamEnded
+from damaskrill.gateway._peer_report import PeerReport
+from damaskrill.http1 import CallerRequest, ExchangeFailure, FailureKind
 from damaskrill.platform._headers import (
     grant_event,
     read_peer_events,
     read_request,
 )
-from damaskrill.steering import ServerAllowance, ServerGrant
+from damaskrill.steering import AnswerMetadata, ServerAllowance, ServerGrant
 from features.steps.gateway_cut_path_steps import send_one, served_share
 from features.steps.gateway_path_steps import start_testbed
 from features.steps.gateway_upgrade_steps import by_build
@@ -338,3 +340,21 @@
 def step_caller_gets(context, events, grant):
     expected = None if grant == "unknown" else parse_grant(grant)
     assert context.read == (build_stream(events), expected), context.read
+
+
+@when("a peer tells 1 5 in the head and 0 5 9 in the stream, which ends {how}")
+def step_peer_ends(context, how):
+    report = PeerReport(read_peer_events)
+    report.read_metadata(AnswerMetadata(grant=parse_grant("left 1 of 5")))
+    context.grant = parse_grant("left 0 of 5 9")
+    event = build_event(1)
+    assert report.read_events(event + grant_event(context.grant)) == event
+    result = StreamEnded()
+    if how != "complete":
+        result = Broken(failure=ExchangeFailure(kind=FailureKind(how), reason="end"))
+    context.found = report.find_grant(result)
+
+
+@then("what it has spent is {known}")
+def step_known(context, known):
+    assert context.found == (context.grant if known == "known" else None)
