--- a/damaskrill/explain/_sentences.py
+++ b/damaskrill/explain/_sentences.py
@@ -191,8 +191,12 @@
     return f"Router {line.router}: {name}{_format_reason(line)}.{_format_detail(line)}"
 
 
+def _find_ends(chain: RequestChain) -> list[LogLine]:
+    return [each for each in chain.lines if each.event == "request_ended"]
+
+
 def _describe_outcome(chain: RequestChain) -> str:
-    ended = [each for each in chain.lines if each.event == "request_ended"]
+    ended = _find_ends(chain)
     if not ended:
         return (
             "Outcome: the given logs do not contain its end. It may still be running, "
@@ -209,7 +213,7 @@
 
 
 def _describe_servers(chain: RequestChain) -> list[str]:
-    ended = [each for each in chain.lines if each.event == "request_ended"]
+    ended = _find_ends(chain)
     limits = [each.max_servers for each in ended if each.max_servers]
     if not limits:
         return []
@@ -223,7 +227,7 @@
 
 
 def _describe_causes(chain: RequestChain) -> list[str]:
-    ended = [each for each in chain.lines if each.event == "request_ended"]
+    ended = _find_ends(chain)
     causes = ended[-1].causes if ended else ()
     if not causes:
         return []
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -260,8 +260,11 @@
         await asyncio.sleep(self._work_ms / 1_000)
         await self._answer(connection, request_id, headers)
 
+    def _draw_is_spared(self) -> bool:
+        return self._random.random() >= self.failure_share
+
     def _fails_as(self, misbehaviour: Misbehaviour) -> bool:
-        is_spared = self._random.random() >= self.failure_share
+        is_spared = self._draw_is_spared()
         return self.misbehaviour is misbehaviour and not is_spared
 
     @property
@@ -326,7 +329,7 @@
             await asyncio.sleep(CRASH_DELAY_MS / 1_000)
             self._crash()
             return
-        is_spared = self._random.random() >= self.failure_share
+        is_spared = self._draw_is_spared()
         for number in range(first, self._n_events + 1):
             await asyncio.sleep(self._event_ms / 1_000)
             event = build_event(number)
--- a/damaskrill/soak/_injection.py
+++ b/damaskrill/soak/_injection.py
@@ -171,14 +171,14 @@
                 self._fail_store(fault, STORE_FAULTS[fault.kind])
             case FaultKind.STORE_CUT:
                 self._fail_link(fault, self._store_proxy, LinkMode.SILENT)
+            case FaultKind.CUT_PATH:
+                self.servers.fail_requests(fault)
+                self._path_cuts.begin(fault)
             case FaultKind.RESTORE_STORE:
                 self._restore_store(fault)
             case _:
-                if self.servers.inject(fault):
-                    return
-                if fault.kind is FaultKind.CUT_PATH:
-                    self._path_cuts.begin(fault)
-                else:
+                is_server_fault = self.servers.inject(fault)
+                if not is_server_fault:
                     self._inject_link_fault(fault)
 
     def _record_router(self, number: int, duration_s: float) -> None:
--- a/damaskrill/soak/_server_faults.py
+++ b/damaskrill/soak/_server_faults.py
@@ -132,9 +132,6 @@
                 self._schedule.call_later(
                     fault.duration_s, lambda: _restore_framing(server)
                 )
-            case FaultKind.CUT_PATH:
-                self._fail_requests(fault)
-                return False
             case FaultKind.STATE_LIMIT:
                 self._state_limit(fault)
             case FaultKind.FATAL_PART:
@@ -154,7 +151,8 @@
         self._disruptions.record_server(server.server_id, now, ends_at)
         self._schedule.call_later(fault.duration_s, lambda: _clear_misbehaviour(server))
 
-    def _fail_requests(self, fault: Fault) -> None:
+    def fail_requests(self, fault: Fault) -> None:
+        """Let all sound servers fail a share of their requests."""
         for server_id, entry in self._fleet.entries.items():
             server = self._fleet.find(server_id)
             if server.misbehaviour is Misbehaviour.NONE:
