Show that streams go on at another version after all routers were killed

Case review/4 of the independent review: the store has discarded its history after a release, all routers are killed, and streams that began at the old version go on at the new one.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 cd "$(dirname "$0")/.." || exit 2
 PYTHONPATH=target/deps:. exec python3 -c "
 import damaskrill.fakes.platform
-import review.client, review.deployment, review.server
+import review.client, review.deployment, review.server, review.streams
 "
--- a/review/server.py
+++ b/review/server.py
@@ -98,6 +98,8 @@
     n_queue: int = 16
     work_s: float = 0.05
     born: int = 1_000
+    port: int = 0
+    on_crash: "Callable[[Server], None]" = lambda server: None
     runs: Counter[str] = field(factory=Counter)
     received: list[tuple[str, dict[str, str]]] = field(factory=list)
     address: tuple[str, int] = ("", 0)
@@ -108,10 +110,10 @@
     _connections: list[Connection] = field(factory=list)
 
     async def start(self) -> None:
-        """Listen on a free port."""
+        """Listen on its port, or on a free one."""
         self._slots = asyncio.Semaphore(self.n_slots)
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._connect, self.host, 0)
+        self._listener = await loop.create_server(self._connect, self.host, self.port)
         self.address = self._listener.sockets[0].getsockname()
 
     def stop(self) -> None:
