--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,13 +10,13 @@
 from review.deployment import HAS_TROUBLE, Deployment, play
 from review.server import Connection, Server
 
-ZONES = ["bole", "kality", "sululta", "bole", "kality"]
-N_SERVERS, N_FAULTY = 3, 2
+ZONES = ["bole", "kality", "sululta", "bole", "kality", "sululta", "bole"]
+N_SERVERS, N_FAULTY = 5, 3
 # The dose of the site abay-spec: garble "extra late" with x = 0.03 for 5 s, and a burst
-# of 1.7 times the usual traffic. Both come eight times.
+# of 1.7 times the usual traffic. Both come ten times.
 SHARE_COPIED = 0.03
-N_BURSTS, BURST_S, CALM_S = 8, 5.0, 3.0
-USUAL_PER_S, BURST_FACTOR = 55, 1.7
+N_BURSTS, BURST_S, CALM_S = 10, 5.0, 2.0
+USUAL_PER_S, BURST_FACTOR = 175, 1.7
 DEADLINE_MS = 1_500
 NOT_RUN = (408, 421, 429, 503)
 
@@ -59,9 +59,9 @@
             server_id=f"i-{number}",
             service="app",
             host=deployment.next_host(),
-            n_slots=2,
+            n_slots=3,
             n_queue=2,
-            work_s=0.09,
+            work_s=0.06,
         )
         for number in range(N_SERVERS)
     ]
