Conclude from the absence of a record only where it would have been kept

Cause: the router that begins a stream beside two versions told two others. With all three gone, the others took the absence of a record for proof that the stream had begun before the second version came. `choose_origin` counted that conclusion from any router that had watched the servers for long enough, whether or not it would have been told of the stream.

A router concludes from the absence of a record only if it was told of all such streams: it is linked to all routers that were known lately and all of them tell all, or it ranks among the first two of all routers that were known lately, which were told in any view in between. In a large fleet one router of each data centre has to say so. Queries carry the attempt's ID and replies say whether only one version has served; conclusions of the former build, which says neither, don't count. Anything else is refused at once as not run, as before.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -186,6 +186,7 @@
             1,
             settings.caller_address[1],
             keeps_grants=True,
+            tells_all=True,
         )
         self._catalog = Catalog(report=self._log.write)
         self._replica = FeedReplica(is_retained=self._binding.is_operator_item)
@@ -214,6 +215,8 @@
             catalog=self._catalog,
             own_address=own.address,
             rank_keepers=self._members.rank_keepers,
+            find_told=self._members.find_told,
+            find_told_since=lambda key: self._mesh.find_told_since(key),
             send=lambda address, message: self._mesh.send_message(address, message),
             read_history=self._read_server_history,
         )
@@ -244,6 +247,7 @@
             reports=self._reports,
             needs_fresh_loads=lambda: self._catalog.has_major_capacity_loss,
             handle_message=self._streams.handle_message,
+            handle_link=self._streams.greet,
             report=self._log.write,
         )
         self._reader = FeedReader(
--- a/damaskrill/gateway/_stream_versions.py
+++ b/damaskrill/gateway/_stream_versions.py
@@ -4,12 +4,23 @@
 import itertools
 from collections.abc import Awaitable, Callable
 
-from attrs import field, frozen
+from attrs import define, field
 
 from damaskrill.catalog import BackendServer, Catalog
 from damaskrill.gateway._server_history import ServerHistory
-from damaskrill.mesh import Message, StreamNotice, StreamQuery, StreamReply
-from damaskrill.steering import OriginEvidence, StreamOrigins, choose_origin
+from damaskrill.mesh import (
+    Message,
+    StreamNotice,
+    StreamQuery,
+    StreamRecords,
+    StreamReply,
+)
+from damaskrill.steering import (
+    OriginEvidence,
+    StreamOrigins,
+    choose_origin,
+    is_absence_confirmed,
+)
 from damaskrill.utils import hash_to_int, monotonic_now_ms
 
 __all__ = ["StreamVersions"]
@@ -20,8 +31,6 @@
 NEXT_GROUP_MS = 150
 # Time after which a history that could not be read is sought again.
 HISTORY_RETRY_MS = 2_000
-# Routers that are told of a stream.
-N_TOLD = 2
 
 
 class StreamVersions:
@@ -35,6 +44,10 @@
         Address at which other routers reach this one.
     rank_keepers : callable
         Returns the routers that may keep a record, by group, the own group first.
+    find_told : callable
+        Returns the routers that are told of a stream.
+    find_told_since : callable
+        Returns the time since which this router is told of each stream of an attempt.
     send : callable
         Sends a message to the router with an address.
     read_history : callable
@@ -48,12 +61,16 @@
         catalog: Catalog,
         own_address: str,
         rank_keepers: Callable[[str], list[list[str]]],
+        find_told: Callable[[str], list[str]],
+        find_told_since: Callable[[str], float],
         send: Callable[[str, Message], None],
         read_history: Callable[[], Awaitable[ServerHistory | None]],
     ) -> None:
         self._catalog = catalog
         self._own_address = own_address
         self._rank_keepers = rank_keepers
+        self._find_told = find_told
+        self._find_told_since = find_told_since
         self._send = send
         self._read_history = read_history
         self._history: asyncio.Task[None] | None = None
@@ -100,11 +117,7 @@
             return
         stream = hash_to_int(stream_id)
         self._origins.record(stream, origin, now_ms)
-        own_group = self._rank_keepers(stream_id)[0]
-        others = [each for each in own_group if each != self._own_address]
-        # A router that resumes the stream asks one more than are told, as it cannot
-        # know whether the router that began it is among the first.
-        for address in others[:N_TOLD]:
+        for address in self._find_told(stream_id):
             self._send(address, StreamNotice(stream=stream, origin=origin))
 
     async def find_origin(self, stream_id: str, service: str) -> int | None:
@@ -118,11 +131,16 @@
             Service of the route that resumes it.
         """
         self._observe(service)
-        stream = hash_to_int(stream_id)
-        own = self._origins.find(stream, service, monotonic_now_ms())
+        own = self._find(stream_id, service)
         if self._origins.is_certain(service, own):
             return own.origin
-        query = _Query(stream=stream, service=service)
+        min_observed_ms = self._origins.max_age_ms
+        query = _Query(
+            stream_id=stream_id,
+            service=service,
+            own=own,
+            min_observed_ms=min_observed_ms,
+        )
         # A store that does not answer must not delay the answer of a peer, and the
         # other way round.
         work = [self._learn_history(service)]
@@ -133,10 +151,21 @@
         finally:
             for number in query.replies:
                 del self._replies[number]
-        own = self._origins.find(stream, service, monotonic_now_ms())
         if not stream_id and self._origins.is_mixed(service):
             return None
-        return choose_origin([own, *query.evidence], self._origins.max_age_ms)
+        query.own = self._find(stream_id, service)
+        return query.choose_origin()
+
+    def greet(self, address: str) -> None:
+        """Send all records to a router to which a link has been opened.
+
+        Notes
+        -----
+        It has just started, or it has not been told of all streams meanwhile.
+        """
+        records = tuple(self._origins.records(monotonic_now_ms()))
+        if records:
+            self._send(address, StreamRecords(records=records))
 
     def retry_after_ms(self, service: str) -> int | None:
         """Return after which time the caller of an unknown stream may come back.
@@ -180,34 +209,42 @@
         match message:
             case StreamNotice(stream=stream, origin=origin):
                 self._origins.record(stream, origin, now_ms)
+            case StreamRecords(records=records):
+                self._origins.add_records(records, now_ms)
             case StreamQuery(number=number, stream=stream, service=service):
-                found = self._origins.find(stream, service, now_ms)
+                found = self._find(message.stream_id, service, stream=stream)
                 reply = StreamReply(
                     number=number,
                     origin=found.origin,
                     is_recorded=found.is_recorded,
                     observed_ms=found.observed_ms,
+                    is_sole=found.is_sole,
                 )
                 self._send(source, reply)
             case StreamReply(number=number):
                 future = self._replies.get(number)
                 if future is not None and not future.done():
-                    future.set_result(
-                        OriginEvidence(
-                            origin=message.origin,
-                            is_recorded=message.is_recorded,
-                            observed_ms=message.observed_ms,
-                        )
-                    )
+                    future.set_result(_to_evidence(message))
 
     def _observe(self, service: str) -> None:
         servers = self._catalog.find_all_servers(service)
         self._origins.observe(service, servers, monotonic_now_ms())
 
+    def _find(
+        self, stream_id: str, service: str, *, stream: int | None = None
+    ) -> OriginEvidence:
+        return self._origins.find(
+            hash_to_int(stream_id) if stream is None else stream,
+            service,
+            monotonic_now_ms(),
+            told_since_ms=self._find_told_since(stream_id),
+        )
+
     async def _ask_groups(self, query: "_Query", groups: list[list[str]]) -> None:
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + REPLY_TIMEOUT_MS / 1_000
         for group in groups:
+            query.groups.append([])
             for address in group:
                 if address != self._own_address:
                     self._ask(query, address)
@@ -216,24 +253,46 @@
             await query.wait(min(next_at, ends_at))
             if query.has_record:
                 return
-        await query.wait(ends_at)
+        if query.choose_origin() is None:
+            await query.wait(ends_at)
 
     def _ask(self, query: "_Query", address: str) -> None:
         number = next(self._numbers)
         future: asyncio.Future[OriginEvidence]
         future = asyncio.get_running_loop().create_future()
         query.replies[number] = self._replies[number] = future
-        message = StreamQuery(number=number, stream=query.stream, service=query.service)
+        query.groups[-1].append(future)
+        message = StreamQuery(
+            number=number,
+            stream=hash_to_int(query.stream_id),
+            service=query.service,
+            stream_id=query.stream_id,
+        )
         self._send(address, message)
 
 
-@frozen(kw_only=True, eq=False)
+def _to_evidence(reply: StreamReply) -> OriginEvidence:
+    # Routers of earlier builds conclude from the absence of a record without having
+    # been told of all streams.
+    is_known = reply.is_recorded or reply.is_sole is not None
+    return OriginEvidence(
+        origin=reply.origin if is_known else None,
+        is_recorded=reply.is_recorded,
+        observed_ms=reply.observed_ms,
+        is_sole=bool(reply.is_sole),
+    )
+
+
+@define(kw_only=True, eq=False)
 class _Query:
-    """Query for the origin of a stream, and the replies to it."""
+    """Query for the origin of a stream, and the replies to it, by group of routers."""
 
-    stream: int
+    stream_id: str
     service: str
+    own: OriginEvidence
+    min_observed_ms: float
     replies: dict[int, "asyncio.Future[OriginEvidence]"] = field(factory=dict)
+    groups: list[list["asyncio.Future[OriginEvidence]"]] = field(factory=list)
 
     @property
     def evidence(self) -> list[OriginEvidence]:
@@ -245,6 +304,17 @@
         """Whether a router has a record of the stream."""
         return any(each.is_recorded for each in self.evidence)
 
+    def choose_origin(self) -> int | None:
+        """Return the origin that follows from what is known so far."""
+        groups = [
+            [each.result() for each in group if each.done()] for group in self.groups
+        ]
+        # This router belongs to the first group.
+        groups[:1] = [[self.own, *replies] for replies in groups[:1]]
+        is_absent = is_absence_confirmed(groups, self.min_observed_ms)
+        evidence = [self.own, *self.evidence]
+        return choose_origin(evidence, self.min_observed_ms, is_absent=is_absent)
+
     async def wait(self, ends_at: float) -> None:
         """Wait until a router has a record, all have replied, or time is over."""
         loop = asyncio.get_running_loop()
--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -15,7 +15,13 @@
 )
 from damaskrill.mesh._members import MemberTable
 from damaskrill.mesh._mesh import Mesh
-from damaskrill.mesh._messages import Message, StreamNotice, StreamQuery, StreamReply
+from damaskrill.mesh._messages import (
+    Message,
+    StreamNotice,
+    StreamQuery,
+    StreamRecords,
+    StreamReply,
+)
 from damaskrill.mesh._reader_role import ReaderRole
 from damaskrill.mesh._reports import ReportExchange
 
@@ -34,6 +40,7 @@
     "ReportExchange",
     "StreamNotice",
     "StreamQuery",
+    "StreamRecords",
     "StreamReply",
     "Suspicion",
     "Update",
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -15,6 +15,7 @@
     Message,
     StreamNotice,
     StreamQuery,
+    StreamRecords,
     StreamReply,
     decode_message,
     encode_message,
@@ -52,7 +53,7 @@
 # a router does not know it ignores, and what a peer does not send has a default.
 PROTOCOL_VERSION = 6
 # Kinds of frames in which a field may be invalid.
-KNOWN_KINDS = frozenset("zhdurgfsqa")
+KNOWN_KINDS = frozenset("zhdurgfsqab")
 # Reports of a frame that a peer does not send.
 NO_REPORTS: tuple[Any, ...] = ([], [], [], b"", b"", b"", [], b"", b"", b"", None)
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
@@ -89,6 +90,9 @@
     keeps_grants : bool
         Whether requests of other routers reach no more servers there than these grant.
         Routers of earlier builds do not say so, nor pass it on.
+    tells_all : bool
+        Whether it tells all routers of a small fleet which streams it begins. Routers
+        of earlier builds tell a few, and do not say so.
     """
 
     address: str
@@ -98,6 +102,7 @@
     caller_port: int = 0
     has_path: bool = True
     keeps_grants: bool = False
+    tells_all: bool = False
 
 
 @frozen(kw_only=True)
@@ -266,7 +271,7 @@
             content: list[Any] = ["h", PROTOCOL_VERSION, *astuple(frame.entry)]
         case DirectHello():
             content = ["d", PROTOCOL_VERSION, frame.address]
-        case StreamNotice() | StreamQuery() | StreamReply():
+        case StreamNotice() | StreamQuery() | StreamReply() | StreamRecords():
             content = encode_message(frame)
         case Update():
             at = frame.position
@@ -457,6 +462,7 @@
                 caller_port,
                 has_path,
                 later[:1] == [True],
+                later[1:2] == [True],
             )
         case _:
             raise ValueError("invalid membership entry")
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -1,6 +1,7 @@
 """Membership table of the fleet: liveness, readers of the store and links."""
 
 from collections import Counter
+from collections.abc import Iterable
 
 from attrs import define, evolve
 
@@ -34,10 +35,13 @@
 N_STANDBY_READERS = 4
 # Routers that dial a lost one, as a network partition may have healed.
 N_LOST_DIALLERS = 3
-# Routers of a group that may keep a record, one of which may be the router that begins
-# the stream; and the size from which the routers of a data centre are such a group.
-N_KEEPERS = 3
+# In a large fleet, routers of a group that are told of a stream, and the size from
+# which the routers of a data centre are such a group.
+N_TOLD = 2
 MIN_GROUP = 4
+# Routers of a group that may keep a record, one of which may be the router that begins
+# the stream.
+N_KEEPERS = N_TOLD + 1
 
 
 @define(kw_only=True)
@@ -70,6 +74,8 @@
         # Removed members, oldest first.
         self._removed: dict[str, _Member] = {}
         self._heartbeat_at_ms = 0.0
+        # When some router last told only a few others of its streams.
+        self._tells_few_at_ms = float("-inf")
         self._updated: LatestOrder[str] = LatestOrder()
         self._updated.update(own.address)
         self._n_joins = 0
@@ -119,6 +125,9 @@
 
     def advance_heartbeat(self, now_ms: float) -> None:
         """Increment this router's heartbeat when it is due."""
+        tells_all = all(each.tells_all for each in self.entries())
+        if not (self.is_full_mesh and tells_all):
+            self._tells_few_at_ms = now_ms
         interval_ms = 0.0 if self.is_full_mesh else self.relayed_heartbeat_ms
         if now_ms - self._heartbeat_at_ms >= interval_ms:
             self._increment_heartbeat(now_ms)
@@ -307,15 +316,55 @@
         Returns
         -------
         list of list of str
-            A list for each group of routers, the group of this one first. A router
-            tells the first ones of its own group, so that it needs no links to all.
+            A list for each group of routers, the group of this one first: all routers
+            of a small fleet, in a large one the first ones of each group.
+        """
+        n_keepers = MAX_FULL_MESH if self.is_full_mesh else N_KEEPERS
+        groups = self._groups(self.entries())
+        return [rank_by_rendezvous(key, each)[:n_keepers] for each in groups]
+
+    def find_told(self, key: str) -> list[str]:
+        """Return the routers that are told of a record for a key, without this one.
+
+        Notes
+        -----
+        In a large fleet these are the first ones of its own group, so that a router
+        needs no links to all.
+        """
+        others = [
+            each for each in self.rank_keepers(key)[0] if each != self.own.address
+        ]
+        return others if self.is_full_mesh else others[:N_TOLD]
+
+    def find_told_since(self, key: str) -> float:
+        """Return the time since which this router is told of each record for a key.
+
+        Parameters
+        ----------
+        key : str
+            Key of the record; empty if it is not known.
+
+        Returns
+        -------
+        float
+            Time in milliseconds, as far as this router has lived for so long.
+
+        Notes
+        -----
+        A router that is among the first of all that have been known lately was among
+        the first of those that were known at any time in between.
         """
-        groups: dict[str, list[str]] = {}
-        own = self._group_of(self._own)
-        groups[own] = []
-        for entry in self.entries():
+        lately = [*self.entries(), *(each.entry for each in self._removed.values())]
+        group = self._groups(lately)[0]
+        if key and self._own.address in rank_by_rendezvous(key, group)[:N_TOLD]:
+            return float("-inf")
+        return self._tells_few_at_ms
+
+    def _groups(self, entries: Iterable[MemberEntry]) -> list[list[str]]:
+        groups: dict[str, list[str]] = {self._group_of(self._own): []}
+        for entry in entries:
             groups.setdefault(self._group_of(entry), []).append(entry.address)
-        return [rank_by_rendezvous(key, each)[:N_KEEPERS] for each in groups.values()]
+        return list(groups.values())
 
     def _group_of(self, entry: MemberEntry) -> str:
         # Data centres with few routers form one group.
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -28,7 +28,13 @@
 )
 from damaskrill.mesh._link import Link
 from damaskrill.mesh._members import MemberTable
-from damaskrill.mesh._messages import Message, StreamNotice, StreamQuery, StreamReply
+from damaskrill.mesh._messages import (
+    Message,
+    StreamNotice,
+    StreamQuery,
+    StreamRecords,
+    StreamReply,
+)
 from damaskrill.mesh._replication import FeedReplication
 from damaskrill.mesh._reports import ReportExchange, has_reports
 from damaskrill.steering import KeyCounts
@@ -96,6 +102,9 @@
         Returns whether loads must be published as early as possible.
     handle_message : callable
         Handles a message to this router, given the address of its sender.
+    handle_link : callable
+        Called with the address of a router to which a link has been opened, if the
+        fleet is so small that each router tells all others.
     report : callable
         Logs an event, given its name and fields.
     """
@@ -113,6 +122,7 @@
         reports: ReportExchange,
         needs_fresh_loads: Callable[[], bool],
         handle_message: Callable[[str, Message], None],
+        handle_link: Callable[[str], None],
         report: Callable[..., None],
     ) -> None:
         self._members = members
@@ -127,6 +137,7 @@
         self._reports = reports
         self._needs_fresh_loads = needs_fresh_loads
         self._handle_message = handle_message
+        self._handle_link = handle_link
         self._direct = DirectLinks(
             own_address=members.own.address, handle=handle_message, report=report
         )
@@ -164,6 +175,20 @@
         else:
             self._direct.send(address, message)
 
+    def find_told_since(self, key: str) -> float:
+        """Return the time since which this router is told of each record for a key.
+
+        Returns
+        -------
+        float
+            Time in milliseconds; infinite while a router may not be able to tell.
+        """
+        others = self._members.addresses() - {self._members.own.address}
+        is_linked = not self._lost_at_ms and others <= self._links.keys()
+        if self._members.is_full_mesh and not is_linked:
+            return float("inf")
+        return self._members.find_told_since(key)
+
     async def _run(self, host: str, port: int) -> None:
         async with websockets.asyncio.server.serve(
             self._accept,
@@ -386,6 +411,8 @@
         )
         self._send(link, update)
         self._replication.start(link)
+        if self._members.is_full_mesh:
+            self._handle_link(link.address)
         return link
 
     def _keeps_old(self, old: Link, *, has_dialled: bool, now_ms: float) -> bool:
@@ -422,7 +449,7 @@
             case Goodbye():
                 link.is_released = True
                 self._close_link(link, "link not needed")
-            case StreamNotice() | StreamQuery() | StreamReply():
+            case StreamNotice() | StreamQuery() | StreamReply() | StreamRecords():
                 self._handle_message(link.address, frame)
             case Hello() | DirectHello() | UnknownFrame():
                 pass
--- a/damaskrill/mesh/_messages.py
+++ b/damaskrill/mesh/_messages.py
@@ -1,6 +1,7 @@
 """Messages from one router to another one, encoded as CBOR arrays."""
 
-from typing import Any
+import struct
+from typing import Any, TypeVar
 
 from attrs import frozen
 
@@ -8,11 +9,17 @@
     "Message",
     "StreamNotice",
     "StreamQuery",
+    "StreamRecords",
     "StreamReply",
     "decode_message",
     "encode_message",
 ]
 
+T = TypeVar("T")
+
+# Hash of the attempt, origin and age of a stream.
+RECORD_LAYOUT = struct.Struct("<QII")
+
 
 @frozen(kw_only=True)
 class StreamNotice:
@@ -30,6 +37,20 @@
     origin: int
 
 
+@frozen(kw_only=True)
+class StreamRecords:
+    """Records of streams for a router that may not have been told of them.
+
+    Parameters
+    ----------
+    records : tuple of (int, int, int)
+        Hash of the attempt that began the stream, its origin, and the age of the record
+        in milliseconds.
+    """
+
+    records: tuple[tuple[int, int, int], ...]
+
+
 @frozen(kw_only=True)
 class StreamQuery:
     """Query for the origin of a stream.
@@ -42,11 +63,14 @@
         Hash of the attempt that began the stream.
     service : str
         Service of the route that resumes it.
+    stream_id : str
+        Attempt that began the stream. Routers of earlier builds do not send it.
     """
 
     number: int
     stream: int
     service: str
+    stream_id: str = ""
 
 
 @frozen(kw_only=True)
@@ -63,15 +87,19 @@
         Whether the sender was told of the stream when it began.
     observed_ms : int
         Time for which the sender has known the servers, in milliseconds.
+    is_sole : bool or None
+        Whether only the version of the origin has served, so that no record is needed;
+        None from routers of earlier builds.
     """
 
     number: int
     origin: int | None
     is_recorded: bool
     observed_ms: int
+    is_sole: bool | None = None
 
 
-Message = StreamNotice | StreamQuery | StreamReply
+Message = StreamNotice | StreamQuery | StreamReply | StreamRecords
 
 
 def encode_message(message: Message) -> list[Any]:
@@ -79,11 +107,18 @@
     match message:
         case StreamNotice():
             return ["s", message.stream, message.origin]
+        case StreamRecords():
+            return [
+                "b",
+                b"".join(RECORD_LAYOUT.pack(*each) for each in message.records),
+            ]
         case StreamQuery():
-            return ["q", message.number, message.stream, message.service]
+            fields = [message.number, message.stream, message.service]
+            return ["q", *fields, message.stream_id]
         case StreamReply():
             fields = [message.number, message.origin]
-            return ["a", *fields, message.is_recorded, message.observed_ms]
+            fields += [message.is_recorded, message.observed_ms]
+            return ["a", *fields, message.is_sole]
 
 
 def decode_message(content: Any) -> Message:
@@ -97,21 +132,40 @@
     match content:
         case ["s", int(stream), int(origin), *_]:
             return StreamNotice(stream=stream, origin=origin)
-        case ["q", int(number), int(stream), str(service), *_]:
-            return StreamQuery(number=number, stream=stream, service=service)
+        case ["b", bytes(packed), *_]:
+            return StreamRecords(records=_unpack_records(packed))
+        case ["q", int(number), int(stream), str(service), *later]:
+            return StreamQuery(
+                number=number,
+                stream=stream,
+                service=service,
+                stream_id=_read_optional(later, str) or "",
+            )
         case [
             "a",
             int(number),
             int() | None as origin,
             bool(is_recorded),
             int(observed_ms),
-            *_,
+            *later,
         ]:
             return StreamReply(
                 number=number,
                 origin=origin,
                 is_recorded=is_recorded,
                 observed_ms=observed_ms,
+                is_sole=_read_optional(later, bool),
             )
         case _:
             raise ValueError("unknown type or layout of frame")
+
+
+def _read_optional(later: list[Any], kind: type[T]) -> T | None:
+    """Return the first of the fields that earlier builds do not send."""
+    return later[0] if later and isinstance(later[0], kind) else None
+
+
+def _unpack_records(packed: bytes) -> tuple[tuple[int, int, int], ...]:
+    if len(packed) % RECORD_LAYOUT.size:
+        raise ValueError("length of packed records is not a multiple of their size")
+    return tuple(RECORD_LAYOUT.iter_unpack(packed))
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -50,6 +50,7 @@
     StreamOrigins,
     choose_origin,
     find_origins,
+    is_absence_confirmed,
 )
 
 __all__ = [
@@ -109,6 +110,7 @@
     "cold_start_limit",
     "find_latency_cause",
     "find_origins",
+    "is_absence_confirmed",
     "is_region_allowed",
     "may_retry",
     "may_retry_full",
--- a/damaskrill/steering/_stream_origins.py
+++ b/damaskrill/steering/_stream_origins.py
@@ -1,14 +1,20 @@
 """Software versions at which streams began, and where they may go on."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from attrs import define, field, frozen
 
 from damaskrill.catalog import BackendServer
 from damaskrill.steering._gossip import short_id
 
-__all__ = ["OriginEvidence", "StreamOrigins", "choose_origin", "find_origins"]
+__all__ = [
+    "OriginEvidence",
+    "StreamOrigins",
+    "choose_origin",
+    "find_origins",
+    "is_absence_confirmed",
+]
 
 # Bounds the memory for records: at the largest fleets a router keeps about 50 a second.
 MAX_RECORDS = 20_000
@@ -65,15 +71,56 @@
         Whether the router was told of the stream when it began.
     observed_ms : int
         Time for which the router has known the servers, in milliseconds.
+    is_sole : bool
+        Whether only the version of the origin has served. Otherwise the origin is that
+        of streams from before the second version, and follows from the absence of a
+        record, which any router may have that was told of the stream.
     """
 
     origin: int | None = None
     is_recorded: bool = False
     observed_ms: int = 0
+    is_sole: bool = False
+
+    @property
+    def is_by_absence(self) -> bool:
+        """Whether the origin follows from the absence of a record."""
+        return self.origin is not None and not (self.is_recorded or self.is_sole)
+
+
+def is_absence_confirmed(
+    groups: Iterable[Iterable[OriginEvidence]], min_observed_ms: float = 0.0
+) -> bool:
+    """Return whether no router can have been told of a stream.
+
+    Parameters
+    ----------
+    groups : iterable of iterable of OriginEvidence
+        For each group of routers that tell each other, what those that have replied
+        know. A router concludes from the absence of a record only if it was told of all
+        streams in its group.
+    min_observed_ms : float, default=0.0
+        Time for which a router must have known the servers, in milliseconds.
+
+    Notes
+    -----
+    Load pattern: most routers are killed while servers of two versions serve, and
+    callers take up streams whose records were lost with them. A router that has no
+    record, but was not told or has lost its memory since, proves nothing.
+    """
+    return all(
+        any(
+            each.is_by_absence and each.observed_ms >= min_observed_ms for each in group
+        )
+        for group in groups
+    )
 
 
 def choose_origin(
-    evidence: Iterable[OriginEvidence], min_observed_ms: float = 0.0
+    evidence: Iterable[OriginEvidence],
+    min_observed_ms: float = 0.0,
+    *,
+    is_absent: bool = True,
 ) -> int | None:
     """Return the origin that the best evidence names; None if there is none.
 
@@ -84,6 +131,9 @@
     min_observed_ms : float, default=0.0
         Time for which a router must have known the servers so that it may conclude
         anything from them, in milliseconds.
+    is_absent : bool, default=True
+        Whether no router can have been told of the stream; otherwise conclusions from
+        the absence of a record do not count.
 
     Notes
     -----
@@ -95,6 +145,7 @@
         for each in evidence
         if each.origin is not None
         and (each.is_recorded or each.observed_ms >= min_observed_ms)
+        and (is_absent or not each.is_by_absence)
     ]
     if not known:
         return None
@@ -144,18 +195,19 @@
             self.mixed_since_ms, self.origin_before = since_ms, None
         self.since_ms = min(self.since_ms, since_ms)
 
-    def find_unrecorded(
-        self, now_ms: float, *, max_age_ms: float, retention_ms: float
-    ) -> int | None:
-        """Return the origin of a stream that was not recorded when it began."""
+    def find_sole(self, now_ms: float, max_age_ms: float) -> int | None:
+        """Return the only origin that streams of some age can have."""
         recent = [
             origin
             for origin, seen_at_ms in self.seen_at_ms.items()
             if now_ms - seen_at_ms <= max_age_ms
         ]
-        if len(recent) <= 1 or self.mixed_since_ms is None:
-            return next(iter(recent), None)
-        # It began while only one version was serving.
+        return recent[0] if len(recent) == 1 else None
+
+    def find_unrecorded(self, now_ms: float, retention_ms: float) -> int | None:
+        """Return the origin of a stream that was not recorded when it began."""
+        if self.mixed_since_ms is None:
+            return None
         is_recent = now_ms - self.mixed_since_ms < retention_ms
         return self.origin_before if is_recent else None
 
@@ -268,10 +320,27 @@
         history = self._histories.get(service)
         return history is not None and history.mixed_since_ms is not None
 
+    def records(self, now_ms: float) -> Iterator[tuple[int, int, int]]:
+        """Yield the stream, the origin and the age in milliseconds of each record."""
+        for stream, (origin, recorded_at_ms) in self._records.items():
+            yield stream, origin, round(now_ms - recorded_at_ms)
+
+    def add_records(
+        self, records: Iterable[tuple[int, int, int]], now_ms: float
+    ) -> None:
+        """Add the records of a peer, as `records` yields them."""
+        for stream, origin, age_ms in records:
+            if stream not in self._records:
+                self._records[stream] = (origin, now_ms - age_ms)
+        self._purge(now_ms)
+
     def record(self, stream: int, origin: int, now_ms: float) -> None:
         """Record that a stream has begun, or goes on."""
         self._records[stream] = (origin, now_ms)
         self._records.move_to_end(stream)
+        self._purge(now_ms)
+
+    def _purge(self, now_ms: float) -> None:
         while self._records:
             oldest, (_, recorded_at_ms) = next(iter(self._records.items()))
             is_expired = now_ms - recorded_at_ms > self._retention_ms
@@ -279,7 +348,14 @@
                 break
             del self._records[oldest]
 
-    def find(self, stream: int, service: str, now_ms: float) -> OriginEvidence:
+    def find(
+        self,
+        stream: int,
+        service: str,
+        now_ms: float,
+        *,
+        told_since_ms: float = float("-inf"),
+    ) -> OriginEvidence:
         """Return what is known of the origin of a stream.
 
         Parameters
@@ -290,6 +366,10 @@
             Service of the route that resumes it.
         now_ms : float
             Current time in milliseconds.
+        told_since_ms : float, default=-inf
+            Time since which this router would have been told of the stream, in
+            milliseconds. Without a record, it began before two versions were serving
+            only if this router would have been told since then.
         """
         history = self._histories.get(service)
         observed_ms = round(self.observed_ms(service, now_ms))
@@ -300,14 +380,18 @@
             )
         if history is None:
             return OriginEvidence()
-        origin = history.find_unrecorded(
-            now_ms, max_age_ms=self._max_age_ms, retention_ms=self._retention_ms
-        )
+        sole = history.find_sole(now_ms, self._max_age_ms)
+        if sole is not None:
+            return OriginEvidence(origin=sole, observed_ms=observed_ms, is_sole=True)
+        mixed_since_ms = history.mixed_since_ms
+        if mixed_since_ms is None or mixed_since_ms < told_since_ms:
+            return OriginEvidence(observed_ms=observed_ms)
+        origin = history.find_unrecorded(now_ms, self._retention_ms)
         return OriginEvidence(origin=origin, observed_ms=observed_ms)
 
     def is_certain(self, service: str, evidence: OriginEvidence) -> bool:
         """Return whether no other router can know more than this evidence says."""
         if evidence.is_recorded:
             return True
-        is_sole = evidence.origin is not None and not self.is_mixed(service)
+        is_sole = evidence.is_sole and not self.is_mixed(service)
         return is_sole and evidence.observed_ms >= self._max_age_ms
--- a/features/gateway_upgrade.feature
+++ b/features/gateway_upgrade.feature
@@ -1,6 +1,7 @@
 Feature: Routers of two builds are one fleet during an upgrade
   Scenario: the former build reads each kind of frame of this one, and the other way round
     Then every kind of frame is the same after the former build has read and sent it
+    And kinds of frames that the former build lacks are ignored by it
 
   Scenario: fields, reports and kinds of frames of a later build are ignored
     When a later build sends each kind of frame with further fields
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -27,6 +27,7 @@
     MemberTable,
     StreamNotice,
     StreamQuery,
+    StreamRecords,
     StreamReply,
     Suspicion,
     Update,
@@ -501,6 +502,7 @@
         DirectHello(address="10.0.0.1:9"),
         StreamNotice(stream=2**64 - 1, origin=2**32 - 1),
         StreamQuery(number=1, stream=2, service="pool"),
+        StreamRecords(records=((2**64 - 1, 2**32 - 1, 5), (1, 2, 0))),
         StreamReply(number=1, origin=None, is_recorded=False, observed_ms=5),
         StreamReply(number=2, origin=7, is_recorded=True, observed_ms=0),
     ]
--- a/features/steps/gateway_stream_origins_steps.py
+++ b/features/steps/gateway_stream_origins_steps.py
@@ -185,6 +185,8 @@
                 catalog=CountingCatalog(),
                 own_address=entry.address,
                 rank_keepers=members.rank_keepers,
+                find_told=members.find_told,
+                find_told_since=members.find_told_since,
                 send=send,
                 read_history=read_nothing,
             )
--- a/features/steps/gateway_upgrade_steps.py
+++ b/features/steps/gateway_upgrade_steps.py
@@ -7,26 +7,36 @@
 from behave import given, then, when
 
 from damaskrill.fakes.platform import build_configuration
-from damaskrill.mesh import Hello, Update, decode, encode
+from damaskrill.mesh import Hello, StreamRecords, Update, decode, encode
 from features.steps.gateway_decisions_steps import EMPTY_REPORTS, build_frames
 from features.steps.gateway_stream_versions_steps import (
     resume_check,
     run_all,
     send_check,
 )
-from features.support.former_build import FormerRouter, echo_frames
+from features.support.former_build import FormerRouter, echo_frames, read_kinds
 from features.support.gateways import Caller, build_request
 
 JOIN_S = 15
+# Kinds of frames that have been added since the former build.
+NEW_KINDS = (StreamRecords,)
 
 
 @then("every kind of frame is the same after the former build has read and sent it")
 def step_echo(context):
-    frames = build_frames()
+    frames = [each for each in build_frames() if not isinstance(each, NEW_KINDS)]
     echoed = echo_frames([encode(each) for each in frames])
     assert [decode(each) for each in echoed] == frames
 
 
+@then("kinds of frames that the former build lacks are ignored by it")
+def step_new_kinds(context):
+    frames = [each for each in build_frames() if isinstance(each, NEW_KINDS)]
+    assert frames
+    kinds = read_kinds([encode(each) for each in frames])
+    assert kinds == ["UnknownFrame"] * len(frames)
+
+
 @when("a later build sends each kind of frame with further fields")
 def step_later(context):
     context.frames = [each for each in build_frames() if len(encode(each)) < 1_500]
--- a/features/support/former_build.py
+++ b/features/support/former_build.py
@@ -15,7 +15,7 @@
 from damaskrill.platform import SETTINGS_VARIABLE
 from features.support.gateways import free_addresses
 
-COMMIT = "5df66a4cf4be215717eb10af7692833aa5f92844"
+COMMIT = "2f9cf0d1855cfe6bae1e4566207776397996c0e7"
 ROOT = Path(__file__).resolve().parent.parent.parent
 # Decodes each frame in hexadecimal and prints it as encoded again.
 ECHO = """
@@ -24,6 +24,13 @@
 for line in sys.stdin:
     print(encode(decode(bytes.fromhex(line))).hex())
 """
+# Prints the kind of each frame instead.
+READ_KINDS = """
+import sys
+from damaskrill.mesh import decode
+for line in sys.stdin:
+    print(type(decode(bytes.fromhex(line))).__name__)
+"""
 
 
 @cache
@@ -44,8 +51,17 @@
 
 def echo_frames(frames):
     """Return encoded frames as the former build decodes and encodes them."""
+    return [bytes.fromhex(line) for line in _run_former(ECHO, frames)]
+
+
+def read_kinds(frames):
+    """Return the kind that the former build takes each encoded frame for."""
+    return _run_former(READ_KINDS, frames)
+
+
+def _run_former(program, frames):
     completed = subprocess.run(
-        [sys.executable, "-c", ECHO],
+        [sys.executable, "-c", program],
         cwd=former_build(),
         env={**os.environ, "PYTHONPATH": former_build()},
         input="\n".join(each.hex() for each in frames),
@@ -53,7 +69,7 @@
         text=True,
         check=True,
     )
-    return [bytes.fromhex(line) for line in completed.stdout.splitlines()]
+    return completed.stdout.splitlines()
 
 
 class FormerRouter:
