Trust the store's history only if it begins with its first change

Cause: what the store still had was taken to cover historyTtlS, though it may discard changes sooner and says neither where its history begins nor when a change was made.

Change: read_history tells whether the history is whole. Only then does it show that one version has served; otherwise it only adds versions to what is known. The entries' born and sequence give no upper bound on the time of a change, as a frozen server sends fewer heartbeats.

What it costs: after a restart of all routers, streams from before it are refused for 1.25 of the longest time limit, also with one version, unless the history is whole.

--- a/damaskrill/feed/__init__.py
+++ b/damaskrill/feed/__init__.py
@@ -9,7 +9,7 @@
     StoreUnreachableError,
 )
 from damaskrill.feed._freshness import Contact, Freshness
-from damaskrill.feed._history import read_history
+from damaskrill.feed._history import ServerChanges, read_history
 from damaskrill.feed._position import START, Position
 from damaskrill.feed._reader import (
     STARTUP_BACKOFF_MS,
@@ -32,6 +32,7 @@
     "ListedChanges",
     "Page",
     "Position",
+    "ServerChanges",
     "StoreAnswerError",
     "StoreOutdatedError",
     "StoreRefusedError",
--- a/damaskrill/feed/_history.py
+++ b/damaskrill/feed/_history.py
@@ -1,11 +1,13 @@
 """Changes that the store has made before this router read it."""
 
+from attrs import frozen
+
 from damaskrill.feed._errors import HistoryExpiredError
 from damaskrill.feed._position import Position
 from damaskrill.feed._reader import BaseStoreClient
 from damaskrill.feed._replica import Change
 
-__all__ = ["read_history"]
+__all__ = ["ServerChanges", "read_history"]
 
 # Changes before the present position that are asked for first, and by how many times
 # more the next probes go back.
@@ -15,7 +17,23 @@
 SKIPPED_PART = 32
 
 
-async def read_history(client: BaseStoreClient, at: Position) -> tuple[Change, ...]:
+@frozen(kw_only=True)
+class ServerChanges:
+    """Changes of the entries of backend servers that the store still has.
+
+    Parameters
+    ----------
+    changes : tuple of Change
+        The changes, oldest first.
+    is_whole : bool
+        Whether they begin with the first change that the store has made.
+    """
+
+    changes: tuple[Change, ...]
+    is_whole: bool
+
+
+async def read_history(client: BaseStoreClient, at: Position) -> ServerChanges:
     """Read the servers' changes as far back as the store still has them.
 
     Parameters
@@ -27,8 +45,8 @@
 
     Returns
     -------
-    tuple of Change
-        Changes of the entries of backend servers, oldest first.
+    ServerChanges
+        Changes up to the present position.
 
     Raises
     ------
@@ -41,11 +59,15 @@
     Notes
     -----
     The store does not say where its history begins, so that this is found by bisection.
+    It does not say either when a change was made, and may discard changes at any time:
+    what it still has shows for no time that nothing else has happened, unless it has
+    everything.
     """
     start = await _find_start(client, at)
     while start < at.revision:
         try:
-            return await client.read_server_changes(after=Position(at.era, start))
+            changes = await client.read_server_changes(after=Position(at.era, start))
+            return ServerChanges(changes=changes, is_whole=start == 0)
         except HistoryExpiredError:
             # The oldest change has been discarded since it was found.
             start += max(1, (at.revision - start) // SKIPPED_PART)
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -22,6 +22,7 @@
     Freshness,
     HistoryExpiredError,
     ListedChanges,
+    ServerChanges,
     read_history,
 )
 from damaskrill.gateway._binding import PlatformBinding
@@ -407,11 +408,10 @@
 
     async def _read_server_history(self) -> ServerHistory | None:
         binding, replica = self._binding, self._replica
-        duration_ms = self._settings.store_history_ms
         try:
-            changes = await read_history(binding.store, replica.position)
+            found = await read_history(binding.store, replica.position)
         except HistoryExpiredError:
-            changes, duration_ms = (), 0.0
+            found = ServerChanges(changes=(), is_whole=False)
         except DamaskrillError as error:
             self._log.warn("server_history_unknown", sentence=error.sentence)
             return None
@@ -419,15 +419,16 @@
             each for each in replica.items if not binding.is_operator_item(each.key)
         ]
         history = build_server_history(
-            changes,
+            found.changes,
             items,
             decode=binding.decode_item,
-            duration_ms=duration_ms,
+            duration_ms=self._settings.store_history_ms if found.is_whole else 0.0,
             now_ms=time.time() * MS_PER_S,
         )
         self._log.write(
             "server_history_read",
-            n_changes=len(changes),
+            n_changes=len(found.changes),
+            is_whole=found.is_whole,
             duration_ms=history.duration_ms,
             n_servers=history.n_servers,
         )
--- a/features/gateway_streams_after_restart.feature
+++ b/features/gateway_streams_after_restart.feature
@@ -51,6 +51,17 @@
     And these callers resume their checks at all routers
     Then at most 2 streams have events of two versions
 
+  Scenario: the store has discarded its history, and something else was written since
+    # Guards against a history that is taken to reach back as far as the store states.
+    When 32 callers break their checks off at all routers after 2 events
+    And engines "e-1" and "e-2" leave
+    And the store discards its history, and the operators write a configuration
+    And all routers are killed at once and are back after 500 ms
+    And these callers resume their checks at all routers
+    Then at most 2 streams have events of two versions
+    And each reply is complete or has status 503 within 400 ms
+    And each refusal says when to come back
+
   Scenario: streams that began after the restart go on beside the history of two versions
     When engines "e-1" and "e-2" leave
     And all routers are killed at once and are back after 500 ms
@@ -71,6 +82,16 @@
       | 40      | 0       | 1     |
       | 5000000 | 100     | 45    |
 
+  Scenario Outline: only a history that begins with the first change is whole
+    When a store at revision 5000 has the changes after revision <start>
+    Then its history <is> whole
+
+    Examples:
+      | start | is     |
+      | 0     | is     |
+      | 1     | is not |
+      | 4990  | is not |
+
   Scenario: the oldest change is discarded while the history is read
     When a store at revision 5000 that has the changes after 4000 discards 20 meanwhile
     Then they are read from a revision between 4020 and 4100
--- a/features/steps/gateway_streams_after_restart_steps.py
+++ b/features/steps/gateway_streams_after_restart_steps.py
@@ -72,6 +72,13 @@
     context.execute_steps(f'When engines "{one}" and "{other}" leave')
 
 
+@when("the store discards its history, and the operators write a configuration")
+def step_discard_and_write(context):
+    testbed = context.testbed
+    testbed.call(testbed.store.discard_history)
+    testbed.configure(version=2)
+
+
 def restart(context, away_ms, *, leaving=(), meanwhile=None):
     testbed = context.testbed
     n_gateways = len(testbed.gateways)
@@ -148,7 +155,12 @@
 @when("a store at revision {at:d} has the changes after revision {start:d}")
 def step_probe(context, at, start):
     context.probed = ProbedStore(start)
-    asyncio.run(read_history(context.probed, Position(1, at)))
+    context.read = asyncio.run(read_history(context.probed, Position(1, at)))
+
+
+@then("its history {state} whole")
+def step_whole(context, state):
+    assert context.read.is_whole == (state == "is")
 
 
 @when(
