Tell teams without keys from a configuration without teams

Cause: requests needed a key only if the map from key to team had an entry, so that "no team holds a key" looked like "there are no teams". Fail-open on an empty value.

Change: the map is None only if the configuration names no teams; `Configuration.find_team` is the one place that looks a key up, and an empty text is no key. The same cause in allowed regions: an empty list meant all of them; it allows none now, and None stands for no restriction.

Checks changed: the scenario on regions wrote an empty set for "no restriction", which is None now; that an empty set allows nothing is checked beside it. A builder of a configuration without keys passes None.

--- a/damaskrill/catalog/_model.py
+++ b/damaskrill/catalog/_model.py
@@ -72,8 +72,8 @@
         Whether requests list the parts of their prompt, which servers may have cached.
     is_resumable : bool
         Whether a stream may be resumed at another backend server.
-    regions : frozenset of str
-        Regions whose servers may run requests; empty for all regions.
+    regions : frozenset of str or None
+        Regions whose servers may run requests; None for all regions.
     """
 
     name: str
@@ -89,7 +89,7 @@
     is_public: bool = False
     has_prompt: bool = False
     is_resumable: bool = False
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -137,13 +137,13 @@
         Name of the team.
     priority : int or None
         Priority that overrides that of the route; 0 is the highest.
-    regions : frozenset of str
-        Regions whose servers may run its requests; empty for all regions.
+    regions : frozenset of str or None
+        Regions whose servers may run its requests; None for all regions.
     """
 
     name: str
     priority: int | None = None
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
@@ -168,8 +168,9 @@
         All routes.
     services : mapping of str to ServiceSpec
         Services by name.
-    team_by_key : mapping of str to Team
-        Teams by API key; empty if requests need no key.
+    team_by_key : mapping of str to Team or None
+        Teams by API key; None if requests need no key. If there are teams, but no keys,
+        no request is allowed but those on public routes.
     limits : CallerLimits
         Limits for callers.
     """
@@ -177,7 +178,7 @@
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceSpec]
-    team_by_key: Mapping[str, Team]
+    team_by_key: Mapping[str, Team] | None
     limits: CallerLimits
     _by_prefix: dict[tuple[str, str], Route] = field(init=False, repr=False, eq=False)
     _longest_stream_ms: int = field(init=False, repr=False, eq=False)
@@ -200,6 +201,15 @@
         """Longest time limit of a route with streams, in milliseconds; 0 if none."""
         return self._longest_stream_ms
 
+    @property
+    def needs_key(self) -> bool:
+        """Whether requests on routes that are not public need a team's key."""
+        return self.team_by_key is not None
+
+    def find_team(self, key: str | None) -> Team | None:
+        """Return the team that holds a key; None if there is none."""
+        return (self.team_by_key or {}).get(key) if key else None
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path.
 
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -258,8 +258,8 @@
         configuration = self.catalog.configuration
         if configuration is None or service not in configuration.services:
             return None
-        is_restricted = bool(requirements.route_regions or requirements.team_regions)
         origin, origins = requirements.origin, self.streams.origins_of(service)
+        is_restricted = requirements.is_restricted
         candidates = [
             Candidate(
                 server=server,
@@ -480,8 +480,6 @@
     def _is_allowed(
         self, requirements: ServerRequirements, server: BackendServer
     ) -> bool:
-        if not requirements.route_regions and not requirements.team_regions:
-            return True
         return is_region_allowed(
             self._region_of.get(server.data_centre, ""),
             route_regions=requirements.route_regions,
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -173,8 +173,8 @@
             self._responder.refuse(Refusal(status=404, cause=RefusalCause.NO_ROUTE))
             return
         team: Team | None = None
-        if configuration.team_by_key and not route.is_public:
-            team = configuration.team_by_key.get(metadata.key or "")
+        if configuration.needs_key and not route.is_public:
+            team = configuration.find_team(metadata.key)
             if team is None:
                 self._responder.refuse(
                     Refusal(status=401, cause=RefusalCause.UNKNOWN_KEY)
@@ -223,7 +223,7 @@
             service=service,
             affinity_keys=self._metadata.affinity_keys if route.has_prompt else (),
             route_regions=route.regions,
-            team_regions=team.regions if team else frozenset(),
+            team_regions=team.regions if team else None,
             origin=origin,
         )
         attempts = self._attempts
--- a/damaskrill/platform/_items.py
+++ b/damaskrill/platform/_items.py
@@ -113,7 +113,7 @@
         version=int(content["version"]),
         routes=routes,
         services={each.name: each for each in services},
-        team_by_key=_to_teams(content.get("tenants", [])),
+        team_by_key=_to_teams(content.get("tenants")),
         limits=CallerLimits(
             max_header_bytes=limits.get("maxHeaderBytes", defaults.max_header_bytes),
             max_body_bytes=limits.get("maxBodyBytes", defaults.max_body_bytes),
@@ -145,7 +145,7 @@
         # have a session.
         has_prompt=bool(content.get("stickySessions", False)),
         is_resumable=bool(content.get("streamResume", False)),
-        regions=frozenset(content.get("allowedRegions") or ()),
+        regions=_to_regions(content),
     )
 
 
@@ -161,13 +161,20 @@
     )
 
 
-def _to_teams(content: list[dict[str, Any]]) -> dict[str, Team]:
+def _to_regions(content: dict[str, Any]) -> frozenset[str] | None:
+    regions = content.get("allowedRegions")
+    return None if regions is None else frozenset(regions)
+
+
+def _to_teams(content: list[dict[str, Any]] | None) -> dict[str, Team] | None:
+    if content is None:
+        return None
     teams = {}
     for each in content:
         team = Team(
             name=each["name"],
             priority=each.get("priority"),
-            regions=frozenset(each.get("allowedRegions") or ()),
+            regions=_to_regions(each),
         )
         teams.update({key: team for key in each["apiKeys"]})
     return teams
--- a/damaskrill/steering/_regions.py
+++ b/damaskrill/steering/_regions.py
@@ -4,7 +4,10 @@
 
 
 def is_region_allowed(
-    region: str, *, route_regions: frozenset[str], team_regions: frozenset[str]
+    region: str,
+    *,
+    route_regions: frozenset[str] | None,
+    team_regions: frozenset[str] | None,
 ) -> bool:
     """Return whether a request may be sent to a server of a region.
 
@@ -12,10 +15,11 @@
     ----------
     region : str
         Region of the server.
-    route_regions, team_regions : frozenset of str
-        Regions to which the route and the team are restricted; empty if unrestricted.
+    route_regions, team_regions : frozenset of str or None
+        Regions to which the route and the team are restricted; None if unrestricted.
         If both are restricted, both restrictions apply.
     """
     return all(
-        not regions or region in regions for regions in (route_regions, team_regions)
+        regions is None or region in regions
+        for regions in (route_regions, team_regions)
     )
--- a/damaskrill/steering/_selector.py
+++ b/damaskrill/steering/_selector.py
@@ -43,18 +43,23 @@
         Service that runs the request.
     affinity_keys : tuple of str
         Shared parts of its prompt; empty if it has none.
-    route_regions, team_regions : frozenset of str
-        Regions to which the route and the team are restricted; empty if unrestricted.
+    route_regions, team_regions : frozenset of str or None
+        Regions to which the route and the team are restricted; None if unrestricted.
     origin : int or None
         Origin of the stream that goes on; None if it has not begun.
     """
 
     service: str
     affinity_keys: tuple[str, ...] = ()
-    route_regions: frozenset[str] = frozenset()
-    team_regions: frozenset[str] = frozenset()
+    route_regions: frozenset[str] | None = None
+    team_regions: frozenset[str] | None = None
     origin: int | None = None
 
+    @property
+    def is_restricted(self) -> bool:
+        """Whether servers of some region may not run it."""
+        return self.route_regions is not None or self.team_regions is not None
+
 
 class ServerSelector:
     """Selects a server among candidates.
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -705,12 +705,14 @@
     assert context.allowed(addis, both) == ["bole"]
     assert context.allowed(both, frozenset({"freistaat"})) == ["nord", "sued"]
     assert context.allowed(addis, frozenset({"freistaat"})) == []
-    assert context.allowed(frozenset(), addis) == ["bole"]
+    assert context.allowed(None, addis) == ["bole"]
+    assert context.allowed(frozenset(), None) == []
+    assert context.allowed(None, frozenset()) == []
 
 
 @then("a request without restrictions may be sent to all servers")
 def step_no_regions(context):
-    assert len(context.allowed(frozenset(), frozenset())) == 3
+    assert len(context.allowed(None, None)) == 3
 
 
 @given(
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -279,7 +279,7 @@
         version=1,
         routes=(),
         services={"pool": spec},
-        team_by_key={},
+        team_by_key=None,
         limits=CallerLimits(),
     )
     context.catalog.put(ConfigurationItem(configuration=configuration), 0)
