Log lines whose values usual JSON has no place for

Cause, the first of three: the line that told of the new server raised TypeError, as the encoder takes no integer beyond 64 bits, and the error went through everything that had led to the line.

Change: the sink falls back to the standard library's encoder, which writes any integer and escapes what is not Unicode; if that fails too, a line says so and names the event. Nothing that is logged raises an error any more.

--- a/damaskrill/eventlog/_sink.py
+++ b/damaskrill/eventlog/_sink.py
@@ -1,5 +1,6 @@
 """Non-blocking writer of log lines to a file descriptor."""
 
+import json
 import os
 import time
 
@@ -27,7 +28,8 @@
     Notes
     -----
     Lines are dropped and counted if the reader is too slow or the rate is exceeded. The
-    number of dropped lines is logged as soon as lines can be written again.
+    number of dropped lines is logged as soon as lines can be written again. No line
+    raises an error, whatever its fields hold: the decision that it tells of goes on.
     """
 
     def __init__(
@@ -58,8 +60,8 @@
                 "n_lines": self._n_dropped,
             }
             self._n_dropped = 0
-            self._pending += orjson.dumps(notice) + b"\n"
-        self._pending += orjson.dumps(line, default=str) + b"\n"
+            self._pending += _encode(notice)
+        self._pending += _encode(line)
         self._flush()
 
     def _try_acquire(self, is_important: bool) -> bool:
@@ -82,3 +84,26 @@
                 return len(self._pending) < MAX_PENDING_BYTES
             self._pending = self._pending[n_written:]
         return True
+
+
+def _encode(line: dict[str, object]) -> bytes:
+    try:
+        return orjson.dumps(line, default=str) + b"\n"
+    except TypeError:
+        return _encode_slowly(line) + b"\n"
+
+
+def _encode_slowly(line: dict[str, object]) -> bytes:
+    """Encode a line with numbers or texts that have no place in usual JSON.
+
+    Notes
+    -----
+    The standard library writes integers of any size, and escapes what is not Unicode.
+    """
+    try:
+        return json.dumps(line, default=repr, skipkeys=True).encode()
+    except (TypeError, ValueError, RecursionError) as error:
+        reason = f"fields of {line.get('event')} were left out: {error}"
+        at_ms = line.get("at_ms")
+        content = {"event": "line_not_encoded", "at_ms": at_ms, "sentence": reason}
+        return json.dumps(content, default=repr).encode()
