Apply each change of the store apart from the others

Cause, the second of three: an error while one change was applied dropped all later ones of the same answer or message. The replica had counted them as received, so that no router asked for them again; in a reader the error ended the process.

Change: ChangeApplier applies each change by itself, logs one that fails (change_not_applied), and tries it again each 250 ms until it succeeds or a later change of its key replaces it. So what is counted and what is in force differ by named changes only (changes_not_applied in the metrics). Lists, changes, and what a restored store had lost go through it, from the store and from peers.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -26,6 +26,7 @@
     read_history,
 )
 from damaskrill.gateway._binding import PlatformBinding
+from damaskrill.gateway._change_applier import ChangeApplier
 from damaskrill.gateway._dispatcher import RequestDispatcher
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._peer_relay import PeerRelay
@@ -190,6 +191,9 @@
             tells_all=True,
         )
         self._catalog = Catalog(report=self._log.write)
+        self._applier = ChangeApplier(
+            catalog=self._catalog, decode=self._binding.decode_item, log=self._log
+        )
         self._replica = FeedReplica(is_retained=self._binding.is_operator_item)
         self._freshness = Freshness(
             leaving_limit_ms=settings.leaving_limit_ms,
@@ -386,6 +390,7 @@
             "store_revision": float(self._replica.revision),
             "store_age_ms": float(self._store_age_ms()),
             "text_version": float(self._catalog.text_version),
+            "changes_not_applied": float(self._applier.n_failed),
             "connections_opened": float(self._dispatcher.pool.n_opened),
         }
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
@@ -497,19 +502,17 @@
         self, changes: Sequence[Change], *, is_restored: bool = False
     ) -> None:
         now_ms = round(monotonic_now_ms())
-        for change in changes:
-            item = self._binding.decode_item(change.key, change.value or b"")
-            if change.value is None:
-                self._catalog.remove(item, now_ms, is_restored=is_restored)
-            else:
-                self._catalog.put(item, now_ms, is_restored=is_restored)
+        self._applier.apply(changes, now_ms, is_restored=is_restored)
         if self._replica.revision:
             self._catalog.mark_listed()
+        if changes:
+            self._handle_catalog_change()
+
+    def _handle_catalog_change(self) -> None:
         configuration = self._catalog.configuration
         if configuration is not None:
             self._callers.limits = configuration.limits
-        if changes:
-            self._dispatcher.purge_removed_servers()
+        self._dispatcher.purge_removed_servers()
 
     def _announce_path(self, has_path: bool) -> None:
         self._members.set_path(has_path, monotonic_now_ms())
@@ -543,7 +546,10 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_S)
             self._detect_pause()
-            self._catalog.purge(round(monotonic_now_ms()))
+            now_ms = round(monotonic_now_ms())
+            if self._applier.retry(now_ms):
+                self._handle_catalog_change()
+            self._catalog.purge(now_ms)
             self._streams.observe_all()
             self._relay.probe()
             self._rate_limiter.set_members(self._members.addresses())
