Check values from outside where they come in

Cause: entries of other writers, configurations, headers of servers and answers of the store were checked for some types only. Numbers of any size, texts with line breaks, flags of any type ("false" opened a route) and lists under another name came in, and failed where they were used: 1e30 in a log line, a Server-Limit of 306 digits as infinity in the reports to peers, a revision or an era that is no number in the task that reads the store, which ends the process.

Change: platform/_values.py checks type, range and length; entries, configurations and answers of the store go through it, and headers state at most what a server can mean. A bad entry names no server, a bad configuration is refused as a whole, a bad answer is a typed error.

--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -40,6 +40,8 @@
 DEFAULT_IDLE_TIMEOUT_MS = 4_000
 # Margin for a request to reach the server before it closes the idle connection.
 IDLE_MARGIN_MS = 1_000
+# Digits of the longest idle timeout that is read; a longer number states nothing.
+MAX_TIMEOUT_DIGITS = 9
 
 
 class ServerConnection(Protocol):
@@ -232,8 +234,10 @@
             return
         for part in value.split(b","):
             name, _, number = part.strip().partition(b"=")
-            if name.strip().lower() == b"timeout" and number.strip().isdigit():
-                limit_ms = int(number) * 1_000 - IDLE_MARGIN_MS
+            seconds = number.strip()
+            is_number = seconds.isdigit() and len(seconds) <= MAX_TIMEOUT_DIGITS
+            if name.strip().lower() == b"timeout" and is_number:
+                limit_ms = int(seconds) * 1_000 - IDLE_MARGIN_MS
                 self._idle_limit_ms = max(0, limit_ms)
 
     def _fail(self, kind: FailureKind, reason: str) -> None:
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -91,6 +91,10 @@
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 MS_PER_S = 1_000
+# Longest pause that a server may ask for: a day.
+MAX_PAUSE_S = 86_400.0
+# Highest rate that a server may state; higher ones limit nothing.
+MAX_PER_S = 1_000_000.0
 
 
 def read_request(request: CallerRequest) -> RequestMetadata:
@@ -284,21 +288,22 @@
 def _read_pause_ms(value: bytes) -> float | None:
     # The platform states seconds, with fractions. A date, which HTTP also allows, would
     # depend on the clocks of both hosts.
-    seconds = _read_decimal(value)
+    seconds = _read_decimal(value, most=MAX_PAUSE_S)
     return seconds * MS_PER_S if seconds is not None and seconds > 0 else None
 
 
 def _read_limit(value: bytes) -> float | None:
-    per_s = _read_decimal(value)
+    per_s = _read_decimal(value, most=MAX_PER_S)
     return per_s if per_s is not None and per_s >= 0 else None
 
 
-def _read_decimal(value: bytes) -> float | None:
+def _read_decimal(value: bytes, *, most: float) -> float | None:
+    # A server that states more than any server can mean has stated the most.
     try:
         number = float(value)
     except ValueError:
         return None
-    return number if math.isfinite(number) else None
+    return min(number, most) if math.isfinite(number) else None
 
 
 def _read_key(value: bytes) -> str | None:
--- a/damaskrill/platform/_items.py
+++ b/damaskrill/platform/_items.py
@@ -22,6 +22,15 @@
     UnusableConfigurationError,
     UnusableServerError,
 )
+from damaskrill.platform._values import (
+    MAX_DURATION_MS,
+    MAX_NUMBER,
+    check_text,
+    read_flag,
+    read_integer,
+    read_number,
+    read_text,
+)
 
 __all__ = ["SERVER_PREFIX", "ItemDecoder", "is_operator_item"]
 
@@ -29,6 +38,11 @@
 DATA_CENTRE_OUT_PREFIX = "op/evacuate/"
 SERVER_PREFIX = "servers/"
 MS_PER_S = 1_000
+MAX_PORT = 65_535
+MAX_SLOTS = 1_000_000
+MAX_PREFIX = 8_192
+# Errors of a value that is missing, of another type or out of range.
+INVALID_VALUE = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 REQUEST_KINDS = {
     "idempotent": RequestKind.REPEATABLE,
@@ -82,7 +96,7 @@
             content = orjson.loads(value)
             routes = tuple(self._to_route(each) for each in content["routes"])
             configuration = _to_configuration(content, routes)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except INVALID_VALUE as error:
             reason = f"{type(error).__name__}: {error}"
             return ConfigurationItem(error=UnusableConfigurationError(reason=reason))
         self._routes = {
@@ -107,54 +121,73 @@
     content: dict[str, Any], routes: tuple[Route, ...]
 ) -> Configuration:
     services = [_to_service(each) for each in content["services"]]
-    limits = content.get("limits", {})
-    defaults = CallerLimits()
     return Configuration(
-        version=int(content["version"]),
+        version=read_integer(content, "version"),
         routes=routes,
         services={each.name: each for each in services},
         team_by_key=_to_teams(content.get("tenants")),
-        limits=CallerLimits(
-            max_header_bytes=limits.get("maxHeaderBytes", defaults.max_header_bytes),
-            max_body_bytes=limits.get("maxBodyBytes", defaults.max_body_bytes),
-            header_timeout_ms=limits.get("headerTimeoutMs", defaults.header_timeout_ms),
-            idle_timeout_ms=limits.get("idleTimeoutMs", defaults.idle_timeout_ms),
+        limits=_to_limits(content.get("limits") or {}),
+    )
+
+
+def _to_limits(content: dict[str, Any]) -> CallerLimits:
+    defaults = CallerLimits()
+
+    def read(name: str, default: int, most: int = MAX_NUMBER) -> int:
+        return read_integer(content, name, default=default, most=most)
+
+    longest_ms = MAX_DURATION_MS
+    return CallerLimits(
+        max_header_bytes=read("maxHeaderBytes", defaults.max_header_bytes),
+        max_body_bytes=read("maxBodyBytes", defaults.max_body_bytes),
+        header_timeout_ms=read(
+            "headerTimeoutMs", defaults.header_timeout_ms, longest_ms
         ),
+        idle_timeout_ms=read("idleTimeoutMs", defaults.idle_timeout_ms, longest_ms),
     )
 
 
 def _to_route(content: dict[str, Any]) -> Route:
     split = content.get("trafficSplit") or [{"service": content["service"]}]
     shares = [
-        ServiceShare(service=each["service"], weight=float(each.get("weight", 1)))
+        ServiceShare(
+            service=read_text(each, "service"),
+            weight=float(read_number(each, "weight", default=1)),
+        )
         for each in split
     ]
+    time_limit_ms = read_integer(content, "timeoutMs", most=MAX_DURATION_MS)
+
+    def read_duration(name: str, default_ms: int) -> int:
+        return read_integer(content, name, default=default_ms, most=MAX_DURATION_MS)
+
     return Route(
-        name=content["name"],
-        host=content["host"].lower(),
-        prefix=content["prefix"],
+        name=read_text(content, "name"),
+        host=read_text(content, "host").lower(),
+        prefix=read_text(content, "prefix", max_length=MAX_PREFIX),
         kind=REQUEST_KINDS[content["kind"]],
-        time_limit_ms=int(content["timeoutMs"]),
-        target_ms=int(content.get("targetLatencyMs", content["timeoutMs"])),
-        max_pause_ms=int(content.get("targetGapMs") or 0),
-        priority=int(content.get("priority", 0)),
+        time_limit_ms=time_limit_ms,
+        target_ms=read_duration("targetLatencyMs", time_limit_ms),
+        max_pause_ms=read_duration("targetGapMs", 0),
+        priority=read_integer(content, "priority", default=0),
         shares=tuple(shares),
-        max_servers=int(content.get("maxAttempts", 1)),
-        is_public=bool(content.get("public", False)),
+        max_servers=read_integer(content, "maxAttempts", default=1),
+        is_public=read_flag(content, "public"),
         # The field means that requests list the parts of their prompt, not that callers
         # have a session.
-        has_prompt=bool(content.get("stickySessions", False)),
-        is_resumable=bool(content.get("streamResume", False)),
+        has_prompt=read_flag(content, "stickySessions"),
+        is_resumable=read_flag(content, "streamResume"),
         regions=_to_regions(content),
     )
 
 
 def _to_service(content: dict[str, Any]) -> ServiceSpec:
+    cold_s = read_number(content, "coldS", default=0, most=MAX_DURATION_MS / MS_PER_S)
     return ServiceSpec(
-        name=content["name"],
-        max_connections=int(content.get("maxConnections", 0)),
-        cold_duration_ms=math.ceil(content.get("coldS", 0) * MS_PER_S),
-        cold_requests_per_s=float(content.get("coldPerS", 0)),
+        name=read_text(content, "name"),
+        max_connections=read_integer(content, "maxConnections", default=0),
+        cold_duration_ms=math.ceil(MS_PER_S * cold_s),
+        cold_requests_per_s=float(read_number(content, "coldPerS", default=0)),
         # The field is not a name, but contains the properties of the engine.
         is_engine=bool(content.get("engineName")),
         health_path=str(content.get("healthPath") or "/"),
@@ -171,9 +204,10 @@
         return None
     teams = {}
     for each in content:
+        priority = each.get("priority")
         team = Team(
-            name=each["name"],
-            priority=each.get("priority"),
+            name=read_text(each, "name"),
+            priority=None if priority is None else read_integer(each, "priority"),
             regions=_to_regions(each),
         )
         teams.update({key: team for key in each["apiKeys"]})
@@ -187,34 +221,41 @@
         return ServerItem(
             server_id=server_id, server=_to_server(server_id, orjson.loads(value))
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except INVALID_VALUE as error:
         reason = f"{type(error).__name__}: {error}"
         unusable = UnusableServerError(server_id=server_id, reason=reason)
         return ServerItem(server_id=server_id, error=unusable)
 
 
 def _to_server(server_id: str, content: dict[str, Any]) -> BackendServer:
-    host, _, port = content["address"].rpartition(":")
-    if not host or not port.isdigit():
+    check_text("the key", server_id)
+    host, _, port = read_text(content, "address").rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
         raise ValueError("address is not HOST:PORT")
-    for name in ("service", "zone"):
-        if not isinstance(content[name], str):
-            raise TypeError(f"{name} is not a string")
-    for name in ("slotCount", "coldRemainingMs", "sequence"):
-        if type(content[name]) not in (int, float):
-            raise TypeError(f"{name} is not a number")
-    started_at_ms = content.get("born", 0)
+    read_number(content, "sequence")
+    started_at_ms = read_number(content, "born", default=0)
     if type(started_at_ms) is not int:
         raise TypeError("born is not an integer")
-    version = content.get("version")
+    cold_ms = read_number(
+        content, "coldRemainingMs", least=-MAX_DURATION_MS, most=MAX_DURATION_MS
+    )
     return BackendServer(
         server_id=server_id,
         started_at_ms=started_at_ms,
-        service=content["service"],
+        service=read_text(content, "service"),
         address=(host, int(port)),
-        data_centre=content["zone"],
-        n_slots=int(content["slotCount"]),
+        data_centre=read_text(content, "zone"),
+        n_slots=read_integer(content, "slotCount", most=MAX_SLOTS),
         is_leaving=IS_LEAVING_BY_STATE[content["state"]],
-        cold_for_ms=max(0, math.ceil(content["coldRemainingMs"])),
-        version=version if isinstance(version, str) else "",
+        cold_for_ms=max(0, math.ceil(cold_ms)),
+        version=_read_version(content),
     )
+
+
+def _read_version(content: dict[str, Any]) -> str:
+    # A server without a readable version is used, but goes on with its own streams
+    # only.
+    try:
+        return read_text(content, "version")
+    except (KeyError, TypeError, ValueError):
+        return ""
--- a/damaskrill/platform/_store.py
+++ b/damaskrill/platform/_store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store."""
 
 import base64
-import binascii
 from typing import Any
 from urllib.parse import urlencode
 
@@ -19,7 +18,8 @@
     StoreUnreachableError,
 )
 from damaskrill.http1 import AnswerHead, OutgoingRequest, ServerConnection, fetch
-from damaskrill.platform._items import SERVER_PREFIX
+from damaskrill.platform._items import INVALID_VALUE, SERVER_PREFIX
+from damaskrill.platform._values import read_number
 
 __all__ = ["PlatformStore"]
 
@@ -33,6 +33,8 @@
 ERA_HEADER = b"store-era"
 # Time that an answer may take beyond the wait of a watch, as the store may be slow.
 ANSWER_TIMEOUT_MS = 1_500
+# Longer numbers have no place in 64 bits.
+MAX_DIGITS = 18
 STATUS_OK = 200
 STATUS_GONE = 410
 
@@ -59,7 +61,7 @@
         start: Position | None = None
         query = {"prefix": ALL_ITEMS_PREFIX}
         while True:
-            content, at = await self._call(LIST_PATH, query, wait_ms=0, after=0)
+            content, at = await self._call(LIST_PATH, query, "items", wait_ms=0)
             page = [_to_change(each) for each in content["items"]]
             changes += page
             # The pages are not a snapshot. The revision of the first page is used, so
@@ -78,17 +80,14 @@
             "after": after.revision,
             "maxWaitMs": wait_ms,
         }
-        content, at = await self._call(
-            WATCH_PATH, query, wait_ms=wait_ms, after=after.revision
-        )
+        content, at = await self._call(WATCH_PATH, query, "events", wait_ms=wait_ms)
         changes = tuple(_to_change(each) for each in content["events"])
         return Page(changes=changes, at=at)
 
     async def read_position(self, *, after: Position) -> Position:
         """Return the store's present position, without changes."""
-        revision = after.revision
-        query = {"prefix": NO_ITEMS_PREFIX, "after": revision, "maxWaitMs": 1}
-        _, at = await self._call(WATCH_PATH, query, wait_ms=1, after=revision)
+        query = {"prefix": NO_ITEMS_PREFIX, "after": after.revision, "maxWaitMs": 1}
+        _, at = await self._call(WATCH_PATH, query, "events", wait_ms=1)
         return at
 
     async def has_history(self, *, after: Position) -> bool:
@@ -107,11 +106,8 @@
         # A call of its own connection, as a watch may wait on the other one.
         client = PlatformStore(reactor=self._reactor, address=self._address)
         query = {"prefix": prefix, "after": after.revision, "maxWaitMs": 1}
-        revision = after.revision
         try:
-            content, at = await client._call(
-                WATCH_PATH, query, wait_ms=1, after=revision
-            )
+            content, at = await client._call(WATCH_PATH, query, "events", wait_ms=1)
         finally:
             if client._connection is not None:
                 client._connection.abort()
@@ -120,7 +116,7 @@
         return tuple(_to_change(each) for each in content["events"])
 
     async def _call(
-        self, path: str, query: dict[str, Any], *, wait_ms: int, after: int
+        self, path: str, query: dict[str, Any], wanted: str, *, wait_ms: int
     ) -> tuple[dict[str, Any], Position]:
         host, port = self._address
         request = OutgoingRequest(
@@ -140,39 +136,50 @@
             self._connection = None
             raise StoreUnreachableError(reason=str(error)) from error
         if head.status == STATUS_GONE:
-            raise HistoryExpiredError(revision=after)
+            raise HistoryExpiredError(revision=query.get("after", 0))
         if head.status != STATUS_OK:
             raise StoreRefusedError(status=head.status)
-        content = _read_body(body)
-        return content, Position(_read_era(head), int(content["atRev"]))
+        content = _read_body(body, wanted)
+        return content, Position(_read_era(head), content["atRev"])
 
 
 def _read_era(head: AnswerHead) -> int:
     value = (head.find_header(ERA_HEADER) or b"").strip()
-    if value and not value.isdigit():
+    if value and not (value.isdigit() and len(value) <= MAX_DIGITS):
         raise StoreAnswerError(reason="its era is not a number")
     return int(value or 0)
 
 
-def _read_body(body: bytes) -> dict[str, Any]:
+def _read_body(body: bytes, wanted: str) -> dict[str, Any]:
     try:
         content = orjson.loads(body)
-        if not isinstance(content, dict) or type(content.get("atRev")) is not int:
-            raise ValueError("it has no revision")
-        if not isinstance(content.get("items", content.get("events")), list):
-            raise ValueError("it has no list of items or events")
+        if not isinstance(content, dict):
+            raise TypeError("it is not an object")
+        _read_revision(content, "atRev")
+        if not isinstance(content.get(wanted), list):
+            raise TypeError(f"it has no list of {wanted}")
         return content
-    except ValueError as error:
-        raise StoreAnswerError(reason=str(error)) from error
+    except INVALID_VALUE as error:
+        raise StoreAnswerError(reason=f"{type(error).__name__}: {error}") from error
+
+
+def _read_revision(content: dict[str, Any], name: str) -> int:
+    revision = read_number(content, name)
+    if type(revision) is not int:
+        raise TypeError(f"{name} is not an integer")
+    return revision
 
 
 def _to_change(content: Any) -> Change:
     try:
+        key = content["key"]
+        if not isinstance(key, str):
+            raise TypeError("key is not a string")
         value = None
         if not content.get("deleted"):
             value = base64.b64decode(content["value"], validate=True)
         return Change(
-            key=content["key"], value=value, revision=int(content["revision"])
+            key=key, value=value, revision=_read_revision(content, "revision")
         )
-    except (AttributeError, KeyError, TypeError, binascii.Error) as error:
+    except INVALID_VALUE as error:
         raise StoreAnswerError(reason=f"{type(error).__name__}: {error}") from error
