Keep what was written between the pages of a list for peers

What callers could see (CONFIG, DRAIN): a router that lacks a configuration or a departure for good and counts itself complete. Found by reading and shown with the classes; it fits the users' record of two routers that lacked one version, and isn't shown to be what they saw.

Cause: a list cleared the log of changes and set its start to the first page's revision. Items written between the pages are in the list; the watch that follows brings them again and they are ignored as known, so that they never reach the log. A peer at exactly that revision got all changes but these.

Change: the log begins with the items that are newer than the list's position, in lists of the same and of a new era. Its start never goes back when old changes are dropped.

--- a/damaskrill/feed/_replica.py
+++ b/damaskrill/feed/_replica.py
@@ -191,10 +191,18 @@
                 removal = Change(key=key, value=None, revision=at.revision)
                 applied += [removal] if self._apply(removal) else []
         # Items that were written and removed between the two positions are not known.
-        self._log.clear()
+        self._start_log(at)
+        return applied
+
+    def _start_log(self, at: Position) -> None:
+        """Begin the log at the position of a list."""
+        # The pages of a list are not a snapshot: items that were written between them
+        # are known already, and the watch that follows is ignored for these. Peers that
+        # stand at the position of the list have yet to be sent them.
+        later = [each for each in self._items.values() if each.revision > at.revision]
+        self._log = deque(sorted(later, key=lambda each: each.revision))
         self._log_start = at.revision
         self._position = at
-        return applied
 
     def _begin_era(self, items: Sequence[Change], at: Position) -> list[Change]:
         previous = self._items
@@ -213,9 +221,7 @@
         }
         self._items = listed
         self._tombstones.clear()
-        self._log.clear()
-        self._log_start = at.revision
-        self._position = at
+        self._start_log(at)
         written = [
             each
             for key, each in listed.items()
@@ -244,7 +250,8 @@
             self._tombstones.pop(change.key, None)
         self._log.append(change)
         if len(self._log) > MAX_RETAINED_CHANGES:
-            self._log_start = self._log.popleft().revision
+            # Changes that follow a list may be older than some of its items.
+            self._log_start = max(self._log_start, self._log.popleft().revision)
         return True
 
 
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -73,6 +73,24 @@
     Then the replica is empty
     And the change of revision 6 does not restore the key
 
+  Scenario Outline: a change between the pages of a list reaches a peer at its position
+    # Guards against a peer that lacks a change for good and counts itself complete.
+    Given two replicas at revision 10 of a store with an item "cfg"
+    When the one reads <list> as of revision 10 to which "cfg" has been written at 11
+    And the one reads the changes after it up to revision 12
+    And the other gets what the one sends to a peer at revision 10
+    Then both replicas have the same items
+
+    Examples:
+      | list                  |
+      | a list                |
+      | a list of a later era |
+
+  Scenario: changes that follow a list do not let its log begin earlier than it does
+    Given a replica whose list as of revision 10 has an item of revision 5000
+    When 2500 more changes follow
+    Then a peer at each revision gets all later changes or all items
+
   Scenario: a peer that is behind gets changes, or all items if they are discarded
     Given an empty replica of the store
     When a list as of revision 20 and 2500 changes arrive
