Ask each router in the soak which configuration is in force

No request of it depended on the version, and one failure of the store or the router at any later time excused all requests that a leaving server got.

Change: each version of the configuration has a route of its own, a further version is written every 2.9 s, and every half second all routers are asked: the route of the newest version must be known, and that of the one before must not run, from 2 s after a version was written on. Faults of that router from 3 s before the version to the answer excuse it, failures of the store only until the version must be in force. Late requests at leaving servers are excused by faults in their time only.

--- a/damaskrill/cli/_soak.py
+++ b/damaskrill/cli/_soak.py
@@ -97,7 +97,8 @@
             continue
         print(
             f"seed {seed}: {result.n_served} of {result.n_requests} requests served, "
-            f"{result.n_faults} faults, {len(result.breaches)} violations",
+            f"{result.n_faults} faults, {result.n_probes} probes, "
+            f"{len(result.breaches)} violations",
             flush=True,
         )
         for breach in result.breaches[:10]:
--- a/damaskrill/soak/_callers.py
+++ b/damaskrill/soak/_callers.py
@@ -45,6 +45,8 @@
         Prompt parts; empty for a request without a stream.
     is_fatal : bool
         Whether servers crash at it.
+    is_probe : bool
+        Whether it shows which configuration is in force.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     is_complete: bool = False
     prompt: str = ""
     is_fatal: bool = False
+    is_probe: bool = False
 
 
 async def send_requests_forever(
@@ -113,7 +116,9 @@
         await asyncio.sleep(random.expovariate(20))
 
 
-async def send_request_once(address: tuple[str, int], exchange: Exchange) -> None:
+async def send_request_once(
+    address: tuple[str, int], exchange: Exchange, method: str = "POST"
+) -> None:
     """Send one request on a connection of its own.
 
     Parameters
@@ -122,11 +127,13 @@
         Address of the router.
     exchange : Exchange
         The request, in which its answer is recorded.
+    method : str, default="POST"
+        Its method.
     """
     exchange.sent_at = time.monotonic()
     connection = await _Connection.open(exchange.router, address)
     if connection is not None:
-        await connection.send_request("POST", exchange)
+        await connection.send_request(method, exchange)
         connection.close()
     exchange.ended_at = time.monotonic()
 
--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -17,7 +17,7 @@
     "was_sent_after_restart",
 ]
 
-REPEATABLE_PATHS = ("/check/", "/read/")
+REPEATABLE_PATHS = ("/check/", "/read/", "/probe-")
 STATUS_OK = 200
 # The users allow two requests from a router between half a second after the refusal and
 # the end of the pause.
--- a/damaskrill/soak/_disruptions.py
+++ b/damaskrill/soak/_disruptions.py
@@ -17,8 +17,8 @@
 
     Notes
     -----
-    All times are on the monotonic clock, in seconds. Failures of the store are not
-    recorded: they excuse no interrupted request.
+    All times are on the monotonic clock, in seconds. Failures of the store excuse that
+    a change is not known in time, but no interrupted request.
     """
 
     def __init__(self) -> None:
@@ -26,6 +26,15 @@
         self._by_server: dict[str, list[Window]] = defaultdict(list)
         self._stops: dict[int, list[float]] = defaultdict(list)
         self._planned: list[tuple[int | None, str, Window]] = []
+        self._store: list[Window] = []
+
+    def record_store(self, begin: float, end: float) -> None:
+        """Record a failure of the store or of the link to it."""
+        self._store.append((begin, end + RECONNECT_S))
+
+    def hit_store(self, begin: float, end: float) -> bool:
+        """Return whether the store was in trouble, or just had been, in a period."""
+        return _overlaps(self._store, begin, end)
 
     def record_router(self, number: int, begin: float, end: float) -> None:
         """Record an unplanned fault of a router."""
--- a/damaskrill/soak/_injection.py
+++ b/damaskrill/soak/_injection.py
@@ -8,6 +8,10 @@
     StoreMode,
     build_configuration,
 )
+from damaskrill.soak._configuration_probes import (
+    ConfigurationProbes,
+    build_probe_route,
+)
 from damaskrill.soak._disruptions import RECONNECT_S, Disruptions
 from damaskrill.soak._path_cuts import PathCuts
 from damaskrill.soak._plan import Fault, FaultKind
@@ -74,6 +78,8 @@
         Faults of the servers.
     store_failed_until : float
         End of the last failure of the store or its link.
+    probes : ConfigurationProbes
+        Requests that show which version of the configuration is in force.
     """
 
     def __init__(
@@ -86,8 +92,10 @@
         disruptions: Disruptions,
         schedule: Schedule,
         random: Random,
+        probes: ConfigurationProbes,
     ) -> None:
         self.n_faults = 0
+        self.probes = probes
         self.fault_windows: list[tuple[float, float]] = []
         self.store_failed_until = 0.0
         self._store = store
@@ -96,6 +104,7 @@
         self._routers = routers
         self._random = random
         self._version = 1
+        self._without: str | None = None
         self._disruptions = disruptions
         self._schedule = schedule
         self.servers = ServerFaults(
@@ -119,12 +128,19 @@
             Service that it lacks; all routes lead to the others.
         """
         self._version += self._random.randint(1, 3)
+        self._without = without
         content = build_configuration(version=self._version)
+        content["routes"].append(build_probe_route(self._version))
         services = [each for each in content["services"] if each["name"] != without]
         for route in content["routes"]:
             if route["service"] == without:
                 route["service"] = services[0]["name"]
         self._store.put_configuration({**content, "services": services})
+        self.probes.record_version(self._version)
+
+    def put_next_version(self) -> None:
+        """Publish a version that differs in the route of the probes only."""
+        self.put_configuration(self._without)
 
     def inject(self, fault: Fault) -> None:
         """Begin a fault and schedule its end."""
@@ -226,8 +242,9 @@
         self._schedule.call_later(fault.duration_s, lambda: _restore_link(proxy))
 
     def _record_store_failure(self, duration_s: float) -> None:
-        ends_at = time.monotonic() + duration_s
-        self.store_failed_until = max(self.store_failed_until, ends_at)
+        now = time.monotonic()
+        self._disruptions.record_store(now, now + duration_s)
+        self.store_failed_until = max(self.store_failed_until, now + duration_s)
 
     def _restore_store(self, fault: Fault) -> None:
         copy = self._store.take_copy()
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -21,6 +21,7 @@
     check_planned_work,
     was_sent_after_restart,
 )
+from damaskrill.soak._configuration_probes import ConfigurationProbes, check_probes
 from damaskrill.soak._disruptions import RECONNECT_S, Disruptions
 from damaskrill.soak._fatal_requests import (
     FatalInput,
@@ -44,6 +45,9 @@
 # Time in which a router has received the answers to requests that are in progress.
 ANSWER_S = 1.0
 PORTS = (18_080, 18_081, 18_082)
+# Time between two versions beyond those of the plan, in seconds: each is the newest for
+# a moment after it must be in force.
+VERSION_INTERVAL_S = 2.9
 
 
 @frozen(kw_only=True)
@@ -56,6 +60,8 @@
         Seed of the run.
     n_requests, n_served, n_faults : int
         Requests at which no server crashes, those answered with success, and faults.
+    n_probes : int
+        Requests that showed which configuration a router had in force.
     breaches : list of Violation
         Violated guarantees.
     folder : str
@@ -66,6 +72,7 @@
     n_requests: int
     n_served: int
     n_faults: int
+    n_probes: int
     breaches: list[Violation] = field(factory=list)
     folder: str = ""
 
@@ -115,6 +122,12 @@
             ports=PORTS,
             store=store_proxy.address,
         )
+        self._probes = ConfigurationProbes(
+            routers=self._routers,
+            exchanges=self._exchanges,
+            key=self._keys[0],
+            name=f"s{self._seed}-probe",
+        )
         self._injector = FaultInjector(
             store=store,
             store_proxy=store_proxy,
@@ -123,6 +136,7 @@
             disruptions=self._disruptions,
             schedule=self._schedule,
             random=Random(self._seed),
+            probes=self._probes,
         )
         self._injector.put_configuration()
         try:
@@ -149,12 +163,17 @@
             )
             for number in range(2 * self._n_routers)
         ]
+        self._callers.append(loop.create_task(self._probes.run()))
+        version_at = VERSION_INTERVAL_S
         plan = build_plan(self._seed, self._duration_s, fatal_kind=self._fatal_kind)
         started_at = time.monotonic()
         while time.monotonic() - started_at < self._duration_s:
             self._routers.supervise()
             while plan and plan[0].at_s <= time.monotonic() - started_at:
                 self._inject(plan.pop(0))
+            if time.monotonic() - started_at >= version_at:
+                version_at += VERSION_INTERVAL_S
+                self._injector.put_next_version()
             await asyncio.sleep(0.02)
         for task in self._callers:
             task.cancel()
@@ -192,6 +211,11 @@
             self._exchanges, records, self._injector.fault_windows
         )
         breaches += check_interruptions(self._exchanges, records, self._disruptions)
+        breaches += check_probes(
+            self._probes.probes,
+            self._disruptions,
+            {name: n for each in records for name, n in each.runs.items()},
+        )
         if self._fatal is not None:
             breaches += check_fatal_requests(
                 self._fatal,
@@ -200,7 +224,9 @@
                 self._fleet.crashes,
                 self._disruptions,
             )
-        sound = [each for each in self._exchanges if not each.is_fatal]
+        sound = [
+            each for each in self._exchanges if not each.is_fatal and not each.is_probe
+        ]
         n_served = sum(e.status == 200 and e.is_complete for e in sound)
         if n_served < MIN_SERVED_FRACTION * len(sound):
             detail = f"{n_served} of {len(sound)}"
@@ -212,6 +238,7 @@
             n_requests=len(sound),
             n_served=n_served,
             n_faults=self._injector.n_faults,
+            n_probes=sum(each.exchange.status > 0 for each in self._probes.probes),
             breaches=breaches,
             folder=str(folder) if breaches else "",
         )
@@ -219,8 +246,10 @@
     def _check_server(self, record: ServerRecord) -> list[Violation]:
         violations = []
         notice_at = self._injector.servers.notified_at.get(record.server_id)
-        if notice_at is not None and self._was_store_available(notice_at):
-            unaffected = self._unaffected_requests(notice_at)
+        if notice_at is not None and not self._disruptions.hit_store(
+            notice_at, notice_at + MAX_DRAIN_S
+        ):
+            unaffected = self._requests_at_sound_routers(notice_at)
             violations += check_leaving(record, notice_at, MAX_DRAIN_S, unaffected)
         announced_at = self._injector.servers.announced_at.get(
             record.server_id, float("inf")
@@ -251,8 +280,15 @@
                 violations += check_limits(period, record, set(unaffected))
         return violations
 
-    def _was_store_available(self, notice_at: float) -> bool:
-        return not notice_at - RECONNECT_S <= self._injector.store_failed_until
+    def _requests_at_sound_routers(self, since: float) -> list[str]:
+        """Return the requests whose router had no fault from some time until then."""
+        return [
+            each.request_id
+            for each in self._exchanges
+            if not self._disruptions.hit_router(
+                each.router, since - RECONNECT_S, max(since, each.sent_at)
+            )
+        ]
 
     def _unaffected_requests(self, notice_at: float) -> list[str]:
         return [
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -34,6 +34,9 @@
     And an answer to another request is found
     And a stream with a missing event is found
     And a request at a server long after its leaving notice is found
+    And a router without a route that was added in time is found
+    And a router that serves a route that was removed in time is found
+    And such routers are excused by faults of their own and of the store only
     And only a router that has started since an announcement is excused
     And requests in a pause are found unless their router has started since
     And requests beyond a stated limit are found
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -22,6 +22,7 @@
     check_planned_work,
     was_sent_after_restart,
 )
+from damaskrill.soak._configuration_probes import Probe, check_probes
 from damaskrill.soak._disruptions import Disruptions
 from damaskrill.soak._fatal_requests import (
     FatalPart,
@@ -243,6 +244,49 @@
     assert [each.request_id for each in late] == ["q9"]
 
 
+def build_probe(*, is_added, status, sent_at=10.0):
+    exchange = build_exchange(
+        request_id="probe", path="/probe-7/1", router=1, status=status, sent_at=sent_at
+    )
+    exchange.ended_at = sent_at + 0.1
+    return Probe(exchange=exchange, version=7, is_added=is_added, written_at=7.0)
+
+
+@then("a router without a route that was added in time is found")
+def step_added(context):
+    for status, n_found in ((404, 1), (401, 1), (200, 0), (503, 0), (0, 0)):
+        probe = build_probe(is_added=True, status=status)
+        found = check_probes([probe], Disruptions(), {})
+        assert [each.promise for each in found] == ["configuration"] * n_found, found
+
+
+@then("a router that serves a route that was removed in time is found")
+def step_removed(context):
+    for status, n_runs, n_found in ((200, 1, 1), (0, 1, 1), (404, 0, 0), (503, 0, 0)):
+        probe = build_probe(is_added=False, status=status)
+        found = check_probes([probe], Disruptions(), {"probe": n_runs})
+        assert len(found) == n_found, found
+
+
+@then("such routers are excused by faults of their own and of the store only")
+def step_probe_excused(context):
+    probe = build_probe(is_added=True, status=404)
+
+    def is_found(prepare):
+        disruptions = Disruptions()
+        prepare(disruptions)
+        return bool(check_probes([probe], disruptions, {}))
+
+    assert not is_found(lambda each: each.record_router(1, 9.0, 9.5))
+    assert not is_found(lambda each: each.record_router(1, 2.0, 5.0))
+    assert not is_found(lambda each: each.record_store(8.0, 8.5))
+    assert is_found(lambda each: each.record_router(2, 9.0, 9.5))
+    assert is_found(lambda each: each.record_router(1, 1.0, 3.5))
+    # A failure of the store after the time to apply excuses nothing.
+    assert is_found(lambda each: each.record_store(9.5, 10.0))
+    assert is_found(lambda each: each.record_planned("stop_router", 1, 8.0, 12.0))
+
+
 @then("only a router that has started since an announcement is excused")
 def step_restarted(context):
     exchange = build_exchange(sent_at=3.0)
