Send a request again only on a connection that has not carried it

Cause: a late copy is told by the request's ID, but a request that was rejected goes to the same server again with the same ID, mostly on the same connection. The copy of the first rejection was taken for the answer to the second sending, while the server ran it.

Change: a connection remembers the requests that it has carried, and the pool hands it to others only. It holds over exchanges, since what is remembered belongs to the connection.

--- a/damaskrill/fakes/platform/_misbehaviour.py
+++ b/damaskrill/fakes/platform/_misbehaviour.py
@@ -32,6 +32,7 @@
     DRIP = "drip"
     LATE_COPY = "late_copy"
     LATE_REFUSAL = "late_refusal"
+    COPIED_REFUSAL = "copied_refusal"
     PAUSE = "pause"
 
 
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -163,6 +163,7 @@
         self._event_ms = event_ms
         self._work_ms = work_ms
         self._late_answers: dict[CallerConnection, bytes] = {}
+        self._refused: set[bytes] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener = Listener(reactor=reactor, handle=self._handle_request)
 
@@ -207,6 +208,8 @@
             connection.send_answer(503, self._refusal_headers(request_id), b"")
             self._count_rejection()
             return
+        if self._refuses_once(connection, request_id):
+            return
         if request.target == HEALTH_PATH:
             await self._answer_health(connection)
             return
@@ -260,6 +263,22 @@
         await asyncio.sleep(self._work_ms / 1_000)
         await self._answer(connection, request_id, headers)
 
+    def _refuses_once(self, connection: CallerConnection, request_id: bytes) -> bool:
+        """Refuse each request once, and send a late copy before the next answer."""
+        if self.misbehaviour is not Misbehaviour.COPIED_REFUSAL:
+            return False
+        transport: Any = connection.transport
+        transport.write(self._late_answers.pop(connection, b""))
+        if request_id in self._refused:
+            return False
+        self._refused.add(request_id)
+        headers = self._refusal_headers(request_id)
+        connection.send_answer(503, headers, b"")
+        lines = b"".join(b"%b: %b\r\n" % each for each in headers)
+        copy = b"HTTP/1.1 503 Busy\r\n%bContent-Length: 0\r\n\r\n" % lines
+        self._late_answers[connection] = copy
+        return True
+
     def _draw_is_spared(self) -> bool:
         return self._random.random() >= self.failure_share
 
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -242,7 +242,9 @@
             grant=self._allowance.lend(),
         )
         self._responder.record_sent(dispatcher.now_ms)
-        connection.start(self._build_request(headers), attempt)
+        connection.start(
+            self._build_request(headers), attempt, request_id=self._metadata.request_id
+        )
         try:
             result = await self._wait_for_result(attempt, may_hand_over=False)
         finally:
@@ -269,7 +271,8 @@
 
     async def _connect(self, server: BackendServer) -> ServerConnection | None:
         dispatcher = self._dispatcher
-        connection = dispatcher.pool.acquire_idle(server.key)
+        request_id = self._metadata.request_id
+        connection = dispatcher.pool.acquire_idle(server.key, request_id=request_id)
         if connection is not None:
             return connection
         remaining_ms = max(1.0, self._context.limit_at_ms - dispatcher.now_ms)
@@ -323,7 +326,9 @@
         self._responder.n_servers = len(self.sent_to)
         sent_at_ms = dispatcher.now_ms
         self._responder.record_sent(sent_at_ms)
-        connection.start(self._build_request(headers), attempt)
+        connection.start(
+            self._build_request(headers), attempt, request_id=self._metadata.request_id
+        )
         return SentRequest(
             server=server,
             attempt=attempt,
--- a/damaskrill/http1/_pool.py
+++ b/damaskrill/http1/_pool.py
@@ -65,18 +65,35 @@
         """Number of connections opened so far."""
         return self._n_opened
 
-    def acquire_idle(self, key: ServerKey) -> ServerConnection | None:
-        """Return an idle connection that the server has not closed, or None."""
+    def acquire_idle(
+        self, key: ServerKey, *, request_id: str = ""
+    ) -> ServerConnection | None:
+        """Return an idle connection that the server has not closed, or None.
+
+        Parameters
+        ----------
+        key : tuple of (str, int)
+            Incarnation of the server.
+        request_id : str, default=""
+            ID of the request to send. A connection that has carried it is not used: a
+            late copy of the former answer could not be told from the answer.
+        """
         now_ms = monotonic_now_ms()
-        idle = self._idle.get(key)
-        while idle:
+        idle = self._idle.get(key, deque())
+        spared = deque[ServerConnection]()
+        found = None
+        while idle and found is None:
             connection = idle.pop()
             if not connection.is_open:
                 continue
-            if now_ms - connection.idle_since_ms < connection.idle_limit_ms:
-                return connection
-            connection.abort()
-        return None
+            if now_ms - connection.idle_since_ms >= connection.idle_limit_ms:
+                connection.abort()
+            elif request_id and connection.has_carried(request_id):
+                spared.appendleft(connection)
+            else:
+                found = connection
+        idle.extend(spared)
+        return found
 
     async def open(
         self, key: ServerKey, address: tuple[str, int], *, limit_ms: float = math.inf
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+from collections import deque
 from typing import Any
 
 import h11
@@ -42,6 +43,8 @@
 IDLE_MARGIN_MS = 1_000
 # Digits of the longest idle timeout that is read; a longer number states nothing.
 MAX_TIMEOUT_DIGITS = 9
+# Requests whose IDs a connection remembers: a late copy comes soon after its answer.
+MAX_REQUEST_IDS = 64
 
 
 class ServerConnection(Protocol):
@@ -60,6 +63,7 @@
         self._sink: AnswerSink | None = None
         self._bounds = AnswerBounds()
         self._n_exchanges = 0
+        self._request_ids: deque[str] = deque(maxlen=MAX_REQUEST_IDS)
         self._has_answer = False
         self._is_open = False
         self._started_at = 0.0
@@ -83,6 +87,10 @@
         """Whether it has completed an exchange before."""
         return self._n_exchanges > 0
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with an ID has been sent on this connection."""
+        return request_id in self._request_ids
+
     def connectionMade(self) -> None:
         """Set the socket's options."""
         self._is_open = True
@@ -90,9 +98,23 @@
         transport.setTcpNoDelay(True)
         self._set_user_timeout(USER_TIMEOUT_MS)
 
-    def start(self, request: OutgoingRequest, sink: AnswerSink) -> None:
-        """Send a request and pass its answer to a sink."""
+    def start(
+        self, request: OutgoingRequest, sink: AnswerSink, *, request_id: str = ""
+    ) -> None:
+        """Send a request and pass its answer to a sink.
+
+        Parameters
+        ----------
+        request : OutgoingRequest
+            The request.
+        sink : AnswerSink
+            Receiver of the answer.
+        request_id : str, default=""
+            ID by which the answer is known; empty if it has none.
+        """
         self._sink = sink
+        if request_id:
+            self._request_ids.append(request_id)
         self._bounds = AnswerBounds()
         self._has_answer = False
         self._started_at = time.monotonic()
--- a/features/gateway_leaving_and_pauses.feature
+++ b/features/gateway_leaving_and_pauses.feature
@@ -60,6 +60,18 @@
     When 12 callers send an issuance one after another
     Then no action that has run is reported as not run, and none has run twice
 
+  Scenario: a late copy of a rejection is not taken for the answer to its repeat
+    # Guards against an action that runs twice, or is reported as not run, after a copy.
+    Given both app servers misbehave by copied_refusal
+    When 12 callers send an issuance one after another
+    Then no action that has run is reported as not run, and none has run twice
+    And some of these actions have run
+
+  Scenario: an idle connection that has carried a request is used for others only
+    Given a pool with two idle connections, the newer of which has carried "q1"
+    Then "q1" gets the other one, and "q2" the one that has carried "q1"
+    And "q1" gets none if each idle connection has carried it
+
   Scenario: a stalled stream that sends a byte now and then is resumed elsewhere
     Given engine "e-1" misbehaves by drip
     And engine "e-2" behaves
--- a/features/steps/gateway_leaving_and_pauses_steps.py
+++ b/features/steps/gateway_leaving_and_pauses_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from damaskrill.fakes.platform import Misbehaviour
+from damaskrill.http1 import ServerPool
 from features.steps.gateway_path_steps import EVENTS, change_routes
 from features.support.gateways import PROMPT, Caller, build_request
 
@@ -195,6 +196,50 @@
     assert 502 in statuses, statuses
 
 
+@then("some of these actions have run")
+def step_some_run(context):
+    n_runs = [context.testbed.runs_of(each.request_id) for each in context.replies]
+    assert 0 < sum(n_runs), n_runs
+    assert any(each.status == 200 for each in context.replies)
+
+
+class IdleConnection:
+    """Idle connection that has carried some requests."""
+
+    is_open = True
+    idle_since_ms = float("inf")
+    idle_limit_ms = 1_000
+
+    def __init__(self, *request_ids):
+        self.request_ids = request_ids
+
+    def has_carried(self, request_id):
+        return request_id in self.request_ids
+
+
+@given('a pool with two idle connections, the newer of which has carried "{name}"')
+def step_pool(context, name):
+    context.older, context.newer = IdleConnection(), IdleConnection(name)
+    context.idle_pool = ServerPool(reactor=None)
+    for connection in (context.older, context.newer):
+        context.idle_pool.release(("a", 1), connection)
+
+
+@then('"q1" gets the other one, and "q2" the one that has carried "q1"')
+def step_others(context):
+    pool = context.idle_pool
+    assert pool.acquire_idle(("a", 1), request_id="q1") is context.older
+    assert pool.acquire_idle(("a", 1), request_id="q2") is context.newer
+
+
+@then('"q1" gets none if each idle connection has carried it')
+def step_none_idle(context):
+    pool = context.idle_pool
+    pool.release(("a", 1), context.newer)
+    assert pool.acquire_idle(("a", 1), request_id="q1") is None
+    assert pool.acquire_idle(("a", 1)) is context.newer
+
+
 @given(
     "routes with a limit of {limit_ms:d} ms, a target of {target_ms:d} ms and pauses "
     "of {pause_ms:d} ms"
