Take only a router for a router

Such a caller got the fleet's headers in the answer, 503 at once or after 300 ms for a grant or a version that it had made up, and its requests did not count for the retry budget.

Cause: the mark alone decided.

Change: each router draws a number at its start and tells its peers with its membership entry, over the links. A request that goes through a peer carries the peer's number, named in Connection so that nobody passes it on; only such a request is a hop. The dispatcher decides once, before anything reads the metadata, and what a router says of a request is one value (`Hop`) there. Any other request with these headers is a caller's: they are dropped, and neither servers nor the caller see them.

Check changed: a scenario sent the mark as a router of an earlier build would; such a router is now known to the gateway in it, as it is in an upgrade.

Scenarios of cut paths, server limits and upgrades pass.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -240,6 +240,7 @@
             stream_id=self._metadata.stream_id,
             text_version=dispatcher.catalog.text_version,
             grant=self._allowance.lend(),
+            proof=str(peer.hop_proof) if peer.hop_proof else "",
         )
         self._responder.record_sent(dispatcher.now_ms)
         connection.start(
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -41,6 +41,7 @@
         stream_id: str,
         text_version: int,
         grant: ServerGrant,
+        proof: str,
     ) -> Headers:
         """Return the headers."""
 
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import Any
 
+from attrs import evolve
+
 from damaskrill.catalog import BackendServer, Catalog, Route
 from damaskrill.eventlog import DecisionLog
 from damaskrill.gateway._binding import PlatformBinding
@@ -93,6 +95,8 @@
         Region of each data centre.
     n_routers : callable
         Returns the number of live routers.
+    accepts_hop : callable
+        Returns whether a proof shows that a request comes from another router.
     store_age_ms : callable
         Returns the age of the replica of the store in milliseconds, -1 if unknown.
     random_state : Random
@@ -122,6 +126,7 @@
         data_centre: str,
         region_of: Mapping[str, str],
         n_routers: Callable[[], int],
+        accepts_hop: Callable[[str], bool],
         store_age_ms: Callable[[], int],
         random_state: Random,
     ) -> None:
@@ -150,6 +155,7 @@
         )
         self._region_of = region_of
         self._n_routers = n_routers
+        self._accepts_hop = accepts_hop
         self.store_age_ms = store_age_ms
         self._random = random_state
         self._selector = ServerSelector(
@@ -191,6 +197,15 @@
         task.add_done_callback(self._tasks.discard)
         connection.on_disconnect = lambda: _cancel(task)
 
+    def read_request(self, request: CallerRequest) -> RequestMetadata:
+        """Return a request's metadata; only a router is taken for a router."""
+        metadata = self.binding.read_request(request)
+        hop = metadata.hop
+        if hop is None or self._accepts_hop(hop.proof):
+            return metadata
+        self.log.write("hop_not_accepted", request_id=metadata.request_id)
+        return evolve(metadata, hop=None)
+
     def start_draining(self, started_ms: float, end_ms: float) -> None:
         """Set when draining began and when the process ends, in milliseconds."""
         self._drain_times = (started_ms, end_ms)
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -88,7 +88,7 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._request = request
-        self._metadata = dispatcher.binding.read_request(request)
+        self._metadata = dispatcher.read_request(request)
         self._progress = StreamProgress(connection)
         grant = self._metadata.grant or UNKNOWN_SENDER_GRANT
         self._allowance = ServerAllowance(
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -1,6 +1,7 @@
 """Gateway process: builds and connects the components and stops them in order."""
 
 import asyncio
+import secrets
 import signal
 import socket
 import time
@@ -84,6 +85,8 @@
 # Suspension of the host after which the router reads its state again: longer than the
 # clocks' rounding, shorter than any time in which a change must take effect.
 MIN_PAUSE_MS = 200
+# Bits of the number by which a router knows requests of its peers.
+HOP_PROOF_BITS = 62
 MS_PER_S = 1_000
 NS_PER_MS = 1_000_000
 
@@ -189,6 +192,7 @@
             settings.caller_address[1],
             keeps_grants=True,
             tells_all=True,
+            hop_proof=1 + secrets.randbits(HOP_PROOF_BITS),
         )
         self._catalog = Catalog(report=self._log.write)
         self._applier = ChangeApplier(
@@ -317,6 +321,7 @@
             data_centre=settings.data_centre,
             region_of=settings.region_of,
             n_routers=lambda: self._members.n_members,
+            accepts_hop=self._members.accepts_hop,
             store_age_ms=self._store_age_ms,
             random_state=self._random,
         )
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -93,6 +93,9 @@
     tells_all : bool
         Whether it tells all routers of a small fleet which streams it begins. Routers
         of earlier builds tell a few, and do not say so.
+    hop_proof : int
+        Number that a request which comes from another router has to carry; 0 for a
+        router of an earlier build, which takes any.
     """
 
     address: str
@@ -103,6 +106,7 @@
     has_path: bool = True
     keeps_grants: bool = False
     tells_all: bool = False
+    hop_proof: int = 0
 
 
 @frozen(kw_only=True)
@@ -463,6 +467,7 @@
                 has_path,
                 later[:1] == [True],
                 later[1:2] == [True],
+                later[2] if len(later) > 2 and type(later[2]) is int else 0,
             )
         case _:
             raise ValueError("invalid membership entry")
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from hmac import compare_digest
 
 from attrs import define, evolve
 
@@ -373,6 +374,24 @@
         is_small = self._group_sizes[entry.data_centre] < MIN_GROUP
         return "" if self.is_full_mesh or is_small else entry.data_centre
 
+    def accepts_hop(self, proof: str) -> bool:
+        """Return whether a request comes from another router.
+
+        Parameters
+        ----------
+        proof : str
+            What the request shows; empty if nothing.
+
+        Notes
+        -----
+        Routers of earlier builds show nothing. During an upgrade, as long as one is
+        known or was known lately, a request without a proof is taken for theirs.
+        """
+        if proof:
+            return compare_digest(proof.encode(), str(self._own.hop_proof).encode())
+        lately = [*self._members.values(), *self._removed.values()]
+        return any(not each.entry.hop_proof for each in lately)
+
     def dials_lost(self, address: str) -> bool:
         """Return whether this router is one of those that dial a lost one."""
         if self.is_full_mesh:
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -9,6 +9,7 @@
 from damaskrill.http1 import AnswerHead, CallerRequest, Headers, forwarded_headers
 from damaskrill.steering import (
     AnswerMetadata,
+    Hop,
     PromptPart,
     RequestMetadata,
     ServerGrant,
@@ -46,6 +47,9 @@
 # Between routers: the number of servers that a request may still reach, and the hashes
 # of those that it has reached. Named in Connection, so that no router passes it on.
 SERVER_GRANT = b"damaskrill-router-servers"
+# Proves to a router that another one sends the request: a number that it has told its
+# peers. Routers of earlier builds neither tell nor check it.
+HOP_PROOF = b"damaskrill-router-proof"
 CONNECTION = b"Connection"
 # The same within a stream: a comment, which is no event for callers.
 GRANT_COMMENT = b": " + SERVER_GRANT
@@ -73,6 +77,7 @@
         b"damaskrill-pin-ms",
         b"damaskrill-request-deadline",
         b"damaskrill-request-priority",
+        HOP_PROOF,
         RELAYED,
         SERVER_GRANT,
         b"damaskrill-tenant",
@@ -116,11 +121,17 @@
         n_output_tokens=usage[1] if len(usage) > 1 else 0,
         last_event_id=_read_number(headers.get(b"last-event-id", b"")),
         resumed_request_id=headers.get(RESUMED_REQUEST, b"").decode("latin-1"),
-        is_relayed=RELAYED in headers,
-        min_text_version=_read_number(headers.get(RELAYED, b"")) or 0,
-        grant=_read_grant(headers.get(SERVER_GRANT, b""))
-        if RELAYED in headers
-        else None,
+        hop=_read_hop(headers),
+    )
+
+
+def _read_hop(headers: dict[bytes, bytes]) -> Hop | None:
+    if RELAYED not in headers:
+        return None
+    return Hop(
+        proof=headers.get(HOP_PROOF, b"").strip().decode("latin-1"),
+        text_version=_read_number(headers[RELAYED]) or 0,
+        grant=_read_grant(headers.get(SERVER_GRANT, b"")),
     )
 
 
@@ -178,6 +189,7 @@
     stream_id: str,
     text_version: int,
     grant: ServerGrant,
+    proof: str = "",
 ) -> Headers:
     """Return the headers of a request that goes through another router.
 
@@ -195,12 +207,14 @@
         Version of the configuration that this router has in force.
     grant : ServerGrant
         Servers that the request has reached and may still reach.
+    proof : str, default=""
+        What the other router has told its peers; empty if it is not known.
 
     Notes
     -----
     The other router needs the caller's key, which it does not pass to servers.
     """
-    dropped = {DEADLINE.lower(), RELAYED, SERVER_GRANT}
+    dropped = {DEADLINE.lower(), RELAYED, SERVER_GRANT, HOP_PROOF}
     if resume_after is not None:
         dropped |= {b"last-event-id", RESUMED_REQUEST}
     headers = [
@@ -211,6 +225,9 @@
     headers.append((DEADLINE, b"%d" % remaining_ms))
     headers.append((RELAYED, b"%d" % text_version))
     headers.extend(grant_headers(grant))
+    if proof:
+        headers.append((HOP_PROOF, proof.encode()))
+        headers.append((CONNECTION, HOP_PROOF))
     if resume_after is not None:
         headers.append((LAST_EVENT_ID, b"%d" % resume_after))
         headers.append((RESUMED_REQUEST, stream_id.encode("latin-1")))
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -18,7 +18,12 @@
 from damaskrill.steering._latency import AnswerTimings, LatencyCause, find_latency_cause
 from damaskrill.steering._load_bounds import DIRECT_BOUNDS, RELAYED_BOUNDS, LoadBounds
 from damaskrill.steering._loads import LoadReport, ServerLoads
-from damaskrill.steering._metadata import AnswerMetadata, PromptPart, RequestMetadata
+from damaskrill.steering._metadata import (
+    AnswerMetadata,
+    Hop,
+    PromptPart,
+    RequestMetadata,
+)
 from damaskrill.steering._pauses import ServerPauses, spread_retry_after
 from damaskrill.steering._prefix_index import PrefixIndex, PrefixReport
 from damaskrill.steering._rate_limits import (
@@ -77,6 +82,7 @@
     "FleetRetryBudget",
     "GossipLog",
     "HealthTracker",
+    "Hop",
     "HotKeys",
     "KeyCounts",
     "LatencyCause",
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -5,7 +5,7 @@
 from damaskrill.steering._server_allowance import ServerGrant
 from damaskrill.utils import hash_to_int
 
-__all__ = ["AnswerMetadata", "PromptPart", "RequestMetadata"]
+__all__ = ["AnswerMetadata", "Hop", "PromptPart", "RequestMetadata"]
 
 FINGERPRINT_MASK = 0xFFFF_FFFF
 
@@ -26,6 +26,25 @@
     n_tokens: int
 
 
+@frozen(kw_only=True)
+class Hop:
+    """What a router says of a request that it sends through another one.
+
+    Parameters
+    ----------
+    proof : str
+        What the receiver has told its peers only; empty if the sender does not know it.
+    text_version : int
+        Version of the configuration that the sender has in force.
+    grant : ServerGrant or None
+        How many servers the sender allows; None if it does not say.
+    """
+
+    proof: str = ""
+    text_version: int = 0
+    grant: ServerGrant | None = None
+
+
 @frozen(kw_only=True)
 class RequestMetadata:
     """Metadata that determines how a request is routed.
@@ -50,12 +69,9 @@
         Last event that the caller already received of a stream that it resumes.
     resumed_request_id : str
         Attempt that brought the first event of the stream; empty if it gave none.
-    is_relayed : bool
-        Whether another router sent it, which cannot reach the servers.
-    min_text_version : int
-        Version of the configuration that the router which sent it has in force.
-    grant : ServerGrant or None
-        How many servers the router which sent it allows; None if it does not say.
+    hop : Hop or None
+        What another router that sent it says, if it is one; None for a request that
+        does not claim to come from a router.
     """
 
     request_id: str = ""
@@ -69,9 +85,22 @@
     n_output_tokens: int = 0
     last_event_id: int | None = None
     resumed_request_id: str = ""
-    is_relayed: bool = False
-    min_text_version: int = 0
-    grant: ServerGrant | None = None
+    hop: Hop | None = None
+
+    @property
+    def is_relayed(self) -> bool:
+        """Whether another router sent it, which cannot reach the servers."""
+        return self.hop is not None
+
+    @property
+    def min_text_version(self) -> int:
+        """Version of the configuration that the router which sent it has in force."""
+        return self.hop.text_version if self.hop else 0
+
+    @property
+    def grant(self) -> ServerGrant | None:
+        """How many servers the router which sent it allows; None if it does not say."""
+        return self.hop.grant if self.hop else None
 
     @property
     def is_resumed(self) -> bool:
--- /dev/null
+++ b/features/gateway_hops.feature
@@ -0,0 +1,29 @@
+Feature: Only a router is taken for a router
+  Scenario: a caller that sends the headers of routers is served as without them
+    # Guards against callers who lift bounds, or are refused, by headers of the fleet.
+    Given a platform with a server of each service
+    And 2 more gateways that know the first one
+    When a caller sends 40 reads to each gateway with drawn headers of routers
+    Then each is answered with 200 and the same headers as reads without them
+    And none takes longer than 250 ms
+    And the retry budgets count all of these reads
+    And no server has received a header of routers
+
+  Scenario: a request that a peer sends is known by its proof
+    Given a platform with a server of each service
+    When a read comes with the proof of the gateway and a grant of no server
+    Then it is refused as the grant says
+
+  Scenario Outline: a request without a proof counts as a router's during an upgrade only
+    Given a router that knows <peers>
+    Then a request with <proof> <counts> as that of a router
+
+    Examples:
+      | peers                             | proof         | counts         |
+      | peers of its build                | its own proof | counts         |
+      | peers of its build                | another proof | does not count |
+      | peers of its build                | no proof      | does not count |
+      | a peer of the former build        | no proof      | counts         |
+      | a peer of the former build        | another proof | does not count |
+      | a former peer that has just ended | no proof      | counts         |
+      | a former peer that ended long ago | no proof      | does not count |
--- a/features/steps/gateway_server_limit_steps.py
+++ b/features/steps/gateway_server_limit_steps.py
@@ -10,12 +10,14 @@
 from damaskrill.gateway._attempt import Broken, StreamEnded
 from damaskrill.gateway._peer_report import PeerReport
 from damaskrill.http1 import CallerRequest, ExchangeFailure, FailureKind
+from damaskrill.mesh import MemberEntry
 from damaskrill.platform._headers import (
     grant_event,
     read_peer_events,
     read_request,
 )
 from damaskrill.steering import AnswerMetadata, ServerAllowance, ServerGrant
+from damaskrill.utils import monotonic_now_ms
 from features.steps.gateway_cut_path_steps import send_one, served_share
 from features.steps.gateway_path_steps import start_testbed
 from features.steps.gateway_upgrade_steps import by_build
@@ -192,6 +194,9 @@
 
 @when("a router of an earlier build sends {n:d} reads through the first gateway")
 def step_earlier_sender(context, n):
+    first = context.testbed.gateways[0]
+    former = MemberEntry("127.0.0.1:1", 1, "bole", 1)
+    context.testbed.call(first._members.merge, former, monotonic_now_ms())
     replies = [
         context.testbed.send(
             "/read/1", method="GET", body=b"", headers=[("Damaskrill-Router-Hop", "1")]
