Give the connection of a probe back to its pool once

Cause: a connection goes back to its pool when an answer ends, and the probe gave it back once more.

Evidence: the new scenario in gateway_hops.feature got one connection twice before, once now.

--- a/damaskrill/gateway/_peer_relay.py
+++ b/damaskrill/gateway/_peer_relay.py
@@ -214,7 +214,8 @@
         server, path = self._random.choice(targets)
         try:
             connection = await self._server_pool.open(server.key, server.address)
-            head, _, connection = await fetch(
+            # The pool takes the connection back when the answer has ended.
+            head, _, _ = await fetch(
                 self._reactor,
                 server.address,
                 _build_probe(server, path),
@@ -224,7 +225,6 @@
         except OSError:
             # The path is still cut, or this server is down; the next probe tells.
             return
-        self._server_pool.release(server.key, connection)
         if self._is_server_answer(head):
             self.record_heard()
 
--- a/features/gateway_hops.feature
+++ b/features/gateway_hops.feature
@@ -27,3 +27,9 @@
       | a peer of the former build        | another proof | does not count |
       | a former peer that has just ended | no proof      | counts         |
       | a former peer that ended long ago | no proof      | does not count |
+
+  Scenario: a probe of the path to the servers gives its connection back once
+    # Guards against a connection that two requests use at the same time.
+    Given a platform with a server of each service
+    When a gateway probes the path to its servers
+    Then each idle connection is handed out once
--- a/features/steps/gateway_hops_steps.py
+++ b/features/steps/gateway_hops_steps.py
@@ -132,3 +132,22 @@
 def accepts(context, proof):
     shown = {"its own proof": str(OWN_PROOF), "another proof": "7", "no proof": ""}
     return context.member_table.accepts_hop(shown[proof])
+
+
+@when("a gateway probes the path to its servers")
+def step_probe(context):
+    testbed = context.testbed
+    gateway = testbed.gateways[0]
+    testbed.call(gateway._relay._run_probe)
+
+
+@then("each idle connection is handed out once")
+def step_once(context):
+    pool = context.testbed.gateways[0]._dispatcher.pool
+
+    found = []
+    for key in pool.keys():
+        while (connection := pool.acquire_idle(key)) is not None:
+            found.append(connection)
+    assert found
+    assert len(found) == len(set(found)), found
