Excuse requests in a pause that a router cut off since sends through a peer

Why: the soak counts requests in a pause by the router that the caller reached.

The users' rule allows it: a restart, freeze or cut of the machine excuses it. Only a fault of that router that began within the pause does here; one that began before, or of another router, does not, which the scenario on the checks holds.

--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -226,6 +226,7 @@
     pause_s: float,
     unaffected_ids: Sequence[str],
     starts_of: Callable[[int], Sequence[float]],
+    has_fault_since: Callable[[int, float, float], bool],
 ) -> list[Violation]:
     """Return the pauses in which a server got more than some requests in transit.
 
@@ -242,6 +243,10 @@
     starts_of : callable
         Returns when processes of a router, given its number, started. A process that
         has started since a refusal need not know of the pause.
+    has_fault_since : callable
+        Returns whether a fault of a router, given its number, began in a period. One
+        that was cut off from the servers since sends through a peer, which was not
+        asked for a pause.
     """
     by_id = {each.request_id: each for each in exchanges}
     unaffected = set(unaffected_ids)
@@ -259,6 +264,7 @@
             and not was_sent_after_restart(
                 by_id[request_id], starts_of(router), paused_at
             )
+            and not has_fault_since(router, paused_at, at)
         ]
         if len(later) > MAX_IN_PAUSE:
             detail = f"{server.server_id} got {len(later)} requests in a pause"
--- a/damaskrill/soak/_disruptions.py
+++ b/damaskrill/soak/_disruptions.py
@@ -64,6 +64,10 @@
         """Return whether a router was in trouble at some time of a period."""
         return _overlaps(self._by_router.get(number, ()), begin, end)
 
+    def began_at_router(self, number: int, begin: float, end: float) -> bool:
+        """Return whether a fault of a router began in a period."""
+        return any(begin <= a <= end for a, _ in self._by_router.get(number, ()))
+
     def hit_server(self, server_id: str, begin: float, end: float) -> bool:
         """Return whether a server was in trouble at some time of a period."""
         return _overlaps(self._by_server.get(server_id, ()), begin, end)
--- a/damaskrill/soak/_run.py
+++ b/damaskrill/soak/_run.py
@@ -272,7 +272,12 @@
         if record.pauses:
             unaffected = self._unaffected_requests(record.pauses[0][0])
             violations += check_pauses(
-                record, self._exchanges, PAUSE_S, unaffected, self._routers.starts_of
+                record,
+                self._exchanges,
+                PAUSE_S,
+                unaffected,
+                self._routers.starts_of,
+                self._disruptions.began_at_router,
             )
         for period in self._injector.servers.limit_periods:
             if period.server_id == record.server_id:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -304,9 +304,19 @@
         pauses=((0.0, "q0"),),
     )
     unaffected = ["q0"]
-    found = check_pauses(record, exchanges, 4.5, unaffected, lambda router: [])
-    assert [each.promise for each in found] == ["pause"], found
-    assert check_pauses(record, exchanges, 4.5, unaffected, lambda router: [2.5]) == []
+
+    def find(starts=(), disruptions=None):
+        began = (disruptions or Disruptions()).began_at_router
+        return check_pauses(
+            record, exchanges, 4.5, unaffected, lambda router: starts, began
+        )
+
+    assert [each.promise for each in find()] == ["pause"], find()
+    assert find(starts=[2.5]) == []
+    for router, begin, n_found in ((0, 0.5, 0), (0, -1.0, 1), (1, 0.5, 1)):
+        disruptions = Disruptions()
+        disruptions.record_router(router, begin, begin + 5.0)
+        assert len(find(disruptions=disruptions)) == n_found
 
 
 @then("requests beyond a stated limit are found")
