Handle signals that arrive while a router still imports

Cause: the handlers were installed when the router ran; until then the default action ends the process.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -143,12 +143,22 @@
         """Whether the balancer may send new connections."""
         return self._catalog.is_complete and not self._is_stopping
 
-    async def run(self) -> None:
-        """Serve until SIGTERM, then stop gracefully."""
+    async def run(self, received: Sequence[int] = ()) -> None:
+        """Serve until SIGTERM, then stop gracefully.
+
+        Parameters
+        ----------
+        received : sequence of int, default=()
+            Signals that arrived before this router could handle them.
+        """
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.start()
+        if signal.SIGHUP in received:
+            self.reload()
+        if signal.SIGTERM in received:
+            self._stop_requested.set()
         await self._stop_requested.wait()
         await self.stop()
 
--- a/damaskrill/platform/_serve.py
+++ b/damaskrill/platform/_serve.py
@@ -4,7 +4,7 @@
 import os
 import socket
 import sys
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
 from damaskrill.platform._fields import SETTINGS_VARIABLE
@@ -24,6 +24,7 @@
     settings: str = "",
     *,
     listeners: Mapping[tuple[str, int], socket.socket] | None = None,
+    signals: Sequence[int] = (),
 ) -> int:
     """Run one router until SIGTERM.
 
@@ -34,6 +35,8 @@
         variable of the platform.
     listeners : mapping, default=None
         Listening sockets that are already open, by address.
+    signals : sequence of int, default=()
+        Signals that the process has received before; more may follow until it runs.
 
     Returns
     -------
@@ -52,7 +55,7 @@
         return EXIT_INVALID
     configure_decision_log(LineSink(descriptor=STDOUT))
     log = DecisionLog(router=loaded.name, clock=SystemClock())
-    return _run_process(loaded, path, log, listeners or {})
+    return _run_process(loaded, path, log, listeners or {}, signals)
 
 
 def _run_process(
@@ -60,6 +63,7 @@
     path: str,
     log: "DecisionLog",
     listeners: Mapping[tuple[str, int], socket.socket],
+    signals: Sequence[int],
 ) -> int:
     from twisted.internet import asyncioreactor
 
@@ -82,7 +86,7 @@
             reread_settings=lambda: read_platform_settings(path),
             listeners=listeners,
         )
-        await process.run()
+        await process.run(signals)
 
     running: Any = reactor
     running.startRunning(installSignalHandlers=False)
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -167,6 +167,17 @@
     When a router process starts and a caller connects as soon as it can
     Then the caller was connected before the router had started, and gets 200
 
+  Scenario Outline: a signal that arrives while a router still imports ends no connection
+    # Guards against a reload that ends a router which has just been started.
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    When a router process gets <signal> as soon as a caller can connect
+    Then the caller gets <statuses>, and the process <end>
+
+    Examples:
+      | signal  | statuses   | end                |
+      | SIGHUP  | 200        | runs on            |
+      | SIGTERM | 200 or 503 | ends in good order |
+
   Scenario: two routers that dial each other at the same time keep one link
     Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
     And two gateways that have not discovered each other
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -329,6 +330,18 @@
 
 @when("a router process starts and a caller connects as soon as it can")
 def step_start_process(context):
+    address, log, _ = start_process(context)
+    caller = connect_soon(address)
+    context.add_cleanup(caller.close)
+    context.connected_at_ms = time.time() * 1_000
+    context.status = read_status(caller)
+    lines = [json.loads(line) for line in log.read_text().splitlines()]
+    starts = [each["at_ms"] for each in lines if each["event"] == "process_started"]
+    context.started_at_ms = starts[0]
+
+
+def start_process(context):
+    """Start a router; return its address for callers, its log and its process."""
     testbed = context.testbed
     host, ports = "127.0.0.1", [port for _, port in free_addresses("127.0.0.1", 3)]
     text = build_settings(
@@ -351,15 +364,35 @@
         )
     context.add_cleanup(process.wait)
     context.add_cleanup(process.kill)
-    caller = connect_soon((host, ports[0]))
-    context.add_cleanup(caller.close)
-    context.connected_at_ms = time.time() * 1_000
+    return (host, ports[0]), log, process
+
+
+def read_status(caller):
     data, _ = build_request("/read/1", method="GET", body=b"")
     caller.sendall(data)
-    context.status = caller.recv(65_536).split()[1]
-    lines = [json.loads(line) for line in log.read_text().splitlines()]
-    starts = [each["at_ms"] for each in lines if each["event"] == "process_started"]
-    context.started_at_ms = starts[0]
+    return caller.recv(65_536).split()[1]
+
+
+@when("a router process gets {name} as soon as a caller can connect")
+def step_early_signal(context, name):
+    address, context.early_log, context.process = start_process(context)
+    caller = connect_soon(address)
+    context.add_cleanup(caller.close)
+    context.process.send_signal(getattr(signal, name))
+    context.status = read_status(caller)
+    caller.close()
+
+
+@then("the caller gets {statuses}, and the process {end}")
+def step_early_end(context, statuses, end):
+    assert context.status.decode() in statuses.split(" or "), context.status
+    if end == "runs on":
+        time.sleep(0.3)
+        assert context.process.poll() is None
+        assert "settings_reloaded" in context.early_log.read_text()
+    else:
+        assert context.process.wait(timeout=10) == 0
+        assert "process_stopped" in context.early_log.read_text()
 
 
 def connect_soon(address):
