Let entries of unknown services hide no server at their address

Cause: an address belongs to the process that was last started there, by any entry.

Change: only entries of services that the configuration names say who is at an address. When a later version names the other service, its server replaces the former one at once, as before.

Evidence: the new scenario in gateway_store.feature failed before, passes now; those on addresses pass.

--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -322,12 +322,14 @@
                 self._cold_until_ms(entry), cold_until_ms.get(server.service, 0)
             )
             registered.setdefault(server.service, []).append(server)
-            latest_start_ms[server.address] = max(
-                server.started_at_ms, latest_start_ms.get(server.address, 0)
-            )
+            if self._names_server(server):
+                latest_start_ms[server.address] = max(
+                    server.started_at_ms, latest_start_ms.get(server.address, 0)
+                )
         for entry in self._servers.values():
             server = entry.server
-            is_replaced = server.started_at_ms < latest_start_ms[server.address]
+            latest_ms = latest_start_ms.get(server.address, 0)
+            is_replaced = server.started_at_ms < latest_ms
             if not is_replaced and not self._is_excluded(entry):
                 usable.setdefault(server.service, []).append(server)
         services = self._configuration.services if self._configuration else {}
@@ -346,6 +348,11 @@
             ),
         )
 
+    def _names_server(self, server: BackendServer) -> bool:
+        """Return whether an entry names a server of a service that operators know."""
+        known = self._configuration.services if self._configuration else None
+        return known is None or server.service in known
+
     def _cold_until_ms(self, entry: _ServerEntry) -> int:
         spec = self._service_spec(entry.server.service)
         if spec is None or spec.cold_requests_per_s <= 0:
--- a/features/gateway_store.feature
+++ b/features/gateway_store.feature
@@ -143,6 +143,15 @@
     When server "a-1" that started at 1000 at the same address is stored
     Then only "a-2" of them is usable
 
+  Scenario: an entry of an unknown service does not hide the server at its address
+    # Guards against another writer's entry that takes a real server out of use.
+    Given a catalog with a server "a-1" that started at 1000 at an address
+    And operators who know its service only
+    When an entry "x-1" of service "inventory" that started at 9000 names its address
+    Then only "a-1" of them is usable for its service
+    When the operators' next version knows the service "inventory" too
+    Then no server of its service is usable
+
   Scenario Outline: loads are published more often while a large part of the engines is unavailable
     Given a catalog with 6 engines in each of <n> data centres
     Then no large part is unavailable
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -259,6 +259,47 @@
     context.catalog.put(item, 5_000)
 
 
+def put_services(context, version, *names):
+    configuration = Configuration(
+        version=version,
+        routes=(),
+        services={name: ServiceSpec(name=name) for name in names},
+        team_by_key=None,
+        limits=CallerLimits(),
+    )
+    context.catalog.put(ConfigurationItem(configuration=configuration), 5_000)
+
+
+@given("operators who know its service only")
+def step_known_service(context):
+    put_services(context, 1, "app")
+
+
+@when(
+    'an entry "{name}" of service "{service}" that started at {started_at_ms:d} names '
+    "its address"
+)
+def step_foreign(context, name, service, started_at_ms):
+    server = build_server(name, service=service, started_at_ms=started_at_ms)
+    context.catalog.put(ServerItem(server_id=name, server=server), 5_000)
+
+
+@then('only "{name}" of them is usable for its service')
+def step_usable_for(context, name):
+    found = [each.server_id for each in context.catalog.find_servers("app")]
+    assert found == [name], found
+
+
+@when('the operators\' next version knows the service "{service}" too')
+def step_knows_too(context, service):
+    put_services(context, 2, "app", service)
+
+
+@then("no server of its service is usable")
+def step_none_usable(context):
+    assert context.catalog.find_servers("app") == ()
+
+
 @when('server "{name}" is removed')
 def step_server_removed(context, name):
     context.catalog.remove(context.items[name], 6_000)
