Compare replicas of the store between routers, and read it anew where they differ

Change: a heartbeat carries a digest of the keys and revisions of the sender's replica. If two routers are at the same position and their digests differ for 3 s, both read the store anew, also if they are no readers, once in 10 s at most, and a line names the difference. Items that were written between the pages of a list are known to some routers before their position shows it; the next changes end that within a second. The decision is a class without input and output, with its load pattern. The former build ignores the field, and a peer that sends none shows nothing.

--- a/damaskrill/feed/__init__.py
+++ b/damaskrill/feed/__init__.py
@@ -1,5 +1,6 @@
 """Replica of the platform's store, which readers update and routers share."""
 
+from damaskrill.feed._comparison import NO_DIGEST, ReplicaComparison
 from damaskrill.feed._errors import (
     HistoryExpiredError,
     StoreAnswerError,
@@ -20,6 +21,7 @@
 from damaskrill.feed._replica import Change, FeedReplica, ListedChanges
 
 __all__ = [
+    "NO_DIGEST",
     "START",
     "STARTUP_BACKOFF_MS",
     "BaseStoreClient",
@@ -32,6 +34,7 @@
     "ListedChanges",
     "Page",
     "Position",
+    "ReplicaComparison",
     "ServerChanges",
     "StoreAnswerError",
     "StoreOutdatedError",
--- a/damaskrill/feed/_reader.py
+++ b/damaskrill/feed/_reader.py
@@ -118,6 +118,8 @@
         self._random = random_state
         self._backoff_ms = 0
         self._needs_relist = False
+        # A router that is not a reader reads one list all the same.
+        self._must_list = False
         self._n_read_bytes = 0
         self._is_unreachable = False
         self._n_calls = 0
@@ -127,10 +129,14 @@
         """Number of calls to the store so far."""
         return self._n_calls
 
+    def request_list(self) -> None:
+        """Read the store anew, also if this router is not a reader."""
+        self._needs_relist = self._must_list = True
+
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            if not self._should_read():
+            if not (self._should_read() or self._must_list):
                 await asyncio.sleep(IDLE_POLL_MS / 1_000)
                 continue
             try:
@@ -166,7 +172,7 @@
         if page.at < self._replica.position:
             raise StoreOutdatedError(era=page.at.era)
         listed = self._replica.apply_list(page.changes, page.at)
-        self._needs_relist = False
+        self._needs_relist = self._must_list = False
         self._n_read_bytes = _count_bytes(listed.changes)
         if listed.is_restored:
             position = self._replica.position
--- a/damaskrill/feed/_replica.py
+++ b/damaskrill/feed/_replica.py
@@ -2,10 +2,13 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
+from functools import reduce
+from operator import xor
 
 from attrs import evolve, frozen
 
 from damaskrill.feed._position import START, Position
+from damaskrill.utils import hash_to_int
 
 __all__ = ["Change", "FeedReplica", "ListedChanges"]
 
@@ -76,6 +79,8 @@
         self._position = START
         self._log: deque[Change] = deque()
         self._log_start = 0
+        # None if items have changed since.
+        self._digest: int | None = None
 
     @property
     def position(self) -> Position:
@@ -87,6 +92,17 @@
         """Revision of the position; 0 before the first list."""
         return self._position.revision
 
+    @property
+    def digest(self) -> int:
+        """Digest of the keys and revisions of all current items; never 0."""
+        if self._digest is None:
+            hashes = (
+                hash_to_int(f"{each.key}\0{each.revision}")
+                for each in self._items.values()
+            )
+            self._digest = reduce(xor, hashes, 0) or 1
+        return self._digest
+
     @property
     def n_bytes(self) -> int:
         """Length of all current items, in bytes."""
@@ -220,6 +236,7 @@
             and (key not in listed or listed[key].value != change.value)
         }
         self._items = listed
+        self._digest = None
         self._tombstones.clear()
         self._start_log(at)
         written = [
@@ -240,6 +257,7 @@
         if change.revision <= last:
             return False
         self._superseded.pop(change.key, None)
+        self._digest = None
         if change.value is None:
             self._tombstones[change.key] = change.revision
             if current is None:
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -267,6 +267,7 @@
             needs_fresh_loads=lambda: self._catalog.has_major_capacity_loss,
             handle_message=self._streams.handle_message,
             handle_link=self._streams.greet,
+            handle_difference=self._handle_difference,
             report=self._log.write,
         )
         self._reader = FeedReader(
@@ -454,6 +455,11 @@
         )
         return history
 
+    def _handle_difference(self, peer: str) -> None:
+        at = self._replica.position
+        self._log.warn("replica_differs", peer=peer, era=at.era, revision=at.revision)
+        self._reader.request_list()
+
     def _apply_read(self, listed: ListedChanges) -> None:
         now_ms = round(monotonic_now_ms())
         version_before = self._catalog.text_version
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -10,7 +10,7 @@
 from attrs import astuple, frozen
 
 from damaskrill.exceptions import PeerFrameError
-from damaskrill.feed import START, Change, Contact, Position
+from damaskrill.feed import NO_DIGEST, START, Change, Contact, Position
 from damaskrill.mesh._messages import (
     Message,
     StreamNotice,
@@ -55,7 +55,10 @@
 # Kinds of frames in which a field may be invalid.
 KNOWN_KINDS = frozenset("zhdurgfsqab")
 # Reports of a frame that a peer does not send.
-NO_REPORTS: tuple[Any, ...] = ([], [], [], b"", b"", b"", [], b"", b"", b"", None)
+NO_REPORTS: tuple[Any, ...] = (
+    *([], [], [], b"", b"", b"", [], b"", b"", b"", None),
+    NO_DIGEST,
+)
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
 MIN_COMPRESSED_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
@@ -194,6 +197,9 @@
         Services whose servers are brittle.
     key_counts : KeyCounts or None
         The sender's recent requests; None if they are not part of the frame.
+    digest : int
+        Digest of the sender's replica at its position; `NO_DIGEST` if it is not part of
+        the frame.
     """
 
     position: Position = START
@@ -209,6 +215,7 @@
     limits: tuple[LimitReport, ...] = ()
     brittle: tuple[LimitReport, ...] = ()
     key_counts: KeyCounts | None = None
+    digest: int = NO_DIGEST
 
 
 @frozen(kw_only=True)
@@ -360,6 +367,7 @@
         None
         if counts is None
         else [counts.n_requests, [list(each) for each in counts.by_key.items()]],
+        update.digest,
     ]
 
 
@@ -380,6 +388,7 @@
             bytes(limits),
             bytes(brittle),
             [float(), list(), *_] | None as counts,
+            int(digest),
         ]:
             return Update(
                 position=position,
@@ -399,6 +408,7 @@
                 limits=tuple(starmap(LimitReport, _unpack(limits, N_REPORT_NUMBERS))),
                 brittle=tuple(starmap(LimitReport, _unpack(brittle, N_REPORT_NUMBERS))),
                 key_counts=_to_key_counts(counts),
+                digest=digest,
             )
         case _:
             raise ValueError("invalid reports")
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -9,7 +9,13 @@
 from websockets.exceptions import WebSocketException
 
 from damaskrill.exceptions import PeerFrameError
-from damaskrill.feed import Contact, FeedReplica, Freshness
+from damaskrill.feed import (
+    NO_DIGEST,
+    Contact,
+    FeedReplica,
+    Freshness,
+    ReplicaComparison,
+)
 from damaskrill.mesh._direct import DIAL_OPTIONS, DirectLinks
 from damaskrill.mesh._frames import (
     MAX_FRAME_BYTES,
@@ -105,6 +111,9 @@
     handle_link : callable
         Called with the address of a router to which a link has been opened, if the
         fleet is so small that each router tells all others.
+    handle_difference : callable
+        Called with the address of a router whose replica of the store differs from this
+        one although both are at the same position.
     report : callable
         Logs an event, given its name and fields.
     """
@@ -123,6 +132,7 @@
         needs_fresh_loads: Callable[[], bool],
         handle_message: Callable[[str, Message], None],
         handle_link: Callable[[str], None],
+        handle_difference: Callable[[str], None],
         report: Callable[..., None],
     ) -> None:
         self._members = members
@@ -138,6 +148,8 @@
         self._needs_fresh_loads = needs_fresh_loads
         self._handle_message = handle_message
         self._handle_link = handle_link
+        self._handle_difference = handle_difference
+        self._comparison = ReplicaComparison()
         self._direct = DirectLinks(
             own_address=members.own.address, handle=handle_message, report=report
         )
@@ -262,9 +274,11 @@
             self._send(link, update)
 
     def _collect(self, link: Link, now_ms: float, **selection: Any) -> Update:
+        is_heartbeat = selection.get("key_counts") is not None
         return self._reports.collect(
             link,
             now_ms,
+            digest=self._replica.digest if is_heartbeat else NO_DIGEST,
             position=self._replica.position,
             contact=self._freshness.contact(round(now_ms)),
             **selection,
@@ -429,6 +443,7 @@
         match frame:
             case Update():
                 self._apply_contact(link, frame, now_ms)
+                self._compare(link, frame, now_ms)
                 self._reports.apply(link, frame, now_ms)
                 has_urgent = (
                     frame.failures
@@ -454,6 +469,14 @@
             case Hello() | DirectHello() | UnknownFrame():
                 pass
 
+    def _compare(self, link: Link, update: Update, now_ms: float) -> None:
+        own = (self._replica.position, self._replica.digest)
+        other = (update.position, update.digest)
+        if self._comparison.needs_list(
+            link.address, own=own, other=other, now_ms=now_ms
+        ):
+            self._handle_difference(link.address)
+
     def _publish_urgent_reports(self) -> None:
         self._urgent_timer = None
         self._reports.failures.flush()
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from damaskrill.feed import Contact, Position
+from damaskrill.feed import NO_DIGEST, Contact, Position
 from damaskrill.mesh._frames import Departure, MemberEntry, Update
 from damaskrill.mesh._link import Link
 from damaskrill.mesh._members import MemberTable
@@ -101,6 +101,7 @@
         has_entries: bool = False,
         has_loads: bool = False,
         key_counts: KeyCounts | None = None,
+        digest: int = NO_DIGEST,
     ) -> Update:
         """Return what a peer has not been sent yet.
 
@@ -121,6 +122,8 @@
             Whether to include loads of servers.
         key_counts : KeyCounts or None, default=None
             Request counts of keys to include. They are the same for all links.
+        digest : int, default=NO_DIGEST
+            Digest of the replica to include.
         """
         cursors, members, address = link.cursors, self.members, link.address
         is_relaying = not members.is_full_mesh
@@ -188,6 +191,7 @@
             limits=tuple(limits),
             brittle=tuple(brittle),
             key_counts=key_counts,
+            digest=digest,
         )
 
     def apply(self, link: Link, update: Update, now_ms: float) -> None:
