Move the reading of the servers' history out of the gateway process

The process builds and connects components; what the store's history shows stands in one module now.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -21,17 +21,14 @@
     FeedReader,
     FeedReplica,
     Freshness,
-    HistoryExpiredError,
     ListedChanges,
-    ServerChanges,
-    read_history,
 )
 from damaskrill.gateway._binding import PlatformBinding
 from damaskrill.gateway._change_applier import ChangeApplier
 from damaskrill.gateway._dispatcher import RequestDispatcher
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._peer_relay import PeerRelay
-from damaskrill.gateway._server_history import ServerHistory, build_server_history
+from damaskrill.gateway._server_history import read_server_history
 from damaskrill.gateway._server_throttle import ServerThrottle
 from damaskrill.gateway._settings import Address, GatewaySettings
 from damaskrill.gateway._stream_versions import StreamVersions
@@ -237,7 +234,12 @@
             find_told=self._members.find_told,
             find_told_since=lambda key: self._mesh.find_told_since(key),
             send=lambda address, message: self._mesh.send_message(address, message),
-            read_history=self._read_server_history,
+            read_history=lambda: read_server_history(
+                binding=self._binding,
+                replica=self._replica,
+                history_ms=settings.store_history_ms,
+                log=self._log,
+            ),
         )
         self._reports = ReportExchange(
             members=self._members,
@@ -427,34 +429,6 @@
             )
         return should_read
 
-    async def _read_server_history(self) -> ServerHistory | None:
-        binding, replica = self._binding, self._replica
-        try:
-            found = await read_history(binding.store, replica.position)
-        except HistoryExpiredError:
-            found = ServerChanges(changes=(), is_whole=False)
-        except DamaskrillError as error:
-            self._log.warn("server_history_unknown", sentence=error.sentence)
-            return None
-        items = [
-            each for each in replica.items if not binding.is_operator_item(each.key)
-        ]
-        history = build_server_history(
-            found.changes,
-            items,
-            decode=binding.decode_item,
-            duration_ms=self._settings.store_history_ms if found.is_whole else 0.0,
-            now_ms=time.time() * MS_PER_S,
-        )
-        self._log.write(
-            "server_history_read",
-            n_changes=len(found.changes),
-            is_whole=found.is_whole,
-            duration_ms=history.duration_ms,
-            n_servers=history.n_servers,
-        )
-        return history
-
     def _handle_difference(self, peer: str) -> None:
         at = self._replica.position
         self._log.warn("replica_differs", peer=peer, era=at.era, revision=at.revision)
--- a/damaskrill/gateway/_server_history.py
+++ b/damaskrill/gateway/_server_history.py
@@ -1,13 +1,25 @@
 """Servers that the store listed before this router read it."""
 
+import time
 from collections.abc import Callable, Iterable, Mapping
 
 from attrs import frozen
 
 from damaskrill.catalog import BackendServer, CatalogItem, ServerItem
-from damaskrill.feed import Change
+from damaskrill.eventlog import DecisionLog
+from damaskrill.exceptions import DamaskrillError
+from damaskrill.feed import (
+    Change,
+    FeedReplica,
+    HistoryExpiredError,
+    ServerChanges,
+    read_history,
+)
+from damaskrill.gateway._binding import PlatformBinding
 
-__all__ = ["ServerHistory", "build_server_history"]
+__all__ = ["ServerHistory", "build_server_history", "read_server_history"]
+
+MS_PER_S = 1_000
 
 # Difference between the clocks of two hosts.
 CLOCK_TOLERANCE_MS = 3_000
@@ -85,3 +97,47 @@
         servers={service: tuple(group) for service, group in servers.items()},
         duration_ms=duration_ms,
     )
+
+
+async def read_server_history(
+    *,
+    binding: PlatformBinding,
+    replica: FeedReplica,
+    history_ms: float,
+    log: DecisionLog,
+) -> ServerHistory | None:
+    """Read from the store which servers were listed before; None if it does not answer.
+
+    Parameters
+    ----------
+    binding : PlatformBinding
+        Adapter to the platform.
+    replica : FeedReplica
+        What the store lists now.
+    history_ms : float
+        Time that a whole history is taken to cover, in milliseconds.
+    log : DecisionLog
+        Log of decisions.
+    """
+    try:
+        found = await read_history(binding.store, replica.position)
+    except HistoryExpiredError:
+        found = ServerChanges(changes=(), is_whole=False)
+    except DamaskrillError as error:
+        log.warn("server_history_unknown", sentence=error.sentence)
+        return None
+    history = build_server_history(
+        found.changes,
+        [each for each in replica.items if not binding.is_operator_item(each.key)],
+        decode=binding.decode_item,
+        duration_ms=history_ms if found.is_whole else 0.0,
+        now_ms=time.time() * MS_PER_S,
+    )
+    log.write(
+        "server_history_read",
+        n_changes=len(found.changes),
+        is_whole=found.is_whole,
+        duration_ms=history.duration_ms,
+        n_servers=history.n_servers,
+    )
+    return history
