--- a/damaskrill/soak/_configuration_probes.py
+++ b/damaskrill/soak/_configuration_probes.py
@@ -12,9 +12,15 @@
 from damaskrill.soak._routers import RouterProcesses
 from damaskrill.soak._servers import PLAIN
 
-__all__ = ["ConfigurationProbes", "Probe", "build_probe_route", "check_probes"]
-
-# Time after which routers must have applied a configuration, in seconds.
+__all__ = [
+    "APPLY_S",
+    "ConfigurationProbes",
+    "Probe",
+    "build_probe_route",
+    "check_probes",
+]
+
+# Time after which routers must have applied a configuration or a reload, in seconds.
 APPLY_S = 2.0
 # Time between two rounds of requests, in seconds.
 INTERVAL_S = 0.5
--- a/damaskrill/soak/_injection.py
+++ b/damaskrill/soak/_injection.py
@@ -9,6 +9,7 @@
     build_configuration,
 )
 from damaskrill.soak._configuration_probes import (
+    APPLY_S,
     ConfigurationProbes,
     build_probe_route,
 )
@@ -26,8 +27,6 @@
 EVACUATED_DATA_CENTRE = "kality"
 # Time within which operators and servers have written again what a restored store lost.
 WRITE_AGAIN_S = 1.0
-# Time after which routers must have applied a configuration or a reload, in seconds.
-APPLY_S = 2.0
 PLANNED_WORK = (
     FaultKind.STOP_ROUTER,
     FaultKind.SIGNAL_RELOAD,
