Read all four figures of a server's load, and name the messages of slot scheduling

Two of the figures were dropped: the slots, and how long work takes on the server's host at this moment. Nothing uses them yet; the selection sees running plus waiting requests as before. A header in which one of the first figures cannot be read counts as missing as a whole; before, the figures after it moved up. A fourth figure out of range is dropped alone.

--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -13,6 +13,7 @@
     PromptPart,
     RequestMetadata,
     ServerGrant,
+    ServerLoad,
 )
 from damaskrill.utils import hash_fields
 
@@ -96,6 +97,12 @@
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 MS_PER_S = 1_000
+# Running and waiting requests; the figures after them may be missing.
+MIN_LOAD_FIGURES = 2
+# Largest number of requests or slots that a server can have.
+MAX_LOAD = 1_000_000
+# A server that states more has stopped rather than slowed down.
+MAX_SLOWNESS_PERCENT = 100_000
 # Longest pause that a server may ask for: a day.
 MAX_PAUSE_S = 86_400.0
 # Highest rate that a server may state; higher ones limit nothing.
@@ -278,7 +285,6 @@
     """Return the metadata of a backend server's answer from its headers."""
     headers = {name.lower(): value for name, value in head.headers}
     request_id = headers.get(b"damaskrill-request-id")
-    load = _read_numbers(headers.get(b"damaskrill-server-load", b""))
     is_other_server = head.status == STATUS_MISDIRECTED
     return AnswerMetadata(
         request_id=None if request_id is None else request_id.decode("latin-1"),
@@ -286,8 +292,7 @@
         is_other_server=is_other_server,
         is_sealed=b"damaskrill-response-seal" in headers,
         is_encoded=b"content-encoding" in headers,
-        # The header lists running requests, waiting requests and slots.
-        load=(load[0], load[1]) if len(load) >= 2 else None,
+        load=_read_load(headers.get(b"damaskrill-server-load", b"")),
         is_leaving=headers.get(LEAVING, b"").strip() == IS_LEAVING,
         pause_ms=_read_pause_ms(headers.get(RETRY_AFTER, b""))
         if head.status == STATUS_UNAVAILABLE
@@ -302,6 +307,24 @@
     return any(name.lower() in SERVER_MARKS for name, _ in head.headers)
 
 
+def _read_load(value: bytes) -> ServerLoad | None:
+    # Running requests, waiting requests and slots; on shared hosts also how long work
+    # takes at this moment, in percent of the usual time.
+    numbers = [_read_number(each) for each in value.split(b",")]
+    if len(numbers) < MIN_LOAD_FIGURES or None in numbers[:MIN_LOAD_FIGURES]:
+        return None
+    n_running, n_waiting, n_slots, percent, *_ = (*numbers, None, None)
+    if max(n_running or 0, n_waiting or 0, n_slots or 0) > MAX_LOAD:
+        return None
+    is_stated = percent is not None and 0 < percent <= MAX_SLOWNESS_PERCENT
+    return ServerLoad(
+        n_running=n_running or 0,
+        n_waiting=n_waiting or 0,
+        n_slots=n_slots or 0,
+        slowness=percent / 100 if is_stated and percent else None,
+    )
+
+
 def _read_pause_ms(value: bytes) -> float | None:
     # The platform states seconds, with fractions. A date, which HTTP also allows, would
     # depend on the clocks of both hosts.
--- /dev/null
+++ b/damaskrill/scheduling/__init__.py
@@ -0,0 +1,21 @@
+"""Scheduling of requests where the servers of a service have few slots."""
+
+from damaskrill.scheduling._model import (
+    ReleaseOutcome,
+    SlotAssignment,
+    SlotDecision,
+    SlotRefusal,
+    SlotRefusalReason,
+    SlotRelease,
+    SlotRequest,
+)
+
+__all__ = [
+    "ReleaseOutcome",
+    "SlotAssignment",
+    "SlotDecision",
+    "SlotRefusal",
+    "SlotRefusalReason",
+    "SlotRelease",
+    "SlotRequest",
+]
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -47,6 +47,7 @@
     ServerAllowance,
     ServerGrant,
 )
+from damaskrill.steering._server_load import ServerLoad
 from damaskrill.steering._server_path import ServerPath
 from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
 from damaskrill.steering._stated_limits import LimitReport, StatedLimits
@@ -103,6 +104,7 @@
     "ServedReport",
     "ServerAllowance",
     "ServerGrant",
+    "ServerLoad",
     "ServerLoads",
     "ServerOutcome",
     "ServerPath",
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from damaskrill.steering._server_allowance import ServerGrant
+from damaskrill.steering._server_load import ServerLoad
 from damaskrill.utils import hash_to_int
 
 __all__ = ["AnswerMetadata", "Hop", "PromptPart", "RequestMetadata"]
@@ -158,8 +159,8 @@
         Whether the answer carries the server's proof of origin.
     is_encoded : bool
         Whether the body has a content encoding, that is, is not as the server made it.
-    load : tuple of (int, int) or None
-        Running and waiting requests at the server.
+    load : ServerLoad or None
+        Load that the server states.
     is_leaving : bool
         Whether the server announces that it leaves.
     pause_ms : float or None
@@ -180,7 +181,7 @@
     is_other_server: bool = False
     is_sealed: bool = False
     is_encoded: bool = False
-    load: tuple[int, int] | None = None
+    load: ServerLoad | None = None
     is_leaving: bool = False
     pause_ms: float | None = None
     limit_per_s: float | None = None
