--- a/benchmarks/_capacity.py
+++ b/benchmarks/_capacity.py
@@ -13,6 +13,7 @@
 from attrs import frozen
 
 from benchmarks._results import StoredMeasurement, format_value
+from benchmarks._sweep import render_sweeps
 
 __all__ = ["NOT_MEASURED", "Target", "compute_values", "render_capacity"]
 
@@ -304,6 +305,7 @@
         **_recorder_values(index, target),
         **_relay_values(index, target),
         **_fleet_values(index, target),
+        "sweep_table": render_sweeps(results),
     }
 
 
--- a/benchmarks/_plots.py
+++ b/benchmarks/_plots.py
@@ -8,6 +8,7 @@
 
 from benchmarks._measurement import Measurement
 from benchmarks._results import StoredMeasurement, format_parameters, format_value
+from benchmarks._sweep import SWEEP_MODULE
 from damaskrill.report import STYLE, render_chart
 
 __all__ = ["PLOTS_FOLDER", "plot_measures"]
@@ -36,6 +37,9 @@
     """
     by_measure: dict[str, list[Measurement]] = {}
     for each in results:
+        if each.module == SWEEP_MODULE:
+            # Its quantities have several units; the capacity page has them in a table.
+            continue
         by_measure.setdefault(each.measurement.measure, []).append(each.measurement)
     plots = {}
     for measure, measurements in sorted(by_measure.items()):
--- a/features/measurements.feature
+++ b/features/measurements.feature
@@ -25,3 +25,18 @@
     When new measurements of "bench_a" are stored
     Then the measurement of "bench_b" is retained
     And stored measurements are unchanged after writing and reading
+
+  Scenario: the table of a sweep is stored and shown with its growth
+    Given the output of a sweep at 30, 100 and 300 routers
+    When it is read for deployment "one"
+    Then the busiest router's memory is 30.7, 33.6 and 44.7 MB, and 45.4 MB at 332
+    And the page shows it with its power 0.16
+
+  Scenario Outline: output without a whole table of a sweep is refused
+    When the output "<output>" of a sweep is read
+    Then it is refused because of "<reason>"
+
+    Examples:
+      | output                                      | reason                 |
+      | 3 days, 1 at a time                         | no table               |
+      | middle / busiest or longest, by own machines | no line with the numbers |
--- a/features/steps/measurements_steps.py
+++ b/features/steps/measurements_steps.py
@@ -14,6 +14,12 @@
     replace_modules,
     write_results,
 )
+from benchmarks._sweep import (
+    SWEEP_MODULE,
+    SweepFormatError,
+    read_sweep,
+    render_sweeps,
+)
 from benchmarks.write_measurements import (
     CAPACITY_PATH,
     MEASUREMENTS_PATH,
@@ -102,3 +108,63 @@
         write_results(context.stored, path)
         restored = read_results(path)
     assert sorted(restored, key=repr) == sorted(context.stored, key=repr)
+
+
+SWEEP_OUTPUT = """\
+sweep-30              31/300   0.79  0.794  0.937   0.000  0.053  worst windows 0.75
+
+middle / busiest or longest, by own machines
+                                         30           100           300  power  at 332
+router: processor %               4.0 / 5.6     4.0 / 6.0    7.1 / 15.7   0.44  16.4
+router: memory MB               30.2 / 30.7   32.2 / 33.6   38.5 / 44.7   0.16  45.4
+serving after all were killed, ms 1000 / 1000 1500 / 1500 30000 / 30000   1.46  34781
+power: the busiest grows as machines to this power
+"""
+
+
+@given("the output of a sweep at 30, 100 and 300 routers")
+def step_sweep_output(context):
+    context.output = SWEEP_OUTPUT
+
+
+@when('it is read for deployment "{deployment}"')
+def step_read_sweep(context, deployment):
+    context.sweep = read_sweep(context.output, deployment)
+
+
+@then(
+    "the busiest router's memory is {small:g}, {middle:g} and {large:g} MB, "
+    "and {at_target:g} MB at 332"
+)
+def step_sweep_memory(context, small, middle, large, at_target):
+    values = [
+        each.value
+        for each in context.sweep
+        if each.parameters["quantity"] == "router: memory MB"
+        and each.measure in ("sweep_largest", "sweep_at_target")
+    ]
+    assert values == [small, middle, large, at_target], values
+
+
+@then("the page shows it with its power {power:g}")
+def step_sweep_page(context, power):
+    stored = [
+        StoredMeasurement(
+            module=SWEEP_MODULE, command="c", date="2026-01-01", measurement=each
+        )
+        for each in context.sweep
+    ]
+    assert f"44.7 at 300, power {power:g}, **45.4** at 332" in render_sweeps(stored)
+
+
+@when('the output "{output}" of a sweep is read')
+def step_read_bad_sweep(context, output):
+    try:
+        read_sweep(output, "one")
+    except SweepFormatError as error:
+        context.error = str(error)
+
+
+@then('it is refused because of "{reason}"')
+def step_sweep_refused(context, reason):
+    assert reason in context.error, context.error
