Weigh what servers state of their speed, and the expected time of a request

Callers saw late answers where a seventh of the time a server takes 2.5 times as long: the fourth figure of the load header was read, and used by nobody. These are the two decisions that routers and schedulers share: how long work takes at a server now (the last figure, weighing less the older it is, towards the server's own mean), and when a request that is sent now is done. Nothing uses them yet.

--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -9,6 +9,7 @@
     CrashReport,
     ServedReport,
 )
+from damaskrill.steering._expected_time import expected_time_ms
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
 from damaskrill.steering._fleet_health import FleetHealth
 from damaskrill.steering._fleet_rate_limiter import FleetRateLimiter
@@ -49,6 +50,7 @@
 )
 from damaskrill.steering._server_load import ServerLoad
 from damaskrill.steering._server_path import ServerPath
+from damaskrill.steering._server_speeds import ServerSpeeds
 from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
 from damaskrill.steering._stated_limits import LimitReport, StatedLimits
 from damaskrill.steering._stream_origins import (
@@ -111,11 +113,13 @@
     "ServerPauses",
     "ServerRequirements",
     "ServerSelector",
+    "ServerSpeeds",
     "StatedLimits",
     "StreamOrigins",
     "caller_patience_ms",
     "choose_origin",
     "cold_start_limit",
+    "expected_time_ms",
     "find_latency_cause",
     "find_origins",
     "is_absence_confirmed",
