Tell peers how long work takes at servers, and their slots

A router of 112 sends about 1.5 requests a second to a service of four servers: its own last figure of a server's speed is older than the server's next change. Loads of servers are told anyway; now slots and slowness go with them, in a new last field of an update, which routers of the build before ignore. A server that states none adds no byte.

EMPTY_REPORTS of the steps knows the new field, so that the checks of malformed updates hold for it as well (one more frame of each kind).

--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -401,7 +401,7 @@
         now_ms = self.now_ms
         self.relay.record_heard()
         if metadata.load is not None:
-            self.loads.observe_load(server.key, metadata.load.n_requests, now_ms)
+            self.loads.observe_stated(server.key, metadata.load, now_ms)
         if metadata.is_leaving and self.catalog.mark_leaving(
             server.key, cause="answer"
         ):
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -58,18 +58,22 @@
 NO_REPORTS: tuple[Any, ...] = (
     *([], [], [], b"", b"", b"", [], b"", b"", b"", None),
     NO_DIGEST,
+    b"",
 )
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
 MIN_COMPRESSED_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
 # Unsigned 32-bit numbers in a report of a load, a prefix or a limit, in one of
-# failures, in one of a served part, and in one of a crash before those of the parts.
+# failures, in one of a served part, in one of a server's speed, and in one of a crash
+# before those of the parts.
 N_REPORT_NUMBERS = 3
 N_FAILURE_NUMBERS = 7
 N_SERVED_NUMBERS = 4
+N_SPEED_NUMBERS = 3
 N_CRASH_NUMBERS = 6
 NUMBER_BYTES = 4
 MAX_UINT32 = 0xFFFF_FFFF
+PERCENT = 100
 
 
 @frozen
@@ -368,6 +372,11 @@
         if counts is None
         else [counts.n_requests, [list(each) for each in counts.by_key.items()]],
         update.digest,
+        _pack(
+            (each.load_id, each.n_slots, round(each.slowness * PERCENT))
+            for each in update.loads
+            if each.slowness is not None
+        ),
     ]
 
 
@@ -389,6 +398,7 @@
             bytes(brittle),
             [float(), list(), *_] | None as counts,
             int(digest),
+            bytes(speeds),
         ]:
             return Update(
                 position=position,
@@ -396,7 +406,7 @@
                 entries=tuple(_to_entry(each) for each in entries),
                 suspicions=tuple(_to_suspicion(each) for each in suspicions),
                 departures=tuple(_to_departure(each) for each in departures),
-                loads=tuple(starmap(LoadReport, _unpack(loads, N_REPORT_NUMBERS))),
+                loads=_to_loads(loads, speeds),
                 prefixes=tuple(
                     starmap(PrefixReport, _unpack(prefixes, N_REPORT_NUMBERS))
                 ),
@@ -450,6 +460,18 @@
     return CrashReport(server, router, number, age_ms, waited_ms, request, tuple(parts))
 
 
+def _to_loads(loads: bytes, speeds: bytes) -> tuple[LoadReport, ...]:
+    # What builds before this one do not tell, or read, stands in a field of its own.
+    stated = {
+        load_id: (n_slots, percent / PERCENT)
+        for load_id, n_slots, percent in _unpack(speeds, N_SPEED_NUMBERS)
+    }
+    return tuple(
+        LoadReport(load_id, n_requests, age_ms, *stated.get(load_id, (0, None)))
+        for load_id, n_requests, age_ms in _unpack(loads, N_REPORT_NUMBERS)
+    )
+
+
 def _to_key_counts(fields: Any) -> KeyCounts | None:
     if fields is None:
         return None
--- a/damaskrill/steering/_loads.py
+++ b/damaskrill/steering/_loads.py
@@ -6,6 +6,8 @@
 from attrs import define, field
 
 from damaskrill.steering._gossip import short_server_id
+from damaskrill.steering._server_load import ServerLoad
+from damaskrill.steering._server_speeds import ServerSpeeds
 from damaskrill.utils import LatestOrder
 
 __all__ = ["LoadReport", "ServerLoads"]
@@ -33,11 +35,18 @@
         Its running and waiting requests.
     age_ms : int
         Time since the server reported the load, in milliseconds.
+    n_slots : int
+        Requests that it runs concurrently; 0 if it does not say, or if the router does
+        not tell.
+    slowness : float or None
+        How long work takes there, relative to the usual time; None in the same cases.
     """
 
     load_id: int
     n_requests: int
     age_ms: int
+    n_slots: int = 0
+    slowness: float | None = None
 
 
 @define(kw_only=True)
@@ -47,6 +56,8 @@
     n_own: int = 0
     n_others: float = 0.0
     n_reported: int = 0
+    n_slots: int = 0
+    slowness: float | None = None
     reported_at_ms: float = 0.0
     is_relayed: bool = False
     # Time of the newest report that was received or sent over each link.
@@ -61,9 +72,15 @@
     Handles many routers in front of few servers, where local counts miss the requests
     that other routers send. A server reports its total load in its answers. The share
     of other routers decays until the next report.
+
+    Attributes
+    ----------
+    speeds : ServerSpeeds
+        How long work takes at the servers that state it.
     """
 
     def __init__(self) -> None:
+        self.speeds = ServerSpeeds()
         self._loads: dict[ServerKey, _ServerLoad] = {}
         # Servers in the order of their newest reports.
         self._reported: LatestOrder[ServerKey] = LatestOrder()
@@ -85,6 +102,13 @@
         if at_ms > load.reported_at_ms:
             self._update(key, n_requests, at_ms, is_relayed=False)
 
+    def observe_stated(self, key: ServerKey, stated: ServerLoad, at_ms: float) -> None:
+        """Record all that a server stated of its load in an answer."""
+        self.observe_load(key, stated.n_requests, at_ms)
+        load = self._loads[key]
+        load.n_slots, load.slowness = stated.n_slots, stated.slowness
+        self.speeds.observe(short_server_id(key), stated, at_ms)
+
     def _update(
         self, key: ServerKey, n_requests: int, at_ms: float, *, is_relayed: bool
     ) -> None:
@@ -124,6 +148,8 @@
             load.link_synced_at_ms[source] = at_ms
             if at_ms - load.reported_at_ms > MIN_REPORT_GAP_MS:
                 self._update(key, each.n_requests, at_ms, is_relayed=True)
+                load.n_slots, load.slowness = each.n_slots, each.slowness
+                self.speeds.observe(each.load_id, _to_load(each), now_ms, each.age_ms)
 
     def reports_after(
         self,
@@ -168,7 +194,13 @@
                 load.link_synced_at_ms[exclude_link] = reported_at_ms
                 age_ms = round(now_ms - reported_at_ms)
                 selected.append(
-                    LoadReport(short_server_id(key), load.n_reported, age_ms)
+                    LoadReport(
+                        short_server_id(key),
+                        load.n_reported,
+                        age_ms,
+                        load.n_slots,
+                        load.slowness,
+                    )
                 )
         return selected, self._reported.last_number
 
@@ -177,6 +209,13 @@
         load = self._loads.get(key)
         return load.n_own if load is not None else 0
 
+    def stated_others(self, key: ServerKey) -> tuple[float, float]:
+        """Return how many requests of other routers a server stated, and when."""
+        load = self._loads.get(key)
+        if load is None or not load.reported_at_ms:
+            return 0.0, -math.inf
+        return load.n_others, load.reported_at_ms
+
     def estimate(self, key: ServerKey, now_ms: float) -> float:
         """Return the estimated number of requests at a server."""
         load = self._loads.get(key)
@@ -197,3 +236,14 @@
                 del self._loads[key]
                 self._reported.discard(key)
                 self._keys.pop(short_server_id(key), None)
+        self.speeds.retain_only({short_server_id(key) for key in self._loads})
+
+
+def _to_load(report: LoadReport) -> ServerLoad:
+    # Routers tell the sum of running and waiting requests only.
+    return ServerLoad(
+        n_running=report.n_requests,
+        n_waiting=0,
+        n_slots=report.n_slots,
+        slowness=report.slowness,
+    )
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -65,7 +65,7 @@
 from damaskrill.utils import rank_by_rendezvous
 from features.support.builders import build_engine
 
-EMPTY_REPORTS = ([], [], [], b"", b"", b"", [], b"", b"", b"", None)
+EMPTY_REPORTS = ([], [], [], b"", b"", b"", [], b"", b"", b"", None, 0, b"")
 
 N_RUNS = 200
 NETWORK_DELAY_MS = (0.2, 12.0)
