Estimate the share of its requests that each server fails

The failures that all routers tell each other anyway now also give a share of failures: requests are estimated from the router's own rate and choices, and each share is drawn towards the service's own, so that nobody stands out where all fail alike. Failures to reach a server do not count.

--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -11,6 +11,7 @@
 )
 from damaskrill.steering._expected_time import expected_time_ms
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
+from damaskrill.steering._failure_shares import FailureShares
 from damaskrill.steering._fleet_health import FleetHealth
 from damaskrill.steering._fleet_rate_limiter import FleetRateLimiter
 from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
@@ -80,6 +81,7 @@
     "ExecutionStatus",
     "FailureDetector",
     "FailureReport",
+    "FailureShares",
     "FleetHealth",
     "FleetRateLimiter",
     "FleetRetryBudget",
--- a/damaskrill/steering/_failure_detector.py
+++ b/damaskrill/steering/_failure_detector.py
@@ -6,6 +6,7 @@
 
 from attrs import evolve, frozen
 
+from damaskrill.steering._failure_shares import FailureShares
 from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
 
 __all__ = ["FailureDetector", "FailureReport"]
@@ -106,6 +107,12 @@
         self._reports: dict[int, deque[_TimedReport]] = {}
         self._seen: OrderedDict[tuple[int, int], None] = OrderedDict()
         self._log: GossipLog[_TimedReport] = GossipLog(max_reports=MAX_LOGGED_REPORTS)
+        self._shares = FailureShares()
+
+    @property
+    def shares(self) -> FailureShares:
+        """Share of its requests that each server fails."""
+        return self._shares
 
     @property
     def n_reports(self) -> int:
@@ -257,6 +264,7 @@
         for server in list(self._reports):
             if server not in retained:
                 del self._reports[server]
+        self._shares.retain_only(retained)
 
     def _add_report(self, timed: _TimedReport, source: str) -> None:
         report = timed.report
@@ -265,6 +273,8 @@
             self._seen.popitem(last=False)
         reports = self._reports.setdefault(report.server, deque(maxlen=MAX_REPORTS))
         reports.append(timed)
+        n_reached = report.n_failed - report.n_unreachable
+        self._shares.record_failures(report.server, n_reached, timed.at_ms)
         self._log.add(timed, source=source)
 
 
