--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -9,7 +9,9 @@
     CrashReport,
     ServedReport,
 )
+from damaskrill.steering._expected_time import expected_time_ms
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
+from damaskrill.steering._failure_shares import FailureShares
 from damaskrill.steering._fleet_health import FleetHealth
 from damaskrill.steering._fleet_rate_limiter import FleetRateLimiter
 from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
@@ -48,7 +50,9 @@
     ServerGrant,
 )
 from damaskrill.steering._server_load import ServerLoad
+from damaskrill.steering._server_paces import ServerPaces
 from damaskrill.steering._server_path import ServerPath
+from damaskrill.steering._server_speeds import ServerSpeeds
 from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
 from damaskrill.steering._stated_limits import LimitReport, StatedLimits
 from damaskrill.steering._stream_origins import (
@@ -58,6 +62,7 @@
     find_origins,
     is_absence_confirmed,
 )
+from damaskrill.steering._uneven_choice import ServerEstimate, UnevenChoice
 
 __all__ = [
     "DIRECT_BOUNDS",
@@ -78,6 +83,7 @@
     "ExecutionStatus",
     "FailureDetector",
     "FailureReport",
+    "FailureShares",
     "FleetHealth",
     "FleetRateLimiter",
     "FleetRetryBudget",
@@ -103,19 +109,24 @@
     "RetryState",
     "ServedReport",
     "ServerAllowance",
+    "ServerEstimate",
     "ServerGrant",
     "ServerLoad",
     "ServerLoads",
     "ServerOutcome",
+    "ServerPaces",
     "ServerPath",
     "ServerPauses",
     "ServerRequirements",
     "ServerSelector",
+    "ServerSpeeds",
     "StatedLimits",
     "StreamOrigins",
+    "UnevenChoice",
     "caller_patience_ms",
     "choose_origin",
     "cold_start_limit",
+    "expected_time_ms",
     "find_latency_cause",
     "find_origins",
     "is_absence_confirmed",
