State to engines how urgent a request is

Engines were told nothing, so that all requests were alike to them.

The urgency follows from the priority of the team, else of the route, ranked among those of the configuration in force. A request or stream that has been at a server goes before new ones of its rank, and one in eight requests of a lower rank is stated as urgent as the first rank, so that the least urgent do not starve. Only engines that state the fourth figure of their load are told; a router tells the first one it sends to nothing, as it has not heard of them yet. A caller's own header is dropped as before.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -317,6 +317,13 @@
                 # An engine that failed or is silent may not send its cache either.
                 excluded=self.tried - {server.key},
             ),
+            urgency=dispatcher.engines.find_urgency(
+                server,
+                context.route,
+                context.team,
+                self._metadata,
+                was_sent=bool(self._allowance.reached),
+            ),
         )
         self.sent_to.add(server.key)
         self._allowance.record_sent(short_server_id(server.key))
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -25,6 +25,7 @@
         remaining_ms: int,
         resume_after: int | None,
         cache_source: BackendServer | None,
+        urgency: int | None,
     ) -> Headers:
         """Return the headers."""
 
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -12,6 +12,7 @@
 from damaskrill.gateway._binding import PlatformBinding
 from damaskrill.gateway._buffers import BufferBudget
 from damaskrill.gateway._crash_blocking import CrashBlocking
+from damaskrill.gateway._engine_steering import EngineSteering
 from damaskrill.gateway._exchange import Exchange
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._peer_relay import PeerRelay
@@ -141,6 +142,7 @@
         self.throttle = throttle
         self.relay = relay
         self.streams = streams
+        self.engines = EngineSteering(catalog=catalog, log=log, metrics=metrics)
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
         self._failures = failures
@@ -402,6 +404,7 @@
         self.relay.record_heard()
         if metadata.load is not None:
             self.loads.observe_load(server.key, metadata.load.n_requests, now_ms)
+            self.engines.handle_metadata(server, metadata)
         if metadata.is_leaving and self.catalog.mark_leaving(
             server.key, cause="answer"
         ):
--- a/damaskrill/gateway/_metrics.py
+++ b/damaskrill/gateway/_metrics.py
@@ -43,6 +43,11 @@
             "Requests that were blocked because servers crashed under them.",
             registry=self._registry,
         )
+        self._urgencies = Counter(
+            "damaskrill_gateway_engine_urgency_total",
+            "Requests sent to engines, by the urgency that was stated to them.",
+            registry=self._registry,
+        )
         self._wait_times = self._histogram("wait", "Arrival until the last sending.")
         self._first_answer_times = self._histogram(
             "first_answer", "Arrival until the first event."
@@ -83,6 +88,10 @@
         counter = self._blocked_requests if is_request else self._blocked_parts
         counter.inc({})
 
+    def record_urgency(self, urgency: int) -> None:
+        """Record the urgency that was stated to an engine for a request."""
+        self._urgencies.inc({"urgency": str(urgency)})
+
     def _histogram(self, name: str, doc: str) -> Histogram:
         return Histogram(
             f"damaskrill_gateway_{name}_seconds",
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -42,6 +42,7 @@
 RESUMED_REQUEST = b"resumes"
 # Address of the engine to copy a prompt's cached prefix from.
 CACHE_SOURCE = b"Kv-Fetch"
+URGENCY = b"Damaskrill-Request-Priority"
 # Marks a request that a router sends through another one. The value is the version of
 # the sender's configuration.
 RELAYED = b"damaskrill-router-hop"
@@ -150,6 +151,7 @@
     remaining_ms: int,
     resume_after: int | None,
     cache_source: BackendServer | None,
+    urgency: int | None = None,
 ) -> Headers:
     """Return the headers of a request to a backend server.
 
@@ -167,6 +169,8 @@
         Last event that the caller has received; None forwards the caller's header.
     cache_source : BackendServer or None
         Engine to copy the prompt's cached prefix from.
+    urgency : int or None, default=None
+        How urgent it is for an engine, from 0 (first) to 9; None to state none.
     """
     dropped = ROUTER_HEADERS
     if resume_after is not None:
@@ -185,6 +189,8 @@
     if cache_source is not None:
         host, port = cache_source.address
         forwarded.append((CACHE_SOURCE, f"{host}:{port}".encode()))
+    if urgency is not None:
+        forwarded.append((URGENCY, b"%d" % urgency))
     return tuple(forwarded)
 
 
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -58,6 +58,12 @@
     find_origins,
     is_absence_confirmed,
 )
+from damaskrill.steering._urgency import (
+    EngineUrgency,
+    PriorityRanks,
+    effective_priority,
+    map_urgency,
+)
 
 __all__ = [
     "DIRECT_BOUNDS",
@@ -75,6 +81,7 @@
     "CrashDetector",
     "CrashGuard",
     "CrashReport",
+    "EngineUrgency",
     "ExecutionStatus",
     "FailureDetector",
     "FailureReport",
@@ -94,6 +101,7 @@
     "OriginEvidence",
     "PrefixIndex",
     "PrefixReport",
+    "PriorityRanks",
     "PromptPart",
     "RateLimit",
     "Refusal",
@@ -116,10 +124,12 @@
     "caller_patience_ms",
     "choose_origin",
     "cold_start_limit",
+    "effective_priority",
     "find_latency_cause",
     "find_origins",
     "is_absence_confirmed",
     "is_region_allowed",
+    "map_urgency",
     "may_retry",
     "may_retry_full",
     "short_id",
