Choose engines by data centre, speed and room where they state their speed

Cause: an engine was weighed by the number of its requests alone, so that one that took 2.5 times as long got as many streams as the others; holders of a part in the caller's data centre were not told from others. Nothing knew of prompts that are not read yet, nor of tokens in memory.

EngineChoice (steering/_engine_choice.py) puts holders of the own data centre before others, gives parts in frequent use a home in each data centre (one request in 40 makes one), spreads hot keys over engines of the own data centre, and bounds an engine's requests also with the weight of its slowness. EngineRoom (steering/_engine_room.py) counts this router's unread prompts and tokens in memory; of two engines the one with less unread prompt is tried first, and one whose memory does not bear a request is passed over. The configuration's memory of engines and the callers' length hints are read.

--- a/damaskrill/catalog/_model.py
+++ b/damaskrill/catalog/_model.py
@@ -115,6 +115,8 @@
         Capacity of a cold backend server in requests per second; 0 if unlimited.
     is_engine : bool
         Whether its backend servers run models with a prompt cache.
+    n_memory_tokens : int
+        Tokens that the memory of an engine holds; 0 if it is not known.
     health_path : str
         Path at which a backend server answers without running a request.
     """
@@ -124,6 +126,7 @@
     cold_duration_ms: int = 0
     cold_requests_per_s: float = 0.0
     is_engine: bool = False
+    n_memory_tokens: int = 0
     health_path: str = "/"
 
 
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -29,6 +29,7 @@
 )
 from damaskrill.mesh import MemberEntry
 from damaskrill.steering import (
+    AnswerMetadata,
     CrashGuard,
     RequestMetadata,
     ServerAllowance,
@@ -296,14 +297,22 @@
     def _send(self, server: BackendServer, connection: ServerConnection) -> SentRequest:
         dispatcher, context = self._dispatcher, self._context
         is_stream = context.route.kind is RequestKind.STREAM
+
+        def read_metadata(metadata: AnswerMetadata) -> None:
+            dispatcher.engines.record_begun(attempt)
+            dispatcher.handle_metadata(server, metadata)
+
         attempt = Attempt(
             request_id=self._metadata.request_id,
             read_answer=dispatcher.binding.read_answer,
             progress=self._progress if is_stream else None,
-            on_metadata=lambda metadata: dispatcher.handle_metadata(server, metadata),
+            on_metadata=read_metadata,
             on_forward=lambda: self._bind_stream(server),
             buffer=AnswerBuffer(budget=dispatcher.buffer_budget),
         )
+        need = dispatcher.engines.find_need(
+            server, self._requirements, dispatcher.now_ms
+        )
         headers = dispatcher.binding.server_headers(
             self._request,
             server=server,
@@ -337,6 +346,13 @@
         connection.start(
             self._build_request(headers), attempt, request_id=self._metadata.request_id
         )
+        dispatcher.engines.start(
+            attempt,
+            server,
+            need,
+            request_id=self._metadata.request_id,
+            now_ms=sent_at_ms,
+        )
         return SentRequest(
             server=server,
             attempt=attempt,
@@ -416,6 +432,7 @@
         if not sent.attempt.has_ended:
             sent.connection.abort()
         self._dispatcher.loads.end(sent.server.key)
+        self._dispatcher.engines.end(sent.attempt)
 
     async def _wait_for_result(
         self, attempt: Attempt, *, may_hand_over: bool = True
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -35,6 +35,7 @@
     ServerOutcome,
     ServerRequirements,
     ServerSelector,
+    ServerSpeeds,
     is_region_allowed,
     short_server_id,
     spread_retry_after,
@@ -142,7 +143,15 @@
         self.throttle = throttle
         self.relay = relay
         self.streams = streams
-        self.engines = EngineSteering(catalog=catalog, log=log, metrics=metrics)
+        self.engines = EngineSteering(
+            catalog=catalog,
+            loads=loads,
+            speeds=ServerSpeeds(),
+            prefix_index=prefix_index,
+            data_centre=data_centre,
+            log=log,
+            metrics=metrics,
+        )
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
         self._failures = failures
@@ -307,6 +316,7 @@
             has_prefix=(lambda server: short_server_id(server.key) in holders)
             if holders
             else None,
+            figures=self.engines.find_figures(requirements, now_ms),
         )
 
     def find_wait(
@@ -404,7 +414,7 @@
         self.relay.record_heard()
         if metadata.load is not None:
             self.loads.observe_load(server.key, metadata.load.n_requests, now_ms)
-            self.engines.handle_metadata(server, metadata)
+            self.engines.handle_metadata(server, metadata, now_ms)
         if metadata.is_leaving and self.catalog.mark_leaving(
             server.key, cause="answer"
         ):
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -31,6 +31,7 @@
     RetryState,
     ServerAllowance,
     ServerRequirements,
+    expected_output,
     may_retry,
     may_retry_full,
 )
@@ -225,6 +226,10 @@
             route_regions=route.regions,
             team_regions=team.regions if team else None,
             origin=origin,
+            prompt=self._metadata.prompt if route.has_prompt else (),
+            n_output_tokens=expected_output(
+                self._metadata.length_hint, self._metadata.n_output_tokens
+            ),
         )
         attempts = self._attempts
         guard = self._guard = dispatcher.crashes.guard(self._metadata, team)
--- a/damaskrill/gateway/_metrics.py
+++ b/damaskrill/gateway/_metrics.py
@@ -48,6 +48,11 @@
             "Requests sent to engines, by the urgency that was stated to them.",
             registry=self._registry,
         )
+        self._engine_choices = Counter(
+            "damaskrill_gateway_engine_choices_total",
+            "Requests sent to engines, by data centre and by whether they hold parts.",
+            registry=self._registry,
+        )
         self._wait_times = self._histogram("wait", "Arrival until the last sending.")
         self._first_answer_times = self._histogram(
             "first_answer", "Arrival until the first event."
@@ -92,6 +97,14 @@
         """Record the urgency that was stated to an engine for a request."""
         self._urgencies.inc({"urgency": str(urgency)})
 
+    def record_engine_choice(self, *, is_local: bool, is_cached: bool) -> None:
+        """Record where a request was sent, and whether its parts are cached there."""
+        labels = {
+            "data_centre": "own" if is_local else "other",
+            "parts": "cached" if is_cached else "not_cached",
+        }
+        self._engine_choices.inc(labels)
+
     def _histogram(self, name: str, doc: str) -> Histogram:
         return Histogram(
             f"damaskrill_gateway_{name}_seconds",
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -127,6 +127,7 @@
         prompt=_read_prompt(headers.get(b"damaskrill-prompt-prefix", b"")),
         n_prompt_tokens=usage[0] if usage else 0,
         n_output_tokens=usage[1] if len(usage) > 1 else 0,
+        length_hint=_read_number(headers.get(b"damaskrill-length-hint", b"")),
         last_event_id=_read_number(headers.get(b"last-event-id", b"")),
         resumed_request_id=headers.get(RESUMED_REQUEST, b"").decode("latin-1"),
         hop=_read_hop(headers),
--- a/damaskrill/platform/_items.py
+++ b/damaskrill/platform/_items.py
@@ -190,10 +190,19 @@
         cold_requests_per_s=float(read_number(content, "coldPerS", default=0)),
         # The field is not a name, but contains the properties of the engine.
         is_engine=bool(content.get("engineName")),
+        n_memory_tokens=_read_memory(content.get("engineName")),
         health_path=str(content.get("healthPath") or "/"),
     )
 
 
+def _read_memory(content: Any) -> int:
+    # An engine without readable properties is used, as one whose memory is not known.
+    try:
+        return read_integer(content, "kvTokens", default=0)
+    except INVALID_VALUE:
+        return 0
+
+
 def _to_regions(content: dict[str, Any]) -> frozenset[str] | None:
     regions = content.get("allowedRegions")
     return None if regions is None else frozenset(regions)
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -9,6 +9,8 @@
     CrashReport,
     ServedReport,
 )
+from damaskrill.steering._engine_choice import EngineChoice, EngineFigures
+from damaskrill.steering._engine_room import EngineRoom, expected_output
 from damaskrill.steering._expected_time import expected_time_ms
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
 from damaskrill.steering._fleet_health import FleetHealth
@@ -83,6 +85,9 @@
     "CrashDetector",
     "CrashGuard",
     "CrashReport",
+    "EngineChoice",
+    "EngineFigures",
+    "EngineRoom",
     "EngineUrgency",
     "ExecutionStatus",
     "FailureDetector",
@@ -128,6 +133,7 @@
     "choose_origin",
     "cold_start_limit",
     "effective_priority",
+    "expected_output",
     "expected_time_ms",
     "find_latency_cause",
     "find_origins",
--- a/damaskrill/steering/_metadata.py
+++ b/damaskrill/steering/_metadata.py
@@ -66,6 +66,8 @@
         Parts of the prompt in order; the last one is the request's own.
     n_prompt_tokens, n_output_tokens : int
         Length of the prompt, and the maximum length of the output; 0 if unknown.
+    length_hint : int or None
+        The caller's estimate of the output's length in tokens; None if it gave none.
     last_event_id : int or None
         Last event that the caller already received of a stream that it resumes.
     resumed_request_id : str
@@ -84,6 +86,7 @@
     prompt: tuple[PromptPart, ...] = ()
     n_prompt_tokens: int = 0
     n_output_tokens: int = 0
+    length_hint: int | None = None
     last_event_id: int | None = None
     resumed_request_id: str = ""
     hop: Hop | None = None
--- a/damaskrill/steering/_selector.py
+++ b/damaskrill/steering/_selector.py
@@ -6,9 +6,11 @@
 from attrs import frozen
 
 from damaskrill.catalog import BackendServer
+from damaskrill.steering._engine_choice import EngineChoice, EngineFigures
 from damaskrill.steering._hot_keys import HotKeys
 from damaskrill.steering._load_bounds import DIRECT_BOUNDS, LoadBounds
 from damaskrill.steering._loads import ServerLoads
+from damaskrill.steering._metadata import PromptPart
 from damaskrill.utils import rank_by_rendezvous
 
 __all__ = ["Candidate", "ServerRequirements", "ServerSelector"]
@@ -47,6 +49,10 @@
         Regions to which the route and the team are restricted; None if unrestricted.
     origin : int or None
         Origin of the stream that goes on; None if it has not begun.
+    prompt : tuple of PromptPart
+        Parts of its prompt; empty if it has none.
+    n_output_tokens : int
+        Tokens of output to expect.
     """
 
     service: str
@@ -54,6 +60,13 @@
     route_regions: frozenset[str] | None = None
     team_regions: frozenset[str] | None = None
     origin: int | None = None
+    prompt: tuple[PromptPart, ...] = ()
+    n_output_tokens: int = 0
+
+    @property
+    def n_tokens(self) -> int:
+        """Tokens of its prompt and of the output to expect."""
+        return sum(part.n_tokens for part in self.prompt) + self.n_output_tokens
 
     @property
     def is_restricted(self) -> bool:
@@ -98,6 +111,9 @@
         self._hot_keys = hot_keys or HotKeys()
         self._own_data_centre = own_data_centre
         self._random = random_state
+        self._engine_choice = EngineChoice(
+            own_data_centre=own_data_centre, random_state=random_state
+        )
 
     def select(
         self,
@@ -108,6 +124,7 @@
         all_servers: Sequence[BackendServer] = (),
         bounds: LoadBounds = DIRECT_BOUNDS,
         has_prefix: Callable[[BackendServer], bool] | None = None,
+        figures: EngineFigures | None = None,
     ) -> BackendServer | None:
         """Return the best candidate; None if there is none.
 
@@ -127,6 +144,8 @@
             Bounds on the load of an engine.
         has_prefix : callable, default=None
             Returns whether an engine has processed the last shared part.
+        figures : EngineFigures, default=None
+            Speed and room of the engines; None for engines that do not state them.
         """
         preferred = [each.server for each in candidates if each.is_preferred]
         servers = preferred or [each.server for each in candidates]
@@ -140,6 +159,7 @@
                 all_servers or servers,
                 bounds,
                 has_prefix,
+                figures,
             )
         return self._select_plain(servers, now_ms)
 
@@ -151,6 +171,7 @@
         all_servers: Sequence[BackendServer],
         bounds: LoadBounds,
         has_prefix: Callable[[BackendServer], bool] | None,
+        figures: EngineFigures | None,
     ) -> BackendServer:
         by_id = {each.server_id: each for each in servers}
         estimate = self._loads.estimate
@@ -167,6 +188,16 @@
             key, n_all=len(servers), mean_load=mean, bounds=bounds, now_ms=now_ms
         )
         order = rank_by_rendezvous(key, by_id)
+        if figures is not None:
+            return self._engine_choice.choose(
+                [by_id[each] for each in order],
+                figures=figures,
+                loads=loads,
+                bound=bound,
+                bounds=bounds,
+                n_primary=n_primary,
+                has_prefix=has_prefix or (lambda _: False),
+            )
         if has_prefix is not None:
             order.sort(key=lambda each: not has_prefix(by_id[each]))
         primary, others = order[:n_primary], order[n_primary:]
