Look for memory only at engines within their bounds, and draw the floor with a salt

Callers choose the IDs of their requests, so that a team of a low rank could have stated those that are served like the first rank; a number of the process goes into the draw. State of engines that have left is discarded.

--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -489,6 +489,7 @@
         for key in keys:
             self.loads.register_server(key)
         self.loads.retain_only(keys)
+        self.engines.retain_only(configuration.services, keys)
         # Servers that are out of use for a moment return as they were.
         self._health.retain_only(self.catalog.registered_keys())
         self.throttle.discard_ended(self.now_ms)
--- a/damaskrill/gateway/_engine_steering.py
+++ b/damaskrill/gateway/_engine_steering.py
@@ -1,6 +1,7 @@
 """What a router states to engines about a request, and what it knows of their room."""
 
-from collections.abc import Hashable
+import secrets
+from collections.abc import Hashable, Iterable
 
 from attrs import frozen
 
@@ -81,7 +82,7 @@
         self._data_centre = data_centre
         self._log = log
         self._metrics = metrics
-        self._urgency = EngineUrgency()
+        self._urgency = EngineUrgency(salt=secrets.token_hex(8))
         self._room = EngineRoom()
 
     def handle_metadata(
@@ -194,6 +195,13 @@
         """Record that a request has left its engine."""
         self._room.end(handle)
 
+    def retain_only(
+        self, services: Iterable[str], keys: Iterable[tuple[str, int]]
+    ) -> None:
+        """Discard what is known of all other services and engines."""
+        self._urgency.retain_only(services)
+        self._speeds.retain_only({short_server_id(each) for each in keys})
+
     def _is_known(self, service: str) -> bool:
         return self._urgency.is_known(service) and self._is_engine(service)
 
--- a/damaskrill/steering/_engine_choice.py
+++ b/damaskrill/steering/_engine_choice.py
@@ -113,17 +113,20 @@
         def expected(engine: BackendServer) -> tuple[int, float]:
             return figures.n_unread(engine), work[engine.server_id]
 
-        fitting = [each for each in order if figures.fits(each, loads[each.server_id])]
-        ranked = sorted(fitting or order, key=lambda each: not has_prefix(each))
+        ranked = sorted(order, key=lambda each: not has_prefix(each))
         primary = self._find_primary(ranked, n_primary, has_prefix)
         self._random.shuffle(primary)
         # Loads are told late: the better of two random engines is tried first.
         primary[:2] = sorted(primary[:2], key=expected)
         chosen = {each.server_id for each in primary}
         others = [each for each in ranked if each.server_id not in chosen]
-        for engine in primary + others:
-            if is_within(engine):
+        within = None
+        for engine in filter(is_within, primary + others):
+            if figures.fits(engine, loads[engine.server_id]):
                 return engine
+            within = within or engine
+        if within is not None:
+            return within
         allowed = [each for each in ranked if loads[each.server_id] + 1 <= bound]
         return min(allowed or ranked, key=lambda each: work[each.server_id])
 
--- a/damaskrill/steering/_urgency.py
+++ b/damaskrill/steering/_urgency.py
@@ -105,6 +105,11 @@
 class EngineUrgency:
     """States requests' urgency to the engines of services that distinguish it.
 
+    Parameters
+    ----------
+    salt : str
+        Unknown to callers, who choose the IDs of their requests.
+
     Notes
     -----
     Handles engines at which short prompts of the most urgent callers wait behind long
@@ -112,7 +117,8 @@
     told: others are not known to handle urgency.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, salt: str) -> None:
+        self._salt = salt
         self._services: set[str] = set()
         self._ranks: dict[str, PriorityRanks] = {}
         self._configuration: Configuration | None = None
@@ -169,11 +175,11 @@
             ranks = PriorityRanks.from_configuration(configuration, service)
             self._ranks[service] = ranks
         rank = ranks.rank_of(effective_priority(route, team))
-        if is_in_floor(request_id):
+        if is_in_floor(request_id, self._salt):
             rank = 0
         return map_urgency(rank, len(ranks), was_sent=was_sent)
 
 
-def is_in_floor(request_id: str) -> bool:
+def is_in_floor(request_id: str, salt: str) -> bool:
     """Return whether a request is one of those served like the first rank."""
-    return hash_to_int(request_id) % FLOOR_INTERVAL == 0
+    return hash_to_int(f"{salt} {request_id}") % FLOOR_INTERVAL == 0
--- a/features/steps/engine_urgency_steps.py
+++ b/features/steps/engine_urgency_steps.py
@@ -32,7 +32,7 @@
         at_ms = 0.0
         while (at_ms := at_ms + random.expovariate(per_s) * 1_000) < seconds * 1_000:
             request_id = f"{priority}-{at_ms:.3f}"
-            rank = 0 if is_in_floor(request_id) else ranks.rank_of(priority)
+            rank = 0 if is_in_floor(request_id, "salt") else ranks.rank_of(priority)
             urgency = map_urgency(rank, len(ranks))
             arrivals.append((at_ms, n_tokens, priority, urgency))
     arrivals.sort()
