--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -12,6 +12,7 @@
 from damaskrill.gateway._binding import PlatformBinding
 from damaskrill.gateway._buffers import BufferBudget
 from damaskrill.gateway._crash_blocking import CrashBlocking
+from damaskrill.gateway._engine_steering import EngineSteering
 from damaskrill.gateway._exchange import Exchange
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._peer_relay import PeerRelay
@@ -141,6 +142,14 @@
         self.throttle = throttle
         self.relay = relay
         self.streams = streams
+        self.engines = EngineSteering(
+            catalog=catalog,
+            loads=loads,
+            prefix_index=prefix_index,
+            data_centre=data_centre,
+            log=log,
+            metrics=metrics,
+        )
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
         self._failures = failures
@@ -308,6 +317,7 @@
             is_engine=configuration.services[service].is_engine,
             n_routers=n_routers,
             is_last=requirements.is_last,
+            figures=self.engines.find_figures(requirements, now_ms),
         )
 
     def find_wait(
@@ -405,6 +415,7 @@
         self.relay.record_heard()
         if metadata.load is not None:
             self.loads.observe_stated(server.key, metadata.load, now_ms)
+            self.engines.handle_metadata(server, metadata, now_ms)
         if metadata.is_leaving and self.catalog.mark_leaving(
             server.key, cause="answer"
         ):
@@ -479,6 +490,7 @@
         for key in keys:
             self.loads.register_server(key)
         self.loads.retain_only(keys)
+        self.engines.retain_only(configuration.services)
         # Servers that are out of use for a moment return as they were.
         self._health.retain_only(self.catalog.registered_keys())
         self.throttle.discard_ended(self.now_ms)
--- a/damaskrill/gateway/_metrics.py
+++ b/damaskrill/gateway/_metrics.py
@@ -43,6 +43,16 @@
             "Requests that were blocked because servers crashed under them.",
             registry=self._registry,
         )
+        self._urgencies = Counter(
+            "damaskrill_gateway_engine_urgency_total",
+            "Requests sent to engines, by the urgency that was stated to them.",
+            registry=self._registry,
+        )
+        self._engine_choices = Counter(
+            "damaskrill_gateway_engine_choices_total",
+            "Requests sent to engines, by data centre and by whether they hold parts.",
+            registry=self._registry,
+        )
         self._wait_times = self._histogram("wait", "Arrival until the last sending.")
         self._first_answer_times = self._histogram(
             "first_answer", "Arrival until the first event."
@@ -83,6 +93,18 @@
         counter = self._blocked_requests if is_request else self._blocked_parts
         counter.inc({})
 
+    def record_urgency(self, urgency: int) -> None:
+        """Record the urgency that was stated to an engine for a request."""
+        self._urgencies.inc({"urgency": str(urgency)})
+
+    def record_engine_choice(self, *, is_local: bool, is_cached: bool) -> None:
+        """Record where a request was sent, and whether its parts are cached there."""
+        labels = {
+            "data_centre": "own" if is_local else "other",
+            "parts": "cached" if is_cached else "not_cached",
+        }
+        self._engine_choices.inc(labels)
+
     def _histogram(self, name: str, doc: str) -> Histogram:
         return Histogram(
             f"damaskrill_gateway_{name}_seconds",
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -9,6 +9,8 @@
     CrashReport,
     ServedReport,
 )
+from damaskrill.steering._engine_choice import EngineChoice, EngineFigures
+from damaskrill.steering._engine_room import EngineRoom, expected_output
 from damaskrill.steering._expected_time import expected_time_ms
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
 from damaskrill.steering._failure_shares import FailureShares
@@ -63,6 +65,12 @@
     is_absence_confirmed,
 )
 from damaskrill.steering._uneven_choice import ServerEstimate, UnevenChoice
+from damaskrill.steering._urgency import (
+    EngineUrgency,
+    PriorityRanks,
+    effective_priority,
+    map_urgency,
+)
 
 __all__ = [
     "DIRECT_BOUNDS",
@@ -80,6 +88,10 @@
     "CrashDetector",
     "CrashGuard",
     "CrashReport",
+    "EngineChoice",
+    "EngineFigures",
+    "EngineRoom",
+    "EngineUrgency",
     "ExecutionStatus",
     "FailureDetector",
     "FailureReport",
@@ -100,6 +112,7 @@
     "OriginEvidence",
     "PrefixIndex",
     "PrefixReport",
+    "PriorityRanks",
     "PromptPart",
     "RateLimit",
     "Refusal",
@@ -126,11 +139,14 @@
     "caller_patience_ms",
     "choose_origin",
     "cold_start_limit",
+    "effective_priority",
+    "expected_output",
     "expected_time_ms",
     "find_latency_cause",
     "find_origins",
     "is_absence_confirmed",
     "is_region_allowed",
+    "map_urgency",
     "may_retry",
     "may_retry_full",
     "short_id",
--- a/damaskrill/steering/_selector.py
+++ b/damaskrill/steering/_selector.py
@@ -6,10 +6,12 @@
 from attrs import frozen
 
 from damaskrill.catalog import BackendServer
+from damaskrill.steering._engine_choice import EngineChoice, EngineFigures
 from damaskrill.steering._failure_shares import FailureShares
 from damaskrill.steering._hot_keys import HotKeys
 from damaskrill.steering._load_bounds import DIRECT_BOUNDS, LoadBounds
 from damaskrill.steering._loads import ServerLoads
+from damaskrill.steering._metadata import PromptPart
 from damaskrill.steering._uneven_choice import UnevenChoice
 from damaskrill.utils import rank_by_rendezvous
 
@@ -51,6 +53,10 @@
         Origin of the stream that goes on; None if it has not begun.
     is_last : bool
         Whether no other server may follow if the next one fails.
+    prompt : tuple of PromptPart
+        Parts of its prompt; empty if it has none.
+    n_output_tokens : int
+        Tokens of output to expect.
     """
 
     service: str
@@ -59,6 +65,13 @@
     team_regions: frozenset[str] | None = None
     origin: int | None = None
     is_last: bool = False
+    prompt: tuple[PromptPart, ...] = ()
+    n_output_tokens: int = 0
+
+    @property
+    def n_tokens(self) -> int:
+        """Tokens of its prompt and of the output to expect."""
+        return sum(part.n_tokens for part in self.prompt) + self.n_output_tokens
 
     @property
     def is_restricted(self) -> bool:
@@ -114,6 +127,9 @@
             own_data_centre=own_data_centre,
             random_state=random_state,
         )
+        self._engine_choice = EngineChoice(
+            own_data_centre=own_data_centre, random_state=random_state
+        )
 
     def select(
         self,
@@ -127,6 +143,7 @@
         is_engine: bool = False,
         n_routers: int = 1,
         is_last: bool = False,
+        figures: EngineFigures | None = None,
     ) -> BackendServer | None:
         """Return the best candidate; None if there is none.
 
@@ -153,6 +170,8 @@
             Number of live routers.
         is_last : bool, default=False
             Whether no other server may follow if this one fails.
+        figures : EngineFigures, default=None
+            Speed and room of the engines; None for engines that do not state them.
         """
         preferred = [each.server for each in candidates if each.is_preferred]
         servers = preferred or [each.server for each in candidates]
@@ -166,6 +185,7 @@
                 all_servers or servers,
                 bounds,
                 has_prefix,
+                figures,
             )
         if not is_engine and self._uneven.is_needed(servers):
             return self._uneven.choose(
@@ -185,6 +205,7 @@
         all_servers: Sequence[BackendServer],
         bounds: LoadBounds,
         has_prefix: Callable[[BackendServer], bool] | None,
+        figures: EngineFigures | None,
     ) -> BackendServer:
         by_id = {each.server_id: each for each in servers}
         estimate = self._loads.estimate
@@ -201,6 +222,16 @@
             key, n_all=len(servers), mean_load=mean, bounds=bounds, now_ms=now_ms
         )
         order = rank_by_rendezvous(key, by_id)
+        if figures is not None:
+            return self._engine_choice.choose(
+                [by_id[each] for each in order],
+                figures=figures,
+                loads=loads,
+                bound=bound,
+                bounds=bounds,
+                n_primary=n_primary,
+                has_prefix=has_prefix or (lambda _: False),
+            )
         if has_prefix is not None:
             order.sort(key=lambda each: not has_prefix(by_id[each]))
         primary, others = order[:n_primary], order[n_primary:]
