Add the messages about slots between routers, and who is asked

Routers could not ask one of them for a slot at a server. A batch of messages about the slots of one service is one frame of a new kind, which the former build ignores; a flag at the end of a membership entry says that a router may be asked, so that one of the former build never is.

Fake servers can have slots, a short queue and all four figures of a load.

Evidence: features/slot_messages.feature (four scenarios) passes; features/gateway_upgrade.feature and the round trip of all frames now hold the new kind as well.

--- a/damaskrill/fakes/platform/__init__.py
+++ b/damaskrill/fakes/platform/__init__.py
@@ -15,6 +15,7 @@
 )
 from damaskrill.fakes.platform._raw_answers import build_endless_answer
 from damaskrill.fakes.platform._server import FakeServer
+from damaskrill.fakes.platform._slots import ServerSlots
 from damaskrill.fakes.platform._store import FakeStore, StoreCopy, StoreMode
 
 __all__ = [
@@ -24,6 +25,7 @@
     "FakeServer",
     "FakeStore",
     "Misbehaviour",
+    "ServerSlots",
     "StoreCopy",
     "StoreMode",
     "UnframedHead",
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -18,6 +18,7 @@
     build_event,
     send_endless,
 )
+from damaskrill.fakes.platform._slots import ServerSlots
 from damaskrill.fakes.platform._streams import (
     UnframedStream,
     break_off_stream,
@@ -115,6 +116,9 @@
     capacity : int or None
         Requests that it runs at the same time, beyond which it rejects others; None for
         any number.
+    slots : ServerSlots or None
+        Slots that it has, whose load its answers state with all four figures; None for
+        any number.
     brittle_per_s : int or None
         Value of the header ``Server-Brittle`` of its answers: it crashes if it has to
         reject more requests within a second.
@@ -154,6 +158,7 @@
         self.on_crash: Callable[[], None] | None = None
         self.states_load = True
         self.capacity: int | None = None
+        self.slots: ServerSlots | None = None
         self.brittle_per_s: int | None = None
         self.n_falls = 0
         self._n_active = 0
@@ -204,6 +209,9 @@
             connection.send_answer(421, ((b"Damaskrill-Instance-Id", b"i-other"),), b"")
             return
         is_full = self.capacity is not None and self._n_active >= self.capacity
+        if self.slots is not None and self.slots.is_full:
+            is_full = True
+            self.slots.n_rejected += 1
         if is_full or self._fails_as(Misbehaviour.FULL):
             connection.send_answer(503, self._refusal_headers(request_id), b"")
             self._count_rejection()
@@ -213,11 +221,15 @@
         if request.target == HEALTH_PATH:
             await self._answer_health(connection)
             return
+        if self.slots is not None:
+            await self.slots.acquire()
         self._n_active += 1
         try:
             await self._run_request(connection, request, request_id)
         finally:
             self._n_active -= 1
+            if self.slots is not None:
+                self.slots.release()
 
     async def _answer_health(self, connection: CallerConnection) -> None:
         # A health check waits like a request, but runs none.
@@ -245,9 +257,10 @@
         if self._fails_as(Misbehaviour.RESET):
             connection.abort()
             return
+        states_fixed_load = self.states_load and self.slots is None
         headers = (
             (b"Damaskrill-Request-Id", request_id),
-            *([(b"Damaskrill-Server-Load", b"1,0,8")] if self.states_load else []),
+            *([(b"Damaskrill-Server-Load", b"1,0,8")] if states_fixed_load else []),
             SEAL,
             *self._state_headers,
         )
@@ -260,7 +273,11 @@
             return
         if self.misbehaviour is Misbehaviour.PAUSE:
             await self._be_silent(request_id)
-        await asyncio.sleep(self._work_ms / 1_000)
+        slowness = self.slots.slowness if self.slots is not None else 1.0
+        await asyncio.sleep(self._work_ms * slowness / 1_000)
+        if self.slots is not None:
+            load = self.slots.state_load(is_answer=True)
+            headers = (*headers, (b"Damaskrill-Server-Load", load))
         await self._answer(connection, request_id, headers)
 
     def _refuses_once(self, connection: CallerConnection, request_id: bytes) -> bool:
@@ -312,6 +329,9 @@
             (b"Damaskrill-Not-Executed", b"1"),
             *self._state_headers,
         )
+        if self.slots is not None:
+            load = self.slots.state_load()
+            headers = (*headers, (b"Damaskrill-Server-Load", load))
         if self.retry_after is not None:
             self.pauses.append((time.monotonic(), request_id.decode()))
             headers = (*headers, (b"Retry-After", self.retry_after))
--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -24,8 +24,11 @@
 )
 from damaskrill.mesh._reader_role import ReaderRole
 from damaskrill.mesh._reports import ReportExchange
+from damaskrill.mesh._scheduler_choice import SchedulerChoice
+from damaskrill.mesh._slot_messages import MAX_BATCH, SlotBatch, SlotMessage
 
 __all__ = [
+    "MAX_BATCH",
     "Departure",
     "DirectHello",
     "FeedRequest",
@@ -38,6 +41,9 @@
     "Message",
     "ReaderRole",
     "ReportExchange",
+    "SchedulerChoice",
+    "SlotBatch",
+    "SlotMessage",
     "StreamNotice",
     "StreamQuery",
     "StreamRecords",
--- a/damaskrill/mesh/_direct.py
+++ b/damaskrill/mesh/_direct.py
@@ -11,6 +11,7 @@
 from damaskrill.exceptions import PeerFrameError
 from damaskrill.mesh._frames import DirectHello, decode, encode
 from damaskrill.mesh._messages import Message, StreamNotice, StreamQuery, StreamReply
+from damaskrill.mesh._slot_messages import SlotBatch
 from damaskrill.utils import monotonic_now_ms
 
 __all__ = ["DIAL_OPTIONS", "DirectLinks"]
@@ -28,8 +29,8 @@
 IDLE_MS = 10_000
 # Messages that wait for a link to open; later ones are dropped.
 MAX_QUEUED_MESSAGES = 200
-# Messages are short.
-MAX_MESSAGE_BYTES = 4_096
+# Messages are short; a batch of those about slots has long names at times.
+MAX_MESSAGE_BYTES = 131_072
 
 
 @define(kw_only=True, eq=False)
@@ -119,7 +120,9 @@
         try:
             while (data := await _receive(socket, link)) is not None:
                 match decode(data):
-                    case StreamNotice() | StreamQuery() | StreamReply() as message:
+                    case (
+                        StreamNotice() | StreamQuery() | StreamReply() | SlotBatch()
+                    ) as message:
                         self._handle(address, message)
                     case _:
                         # The router that is dialled sends its greeting first.
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -20,6 +20,7 @@
     decode_message,
     encode_message,
 )
+from damaskrill.mesh._slot_messages import SlotBatch
 from damaskrill.steering import (
     NO_REQUEST,
     CrashReport,
@@ -53,7 +54,7 @@
 # a router does not know it ignores, and what a peer does not send has a default.
 PROTOCOL_VERSION = 6
 # Kinds of frames in which a field may be invalid.
-KNOWN_KINDS = frozenset("zhdurgfsqab")
+KNOWN_KINDS = frozenset("zhdurgfsqabk")
 # Reports of a frame that a peer does not send.
 NO_REPORTS: tuple[Any, ...] = (
     *([], [], [], b"", b"", b"", [], b"", b"", b"", None),
@@ -99,6 +100,9 @@
     hop_proof : int
         Number that a request which comes from another router has to carry; 0 for a
         router of an earlier build, which takes any.
+    schedules : bool
+        Whether it may be asked for slots. Routers of earlier builds do not say so, nor
+        pass it on, and one that stops says no.
     """
 
     address: str
@@ -110,6 +114,7 @@
     keeps_grants: bool = False
     tells_all: bool = False
     hop_proof: int = 0
+    schedules: bool = False
 
 
 @frozen(kw_only=True)
@@ -282,7 +287,13 @@
             content: list[Any] = ["h", PROTOCOL_VERSION, *astuple(frame.entry)]
         case DirectHello():
             content = ["d", PROTOCOL_VERSION, frame.address]
-        case StreamNotice() | StreamQuery() | StreamReply() | StreamRecords():
+        case (
+            StreamNotice()
+            | StreamQuery()
+            | StreamReply()
+            | StreamRecords()
+            | SlotBatch()
+        ):
             content = encode_message(frame)
         case Update():
             at = frame.position
@@ -478,6 +489,7 @@
                 later[:1] == [True],
                 later[1:2] == [True],
                 later[2] if len(later) > 2 and type(later[2]) is int else 0,
+                later[3:4] == [True],
             )
         case _:
             raise ValueError("invalid membership entry")
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -87,6 +87,7 @@
         self._wanted_links: list[str] | None = None
         self._lost_dials: dict[str, bool] = {}
         self._group_sizes: Counter[str] | None = None
+        self._schedulers: frozenset[str] | None = None
 
     @property
     def own(self) -> MemberEntry:
@@ -136,8 +137,38 @@
     def set_path(self, has_path: bool, now_ms: float) -> None:
         """Publish whether this router can reach the backend servers."""
         self._own = evolve(self._own, has_path=has_path)
+        self._schedulers = None
         self._increment_heartbeat(now_ms)
 
+    def stop_scheduling(self, now_ms: float) -> None:
+        """Publish that this router is not to be asked for slots any more."""
+        self._own = evolve(self._own, schedules=False)
+        self._schedulers = None
+        self._increment_heartbeat(now_ms)
+
+    def schedulers(self) -> frozenset[str]:
+        """Return the addresses of the routers that may be asked for slots.
+
+        Notes
+        -----
+        A router that is suspected, or that has no path to the servers and so no news of
+        them, is asked only if no other may be.
+        """
+        if self._schedulers is None:
+            members = [each for each in self._members.values() if each.entry.schedules]
+            sound = {
+                each.entry.address
+                for each in members
+                if each.entry.has_path and each.suspected_at_ms is None
+            }
+            if self._own.schedules and self._own.has_path:
+                sound.add(self._own.address)
+            if not sound:
+                sound = {each.entry.address for each in members}
+                sound |= {self._own.address} if self._own.schedules else set()
+            self._schedulers = frozenset(sound)
+        return self._schedulers
+
     def merge(self, entry: MemberEntry, now_ms: float, *, source: str = "") -> bool:
         """Merge an entry received from a peer; ignore it if it is not newer.
 
@@ -162,6 +193,8 @@
         if old is not None and _version(entry) <= _version(old.entry):
             return False
         is_new = member is None or member.entry.incarnation != entry.incarnation
+        if is_new or _may_change_schedulers(member, entry):
+            self._schedulers = None
         self._members[entry.address] = _Member(
             entry=entry, last_seen_ms=now_ms, source=source
         )
@@ -190,6 +223,7 @@
             return False
         member.suspected_at_ms = now_ms
         member.source = source
+        self._schedulers = None
         self._suspected.update(suspicion.address)
         return True
 
@@ -425,6 +459,7 @@
 
     def _reset_cache(self) -> None:
         self._addresses = None
+        self._schedulers = None
         self._readers_before = None
         self._wanted_links = None
         self._lost_dials.clear()
@@ -448,5 +483,12 @@
         return [each.address for each in sorted(entries, key=weight)[:n_links]]
 
 
+def _may_change_schedulers(member: _Member | None, entry: MemberEntry) -> bool:
+    if member is None or member.suspected_at_ms is not None:
+        return True
+    old = member.entry
+    return (old.schedules, old.has_path) != (entry.schedules, entry.has_path)
+
+
 def _version(entry: MemberEntry) -> tuple[int, int]:
     return (entry.incarnation, entry.heartbeat)
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -43,6 +43,7 @@
 )
 from damaskrill.mesh._replication import FeedReplication
 from damaskrill.mesh._reports import ReportExchange, has_reports
+from damaskrill.mesh._slot_messages import SlotBatch
 from damaskrill.steering import KeyCounts
 from damaskrill.utils import monotonic_now_ms
 
@@ -464,7 +465,13 @@
             case Goodbye():
                 link.is_released = True
                 self._close_link(link, "link not needed")
-            case StreamNotice() | StreamQuery() | StreamReply() | StreamRecords():
+            case (
+                StreamNotice()
+                | StreamQuery()
+                | StreamReply()
+                | StreamRecords()
+                | SlotBatch()
+            ):
                 self._handle_message(link.address, frame)
             case Hello() | DirectHello() | UnknownFrame():
                 pass
--- a/damaskrill/mesh/_messages.py
+++ b/damaskrill/mesh/_messages.py
@@ -5,6 +5,8 @@
 
 from attrs import frozen
 
+from damaskrill.mesh._slot_messages import SlotBatch, decode_slots, encode_slots
+
 __all__ = [
     "Message",
     "StreamNotice",
@@ -99,7 +101,7 @@
     is_sole: bool | None = None
 
 
-Message = StreamNotice | StreamQuery | StreamReply | StreamRecords
+Message = StreamNotice | StreamQuery | StreamReply | StreamRecords | SlotBatch
 
 
 def encode_message(message: Message) -> list[Any]:
@@ -119,6 +121,8 @@
             fields = [message.number, message.origin]
             fields += [message.is_recorded, message.observed_ms]
             return ["a", *fields, message.is_sole]
+        case SlotBatch():
+            return encode_slots(message)
 
 
 def decode_message(content: Any) -> Message:
@@ -156,6 +160,8 @@
                 observed_ms=observed_ms,
                 is_sole=_read_optional(later, bool),
             )
+        case ["k", str(service), list(items), *_]:
+            return decode_slots(service, items)
         case _:
             raise ValueError("unknown type or layout of frame")
 
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -64,6 +64,7 @@
 )
 from damaskrill.utils import rank_by_rendezvous
 from features.support.builders import build_engine
+from features.support.slot_messages import build_slot_batch
 
 EMPTY_REPORTS = ([], [], [], b"", b"", b"", [], b"", b"", b"", None)
 
@@ -505,6 +506,7 @@
         StreamRecords(records=((2**64 - 1, 2**32 - 1, 5), (1, 2, 0))),
         StreamReply(number=1, origin=None, is_recorded=False, observed_ms=5),
         StreamReply(number=2, origin=7, is_recorded=True, observed_ms=0),
+        build_slot_batch(),
     ]
 
 
--- a/features/steps/gateway_upgrade_steps.py
+++ b/features/steps/gateway_upgrade_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from damaskrill.fakes.platform import build_configuration
-from damaskrill.mesh import Hello, StreamRecords, Update, decode, encode
+from damaskrill.mesh import Hello, SlotBatch, StreamRecords, Update, decode, encode
 from features.steps.gateway_decisions_steps import EMPTY_REPORTS, build_frames
 from features.steps.gateway_stream_versions_steps import (
     resume_check,
@@ -19,7 +19,7 @@
 
 JOIN_S = 15
 # Kinds of frames that have been added since the former build.
-NEW_KINDS = (StreamRecords,)
+NEW_KINDS = (StreamRecords, SlotBatch)
 
 
 @then("every kind of frame is the same after the former build has read and sent it")
