Schedule the slots of a service by share, urgency and time left

SlotQueued is the message that a request waits and is kept. First version, not measured yet; called by nothing in the product.

--- a/damaskrill/scheduling/_model.py
+++ b/damaskrill/scheduling/_model.py
@@ -10,6 +10,7 @@
     "ReleaseOutcome",
     "SlotAssignment",
     "SlotDecision",
+    "SlotQueued",
     "SlotRefusal",
     "SlotRefusalReason",
     "SlotRelease",
@@ -118,7 +119,27 @@
     n_ahead: int = 0
 
 
-SlotDecision = SlotAssignment | SlotRefusal
+@frozen(kw_only=True)
+class SlotQueued:
+    """Promise that a request waits and will get a slot unless servers are lost.
+
+    Parameters
+    ----------
+    router, number
+        As in the request.
+    predicted_ms : float
+        Predicted wait, in milliseconds.
+    n_ahead : int
+        Number of requests that wait before it.
+    """
+
+    router: str
+    number: int
+    predicted_ms: float
+    n_ahead: int = 0
+
+
+SlotDecision = SlotAssignment | SlotQueued | SlotRefusal
 
 
 @frozen(kw_only=True)
--- /dev/null
+++ b/damaskrill/scheduling/_shares.py
@@ -0,0 +1,167 @@
+"""Division of a service's capacity over teams and priorities."""
+
+from collections.abc import Mapping
+from enum import IntEnum
+
+from attrs import define, field
+
+__all__ = ["Share", "TeamShares", "divide_by_priority", "fill_by_weight"]
+
+# Part of a team's allowance that its less urgent requests keep. Issue 50, part 1: the
+# least urgent never starve.
+FLOOR_FRACTION = 0.05
+# Fraction of a class's demand from which it counts as served in full; below it, the
+# difference is an error of the measured rates.
+FULL_FRACTION = 0.99
+
+ClassKey = tuple[str, int]
+
+
+class Share(IntEnum):
+    """How a request relates to the allowance of its team; lower goes first."""
+
+    INSIDE = 0
+    PART = 1
+    BEYOND = 2
+
+
+def fill_by_weight(
+    demands: Mapping[str, float],
+    capacity: float,
+    weights: Mapping[str, float] | None = None,
+) -> dict[str, float]:
+    """Divide a capacity max-min by weight and return the allowance of each team.
+
+    Parameters
+    ----------
+    demands : mapping of str to float
+        Demand of each team, in requests a second.
+    capacity : float
+        Capacity to divide, in requests a second.
+    weights : mapping of str to float, default=None
+        Weights; 1 for a team without one.
+
+    Notes
+    -----
+    What a team does not demand goes to the others. If all demands fit, each team gets
+    its demand.
+    """
+    weights = weights or {}
+
+    def level(team: str) -> float:
+        return demands[team] / weights.get(team, 1.0)
+
+    allowances: dict[str, float] = {}
+    left = capacity
+    weight_left = sum(weights.get(each, 1.0) for each in demands)
+    for team in sorted(demands, key=lambda each: (level(each), each)):
+        weight = weights.get(team, 1.0)
+        allowances[team] = min(demands[team], max(0.0, left * weight / weight_left))
+        left -= allowances[team]
+        weight_left -= weight
+    return allowances
+
+
+def divide_by_priority(
+    demands: Mapping[int, float], allowance: float
+) -> dict[int, float]:
+    """Divide a team's allowance over its priorities, the most urgent first.
+
+    Parameters
+    ----------
+    demands : mapping of int to float
+        Demand by priority, in requests a second.
+    allowance : float
+        Allowance of the team, in requests a second.
+
+    Notes
+    -----
+    The less urgent priorities together keep `FLOOR_FRACTION` of it if they want it.
+    """
+    order = sorted(demands)
+    floor = FLOOR_FRACTION * allowance / max(1, len(order) - 1)
+    parts = {each: min(demands[each], floor) for each in order[1:]}
+    left = allowance - sum(parts.values())
+    for each in order:
+        part = parts.get(each, 0.0)
+        more = min(demands[each] - part, max(0.0, left))
+        parts[each] = part + more
+        left -= more
+    return parts
+
+
+@define
+class _ClassShare:
+    """Part of the demand of a team's priority that fits into the team's allowance."""
+
+    fraction: float
+    # Sum of the fractions of the requests so far, less the requests that fitted.
+    credit: float = field(default=0.5)
+
+
+class TeamShares:
+    """Decides which requests are inside the allowance of their teams.
+
+    Notes
+    -----
+    Handles a team that sends many times its usual requests to a service with few slots:
+    it takes what others leave and no more once they want it. Priorities of a team that
+    fit into its allowance as a whole go before those that fit in part, so that a team
+    inside its share does not wait behind what a hot team sends up to its limit.
+    """
+
+    def __init__(self) -> None:
+        self._classes: dict[ClassKey, _ClassShare] = {}
+        self._rates: dict[tuple[Share, int], float] = {}
+        self._is_short = False
+
+    @property
+    def is_short(self) -> bool:
+        """Whether more is demanded than the servers can run."""
+        return self._is_short
+
+    def update(self, demands: Mapping[ClassKey, float], capacity: float) -> None:
+        """Divide the capacity anew.
+
+        Parameters
+        ----------
+        demands : mapping of (str, int) to float
+            Demand by team and priority, in requests a second.
+        capacity : float
+            What the servers complete, in requests a second.
+        """
+        by_team: dict[str, dict[int, float]] = {}
+        for (team, priority), rate in demands.items():
+            by_team.setdefault(team, {})[priority] = rate
+        totals = {team: sum(rates.values()) for team, rates in by_team.items()}
+        self._is_short = sum(totals.values()) > capacity
+        allowances = fill_by_weight(totals, capacity)
+        previous, self._classes, self._rates = self._classes, {}, {}
+        for team, rates in by_team.items():
+            for priority, part in divide_by_priority(rates, allowances[team]).items():
+                rate = rates[priority]
+                fraction = part / rate if rate > 0 else 1.0
+                share = _ClassShare(min(1.0, fraction))
+                if (team, priority) in previous:
+                    share.credit = previous[team, priority].credit
+                self._classes[team, priority] = share
+                is_inside = fraction >= FULL_FRACTION
+                rank = (Share.INSIDE if is_inside else Share.PART, priority)
+                self._rates[rank] = self._rates.get(rank, 0.0) + part
+
+    def classify(self, team: str, priority: int) -> Share:
+        """Classify a request that has arrived, and count it."""
+        share = self._classes.get((team, priority))
+        if share is None or share.fraction >= FULL_FRACTION:
+            return Share.INSIDE
+        share.credit += share.fraction
+        if share.credit >= 1:
+            share.credit -= 1
+            return Share.PART
+        return Share.BEYOND
+
+    def rate_before(self, share: Share, priority: int) -> float:
+        """Return the requests a second that come later and go before one."""
+        return sum(
+            rate for rank, rate in self._rates.items() if rank < (share, priority)
+        )
--- /dev/null
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -0,0 +1,314 @@
+"""Slots of a service's servers: what runs where, and the choice of a server."""
+
+import math
+from collections.abc import Iterator, Mapping
+
+from attrs import define, field, frozen
+
+from damaskrill.scheduling._work_time import WorkTime
+from damaskrill.steering import ServerLoad, ServerSpeeds, expected_time_ms
+
+__all__ = ["SlotLease", "SlotServers"]
+
+# Time from which an assigned slot counts as lost if the server states fewer requests,
+# in usual durations.
+LOST_AFTER_DURATIONS = 6
+# Time for which a server that rejected a request gets no more than its slots.
+REJECTION_MS = 2_000
+# Time for which a scheduler that took over does not fill servers of unknown load:
+# longer than the interval of the reports of loads between routers.
+TAKEOVER_MS = 400
+# A busy server is waited for if its answer is expected earlier by this factor.
+HOLD_FACTOR = 0.8
+
+RequestKey = tuple[str, int]
+
+
+@frozen(kw_only=True)
+class SlotLease:
+    """Slot that a router holds.
+
+    Parameters
+    ----------
+    server : int
+        Short hash of the server's incarnation.
+    assigned_at_ms, expires_at_ms : float
+        When it was assigned, and when it counts as free without a release.
+    unit : float
+        Expected time relative to the usual time on a free server.
+    """
+
+    server: int
+    assigned_at_ms: float
+    expires_at_ms: float
+    unit: float = 1.0
+
+
+@define(kw_only=True)
+class _SlotServer:
+    """Slots of one server."""
+
+    n_slots: int
+    is_usable: bool = True
+    leases: dict[RequestKey, SlotLease] = field(factory=dict)
+    # Requests that were not assigned here, as the server stated them.
+    n_others: float = 0.0
+    others_at_ms: float = 0.0
+    has_load: bool = False
+    rejected_at_ms: float = -math.inf
+
+    def n_requests(self, now_ms: float, work_ms: float) -> float:
+        """Return the requests there; those of others end within some durations."""
+        age_ms = now_ms - self.others_at_ms
+        others = self.n_others * math.exp(-age_ms / (2 * work_ms))
+        return len(self.leases) + (others if others >= 0.5 else 0.0)
+
+
+class SlotServers:
+    """Servers of a service with the slots that were assigned.
+
+    Parameters
+    ----------
+    started_at_ms : float
+        When the scheduling began, in milliseconds.
+    is_takeover : bool
+        Whether another scheduler may have assigned slots before.
+
+    Notes
+    -----
+    Handles servers with few slots that reject what they cannot queue, behind routers
+    that each see a small part of the requests. A server's count is the larger of its
+    assigned slots and of the load that it states with what was assigned since, so that
+    requests of routers that do not ask are counted too.
+    """
+
+    def __init__(self, *, started_at_ms: float, is_takeover: bool) -> None:
+        self._servers: dict[int, _SlotServer] = {}
+        self._leases: dict[RequestKey, SlotLease] = {}
+        self._speeds = ServerSpeeds()
+        self._work = WorkTime()
+        self._cautious_until_ms = started_at_ms + TAKEOVER_MS if is_takeover else 0.0
+
+    @property
+    def work_ms(self) -> float:
+        """Usual time of a request on a free server, in milliseconds."""
+        return self._work.work_ms
+
+    @property
+    def n_assigned(self) -> int:
+        """Number of assigned slots."""
+        return len(self._leases)
+
+    @property
+    def next_expiry_ms(self) -> float:
+        """When the first assigned slot expires; infinite if none is assigned."""
+        expiries = (each.expires_at_ms for each in self._leases.values())
+        return min(expiries, default=math.inf)
+
+    def is_servable(self, excluded: frozenset[int]) -> bool:
+        """Return whether some server outside a set may get requests."""
+        return any(server not in excluded for server, _ in self._usable())
+
+    def set_servers(self, servers: Mapping[int, int]) -> bool:
+        """Set the slots of the servers that may get requests now.
+
+        Returns
+        -------
+        bool
+            Whether slots were lost.
+        """
+        before = sum(each.n_slots for _, each in self._usable())
+        for server, n_slots in servers.items():
+            known = self._servers.setdefault(server, _SlotServer(n_slots=n_slots))
+            known.n_slots, known.is_usable = max(1, n_slots), True
+        for server, known in list(self._servers.items()):
+            if server not in servers:
+                known.is_usable = False
+                if not known.leases:
+                    del self._servers[server]
+                    self._speeds.forget(server)
+        return sum(each.n_slots for _, each in self._usable()) < before
+
+    def observe_load(
+        self, server: int, load: ServerLoad, now_ms: float, age_ms: float
+    ) -> None:
+        """Apply a load that a server stated some time ago."""
+        known = self._servers.get(server)
+        stated_at_ms = now_ms - max(0.0, age_ms)
+        if known is None or (known.has_load and stated_at_ms < known.others_at_ms):
+            return
+        self._speeds.observe(server, load, now_ms, max(0.0, age_ms))
+        # Requests that were assigned before the statement, whether they had arrived or
+        # not: a server that is thought full by mistake leaves slots unused.
+        n_own = sum(
+            each.assigned_at_ms <= stated_at_ms for each in known.leases.values()
+        )
+        known.n_others = float(max(0, load.n_requests - n_own))
+        known.others_at_ms = stated_at_ms
+        known.has_load = True
+        if load.n_requests < n_own:
+            self._forget_lost(known, n_own - load.n_requests, stated_at_ms)
+
+    def _forget_lost(self, server: _SlotServer, n_lost: int, at_ms: float) -> None:
+        # The release of these was lost: the server does not run them.
+        oldest_ms = at_ms - LOST_AFTER_DURATIONS * self.work_ms
+        old = [
+            key
+            for key, lease in server.leases.items()
+            if lease.assigned_at_ms < oldest_ms
+        ]
+        for key in old[:n_lost]:
+            self.release(key)
+
+    def find(self, key: RequestKey) -> SlotLease | None:
+        """Return the slot of a request; None if it has none."""
+        return self._leases.get(key)
+
+    def assign(
+        self, key: RequestKey, server: int, *, now_ms: float, expires_at_ms: float
+    ) -> None:
+        """Assign a slot of a server to a request."""
+        lease = SlotLease(
+            server=server,
+            assigned_at_ms=now_ms,
+            expires_at_ms=expires_at_ms,
+            unit=self._expected_ms(server, now_ms) / self.work_ms,
+        )
+        self._leases[key] = self._servers[server].leases[key] = lease
+
+    def release(self, key: RequestKey) -> SlotLease | None:
+        """Free the slot of a request; return None if it has none."""
+        lease = self._leases.pop(key, None)
+        if lease is None:
+            return None
+        server = self._servers[lease.server]
+        del server.leases[key]
+        if not server.is_usable and not server.leases:
+            del self._servers[lease.server]
+            self._speeds.forget(lease.server)
+        return lease
+
+    def learn_time(
+        self, lease: SlotLease, *, duration_ms: float, now_ms: float
+    ) -> None:
+        """Learn how long requests take from one that completed."""
+        held_ms = now_ms - lease.assigned_at_ms
+        self._work.observe(duration_ms=duration_ms, held_ms=held_ms, unit=lease.unit)
+
+    def observe_rejection(self, server: int, now_ms: float) -> None:
+        """Note that a server rejected a request since it was full."""
+        known = self._servers.get(server)
+        if known is None:
+            return
+        known.rejected_at_ms = now_ms
+        if len(known.leases) < known.n_slots:
+            known.n_others = max(known.n_others, known.n_slots - len(known.leases))
+            known.others_at_ms = now_ms
+
+    def expire(self, now_ms: float) -> int:
+        """Free the slots whose time is over; return their number."""
+        expired = [
+            key for key, each in self._leases.items() if each.expires_at_ms <= now_ms
+        ]
+        for key in expired:
+            self.release(key)
+        return len(expired)
+
+    def drain_per_s(self, now_ms: float) -> float:
+        """Return how many requests a second the servers complete now, if all are busy.
+
+        Notes
+        -----
+        Slots that others use do not count.
+        """
+        total = 0.0
+        for server, known in self._usable():
+            run_ms = self.work_ms * self._speeds.slowness(server, now_ms)
+            cycle_ms = run_ms + self._work.gap_ms
+            n_others = known.n_requests(now_ms, self.work_ms) - len(known.leases)
+            n_slots = max(0.0, self._bound(server, known, now_ms) - n_others)
+            total += min(known.n_slots / run_ms, n_slots / cycle_ms)
+        return 1_000 * total
+
+    def has_room(self, now_ms: float) -> bool:
+        """Return whether some server may get one more request."""
+        return any(
+            known.n_requests(now_ms, self.work_ms) + 1
+            <= self._bound(server, known, now_ms)
+            for server, known in self._usable()
+        )
+
+    def choose(
+        self, excluded: frozenset[int], *, n_before: int, now_ms: float
+    ) -> int | None:
+        """Return the server that is expected to answer a request first.
+
+        Parameters
+        ----------
+        excluded : frozenset of int
+            Servers that may not run it.
+        n_before : int
+            Number of requests that wait for busy servers before it.
+        now_ms : float
+            Current time in milliseconds.
+
+        Returns
+        -------
+        server : int or None
+            None if no server has a free slot, or if a busy one is expected to answer
+            earlier than those that have.
+        """
+        best: tuple[float, int] | None = None
+        busy_per_ms = 0.0
+        busy_run_ms = math.inf
+        for server, known in self._usable():
+            if server in excluded:
+                continue
+            run_ms = self.work_ms * self._speeds.slowness(server, now_ms)
+            n_requests = known.n_requests(now_ms, self.work_ms)
+            if n_requests + 1 > self._bound(server, known, now_ms):
+                busy_per_ms += known.n_slots / run_ms
+                busy_run_ms = min(busy_run_ms, run_ms)
+                continue
+            rank = (
+                self._expected_ms(server, now_ms) + n_requests / known.n_slots,
+                server,
+            )
+            if best is None or rank < best:
+                best = rank
+        if best is None:
+            return None
+        if busy_per_ms > 0:
+            held_ms = (n_before + 1) / busy_per_ms + busy_run_ms
+            if held_ms < HOLD_FACTOR * best[0]:
+                return None
+        return best[1]
+
+    def _expected_ms(self, server: int, now_ms: float) -> float:
+        known = self._servers[server]
+        return expected_time_ms(
+            n_ahead=known.n_requests(now_ms, self.work_ms),
+            n_slots=known.n_slots,
+            slowness=self._speeds.slowness(server, now_ms),
+            work_ms=self.work_ms,
+        )
+
+    def _bound(self, server: int, known: _SlotServer, now_ms: float) -> int:
+        """Return how many requests a server may have.
+
+        Notes
+        -----
+        What arrives while the release of a slot and its next assignment are on their
+        way waits at the server, one request at least if the time between them counts.
+        """
+        if now_ms < self._cautious_until_ms and not known.has_load:
+            return max(1, known.n_slots // 3)
+        if now_ms - known.rejected_at_ms < REJECTION_MS:
+            return known.n_slots
+        run_ms = self.work_ms * self._speeds.slowness(server, now_ms)
+        return known.n_slots + round(known.n_slots * self._work.gap_ms / run_ms)
+
+    def _usable(self) -> Iterator[tuple[int, _SlotServer]]:
+        for server, known in self._servers.items():
+            if known.is_usable:
+                yield server, known
--- /dev/null
+++ b/damaskrill/scheduling/_waiting.py
@@ -0,0 +1,116 @@
+"""Order of waiting requests."""
+
+import math
+from bisect import bisect_left, insort
+from collections.abc import Iterator
+
+from attrs import field, frozen
+
+from damaskrill.scheduling._model import SlotRequest
+from damaskrill.scheduling._shares import Share
+
+__all__ = ["Rank", "WaitingQueue", "WaitingRequest"]
+
+RequestKey = tuple[str, int]
+
+
+@frozen(order=True)
+class Rank:
+    """Rank of a request; lower goes first.
+
+    Parameters
+    ----------
+    share : Share
+        How it relates to its team's allowance.
+    priority : int
+        Priority; 0 is the highest.
+    limit_at_ms : float
+        When it ends without an answer. A request that comes back after a refusal has
+        less time left and is not behind those that came later.
+    number : int
+        Number of its arrival.
+    """
+
+    share: Share
+    priority: int
+    limit_at_ms: float
+    number: int
+
+
+@frozen(kw_only=True)
+class WaitingRequest:
+    """Request that waits for a slot.
+
+    Parameters
+    ----------
+    rank : Rank
+        Its rank.
+    request : SlotRequest
+        The request.
+    arrived_at_ms, target_at_ms : float
+        Arrival and target, in milliseconds.
+    predicted_ms : float
+        Predicted wait, in milliseconds.
+    n_ahead : int
+        Number of requests that waited before it when it arrived.
+    """
+
+    rank: Rank
+    request: SlotRequest = field(eq=False)
+    arrived_at_ms: float
+    target_at_ms: float
+    predicted_ms: float = 0.0
+    n_ahead: int = 0
+
+    @property
+    def key(self) -> RequestKey:
+        """Router and number."""
+        return self.request.router, self.request.number
+
+
+class WaitingQueue:
+    """Waiting requests by rank.
+
+    Notes
+    -----
+    Handles callers who compete for too few slots: who waits ahead follows from share,
+    priority and the time left, whichever router asked.
+    """
+
+    def __init__(self) -> None:
+        self._ranks: list[Rank] = []
+        self._by_rank: dict[Rank, WaitingRequest] = {}
+        self._by_key: dict[RequestKey, Rank] = {}
+
+    def __len__(self) -> int:
+        return len(self._ranks)
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        """Iterate over a copy, in order of rank."""
+        return iter([self._by_rank[each] for each in self._ranks])
+
+    def __contains__(self, key: RequestKey) -> bool:
+        return key in self._by_key
+
+    @property
+    def next_limit_ms(self) -> float:
+        """When the first limit ends; infinite if none waits."""
+        return min((each.limit_at_ms for each in self._ranks), default=math.inf)
+
+    def n_ahead(self, rank: Rank) -> int:
+        """Return how many requests wait before one of this rank."""
+        return bisect_left(self._ranks, rank)
+
+    def add(self, waiting: WaitingRequest) -> None:
+        """Add a request."""
+        insort(self._ranks, waiting.rank)
+        self._by_rank[waiting.rank] = waiting
+        self._by_key[waiting.key] = waiting.rank
+
+    def remove(self, key: RequestKey) -> WaitingRequest | None:
+        """Remove a request; return None if it does not wait."""
+        rank = self._by_key.pop(key, None)
+        if rank is None:
+            return None
+        del self._ranks[bisect_left(self._ranks, rank)]
+        return self._by_rank.pop(rank)
