--- a/damaskrill/scheduling/__init__.py
+++ b/damaskrill/scheduling/__init__.py
@@ -10,9 +10,20 @@
     SlotRelease,
     SlotRequest,
 )
+from damaskrill.scheduling._scheduler import SlotScheduler
+from damaskrill.scheduling._shares import (
+    Share,
+    TeamShares,
+    divide_by_priority,
+    fill_by_weight,
+)
+from damaskrill.scheduling._status import PriorityStatus, SchedulerStatus, WaitDecile
 
 __all__ = [
+    "PriorityStatus",
     "ReleaseOutcome",
+    "SchedulerStatus",
+    "Share",
     "SlotAssignment",
     "SlotDecision",
     "SlotQueued",
@@ -20,4 +31,9 @@
     "SlotRefusalReason",
     "SlotRelease",
     "SlotRequest",
+    "SlotScheduler",
+    "TeamShares",
+    "WaitDecile",
+    "divide_by_priority",
+    "fill_by_weight",
 ]
