--- a/damaskrill/fakes/platform/_slots.py
+++ b/damaskrill/fakes/platform/_slots.py
@@ -20,6 +20,8 @@
     ----------
     slowness : float
         How long work takes relative to the usual time.
+    states_slowness : bool
+        Whether the load has this figure.
     n_rejected : int
         Number of rejected requests.
     most_running : int
@@ -32,6 +34,7 @@
         self._n_running = 0
         self._waiting: deque[asyncio.Future[None]] = deque()
         self.slowness = 1.0
+        self.states_slowness = True
         self.n_rejected = 0
         self.most_running = 0
 
@@ -43,10 +46,11 @@
 
     def state_load(self, *, is_answer: bool = False) -> bytes:
         """Return the header's value; an answer does not count its own request."""
-        percentage = round(self.slowness * 100)
         n_running = self._n_running - is_answer
-        counts = (n_running, len(self._waiting), self._n_slots, percentage)
-        return b"%d,%d,%d,%d" % counts
+        load = b"%d,%d,%d" % (n_running, len(self._waiting), self._n_slots)
+        if not self.states_slowness:
+            return load
+        return load + b",%d" % round(self.slowness * 100)
 
     async def acquire(self) -> None:
         """Wait for a slot."""
--- a/damaskrill/gateway/_attempt.py
+++ b/damaskrill/gateway/_attempt.py
@@ -21,7 +21,7 @@
     InvalidAnswerError,
     forwarded_headers,
 )
-from damaskrill.steering import AnswerMetadata
+from damaskrill.steering import AnswerMetadata, ServerLoad
 from damaskrill.utils import monotonic_now_ms
 
 __all__ = [
@@ -270,6 +270,11 @@
             and not self._is_foreign
         )
 
+    @property
+    def stated_load(self) -> ServerLoad | None:
+        """Load that the selected server states in its answer; None if it does not."""
+        return self._metadata.load if self.is_answered else None
+
     @property
     def is_success(self) -> bool:
         """Whether the head of a successful answer to this request was received."""
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -17,6 +17,7 @@
 from damaskrill.gateway._buffers import AnswerBuffer
 from damaskrill.gateway._peer_relay import peer_key
 from damaskrill.gateway._peer_report import PeerReport
+from damaskrill.gateway._request_slots import RequestSlots
 from damaskrill.gateway._responder import Responder
 from damaskrill.gateway._sent_request import SentRequest
 from damaskrill.http1 import (
@@ -88,6 +89,8 @@
         Sender of the final answer.
     allowance : ServerAllowance
         Servers that the request has reached, also through peers, and may still reach.
+    slots : RequestSlots
+        Slots of the request.
 
     Attributes
     ----------
@@ -119,6 +122,7 @@
         progress: StreamProgress,
         responder: Responder,
         allowance: ServerAllowance,
+        slots: RequestSlots,
     ) -> None:
         self._dispatcher = dispatcher
         self._request = request
@@ -127,6 +131,7 @@
         self._responder = responder
         self._reserved: BackendServer | None = None
         self._allowance = allowance
+        self._slots = slots
         self.tried: set[tuple[str, int]] = set()
         self.sent_to: set[tuple[str, int]] = set()
         self.overloaded: set[tuple[str, int]] = set()
@@ -199,6 +204,7 @@
             if sent is None:
                 dispatcher.loads.end(server.key)
                 dispatcher.throttle.release(server, acquired_at_ms)
+                self._slots.discard(server)
         if sent is None:
             if connection is not None:
                 self._dispatcher.pool.release(server.key, connection)
@@ -409,6 +415,7 @@
         if not sent.attempt.has_ended:
             sent.connection.abort()
         self._dispatcher.loads.end(sent.server.key)
+        self._slots.end(sent)
 
     async def _wait_for_result(
         self, attempt: Attempt, *, may_hand_over: bool = True
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -1,7 +1,7 @@
 """Dispatch of callers' requests, and state that all exchanges of a router share."""
 
 import asyncio
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Mapping, Set
 from random import Random
 from typing import Any
 
@@ -16,6 +16,7 @@
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._peer_relay import PeerRelay
 from damaskrill.gateway._server_throttle import ServerThrottle, ServiceWait
+from damaskrill.gateway._slots import SlotScheduling
 from damaskrill.gateway._stream_versions import StreamVersions
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
 from damaskrill.steering import (
@@ -85,6 +86,8 @@
         Peers that requests go through while the path to the servers is cut.
     streams : StreamVersions
         Software versions at which streams began.
+    slots : SlotScheduling
+        Slots of services with few of them.
     publish_reports : callable
         Publishes failures, crashes and limits to other routers after a short delay.
     publish_departure : callable
@@ -121,6 +124,7 @@
         ranks_first: Callable[[str], bool],
         relay: PeerRelay,
         streams: StreamVersions,
+        slots: SlotScheduling,
         publish_reports: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
         data_centre: str,
@@ -141,6 +145,7 @@
         self.throttle = throttle
         self.relay = relay
         self.streams = streams
+        self.slots = slots
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
         self._failures = failures
@@ -307,6 +312,29 @@
             else None,
         )
 
+    def find_excluded(
+        self, requirements: ServerRequirements, tried: Set[tuple[str, int]]
+    ) -> frozenset[int]:
+        """Return the short hashes of a service's servers that may not run a request."""
+        is_restricted = requirements.is_restricted
+        return frozenset(
+            short_server_id(each.key)
+            for each in self.catalog.find_servers(requirements.service)
+            if each.key in tried
+            or (is_restricted and not self._is_allowed(requirements, each))
+        )
+
+    def has_healthy(self, requirements: ServerRequirements) -> bool:
+        """Return whether a server that is not left out after failures may be used."""
+        return self.select(requirements, tried=set(), only_healthy=True) is not None
+
+    def may_schedule(self, server: BackendServer) -> bool:
+        """Return whether a server is neither left out after failures nor paused."""
+        now_ms = self.now_ms
+        if self._health.is_ejected(server.key, now_ms):
+            return False
+        return not self.throttle.is_paused(server, now_ms)
+
     def find_wait(
         self,
         requirements: ServerRequirements,
@@ -402,6 +430,7 @@
         self.relay.record_heard()
         if metadata.load is not None:
             self.loads.observe_load(server.key, metadata.load.n_requests, now_ms)
+            self.slots.observe_load(server, metadata.load)
         if metadata.is_leaving and self.catalog.mark_leaving(
             server.key, cause="answer"
         ):
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -18,6 +18,7 @@
 from damaskrill.gateway._attempts import AttemptContext, RequestAttempts
 from damaskrill.gateway._crash_blocking import build_refusal
 from damaskrill.gateway._outcomes import find_refusal
+from damaskrill.gateway._request_slots import RequestSlots
 from damaskrill.gateway._responder import Responder
 from damaskrill.http1 import CallerConnection, CallerRequest, Headers
 from damaskrill.mesh import MemberEntry
@@ -62,6 +63,7 @@
 NO_RETRY_BUDGET = "the retry budget is used up"
 NO_RETRY_ALLOWED = "the route allows no further server, or no time is left"
 NO_OTHER_SERVER = "no other server is available"
+NO_SLOT = "the service has no slot for it in time"
 UNKNOWN_VERSION = "the software version that began it is not known"
 SUSPECTED_REQUEST = "another server crashed under it or a part of its prompt"
 
@@ -105,6 +107,11 @@
             allowance=self._allowance,
             sender=connection.peer_host if self._metadata.is_relayed else "",
         )
+        self._slots = RequestSlots(
+            dispatcher=dispatcher,
+            metadata=self._metadata,
+            arrived_at_ms=request.arrived_at_ms,
+        )
         self._attempts = RequestAttempts(
             dispatcher=dispatcher,
             request=request,
@@ -112,6 +119,7 @@
             progress=self._progress,
             responder=self._responder,
             allowance=self._allowance,
+            slots=self._slots,
         )
         self._guard: CrashGuard | None = None
         self._may_have_run = False
@@ -140,6 +148,7 @@
             )
         finally:
             self._attempts.end_held()
+            self._slots.close()
             if self._guard is not None:
                 self._guard.close()
 
@@ -245,7 +254,7 @@
                 if await self._relay(route, peer):
                     return
                 continue
-            server = await self._choose_server(route, guard)
+            server = await self._choose_server(route, team, guard)
             if self._refuse_crashing(guard):
                 return
             if server is not None and not guard.find_rejection(dispatcher.now_ms):
@@ -341,7 +350,7 @@
         return None
 
     async def _choose_server(
-        self, route: Route, guard: CrashGuard
+        self, route: Route, team: Team | None, guard: CrashGuard
     ) -> BackendServer | None:
         reserved = self._attempts.take_reserved()
         if reserved is not None or self._attempts.is_held_revived:
@@ -357,7 +366,11 @@
         if not await self._bind_relayed_stream(route):
             self._stop_reason = UNKNOWN_VERSION
             return None
-        while (server := await self._find_server(route)) is None:
+        server = await self._choose_slot(route, team)
+        if self._slots.refusal is not None:
+            self._stop_reason = NO_SLOT
+            return None
+        while server is None and (server := await self._find_server(route)) is None:
             if not await self._wait_for_capacity(route):
                 self._stop_reason = NO_OTHER_SERVER
                 return None
@@ -366,6 +379,23 @@
             return None
         return server
 
+    async def _choose_slot(
+        self, route: Route, team: Team | None
+    ) -> BackendServer | None:
+        """Return the server at which the request has a slot; None if it needs none."""
+        attempts, n_sent = self._attempts, self._responder.n_sent
+        service = attempts.requirements.service
+        is_barred = not self._allowance.n_left or self._progress.has_begun
+        if is_barred or (n_sent and not self._dispatcher.can_acquire_retry(service)):
+            return None
+        return await self._slots.choose_server(
+            route,
+            team,
+            attempts.requirements,
+            tried=attempts.tried,
+            limit_at_ms=self._limit_at_ms,
+        )
+
     async def _bind_relayed_stream(self, route: Route) -> bool:
         """Find the origin of a stream that began at a peer, if it goes on here."""
         attempts = self._attempts
@@ -480,6 +510,10 @@
         )
 
     def _refuse_unserved(self) -> None:
+        without_slot = None if self._may_have_run else self._slots.build_refusal()
+        if without_slot is not None:
+            self._responder.refuse(*without_slot)
+            return
         if self._responder.n_sent:
             self._refuse_after(self._last_result)
             return
--- a/damaskrill/gateway/_metrics.py
+++ b/damaskrill/gateway/_metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from damaskrill.gateway._slot_metrics import SlotMetrics
 from damaskrill.steering import AnswerTimings
 
 __all__ = ["GatewayMetrics"]
@@ -19,7 +20,13 @@
 
 
 class GatewayMetrics:
-    """Counters and gauges with small label sets."""
+    """Counters and gauges with small label sets.
+
+    Attributes
+    ----------
+    slots : SlotMetrics
+        Metrics of the scheduling of slots.
+    """
 
     def __init__(self) -> None:
         self._registry = Registry()
@@ -50,6 +57,7 @@
         self._pause_times = self._histogram(
             "longest_pause", "Longest pause of a stream."
         )
+        self.slots = SlotMetrics(self._registry)
         self._services: set[str] = set()
         self._state = Gauge(
             "damaskrill_gateway_state",
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -31,6 +31,7 @@
 from damaskrill.gateway._server_history import read_server_history
 from damaskrill.gateway._server_throttle import ServerThrottle
 from damaskrill.gateway._settings import Address, GatewaySettings
+from damaskrill.gateway._slots import SlotScheduling
 from damaskrill.gateway._stream_versions import StreamVersions
 from damaskrill.http1 import (
     CallerConnection,
@@ -44,8 +45,10 @@
     MemberEntry,
     MemberTable,
     Mesh,
+    Message,
     ReaderRole,
     ReportExchange,
+    SlotBatch,
 )
 from damaskrill.steering import (
     BrittleServices,
@@ -200,6 +203,7 @@
             keeps_grants=True,
             tells_all=True,
             hop_proof=1 + secrets.randbits(HOP_PROOF_BITS),
+            schedules=True,
         )
         self._catalog = Catalog(report=self._log.write)
         self._applier = ChangeApplier(
@@ -267,11 +271,20 @@
             record_contact=self._record_contact,
             reports=self._reports,
             needs_fresh_loads=lambda: self._catalog.has_major_capacity_loss,
-            handle_message=self._streams.handle_message,
+            handle_message=self._handle_message,
             handle_link=self._streams.greet,
             handle_difference=self._handle_difference,
             report=self._log.write,
         )
+        self._slots = SlotScheduling(
+            members=self._members,
+            catalog=self._catalog,
+            loads=self._loads,
+            send=self._mesh.send_message,
+            may_schedule=lambda server: self._dispatcher.may_schedule(server),
+            log=self._log,
+            metrics=self._metrics.slots,
+        )
         self._reader = FeedReader(
             client=self._binding.store,
             replica=self._replica,
@@ -329,6 +342,7 @@
             crashes=self._crashes,
             ranks_first=self._ranks_first,
             streams=self._streams,
+            slots=self._slots,
             publish_reports=self._mesh.push_urgent_reports,
             publish_departure=self._publish_departure,
             data_centre=settings.data_centre,
@@ -411,9 +425,16 @@
             "changes_not_applied": float(self._applier.n_failed),
             "connections_opened": float(self._dispatcher.pool.n_opened),
         }
+        self._metrics.slots.show(self._slots.statuses())
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         connection.send_answer(200, headers, self._metrics.render(state))
 
+    def _handle_message(self, source: str, message: Message) -> None:
+        if isinstance(message, SlotBatch):
+            self._slots.handle(source, message)
+        else:
+            self._streams.handle_message(source, message)
+
     def _store_age_ms(self) -> int:
         age_ms = self._freshness.age_ms(round(monotonic_now_ms()))
         return -1 if age_ms is None else age_ms
@@ -547,6 +568,7 @@
             self._catalog.purge(now_ms)
             self._streams.observe_all()
             self._relay.probe()
+            self._slots.maintain()
             self._rate_limiter.set_members(self._members.addresses())
 
     def _detect_pause(self) -> None:
@@ -569,6 +591,8 @@
         margin_ms = min(STOP_MARGIN_MS, STOP_MARGIN_FRACTION * grace_ms)
         end_ms = started_ms + grace_ms - margin_ms
         self._dispatcher.start_draining(started_ms, end_ms)
+        self._slots.stop()
+        self._mesh.push_entries()
         while monotonic_now_ms() < end_ms:
             await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
             if monotonic_now_ms() - started_ms < CLOSE_IDLE_AFTER_MS:
@@ -586,6 +610,7 @@
     def close(self) -> None:
         """Cancel all tasks and close all sockets immediately."""
         self._dispatcher.cancel_all()
+        self._slots.close()
         for port in self._ports:
             port.stopListening()
         for task in self._tasks:
--- a/damaskrill/gateway/_request_slots.py
+++ b/damaskrill/gateway/_request_slots.py
@@ -168,6 +168,8 @@
         server = dispatcher.select(
             requirements, tried=set(), only=keys, only_healthy=True
         )
+        if server is None and not dispatcher.has_healthy(requirements):
+            server = dispatcher.select(requirements, tried=set(), only=keys)
         if server is None or server.key in self._held:
             dispatcher.slots.release(slot, ReleaseOutcome.UNUSED)
             dispatcher.log.write(
--- a/damaskrill/gateway/_server_throttle.py
+++ b/damaskrill/gateway/_server_throttle.py
@@ -88,6 +88,10 @@
         """Return whether a server may get a request now."""
         return self._find_wait(server, now_ms) is None
 
+    def is_paused(self, server: BackendServer, now_ms: float) -> bool:
+        """Return whether a server has asked for a pause that is not over."""
+        return self._pauses.remaining_ms(server.key, now_ms) > 0
+
     def find_wait(
         self, servers: Iterable[BackendServer], now_ms: float
     ) -> ServiceWait | None:
--- a/damaskrill/gateway/_slot_client.py
+++ b/damaskrill/gateway/_slot_client.py
@@ -232,7 +232,9 @@
             asked_at_ms = monotonic_now_ms()
             pending.queued = None
             self._send_request(question, number, pending)
-            await _wait_for_news(pending, asked_at_ms + answer_ms, ends_with_notice=True)
+            await _wait_for_news(
+                pending, asked_at_ms + answer_ms, ends_with_notice=True
+            )
             if pending.is_over:
                 return
             queued = pending.queued
--- a/damaskrill/gateway/_slot_host.py
+++ b/damaskrill/gateway/_slot_host.py
@@ -131,7 +131,9 @@
         if queued is not None:
             self._answer(request.service, queued)
             return
-        self._apply(request.service, service, service.scheduler.request(request, now_ms))
+        self._apply(
+            request.service, service, service.scheduler.request(request, now_ms)
+        )
 
     def release(self, name: str, release: SlotRelease) -> None:
         """Free the slot of a request, or withdraw one that waits."""
--- a/damaskrill/gateway/_slots.py
+++ b/damaskrill/gateway/_slots.py
@@ -21,8 +21,8 @@
 
 __all__ = ["SlotScheduling"]
 
-# Bits of the number of the first request. A process that starts anew at the same address
-# does not repeat the numbers of the one before.
+# Bits of the number of the first request. A process that starts anew at the address of
+# another one does not repeat its numbers.
 NUMBER_BITS = 48
 
 
@@ -69,8 +69,8 @@
         self._may_schedule = may_schedule
         self._metrics = metrics
         self._choice = SchedulerChoice(members)
-        # Servers that have stated their slowness last.
-        self._stating: set[tuple[str, int]] = set()
+        # What servers that state their slowness have stated last, and when.
+        self._stated: dict[tuple[str, int], tuple[ServerLoad, float]] = {}
         outbox = SlotOutbox(send)
         own_address = members.own.address
         self.client = SlotClient(
@@ -92,21 +92,21 @@
 
     def is_scheduled(self, service: str) -> bool:
         """Return whether requests for a service need slots."""
-        if not self._stating:
+        if not self._stated:
             return False
         configuration = self._catalog.configuration
         spec = configuration.services.get(service) if configuration else None
         if spec is None or spec.is_engine:
             return False
         servers = self._catalog.find_servers(service)
-        return any(each.key in self._stating for each in servers)
+        return any(each.key in self._stated for each in servers)
 
     def observe_load(self, server: BackendServer, load: ServerLoad) -> None:
         """Apply a load that a server has stated in an answer."""
         if load.slowness is None:
-            self._stating.discard(server.key)
+            self._stated.pop(server.key, None)
         else:
-            self._stating.add(server.key)
+            self._stated[server.key] = (load, monotonic_now_ms())
         self.host.observe_load(server.service, short_server_id(server.key), load)
 
     async def ask(self, question: SlotQuestion) -> HeldSlot | SlotRefusal | None:
@@ -148,7 +148,8 @@
 
     def maintain(self) -> None:
         """Do what is due now and then."""
-        self._stating &= self._catalog.registered_keys()
+        for key in self._stated.keys() - self._catalog.registered_keys():
+            del self._stated[key]
         self.host.maintain()
         self.client.maintain(self._members.addresses())
 
@@ -173,13 +174,13 @@
     def _find_loads(self, service: str) -> Iterable[StatedLoad]:
         now_ms = monotonic_now_ms()
         for server in self._catalog.find_servers(service):
+            load, stated_at_ms = self._stated.get(server.key, (None, 0.0))
+            age_ms = now_ms - stated_at_ms
             n_requests = self._loads.told_by_peers(server.key)
-            if n_requests is not None:
+            told_age_ms = self._loads.age_ms(server.key, now_ms)
+            if n_requests is not None and (load is None or told_age_ms < age_ms):
                 n_running = min(n_requests, max(1, server.n_slots))
-                load = ServerLoad(
-                    n_running=n_running,
-                    n_waiting=n_requests - n_running,
-                    n_slots=server.n_slots,
-                )
-                age_ms = self._loads.age_ms(server.key, now_ms)
+                n_waiting, age_ms = n_requests - n_running, told_age_ms
+                load = ServerLoad(n_running=n_running, n_waiting=n_waiting)
+            if load is not None:
                 yield short_server_id(server.key), load, age_ms
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -234,6 +234,12 @@
         others = [each for each in self._links.values() if each.address != source]
         self._replication.push(others, monotonic_now_ms())
 
+    def push_entries(self) -> None:
+        """Publish at once what has changed in this router's entry."""
+        now_ms = monotonic_now_ms()
+        for link in list(self._links.values()):
+            self._send(link, self._collect(link, now_ms, has_entries=True))
+
     def push_urgent_reports(self) -> None:
         """Publish failures and departures of servers after a short delay."""
         if self._urgent_timer is None:
--- a/damaskrill/steering/_loads.py
+++ b/damaskrill/steering/_loads.py
@@ -185,6 +185,11 @@
         age_ms = now_ms - load.reported_at_ms
         return load.n_own + load.n_others * math.exp2(-age_ms / HALF_LIFE_MS)
 
+    def told_by_peers(self, key: ServerKey) -> int | None:
+        """Return the newest reported load; None if this router itself got it."""
+        load = self._loads.get(key)
+        return load.n_reported if load is not None and load.is_relayed else None
+
     def age_ms(self, key: ServerKey, now_ms: float) -> float:
         """Return the age of a server's last load report; -1 if there is none."""
         load = self._loads.get(key)
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -29,6 +29,8 @@
     SERVER_FULL = "server_full"
     SERVERS_PAUSED = "servers_paused"
     SERVERS_LIMITED = "servers_limited"
+    NO_SLOT_IN_TIME = "no_slot_in_time"
+    TEAM_OVER_SHARE = "team_over_share"
     SERVER_REPLACED = "server_replaced"
     PEER_REFUSED = "peer_refused"
     CRASHING_PROMPT = "crashing_prompt"
@@ -74,6 +76,13 @@
         "all backend servers that could run the request get as many requests as they "
         "take at the moment"
     ),
+    RefusalCause.NO_SLOT_IN_TIME: (
+        "the service has no room for the request within its target, as requests of "
+        "higher rank wait before it"
+    ),
+    RefusalCause.TEAM_OVER_SHARE: (
+        "the team sends more than its share of a service that has no room for all"
+    ),
     RefusalCause.SERVER_REPLACED: (
         "another backend server answered at the address of the selected one"
     ),
