--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -15,7 +15,7 @@
     SlotRelease,
     SlotRequest,
 )
-from damaskrill.scheduling._shares import Share, TeamShares
+from damaskrill.scheduling._shares import MAX_PRIORITY, Share, TeamShares
 from damaskrill.scheduling._slot_servers import SlotServers
 from damaskrill.scheduling._status import PriorityStatus, SchedulerStatus, WaitHistory
 from damaskrill.scheduling._wait_prediction import (
@@ -36,8 +36,6 @@
 # Interval at which waiting requests are tried while no release is due: servers' stated
 # loads and speeds age.
 RECHECK_MS = 20
-# Priorities are 0 to 9 on the platform; others count as the least urgent.
-MAX_PRIORITY = 9
 
 
 class SlotScheduler:
@@ -201,7 +199,7 @@
         if release.load is not None:
             self._servers.observe_load(lease.server, release.load, now_ms, 0.0)
         # A stated load may show that its release is the one that was lost.
-        self._servers.release(key)
+        self._servers.release(key, now_ms)
         match release.outcome:
             case ReleaseOutcome.COMPLETED:
                 self._servers.learn_time(
@@ -254,7 +252,7 @@
     def _divide(self, now_ms: float) -> None:
         self._shares_due_ms = now_ms + SHARES_INTERVAL_MS
         self._shares.update(
-            self._demand.rates(now_ms), self._servers.drain_per_s(now_ms)
+            self._demand.rates(now_ms), self._servers.capacity_per_s(now_ms)
         )
 
     def _predict_ms(self, rank: Rank, n_ahead: int, now_ms: float) -> float:
@@ -269,11 +267,11 @@
 
         Notes
         -----
-        That is until its target. If all that is demanded can be served, nothing is lost
-        for others by serving it late, up to its limit.
+        That is until its target. If its share and those before it can all be served,
+        nothing is lost for them by serving it late, up to its limit.
         """
         end_ms = waiting.target_at_ms
-        if not self._shares.is_short:
+        if not self._shares.is_short(waiting.rank.share):
             end_ms = max(end_ms, waiting.rank.limit_at_ms)
         return end_ms - now_ms - self._servers.work_ms
 
--- a/damaskrill/scheduling/_shares.py
+++ b/damaskrill/scheduling/_shares.py
@@ -1,11 +1,18 @@
 """Division of a service's capacity over teams and priorities."""
 
+import math
 from collections.abc import Mapping
 from enum import IntEnum
 
 from attrs import define, field
 
-__all__ = ["Share", "TeamShares", "divide_by_priority", "fill_by_weight"]
+__all__ = [
+    "MAX_PRIORITY",
+    "Share",
+    "TeamShares",
+    "divide_by_priority",
+    "fill_by_weight",
+]
 
 # Part of a team's allowance that its less urgent requests keep. Issue 50, part 1: the
 # least urgent never starve.
@@ -13,6 +20,10 @@
 # Fraction of a class's demand from which it counts as served in full; below it, the
 # difference is an error of the measured rates.
 FULL_FRACTION = 0.99
+# Utilization from which serving one late makes the next one late too.
+FULL_UTILIZATION = 0.9
+# Priorities are 0 to 9 on the platform; others count as the least urgent.
+MAX_PRIORITY = 9
 
 ClassKey = tuple[str, int]
 
@@ -113,12 +124,19 @@
     def __init__(self) -> None:
         self._classes: dict[ClassKey, _ClassShare] = {}
         self._rates: dict[tuple[Share, int], float] = {}
-        self._is_short = False
+        self._rate_beyond = 0.0
+        self._capacity = math.inf
 
-    @property
-    def is_short(self) -> bool:
-        """Whether more is demanded than the servers can run."""
-        return self._is_short
+    def is_short(self, share: Share) -> bool:
+        """Return whether requests of a share and those before it exceed the capacity.
+
+        Notes
+        -----
+        Above `FULL_UTILIZATION`, a queue grows faster than it empties.
+        """
+        rate = self._rate_beyond if share is Share.BEYOND else 0.0
+        rate += self.rate_before(share, MAX_PRIORITY + 1)
+        return rate > FULL_UTILIZATION * self._capacity
 
     def update(self, demands: Mapping[ClassKey, float], capacity: float) -> None:
         """Divide the capacity anew.
@@ -134,8 +152,9 @@
         for (team, priority), rate in demands.items():
             by_team.setdefault(team, {})[priority] = rate
         totals = {team: sum(rates.values()) for team, rates in by_team.items()}
-        self._is_short = sum(totals.values()) > capacity
+        self._capacity = capacity
         allowances = fill_by_weight(totals, capacity)
+        self._rate_beyond = sum(totals.values()) - sum(allowances.values())
         previous, self._classes, self._rates = self._classes, {}, {}
         for team, rates in by_team.items():
             for priority, part in divide_by_priority(rates, allowances[team]).items():
--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -1,7 +1,7 @@
 """Slots of a service's servers: what runs where, and the choice of a server."""
 
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from attrs import define, field, frozen
 
@@ -13,8 +13,12 @@
 # Time from which an assigned slot counts as lost if the server states fewer requests,
 # in usual durations.
 LOST_AFTER_DURATIONS = 6
-# Time for which a server that rejected a request gets no more than its slots.
-REJECTION_MS = 2_000
+# Time for which a server that rejected a request beyond its slots gets no more than
+# them; it doubles with each further one, up to the longest.
+MIN_REJECTION_MS = 2_000
+MAX_REJECTION_MS = 64_000
+# Part of a slot that may be idle before a server gets one more request to keep it busy.
+IDLE_SLOTS = 0.1
 # Time for which a scheduler that took over does not fill servers of unknown load:
 # longer than the interval of the reports of loads between routers.
 TAKEOVER_MS = 400
@@ -34,14 +38,11 @@
         Short hash of the server's incarnation.
     assigned_at_ms, expires_at_ms : float
         When it was assigned, and when it counts as free without a release.
-    unit : float
-        Expected time relative to the usual time on a free server.
     """
 
     server: int
     assigned_at_ms: float
     expires_at_ms: float
-    unit: float = 1.0
 
 
 @define(kw_only=True)
@@ -55,7 +56,11 @@
     n_others: float = 0.0
     others_at_ms: float = 0.0
     has_load: bool = False
-    rejected_at_ms: float = -math.inf
+    # Until when its slots in use have been counted.
+    counted_at_ms: float = 0.0
+    # Until when it gets no more than its slots, and for how long after a rejection.
+    barred_until_ms: float = -math.inf
+    barred_ms: float = MIN_REJECTION_MS
 
     def n_requests(self, now_ms: float, work_ms: float) -> float:
         """Return the requests there; those of others end within some durations."""
@@ -117,7 +122,7 @@
         bool
             Whether slots were lost.
         """
-        before = sum(each.n_slots for _, each in self._usable())
+        n_before = self._n_slots
         for server, n_slots in servers.items():
             known = self._servers.setdefault(server, _SlotServer(n_slots=n_slots))
             known.n_slots, known.is_usable = max(1, n_slots), True
@@ -127,7 +132,7 @@
                 if not known.leases:
                     del self._servers[server]
                     self._speeds.forget(server)
-        return sum(each.n_slots for _, each in self._usable()) < before
+        return self._n_slots < n_before
 
     def observe_load(
         self, server: int, load: ServerLoad, now_ms: float, age_ms: float
@@ -147,9 +152,12 @@
         known.others_at_ms = stated_at_ms
         known.has_load = True
         if load.n_requests < n_own:
-            self._forget_lost(known, n_own - load.n_requests, stated_at_ms)
+            n_lost = n_own - load.n_requests
+            self._forget_lost(known, n_lost, stated_at_ms, now_ms)
 
-    def _forget_lost(self, server: _SlotServer, n_lost: int, at_ms: float) -> None:
+    def _forget_lost(
+        self, server: _SlotServer, n_lost: int, at_ms: float, now_ms: float
+    ) -> None:
         # The release of these was lost: the server does not run them.
         oldest_ms = at_ms - LOST_AFTER_DURATIONS * self.work_ms
         old = [
@@ -158,7 +166,7 @@
             if lease.assigned_at_ms < oldest_ms
         ]
         for key in old[:n_lost]:
-            self.release(key)
+            self.release(key, now_ms)
 
     def find(self, key: RequestKey) -> SlotLease | None:
         """Return the slot of a request; None if it has none."""
@@ -169,18 +177,17 @@
     ) -> None:
         """Assign a slot of a server to a request."""
         lease = SlotLease(
-            server=server,
-            assigned_at_ms=now_ms,
-            expires_at_ms=expires_at_ms,
-            unit=self._expected_ms(server, now_ms) / self.work_ms,
+            server=server, assigned_at_ms=now_ms, expires_at_ms=expires_at_ms
         )
+        self._count_busy(server, now_ms)
         self._leases[key] = self._servers[server].leases[key] = lease
 
-    def release(self, key: RequestKey) -> SlotLease | None:
+    def release(self, key: RequestKey, now_ms: float) -> SlotLease | None:
         """Free the slot of a request; return None if it has none."""
         lease = self._leases.pop(key, None)
         if lease is None:
             return None
+        self._count_busy(lease.server, now_ms)
         server = self._servers[lease.server]
         del server.leases[key]
         if not server.is_usable and not server.leases:
@@ -193,17 +200,29 @@
     ) -> None:
         """Learn how long requests take from one that completed."""
         held_ms = now_ms - lease.assigned_at_ms
-        self._work.observe(duration_ms=duration_ms, held_ms=held_ms, unit=lease.unit)
+        self._work.add_end(duration_ms=duration_ms, held_ms=held_ms)
+
+    def _count_busy(self, server: int, now_ms: float) -> None:
+        """Count the time since the server's slots changed last."""
+        known = self._servers[server]
+        n_busy = min(len(known.leases), known.n_slots)
+        busy_ms = n_busy * (now_ms - known.counted_at_ms)
+        if busy_ms > 0:
+            self._work.add_busy(busy_ms / self._speeds.slowness(server, now_ms))
+        known.counted_at_ms = now_ms
 
     def observe_rejection(self, server: int, now_ms: float) -> None:
         """Note that a server rejected a request since it was full."""
         known = self._servers.get(server)
         if known is None:
             return
-        known.rejected_at_ms = now_ms
-        if len(known.leases) < known.n_slots:
-            known.n_others = max(known.n_others, known.n_slots - len(known.leases))
+        n_missing = known.n_slots - len(known.leases)
+        if n_missing > 0:
+            known.n_others = max(known.n_others, n_missing)
             known.others_at_ms = now_ms
+        if now_ms >= known.barred_until_ms:
+            known.barred_until_ms = now_ms + known.barred_ms
+            known.barred_ms = min(MAX_REJECTION_MS, 2 * known.barred_ms)
 
     def expire(self, now_ms: float) -> int:
         """Free the slots whose time is over; return their number."""
@@ -211,7 +230,7 @@
             key for key, each in self._leases.items() if each.expires_at_ms <= now_ms
         ]
         for key in expired:
-            self.release(key)
+            self.release(key, now_ms)
         return len(expired)
 
     def drain_per_s(self, now_ms: float) -> float:
@@ -221,14 +240,25 @@
         -----
         Slots that others use do not count.
         """
+        return self._rate_per_s(
+            lambda server: self._speeds.slowness(server, now_ms), now_ms
+        )
+
+    def capacity_per_s(self, now_ms: float) -> float:
+        """Return how many requests a second they complete at their mean speeds.
+
+        Notes
+        -----
+        Speeds change several times a second; what teams may take does not.
+        """
+        return self._rate_per_s(self._speeds.mean, now_ms)
+
+    def _rate_per_s(self, slowness: Callable[[int], float], now_ms: float) -> float:
         total = 0.0
         for server, known in self._usable():
-            run_ms = self.work_ms * self._speeds.slowness(server, now_ms)
-            cycle_ms = run_ms + self._work.gap_ms
             n_others = known.n_requests(now_ms, self.work_ms) - len(known.leases)
-            n_slots = max(0.0, self._bound(server, known, now_ms) - n_others)
-            total += min(known.n_slots / run_ms, n_slots / cycle_ms)
-        return 1_000 * total
+            total += max(0.0, known.n_slots - n_others) / slowness(server)
+        return 1_000 * total / self.work_ms
 
     def has_room(self, now_ms: float) -> bool:
         """Return whether some server may get one more request."""
@@ -298,15 +328,20 @@
 
         Notes
         -----
-        What arrives while the release of a slot and its next assignment are on their
-        way waits at the server, one request at least if the time between them counts.
+        What would keep its slots busy while releases and assignments are on their way
+        waits at the server, unless it has rejected such a request.
         """
         if now_ms < self._cautious_until_ms and not known.has_load:
             return max(1, known.n_slots // 3)
-        if now_ms - known.rejected_at_ms < REJECTION_MS:
+        if now_ms < known.barred_until_ms:
             return known.n_slots
         run_ms = self.work_ms * self._speeds.slowness(server, now_ms)
-        return known.n_slots + round(known.n_slots * self._work.gap_ms / run_ms)
+        n_idle = known.n_slots * self._work.gap_ms / run_ms
+        return known.n_slots + math.ceil(n_idle - IDLE_SLOTS)
+
+    @property
+    def _n_slots(self) -> int:
+        return sum(each.n_slots for _, each in self._usable())
 
     def _usable(self) -> Iterator[tuple[int, _SlotServer]]:
         for server, known in self._servers.items():
--- a/damaskrill/scheduling/_work_time.py
+++ b/damaskrill/scheduling/_work_time.py
@@ -2,46 +2,63 @@
 
 __all__ = ["WorkTime"]
 
-# Usual time until the first request has ended: that of a short lookup.
+# Usual time until requests have ended: that of a short lookup, which counts like this
+# many requests.
 INITIAL_WORK_MS = 25.0
-# Weight of a new sample once enough are known; the mix of routes changes slowly.
-SAMPLE_WEIGHT = 0.02
+N_INITIAL = 2.0
+# What is kept of earlier requests at each end: the mean is over some 300 requests, so
+# that its error is under a tenth.
+KEPT = 1 - 1 / 300
 
 
 class WorkTime:
-    """Usual time of a request at a server, and the time between two requests of a slot.
-
-    Attributes
-    ----------
-    work_ms : float
-        Time at a server of usual speed with a free slot, in milliseconds.
-    gap_ms : float
-        Time from the end of a request until the next one that gets its slot arrives,
-        in milliseconds: release and assignment cross a link each, and the request and
-        its answer another.
+    """Slot time that a request takes, and the time between two requests of a slot.
+
+    Notes
+    -----
+    The time of slots in use, divided by the requests that ended, gives the rate at
+    which busy servers complete requests, also if requests wait at the servers.
     """
 
     def __init__(self) -> None:
-        self.work_ms = INITIAL_WORK_MS
-        self.gap_ms = 0.0
-        self._n_samples = 0
+        self._busy_ms = N_INITIAL * INITIAL_WORK_MS
+        self._n_ended = N_INITIAL
+        self._gap_ms = 0.0
+        self._n_gaps = 0
+
+    @property
+    def work_ms(self) -> float:
+        """Time of a slot that a request takes at usual speed, in milliseconds."""
+        return self._busy_ms / self._n_ended
+
+    @property
+    def gap_ms(self) -> float:
+        """Time until the next request of a slot arrives, in milliseconds.
+
+        Notes
+        -----
+        Release and assignment cross a link each, and the request and its answer
+        another one.
+        """
+        return self._gap_ms
+
+    def add_busy(self, busy_ms: float) -> None:
+        """Add time of slots in use, at usual speed, in milliseconds."""
+        self._busy_ms += busy_ms
 
-    def observe(self, *, duration_ms: float, held_ms: float, unit: float) -> None:
-        """Learn from a completed request.
+    def add_end(self, *, duration_ms: float, held_ms: float) -> None:
+        """Add a completed request.
 
         Parameters
         ----------
         duration_ms : float
-            Time from sending it to its end.
+            Time from sending it to its end, in milliseconds.
         held_ms : float
-            Time from the assignment of its slot to the release.
-        unit : float
-            Expected time when it was sent, relative to the usual time on a free server.
+            Time from the assignment of its slot to the release, in milliseconds.
         """
-        if not 0 < duration_ms <= held_ms + 1 or unit <= 0:
-            return
-        self._n_samples += 1
-        weight = max(SAMPLE_WEIGHT, 1 / self._n_samples)
-        self.work_ms += weight * (duration_ms / unit - self.work_ms)
-        gap_ms = 2 * max(0.0, held_ms - duration_ms)
-        self.gap_ms += weight * (gap_ms - self.gap_ms)
+        self._busy_ms *= KEPT
+        self._n_ended = KEPT * self._n_ended + 1
+        if 0 < duration_ms <= held_ms:
+            self._n_gaps += 1
+            weight = max(1 - KEPT, 1 / self._n_gaps)
+            self._gap_ms += weight * (2 * (held_ms - duration_ms) - self._gap_ms)
