Count requests that other routers place by what servers state

In a split view (two schedulers before 24 slots) and beside routers of the build before, a scheduler saw requests it had not assigned only through stated loads, which are some messages older or newer than its own count. The signed difference is averaged; statements older than half a duration no longer change counts.

--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -37,6 +37,10 @@
 # loads and speeds age.
 RECHECK_MS = 20
 
+# Requests that wait at most, whatever time routers state: some seconds of the work of a
+# service with few slots.
+MAX_WAITING = 2_000
+
 
 class SlotScheduler:
     """Decides which requests of a service get the slots of its servers.
@@ -147,7 +151,7 @@
         rank = Rank(
             share=share,
             priority=priority,
-            limit_at_ms=now_ms + request.limit_left_ms,
+            limit_at_ms=now_ms + min(request.limit_left_ms, MAX_WAIT_MS),
             number=self._n_arrivals,
         )
         self._n_arrivals += 1
@@ -166,7 +170,8 @@
         decisions = self._assign_waiting(now_ms)
         if key not in self._queue:
             return decisions
-        if waiting.predicted_ms > self._longest_wait_ms(waiting, now_ms):
+        longest_ms = self._longest_wait_ms(waiting, now_ms)
+        if waiting.predicted_ms > longest_ms or len(self._queue) > MAX_WAITING:
             self._queue.remove(key)
             reason = (
                 SlotRefusalReason.NO_TIME
@@ -277,6 +282,8 @@
 
     def _assign_waiting(self, now_ms: float) -> list[SlotDecision]:
         decisions: list[SlotDecision] = []
+        if not self._queue or not self._servers.has_room(now_ms):
+            return decisions
         n_before = 0
         for each in self._queue:
             server = self._servers.choose(
--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -17,6 +17,12 @@
 # them; it doubles with each further one, up to the longest.
 MIN_REJECTION_MS = 2_000
 MAX_REJECTION_MS = 64_000
+# Weight of one statement in the count of others' requests, since it is some messages
+# older or newer than the count of those assigned here; smaller counts are such errors.
+COUNT_WEIGHT = 0.2
+MIN_OTHERS = 0.75
+# Age of a statement, in durations, from which its count says nothing.
+MAX_COUNT_AGE = 0.5
 # Part of a slot that may be idle before a server gets one more request to keep it busy.
 IDLE_SLOTS = 0.1
 # Time for which a scheduler that took over does not fill servers of unknown load:
@@ -64,9 +70,27 @@
 
     def n_requests(self, now_ms: float, work_ms: float) -> float:
         """Return the requests there; those of others end within some durations."""
+        if self.n_others < MIN_OTHERS:
+            return len(self.leases)
         age_ms = now_ms - self.others_at_ms
         others = self.n_others * math.exp(-age_ms / (2 * work_ms))
-        return len(self.leases) + (others if others >= 0.5 else 0.0)
+        return len(self.leases) + (others if others >= MIN_OTHERS else 0.0)
+
+    def add_count(self, n_requests: int, at_ms: float, *, gap_ms: float) -> None:
+        """Compare the requests that the server stated with those assigned here.
+
+        Notes
+        -----
+        Those assigned shortly before had not arrived yet, and of those assigned before
+        some have ended since. On average both weigh the same.
+        """
+        n_own = sum(
+            each.assigned_at_ms <= at_ms - gap_ms for each in self.leases.values()
+        )
+        weight = COUNT_WEIGHT if self.has_load else 1.0
+        self.n_others += weight * (n_requests - n_own - self.n_others)
+        self.others_at_ms = max(self.others_at_ms, at_ms)
+        self.has_load = True
 
 
 class SlotServers:
@@ -139,21 +163,18 @@
     ) -> None:
         """Apply a load that a server stated some time ago."""
         known = self._servers.get(server)
-        stated_at_ms = now_ms - max(0.0, age_ms)
-        if known is None or (known.has_load and stated_at_ms < known.others_at_ms):
+        if known is None:
             return
-        self._speeds.observe(server, load, now_ms, max(0.0, age_ms))
-        # Requests that were assigned before the statement, whether they had arrived or
-        # not: a server that is thought full by mistake leaves slots unused.
-        n_own = sum(
-            each.assigned_at_ms <= stated_at_ms for each in known.leases.values()
-        )
-        known.n_others = float(max(0, load.n_requests - n_own))
-        known.others_at_ms = stated_at_ms
-        known.has_load = True
+        age_ms = max(0.0, age_ms)
+        self._speeds.observe(server, load, now_ms, age_ms)
+        if known.has_load and age_ms > MAX_COUNT_AGE * self.work_ms:
+            # What ran there then has ended since.
+            return
+        known.add_count(load.n_requests, now_ms - age_ms, gap_ms=self._work.gap_ms)
+        n_own = len(known.leases)
         if load.n_requests < n_own:
             n_lost = n_own - load.n_requests
-            self._forget_lost(known, n_lost, stated_at_ms, now_ms)
+            self._forget_lost(known, n_lost, now_ms - age_ms, now_ms)
 
     def _forget_lost(
         self, server: _SlotServer, n_lost: int, at_ms: float, now_ms: float
@@ -218,7 +239,7 @@
             return
         n_missing = known.n_slots - len(known.leases)
         if n_missing > 0:
-            known.n_others = max(known.n_others, n_missing)
+            known.n_others = max(known.n_others, float(n_missing))
             known.others_at_ms = now_ms
         if now_ms >= known.barred_until_ms:
             known.barred_until_ms = now_ms + known.barred_ms
