--- a/benchmarks/_slot_fleet.py
+++ b/benchmarks/_slot_fleet.py
@@ -242,8 +242,8 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._draw_calls(Random(random_state + 2))
-        # Scheduler of the policy that has one.
-        self.scheduler: Any = None
+        # Schedulers of the policies that have some.
+        self.schedulers: list[Any] = []
         self.routers = [build_router(self, n) for n in range(load.n_routers)]
 
     def at(self, at_ms: float, handle: Callable[[], None]) -> None:
--- a/benchmarks/_slot_policies.py
+++ b/benchmarks/_slot_policies.py
@@ -33,7 +33,9 @@
     "Scheduler",
     "TodayRouter",
     "TwoChoicesRouter",
+    "build_mixed",
     "build_scheduled",
+    "build_split",
 ]
 
 # Servers that a request may reach, as most routes of the users' deployments allow.
@@ -339,6 +341,20 @@
 
 def build_scheduled(fleet: SlotFleet, number: int) -> ScheduledRouter:
     """Build a router that asks the scheduler of its fleet."""
-    if fleet.scheduler is None:
-        fleet.scheduler = Scheduler(fleet)
-    return ScheduledRouter(fleet, number, fleet.scheduler)
+    return build_split(fleet, number, n_schedulers=1)
+
+
+def build_split(
+    fleet: SlotFleet, number: int, n_schedulers: int = 2
+) -> ScheduledRouter:
+    """Build a router in a view that is split, with a scheduler in each part."""
+    if number < n_schedulers:
+        fleet.schedulers.append(Scheduler(fleet))
+    return ScheduledRouter(fleet, number, fleet.schedulers[number % n_schedulers])
+
+
+def build_mixed(fleet: SlotFleet, number: int) -> Router:
+    """Build a router of a fleet in which every second one has the build before."""
+    if number % 2:
+        return TodayRouter(fleet, number)
+    return build_split(fleet, number, n_schedulers=1)
--- a/benchmarks/bench_scheduling.py
+++ b/benchmarks/bench_scheduling.py
@@ -13,7 +13,9 @@
     OracleRouter,
     TodayRouter,
     TwoChoicesRouter,
+    build_mixed,
     build_scheduled,
+    build_split,
 )
 
 __all__ = ["measure", "short_of_room", "suva_overload", "uneven_servers"]
@@ -29,6 +31,11 @@
     "today": TodayRouter,
     "common_cut": CutRouter,
 }
+# The scheduler in a view that is split, and beside routers of the build before.
+HALVES: dict[str, RouterBuilder] = {
+    "two_schedulers": build_split,
+    "half_asks": build_mixed,
+}
 PLACEMENTS: dict[str, RouterBuilder] = {
     "scheduler": build_scheduled,
     "today": TodayRouter,
@@ -51,6 +58,9 @@
         for policy, build in POLICIES.items():
             fleet = run_fleet(load, build, seed)
             yield from measure_order(fleet, policy, seed, "short_of_room")
+    for policy, build in HALVES.items():
+        fleet = run_fleet(short_of_room(76, 6, 2), build, seed)
+        yield from measure_order(fleet, policy, seed, "short_of_room")
     for n_routers in (3, 112):
         load = uneven_servers(n_routers)
         for policy, build in PLACEMENTS.items():
