Bound the wait of kept requests, and discount slots whose release was lost

Slots that expire no longer count as work. Times that are not numbers and counts that cannot be right are clipped.

--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -37,6 +37,9 @@
 # loads and speeds age.
 RECHECK_MS = 20
 
+# A request that is kept goes before others after its predicted wait times this, unless
+# it can still start in time.
+DUE_FACTOR = 2
 # Requests that wait at most, whatever time routers state: some seconds of the work of a
 # service with few slots.
 MAX_WAITING = 2_000
@@ -151,18 +154,22 @@
         rank = Rank(
             share=share,
             priority=priority,
-            limit_at_ms=now_ms + min(request.limit_left_ms, MAX_WAIT_MS),
+            limit_at_ms=now_ms + _clip_ms(request.limit_left_ms),
             number=self._n_arrivals,
         )
         self._n_arrivals += 1
         n_ahead = self._queue.n_ahead(rank)
+        predicted_ms = self._predict_ms(rank, n_ahead, now_ms)
+        target_at_ms = now_ms + _clip_ms(request.target_left_ms)
+        start_by_ms = target_at_ms - self._servers.work_ms
         waiting = WaitingRequest(
             rank=rank,
             request=request,
             arrived_at_ms=now_ms,
-            target_at_ms=now_ms + request.target_left_ms,
+            target_at_ms=target_at_ms,
+            due_at_ms=max(start_by_ms, now_ms + DUE_FACTOR * predicted_ms),
             n_ahead=n_ahead,
-            predicted_ms=self._predict_ms(rank, n_ahead, now_ms),
+            predicted_ms=predicted_ms,
         )
         if not self._servers.is_servable(request.excluded):
             return [self._refuse(waiting, SlotRefusalReason.NO_SERVER, now_ms)]
@@ -285,7 +292,7 @@
         if not self._queue or not self._servers.has_room(now_ms):
             return decisions
         n_before = 0
-        for each in self._queue:
+        for each in self._queue.in_order(now_ms):
             server = self._servers.choose(
                 each.request.excluded, n_before=n_before, now_ms=now_ms
             )
@@ -362,3 +369,10 @@
 
     def _status_of(self, waiting: WaitingRequest) -> PriorityStatus:
         return self._by_priority.setdefault(waiting.rank.priority, PriorityStatus())
+
+
+def _clip_ms(left_ms: float) -> float:
+    """Return a time left that can be compared; none if it is not a number."""
+    if math.isnan(left_ms):
+        return 0.0
+    return min(max(-MAX_WAIT_MS, left_ms), MAX_WAIT_MS)
--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -23,13 +23,16 @@
 MIN_OTHERS = 0.75
 # Age of a statement, in durations, from which its count says nothing.
 MAX_COUNT_AGE = 0.5
+# Requests that a server states at most, in slots.
+MAX_REQUESTS = 10
 # Part of a slot that may be idle before a server gets one more request to keep it busy.
 IDLE_SLOTS = 0.1
 # Time for which a scheduler that took over does not fill servers of unknown load:
 # longer than the interval of the reports of loads between routers.
 TAKEOVER_MS = 400
-# A busy server is waited for if its answer is expected earlier by this factor.
-HOLD_FACTOR = 0.8
+# A busy server is waited for if its answer is expected in less than this part of the
+# time that a free one takes: speeds change while a request waits or runs.
+HOLD_FACTOR = 0.6
 
 RequestKey = tuple[str, int]
 
@@ -170,10 +173,11 @@
         if known.has_load and age_ms > MAX_COUNT_AGE * self.work_ms:
             # What ran there then has ended since.
             return
-        known.add_count(load.n_requests, now_ms - age_ms, gap_ms=self._work.gap_ms)
-        n_own = len(known.leases)
-        if load.n_requests < n_own:
-            n_lost = n_own - load.n_requests
+        # A server does not queue many times its slots: a larger figure is wrong.
+        n_requests = min(max(0, load.n_requests), MAX_REQUESTS * known.n_slots)
+        known.add_count(n_requests, now_ms - age_ms, gap_ms=self._work.gap_ms)
+        n_lost = len(known.leases) - n_requests
+        if n_lost > 0:
             self._forget_lost(known, n_lost, now_ms - age_ms, now_ms)
 
     def _forget_lost(
@@ -187,7 +191,7 @@
             if lease.assigned_at_ms < oldest_ms
         ]
         for key in old[:n_lost]:
-            self.release(key, now_ms)
+            self._free_lost(key, now_ms)
 
     def find(self, key: RequestKey) -> SlotLease | None:
         """Return the slot of a request; None if it has none."""
@@ -223,6 +227,13 @@
         held_ms = now_ms - lease.assigned_at_ms
         self._work.add_end(duration_ms=duration_ms, held_ms=held_ms)
 
+    def _free_lost(self, key: RequestKey, now_ms: float) -> None:
+        """Free a slot whose release did not come; its time says nothing."""
+        lease = self.release(key, now_ms)
+        if lease is not None:
+            held_ms = now_ms - lease.assigned_at_ms
+            self._work.add_busy(-held_ms / self._speeds.mean(lease.server))
+
     def _count_busy(self, server: int, now_ms: float) -> None:
         """Count the time since the server's slots changed last."""
         known = self._servers[server]
@@ -251,7 +262,7 @@
             key for key, each in self._leases.items() if each.expires_at_ms <= now_ms
         ]
         for key in expired:
-            self.release(key, now_ms)
+            self._free_lost(key, now_ms)
         return len(expired)
 
     def drain_per_s(self, now_ms: float) -> float:
--- a/damaskrill/scheduling/_waiting.py
+++ b/damaskrill/scheduling/_waiting.py
@@ -49,6 +49,8 @@
         The request.
     arrived_at_ms, target_at_ms : float
         Arrival and target, in milliseconds.
+    due_at_ms : float
+        When it goes before all that are not due, in milliseconds.
     predicted_ms : float
         Predicted wait, in milliseconds.
     n_ahead : int
@@ -59,6 +61,7 @@
     request: SlotRequest = field(eq=False)
     arrived_at_ms: float
     target_at_ms: float
+    due_at_ms: float = math.inf
     predicted_ms: float = 0.0
     n_ahead: int = 0
 
@@ -97,6 +100,20 @@
         """When the first limit ends; infinite if none waits."""
         return min((each.limit_at_ms for each in self._ranks), default=math.inf)
 
+    def in_order(self, now_ms: float) -> list[WaitingRequest]:
+        """Return the requests in the order in which they get slots.
+
+        Notes
+        -----
+        Requests that are due are first: what was kept by a prediction that was too
+        short is not overtaken until its limit ends.
+        """
+        due = [each for each in self if each.due_at_ms <= now_ms]
+        if not due:
+            return list(self)
+        due.sort(key=lambda each: each.due_at_ms)
+        return due + [each for each in self if each.due_at_ms > now_ms]
+
     def n_ahead(self, rank: Rank) -> int:
         """Return how many requests wait before one of this rank."""
         return bisect_left(self._ranks, rank)
--- a/damaskrill/scheduling/_work_time.py
+++ b/damaskrill/scheduling/_work_time.py
@@ -6,6 +6,8 @@
 # many requests.
 INITIAL_WORK_MS = 25.0
 N_INITIAL = 2.0
+# No request takes less than this.
+MIN_WORK_MS = 1.0
 # What is kept of earlier requests at each end: the mean is over some 300 requests, so
 # that its error is under a tenth.
 KEPT = 1 - 1 / 300
@@ -43,8 +45,13 @@
         return self._gap_ms
 
     def add_busy(self, busy_ms: float) -> None:
-        """Add time of slots in use, at usual speed, in milliseconds."""
-        self._busy_ms += busy_ms
+        """Add time of slots in use, at usual speed, in milliseconds.
+
+        Notes
+        -----
+        It is negative for a slot that was in use for nothing.
+        """
+        self._busy_ms = max(MIN_WORK_MS * self._n_ended, self._busy_ms + busy_ms)
 
     def add_end(self, *, duration_ms: float, held_ms: float) -> None:
         """Add a completed request.
@@ -58,6 +65,7 @@
         """
         self._busy_ms *= KEPT
         self._n_ended = KEPT * self._n_ended + 1
+        self.add_busy(0.0)
         if 0 < duration_ms <= held_ms:
             self._n_gaps += 1
             weight = max(1 - KEPT, 1 / self._n_gaps)
