--- a/benchmarks/_slot_policies.py
+++ b/benchmarks/_slot_policies.py
@@ -196,11 +196,22 @@
 
 
 class OracleRouter(Router):
-    """Knows what runs where, until when and how fast, without any delay."""
+    """Knows what runs where, until when and how fast, without any delay.
+
+    Notes
+    -----
+    Its requests and answers cross links as those of the others do. Servers queue any
+    number of its requests.
+    """
+
+    def __init__(self, fleet: SlotFleet, number: int) -> None:
+        super().__init__(fleet, number)
+        for each in fleet.servers:
+            each.n_queue = math.inf
 
     def serve(self, call: Call) -> None:
         server = min(self.fleet.servers, key=lambda each: self.end_ms(each, call))
-        server.receive(call, lambda outcome: self.fleet.complete(call))
+        self.send(call, server, lambda outcome, load: self.fleet.complete(call))
 
     def end_ms(self, server: SlotServer, call: Call) -> float:
         """Return when a server would have done a request at its present speed."""
--- /dev/null
+++ b/features/scheduling_decisions.feature
@@ -0,0 +1,138 @@
+Feature: Decisions on slots, one event at a time
+  A scheduler before two servers of two slots each, unless said otherwise.
+
+  Scenario: slots go to the more urgent, then to those with the least time left
+    Given a service with 2 servers of 2 slots
+    When requests 1 to 4 ask
+    And request 5 of priority 2 asks
+    And request 6 of priority 1 asks with 1000 ms left
+    And request 7 of priority 1 asks with 500 ms left
+    Then the requests 1 to 4 have slots and the others wait
+    When the requests 1, 2 and 3 end one after the other
+    Then the requests 7, 6 and 5 get slots in this order
+
+  Scenario: what cannot start in time is refused at once
+    Given a service with 2 servers of 2 slots
+    When 400 requests ask at once
+    Then each has a slot, waits, or is refused at the same moment
+    And the refused ones may come back at different times within a third of their limit
+
+  Scenario: a request that is kept is not refused when more urgent ones come
+    Given a service with 2 servers of 2 slots
+    When requests 1 to 4 ask
+    And request 5 of priority 2 asks
+    And 50 requests of priority 0 ask
+    And slots are released for 600 ms
+    Then request 5 has got a slot
+
+  Scenario: a request that can no longer be served after a loss is refused at once
+    Given a service with 2 servers of 2 slots
+    When 20 requests ask at once
+    And all servers leave
+    Then all that waited are refused for want of a server
+    When a request ends at a server that has left
+    Then nothing is assigned
+    When the servers come back
+    And request 60 asks
+    Then request 60 has got a slot
+
+  Scenario: an assignment that is not released expires
+    Given a service with 1 server of 1 slots
+    When requests 1 to 1 ask
+    And nothing happens for 1900 ms
+    And request 2 asks
+    Then request 2 waits
+    When nothing happens for 200 ms
+    Then request 2 has got a slot
+
+  Scenario: a lost release shows in the load that the server states
+    Given a service with 1 server of 1 slots
+    When requests 1 to 1 ask
+    And nothing happens for 700 ms
+    And server 1 states 0 requests
+    And request 2 asks
+    Then request 2 has got a slot
+    When request 1 ends
+    And request 3 asks
+    Then request 3 waits
+
+  Scenario: releases that come twice or for unknown requests change nothing
+    Given a service with 1 server of 1 slots
+    When requests 1 to 1 ask
+    And request 99 ends
+    And request 2 asks
+    Then request 2 waits
+    When request 1 ends
+    And request 1 ends
+    And request 3 asks
+    Then request 2 has got a slot
+    And request 3 waits
+
+  Scenario: a request that is withdrawn gets no slot
+    Given a service with 1 server of 1 slots
+    When requests 1 to 2 ask
+    And request 2 is withdrawn
+    And request 1 ends
+    Then request 2 waits
+    And no slot is in use
+
+  Scenario: a request that comes twice keeps its slot
+    Given a service with 1 server of 2 slots
+    When requests 1 to 1 ask
+    And requests 1 to 1 ask
+    Then one slot is in use
+
+  Scenario: servers that may not run a request
+    Given a service with 2 servers of 1 slots
+    When request 1 asks, which server 1 may not run
+    And request 2 asks, which server 2 may not run
+    And request 3 asks, which no server may run
+    Then request 1 is at server 2 and request 2 at server 1
+    And request 3 is refused for want of a server
+
+  Scenario: a scheduler that takes over does not fill servers whose load it does not know
+    Given a takeover of a service with 1 server of 6 slots
+    When requests 1 to 10 ask
+    Then 2 slots are in use
+    When server 1 states 6 requests
+    And request 11 asks
+    Then 2 slots are in use
+
+  Scenario: a scheduler that takes over uses what the stated load leaves
+    Given a takeover of a service with 1 server of 6 slots
+    When server 1 states 4 requests
+    And requests 1 to 10 ask
+    Then 2 slots are in use
+    When server 1 states 2 requests in each of 10 answers
+    And nothing happens for 40 ms
+    Then 6 slots are in use
+
+  Scenario: a server that rejects a request gets no others at once
+    Given a service with 2 servers of 2 slots
+    When requests 1 to 1 ask
+    And the server of request 1 rejects it
+    And requests 2 to 3 ask
+    Then no request is at the server that rejected one
+
+  Scenario: the faster of two servers is chosen, and waited for if it answers earlier
+    Given a service with 2 servers of 2 slots
+    When server 1 states 0 requests and that work takes 8 times as long
+    And server 2 states 0 requests and that work takes 1 times as long
+    And requests 1 to 3 ask
+    Then the requests 1 and 2 are at server 2
+    And request 3 waits
+
+  Scenario: figures that cannot be right are ignored
+    Given a service with 2 servers of 2 slots
+    When requests ask with times and priorities that cannot be right
+    And servers state loads that cannot be right
+    And requests 50 to 60 ask
+    Then each of these has a decision
+    When slots are released for 600 ms
+    Then no more than 6 slots are in use
+
+  Scenario: 44,000 teams
+    Given a service with 2 servers of 2 slots
+    When 44000 teams send a request each within 10 s
+    Then at most 1024 teams are remembered
+    And no request of them was refused for its team's share
