--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -15,7 +15,7 @@
     SlotRelease,
     SlotRequest,
 )
-from damaskrill.scheduling._shares import Share, TeamShares
+from damaskrill.scheduling._shares import MAX_PRIORITY, Share, TeamShares
 from damaskrill.scheduling._slot_servers import SlotServers
 from damaskrill.scheduling._status import PriorityStatus, SchedulerStatus, WaitHistory
 from damaskrill.scheduling._wait_prediction import (
@@ -36,8 +36,13 @@
 # Interval at which waiting requests are tried while no release is due: servers' stated
 # loads and speeds age.
 RECHECK_MS = 20
-# Priorities are 0 to 9 on the platform; others count as the least urgent.
-MAX_PRIORITY = 9
+
+# A request that is kept goes before others after its predicted wait times this, unless
+# it can still start in time.
+DUE_FACTOR = 2
+# Requests that wait at most, whatever time routers state: some seconds of the work of a
+# service with few slots.
+MAX_WAITING = 2_000
 
 
 class SlotScheduler:
@@ -149,18 +154,22 @@
         rank = Rank(
             share=share,
             priority=priority,
-            limit_at_ms=now_ms + request.limit_left_ms,
+            limit_at_ms=now_ms + _clip_ms(request.limit_left_ms),
             number=self._n_arrivals,
         )
         self._n_arrivals += 1
         n_ahead = self._queue.n_ahead(rank)
+        predicted_ms = self._predict_ms(rank, n_ahead, now_ms)
+        target_at_ms = now_ms + _clip_ms(request.target_left_ms)
+        start_by_ms = target_at_ms - self._servers.work_ms
         waiting = WaitingRequest(
             rank=rank,
             request=request,
             arrived_at_ms=now_ms,
-            target_at_ms=now_ms + request.target_left_ms,
+            target_at_ms=target_at_ms,
+            due_at_ms=max(start_by_ms, now_ms + DUE_FACTOR * predicted_ms),
             n_ahead=n_ahead,
-            predicted_ms=self._predict_ms(rank, n_ahead, now_ms),
+            predicted_ms=predicted_ms,
         )
         if not self._servers.is_servable(request.excluded):
             return [self._refuse(waiting, SlotRefusalReason.NO_SERVER, now_ms)]
@@ -168,7 +177,8 @@
         decisions = self._assign_waiting(now_ms)
         if key not in self._queue:
             return decisions
-        if waiting.predicted_ms > self._longest_wait_ms(waiting, now_ms):
+        longest_ms = self._longest_wait_ms(waiting, now_ms)
+        if waiting.predicted_ms > longest_ms or len(self._queue) > MAX_WAITING:
             self._queue.remove(key)
             reason = (
                 SlotRefusalReason.NO_TIME
@@ -201,7 +211,7 @@
         if release.load is not None:
             self._servers.observe_load(lease.server, release.load, now_ms, 0.0)
         # A stated load may show that its release is the one that was lost.
-        self._servers.release(key)
+        self._servers.release(key, now_ms)
         match release.outcome:
             case ReleaseOutcome.COMPLETED:
                 self._servers.learn_time(
@@ -254,7 +264,7 @@
     def _divide(self, now_ms: float) -> None:
         self._shares_due_ms = now_ms + SHARES_INTERVAL_MS
         self._shares.update(
-            self._demand.rates(now_ms), self._servers.drain_per_s(now_ms)
+            self._demand.rates(now_ms), self._servers.capacity_per_s(now_ms)
         )
 
     def _predict_ms(self, rank: Rank, n_ahead: int, now_ms: float) -> float:
@@ -269,18 +279,20 @@
 
         Notes
         -----
-        That is until its target. If all that is demanded can be served, nothing is lost
-        for others by serving it late, up to its limit.
+        That is until its target. If its share and those before it can all be served,
+        nothing is lost for them by serving it late, up to its limit.
         """
         end_ms = waiting.target_at_ms
-        if not self._shares.is_short:
+        if not self._shares.is_short(waiting.rank.share):
             end_ms = max(end_ms, waiting.rank.limit_at_ms)
         return end_ms - now_ms - self._servers.work_ms
 
     def _assign_waiting(self, now_ms: float) -> list[SlotDecision]:
         decisions: list[SlotDecision] = []
+        if not self._queue or not self._servers.has_room(now_ms):
+            return decisions
         n_before = 0
-        for each in self._queue:
+        for each in self._queue.in_order(now_ms):
             server = self._servers.choose(
                 each.request.excluded, n_before=n_before, now_ms=now_ms
             )
@@ -357,3 +369,10 @@
 
     def _status_of(self, waiting: WaitingRequest) -> PriorityStatus:
         return self._by_priority.setdefault(waiting.rank.priority, PriorityStatus())
+
+
+def _clip_ms(left_ms: float) -> float:
+    """Return a time left that can be compared; none if it is not a number."""
+    if math.isnan(left_ms):
+        return 0.0
+    return min(max(-MAX_WAIT_MS, left_ms), MAX_WAIT_MS)
--- a/damaskrill/scheduling/_shares.py
+++ b/damaskrill/scheduling/_shares.py
@@ -1,11 +1,18 @@
 """Division of a service's capacity over teams and priorities."""
 
+import math
 from collections.abc import Mapping
 from enum import IntEnum
 
-from attrs import define, field
+from attrs import define, frozen
 
-__all__ = ["Share", "TeamShares", "divide_by_priority", "fill_by_weight"]
+__all__ = [
+    "MAX_PRIORITY",
+    "Share",
+    "TeamShares",
+    "divide_by_priority",
+    "fill_by_weight",
+]
 
 # Part of a team's allowance that its less urgent requests keep. Issue 50, part 1: the
 # least urgent never starve.
@@ -13,6 +20,10 @@
 # Fraction of a class's demand from which it counts as served in full; below it, the
 # difference is an error of the measured rates.
 FULL_FRACTION = 0.99
+# Utilization from which serving one late makes the next one late too.
+FULL_UTILIZATION = 0.9
+# Priorities are 0 to 9 on the platform; others count as the least urgent.
+MAX_PRIORITY = 9
 
 ClassKey = tuple[str, int]
 
@@ -62,9 +73,25 @@
     return allowances
 
 
+@frozen
+class PriorityPart:
+    """Part of a team's allowance that one of its priorities gets.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second.
+    floor : float
+        What of it the less urgent keep whatever the more urgent demand.
+    """
+
+    rate: float
+    floor: float = 0.0
+
+
 def divide_by_priority(
     demands: Mapping[int, float], allowance: float
-) -> dict[int, float]:
+) -> dict[int, PriorityPart]:
     """Divide a team's allowance over its priorities, the most urgent first.
 
     Parameters
@@ -80,23 +107,26 @@
     """
     order = sorted(demands)
     floor = FLOOR_FRACTION * allowance / max(1, len(order) - 1)
-    parts = {each: min(demands[each], floor) for each in order[1:]}
-    left = allowance - sum(parts.values())
+    floors = {each: min(demands[each], floor) for each in order[1:]}
+    left = allowance - sum(floors.values())
+    parts: dict[int, PriorityPart] = {}
     for each in order:
-        part = parts.get(each, 0.0)
-        more = min(demands[each] - part, max(0.0, left))
-        parts[each] = part + more
+        kept = floors.get(each, 0.0)
+        more = min(demands[each] - kept, max(0.0, left))
         left -= more
+        parts[each] = PriorityPart(rate=kept + more, floor=kept)
     return parts
 
 
 @define
 class _ClassShare:
-    """Part of the demand of a team's priority that fits into the team's allowance."""
+    """Fractions of a class's demand that fit into the allowance and its floor."""
 
     fraction: float
-    # Sum of the fractions of the requests so far, less the requests that fitted.
-    credit: float = field(default=0.5)
+    floor_fraction: float
+    # Sums of the fractions of the requests so far, less the requests that fitted.
+    credit: float = 0.5
+    floor_credit: float = 0.5
 
 
 class TeamShares:
@@ -107,18 +137,26 @@
     Handles a team that sends many times its usual requests to a service with few slots:
     it takes what others leave and no more once they want it. Priorities of a team that
     fit into its allowance as a whole go before those that fit in part, so that a team
-    inside its share does not wait behind what a hot team sends up to its limit.
+    inside its share does not wait behind what a hot team sends up to its limit. The
+    floor of what is less urgent is inside too.
     """
 
     def __init__(self) -> None:
         self._classes: dict[ClassKey, _ClassShare] = {}
         self._rates: dict[tuple[Share, int], float] = {}
-        self._is_short = False
+        self._rate_beyond = 0.0
+        self._capacity = math.inf
+
+    def is_short(self, share: Share) -> bool:
+        """Return whether requests of a share and those before it exceed the capacity.
 
-    @property
-    def is_short(self) -> bool:
-        """Whether more is demanded than the servers can run."""
-        return self._is_short
+        Notes
+        -----
+        Above `FULL_UTILIZATION`, a queue grows faster than it empties.
+        """
+        rate = self._rate_beyond if share is Share.BEYOND else 0.0
+        rate += self.rate_before(share, MAX_PRIORITY + 1)
+        return rate > FULL_UTILIZATION * self._capacity
 
     def update(self, demands: Mapping[ClassKey, float], capacity: float) -> None:
         """Divide the capacity anew.
@@ -134,27 +172,47 @@
         for (team, priority), rate in demands.items():
             by_team.setdefault(team, {})[priority] = rate
         totals = {team: sum(rates.values()) for team, rates in by_team.items()}
-        self._is_short = sum(totals.values()) > capacity
+        self._capacity = capacity
         allowances = fill_by_weight(totals, capacity)
+        self._rate_beyond = sum(totals.values()) - sum(allowances.values())
         previous, self._classes, self._rates = self._classes, {}, {}
         for team, rates in by_team.items():
             for priority, part in divide_by_priority(rates, allowances[team]).items():
-                rate = rates[priority]
-                fraction = part / rate if rate > 0 else 1.0
-                share = _ClassShare(min(1.0, fraction))
-                if (team, priority) in previous:
-                    share.credit = previous[team, priority].credit
-                self._classes[team, priority] = share
-                is_inside = fraction >= FULL_FRACTION
-                rank = (Share.INSIDE if is_inside else Share.PART, priority)
-                self._rates[rank] = self._rates.get(rank, 0.0) + part
+                self._set_class((team, priority), rates[priority], part, previous)
+
+    def _set_class(
+        self,
+        key: ClassKey,
+        demand: float,
+        part: PriorityPart,
+        previous: Mapping[ClassKey, _ClassShare],
+    ) -> None:
+        share = _ClassShare(
+            fraction=min(1.0, part.rate / demand) if demand > 0 else 1.0,
+            floor_fraction=part.floor / demand if demand > 0 else 0.0,
+        )
+        if key in previous:
+            share.credit = previous[key].credit
+            share.floor_credit = previous[key].floor_credit
+        self._classes[key] = share
+        is_full = share.fraction >= FULL_FRACTION
+        inside = part.rate if is_full else part.floor
+        self._add_rate((Share.INSIDE, key[1]), inside)
+        self._add_rate((Share.PART, key[1]), part.rate - inside)
+
+    def _add_rate(self, rank: tuple[Share, int], rate: float) -> None:
+        self._rates[rank] = self._rates.get(rank, 0.0) + rate
 
     def classify(self, team: str, priority: int) -> Share:
         """Classify a request that has arrived, and count it."""
         share = self._classes.get((team, priority))
         if share is None or share.fraction >= FULL_FRACTION:
             return Share.INSIDE
-        share.credit += share.fraction
+        share.floor_credit += share.floor_fraction
+        share.credit += share.fraction - share.floor_fraction
+        if share.floor_credit >= 1:
+            share.floor_credit -= 1
+            return Share.INSIDE
         if share.credit >= 1:
             share.credit -= 1
             return Share.PART
