--- a/damaskrill/scheduling/__init__.py
+++ b/damaskrill/scheduling/__init__.py
@@ -17,7 +17,12 @@
     divide_by_priority,
     fill_by_weight,
 )
-from damaskrill.scheduling._status import PriorityStatus, SchedulerStatus, WaitDecile
+from damaskrill.scheduling._status import (
+    PriorityStatus,
+    SchedulerStatus,
+    TeamStatus,
+    WaitDecile,
+)
 
 __all__ = [
     "PriorityStatus",
@@ -33,6 +38,7 @@
     "SlotRequest",
     "SlotScheduler",
     "TeamShares",
+    "TeamStatus",
     "WaitDecile",
     "divide_by_priority",
     "fill_by_weight",
--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -258,13 +258,16 @@
             drain_per_s=self._servers.drain_per_s(self._now_ms),
             work_ms=self._servers.work_ms,
             by_priority=by_priority,
+            largest_teams=self._shares.largest_teams,
             waits=self._waits.deciles(),
         )
 
     def _divide(self, now_ms: float) -> None:
         self._shares_due_ms = now_ms + SHARES_INTERVAL_MS
         self._shares.update(
-            self._demand.rates(now_ms), self._servers.capacity_per_s(now_ms)
+            self._demand.rates(now_ms),
+            self._servers.capacity_per_s(now_ms),
+            self._demand.other_rates(now_ms),
         )
 
     def _predict_ms(self, rank: Rank, n_ahead: int, now_ms: float) -> float:
--- a/damaskrill/scheduling/_shares.py
+++ b/damaskrill/scheduling/_shares.py
@@ -1,11 +1,14 @@
 """Division of a service's capacity over teams and priorities."""
 
+import heapq
 import math
 from collections.abc import Mapping
 from enum import IntEnum
 
 from attrs import define, frozen
 
+from damaskrill.scheduling._status import TeamStatus
+
 __all__ = [
     "MAX_PRIORITY",
     "Share",
@@ -22,6 +25,8 @@
 FULL_FRACTION = 0.99
 # Utilization from which serving one late makes the next one late too.
 FULL_UTILIZATION = 0.9
+# Teams whose demand and allowance are shown to operators.
+N_LARGEST = 3
 # Priorities are 0 to 9 on the platform; others count as the least urgent.
 MAX_PRIORITY = 9
 
@@ -146,6 +151,12 @@
         self._rates: dict[tuple[Share, int], float] = {}
         self._rate_beyond = 0.0
         self._capacity = math.inf
+        self._teams: dict[str, TeamStatus] = {}
+
+    @property
+    def largest_teams(self) -> list[TeamStatus]:
+        """Teams of the largest demand, the largest first."""
+        return list(self._teams.values())
 
     def is_short(self, share: Share) -> bool:
         """Return whether requests of a share and those before it exceed the capacity.
@@ -158,7 +169,12 @@
         rate += self.rate_before(share, MAX_PRIORITY + 1)
         return rate > FULL_UTILIZATION * self._capacity
 
-    def update(self, demands: Mapping[ClassKey, float], capacity: float) -> None:
+    def update(
+        self,
+        demands: Mapping[ClassKey, float],
+        capacity: float,
+        others: Mapping[int, float] | None = None,
+    ) -> None:
         """Divide the capacity anew.
 
         Parameters
@@ -167,18 +183,32 @@
             Demand by team and priority, in requests a second.
         capacity : float
             What the servers complete, in requests a second.
+        others : mapping of int to float, default=None
+            Demand of all other teams by priority, each of them small. They are inside
+            their shares, but as a whole get no more than their part of the demand.
         """
         by_team: dict[str, dict[int, float]] = {}
         for (team, priority), rate in demands.items():
             by_team.setdefault(team, {})[priority] = rate
         totals = {team: sum(rates.values()) for team, rates in by_team.items()}
         self._capacity = capacity
-        allowances = fill_by_weight(totals, capacity)
+        other_total = sum((others or {}).values())
+        total = other_total + sum(totals.values())
+        other_part = min(1.0, capacity / total) if total > 0 else 1.0
+        allowances = fill_by_weight(totals, capacity - other_part * other_total)
         self._rate_beyond = sum(totals.values()) - sum(allowances.values())
+        self._teams = {
+            team: TeamStatus(
+                team=team, demand_per_s=totals[team], allowance_per_s=allowances[team]
+            )
+            for team in heapq.nlargest(N_LARGEST, totals, key=lambda x: totals[x])
+        }
         previous, self._classes, self._rates = self._classes, {}, {}
         for team, rates in by_team.items():
             for priority, part in divide_by_priority(rates, allowances[team]).items():
                 self._set_class((team, priority), rates[priority], part, previous)
+        for priority, rate in (others or {}).items():
+            self._add_rate((Share.INSIDE, priority), other_part * rate)
 
     def _set_class(
         self,
--- a/damaskrill/scheduling/_status.py
+++ b/damaskrill/scheduling/_status.py
@@ -8,7 +8,13 @@
 
 from damaskrill.scheduling._model import SlotRefusalReason
 
-__all__ = ["PriorityStatus", "SchedulerStatus", "WaitDecile", "WaitHistory"]
+__all__ = [
+    "PriorityStatus",
+    "SchedulerStatus",
+    "TeamStatus",
+    "WaitDecile",
+    "WaitHistory",
+]
 
 # Waits over which deciles are formed.
 N_WAITS = 500
@@ -34,6 +40,23 @@
     n_refused: dict[SlotRefusalReason, int] = field(factory=dict)
 
 
+@frozen(kw_only=True)
+class TeamStatus:
+    """Share of one team.
+
+    Parameters
+    ----------
+    team : str
+        The team.
+    demand_per_s, allowance_per_s : float
+        What it asks for, and what of it is inside its share, in requests a second.
+    """
+
+    team: str
+    demand_per_s: float
+    allowance_per_s: float
+
+
 @frozen(kw_only=True)
 class WaitDecile:
     """Mean predicted and real wait of a tenth of the last requests.
@@ -69,6 +92,8 @@
         Usual time of a request, in milliseconds.
     by_priority : mapping of int to PriorityStatus
         Figures by priority.
+    largest_teams : list of TeamStatus
+        Teams of the largest demand.
     waits : list of WaitDecile
         Waits by decile of the prediction.
     """
@@ -80,6 +105,7 @@
     drain_per_s: float
     work_ms: float
     by_priority: Mapping[int, PriorityStatus]
+    largest_teams: list[TeamStatus]
     waits: list[WaitDecile]
 
 
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -134,5 +134,5 @@
   Scenario: 44,000 teams
     Given a service with 2 servers of 2 slots
     When 44000 teams send a request each within 10 s
-    Then at most 1024 teams are remembered
+    Then at most 256 teams are remembered
     And no request of them was refused for its team's share
