--- a/benchmarks/_slot_fleet.py
+++ b/benchmarks/_slot_fleet.py
@@ -54,6 +54,10 @@
         Whether servers turn slow at times.
     lost_ms : tuple of (float, float)
         Time for which half of the servers are gone.
+    restart_ms : float
+        When the scheduling router is replaced by another one.
+    lost_fraction : float
+        Fraction of the releases that are lost on their way.
     burst_ms : tuple of (float, float)
         Time in which the rate is `burst_factor` times the mean rate.
     burst_factor : float
@@ -78,6 +82,8 @@
     priorities: tuple[int, ...] = (0,)
     is_uneven: bool = False
     lost_ms: tuple[float, float] = (math.inf, math.inf)
+    restart_ms: float = math.inf
+    lost_fraction: float = 0.0
     burst_ms: tuple[float, float] = (math.inf, math.inf)
     burst_factor: float = 1.0
     n_retries: int = 0
@@ -119,6 +125,8 @@
     queue: deque[tuple[Call, Callable[[str], None]]] = field(factory=deque)
     # Times and loads that the server stated.
     statements: list[tuple[float, ServerLoad]] = field(factory=list)
+    # Times and outcomes of its answers.
+    outcomes: list[tuple[float, str]] = field(factory=list)
     speeds: list[float] = field(factory=list)
     # Ends of the running requests, for the policy that knows all.
     ends_ms: list[float] = field(factory=list)
@@ -211,6 +219,7 @@
 
         def answer(outcome: str) -> None:
             load = server.state_load()
+            server.outcomes.append((fleet.now_ms, outcome))
             fleet.after(fleet.link_ms(), lambda: handle(outcome, load))
 
         fleet.after(fleet.link_ms(), lambda: server.receive(call, answer))
--- a/benchmarks/_slot_policies.py
+++ b/benchmarks/_slot_policies.py
@@ -42,6 +42,8 @@
 MAX_SERVERS = 2
 # Delay that today's refusals by full servers state.
 TODAY_RETRY_MS = 300.0
+# Part of its target after which a request is asked for again if its scheduler is gone.
+ASK_FRACTION = 1 / 8
 OUTCOMES = {
     "served": ReleaseOutcome.COMPLETED,
     "rejected": ReleaseOutcome.REJECTED,
@@ -234,6 +236,22 @@
         self.known: dict[int, int] = {}
         self.due_ms = math.inf
         self.waiting: dict[tuple[str, int], ScheduledRouter] = {}
+        fleet.at(fleet.load.restart_ms, self.restart)
+
+    def restart(self) -> None:
+        """Let another router take over, which knows nothing of what was assigned."""
+        self.core = SlotScheduler(
+            service="s", started_at_ms=self.fleet.now_ms, is_takeover=True
+        )
+        self.known = {}
+        lost, self.waiting = self.waiting, {}
+        for (_, number), router in lost.items():
+            self.fleet.after(
+                self.fleet.load.target_ms * ASK_FRACTION,
+                lambda router=router, number=number: router.ask(  # type: ignore[misc]
+                    *router.asked.pop(number)
+                ),
+            )
 
     def deliver(self, router: "ScheduledRouter", message: object) -> None:
         """Decide on a message of a router."""
@@ -251,6 +269,8 @@
                 self.waiting[message.router, message.number] = router
                 self.reply(self.core.request(message, now_ms))
             case SlotRelease():
+                if self.fleet.random.random() < self.fleet.load.lost_fraction:
+                    return
                 self.reply(self.core.release(message, now_ms))
         self.plan()
 
--- a/damaskrill/scheduling/_demand.py
+++ b/damaskrill/scheduling/_demand.py
@@ -83,8 +83,9 @@
     def _span_ms(self, now_ms: float) -> float:
         elapsed_ms = max(1.0, now_ms - self._started_at_ms)
         span_ms = AVERAGING_MS * -math.expm1(-elapsed_ms / AVERAGING_MS)
-        # The first request says nothing about a rate.
-        return max(span_ms, AVERAGING_MS / 10)
+        # The requests of a few hundred milliseconds say little about a rate: those that
+        # ask again after a takeover come together.
+        return max(span_ms, AVERAGING_MS / 4)
 
     def _discard_small(self, now_ms: float) -> None:
         order = sorted(self._counts, key=lambda each: self._counts[each].value(now_ms))
--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -37,8 +37,8 @@
 # loads and speeds age.
 RECHECK_MS = 20
 
-# A request that is kept goes before others after its predicted wait times this, unless
-# it can still start in time.
+# A request that is kept is due after its predicted wait times this, unless it can still
+# start in time.
 DUE_FACTOR = 2
 # Requests that wait at most, whatever time routers state: some seconds of the work of a
 # service with few slots.
--- a/damaskrill/scheduling/_waiting.py
+++ b/damaskrill/scheduling/_waiting.py
@@ -1,5 +1,6 @@
 """Order of waiting requests."""
 
+import itertools
 import math
 from bisect import bisect_left, insort
 from collections.abc import Iterator
@@ -50,7 +51,7 @@
     arrived_at_ms, target_at_ms : float
         Arrival and target, in milliseconds.
     due_at_ms : float
-        When it goes before all that are not due, in milliseconds.
+        When it gets a slot in turn with those that are not due, in milliseconds.
     predicted_ms : float
         Predicted wait, in milliseconds.
     n_ahead : int
@@ -105,14 +106,17 @@
 
         Notes
         -----
-        Requests that are due are first: what was kept by a prediction that was too
-        short is not overtaken until its limit ends.
+        Requests that are due get every second slot: what was kept by a prediction that
+        was too short is not overtaken until its limit ends, and more urgent ones do not
+        pay for all of it.
         """
         due = [each for each in self if each.due_at_ms <= now_ms]
         if not due:
             return list(self)
         due.sort(key=lambda each: each.due_at_ms)
-        return due + [each for each in self if each.due_at_ms > now_ms]
+        others = [each for each in self if each.due_at_ms > now_ms]
+        pairs = itertools.zip_longest(due, others)
+        return [each for pair in pairs for each in pair if each is not None]
 
     def n_ahead(self, rank: Rank) -> int:
         """Return how many requests wait before one of this rank."""
--- a/features/scheduling_order.feature
+++ b/features/scheduling_order.feature
@@ -41,6 +41,22 @@
     Then the most urgent are in time in at least 98 of 100 cases
     And servers reject less than 5 of 100 arrivals
 
+  Scenario: another router takes over the scheduling
+    Given 76 routers before 6 servers of 4 slots that queue 2 requests
+    And another router takes over at 10000 ms and knows of no assigned slots
+    When six teams of three priorities send 110 requests for each 80 that they can serve
+    Then servers reject less than 5 of 100 arrivals in the second after
+    And within 4 s of it, teams inside their share are served in at least 95 of 100 cases
+    And within 4 s of it, the most urgent are in time in at least 98 of 100 cases
+
+  Scenario: one of 50 releases is lost
+    Given 76 routers before 6 servers of 4 slots that queue 2 requests
+    And 2 of 100 releases are lost
+    When six teams of three priorities send 110 requests for each 80 that they can serve
+    Then the most urgent are in time in at least 98 of 100 cases
+    And teams inside their share are served in at least 95 of 100 cases
+    And servers reject less than 5 of 100 arrivals
+
   Scenario: half of the routers have the build before and ask nobody
     Given 76 routers before 6 servers of 4 slots that queue 2 requests
     And every second router asks nobody
--- a/features/steps/scheduling_order_steps.py
+++ b/features/steps/scheduling_order_steps.py
@@ -31,6 +31,16 @@
     context.load = attrs.evolve(context.load, hot_period_ms=period_ms)
 
 
+@given("another router takes over at {at_ms:d} ms and knows of no assigned slots")
+def step_takeover(context, at_ms):
+    context.load = attrs.evolve(context.load, restart_ms=at_ms)
+
+
+@given("{percent:d} of 100 releases are lost")
+def step_lost_releases(context, percent):
+    context.load = attrs.evolve(context.load, lost_fraction=percent / 100)
+
+
 @given("the routers ask two schedulers")
 def step_split(context):
     context.build = build_two_schedulers
@@ -98,6 +108,45 @@
     assert context.figures["rejections_per_arrival"] < percent / 100, context.figures
 
 
+@then("servers reject less than {percent:d} of 100 arrivals in the second after")
+def step_takeover_rejections(context, percent):
+    begin_ms = context.load.restart_ms
+    statements = [
+        outcome
+        for server in context.fleet.servers
+        for at_ms, outcome in server.outcomes
+        if begin_ms <= at_ms < begin_ms + 1_000
+    ]
+    rejected = statements.count("rejected") / len(statements)
+    assert rejected < percent / 100, (rejected, len(statements))
+
+
+def calls_after_takeover(context, duration_s):
+    begin_ms = context.load.restart_ms
+    end_ms = begin_ms + 1_000 * duration_s
+    return [x for x in context.fleet.calls if begin_ms <= x.arrived_at_ms < end_ms]
+
+
+@then(
+    "within {duration_s:d} s of it, teams inside their share are served "
+    "in at least {percent:d} of 100 cases"
+)
+def step_inside_after(context, duration_s, percent):
+    calls = [x for x in calls_after_takeover(context, duration_s) if not x.is_hot]
+    found = bench.mean(each.is_served for each in calls)
+    assert found >= percent / 100, found
+
+
+@then(
+    "within {duration_s:d} s of it, the most urgent are in time "
+    "in at least {percent:d} of 100 cases"
+)
+def step_urgent_after(context, duration_s, percent):
+    calls = [x for x in calls_after_takeover(context, duration_s) if not x.priority]
+    found = bench.mean(map(bench.is_in_time, calls))
+    assert found >= percent / 100, found
+
+
 @then("each refusal comes within an eighth of the target")
 @then("each refusal comes within an eighth of the target, if no loss hit its request")
 def step_refusals(context):
