--- a/damaskrill/fakes/platform/_slots.py
+++ b/damaskrill/fakes/platform/_slots.py
@@ -64,7 +64,7 @@
         except asyncio.CancelledError:
             if turn.done() and not turn.cancelled():
                 self.release()
-            else:
+            elif turn in self._waiting:
                 self._waiting.remove(turn)
             raise
 
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -40,6 +40,7 @@
     ServerPool,
 )
 from damaskrill.mesh import (
+    ASSIGNS_SLOTS,
     Departure,
     FeedUpdate,
     MemberEntry,
@@ -203,7 +204,7 @@
             keeps_grants=True,
             tells_all=True,
             hop_proof=1 + secrets.randbits(HOP_PROOF_BITS),
-            schedules=True,
+            slots=ASSIGNS_SLOTS,
         )
         self._catalog = Catalog(report=self._log.write)
         self._applier = ChangeApplier(
--- a/damaskrill/gateway/_slots.py
+++ b/damaskrill/gateway/_slots.py
@@ -49,7 +49,7 @@
     Notes
     -----
     Only services whose servers state how long work takes at the moment are scheduled,
-    and none of engines.
+    none of engines, and none while routers of an earlier build are a tenth of all.
     """
 
     def __init__(
@@ -92,7 +92,7 @@
 
     def is_scheduled(self, service: str) -> bool:
         """Return whether requests for a service need slots."""
-        if not self._stated:
+        if not self._stated or not self._members.do_most_ask:
             return False
         configuration = self._catalog.configuration
         spec = configuration.services.get(service) if configuration else None
--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -1,6 +1,8 @@
 """Links between routers: fleet membership, replication of the store and gossip."""
 
 from damaskrill.mesh._frames import (
+    ASKS_FOR_SLOTS,
+    ASSIGNS_SLOTS,
     Departure,
     DirectHello,
     FeedRequest,
@@ -28,6 +30,8 @@
 from damaskrill.mesh._slot_messages import MAX_BATCH, SlotBatch, SlotMessage
 
 __all__ = [
+    "ASKS_FOR_SLOTS",
+    "ASSIGNS_SLOTS",
     "MAX_BATCH",
     "Departure",
     "DirectHello",
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -33,6 +33,8 @@
 )
 
 __all__ = [
+    "ASKS_FOR_SLOTS",
+    "ASSIGNS_SLOTS",
     "Departure",
     "DirectHello",
     "FeedRequest",
@@ -71,6 +73,9 @@
 N_CRASH_NUMBERS = 6
 NUMBER_BYTES = 4
 MAX_UINT32 = 0xFFFF_FFFF
+# What a router says of slots in its entry.
+ASKS_FOR_SLOTS = 1
+ASSIGNS_SLOTS = 2
 
 
 @frozen
@@ -100,9 +105,10 @@
     hop_proof : int
         Number that a request which comes from another router has to carry; 0 for a
         router of an earlier build, which takes any.
-    schedules : bool
-        Whether it may be asked for slots. Routers of earlier builds do not say so, nor
-        pass it on, and one that stops says no.
+    slots : int
+        0 for a router of an earlier build, which does not say so, nor pass it on;
+        `ASKS_FOR_SLOTS` for one that asks for slots; `ASSIGNS_SLOTS` for one that may
+        also be asked, which one that stops may not.
     """
 
     address: str
@@ -114,7 +120,7 @@
     keeps_grants: bool = False
     tells_all: bool = False
     hop_proof: int = 0
-    schedules: bool = False
+    slots: int = 0
 
 
 @frozen(kw_only=True)
@@ -489,7 +495,7 @@
                 later[:1] == [True],
                 later[1:2] == [True],
                 later[2] if len(later) > 2 and type(later[2]) is int else 0,
-                later[3:4] == [True],
+                later[3] if len(later) > 3 and type(later[3]) is int else 0,
             )
         case _:
             raise ValueError("invalid membership entry")
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -6,7 +6,12 @@
 
 from attrs import define, evolve
 
-from damaskrill.mesh._frames import MemberEntry, Suspicion
+from damaskrill.mesh._frames import (
+    ASKS_FOR_SLOTS,
+    ASSIGNS_SLOTS,
+    MemberEntry,
+    Suspicion,
+)
 from damaskrill.steering import short_id
 from damaskrill.utils import LatestOrder, hash_to_int, rank_by_rendezvous
 
@@ -43,6 +48,9 @@
 # Routers of a group that may keep a record, one of which may be the router that begins
 # the stream.
 N_KEEPERS = N_TOLD + 1
+# Share of the routers that has to ask for slots before any does: requests that wait for
+# their turn come off worse than those that others send without asking.
+MIN_ASKING_SHARE = 0.9
 
 
 @define(kw_only=True)
@@ -88,6 +96,7 @@
         self._lost_dials: dict[str, bool] = {}
         self._group_sizes: Counter[str] | None = None
         self._schedulers: frozenset[str] | None = None
+        self._do_most_ask = True
 
     @property
     def own(self) -> MemberEntry:
@@ -142,10 +151,16 @@
 
     def stop_scheduling(self, now_ms: float) -> None:
         """Publish that this router is not to be asked for slots any more."""
-        self._own = evolve(self._own, schedules=False)
+        self._own = evolve(self._own, slots=ASKS_FOR_SLOTS)
         self._schedulers = None
         self._increment_heartbeat(now_ms)
 
+    @property
+    def do_most_ask(self) -> bool:
+        """Whether so many routers ask for slots that these are kept by all in all."""
+        self.schedulers()
+        return self._do_most_ask
+
     def schedulers(self) -> frozenset[str]:
         """Return the addresses of the routers that may be asked for slots.
 
@@ -155,17 +170,19 @@
         them, is asked only if no other may be.
         """
         if self._schedulers is None:
-            members = [each for each in self._members.values() if each.entry.schedules]
+            n_asking = sum(each.slots >= ASKS_FOR_SLOTS for each in self.entries())
+            self._do_most_ask = n_asking >= MIN_ASKING_SHARE * self.n_members
+            members = [each for each in self._members.values() if _assigns(each.entry)]
             sound = {
                 each.entry.address
                 for each in members
                 if each.entry.has_path and each.suspected_at_ms is None
             }
-            if self._own.schedules and self._own.has_path:
+            if _assigns(self._own) and self._own.has_path:
                 sound.add(self._own.address)
             if not sound:
                 sound = {each.entry.address for each in members}
-                sound |= {self._own.address} if self._own.schedules else set()
+                sound |= {self._own.address} if _assigns(self._own) else set()
             self._schedulers = frozenset(sound)
         return self._schedulers
 
@@ -487,7 +504,11 @@
     if member is None or member.suspected_at_ms is not None:
         return True
     old = member.entry
-    return (old.schedules, old.has_path) != (entry.schedules, entry.has_path)
+    return (old.slots, old.has_path) != (entry.slots, entry.has_path)
+
+
+def _assigns(entry: MemberEntry) -> bool:
+    return entry.slots >= ASSIGNS_SLOTS
 
 
 def _version(entry: MemberEntry) -> tuple[int, int]:
--- a/features/steps/slot_messages_steps.py
+++ b/features/steps/slot_messages_steps.py
@@ -6,6 +6,8 @@
 
 from damaskrill.exceptions import PeerFrameError
 from damaskrill.mesh import (
+    ASKS_FOR_SLOTS,
+    ASSIGNS_SLOTS,
     DirectHello,
     Hello,
     MemberEntry,
@@ -99,7 +101,7 @@
             "bole",
             3,
             has_path=row["has path"] == "yes",
-            schedules=row["schedules"] == "yes",
+            slots=ASSIGNS_SLOTS if row["schedules"] == "yes" else ASKS_FOR_SLOTS,
         )
     suspected = [row["address"] for row in context.table if row["suspected"] == "yes"]
     context.build_view = lambda own: _build_view(context.entries, own, suspected)
@@ -107,8 +109,8 @@
 
 
 def _build_view(entries, own, suspected):
-    table = MemberTable(own=MemberEntry(own, 5, "bole", 3, schedules=True))
-    others = {**entries, "own": MemberEntry("own", 5, "bole", 3, schedules=True)}
+    table = MemberTable(own=MemberEntry(own, 5, "bole", 3, slots=ASSIGNS_SLOTS))
+    others = {**entries, "own": MemberEntry("own", 5, "bole", 3, slots=ASSIGNS_SLOTS)}
     for address, entry in others.items():
         if address != own:
             table.merge(entry, NOW_MS, source=address)
@@ -141,10 +143,23 @@
     assert set(_asked(other)) == {"a"}
 
 
-@then("entries of the former build say that they do not schedule")
+@then("no slots are asked for while over a tenth of the routers do not know them")
+def step_unaware(context):
+    table = MemberTable(own=MemberEntry("own", 5, "bole", 3, slots=ASSIGNS_SLOTS))
+    assert table.do_most_ask
+    for number in range(9):
+        slots = 0 if number == 0 else ASKS_FOR_SLOTS
+        entry = MemberEntry(f"m-{number}", 5, "bole", 3, slots=slots)
+        table.merge(entry, NOW_MS, source=entry.address)
+        assert table.do_most_ask == (number == 8), number
+    table.merge(MemberEntry("m-9", 5, "bole", 3), NOW_MS, source="m-9")
+    assert not table.do_most_ask
+
+
+@then("entries of the former build say nothing of slots")
 def step_former(context):
     frame = Hello(entry=context.entries["a"])
     assert decode(encode(frame)) == frame
     echoed = decode(echo_frames([encode(frame)])[0])
     assert echoed.entry.address == "a"
-    assert not echoed.entry.schedules
+    assert echoed.entry.slots == 0
--- a/features/steps/slot_path_steps.py
+++ b/features/steps/slot_path_steps.py
@@ -19,17 +19,30 @@
 
 EIGHTH_MS = TARGET_MS / 8
 SETTLE_S = 3
+# Runs until the machine does not hold the process up for an eighth of the target.
+MAX_PLAYED = 5
 # A scheduler that may have taken over is careful for a shorter time.
 TAKEOVER_S = 0.5
 SLOT_CAUSES = (b"no_slot_in_time", b"team_over_share")
 
 
-@given("{n_places:d} places to wait at each of {n:d} servers with {n_slots:d} slots")
-def step_servers(context, n_places, n, n_slots):
+@given("{n_places:d} places to wait at each of {n:d} servers with 4 slots")
+def step_servers(context, n_places, n):
+    prepare_servers(context, n_places, n, scale=1)
+
+
+@given("{n_places:d} places to wait at each of {n:d} servers of half the speed")
+def step_slow_servers(context, n_places, n):
+    # The machine, which others use too, holds up what takes half of a core less.
+    prepare_servers(context, n_places, n, scale=2)
+
+
+def prepare_servers(context, n_places, n, *, scale):
     testbed = context.testbed = GatewayTestbed()
+    testbed.scale = scale
     context.add_cleanup(testbed.close)
-    testbed.configure(**build_slot_configuration())
-    start_servers(testbed, n_servers=n, n_slots=n_slots, n_places=n_places)
+    testbed.configure(**build_slot_configuration(scale=scale))
+    start_servers(testbed, n_servers=n, n_places=n_places, scale=scale)
 
 
 @given("the servers do not state how long work takes")
@@ -74,9 +87,24 @@
 def step_play(context, rate, seconds, seed):
     testbed = context.testbed
     arrivals = draw_arrivals(seed=seed, seconds=seconds, rate_per_s=rate)
-    context.replies = play(testbed, arrivals)
-    context.shares = find_shares(context.replies, list(testbed.servers.values()))
-    print(context.shares)
+    for _ in range(MAX_PLAYED):
+        reset_servers(testbed)
+        context.replies, lag_ms = play(testbed, arrivals)
+        context.shares = find_shares(context.replies, list(testbed.servers.values()))
+        print(f"lag {lag_ms:.0f} ms", context.shares)
+        if lag_ms <= EIGHTH_MS:
+            return
+    raise AssertionError(
+        f"in {MAX_PLAYED} runs other work on the machine held the process up for more "
+        f"than {EIGHTH_MS:.0f} ms; the last one: {context.shares}"
+    )
+
+
+def reset_servers(testbed):
+    for server in testbed.servers.values():
+        server.runs.clear()
+        server.requests.clear()
+        server.slots.n_rejected = 0
 
 
 @then("at least {share:f} of the most urgent are served in time")
--- a/features/support/slot_load.py
+++ b/features/support/slot_load.py
@@ -16,6 +16,8 @@
 TARGET_MS = 400
 # What a caller waits; it honours Retry-After up to a third of the time that is left.
 DEADLINE_MS = 1_200
+# Interval at which it is measured how long the machine keeps this process waiting.
+PROBE_S = 0.005
 HOT_TEAM = "team-0"
 TEAMS = tuple(f"team-{number}" for number in range(6))
 # The hot team's share of the requests.
@@ -35,8 +37,8 @@
         Who asked, and how urgently.
     statuses : tuple of int
         Status of each attempt.
-    latency_ms : float
-        Time until the last answer, in milliseconds.
+    target_ms, latency_ms : float
+        Target, and time until the last answer, in milliseconds.
     refused_ms : tuple of float
         Time that each refused attempt took, in milliseconds.
     bodies : tuple of bytes
@@ -48,6 +50,7 @@
     team: str
     priority: int
     statuses: tuple[int, ...]
+    target_ms: float
     latency_ms: float
     refused_ms: tuple[float, ...]
     bodies: tuple[bytes, ...] = ()
@@ -59,17 +62,17 @@
 
     @property
     def is_in_time(self):
-        return self.is_served and self.latency_ms <= TARGET_MS
+        return self.is_served and self.latency_ms <= self.target_ms
 
 
-def build_slot_configuration(**changes):
+def build_slot_configuration(*, scale=1, **changes):
     """Return a configuration with a route for each priority and six teams."""
     base = build_configuration()
     read = next(each for each in base["routes"] if each["name"] == "r-read")
     issue = next(each for each in base["routes"] if each["name"] == "r-issue")
     routes = list(base["routes"])
     for priority in PRIORITIES:
-        fields = {"priority": priority, "targetLatencyMs": TARGET_MS}
+        fields = {"priority": priority, "targetLatencyMs": scale * TARGET_MS}
         for kind, route in (("read", read), ("issue", issue)):
             name = f"{kind}-{priority}"
             routes.append({**route, **fields, "name": name, "prefix": f"/{name}/"})
@@ -77,14 +80,16 @@
     return {**base, "routes": routes, "tenants": tenants, **changes}
 
 
-def start_servers(testbed, *, n_servers=N_SERVERS, n_slots=N_SLOTS, n_places=0):
+def start_servers(testbed, *, n_servers=N_SERVERS, n_places=0, scale=1):
     """Start servers that state all four figures and reject when they are full."""
     for number in range(n_servers):
-        server_id = f"s-{number}"
-        testbed.add_server(
-            server_id, "app", entry={"slotCount": n_slots}, work_ms=WORK_MS
-        )
-        testbed.servers[server_id].slots = ServerSlots(n_slots, n_places)
+        start_server(testbed, f"s-{number}", n_places=n_places, scale=scale)
+
+
+def start_server(testbed, server_id, *, n_places=0, scale=1):
+    entry, work_ms = {"slotCount": N_SLOTS}, scale * WORK_MS
+    testbed.add_server(server_id, "app", entry=entry, work_ms=work_ms)
+    testbed.servers[server_id].slots = ServerSlots(N_SLOTS, n_places)
 
 
 def draw_arrivals(*, seed, seconds, rate_per_s=RATE_PER_S):
@@ -98,11 +103,12 @@
     return arrivals
 
 
-async def _call(addresses, index, team, priority, kind):
+async def _call(addresses, index, team, priority, kind, scale):
     """Send a request; come back once after a refusal, as its Retry-After tells."""
+    deadline_ms = scale * DEADLINE_MS
     started_at, statuses, refused_ms, bodies, ids = time.monotonic(), [], [], [], []
     for attempt in range(2):
-        left_ms = DEADLINE_MS - (time.monotonic() - started_at) * 1_000
+        left_ms = deadline_ms - (time.monotonic() - started_at) * 1_000
         sent_at = time.monotonic()
         data, request_id = build_request(
             f"/{kind}-{priority}/x",
@@ -124,7 +130,7 @@
         refused_ms.append((time.monotonic() - sent_at) * 1_000)
         bodies.append(reply.body)
         pause_s = float(reply.headers.get("retry-after", "0"))
-        left_s = DEADLINE_MS / 1_000 - (time.monotonic() - started_at)
+        left_s = deadline_ms / 1_000 - (time.monotonic() - started_at)
         if attempt or left_s <= 0.01:
             break
         await asyncio.sleep(min(pause_s, left_s / 3))
@@ -132,6 +138,7 @@
         team=team,
         priority=priority,
         statuses=tuple(statuses),
+        target_ms=scale * TARGET_MS,
         latency_ms=(time.monotonic() - started_at) * 1_000,
         refused_ms=tuple(refused_ms),
         bodies=tuple(bodies),
@@ -139,22 +146,41 @@
     )
 
 
-def play(testbed, arrivals, *, addresses=None, kind="read"):
-    """Play arrivals against the gateways and return what the callers got."""
+def play(testbed, arrivals, *, addresses=None, kind="read", scale=1):
+    """Play arrivals against the gateways and return what the callers got.
+
+    Returns
+    -------
+    replies : list of SlotReply
+        By arrival.
+    lag_ms : float
+        Longest time for which the machine kept this process from running.
+    """
     addresses = addresses or [
         each._settings.caller_address for each in testbed.gateways
     ]
+    lags = [0.0]
+
+    async def probe():
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + PROBE_S
+            await asyncio.sleep(PROBE_S)
+            lags.append((loop.time() - due) * 1_000)
 
     async def run():
         started_at, tasks = time.monotonic(), []
+        prober = asyncio.create_task(probe())
         for at, where, team, priority in arrivals:
             await asyncio.sleep(max(0.0, started_at + at - time.monotonic()))
             index = int(where * len(addresses))
-            work = _call(addresses, index, team, priority, kind)
+            work = _call(addresses, index, team, priority, kind, scale)
             tasks.append(asyncio.create_task(work))
-        return await asyncio.gather(*tasks)
+        replies = await asyncio.gather(*tasks)
+        prober.cancel()
+        return replies
 
-    return testbed.thread.run(run())
+    return testbed.thread.run(run()), max(lags)
 
 
 def find_shares(replies, servers):
@@ -164,6 +190,7 @@
         chosen = [each for each in replies if condition(each)]
         return sum(getattr(each, found) for each in chosen) / max(1, len(chosen))
 
+    target_ms = replies[0].target_ms
     refused_ms = sorted(ms for each in replies for ms in each.refused_ms)
     n_rejected = sum(each.slots.n_rejected for each in servers)
     n_arrivals = sum(len(each.requests) for each in servers)
@@ -186,6 +213,7 @@
         "refused_median_ms": _quantile(refused_ms, 0.5),
         "refused_p95_ms": _quantile(refused_ms, 0.95),
         "refused_max_ms": _quantile(refused_ms, 1.0),
+        "refused_late": sum(each > target_ms / 8 for each in refused_ms),
         "statuses": dict(Counter(s for each in replies for s in each.statuses)),
     }
 
