--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -1,6 +1,8 @@
 """Links between routers: fleet membership, replication of the store and gossip."""
 
 from damaskrill.mesh._frames import (
+    ASKS_FOR_SLOTS,
+    ASSIGNS_SLOTS,
     Departure,
     DirectHello,
     FeedRequest,
@@ -24,8 +26,13 @@
 )
 from damaskrill.mesh._reader_role import ReaderRole
 from damaskrill.mesh._reports import ReportExchange
+from damaskrill.mesh._scheduler_choice import SchedulerChoice
+from damaskrill.mesh._slot_messages import MAX_BATCH, SlotBatch, SlotMessage
 
 __all__ = [
+    "ASKS_FOR_SLOTS",
+    "ASSIGNS_SLOTS",
+    "MAX_BATCH",
     "Departure",
     "DirectHello",
     "FeedRequest",
@@ -38,6 +45,9 @@
     "Message",
     "ReaderRole",
     "ReportExchange",
+    "SchedulerChoice",
+    "SlotBatch",
+    "SlotMessage",
     "StreamNotice",
     "StreamQuery",
     "StreamRecords",
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -20,6 +20,7 @@
     decode_message,
     encode_message,
 )
+from damaskrill.mesh._slot_messages import SlotBatch
 from damaskrill.steering import (
     NO_REQUEST,
     CrashReport,
@@ -32,6 +33,8 @@
 )
 
 __all__ = [
+    "ASKS_FOR_SLOTS",
+    "ASSIGNS_SLOTS",
     "Departure",
     "DirectHello",
     "FeedRequest",
@@ -53,7 +56,7 @@
 # a router does not know it ignores, and what a peer does not send has a default.
 PROTOCOL_VERSION = 6
 # Kinds of frames in which a field may be invalid.
-KNOWN_KINDS = frozenset("zhdurgfsqab")
+KNOWN_KINDS = frozenset("zhdurgfsqabk")
 # Reports of a frame that a peer does not send.
 NO_REPORTS: tuple[Any, ...] = (
     *([], [], [], b"", b"", b"", [], b"", b"", b"", None),
@@ -74,6 +77,9 @@
 NUMBER_BYTES = 4
 MAX_UINT32 = 0xFFFF_FFFF
 PERCENT = 100
+# What a router says of slots in its entry.
+ASKS_FOR_SLOTS = 1
+ASSIGNS_SLOTS = 2
 
 
 @frozen
@@ -103,6 +109,10 @@
     hop_proof : int
         Number that a request which comes from another router has to carry; 0 for a
         router of an earlier build, which takes any.
+    slots : int
+        0 for a router of an earlier build, which does not say so, nor pass it on;
+        `ASKS_FOR_SLOTS` for one that asks for slots; `ASSIGNS_SLOTS` for one that may
+        also be asked, which one that stops may not.
     """
 
     address: str
@@ -114,6 +124,7 @@
     keeps_grants: bool = False
     tells_all: bool = False
     hop_proof: int = 0
+    slots: int = 0
 
 
 @frozen(kw_only=True)
@@ -286,7 +297,13 @@
             content: list[Any] = ["h", PROTOCOL_VERSION, *astuple(frame.entry)]
         case DirectHello():
             content = ["d", PROTOCOL_VERSION, frame.address]
-        case StreamNotice() | StreamQuery() | StreamReply() | StreamRecords():
+        case (
+            StreamNotice()
+            | StreamQuery()
+            | StreamReply()
+            | StreamRecords()
+            | SlotBatch()
+        ):
             content = encode_message(frame)
         case Update():
             at = frame.position
@@ -500,6 +517,7 @@
                 later[:1] == [True],
                 later[1:2] == [True],
                 later[2] if len(later) > 2 and type(later[2]) is int else 0,
+                later[3] if len(later) > 3 and type(later[3]) is int else 0,
             )
         case _:
             raise ValueError("invalid membership entry")
