--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -120,6 +120,8 @@
         reject more requests within a second.
     n_falls : int
         Number of these crashes.
+    n_body_bytes : int
+        Least length of its answers, in bytes.
     """
 
     def __init__(
@@ -156,6 +158,7 @@
         self.capacity: int | None = None
         self.brittle_per_s: int | None = None
         self.n_falls = 0
+        self.n_body_bytes = 0
         self._n_active = 0
         self._rejections: list[float] = []
         self.arrivals: list[tuple[float, str]] = []
@@ -371,7 +374,7 @@
         request_id: bytes,
         headers: tuple[tuple[bytes, bytes], ...],
     ) -> None:
-        body = b'{"answer": "%b"}' % request_id
+        body = (b'{"answer": "%b"}' % request_id).ljust(self.n_body_bytes)
         transport: Any = connection.transport
         raw = b"HTTP/1.1 200 OK\r\n"
         raw += b"".join(b"%b: %b\r\n" % each for each in (*headers, JSON))
