Bound what callers make a router hold by its host's memory and descriptors

Callers saw: an ordinary caller beside 40 bodies in chunks of one byte got no answer within 8 s; with requests sent ahead and answers unread a router needed 1.6 GB and was killed on its host.

Cause, measured: with six connections that sent 300 requests each ahead, 57 MB a connection stood in the transport's write buffer, none in the parser, and no request was in progress. The next request was started as soon as the last answer was handed to the transport. Bodies were one object a chunk. Neither limits.memoryMb nor limits.maxFds was read, and nothing bounded all bodies together, a body's time, or the connections.

Now: one memory account from limits.memoryMb for bodies, requests sent ahead, unread answers and answers held back until complete (which had 32 MB of their own). Large bodies wait in their connection; while one waits, slow callers go, the largest first; after a second it is refused with 503 and Retry-After, not passed on. A quarter of the account is for small requests. Announced lengths are judged at the head. The next request starts when the last answer is read. Parsing is cut into turns. A body has a time as a whole. An answer of which nothing is read for the idle timeout closes the connection. Connections are bounded from limits.maxFds, the longest idle ones go first. Log lines that callers cause come once a cause and second.

No existing test was changed.

--- a/damaskrill/gateway/_buffers.py
+++ b/damaskrill/gateway/_buffers.py
@@ -1,16 +1,19 @@
 """Buffers of answers that are forwarded only when they are complete."""
 
-from weakref import WeakSet
+from collections.abc import Callable
+from weakref import WeakMethod
 
 from damaskrill.http1 import InvalidAnswerError
+from damaskrill.limits import Hold, MemoryAccount
+from damaskrill.utils import monotonic_now_ms
 
 __all__ = ["MAX_ANSWER_BYTES", "AnswerBuffer", "BufferBudget"]
 
 # Size of the body of one answer. Sound answers have 1 MB at most, which leaves room for
 # a service with larger ones.
 MAX_ANSWER_BYTES = 8_000_000
-# Size of all buffers of a process together, a fifth of the memory of the smallest host
-# (150 MB).
+# Size of all buffers together where they have an account of their own: a fifth of the
+# memory of the smallest host (150 MB).
 MAX_TOTAL_BYTES = 32_000_000
 # Buffers up to this size are not counted; hundreds of them fit beside the others.
 SMALL_ANSWER_BYTES = 65_536
@@ -21,8 +24,9 @@
 
     Parameters
     ----------
-    max_bytes : int
-        Largest size of all buffers together.
+    account : MemoryAccount, default=None
+        Account of the process, in which the buffers count beside what callers hold; an
+        account of their own if None.
 
     Notes
     -----
@@ -30,21 +34,8 @@
     belong to an answer that does not end, and sound answers continue.
     """
 
-    def __init__(self, *, max_bytes: int = MAX_TOTAL_BYTES) -> None:
-        self._max_bytes = max_bytes
-        # Weak, so that the buffer of an abandoned attempt does not count any more.
-        self._buffers: WeakSet[AnswerBuffer] = WeakSet()
-
-    @property
-    def n_bytes(self) -> int:
-        """Size of all counted buffers together."""
-        return sum(each.n_bytes for each in self._buffers)
-
-    def enforce(self, buffer: "AnswerBuffer") -> None:
-        """Count a buffer that has grown, and drop the largest ones over the limit."""
-        self._buffers.add(buffer)
-        while self.n_bytes > self._max_bytes:
-            max(self._buffers, key=lambda each: each.n_bytes).drop()
+    def __init__(self, account: MemoryAccount | None = None) -> None:
+        self.account = account or MemoryAccount(capacity_bytes=MAX_TOTAL_BYTES)
 
 
 class AnswerBuffer:
@@ -57,9 +48,15 @@
     """
 
     def __init__(self, *, budget: BufferBudget) -> None:
-        self._budget = budget
+        self._account = budget.account
         self._body = bytearray()
         self._is_dropped = False
+        # Weak, so that the buffer of an abandoned attempt does not count any more.
+        drop = WeakMethod(self.drop)
+        self._hold = Hold(evict=lambda _: _call(drop), is_from_caller=False)
+
+    def __del__(self) -> None:
+        self._account.release(self._hold)
 
     @property
     def n_bytes(self) -> int:
@@ -84,7 +81,7 @@
         if not self._is_dropped:
             self._body += data
             if self.n_bytes > SMALL_ANSWER_BYTES:
-                self._budget.enforce(self)
+                self._account.charge(self._hold, self.n_bytes, monotonic_now_ms())
         if self._is_dropped:
             raise InvalidAnswerError(reason="no memory is left for an answer so large")
 
@@ -102,3 +99,10 @@
     def clear(self) -> None:
         """Discard the bytes."""
         self._body.clear()
+        self._account.release(self._hold)
+
+
+def _call(method: "WeakMethod[Callable[[], None]]") -> None:
+    target = method()
+    if target is not None:
+        target()
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -18,6 +18,7 @@
 from damaskrill.gateway._server_throttle import ServerThrottle, ServiceWait
 from damaskrill.gateway._stream_versions import StreamVersions
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
+from damaskrill.limits import MemoryAccount
 from damaskrill.steering import (
     DIRECT_BOUNDS,
     RELAYED_BOUNDS,
@@ -83,6 +84,8 @@
         Returns whether this router is the first one by rendezvous hash for a key.
     relay : PeerRelay
         Peers that requests go through while the path to the servers is cut.
+    account : MemoryAccount
+        Memory that requests and answers of callers take.
     streams : StreamVersions
         Software versions at which streams began.
     publish_reports : callable
@@ -120,6 +123,7 @@
         crashes: CrashDetector,
         ranks_first: Callable[[str], bool],
         relay: PeerRelay,
+        account: MemoryAccount,
         streams: StreamVersions,
         publish_reports: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
@@ -137,7 +141,7 @@
         self.log = log
         self.metrics = metrics
         self.loads = loads
-        self.buffer_budget = BufferBudget()
+        self.buffer_budget = BufferBudget(account)
         self.throttle = throttle
         self.relay = relay
         self.streams = streams
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -38,6 +38,7 @@
     CallerRequest,
     ServerPool,
 )
+from damaskrill.limits import CallerGuard, HostBounds
 from damaskrill.mesh import (
     Departure,
     FeedUpdate,
@@ -201,6 +202,13 @@
             tells_all=True,
             hop_proof=1 + secrets.randbits(HOP_PROOF_BITS),
         )
+        self._guard = CallerGuard(
+            loop=asyncio.get_event_loop(),
+            report=self._log.write,
+            bounds=HostBounds(
+                memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
+            ),
+        )
         self._catalog = Catalog(report=self._log.write)
         self._applier = ChangeApplier(
             catalog=self._catalog, decode=self._binding.decode_item, log=self._log
@@ -314,6 +322,7 @@
             catalog=self._catalog,
             pool=pool,
             relay=self._relay,
+            account=self._guard.account,
             throttle=throttle,
             budget=FleetRetryBudget(
                 ratio=settings.repeat_ratio,
@@ -341,7 +350,10 @@
 
     def _listen(self, loop: asyncio.AbstractEventLoop) -> None:
         self._callers = self._open(
-            loop, self._settings.caller_address, self._dispatcher.handle_request
+            loop,
+            self._settings.caller_address,
+            self._dispatcher.handle_request,
+            guard=self._guard,
         )
         self._readiness = self._open(
             loop, self._settings.readiness_address, self._answer_readiness
@@ -357,6 +369,8 @@
         loop: asyncio.AbstractEventLoop,
         address: Address,
         handle: Callable[[CallerConnection, CallerRequest], None],
+        *,
+        guard: CallerGuard | None = None,
     ) -> CallerConnectionFactory:
         factory = CallerConnectionFactory(
             loop=loop,
@@ -364,6 +378,7 @@
             report=self._log.write,
             limits=CallerLimits(),
             connections=set(),
+            guard=guard,
         )
         host, port = address
         listener = self._listeners.pop(address, None)
@@ -410,6 +425,7 @@
             "text_version": float(self._catalog.text_version),
             "changes_not_applied": float(self._applier.n_failed),
             "connections_opened": float(self._dispatcher.pool.n_opened),
+            **self._guard.figures(),
         }
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         connection.send_answer(200, headers, self._metrics.render(state))
--- a/damaskrill/gateway/_settings.py
+++ b/damaskrill/gateway/_settings.py
@@ -41,6 +41,11 @@
         A cold server gets at most its rate times the factor plus the slack per second.
     store_history_ms : float
         Time for which the store keeps its changes, in milliseconds.
+    memory_mb : float
+        Memory at which the host ends the process, in MB; that of the smallest host if
+        not stated.
+    max_descriptors : float
+        Open descriptors that the host allows; those of the smallest host if not stated.
     """
 
     name: str
@@ -60,3 +65,5 @@
     cold_factor: float = 1.0
     cold_slack: float = 0.0
     store_history_ms: float = 20_000
+    memory_mb: float = 152
+    max_descriptors: float = 2_870
--- a/damaskrill/http1/__init__.py
+++ b/damaskrill/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connections from callers and to backend servers."""
 
-from damaskrill.http1._caller import CallerConnection, CallerConnectionFactory
+from damaskrill.http1._caller import CallerConnection
+from damaskrill.http1._caller_factory import CallerConnectionFactory
 from damaskrill.http1._errors import InvalidAnswerError
 from damaskrill.http1._fetch import fetch
 from damaskrill.http1._messages import (
--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -1,33 +1,40 @@
 """HTTP/1.1 server connection of one caller."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import h11
-from attrs import define
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from damaskrill.catalog import CallerLimits
+from damaskrill.http1._caller_memory import CallerMemory
 from damaskrill.http1._messages import CallerRequest, Headers
+from damaskrill.http1._request_reader import RequestReader
 from damaskrill.http1._transport import count_unsent_bytes, is_flushed, write_now
+from damaskrill.http1._unread_answer import UnreadAnswer
+from damaskrill.limits import Eviction
 from damaskrill.utils import monotonic_now_ms
 
-__all__ = ["CallerConnection", "CallerConnectionFactory"]
+if TYPE_CHECKING:
+    from damaskrill.http1._caller_factory import CallerConnectionFactory
+
+__all__ = ["CallerConnection"]
 
 # How long the read side stays open after a close, so that unread bytes do not cause a
 # reset.
 LINGER_MS = 1_000
-# Bytes of pipelined requests that are buffered while a request is being answered.
-MAX_PIPELINED_BYTES = 262_144
 # Bytes of a stream that a caller has not read yet. Streams have a few hundred kB, which
 # sockets hold; more is left only if the caller does not read.
 MAX_UNREAD_BYTES = 1_048_576
+# Unread bytes of a stream that count in the account of the process; sockets of callers
+# that read leave none.
+COUNTED_UNREAD_BYTES = 65_536
 # Callers expect a new connection to stay open for one second. If it is closed earlier
 # without an answer, they need a retry.
 FIRST_REQUEST_GRACE_MS = 1_000
-MS_PER_S = 1_000
+# Pause after a rejection for lack of memory: bodies that wait get it within that time.
+RETRY_AFTER = (b"Retry-After", b"0.5")
 
 
 class CallerConnection(Protocol):
@@ -41,18 +48,18 @@
 
     def __init__(self, factory: "CallerConnectionFactory") -> None:
         self._factory = factory
+        self._shared = factory.shared
         limits = factory.limits
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
-        self._head: h11.Request | None = None
-        self._head_at_ms = 0.0
-        self._body: list[bytes] = []
-        self._n_body_bytes = 0
         self._is_busy = False
+        self._is_counted = False
         self._is_closing = False
+        self._is_dropped = False
         self._is_disconnected = False
-        self._opened_at_ms = 0.0
+        self._unread: UnreadAnswer | None = None
+        self._opened_at_ms = self._idle_since_ms = 0.0
         self._has_answered = False
         self._has_discarded = False
         self._timer: Any = None
@@ -74,34 +81,73 @@
     @property
     def is_reading(self) -> bool:
         """Whether a request has been received in part."""
-        return self._head is not None or bool(self._http.trailing_data[0])
+        return self._reader.is_reading
+
+    @property
+    def is_lingering(self) -> bool:
+        """Whether it is closed and only waits for what crosses the close."""
+        return self._is_closing
+
+    @property
+    def is_dropped(self) -> bool:
+        """Whether it ends in the next iteration of the event loop."""
+        return self._is_dropped
+
+    @property
+    def idle_since_ms(self) -> float | None:
+        """When it became idle; None if a request is expected or in progress."""
+        if not self._may_parse() or self.is_reading:
+            return None
+        age_ms = monotonic_now_ms() - self._opened_at_ms
+        is_expected = not self._has_answered and age_ms < FIRST_REQUEST_GRACE_MS
+        return None if is_expected else self._idle_since_ms
+
+    @property
+    def waits_since_ms(self) -> float | None:
+        """When it began to wait for a complete request; None if it does not."""
+        return self._idle_since_ms if self._may_parse() else None
 
     def connectionMade(self) -> None:
         """Register the connection and wait for a request."""
-        self._factory.connections.add(self)
-        self._opened_at_ms = monotonic_now_ms()
+        factory = self._factory
+        self._opened_at_ms = self._idle_since_ms = monotonic_now_ms()
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        self._set_timer(self._factory.limits.idle_timeout_ms)
+        self._memory = CallerMemory(
+            account=self._shared.account,
+            transport=transport,
+            evict=self._evict,
+            go_on=lambda: self._reader.go_on(),
+            review=self._shared.review_soon,
+        )
+        self._reader = RequestReader(
+            http=self._http,
+            factory=factory,
+            transport=transport,
+            memory=self._memory,
+            may_parse=self._may_parse,
+            handle_end=self._handle_request_end,
+            refuse=self._refuse,
+            wait=self._wait,
+            wait_no_longer=self._clear_timer,
+        )
+        self._set_timer(factory.limits.idle_timeout_ms)
+        factory.connections.add(self)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes."""
         if self._is_closing:
             self._report_discarded(data)
-            return
-        self._http.receive_data(data)
-        if self._is_busy:
-            if len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES:
-                transport: Any = self.transport
-                transport.pauseProducing()
-            return
-        self._process_events()
+        else:
+            self._reader.feed(data)
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
         """Notify the request handler that the caller has disconnected."""
-        self._is_disconnected = True
+        self._is_disconnected = self._is_dropped = True
         self._is_closing = True
         self._factory.connections.discard(self)
+        self._uncount()
+        self._memory.release()
         self._clear_timer()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if on_disconnect is not None:
@@ -124,15 +170,13 @@
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of the answer; abort if the caller does not read."""
         self._send(h11.Data(data=data))
-        transport: Any = self.transport
-        if (
-            not self._is_disconnected
-            and count_unsent_bytes(transport) > MAX_UNREAD_BYTES
-        ):
-            self._factory.report("caller_not_reading")
-            # The request's handler learns of it as of any other disconnect.
-            self._is_disconnected = True
-            transport.abortConnection()
+        if self._is_disconnected:
+            return
+        n_unread = count_unsent_bytes(self.transport)
+        if n_unread > MAX_UNREAD_BYTES:
+            self._drop_unread("stream")
+        elif n_unread > COUNTED_UNREAD_BYTES:
+            self._memory.note_unread()
 
     def end_stream(self) -> None:
         """End the answer as complete."""
@@ -148,64 +192,24 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress or expected."""
-        if self._is_busy or self.is_reading or self._is_closing:
-            return
-        age_ms = monotonic_now_ms() - self._opened_at_ms
-        if self._has_answered or age_ms >= FIRST_REQUEST_GRACE_MS:
+        if self.idle_since_ms is not None:
             self._close()
 
-    def _process_events(self) -> None:
-        try:
-            while not self._is_busy and not self._is_closing:
-                event = self._http.next_event()
-                if event in (h11.NEED_DATA, h11.PAUSED):
-                    self._wait_for_more()
-                    return
-                self._handle_event(event)
-        except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint or 400)
-
-    def _wait_for_more(self) -> None:
-        limits = self._factory.limits
-        if self._head is not None:
-            if self._http.they_are_waiting_for_100_continue:
-                self._send(h11.InformationalResponse(status_code=100, headers=[]))
-            self._set_timer(limits.idle_timeout_ms)
-        elif self._http.trailing_data[0]:
-            if self._timer is None or not self._timer_is_for_head:
-                self._set_timer(limits.header_timeout_ms, for_head=True)
-
-    def _handle_event(self, event: Any) -> None:
-        match event:
-            case h11.Request():
-                self._handle_head(event)
-            case h11.Data():
-                self._n_body_bytes += len(event.data)
-                if self._n_body_bytes > self._factory.limits.max_body_bytes:
-                    self._refuse(413)
-                    return
-                self._body.append(bytes(event.data))
-            case h11.EndOfMessage():
-                self._handle_request_end()
-            case h11.ConnectionClosed():
-                self._close()
-            case _:
-                pass
-
-    def _handle_head(self, head: h11.Request) -> None:
-        self._head = head
-        self._head_at_ms = monotonic_now_ms()
-        self._clear_timer()
-        names = [name for name, _ in head.headers]
-        if b"transfer-encoding" in names and b"content-length" in names:
-            # The next hop may interpret two framings differently, which allows request
-            # smuggling.
-            self._refuse(400)
-
-    def _handle_request_end(self) -> None:
-        head = self._head
-        if head is None:
-            return
+    def drop(self) -> None:
+        """Abort the connection to make room for others."""
+        self._shared.record("caller_dropped", "idle")
+        self._is_dropped = True
+        self.abort()
+
+    def _may_parse(self) -> bool:
+        return not (self._is_busy or self._is_closing or self._unread is not None)
+
+    def _wait(self, limit_ms: float) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        self._set_timer(limit_ms)
+
+    def _handle_request_end(self, head: h11.Request, body: bytes) -> None:
         self._clear_timer()
         self._is_busy = True
         self.extra_headers = None
@@ -213,15 +217,24 @@
             method=bytes(head.method),
             target=bytes(head.target),
             headers=tuple(head.headers.raw_items()),
-            body=b"".join(self._body),
-            arrived_at_ms=self._head_at_ms,
+            body=body,
+            arrived_at_ms=self._reader.head_at_ms,
         )
-        self._body.clear()
+        self._is_counted = True
+        shared = self._shared
+        shared.bound.n_busy += 1
+        shared.make_room(self._factory.connections)
         self._factory.handle_request(self, request)
 
+    def _uncount(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self._shared.bound.n_busy -= 1
+
     @property
     def _answers_head_request(self) -> bool:
-        return self._head is not None and self._head.method == b"HEAD"
+        head = self._reader.head
+        return head is not None and head.method == b"HEAD"
 
     def _send_head(self, status: int, headers: Headers) -> None:
         if self.extra_headers is not None:
@@ -239,30 +252,78 @@
 
     def _finish(self) -> None:
         self.on_disconnect = None
+        self._uncount()
         if self._is_disconnected or self._is_closing:
             return
         self._send(h11.EndOfMessage())
+        if self._is_disconnected:
+            return
         self._has_answered = True
         self._is_busy = False
-        self._head = None
-        self._n_body_bytes = 0
-        if self._http.our_state is not h11.DONE:
-            self._close()
-            return
-        if self._http.their_state is not h11.DONE:
+        self._memory.release()
+        if (
+            self._http.our_state is not h11.DONE
+            or self._http.their_state is not h11.DONE
+        ):
             self._close()
             return
         self._http.start_next_cycle()
+        self._idle_since_ms = monotonic_now_ms()
+        if is_flushed(self.transport):
+            self._await_next()
+        else:
+            # The next request starts when the caller has read this answer, so that the
+            # answers to many requests sent ahead are not kept.
+            self._clear_timer()
+            self._memory.note_ahead(self._reader.n_unparsed)
+            self._watch_unread(self._await_next)
+
+    def _await_next(self) -> None:
         self._set_timer(self._factory.limits.idle_timeout_ms)
+        self._reader.await_next()
+
+    def _watch_unread(self, handle_read: Callable[[], None]) -> None:
+        def end() -> None:
+            self._unread = None
+            self._memory.release()
+            handle_read()
+
+        self._unread = UnreadAnswer(
+            transport=self.transport,
+            call_later=self._factory.call_later,
+            timeout_ms=self._factory.limits.idle_timeout_ms,
+            handle_read=end,
+            handle_stall=lambda: self._drop_unread("answer"),
+        )
+        if not self._is_disconnected:
+            self._memory.note_unread()
+
+    def _drop_unread(self, cause: str) -> None:
+        self._shared.record("caller_not_reading", cause)
+        # The request's handler learns of it as of any other disconnect.
+        self._is_disconnected = True
         transport: Any = self.transport
-        transport.resumeProducing()
-        self._process_events()
+        transport.abortConnection()
+
+    def _evict(self, reason: Eviction) -> None:
+        if self._is_disconnected:
+            return
+        if self._may_parse():
+            # It was not passed on.
+            self._refuse(503, RETRY_AFTER, cause=reason.value)
+        else:
+            self._drop_unread(reason.value)
 
-    def _refuse(self, status: int) -> None:
-        self._factory.log_refusal(status)
+    def _refuse(
+        self, status: int, *headers: tuple[bytes, bytes], cause: str = ""
+    ) -> None:
+        self._factory.log_refusal(status, cause)
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-            self._send(h11.Response(status_code=status, headers=headers, reason=b""))
+            framing = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            response = h11.Response(
+                status_code=status, headers=[*headers, *framing], reason=b""
+            )
+            self._send(response)
             self._send(h11.EndOfMessage())
         self._close()
 
@@ -271,25 +332,28 @@
         # socket with unread bytes would reset it and could discard the answer.
         self._is_closing = True
         self._clear_timer()
+        self._memory.release()
         if self._is_disconnected:
             return
+        self._reader.discard()
+        if is_flushed(self.transport):
+            self._close_writing()
+        else:
+            # A caller that reads slowly gets the whole answer; the time counts from
+            # then.
+            self._watch_unread(self._close_writing)
+
+    def _close_writing(self) -> None:
         transport: Any = self.transport
-        transport.resumeProducing()
         transport.loseWriteConnection()
-        self._linger()
-
-    def _linger(self) -> None:
-        # A caller that reads slowly gets the whole answer; the time counts from then.
-        action = self._abort_lingering if is_flushed(self.transport) else self._linger
-        self._timer = self._factory.call_later(LINGER_MS, action)
+        self._timer = self._factory.call_later(LINGER_MS, self._abort_lingering)
 
     def _abort_lingering(self) -> None:
         transport: Any = self.transport
         transport.abortConnection()
 
-    def _set_timer(self, delay_ms: int, *, for_head: bool = False) -> None:
+    def _set_timer(self, delay_ms: float) -> None:
         self._clear_timer()
-        self._timer_is_for_head = for_head
         self._timer = self._factory.call_later(delay_ms, self._time_out)
 
     def _clear_timer(self) -> None:
@@ -301,55 +365,13 @@
         # The caller sent this before it knew that the connection was closed.
         if not self._has_discarded:
             self._has_discarded = True
-            self._factory.report("caller_bytes_discarded", n_bytes=len(data))
+            self._shared.record("caller_bytes_discarded", "closed", n_bytes=len(data))
 
     def _time_out(self) -> None:
         self._timer = None
-        if self._is_busy or self._is_closing:
+        if self._reader.is_held or not self._may_parse():
             return
         if self.is_reading:
             self._refuse(408)
         else:
             self._close()
-
-
-@define(kw_only=True, eq=False)
-class CallerConnectionFactory(Factory):
-    """Factory and shared state of callers' connections.
-
-    Parameters
-    ----------
-    loop : object
-        Event loop.
-    handle : callable
-        Called with a connection and its complete request.
-    report : callable
-        Called with an event name and its fields.
-    """
-
-    loop: Any
-    handle: Callable[[CallerConnection, CallerRequest], None]
-    report: Callable[..., None]
-    limits: CallerLimits
-    is_stopping: bool = False
-    connections: set[CallerConnection]
-
-    noisy = False
-
-    def buildProtocol(self, addr: Any) -> CallerConnection:
-        """Return the protocol of a new connection."""
-        return CallerConnection(self)
-
-    def handle_request(
-        self, connection: CallerConnection, request: CallerRequest
-    ) -> None:
-        """Pass a complete request to the handler."""
-        self.handle(connection, request)
-
-    def log_refusal(self, status: int) -> None:
-        """Report a request that violates the protocol or the limits."""
-        self.report("request_unreadable", status=status)
-
-    def call_later(self, delay_ms: float, action: Callable[[], None]) -> Any:
-        """Schedule a call after a delay."""
-        return self.loop.call_later(delay_ms / MS_PER_S, action)
--- /dev/null
+++ b/damaskrill/http1/_caller_memory.py
@@ -0,0 +1,159 @@
+"""What one connection of a caller keeps in memory."""
+
+from collections.abc import Callable
+from typing import Any
+
+from damaskrill.http1._transport import count_unsent_bytes
+from damaskrill.limits import Eviction, Hold, MemoryAccount
+from damaskrill.utils import monotonic_now_ms
+
+__all__ = ["COUNTED_BYTES", "CallerMemory"]
+
+# A body is held once as received and once as it is sent to a server.
+N_COPIES = 2
+# Less than this is covered by the fixed cost of a connection.
+COUNTED_BYTES = 8_192
+# Unread bytes in a socket that is not read count as memory on the platform.
+SOCKET_BYTES = 65_536
+# Space that a chunked body asks for first; it asks for twice as much each further time.
+FIRST_STEP_BYTES = 131_072
+
+
+class CallerMemory:
+    """Body of the request, requests sent ahead and unread answer of one connection.
+
+    Parameters
+    ----------
+    account : MemoryAccount
+        Account of the process.
+    transport : object
+        Transport of the connection.
+    evict : callable
+        Called with the reason when the memory must be given up.
+    go_on : callable
+        Called when the body that has waited may be read on.
+    review : callable
+        Called when a body begins to wait, or when others wait and memory is free.
+    """
+
+    def __init__(
+        self,
+        *,
+        account: MemoryAccount,
+        transport: Any,
+        evict: Callable[[Eviction], None],
+        go_on: Callable[[], None],
+        review: Callable[[], None],
+    ) -> None:
+        self._account = account
+        self._transport = transport
+        self._go_on = go_on
+        self._review = review
+        self._hold = Hold(evict=evict)
+        self._body = bytearray()
+        self._n_reserved = self._n_asked = 0
+        self._n_ahead = 0
+        self._n_unread = 0
+        self._waits_since_ms = 0.0
+        # Time that the body has waited for memory, in milliseconds.
+        self.waited_ms = 0.0
+
+    @property
+    def n_body_bytes(self) -> int:
+        """Bytes of the body so far."""
+        return len(self._body)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the body waits for memory."""
+        return self._hold.n_wanted > 0
+
+    def announce(self, n_bytes: int) -> None:
+        """Ask for the space of a body whose length is known."""
+        if n_bytes * N_COPIES > COUNTED_BYTES:
+            self._hold.begin(monotonic_now_ms())
+            self._reserve(n_bytes * N_COPIES)
+
+    def append(self, data: bytes) -> None:
+        """Add bytes of the body, and ask for more space if it is longer."""
+        self._body += data
+        n_needed = len(self._body) * N_COPIES
+        if self._n_reserved:
+            self._hold.record_received(len(data), monotonic_now_ms())
+        if n_needed > max(COUNTED_BYTES, self._n_reserved):
+            if not self._n_reserved:
+                self._hold.begin(monotonic_now_ms())
+            step = max(FIRST_STEP_BYTES, 2 * self._n_reserved)
+            self._reserve(max(n_needed, step))
+
+    def take(self) -> bytes:
+        """Return the complete body, which is kept while the request is served."""
+        if not self._body:
+            return b""
+        body, self._body = bytes(self._body), bytearray()
+        if self._n_reserved:
+            self._n_reserved = len(body) * N_COPIES
+            self._hold.is_evictable = False
+            self._update()
+        return body
+
+    def note_ahead(self, n_bytes: int, *, is_paused: bool = False) -> None:
+        """Set the bytes that were received and not parsed, or wait in the socket."""
+        if n_bytes <= COUNTED_BYTES:
+            n_bytes = 0
+        if is_paused:
+            n_bytes += SOCKET_BYTES
+        if n_bytes != self._n_ahead:
+            if not self._hold.n_bytes:
+                self._hold.begin(monotonic_now_ms())
+            self._n_ahead = n_bytes
+            self._update()
+
+    def note_unread(self) -> None:
+        """Count what the caller has not read of its answer."""
+        if self._hold.measure is None:
+            self._hold.begin(monotonic_now_ms())
+            self._hold.measure = self._measure
+        self._hold.is_evictable = True
+        self._n_unread = count_unsent_bytes(self._transport)
+        self._update()
+
+    def release(self) -> None:
+        """Give all back."""
+        if self._body:
+            self._body = bytearray()
+        hold = self._hold
+        if hold.n_bytes or hold.n_wanted:
+            self._account.release(hold)
+            if self._account.n_waiting:
+                self._review()
+        if hold.measure is not None or self._n_reserved or self._n_ahead:
+            hold.measure = None
+            hold.is_evictable = True
+            self._n_reserved = self._n_ahead = self._n_unread = 0
+        self.waited_ms = 0.0
+
+    def _grant(self) -> None:
+        self.waited_ms += monotonic_now_ms() - self._waits_since_ms
+        self._n_reserved = self._n_asked
+        self._go_on()
+
+    def _measure(self) -> int:
+        return self._n_reserved + self._n_ahead + count_unsent_bytes(self._transport)
+
+    def _reserve(self, n_bytes: int) -> None:
+        n_all = n_bytes + self._n_ahead + self._n_unread
+        now_ms = monotonic_now_ms()
+        if n_bytes <= FIRST_STEP_BYTES:
+            self._n_reserved = n_bytes
+            self._account.charge(self._hold, n_all, now_ms)
+        elif self._account.request(self._hold, n_all, now_ms, self._grant):
+            self._n_reserved = n_bytes
+        else:
+            self._n_asked = n_bytes
+            self._waits_since_ms = now_ms
+            self._review()
+
+    def _update(self) -> None:
+        n_all = self._n_reserved + self._n_ahead + self._n_unread
+        self._account.charge(self._hold, n_all, monotonic_now_ms())
--- /dev/null
+++ b/damaskrill/limits/_account.py
@@ -0,0 +1,246 @@
+"""Memory that callers make a router hold, and who waits or goes if it is short."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from attrs import define
+
+__all__ = ["Eviction", "Hold", "MemoryAccount"]
+
+# A body of 64 kB and its copy; ordinary requests have 55 kB at most.
+SMALL_BYTES = 131_072
+# Fraction of the account that only small holds may use.
+RESERVE_FRACTION = 0.25
+# A caller that sends nothing for this long while others wait goes first. Callers inside
+# the limits send a body without a pause.
+STALL_MS = 500
+# Average rate, in bytes per second, below which a caller counts as slow after RATE_MS.
+MIN_RATE_BYTES_S = 16_384
+RATE_MS = 1_000
+# Longest wait for memory; callers wait a second before they give an attempt up.
+MAX_WAIT_MS = 1_000
+MS_PER_S = 1_000
+
+
+class Eviction(Enum):
+    """Why a hold had to go."""
+
+    MEMORY_FULL = "memory_full"
+    MEMORY_WAIT = "memory_wait"
+    SLOW_CALLER = "slow_caller"
+
+
+@define(kw_only=True, eq=False)
+class Hold:
+    """Bytes of one request or answer.
+
+    Parameters
+    ----------
+    evict : callable
+        Called with the reason when the bytes must be given up.
+    is_evictable : bool
+        Whether they can be given up; not those of a request that may run.
+    is_from_caller : bool
+        Whether a caller decides how fast they come or go.
+    measure : callable or None
+        Returns how many bytes are left of an answer that the caller reads.
+    n_bytes : int
+        Bytes counted.
+    since_ms, progress_at_ms : float
+        When the caller began to send them, and when the last ones came or went.
+    n_received : int
+        Bytes received since then.
+    n_wanted : int
+        Bytes for which it waits; 0 if it does not.
+    """
+
+    evict: Callable[[Eviction], None]
+    is_evictable: bool = True
+    is_from_caller: bool = True
+    measure: Callable[[], int] | None = None
+    n_bytes: int = 0
+    since_ms: float = 0.0
+    progress_at_ms: float = 0.0
+    n_received: int = 0
+    n_wanted: int = 0
+    waits_since_ms: float = 0.0
+    grant: Callable[[], None] | None = None
+
+    def record_received(self, n_bytes: int, now_ms: float) -> None:
+        """Record that the caller has sent bytes."""
+        self.n_received += n_bytes
+        self.progress_at_ms = now_ms
+
+    def begin(self, now_ms: float) -> None:
+        """Measure the caller's rate from now."""
+        self.since_ms = self.progress_at_ms = now_ms
+        self.n_received = 0
+
+    def is_slow(self, now_ms: float) -> bool:
+        """Return whether the caller has stopped, or sends slowly."""
+        if now_ms - self.progress_at_ms > STALL_MS:
+            return True
+        elapsed_ms = now_ms - self.since_ms
+        if self.measure is not None or elapsed_ms <= RATE_MS:
+            return False
+        return self.n_received < MIN_RATE_BYTES_S * elapsed_ms / MS_PER_S
+
+
+class MemoryAccount:
+    """One account for all that callers make a router hold.
+
+    Parameters
+    ----------
+    capacity_bytes : int
+        Bytes of all holds together.
+
+    Notes
+    -----
+    It answers these loads: bodies far over the limit or just short of their end, on
+    many connections at once; answers that callers do not read; answers of servers that
+    do not end. A large body waits until there is room, so that many uploads in calm are
+    served one after another. Who holds much and sends or reads slowly goes first, and
+    the last quarter is kept for small requests. A single large body always has room.
+    """
+
+    def __init__(self, *, capacity_bytes: int) -> None:
+        self._capacity = capacity_bytes
+        self._large_limit = int(capacity_bytes * (1 - RESERVE_FRACTION))
+        self._holds: set[Hold] = set()
+        self._waiting: list[Hold] = []
+        self._n_bytes = 0
+        self._max_bytes = 0
+
+    @property
+    def n_bytes(self) -> int:
+        """Bytes of all holds together."""
+        return self._n_bytes
+
+    @property
+    def max_bytes(self) -> int:
+        """Largest number of bytes so far."""
+        return self._max_bytes
+
+    @property
+    def n_waiting(self) -> int:
+        """Number of holds that wait for memory."""
+        return len(self._waiting)
+
+    def charge(self, hold: Hold, n_bytes: int, now_ms: float) -> None:
+        """Set the bytes of a hold that cannot wait; evict others, or it, if needed."""
+        self._set(hold, n_bytes)
+        if self._n_bytes > self._capacity:
+            self._make_room(hold, now_ms)
+        self._max_bytes = max(self._max_bytes, self._n_bytes)
+
+    def request(
+        self, hold: Hold, n_bytes: int, now_ms: float, grant: Callable[[], None]
+    ) -> bool:
+        """Ask for memory; return whether the hold has it now, or `grant` is called."""
+        is_growing = hold.n_received > 0
+        if (is_growing or not self._waiting) and self._fits(hold, n_bytes):
+            self._set(hold, n_bytes)
+            self._max_bytes = max(self._max_bytes, self._n_bytes)
+            return True
+        hold.n_wanted, hold.grant, hold.waits_since_ms = n_bytes, grant, now_ms
+        self._waiting.append(hold)
+        return False
+
+    def release(self, hold: Hold) -> None:
+        """Give all bytes of a hold back."""
+        self._set(hold, 0)
+        self._stop_waiting(hold)
+
+    def review(self, now_ms: float) -> None:
+        """Grant what fits, evict slow callers if others wait, and end long waits."""
+        self._grant_fitting(now_ms)
+        while self._waiting and (slow := self._find_slow(now_ms)) is not None:
+            self._evict(slow, Eviction.SLOW_CALLER)
+            self._grant_fitting(now_ms)
+        for hold in list(self._waiting):
+            if hold.n_wanted and now_ms - hold.waits_since_ms > MAX_WAIT_MS:
+                self._evict(hold, Eviction.MEMORY_WAIT)
+                self._grant_fitting(now_ms)
+
+    def _grant_fitting(self, now_ms: float) -> None:
+        # Bodies under way go first: when they end, they release what they hold.
+        for hold in sorted(self._waiting, key=lambda each: each.n_received == 0):
+            if self._fits(hold, hold.n_wanted):
+                n_bytes, grant = hold.n_wanted, hold.grant
+                self._stop_waiting(hold)
+                self._set(hold, n_bytes)
+                self._max_bytes = max(self._max_bytes, self._n_bytes)
+                hold.begin(now_ms)
+                if grant is not None:
+                    grant()
+
+    def _find_slow(self, now_ms: float) -> Hold | None:
+        self._measure(now_ms)
+        slow = [
+            hold
+            for hold in self._holds
+            if hold.is_evictable
+            and hold.is_from_caller
+            and not hold.n_wanted
+            and hold.is_slow(now_ms)
+        ]
+        return max(slow, key=lambda each: each.n_bytes, default=None)
+
+    def _fits(self, hold: Hold, n_bytes: int) -> bool:
+        others = self._n_bytes - hold.n_bytes
+        if n_bytes <= SMALL_BYTES:
+            return others + n_bytes <= self._capacity
+        if others + n_bytes <= self._large_limit:
+            return True
+        return n_bytes > self._large_limit and not any(
+            each.n_bytes > SMALL_BYTES for each in self._holds if each is not hold
+        )
+
+    def _make_room(self, newcomer: Hold, now_ms: float) -> None:
+        self._measure(now_ms)
+        while max(newcomer.n_bytes, self._capacity) < self._n_bytes:
+            victims = [
+                hold
+                for hold in self._holds
+                if hold.is_evictable
+                and (hold is not newcomer or hold.n_bytes > SMALL_BYTES)
+            ]
+            if not victims and newcomer.is_evictable:
+                victims = [newcomer]
+            if not victims:
+                return
+            victim = max(victims, key=lambda each: _rank(each, now_ms))
+            self._evict(victim, Eviction.MEMORY_FULL)
+            if victim is newcomer:
+                return
+
+    def _measure(self, now_ms: float) -> None:
+        for hold in list(self._holds):
+            if hold.measure is not None:
+                n_bytes = hold.measure()
+                if n_bytes < hold.n_bytes:
+                    hold.progress_at_ms = now_ms
+                    self._set(hold, n_bytes)
+
+    def _evict(self, hold: Hold, reason: Eviction) -> None:
+        self.release(hold)
+        hold.evict(reason)
+
+    def _set(self, hold: Hold, n_bytes: int) -> None:
+        self._n_bytes += n_bytes - hold.n_bytes
+        hold.n_bytes = n_bytes
+        if n_bytes:
+            self._holds.add(hold)
+        else:
+            self._holds.discard(hold)
+
+    def _stop_waiting(self, hold: Hold) -> None:
+        if hold.n_wanted:
+            hold.n_wanted, hold.grant = 0, None
+            self._waiting.remove(hold)
+
+
+def _rank(hold: Hold, now_ms: float) -> tuple[bool, int, float]:
+    """Return a key that is highest for the slow and largest."""
+    is_slow = hold.is_from_caller and not hold.n_wanted and hold.is_slow(now_ms)
+    return is_slow, hold.n_bytes, now_ms - hold.since_ms
--- a/damaskrill/platform/_settings.py
+++ b/damaskrill/platform/_settings.py
@@ -73,6 +73,8 @@
         "cold_factor": ("bounds.coldFactor", 1),
         "cold_slack": ("bounds.coldSlack", 1),
         "store_history_ms": ("platform.historyTtlS", MS_PER_S),
+        "memory_mb": ("limits.memoryMb", 1),
+        "max_descriptors": ("limits.maxFds", 1),
     }
     return {
         name: float(fields[field]) * unit
