Refuse bounds of the settings that are no finite numbers

limits.memoryMb of nan or inf would have ended the process with a traceback at the start; now it is refused as unreadable, as a text already was. Shown by a scenario of caller_bounds.feature.

--- a/damaskrill/platform/_settings.py
+++ b/damaskrill/platform/_settings.py
@@ -1,5 +1,7 @@
 """Settings file of the platform."""
 
+import math
+
 from damaskrill.gateway import GatewaySettings, UnreadableSettingsError
 from damaskrill.platform._fields import CALLER_ADDRESS, parse_address, read_fields
 
@@ -77,7 +79,14 @@
         "max_descriptors": ("limits.maxFds", 1),
     }
     return {
-        name: float(fields[field]) * unit
+        name: _parse_bound(field, fields[field]) * unit
         for name, (field, unit) in bounds.items()
         if fields.get(field)
     }
+
+
+def _parse_bound(field: str, text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"{field} is not a finite number")
+    return value
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -47,6 +47,9 @@
       | 300    | 4100        | 94400000  | 2925        |
       | 552    | 8192        | 195200000 | 5994        |
 
+  Scenario: bounds that are no finite numbers are refused
+    Then settings with a memory of "nan", "inf" or "much" are refused
+
   Scenario: the longest idle connections go first, and no new one
     Given a bound of 100 connections
     When 100 connections are open that have been idle for 1 to 100 s
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -1,9 +1,12 @@
 """Steps for the bounds on what callers make a router hold."""
 
 import asyncio
+import tempfile
 
 from behave import given, then, when
 
+from damaskrill.fakes.platform import build_settings
+from damaskrill.gateway import UnreadableSettingsError
 from damaskrill.limits import (
     CauseLines,
     ConnectionBound,
@@ -14,6 +17,7 @@
     ParsingTurns,
     body_time_left_ms,
 )
+from damaskrill.platform._settings import read_platform_settings
 from features.support.gateways import Caller, GatewayTestbed, build_request
 
 MB, KB = 1_000_000, 1_000
@@ -185,6 +189,29 @@
     )
 
 
+@then('settings with a memory of "{first}", "{second}" or "{third}" are refused')
+def step_no_number(context, *values, **named):
+    ports = (1, 2, 3)
+    text = build_settings(
+        name="r",
+        data_centre="bole",
+        host="127.0.0.1",
+        ports=ports,
+        seeds="",
+        store=("127.0.0.1", 4),
+        grace_s=4,
+    )
+    for value in named.values():
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write(f"{text}limits.memoryMb={value}\n")
+            file.flush()
+            try:
+                read_platform_settings(file.name)
+            except UnreadableSettingsError:
+                continue
+        raise AssertionError(value)
+
+
 class FakeConnection:
     def __init__(self, since_ms):
         self.waits_since_ms = self.idle_since_ms = since_ms
