Bound connections to the interfaces for readiness and metrics

Their connections and requests had no bound of the process. A new scenario of caller_bounds.feature opens 100 connections to the readiness address; without this bound it finds 100 open.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -38,7 +38,7 @@
     CallerRequest,
     ServerPool,
 )
-from damaskrill.limits import CallerGuard, HostBounds
+from damaskrill.limits import LEAST_BOUNDS, CallerGuard, HostBounds
 from damaskrill.mesh import (
     Departure,
     FeedUpdate,
@@ -378,7 +378,8 @@
             report=self._log.write,
             limits=CallerLimits(),
             connections=set(),
-            guard=guard,
+            guard=guard
+            or CallerGuard(loop=loop, report=self._log.write, bounds=LEAST_BOUNDS),
         )
         host, port = address
         listener = self._listeners.pop(address, None)
--- a/damaskrill/limits/_bounds.py
+++ b/damaskrill/limits/_bounds.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-__all__ = ["HostBounds"]
+__all__ = ["LEAST_BOUNDS", "HostBounds"]
 
 BYTES_PER_MB = 1_000_000
 # Resident memory of a router without callers: 44 MB after the first request, and room
@@ -55,3 +55,8 @@
     @property
     def _free_bytes(self) -> float:
         return max(0.0, self.memory_mb - ROUTER_MB) * BYTES_PER_MB
+
+
+# Bounds of the interfaces for readiness and metrics, which a few programs of the
+# operators use.
+LEAST_BOUNDS = HostBounds(memory_mb=0, max_descriptors=0)
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -96,6 +96,12 @@
     When a caller sends chunks of a byte without end, each 50 ms
     Then it gets 408 after 2 to 5 s, and no server ran it
 
+  Scenario: the interface for readiness is bounded too
+    Given a platform with 2 app servers that answer with 300 KB
+    And a router with 152 MB of memory
+    When 100 connections to its readiness address are opened and send nothing
+    Then at most 40 of them are open, and a readiness check is answered after 1.1 s
+
   Scenario: a caller that reads nothing of a whole answer is disconnected
     Given a platform with 2 app servers that answer with 7900 KB
     And a router with 152 MB of memory
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -474,3 +474,28 @@
     assert context.reply.status == status, context.reply.status
     assert low <= context.elapsed_s <= high, context.elapsed_s
     assert context.testbed.runs_of(context.reply.request_id) == 0
+
+
+@when("{n:d} connections to its readiness address are opened and send nothing")
+def step_readiness(context, n):
+    address = context.gateway._settings.readiness_address
+
+    async def run():
+        opened = [await Caller.open(address) for _ in range(n)]
+        await asyncio.sleep(0.1)
+        context.n_open = len(context.gateway._readiness.connections)
+        await asyncio.sleep(1.1)
+        caller = await Caller.open(address)
+        path = context.gateway._binding.readiness_path
+        caller.send(b"GET %b HTTP/1.1\r\nHost: r\r\n\r\n" % path)
+        context.reply = await caller.read_reply()
+        for each in (caller, *opened):
+            each.close()
+
+    context.testbed.call(run)
+
+
+@then("at most {n:d} of them are open, and a readiness check is answered after 1.1 s")
+def step_ready(context, n):
+    assert context.n_open <= n, context.n_open
+    assert context.reply.status == 200, context.reply.status
