--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -20,6 +20,7 @@
 from damaskrill.gateway._slots import SlotScheduling
 from damaskrill.gateway._stream_versions import StreamVersions
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
+from damaskrill.limits import MemoryAccount
 from damaskrill.steering import (
     DIRECT_BOUNDS,
     RELAYED_BOUNDS,
@@ -85,6 +86,8 @@
         Returns whether this router is the first one by rendezvous hash for a key.
     relay : PeerRelay
         Peers that requests go through while the path to the servers is cut.
+    account : MemoryAccount
+        Memory that requests and answers of callers take.
     streams : StreamVersions
         Software versions at which streams began.
     slots : SlotScheduling
@@ -124,6 +127,7 @@
         crashes: CrashDetector,
         ranks_first: Callable[[str], bool],
         relay: PeerRelay,
+        account: MemoryAccount,
         streams: StreamVersions,
         slots: SlotScheduling,
         publish_reports: Callable[[], None],
@@ -142,7 +146,7 @@
         self.log = log
         self.metrics = metrics
         self.loads = loads
-        self.buffer_budget = BufferBudget()
+        self.buffer_budget = BufferBudget(account)
         self.throttle = throttle
         self.relay = relay
         self.streams = streams
