Send a lookup at a server that turned slow to another one within its target

Now, where plain servers state how long work takes, another server gets the lookup after 0.6 of the target, and the first answer counts; the slow server is not taken for failed. Such attempts use a part of the shared retry budget by priority (3/4, 1/2, 1/4), so that the more urgent come first and requests that failed keep the rest. An action never.

--- a/benchmarks/_uneven_fleet.py
+++ b/benchmarks/_uneven_fleet.py
@@ -41,6 +41,7 @@
 TOLD_INTERVAL_MS = 400.0
 # Work of a server for one probe (the users' page).
 PROBE_MS = 7.7
+NO_SERVERS: frozenset[int] = frozenset()
 
 
 @frozen(kw_only=True)
@@ -87,7 +88,7 @@
     offset_ms: float
     lying: float
     running: int = 0
-    waiting: list[tuple[float, Callable[[float], None]]] = field(factory=list)
+    waiting: list[tuple[float, Callable[[], None]]] = field(factory=list)
     # Ends of the running requests, which the all-knowing bound may see.
     ends: list[float] = field(factory=list)
     # Requests on their way to it.
@@ -122,7 +123,9 @@
 class RouterPolicy:
     """How one router chooses; all methods but `choose` may do nothing."""
 
-    def choose(self, now_ms: float) -> int:
+    def choose(
+        self, now_ms: float, *, tried: frozenset[int] = NO_SERVERS, is_last: bool = True
+    ) -> int:
         """Return the index of the server for a request."""
         raise NotImplementedError
 
@@ -284,29 +287,45 @@
 
     def _enqueue(
         self, index: int, work_ms: float, done: Callable[[ServerLoad], None] | None
-    ) -> None:
+    ) -> Callable[[], None]:
+        """Put work into a server's queue; return what drops it again."""
         server = self.servers[index]
+        # When it ends; empty while it waits, and once it is over.
+        ends: list[float] = []
 
-        def start(start_ms: float) -> None:
+        def start() -> None:
             server.running += 1
-            end_ms = server.end_of(start_ms, work_ms)
-            server.ends.append(end_ms)
-            self._at(end_ms, end)
+            ends.append(server.end_of(self.now_ms, work_ms))
+            server.ends.append(ends[0])
+            self._at(ends[0], end)
 
-        def end() -> None:
+        def free() -> None:
             server.running -= 1
-            server.ends.remove(self.now_ms)
+            server.ends.remove(ends.pop())
             if server.waiting:
-                server.waiting.pop(0)[1](self.now_ms)
+                server.waiting.pop(0)[1]()
+
+        def end() -> None:
+            if not ends:
+                return
+            free()
             if done is not None:
                 load = server.load(self.now_ms)
                 self._stated[index].append((self.now_ms, load))
                 done(load)
 
+        def drop() -> None:
+            if ends:
+                free()
+            elif entry in server.waiting:
+                server.waiting.remove(entry)
+
+        entry = (work_ms, start)
         if server.running < N_SLOTS:
-            start(self.now_ms)
+            start()
         else:
-            server.waiting.append((work_ms, start))
+            server.waiting.append(entry)
+        return drop
 
     def _tell(self, router: RouterPolicy, random: Random) -> None:
         for index, stated in enumerate(self._stated):
--- a/benchmarks/_uneven_policies.py
+++ b/benchmarks/_uneven_policies.py
@@ -2,13 +2,22 @@
 
 from random import Random
 
-from benchmarks._uneven_fleet import RouterPolicy, UnevenFleet, find_earliest
+from benchmarks._uneven_fleet import (
+    NO_SERVERS,
+    RouterPolicy,
+    UnevenFleet,
+    find_earliest,
+)
 from damaskrill.steering import (
     Candidate,
+    FailureDetector,
+    FailureReport,
     FailureShares,
+    FleetHealth,
     LoadReport,
     ServerLoad,
     ServerLoads,
+    ServerOutcome,
     ServerSelector,
     UnevenChoice,
     expected_time_ms,
@@ -44,21 +53,41 @@
 
     def __init__(self, fleet: UnevenFleet, number: int) -> None:
         servers = [each.server for each in fleet.servers]
+        self._n_routers = fleet.load.n_routers
+        self.detector = FailureDetector(
+            router=f"10.0.0.{number}:7", data_centre=f"centre-{number % len(servers)}"
+        )
+        self._health = FleetHealth(detector=self.detector)
         self._random = Random(number)
         self._loads = ServerLoads()
         self._selector = ServerSelector(
             loads=self._loads,
             own_data_centre=servers[number % len(servers)].data_centre,
             random_state=self._random,
+            failures=self.detector.shares,
         )
         self._servers = servers
-        self._candidates = [Candidate(server=each) for each in servers]
         for each in servers:
             self._loads.register_server(each.key)
 
-    def choose(self, now_ms: float) -> int:
+    def choose(
+        self, now_ms: float, *, tried: frozenset[int] = NO_SERVERS, is_last: bool = True
+    ) -> int:
+        candidates = [
+            Candidate(
+                server=each,
+                is_preferred=not self._health.is_ejected(each.key, now_ms),
+            )
+            for number, each in enumerate(self._servers)
+            if number not in tried
+        ]
         server = self._selector.select(
-            self._candidates, affinity_keys=(), now_ms=now_ms
+            candidates,
+            affinity_keys=(),
+            now_ms=now_ms,
+            all_servers=self._servers,
+            n_routers=self._n_routers,
+            is_last=is_last,
         )
         return next(n for n, each in enumerate(self._servers) if each is server)
 
@@ -85,6 +114,24 @@
         )
         self._loads.apply_reports([report], now_ms=now_ms, source="peer")
 
+    def ended(self, index: int, outcome: ServerOutcome, now_ms: float) -> None:
+        """Record how an attempt ended."""
+        self._health.record(self._servers[index].key, outcome, now_ms)
+
+    def told_failures(
+        self, reports: list[FailureReport], fleet_per_s: float, now_ms: float
+    ) -> None:
+        """Apply other routers' reports of failures."""
+        changed = self.detector.apply_reports(reports, now_ms=now_ms, source="peer")
+        for server in self._servers:
+            if short_server_id(server.key) in changed:
+                self._health.evaluate_reports(
+                    server.key,
+                    service=[each.key for each in self._servers],
+                    fleet_per_s=fleet_per_s,
+                    now_ms=now_ms,
+                )
+
     def _observe(self, index: int, load: ServerLoad, now_ms: float) -> None:
         key = self._servers[index].key
         if self.has_speeds:
@@ -111,7 +158,9 @@
 class TwoChoices(WithoutSpeeds):
     """The less loaded of two random servers."""
 
-    def choose(self, now_ms: float) -> int:
+    def choose(
+        self, now_ms: float, *, tried: frozenset[int] = NO_SERVERS, is_last: bool = True
+    ) -> int:
         pair = self._random.sample(range(len(self._servers)), 2)
         return min(pair, key=lambda each: self._estimate(each, now_ms))
 
@@ -119,7 +168,9 @@
 class LeastLoaded(WithoutSpeeds):
     """The least loaded server."""
 
-    def choose(self, now_ms: float) -> int:
+    def choose(
+        self, now_ms: float, *, tried: frozenset[int] = NO_SERVERS, is_last: bool = True
+    ) -> int:
         return min(
             range(len(self._servers)),
             key=lambda each: (self._estimate(each, now_ms), self._random.random()),
@@ -155,7 +206,9 @@
         self._observe(index, load, now_ms)
         self._answered = [*self._answered[1 - N_ASKED :], index]
 
-    def choose(self, now_ms: float) -> int:
+    def choose(
+        self, now_ms: float, *, tried: frozenset[int] = NO_SERVERS, is_last: bool = True
+    ) -> int:
         answered, self._answered = self._answered, []
         if not answered:
             return super().choose(now_ms)
@@ -183,7 +236,9 @@
         probe = [now_ms, index, load.n_requests, load.slowness or 1.0, 0]
         self._pool = [*self._pool[1 - POOL_SIZE :], probe]
 
-    def choose(self, now_ms: float) -> int:
+    def choose(
+        self, now_ms: float, *, tried: frozenset[int] = NO_SERVERS, is_last: bool = True
+    ) -> int:
         self._pool = [
             each
             for each in self._pool
@@ -209,7 +264,9 @@
     def __init__(self, fleet: UnevenFleet, number: int) -> None:
         self._fleet, self._random = fleet, Random(number)
 
-    def choose(self, now_ms: float) -> int:
+    def choose(
+        self, now_ms: float, *, tried: frozenset[int] = NO_SERVERS, is_last: bool = True
+    ) -> int:
         def cost(index: int) -> tuple[float, float]:
             server = self._fleet.servers[index]
             expected_ms = expected_time_ms(
@@ -229,5 +286,7 @@
     def __init__(self, fleet: UnevenFleet, number: int) -> None:
         self._fleet = fleet
 
-    def choose(self, now_ms: float) -> int:
+    def choose(
+        self, now_ms: float, *, tried: frozenset[int] = NO_SERVERS, is_last: bool = True
+    ) -> int:
         return find_earliest(self._fleet)
--- a/benchmarks/bench_uneven_servers.py
+++ b/benchmarks/bench_uneven_servers.py
@@ -15,7 +15,11 @@
     TwoChoices,
     WithoutSpeeds,
 )
+from benchmarks._uneven_retries import FailurePattern, RetryingFleet
 
+# A second attempt at a lookup that is silent: never, or after 0.6 of its target.
+NO_HEDGE_MS = 1e9
+EARLY_MS = 250.0
 PROBES_PER_REQUEST = (0.02, 0.1, 0.25, 0.5, 1.0)
 PERCENTILES = (50, 99)
 Builder = Callable[[UnevenFleet, int], RouterPolicy]
@@ -37,6 +41,7 @@
 
 def measure(seed: int) -> Iterator[Measurement]:
     """Run each choice with the same arrivals and speeds."""
+    yield from _measure_retries(seed)
     for name, fields in LOADS.items():
         for n_routers in (3, 112):
             load = UnevenLoad(n_routers=n_routers, **fields)  # type: ignore[arg-type]
@@ -83,3 +88,32 @@
             seed=seed,
             parameters=parameters,
         )
+
+
+PATTERNS = {
+    "sound": FailurePattern(hedge_ms=NO_HEDGE_MS),
+    "sound_at_target": FailurePattern(),
+    "sound_early": FailurePattern(hedge_ms=EARLY_MS),
+    "one_fails_half": FailurePattern(
+        shares=(0.05,) * 4, faulty_shares=(0.5, 0.05, 0.05, 0.05)
+    ),
+    "all_fail_alike": FailurePattern(shares=(0.14,) * 4, faulty_shares=(0.14,) * 4),
+}
+
+
+def _measure_retries(seed: int) -> Iterator[Measurement]:
+    for name, pattern in PATTERNS.items():
+        for n_routers in (3, 112):
+            load = UnevenLoad(n_routers=n_routers)
+            for policy, build in (("product", Product), ("without", WithoutSpeeds)):
+                fleet = RetryingFleet(pattern=pattern, load=load, seed=seed)
+                result = fleet.run_retries(build)
+                for measure_name, value in result.shares(pattern.target_ms).items():
+                    yield Measurement(
+                        measure=f"uneven_{measure_name}",
+                        policy=policy,
+                        value=round(value, 4),
+                        unit="ratio",
+                        seed=seed,
+                        parameters={"load": name, "routers": n_routers},
+                    )
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -153,6 +153,7 @@
         self.fatal_requests: set[tuple[bytes, bytes]] = set()
         self.on_crash: Callable[[], None] | None = None
         self.states_load = True
+        self.stated_load = b"1,0,8"
         self.capacity: int | None = None
         self.brittle_per_s: int | None = None
         self.n_falls = 0
@@ -247,7 +248,11 @@
             return
         headers = (
             (b"Damaskrill-Request-Id", request_id),
-            *([(b"Damaskrill-Server-Load", b"1,0,8")] if self.states_load else []),
+            *(
+                [(b"Damaskrill-Server-Load", self.stated_load)]
+                if self.states_load
+                else []
+            ),
             SEAL,
             *self._state_headers,
         )
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -34,6 +34,7 @@
     ServerAllowance,
     ServerOutcome,
     ServerRequirements,
+    early_budget_fraction,
     short_server_id,
     silence_limit_ms,
 )
@@ -126,6 +127,8 @@
         self._progress = progress
         self._responder = responder
         self._reserved: BackendServer | None = None
+        # Whether the held attempt is at a server that is merely slow.
+        self._is_early = False
         self._allowance = allowance
         self.tried: set[tuple[str, int]] = set()
         self.sent_to: set[tuple[str, int]] = set()
@@ -380,7 +383,8 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         if sent.is_accepted:
-            self._records.record_stalled(held)
+            if not self._is_early:
+                self._records.record_stalled(held)
             self.end_held()
         elif held.is_failed and not sent.is_refused:
             self.held = None
@@ -418,6 +422,7 @@
     ) -> AttemptResult:
         dispatcher, limit_at_ms = self._dispatcher, self._context.limit_at_ms
         loop = asyncio.get_running_loop()
+        is_uneven = dispatcher.is_uneven(self._requirements.service)
         while not attempt.done.done():
             idle_ms = (loop.time() - attempt.progress_at) * 1_000
             remaining_ms = wait_ms = limit_at_ms - dispatcher.now_ms
@@ -430,8 +435,10 @@
                     self._context.route,
                     has_begun=self._progress.has_begun,
                     remaining_ms=remaining_ms + idle_ms,
+                    is_uneven=is_uneven,
                 )
-                if idle_ms >= silence_ms and self._reserve_server():
+                is_early = idle_ms < self._context.route.target_ms and is_uneven
+                if idle_ms >= silence_ms and self._reserve_server(is_early=is_early):
                     return Stalled(idle_ms=idle_ms)
                 wait_ms = min(wait_ms, max(silence_ms - idle_ms, SILENCE_POLL_MS))
             if wait_ms > 0:
@@ -449,17 +456,20 @@
     def _may_hand_over(self) -> bool:
         return self._context.route.may_repeat and self._allowance.n_left > 0
 
-    def _reserve_server(self) -> bool:
+    def _reserve_server(self, *, is_early: bool = False) -> bool:
         dispatcher, requirements = self._dispatcher, self.requirements
         if self._guard.is_blocked(dispatcher.now_ms):
             return False
         # The selection counts a request for the prompt, so it comes second.
-        if not dispatcher.can_acquire_retry(requirements.service):
+        fraction = 1.0
+        if is_early:
+            fraction = early_budget_fraction(self._context.route.priority)
+        if not dispatcher.can_acquire_retry(requirements.service, fraction=fraction):
             return False
         server = dispatcher.select(requirements, tried=self.tried, only_healthy=True)
         if server is None or not dispatcher.try_acquire_retry(server.service):
             return False
-        self._reserved = server
+        self._reserved, self._is_early = server, is_early
         return True
 
     def _evaluate(
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -14,6 +14,7 @@
 from damaskrill.gateway._crash_blocking import CrashBlocking
 from damaskrill.gateway._exchange import Exchange
 from damaskrill.gateway._metrics import GatewayMetrics
+from damaskrill.gateway._passed_over import log_passed_over
 from damaskrill.gateway._peer_relay import PeerRelay
 from damaskrill.gateway._server_throttle import ServerThrottle, ServiceWait
 from damaskrill.gateway._stream_versions import StreamVersions
@@ -296,7 +297,7 @@
                 requirements.affinity_keys[-1], now_ms
             )
         n_routers = self._n_routers()
-        return self._selector.select(
+        selected = self._selector.select(
             candidates,
             affinity_keys=requirements.affinity_keys,
             now_ms=now_ms,
@@ -309,6 +310,9 @@
             n_routers=n_routers,
             is_last=requirements.is_last,
         )
+        for each in self._selector.take_passed_over():
+            log_passed_over(self.log, each)
+        return selected
 
     def find_wait(
         self,
@@ -391,9 +395,20 @@
         self._prefix_index.record_sent(metadata.prompt, server, now_ms)
         return source
 
-    def can_acquire_retry(self, service: str) -> bool:
-        """Return whether the budget allows a retry."""
-        return self.budget.can_acquire(service, self._n_routers(), self.now_ms)
+    def can_acquire_retry(self, service: str, *, fraction: float = 1.0) -> bool:
+        """Return whether a fraction of the budget allows a retry."""
+        return self.budget.can_acquire(
+            service, self._n_routers(), self.now_ms, fraction=fraction
+        )
+
+    def is_uneven(self, service: str) -> bool:
+        """Return whether plain servers of a service state how long work takes."""
+        configuration = self.catalog.configuration
+        spec = configuration.services.get(service) if configuration else None
+        if spec is None or spec.is_engine:
+            return False
+        servers = self.catalog.find_servers(service)
+        return self.loads.speeds.is_stated(short_server_id(s.key) for s in servers)
 
     def try_acquire_retry(self, service: str) -> bool:
         """Acquire one retry from the budget; return whether it allowed one."""
@@ -405,6 +420,7 @@
         self.relay.record_heard()
         if metadata.load is not None:
             self.loads.observe_stated(server.key, metadata.load, now_ms)
+            self.metrics.observe_slowness(server.server_id, metadata.load.slowness)
         if metadata.is_leaving and self.catalog.mark_leaving(
             server.key, cause="answer"
         ):
--- a/damaskrill/gateway/_metrics.py
+++ b/damaskrill/gateway/_metrics.py
@@ -15,6 +15,8 @@
 # scraping stays cheap with a configuration of many services.
 MAX_SERVICES = 16
 OTHER_SERVICES = "other"
+# Number of servers whose slowness is shown, those that stated it first.
+MAX_SERVERS = 64
 MS_PER_S = 1_000
 
 
@@ -51,6 +53,12 @@
             "longest_pause", "Longest pause of a stream."
         )
         self._services: set[str] = set()
+        self._slowness = Gauge(
+            "damaskrill_gateway_server_slowness",
+            "How long work takes at a backend server, relative to the usual time.",
+            registry=self._registry,
+        )
+        self._servers: set[str] = set()
         self._state = Gauge(
             "damaskrill_gateway_state",
             "Present numbers of this router by name.",
@@ -78,6 +86,15 @@
         """Record a failed attempt."""
         self._failures.inc({"cause": cause})
 
+    def observe_slowness(self, server_id: str, slowness: float | None) -> None:
+        """Record what a server stated; None if it does not say."""
+        if slowness is None:
+            return
+        if server_id not in self._servers and len(self._servers) < MAX_SERVERS:
+            self._servers.add(server_id)
+        if server_id in self._servers:
+            self._slowness.set({"server": server_id}, slowness)
+
     def record_blocked(self, *, is_request: bool) -> None:
         """Record that a request or a prompt part was blocked."""
         counter = self._blocked_requests if is_request else self._blocked_parts
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -53,7 +53,11 @@
 from damaskrill.steering._server_paces import ServerPaces
 from damaskrill.steering._server_path import ServerPath
 from damaskrill.steering._server_speeds import ServerSpeeds
-from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
+from damaskrill.steering._silence import (
+    caller_patience_ms,
+    early_budget_fraction,
+    silence_limit_ms,
+)
 from damaskrill.steering._stated_limits import LimitReport, StatedLimits
 from damaskrill.steering._stream_origins import (
     OriginEvidence,
@@ -126,6 +130,7 @@
     "caller_patience_ms",
     "choose_origin",
     "cold_start_limit",
+    "early_budget_fraction",
     "expected_time_ms",
     "find_latency_cause",
     "find_origins",
--- a/damaskrill/steering/_retry_budget.py
+++ b/damaskrill/steering/_retry_budget.py
@@ -49,7 +49,9 @@
         span_ms = max(MIN_RATE_SPAN_MS, min(self._window_ms, observed_ms))
         return self._count(self._requests, service, now_ms) * 1_000 / span_ms
 
-    def can_acquire(self, service: str, n_routers: int, now_ms: float) -> bool:
+    def can_acquire(
+        self, service: str, n_routers: int, now_ms: float, *, fraction: float = 1.0
+    ) -> bool:
         """Return whether the budget allows a retry, without acquiring it.
 
         Parameters
@@ -60,11 +62,13 @@
             Number of routers that share the fixed allowance.
         now_ms : float
             Current time in milliseconds.
+        fraction : float, default=1.0
+            Fraction of the budget that the retry may use.
         """
         n_requests = self._count(self._requests, service, now_ms)
         n_retries = self._count(self._retries, service, now_ms)
         allowance = self._ratio * n_requests + self._slack / max(1, n_routers)
-        return n_retries + 1 <= SAFETY_FACTOR * allowance
+        return n_retries + 1 <= fraction * SAFETY_FACTOR * allowance
 
     def try_acquire(self, service: str, n_routers: int, now_ms: float) -> bool:
         """Acquire one retry from the budget, if it allows one.
--- a/damaskrill/steering/_selector.py
+++ b/damaskrill/steering/_selector.py
@@ -10,7 +10,7 @@
 from damaskrill.steering._hot_keys import HotKeys
 from damaskrill.steering._load_bounds import DIRECT_BOUNDS, LoadBounds
 from damaskrill.steering._loads import ServerLoads
-from damaskrill.steering._uneven_choice import UnevenChoice
+from damaskrill.steering._uneven_choice import ServerEstimate, UnevenChoice
 from damaskrill.utils import rank_by_rendezvous
 
 __all__ = ["Candidate", "ServerRequirements", "ServerSelector"]
@@ -115,6 +115,10 @@
             random_state=random_state,
         )
 
+    def take_passed_over(self) -> list[ServerEstimate]:
+        """Return plain servers that were passed over since the last call."""
+        return self._uneven.take_passed_over()
+
     def select(
         self,
         candidates: Sequence[Candidate],
--- a/damaskrill/steering/_uneven_choice.py
+++ b/damaskrill/steering/_uneven_choice.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Sequence
 from random import Random
+from statistics import median_low
 
 from attrs import frozen
 
@@ -27,7 +28,7 @@
 OLD_EXPONENT = 3.0
 FRESH_EXPONENT = 64.0
 # Age at which the exponent is halfway, about the time of a request there.
-FIGURE_HALF_LIFE_MS = 100.0
+FIGURE_HALF_LIFE_MS = 60.0
 MAX_FIGURE_AGE_MS = 2_000.0
 # What a failure costs a caller, in times of the request's work: a second server's time
 # if another one may follow, else as much as an answer after twice the target (targets
@@ -37,6 +38,12 @@
 # Preference for the own data centre, as a fraction of the expected time: the way there
 # and back takes 1 to 3 ms longer elsewhere, of 22 to 90 ms (the users' pages).
 REMOTE_FRACTION = 0.03
+# A server is passed over if its chance is below this fraction of an even one. One that
+# stays so is told of once in this time.
+PASSED_OVER_FRACTION = 0.25
+TELL_INTERVAL_MS = 5_000.0
+PASSED_OVER_COST = 1.5
+MAX_TOLD = 256
 
 
 @frozen(kw_only=True)
@@ -66,6 +73,17 @@
     cost: float
     age_ms: float
 
+    @property
+    def cause(self) -> str:
+        """What adds most to the cost beyond an idle server of usual speed."""
+        waiting = self.n_ahead / max(1, self.server.n_slots)
+        causes = {
+            "fails_requests": self.failure_share * LAST_FAILURE_WORK,
+            "slow": self.slowness - 1,
+            "loaded": self.slowness * waiting,
+        }
+        return max(causes, key=lambda each: causes[each])
+
 
 class UnevenChoice:
     """Chooses the server where a request is expected to be done first.
@@ -107,6 +125,13 @@
         self._failures = failures
         self._own_data_centre = own_data_centre
         self._random = random_state
+        self._told_at_ms: dict[tuple[str, int], float] = {}
+        self._passed_over: list[ServerEstimate] = []
+
+    def take_passed_over(self) -> list[ServerEstimate]:
+        """Return the servers that were passed over since the last call."""
+        passed_over, self._passed_over = self._passed_over, []
+        return passed_over
 
     def is_needed(self, servers: Sequence[BackendServer]) -> bool:
         """Return whether the servers state how long work takes there."""
@@ -143,13 +168,15 @@
             n_routers=n_routers,
             is_last=is_last,
         )
-        age_ms = sum(each.age_ms for each in estimates) / len(estimates)
+        # A server that is avoided for its failures must not make all figures old.
+        age_ms = median_low(each.age_ms for each in estimates)
         exponent = OLD_EXPONENT + (FRESH_EXPONENT - OLD_EXPONENT) * math.exp2(
             -age_ms / FIGURE_HALF_LIFE_MS
         )
         least = min(each.cost for each in estimates)
         weights = [(least / each.cost) ** exponent for each in estimates]
         total = sum(weights)
+        self._record_passed_over(estimates, weights, now_ms)
         self._failures.record_choice(
             {
                 short_server_id(each.server.key): weight / total
@@ -159,6 +186,27 @@
         )
         return self._random.choices(estimates, weights)[0].server
 
+    def _record_passed_over(
+        self,
+        estimates: Sequence[ServerEstimate],
+        weights: Sequence[float],
+        now_ms: float,
+    ) -> None:
+        even = PASSED_OVER_FRACTION * sum(weights) / len(weights)
+        for each, weight in zip(estimates, weights, strict=True):
+            # With fresh figures, all but one are passed over each time.
+            if weight >= even or each.cost < PASSED_OVER_COST * min(
+                other.cost for other in estimates
+            ):
+                continue
+            key = each.server.key
+            if now_ms - self._told_at_ms.get(key, -math.inf) < TELL_INTERVAL_MS:
+                continue
+            if len(self._told_at_ms) >= MAX_TOLD:
+                self._told_at_ms.clear()
+            self._told_at_ms[key] = now_ms
+            self._passed_over.append(each)
+
     def estimate(
         self,
         servers: Sequence[BackendServer],
--- a/features/steps/uneven_servers_steps.py
+++ b/features/steps/uneven_servers_steps.py
@@ -21,6 +21,7 @@
     FailureDetector,
     FailureShares,
     FleetHealth,
+    FleetRetryBudget,
     LoadReport,
     ServerLoad,
     ServerLoads,
@@ -28,6 +29,7 @@
     ServerSelector,
     ServerSpeeds,
     UnevenChoice,
+    early_budget_fraction,
     expected_time_ms,
     short_server_id,
 )
@@ -381,3 +383,81 @@
     )
     chosen = [choice.choose(context.servers, 1_100.0, is_last=True) for _ in range(n)]
     assert chosen.count(context.servers[0]) <= most, chosen.count(context.servers[0])
+
+
+@then(
+    "the answer's load is of {n} requests and {slots} slots, with a slowness of "
+    "{slowness}"
+)
+def step_stated_load(context, n, slots, slowness):
+    load = context.answer.load
+    found = (load.n_requests, load.n_slots, load.slowness) if load else (None,) * 3
+    assert [str(each) for each in found] == [n, slots, slowness], load
+
+
+@given("the app servers state that work takes as usual")
+def step_states_usual(context):
+    for name in ("a-1", "a-2"):
+        context.testbed.servers[name].stated_load = b"1,0,8,100"
+    # The gateway learns it from answers of both.
+    replies = [
+        context.testbed.send("/read/1", method="GET", body=b"") for _ in range(8)
+    ]
+    assert {each.status for each in replies} == {200}
+
+
+@then("no failure of an app server is counted")
+def step_no_failure(context):
+    (gateway,) = context.testbed.gateways
+    detector = gateway._failures
+    assert not detector.n_reports and not detector.has_unpublished
+
+
+@then("every issuance has run once")
+def step_once_each(context):
+    for reply in context.replies:
+        assert reply.status == 200, reply
+        assert context.testbed.runs_of(reply.request_id) == 1
+
+
+@given("a router whose retry budget allows {n:d} more retries")
+def step_budget(context, n):
+    # Of the budget, 0.7 is used.
+    context.budget = FleetRetryBudget(
+        ratio=0.0, slack=(n + 0.001) / 0.7, window_ms=10_000
+    )
+
+
+@then("early attempts of priority 0, 1 and 2 may use {a:d}, {b:d} and {c:d} of them")
+def step_early(context, a, b, c):
+    found = []
+    for priority in (2, 1, 0):
+        fraction = early_budget_fraction(priority)
+        while context.budget.can_acquire("app", 1, 0.0, fraction=fraction):
+            context.budget.try_acquire("app", 1, 0.0)
+        found.append(context.budget._count(context.budget._retries, "app", 0.0))
+    assert found == [c, b, a], found
+
+
+@given('app server "{name}" states that work takes {n:d} times as long')
+def step_states_slow(context, name, n):
+    context.testbed.servers[name].stated_load = b"1,0,8,%d" % (100 * n)
+
+
+@then('the log tells once that "{name}" was passed over because it is "{cause}"')
+def step_passed_over(context, name, cause):
+    lines = [
+        each
+        for each in context.testbed.logs[0].lines
+        if each["event"] == "server_passed_over"
+    ]
+    found = [each["cause"] for each in lines if each["backend_server"] == name]
+    assert found == [cause], lines
+
+
+@then("the metric of its slowness is {slowness:g}")
+def step_slowness_metric(context, slowness):
+    (gateway,) = context.testbed.gateways
+    text = gateway._metrics.render({}).decode()
+    line = f'damaskrill_gateway_server_slowness{{server="a-1"}} {slowness}'
+    assert line in text.splitlines(), text
--- a/features/uneven_servers.feature
+++ b/features/uneven_servers.feature
@@ -99,3 +99,52 @@
   Scenario: the second choice avoids a server that fails a part of its requests
     Given a server that fails 50 in 100 requests, and two that take 1.3 and 2.0 times as long
     Then of 1000 requests that may go to no further server at most 10 go to the failing one
+
+  Scenario Outline: a load header with figures that cannot be right
+    When an answer states Damaskrill-Server-Load: <value>
+    Then the answer's load is of <n> requests and <slots> slots, with a slowness of <slowness>
+
+    Examples:
+      | value                | n    | slots | slowness |
+      | 3,1,6,250            | 4    | 6     | 2.5      |
+      | 3,1,6,250,7,8        | 4    | 6     | 2.5      |
+      | 3,1,6                | 4    | 6     | None     |
+      | 3,1,6,               | 4    | 6     | None     |
+      | 3,1,6,0              | 4    | 6     | None     |
+      | 3,1,6,-250           | 4    | 6     | None     |
+      | 3,1,6,nan            | 4    | 6     | None     |
+      | 3,1,6,99999999999999 | 4    | 6     | None     |
+      | 3                    | None | None  | None     |
+      | -3,1,6,100           | None | None  | None     |
+      | 99999999999,1,6,100  | None | None  | None     |
+
+  Scenario: a read at a server that turned slow is answered by another one in time
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And a gateway that is ready
+    And the app servers state that work takes as usual
+    And app server "a-1" is silent for 3000 ms
+    When 4 callers send a read
+    Then all statuses are 200
+    And each reply arrived within 400 ms
+    And no failure of an app server is counted
+
+  Scenario: an action at a server that turned slow stays there
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And a gateway that is ready
+    And the app servers state that work takes as usual
+    And app server "a-1" is silent for 700 ms
+    When 4 callers send an issuance one after another
+    Then every issuance has run once
+
+  Scenario: early attempts leave a part of the retry budget to the more urgent
+    Given a router whose retry budget allows 8 more retries
+    Then early attempts of priority 0, 1 and 2 may use 6, 4 and 2 of them
+
+  Scenario: operators see how long work takes at a server and why it was passed over
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And a gateway that is ready
+    And the app servers state that work takes as usual
+    And app server "a-1" states that work takes 9 times as long
+    When 12 callers send a read
+    Then the log tells once that "a-1" was passed over because it is "slow"
+    And the metric of its slowness is 9.0
