--- a/damaskrill/steering/_uneven_choice.py
+++ b/damaskrill/steering/_uneven_choice.py
@@ -42,7 +42,10 @@
 # stays so is told of once in this time.
 PASSED_OVER_FRACTION = 0.25
 TELL_INTERVAL_MS = 5_000.0
+# With fresh figures the choice is not at random, so that its cost must also be this
+# multiple of the least.
 PASSED_OVER_COST = 1.5
+# More servers than a plain service has (four to six on the users' pages).
 MAX_TOLD = 256
 
 
@@ -194,7 +197,6 @@
     ) -> None:
         even = PASSED_OVER_FRACTION * sum(weights) / len(weights)
         for each, weight in zip(estimates, weights, strict=True):
-            # With fresh figures, all but one are passed over each time.
             if weight >= even or each.cost < PASSED_OVER_COST * min(
                 other.cost for other in estimates
             ):
