--- a/damaskrill/steering/_selector.py
+++ b/damaskrill/steering/_selector.py
@@ -12,7 +12,7 @@
 from damaskrill.steering._load_bounds import DIRECT_BOUNDS, LoadBounds
 from damaskrill.steering._loads import ServerLoads
 from damaskrill.steering._metadata import PromptPart
-from damaskrill.steering._uneven_choice import UnevenChoice
+from damaskrill.steering._uneven_choice import ServerEstimate, UnevenChoice
 from damaskrill.utils import rank_by_rendezvous
 
 __all__ = ["Candidate", "ServerRequirements", "ServerSelector"]
@@ -131,6 +131,10 @@
             own_data_centre=own_data_centre, random_state=random_state
         )
 
+    def take_passed_over(self) -> list[ServerEstimate]:
+        """Return plain servers that were passed over since the last call."""
+        return self._uneven.take_passed_over()
+
     def select(
         self,
         candidates: Sequence[Candidate],
