Refuse nothing while a slow server has room, and take over with care

A request beyond its team's share was refused while a slow server, which more urgent ones had passed over, had free slots; it gets one now, unless that server cannot answer within the limit. A load that was stated 900 ms ago was taken for over by a scheduler that takes over, which filled the server; the first statement now holds until a newer one. Slots in which nothing ran no longer count as work. Tests: scheduling_decisions.feature, "nothing is refused while a slow server has room" and "an old load is enough", which failed before (2 of 4 slots in use; 6 in use).

--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -1,6 +1,5 @@
 """Scheduler of the slots of one service."""
 
-import copy
 import math
 from collections.abc import Mapping
 
@@ -17,10 +16,11 @@
 )
 from damaskrill.scheduling._shares import MAX_PRIORITY, Share, TeamShares
 from damaskrill.scheduling._slot_servers import SlotServers
-from damaskrill.scheduling._status import PriorityStatus, SchedulerStatus, WaitHistory
+from damaskrill.scheduling._status import PriorityFigures, SchedulerStatus, WaitHistory
 from damaskrill.scheduling._wait_prediction import (
     MAX_WAIT_MS,
     RetrySpread,
+    clip_ms,
     predict_wait_ms,
 )
 from damaskrill.scheduling._waiting import Rank, WaitingQueue, WaitingRequest
@@ -82,7 +82,7 @@
         self._queue = WaitingQueue()
         self._retry_spread = RetrySpread()
         self._waits = WaitHistory()
-        self._by_priority: dict[int, PriorityStatus] = {}
+        self._figures = PriorityFigures()
         self._n_arrivals = 0
         self._n_expired = 0
         self._now_ms = started_at_ms
@@ -169,6 +169,9 @@
         longest_ms = self._longest_wait_ms(waiting, now_ms)
         if waiting.predicted_ms > longest_ms or len(self._queue) > MAX_WAITING:
             self._queue.remove(key)
+            server = self._choose(waiting, math.inf, now_ms)
+            if server is not None:
+                return [*decisions, self._assign(waiting, server, now_ms)]
             reason = (
                 SlotRefusalReason.NO_TIME
                 if share <= Share.FITTING
@@ -200,7 +203,8 @@
         if release.load is not None:
             self._servers.observe_load(lease.server, release.load, now_ms, 0.0)
         # A stated load may show that its release is the one that was lost.
-        self._servers.release(key, now_ms)
+        is_unused = release.outcome in (ReleaseOutcome.UNUSED, ReleaseOutcome.REJECTED)
+        self._servers.release(key, now_ms, is_unused=is_unused)
         match release.outcome:
             case ReleaseOutcome.COMPLETED:
                 self._servers.learn_time(
@@ -233,12 +237,6 @@
 
     def status(self) -> SchedulerStatus:
         """Return the figures for operators."""
-        by_priority = {
-            priority: copy.deepcopy(each)
-            for priority, each in sorted(self._by_priority.items())
-        }
-        for each in self._queue:
-            by_priority.setdefault(each.rank.priority, PriorityStatus()).n_waiting += 1
         return SchedulerStatus(
             service=self._service,
             n_waiting=len(self._queue),
@@ -246,7 +244,9 @@
             n_expired=self._n_expired,
             drain_per_s=self._servers.drain_per_s(self._now_ms),
             work_ms=self._servers.work_ms,
-            by_priority=by_priority,
+            by_priority=self._figures.by_priority(
+                each.rank.priority for each in self._queue
+            ),
             largest_teams=self._shares.largest_teams,
             waits=self._waits.deciles(),
         )
@@ -266,12 +266,12 @@
         rank = Rank(
             share=share,
             priority=priority,
-            limit_at_ms=now_ms + _clip_ms(request.limit_left_ms),
+            limit_at_ms=now_ms + clip_ms(request.limit_left_ms),
             number=self._n_arrivals,
         )
         n_ahead = self._queue.n_ahead(rank)
         predicted_ms = self._predict_ms(rank, n_ahead, now_ms)
-        target_at_ms = now_ms + _clip_ms(request.target_left_ms)
+        target_at_ms = now_ms + clip_ms(request.target_left_ms)
         start_by_ms = target_at_ms - self._servers.work_ms
         inside_at_ms = math.inf
         if share is Share.FITTING:
@@ -314,9 +314,7 @@
         self._queue.promote(now_ms)
         n_before = 0
         for each in self._queue.in_order(now_ms):
-            server = self._servers.choose(
-                each.request.excluded, n_before=n_before, now_ms=now_ms
-            )
+            server = self._choose(each, n_before, now_ms)
             if server is None:
                 n_before += 1
                 if not self._servers.has_room(now_ms):
@@ -326,6 +324,16 @@
             decisions.append(self._assign(each, server, now_ms))
         return decisions
 
+    def _choose(
+        self, waiting: WaitingRequest, n_before: float, now_ms: float
+    ) -> int | None:
+        return self._servers.choose(
+            waiting.request.excluded,
+            n_before=n_before,
+            limit_left_ms=waiting.rank.limit_at_ms - now_ms,
+            now_ms=now_ms,
+        )
+
     def _assign(
         self, waiting: WaitingRequest, server: int, now_ms: float
     ) -> SlotAssignment:
@@ -337,7 +345,7 @@
         )
         waited_ms = now_ms - waiting.arrived_at_ms
         predicted_ms = waiting.predicted_ms if waited_ms > 0 else 0.0
-        self._status_of(waiting).n_assigned += 1
+        self._figures.count_assigned(waiting.rank.priority)
         if waited_ms > 0:
             self._waits.record(predicted_ms=predicted_ms, waited_ms=waited_ms)
         return SlotAssignment(
@@ -367,8 +375,7 @@
     def _refuse(
         self, waiting: WaitingRequest, reason: SlotRefusalReason, now_ms: float
     ) -> SlotRefusal:
-        status = self._status_of(waiting)
-        status.n_refused[reason] = status.n_refused.get(reason, 0) + 1
+        self._figures.count_refused(waiting.rank.priority, reason)
         limit_left_ms = max(0.0, waiting.rank.limit_at_ms - now_ms)
         n_ahead = self._queue.n_ahead(waiting.rank)
         predicted_ms = (
@@ -387,13 +394,3 @@
             ),
             n_ahead=n_ahead,
         )
-
-    def _status_of(self, waiting: WaitingRequest) -> PriorityStatus:
-        return self._by_priority.setdefault(waiting.rank.priority, PriorityStatus())
-
-
-def _clip_ms(left_ms: float) -> float:
-    """Return a time left that can be compared; none if it is not a number."""
-    if math.isnan(left_ms):
-        return 0.0
-    return min(max(-MAX_WAIT_MS, left_ms), MAX_WAIT_MS)
--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -3,24 +3,15 @@
 import math
 from collections.abc import Callable, Iterator, Mapping
 
-from attrs import define, field, frozen
-
+from damaskrill.scheduling._slot_server import SlotLease, SlotServer
 from damaskrill.scheduling._work_time import WorkTime
 from damaskrill.steering import ServerLoad, ServerSpeeds, expected_time_ms
 
-__all__ = ["SlotLease", "SlotServers"]
+__all__ = ["SlotServers"]
 
 # Time from which an assigned slot counts as lost if the server states fewer requests,
 # in usual durations.
 LOST_AFTER_DURATIONS = 6
-# Time for which a server that rejected a request beyond its slots gets no more than
-# them; it doubles with each further one, up to the longest.
-MIN_REJECTION_MS = 2_000
-MAX_REJECTION_MS = 64_000
-# Weight of one statement in the count of others' requests, since it is some messages
-# older or newer than the count of those assigned here; smaller counts are such errors.
-COUNT_WEIGHT = 0.2
-MIN_OTHERS = 0.75
 # Age of a statement, in durations, from which its count says nothing.
 MAX_COUNT_AGE = 0.5
 # Requests that a server states at most, in slots.
@@ -37,65 +28,6 @@
 RequestKey = tuple[str, int]
 
 
-@frozen(kw_only=True)
-class SlotLease:
-    """Slot that a router holds.
-
-    Parameters
-    ----------
-    server : int
-        Short hash of the server's incarnation.
-    assigned_at_ms, expires_at_ms : float
-        When it was assigned, and when it counts as free without a release.
-    """
-
-    server: int
-    assigned_at_ms: float
-    expires_at_ms: float
-
-
-@define(kw_only=True)
-class _SlotServer:
-    """Slots of one server."""
-
-    n_slots: int
-    is_usable: bool = True
-    leases: dict[RequestKey, SlotLease] = field(factory=dict)
-    # Requests that were not assigned here, as the server stated them.
-    n_others: float = 0.0
-    others_at_ms: float = 0.0
-    has_load: bool = False
-    # Until when its slots in use have been counted.
-    counted_at_ms: float = 0.0
-    # Until when it gets no more than its slots, and for how long after a rejection.
-    barred_until_ms: float = -math.inf
-    barred_ms: float = MIN_REJECTION_MS
-
-    def n_requests(self, now_ms: float, work_ms: float) -> float:
-        """Return the requests there; those of others end within some durations."""
-        if self.n_others < MIN_OTHERS:
-            return len(self.leases)
-        age_ms = now_ms - self.others_at_ms
-        others = self.n_others * math.exp(-age_ms / (2 * work_ms))
-        return len(self.leases) + (others if others >= MIN_OTHERS else 0.0)
-
-    def add_count(self, n_requests: int, at_ms: float, *, gap_ms: float) -> None:
-        """Compare the requests that the server stated with those assigned here.
-
-        Notes
-        -----
-        Those assigned shortly before had not arrived yet, and of those assigned before
-        some have ended since. On average both weigh the same.
-        """
-        n_own = sum(
-            each.assigned_at_ms <= at_ms - gap_ms for each in self.leases.values()
-        )
-        weight = COUNT_WEIGHT if self.has_load else 1.0
-        self.n_others += weight * (n_requests - n_own - self.n_others)
-        self.others_at_ms = max(self.others_at_ms, at_ms)
-        self.has_load = True
-
-
 class SlotServers:
     """Servers of a service with the slots that were assigned.
 
@@ -115,7 +47,7 @@
     """
 
     def __init__(self, *, started_at_ms: float, is_takeover: bool) -> None:
-        self._servers: dict[int, _SlotServer] = {}
+        self._servers: dict[int, SlotServer] = {}
         self._leases: dict[RequestKey, SlotLease] = {}
         self._speeds = ServerSpeeds()
         self._work = WorkTime()
@@ -151,7 +83,7 @@
         """
         n_before = self._n_slots
         for server, n_slots in servers.items():
-            known = self._servers.setdefault(server, _SlotServer(n_slots=n_slots))
+            known = self._servers.setdefault(server, SlotServer(n_slots=n_slots))
             known.n_slots, known.is_usable = max(1, n_slots), True
         for server, known in list(self._servers.items()):
             if server not in servers:
@@ -175,13 +107,16 @@
             return
         # A server does not queue many times its slots: a larger figure is wrong.
         n_requests = min(max(0, load.n_requests), MAX_REQUESTS * known.n_slots)
-        known.add_count(n_requests, now_ms - age_ms, gap_ms=self._work.gap_ms)
+        # Until a newer statement, the first one holds, so that a scheduler that takes
+        # over is careful.
+        counted_at_ms = now_ms - age_ms if known.has_load else now_ms
+        known.add_count(n_requests, counted_at_ms, gap_ms=self._work.gap_ms)
         n_lost = len(known.leases) - n_requests
         if n_lost > 0:
             self._forget_lost(known, n_lost, now_ms - age_ms, now_ms)
 
     def _forget_lost(
-        self, server: _SlotServer, n_lost: int, at_ms: float, now_ms: float
+        self, server: SlotServer, n_lost: int, at_ms: float, now_ms: float
     ) -> None:
         # The release of these was lost: the server does not run them.
         oldest_ms = at_ms - LOST_AFTER_DURATIONS * self.work_ms
@@ -191,7 +126,7 @@
             if lease.assigned_at_ms < oldest_ms
         ]
         for key in old[:n_lost]:
-            self._free_lost(key, now_ms)
+            self.release(key, now_ms, is_unused=True)
 
     def find(self, key: RequestKey) -> SlotLease | None:
         """Return the slot of a request; None if it has none."""
@@ -201,19 +136,32 @@
         self, key: RequestKey, server: int, *, now_ms: float, expires_at_ms: float
     ) -> None:
         """Assign a slot of a server to a request."""
+        self._count_busy(server, now_ms)
         lease = SlotLease(
-            server=server, assigned_at_ms=now_ms, expires_at_ms=expires_at_ms
+            server=server,
+            assigned_at_ms=now_ms,
+            expires_at_ms=expires_at_ms,
+            usual_at_ms=self._servers[server].usual_ms,
         )
-        self._count_busy(server, now_ms)
         self._leases[key] = self._servers[server].leases[key] = lease
 
-    def release(self, key: RequestKey, now_ms: float) -> SlotLease | None:
-        """Free the slot of a request; return None if it has none."""
+    def release(
+        self, key: RequestKey, now_ms: float, *, is_unused: bool = False
+    ) -> SlotLease | None:
+        """Free the slot of a request; return None if it has none.
+
+        Notes
+        -----
+        The time of a slot in which nothing ran, as far as is known, does not count.
+        """
         lease = self._leases.pop(key, None)
         if lease is None:
             return None
         self._count_busy(lease.server, now_ms)
         server = self._servers[lease.server]
+        if is_unused:
+            counted = min(1.0, server.n_slots / len(server.leases))
+            self._work.add_busy(counted * (lease.usual_at_ms - server.usual_ms))
         del server.leases[key]
         if not server.is_usable and not server.leases:
             del self._servers[lease.server]
@@ -227,34 +175,24 @@
         held_ms = now_ms - lease.assigned_at_ms
         self._work.add_end(duration_ms=duration_ms, held_ms=held_ms)
 
-    def _free_lost(self, key: RequestKey, now_ms: float) -> None:
-        """Free a slot whose release did not come; its time says nothing."""
-        lease = self.release(key, now_ms)
-        if lease is not None:
-            held_ms = now_ms - lease.assigned_at_ms
-            self._work.add_busy(-held_ms / self._speeds.mean(lease.server))
-
     def _count_busy(self, server: int, now_ms: float) -> None:
         """Count the time since the server's slots changed last."""
         known = self._servers[server]
-        n_busy = min(len(known.leases), known.n_slots)
-        busy_ms = n_busy * (now_ms - known.counted_at_ms)
-        if busy_ms > 0:
-            self._work.add_busy(busy_ms / self._speeds.slowness(server, now_ms))
+        if not known.leases:
+            known.counted_at_ms = now_ms
+        elapsed_ms = now_ms - known.counted_at_ms
+        if elapsed_ms <= 0:
+            return
+        usual_ms = elapsed_ms / self._speeds.slowness(server, now_ms)
+        self._work.add_busy(min(len(known.leases), known.n_slots) * usual_ms)
+        known.usual_ms += usual_ms
         known.counted_at_ms = now_ms
 
     def observe_rejection(self, server: int, now_ms: float) -> None:
         """Note that a server rejected a request since it was full."""
         known = self._servers.get(server)
-        if known is None:
-            return
-        n_missing = known.n_slots - len(known.leases)
-        if n_missing > 0:
-            known.n_others = max(known.n_others, float(n_missing))
-            known.others_at_ms = now_ms
-        if now_ms >= known.barred_until_ms:
-            known.barred_until_ms = now_ms + known.barred_ms
-            known.barred_ms = min(MAX_REJECTION_MS, 2 * known.barred_ms)
+        if known is not None:
+            known.observe_rejection(now_ms)
 
     def expire(self, now_ms: float) -> int:
         """Free the slots whose time is over; return their number."""
@@ -262,7 +200,7 @@
             key for key, each in self._leases.items() if each.expires_at_ms <= now_ms
         ]
         for key in expired:
-            self._free_lost(key, now_ms)
+            self.release(key, now_ms, is_unused=True)
         return len(expired)
 
     def drain_per_s(self, now_ms: float) -> float:
@@ -301,7 +239,12 @@
         )
 
     def choose(
-        self, excluded: frozenset[int], *, n_before: int, now_ms: float
+        self,
+        excluded: frozenset[int],
+        *,
+        n_before: float,
+        limit_left_ms: float,
+        now_ms: float,
     ) -> int | None:
         """Return the server that is expected to answer a request first.
 
@@ -309,8 +252,11 @@
         ----------
         excluded : frozenset of int
             Servers that may not run it.
-        n_before : int
-            Number of requests that wait for busy servers before it.
+        n_before : float
+            Number of requests that wait for busy servers before it; infinite if it is
+            not to wait.
+        limit_left_ms : float
+            Time left for its answer, in milliseconds; slower servers cannot run it.
         now_ms : float
             Current time in milliseconds.
 
@@ -332,10 +278,10 @@
                 busy_per_ms += known.n_slots / run_ms
                 busy_run_ms = min(busy_run_ms, run_ms)
                 continue
-            rank = (
-                self._expected_ms(server, now_ms) + n_requests / known.n_slots,
-                server,
-            )
+            expected_ms = self._expected_ms(server, now_ms)
+            if expected_ms > limit_left_ms:
+                continue
+            rank = (expected_ms + n_requests / known.n_slots, server)
             if best is None or rank < best:
                 best = rank
         if best is None:
@@ -355,7 +301,7 @@
             work_ms=self.work_ms,
         )
 
-    def _bound(self, server: int, known: _SlotServer, now_ms: float) -> int:
+    def _bound(self, server: int, known: SlotServer, now_ms: float) -> int:
         """Return how many requests a server may have.
 
         Notes
@@ -375,7 +321,7 @@
     def _n_slots(self) -> int:
         return sum(each.n_slots for _, each in self._usable())
 
-    def _usable(self) -> Iterator[tuple[int, _SlotServer]]:
+    def _usable(self) -> Iterator[tuple[int, SlotServer]]:
         for server, known in self._servers.items():
             if known.is_usable:
                 yield server, known
--- a/damaskrill/scheduling/_status.py
+++ b/damaskrill/scheduling/_status.py
@@ -1,14 +1,16 @@
 """Figures of a scheduler for operators."""
 
+import copy
 import itertools
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from attrs import define, field, frozen
 
 from damaskrill.scheduling._model import SlotRefusalReason
 
 __all__ = [
+    "PriorityFigures",
     "PriorityStatus",
     "SchedulerStatus",
     "TeamStatus",
@@ -132,3 +134,26 @@
             for begin, end in itertools.pairwise(edges)
             if end > begin
         ]
+
+
+class PriorityFigures:
+    """Assignments and refusals by priority."""
+
+    def __init__(self) -> None:
+        self._figures: dict[int, PriorityStatus] = {}
+
+    def count_assigned(self, priority: int) -> None:
+        """Count an assigned slot."""
+        self._figures.setdefault(priority, PriorityStatus()).n_assigned += 1
+
+    def count_refused(self, priority: int, reason: SlotRefusalReason) -> None:
+        """Count a refusal."""
+        n_refused = self._figures.setdefault(priority, PriorityStatus()).n_refused
+        n_refused[reason] = n_refused.get(reason, 0) + 1
+
+    def by_priority(self, waiting: Iterable[int]) -> dict[int, PriorityStatus]:
+        """Return the figures with the requests that wait, given by their priorities."""
+        found = copy.deepcopy(self._figures)
+        for each in waiting:
+            found.setdefault(each, PriorityStatus()).n_waiting += 1
+        return dict(sorted(found.items()))
--- a/damaskrill/scheduling/_wait_prediction.py
+++ b/damaskrill/scheduling/_wait_prediction.py
@@ -1,6 +1,8 @@
 """Prediction of waits and of the time after which a refused caller may return."""
 
-__all__ = ["MAX_WAIT_MS", "RetrySpread", "predict_wait_ms"]
+import math
+
+__all__ = ["MAX_WAIT_MS", "RetrySpread", "clip_ms", "predict_wait_ms"]
 
 # Longest predicted wait: no route allows more.
 MAX_WAIT_MS = 60_000
@@ -16,6 +18,13 @@
 GOLDEN = 0.6180339887498949
 
 
+def clip_ms(left_ms: float) -> float:
+    """Return a stated time that can be compared; 0 if it is not a number."""
+    if math.isnan(left_ms):
+        return 0.0
+    return min(max(-MAX_WAIT_MS, left_ms), MAX_WAIT_MS)
+
+
 def predict_wait_ms(
     *, n_ahead: int, drain_per_s: float, rate_before_per_s: float
 ) -> float:
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -122,6 +122,23 @@
     Then the requests 1 and 2 are at server 2
     And request 3 waits
 
+  Scenario: nothing is refused while a slow server has room
+    Given a service with 2 servers of 2 slots
+    When server 1 states 0 requests and that work takes 8 times as long
+    And server 2 states 0 requests and that work takes 1 times as long
+    And 400 requests ask at once
+    And nothing happens for 150 ms
+    And all requests end or are withdrawn
+    And server 1 states 0 requests and that work takes 8 times as long
+    And requests 501 to 510 ask
+    Then some of these are refused only if 4 slots are in use
+
+  Scenario: an old load is enough for a scheduler that takes over to be careful
+    Given a takeover of a service with 1 server of 6 slots
+    When server 1 stated 6 requests 900 ms ago
+    And requests 1 to 10 ask
+    Then no slot is in use
+
   Scenario: figures that cannot be right are ignored
     Given a service with 2 servers of 2 slots
     When requests ask with times and priorities that cannot be right
--- a/features/steps/scheduling_decisions_steps.py
+++ b/features/steps/scheduling_decisions_steps.py
@@ -151,6 +151,22 @@
     context.service.state(server, n_requests, slowness=slowness)
 
 
+@when("server {server:d} stated {n_requests:d} requests {age_ms:d} ms ago")
+def step_stated(context, server, n_requests, age_ms):
+    context.service.state(server, n_requests, age_ms=age_ms)
+
+
+@when("all requests end or are withdrawn")
+def step_all_end(context):
+    service = context.service
+    for number in service.numbers(SlotQueued) + service.numbers(SlotAssignment):
+        service.release(number, ReleaseOutcome.UNUSED)
+    for number in service.numbers(SlotAssignment):
+        service.release(number, ReleaseOutcome.UNUSED)
+    assert service.core.status().n_assigned == 0
+    service.decisions.clear()
+
+
 @when("requests ask with times and priorities that cannot be right")
 def step_bad_requests(context):
     wrong = (math.nan, math.inf, -math.inf, -1.0, 1e300)
@@ -250,6 +266,12 @@
     assert found == n_slots, found
 
 
+@then("some of these are refused only if {n_slots:d} slots are in use")
+def step_refused_if_full(context, n_slots):
+    assert context.service.numbers(SlotRefusal)
+    step_in_use(context, n_slots)
+
+
 @then("one slot is in use")
 def step_one_in_use(context):
     step_in_use(context, 1)
