--- a/features/scheduling_order.feature
+++ b/features/scheduling_order.feature
@@ -39,9 +39,16 @@
     Given 76 routers before 6 servers of 4 slots that queue 2 requests
     And the routers ask two schedulers
     When six teams of three priorities send 110 requests for each 80 that they can serve
-    Then the most urgent are in time in at least 98 of 100 cases
+    Then the most urgent are in time more often than without scheduling
+    And teams inside their share are served in at least 95 of 100 cases
     And servers reject less than 5 of 100 arrivals
 
+  Scenario: two schedulers in a split view keep the most urgent in time
+    Given 76 routers before 6 servers of 4 slots that queue 2 requests
+    And the routers ask two schedulers
+    When six teams of three priorities send 110 requests for each 80 that they can serve
+    Then the most urgent are in time in at least 98 of 100 cases
+
   Scenario: another router takes over the scheduling
     Given 76 routers before 6 servers of 4 slots that queue 2 requests
     And another router takes over at 10000 ms and knows of no assigned slots
--- a/features/steps/scheduling_order_steps.py
+++ b/features/steps/scheduling_order_steps.py
@@ -80,7 +80,7 @@
         fleet = bench.run_fleet(load, build, SEED)
         figures = {x.measure: x.value for x in bench.measure_latency(fleet, "", SEED)}
         assert figures["served"] >= 0.99, (policy, figures)
-        context.p99[policy] = figures["p99"]
+        context.p99[policy] = figures["answer_p99"]
 
 
 def check_least(context, name, percent):
