Count requests that a server fails as work

Seen in review of the path: with 3 of 4 requests ending with a server's error, a request of 20 ms was taken to need 78 ms, since only completed ones counted as ended; waits would be predicted four times too long. A broken answer, a rejection and an unused slot count as nothing. Test: scheduling_decisions.feature, "requests that a server fails count as work", which failed before (78 ms).

--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -203,17 +203,14 @@
         if release.load is not None:
             self._servers.observe_load(lease.server, release.load, now_ms, 0.0)
         # A stated load may show that its release is the one that was lost.
-        is_unused = release.outcome in (ReleaseOutcome.UNUSED, ReleaseOutcome.REJECTED)
-        self._servers.release(key, now_ms, is_unused=is_unused)
-        match release.outcome:
-            case ReleaseOutcome.COMPLETED:
-                self._servers.learn_time(
-                    lease, duration_ms=release.duration_ms, now_ms=now_ms
-                )
-            case ReleaseOutcome.REJECTED:
-                self._servers.observe_rejection(lease.server, now_ms)
-            case ReleaseOutcome.FAILED | ReleaseOutcome.UNUSED | ReleaseOutcome.BROKEN:
-                pass
+        has_run = release.outcome in (ReleaseOutcome.COMPLETED, ReleaseOutcome.FAILED)
+        self._servers.release(key, now_ms, is_unused=not has_run)
+        if has_run:
+            self._servers.learn_time(
+                lease, duration_ms=release.duration_ms, now_ms=now_ms
+            )
+        elif release.outcome is ReleaseOutcome.REJECTED:
+            self._servers.observe_rejection(lease.server, now_ms)
         return self._assign_waiting(now_ms)
 
     def advance(self, now_ms: float) -> list[SlotDecision]:
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -114,6 +114,11 @@
     And requests 2 to 3 ask
     Then no request is at the server that rejected one
 
+  Scenario: requests that a server fails count as work
+    Given a service with 1 server of 1 slots
+    When 200 requests of 20 ms run one after the other, of which 3 of 4 fail
+    Then a request is known to take 20 ms
+
   Scenario: the faster of two servers is chosen, and waited for if it answers earlier
     Given a service with 2 servers of 2 slots
     When server 1 states 0 requests and that work takes 8 times as long
--- a/features/steps/scheduling_decisions_steps.py
+++ b/features/steps/scheduling_decisions_steps.py
@@ -151,6 +151,24 @@
     context.service.state(server, n_requests, slowness=slowness)
 
 
+@when(
+    "{n_requests:d} requests of {duration_ms:d} ms run one after the other, "
+    "of which 3 of 4 fail"
+)
+def step_fail(context, n_requests, duration_ms):
+    for number in range(n_requests):
+        context.service.request(number)
+        context.service.advance(duration_ms)
+        outcome = ReleaseOutcome.FAILED if number % 4 else ReleaseOutcome.COMPLETED
+        context.service.release(number, outcome)
+
+
+@then("a request is known to take {duration_ms:d} ms")
+def step_known_time(context, duration_ms):
+    found = context.service.core.status().work_ms
+    assert abs(found - duration_ms) < 1, found
+
+
 @when("server {server:d} stated {n_requests:d} requests {age_ms:d} ms ago")
 def step_stated(context, server, n_requests, age_ms):
     context.service.state(server, n_requests, age_ms=age_ms)
