Use free servers at near-usual speed whatever the mean time is

Cause: a free server was skipped if the mean said that the request would not end in time. Changed: not if it has a really free slot and work takes less than 3 times the usual time there (measured: 2.5 times beside busy neighbours).

--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -24,6 +24,9 @@
 # A busy server is waited for if its answer is expected in less than this part of the
 # time that a free one takes: speeds change while a request waits or runs.
 HOLD_FACTOR = 0.6
+# A free server at which work takes less than this many times the usual time is used
+# whatever the mean says of the time left: neighbours on a host slow work 2.5 times.
+NEAR_USUAL_SLOWNESS = 3.0
 
 RequestKey = tuple[str, int]
 
@@ -256,7 +259,9 @@
             Number of requests that wait for busy servers before it; infinite if it is
             not to wait.
         limit_left_ms : float
-            Time left for its answer, in milliseconds; slower servers cannot run it.
+            Time left for its answer, in milliseconds; servers that are expected to take
+            longer cannot run it, unless they have a free slot and near their usual
+            speed.
         now_ms : float
             Current time in milliseconds.
 
@@ -272,14 +277,19 @@
         for server, known in self._usable():
             if server in excluded:
                 continue
-            run_ms = self.work_ms * self._speeds.slowness(server, now_ms)
+            slowness = self._speeds.slowness(server, now_ms)
+            run_ms = self.work_ms * slowness
             n_requests = known.n_requests(now_ms, self.work_ms)
             if n_requests + 1 > self._bound(server, known, now_ms):
                 busy_per_ms += known.n_slots / run_ms
                 busy_run_ms = min(busy_run_ms, run_ms)
                 continue
             expected_ms = self._expected_ms(server, now_ms)
-            if expected_ms > limit_left_ms:
+            # The mean says little of one request where short and long ones are mixed.
+            is_free = n_requests + 1 <= known.n_slots
+            if expected_ms > limit_left_ms and not (
+                is_free and slowness < NEAR_USUAL_SLOWNESS
+            ):
                 continue
             rank = (expected_ms + n_requests / known.n_slots, server)
             if best is None or rank < best:
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -158,3 +158,9 @@
     When 44000 teams send a request each within 10 s
     Then at most 256 teams are remembered
     And no request of them was refused for its team's share
+
+  Scenario: a short request on idle servers although most take longer than its limit
+    Given a service with 1 server of 4 slots
+    When 100 requests of 5000 ms have run one after the other
+    And request 1 asks, with only 1000 ms left
+    Then request 1 has got a slot
--- /dev/null
+++ b/features/steps/scheduling_recovery_steps.py
@@ -0,0 +1,86 @@
+"""Steps for decisions after wrong counts, pauses and long requests."""
+
+from behave import then, when
+
+from damaskrill.scheduling import SlotAssignment, SlotQueued
+from damaskrill.steering import ServerLoad
+
+LONG_LIMIT_MS = 30_000.0
+
+
+@when("{n_requests:d} requests of {duration_ms:d} ms have run one after the other")
+def step_run(context, n_requests, duration_ms):
+    service = context.service
+    for number in range(-n_requests, 0):
+        service.request(
+            number, limit_left_ms=LONG_LIMIT_MS, target_left_ms=LONG_LIMIT_MS
+        )
+        service.advance(duration_ms)
+        service.release(number, duration_ms=duration_ms)
+        service.advance(5)
+
+
+@when("request {number:d} asks, with only {left_ms:d} ms left")
+def step_ask_short(context, number, left_ms):
+    context.service.request(number, limit_left_ms=left_ms)
+
+
+@when("the scheduler is suspended for {duration_ms:d} ms")
+def step_suspend(context, duration_ms):
+    context.service.now_ms += duration_ms
+
+
+@when("the requests {first:d} to {last:d} end")
+def step_all_end(context, first, last):
+    for number in range(first, last + 1):
+        context.service.release(number)
+
+
+@when(
+    "for {duration_ms:d} ms server {server:d} states {n_requests:d} requests, "
+    "each figure {age_ms:d} ms old, while requests ask"
+)
+def step_old_loads(context, duration_ms, server, n_requests, age_ms):
+    service = context.service
+    for number in range(duration_ms // 10):
+        service.state(server, n_requests, age_ms=age_ms)
+        service.request(5_000 + number, limit_left_ms=LONG_LIMIT_MS)
+        service.advance(10)
+
+
+@when("request {number:d} ends with the load of {n_requests:d} requests after it")
+def step_end_load(context, number, n_requests):
+    load = ServerLoad(n_running=n_requests, n_waiting=0, n_slots=4, slowness=1.0)
+    context.service.release(number, load=load)
+
+
+@when("request {number:d} of {duration_ms:d} ms is released {held_ms:d} ms later")
+def step_release_late(context, number, duration_ms, held_ms):
+    context.service.advance(held_ms)
+    context.service.release(number, duration_ms=duration_ms)
+
+
+@then("a request is known to take at most {duration_ms:d} ms")
+def step_known_at_most(context, duration_ms):
+    found = context.service.core.status().work_ms
+    assert found <= duration_ms, found
+
+
+@then("the requests {first:d} to {last:d} have slots")
+def step_all_have(context, first, last):
+    found = context.service.numbers(SlotAssignment)
+    missing = set(range(first, last + 1)) - set(found)
+    assert not missing, (missing, context.service.decisions)
+
+
+@then("request {number:d} is at server {server:d}")
+def step_is_at(context, number, server):
+    found = context.service.decisions[number]
+    assert isinstance(found, SlotAssignment) and found.server == server, found
+
+
+@then("request {number:d} has been told twice that it waits")
+def step_told_twice(context, number):
+    service = context.service
+    assert isinstance(service.decisions[number], SlotQueued)
+    assert service.n_decisions[number] == 2, service.n_decisions[number]
--- a/features/support/slot_requests.py
+++ b/features/support/slot_requests.py
@@ -39,12 +39,14 @@
         )
         return self._apply(self.core.request(request, self.now_ms))
 
-    def release(self, number, outcome=ReleaseOutcome.COMPLETED, *, load=None):
+    def release(
+        self, number, outcome=ReleaseOutcome.COMPLETED, *, load=None, duration_ms=20.0
+    ):
         release = SlotRelease(
             router="10.0.0.1:7000",
             number=number,
             outcome=outcome,
-            duration_ms=20.0,
+            duration_ms=duration_ms,
             load=load,
         )
         return self._apply(self.core.release(release, self.now_ms))
