Count no slot time beyond the last limit, and catch up first after a pause

What callers saw: after a pause of the scheduling process the time of the pause counted as work of the slots that were assigned; requests took 24,219 ms instead of 20 ms as far as was known, and idle servers were taken for too slow. Changed: the time of slots counts up to the last expiry of those assigned; after 0.5 s without `advance`, what was due is done first. Test: scheduling_decisions.feature, "the time in which the scheduler was suspended is no work", which failed before (24,219 ms).

--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -8,7 +8,6 @@
     ReleaseOutcome,
     SlotAssignment,
     SlotDecision,
-    SlotQueued,
     SlotRefusal,
     SlotRefusalReason,
     SlotRelease,
@@ -23,7 +22,12 @@
     clip_ms,
     predict_wait_ms,
 )
-from damaskrill.scheduling._waiting import Rank, WaitingQueue, WaitingRequest
+from damaskrill.scheduling._waiting import (
+    FITTING_FRACTION,
+    Rank,
+    WaitingQueue,
+    WaitingRequest,
+)
 from damaskrill.steering import ServerLoad
 
 __all__ = ["SlotScheduler"]
@@ -37,12 +41,6 @@
 # loads and speeds age.
 RECHECK_MS = 20
 
-# A request that is kept is due after its predicted wait times this, unless it can still
-# start in time.
-DUE_FACTOR = 2
-# Requests of a team that demands more than its share, at a priority that fits into it,
-# go behind those of teams inside theirs for this part of the longest wait in time.
-FITTING_FRACTION = 0.5
 # Requests that wait at most, whatever time routers state: some seconds of the work of a
 # service with few slots.
 MAX_WAITING = 2_000
@@ -85,7 +83,7 @@
         self._figures = PriorityFigures()
         self._n_arrivals = 0
         self._n_expired = 0
-        self._now_ms = started_at_ms
+        self._now_ms = self._advanced_at_ms = started_at_ms
 
     def set_servers(
         self, servers: Mapping[int, int], now_ms: float
@@ -104,9 +102,9 @@
         decisions : list of SlotDecision
             If slots were lost, refusals of waiting requests that cannot start in time.
         """
-        self._now_ms = now_ms
+        decisions = self._catch_up(now_ms)
         are_slots_lost = self._servers.set_servers(servers)
-        decisions = self._assign_waiting(now_ms)
+        decisions += self._assign_waiting(now_ms)
         if are_slots_lost:
             self._divide(now_ms)
             decisions += self._refuse_hopeless(now_ms)
@@ -138,7 +136,9 @@
         -----
         If a request comes twice, its slot is stated again.
         """
-        self._now_ms = now_ms
+        return self._catch_up(now_ms) + self._decide(request, now_ms)
+
+    def _decide(self, request: SlotRequest, now_ms: float) -> list[SlotDecision]:
         key = (request.router, request.number)
         lease = self._servers.find(key)
         if lease is not None:
@@ -178,13 +178,7 @@
                 else SlotRefusalReason.TEAM_SHARE
             )
             return [*decisions, self._refuse(waiting, reason, now_ms)]
-        queued = SlotQueued(
-            router=request.router,
-            number=request.number,
-            predicted_ms=waiting.predicted_ms,
-            n_ahead=waiting.n_ahead,
-        )
-        return [*decisions, queued]
+        return [*decisions, waiting.queued()]
 
     def release(self, release: SlotRelease, now_ms: float) -> list[SlotDecision]:
         """Free a slot, or withdraw a request that waits.
@@ -193,13 +187,13 @@
         -----
         A release that comes twice, late or for an unknown number changes nothing.
         """
-        self._now_ms = now_ms
+        decisions = self._catch_up(now_ms)
         key = (release.router, release.number)
         if self._queue.remove(key) is not None:
-            return []
+            return decisions
         lease = self._servers.find(key)
         if lease is None:
-            return []
+            return decisions
         if release.load is not None:
             self._servers.observe_load(lease.server, release.load, now_ms, 0.0)
         # A stated load may show that its release is the one that was lost.
@@ -211,11 +205,11 @@
             )
         elif release.outcome is ReleaseOutcome.REJECTED:
             self._servers.observe_rejection(lease.server, now_ms)
-        return self._assign_waiting(now_ms)
+        return decisions + self._assign_waiting(now_ms)
 
     def advance(self, now_ms: float) -> list[SlotDecision]:
         """Free expired slots, and refuse requests that have no time left."""
-        self._now_ms = now_ms
+        self._now_ms = self._advanced_at_ms = now_ms
         self._n_expired += self._servers.expire(now_ms)
         decisions: list[SlotDecision] = []
         for each in self._queue:
@@ -225,6 +219,13 @@
                 decisions.append(self._refuse(each, reason, now_ms))
         return decisions + self._assign_waiting(now_ms)
 
+    def _catch_up(self, now_ms: float) -> list[SlotDecision]:
+        """Do first what was due in a pause of this process."""
+        self._now_ms = now_ms
+        if now_ms - self._advanced_at_ms <= EXPIRY_SLACK_MS:
+            return []
+        return self.advance(now_ms)
+
     def next_due_ms(self) -> float | None:
         """Return when `advance` is to be called; None if nothing is due."""
         due_ms = self._servers.next_expiry_ms
@@ -267,21 +268,13 @@
             number=self._n_arrivals,
         )
         n_ahead = self._queue.n_ahead(rank)
-        predicted_ms = self._predict_ms(rank, n_ahead, now_ms)
-        target_at_ms = now_ms + clip_ms(request.target_left_ms)
-        start_by_ms = target_at_ms - self._servers.work_ms
-        inside_at_ms = math.inf
-        if share is Share.FITTING:
-            inside_at_ms = now_ms + FITTING_FRACTION * (start_by_ms - now_ms)
-        return WaitingRequest(
-            rank=rank,
-            request=request,
-            arrived_at_ms=now_ms,
-            target_at_ms=target_at_ms,
-            due_at_ms=max(start_by_ms, now_ms + DUE_FACTOR * predicted_ms),
-            inside_at_ms=inside_at_ms,
+        return WaitingRequest.build(
+            request,
+            rank,
+            now_ms=now_ms,
+            work_ms=self._servers.work_ms,
             n_ahead=n_ahead,
-            predicted_ms=predicted_ms,
+            predicted_ms=self._predict_ms(rank, n_ahead, now_ms),
         )
 
     def _predict_ms(self, rank: Rank, n_ahead: int, now_ms: float) -> float:
--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -183,7 +183,9 @@
         known = self._servers[server]
         if not known.leases:
             known.counted_at_ms = now_ms
-        elapsed_ms = now_ms - known.counted_at_ms
+        # After a pause of this process, requests had ended by their limits.
+        last_ms = max((x.expires_at_ms for x in known.leases.values()), default=now_ms)
+        elapsed_ms = min(now_ms, last_ms) - known.counted_at_ms
         if elapsed_ms <= 0:
             return
         usual_ms = elapsed_ms / self._speeds.slowness(server, now_ms)
--- a/damaskrill/scheduling/_waiting.py
+++ b/damaskrill/scheduling/_waiting.py
@@ -7,10 +7,18 @@
 
 from attrs import evolve, field, frozen
 
-from damaskrill.scheduling._model import SlotRequest
+from damaskrill.scheduling._model import SlotQueued, SlotRequest
 from damaskrill.scheduling._shares import Share
+from damaskrill.scheduling._wait_prediction import clip_ms
 
-__all__ = ["Rank", "WaitingQueue", "WaitingRequest"]
+__all__ = ["FITTING_FRACTION", "Rank", "WaitingQueue", "WaitingRequest"]
+
+# A request that is kept is due after its predicted wait times this, unless it can still
+# start in time.
+DUE_FACTOR = 2
+# Requests of a team that demands more than its share, at a priority that fits into it,
+# go behind those of teams inside theirs for this part of the longest wait in time.
+FITTING_FRACTION = 0.5
 
 RequestKey = tuple[str, int]
 
@@ -69,11 +77,48 @@
     predicted_ms: float = 0.0
     n_ahead: int = 0
 
+    @classmethod
+    def build(
+        cls,
+        request: SlotRequest,
+        rank: Rank,
+        *,
+        now_ms: float,
+        work_ms: float,
+        n_ahead: int,
+        predicted_ms: float,
+    ) -> "WaitingRequest":
+        """Return a request that arrives now, with the times that follow from it."""
+        target_at_ms = now_ms + clip_ms(request.target_left_ms)
+        start_by_ms = target_at_ms - work_ms
+        inside_at_ms = math.inf
+        if rank.share is Share.FITTING:
+            inside_at_ms = now_ms + FITTING_FRACTION * (start_by_ms - now_ms)
+        return cls(
+            rank=rank,
+            request=request,
+            arrived_at_ms=now_ms,
+            target_at_ms=target_at_ms,
+            due_at_ms=max(start_by_ms, now_ms + DUE_FACTOR * predicted_ms),
+            inside_at_ms=inside_at_ms,
+            n_ahead=n_ahead,
+            predicted_ms=predicted_ms,
+        )
+
     @property
     def key(self) -> RequestKey:
         """Router and number."""
         return self.request.router, self.request.number
 
+    def queued(self) -> SlotQueued:
+        """Return the decision that it waits."""
+        return SlotQueued(
+            router=self.request.router,
+            number=self.request.number,
+            predicted_ms=self.predicted_ms,
+            n_ahead=self.n_ahead,
+        )
+
 
 class WaitingQueue:
     """Waiting requests by rank.
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -164,3 +164,13 @@
     When 100 requests of 5000 ms have run one after the other
     And request 1 asks, with only 1000 ms left
     Then request 1 has got a slot
+
+  Scenario: the time in which the scheduler was suspended is no work
+    Given a service with 2 servers of 4 slots
+    When 300 requests of 20 ms have run one after the other
+    And requests 1 to 8 ask
+    And the scheduler is suspended for 600000 ms
+    And the requests 1 to 8 end
+    And request 9 asks
+    Then a request is known to take at most 25 ms
+    And request 9 has got a slot
