Let old counts of others' requests end also when a new one comes

What callers saw: a count of others' requests that had ended long before counted again, at four fifths, from the next statement on: after ten minutes an idle server got nothing. Of two schedulers one kept more slots than the other. Cause: the average took the earlier count as it was, though it counts less with time everywhere else. Changed: it is less by its age before it is averaged.

--- a/damaskrill/scheduling/_slot_server.py
+++ b/damaskrill/scheduling/_slot_server.py
@@ -64,14 +64,19 @@
         others = self.n_others * math.exp(-age_ms / (2 * work_ms))
         return len(self.leases) + (others if others >= MIN_OTHERS else 0.0)
 
-    def add_count(self, n_requests: int, at_ms: float, *, gap_ms: float) -> None:
+    def add_count(
+        self, n_requests: int, at_ms: float, *, gap_ms: float, work_ms: float
+    ) -> None:
         """Compare the requests that the server stated with those assigned here.
 
         Notes
         -----
         Those assigned shortly before had not arrived yet, and of those assigned before
-        some have ended since. On average both weigh the same.
+        some have ended since. On average both weigh the same. What earlier statements
+        showed has ended in part.
         """
+        elapsed_ms = max(0.0, at_ms - self.others_at_ms)
+        self.n_others *= math.exp(-elapsed_ms / (2 * work_ms))
         n_own = sum(
             each.assigned_at_ms <= at_ms - gap_ms for each in self.leases.values()
         )
--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -113,7 +113,9 @@
         # Until a newer statement, the first one holds, so that a scheduler that takes
         # over is careful.
         counted_at_ms = now_ms - age_ms if known.has_load else now_ms
-        known.add_count(n_requests, counted_at_ms, gap_ms=self._work.gap_ms)
+        known.add_count(
+            n_requests, counted_at_ms, gap_ms=self._work.gap_ms, work_ms=self.work_ms
+        )
         n_lost = len(known.leases) - n_requests
         if n_lost > 0:
             self._forget_lost(known, n_lost, now_ms - age_ms, now_ms)
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -174,3 +174,13 @@
     And request 9 asks
     Then a request is known to take at most 25 ms
     And request 9 has got a slot
+
+  Scenario: others' requests of ten minutes ago do not count again
+    Given a service with 2 servers of 4 slots
+    When server 1 states 6 requests in each of 30 answers
+    And server 2 states 6 requests in each of 30 answers
+    And nothing happens for 600000 ms
+    And server 1 states 0 requests
+    And server 2 states 0 requests
+    And requests 1 to 8 ask
+    Then 8 slots are in use
