Apply old loads too while a scheduler that takes over is careful

What servers saw: a scheduler that took over and was told old loads only (200 to 300 ms) forgot the first one within two durations and ignored the others: 4 more requests sent to a server that stated 6 of 6 all the time. Test: scheduling_decisions.feature, "a scheduler that takes over is told old loads only", which failed before (4 slots in use).

--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -105,7 +105,10 @@
             return
         age_ms = max(0.0, age_ms)
         self._speeds.observe(server, load, now_ms, age_ms)
-        if known.has_load and age_ms > MAX_COUNT_AGE * self.work_ms:
+        # Another scheduler may have filled the server since.
+        is_careful = now_ms < self._cautious_until_ms
+        is_old = age_ms > MAX_COUNT_AGE * self.work_ms
+        if known.has_load and is_old and not is_careful:
             # What ran there then has ended since.
             return
         # A server does not queue many times its slots: a larger figure is wrong.
@@ -116,6 +119,8 @@
         known.add_count(
             n_requests, counted_at_ms, gap_ms=self._work.gap_ms, work_ms=self.work_ms
         )
+        if is_careful:
+            known.others_at_ms = now_ms
         n_lost = len(known.leases) - n_requests
         if n_lost > 0:
             self._forget_lost(known, n_lost, now_ms - age_ms, now_ms)
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -184,3 +184,8 @@
     And server 2 states 0 requests
     And requests 1 to 8 ask
     Then 8 slots are in use
+
+  Scenario: a scheduler that takes over is told old loads only
+    Given a takeover of a service with 1 server of 6 slots
+    When for 300 ms server 1 states 6 requests, each figure 200 ms old, while requests ask
+    Then no slot is in use
