Take no running request for one whose release was lost

What servers saw: a correct load that no longer counted a request at its end freed the slot of a long one that still ran, and one that did not count requests on their way freed a slot as well; the servers got more than their slots. Changed: as lost count only requests that must have reached the server when it stated its load (the usual gap and 5 ms for the way), without the one that ended with the statement, which is never forgotten by it. Tests: scheduling_decisions.feature, "a long request keeps its slot ..." (0 of 1 slots in use before) and "requests on their way are not taken for lost ones" (3 of 4 before), which both failed before.

--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -195,8 +195,9 @@
         if lease is None:
             return decisions
         if release.load is not None:
-            self._servers.observe_load(lease.server, release.load, now_ms, 0.0)
-        # A stated load may show that its release is the one that was lost.
+            self._servers.observe_load(
+                lease.server, release.load, now_ms, 0.0, ended=key
+            )
         has_run = release.outcome in (ReleaseOutcome.COMPLETED, ReleaseOutcome.FAILED)
         self._servers.release(key, now_ms, is_unused=not has_run)
         if has_run:
--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -12,6 +12,8 @@
 # Time from which an assigned slot counts as lost if the server states fewer requests,
 # in usual durations.
 LOST_AFTER_DURATIONS = 6
+# Time that an assignment may take longer than usual to reach its server.
+SENT_SLACK_MS = 5
 # Age of a statement, in durations, from which its count says nothing.
 MAX_COUNT_AGE = 0.5
 # Requests that a server states at most, in slots.
@@ -97,9 +99,20 @@
         return self._n_slots < n_before
 
     def observe_load(
-        self, server: int, load: ServerLoad, now_ms: float, age_ms: float
+        self,
+        server: int,
+        load: ServerLoad,
+        now_ms: float,
+        age_ms: float,
+        *,
+        ended: RequestKey | None = None,
     ) -> None:
-        """Apply a load that a server stated some time ago."""
+        """Apply a load that a server stated some time ago.
+
+        Notes
+        -----
+        It may leave out the request that ended with it.
+        """
         known = self._servers.get(server)
         if known is None:
             return
@@ -121,21 +134,17 @@
         )
         if is_careful:
             known.others_at_ms = now_ms
-        n_lost = len(known.leases) - n_requests
-        if n_lost > 0:
-            self._forget_lost(known, n_lost, now_ms - age_ms, now_ms)
-
-    def _forget_lost(
-        self, server: SlotServer, n_lost: int, at_ms: float, now_ms: float
-    ) -> None:
+        at_ms = now_ms - age_ms
+        sent_by_ms = at_ms - self._work.gap_ms - SENT_SLACK_MS
+        running = {
+            key: lease
+            for key, lease in known.leases.items()
+            if key != ended and lease.assigned_at_ms <= sent_by_ms
+        }
         # The release of these was lost: the server does not run them.
         oldest_ms = at_ms - LOST_AFTER_DURATIONS * self.work_ms
-        old = [
-            key
-            for key, lease in server.leases.items()
-            if lease.assigned_at_ms < oldest_ms
-        ]
-        for key in old[:n_lost]:
+        old = [key for key, x in running.items() if x.assigned_at_ms < oldest_ms]
+        for key in old[: max(0, len(running) - n_requests)]:
             self.release(key, now_ms, is_unused=True)
 
     def find(self, key: RequestKey) -> SlotLease | None:
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -189,3 +189,22 @@
     Given a takeover of a service with 1 server of 6 slots
     When for 300 ms server 1 states 6 requests, each figure 200 ms old, while requests ask
     Then no slot is in use
+
+  Scenario: a long request keeps its slot when the end of another one shows in the load
+    Given a service with 1 server of 2 slots
+    When 300 requests of 20 ms have run one after the other
+    And requests 1 to 1 ask
+    And nothing happens for 300 ms
+    And requests 2 to 2 ask
+    And nothing happens for 20 ms
+    And request 2 ends with the load of 1 requests after it
+    Then one slot is in use
+
+  Scenario: requests on their way are not taken for lost ones
+    Given a service with 1 server of 4 slots
+    When 300 requests of 20 ms have run one after the other
+    And requests 1 to 1 ask
+    And nothing happens for 300 ms
+    And requests 2 to 4 ask
+    And server 1 states 1 requests
+    Then 4 slots are in use
