Limit what a slow connection adds to a server's slots

What servers saw: one request whose connection took 1 s made the time between two requests of a slot 2 s, and a server of four slots got some hundred more. Changed: that time is at most 400 ms, and a server gets at most as many requests beyond its slots as it has slots.

--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -343,7 +343,8 @@
             return known.n_slots
         run_ms = self.work_ms * self._speeds.slowness(server, now_ms)
         n_idle = known.n_slots * self._work.gap_ms / run_ms
-        return known.n_slots + math.ceil(n_idle - IDLE_SLOTS)
+        # A larger excess would be a wrong figure: slots do not end twice a round trip.
+        return known.n_slots + min(known.n_slots, math.ceil(n_idle - IDLE_SLOTS))
 
     @property
     def _n_slots(self) -> int:
--- a/damaskrill/scheduling/_work_time.py
+++ b/damaskrill/scheduling/_work_time.py
@@ -12,6 +12,10 @@
 # that its error is under a tenth.
 KEPT = 1 - 1 / 300
 
+# The gap is at most two round trips halfway round the earth, of some 100 ms each way in
+# fibre; a longer one is a wait for a connection.
+MAX_GAP_MS = 400.0
+
 
 class WorkTime:
     """Slot time that a request takes, and the time between two requests of a slot.
@@ -69,4 +73,5 @@
         if 0 < duration_ms <= held_ms:
             self._n_gaps += 1
             weight = max(1 - KEPT, 1 / self._n_gaps)
-            self._gap_ms += weight * (2 * (held_ms - duration_ms) - self._gap_ms)
+            gap_ms = min(MAX_GAP_MS, 2 * (held_ms - duration_ms))
+            self._gap_ms += weight * (gap_ms - self._gap_ms)
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -208,3 +208,10 @@
     And requests 2 to 4 ask
     And server 1 states 1 requests
     Then 4 slots are in use
+
+  Scenario: a slow first connection does not let a server be overfilled
+    Given a service with 1 server of 4 slots
+    When requests 1 to 1 ask
+    And request 1 of 20 ms is released 1020 ms later
+    And 1000 requests of priority 0 ask
+    Then no more than 8 slots are in use
