Ignore stated speeds below a tenth of the usual time

A server that stated that work takes 0.01 of the usual time was believed, and got what it cannot run. Such a figure is ignored like one above 100. Test: uneven_servers.feature, "figures that cannot be right are ignored" with 0.01, which failed before (slowness 0.01 afterwards).

--- a/damaskrill/steering/_server_speeds.py
+++ b/damaskrill/steering/_server_speeds.py
@@ -22,6 +22,8 @@
 N_USUAL_FIGURES = 2
 # Work does not take so many times its usual time: a larger figure is wrong.
 MAX_SLOWNESS = 100.0
+# The usual time is that on a host without neighbours: a figure below a tenth is wrong.
+MIN_SLOWNESS = 0.1
 # What servers state of usual work.
 USUAL = 1.0
 
@@ -98,7 +100,7 @@
             newer one is known.
         """
         slowness = load.slowness
-        if slowness is None or not 0 < slowness <= MAX_SLOWNESS:
+        if slowness is None or not MIN_SLOWNESS <= slowness <= MAX_SLOWNESS:
             return False
         at_ms = now_ms - max(0.0, age_ms)
         figure = self._figures.get(server)
--- a/features/uneven_servers.feature
+++ b/features/uneven_servers.feature
@@ -40,4 +40,5 @@
       | inf    |
       | -2.5   |
       | 0.0    |
+      | 0.01   |
       | 1e9    |
