Decide anew on a number that a router uses again

A router that started again and reused a number was told the slot of its former request, also at a server that had left or that the new request may not use; one that asked again while it waited was told nothing. Changed: such a slot is free and the request is decided on anew; a waiting one is told again that it waits. `WaitingQueue.next_limit_ms`, which nothing used, is gone. Tests: scheduling_decisions.feature, "a number that is used again ..." and "a waiting request that asks again ...", which both failed before (server 1 instead of 2; one decision instead of two).

--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -134,7 +134,8 @@
 
         Notes
         -----
-        If a request comes twice, its slot is stated again.
+        If a request comes twice, its slot or that it waits is stated again, unless it
+        may no longer run at the server of its slot: that slot is free then.
         """
         return self._catch_up(now_ms) + self._decide(request, now_ms)
 
@@ -142,13 +143,15 @@
         key = (request.router, request.number)
         lease = self._servers.find(key)
         if lease is not None:
-            return [
-                SlotAssignment(
+            if self._servers.is_usable(lease.server, request.excluded):
+                again = SlotAssignment(
                     router=request.router, number=request.number, server=lease.server
                 )
-            ]
-        if key in self._queue:
-            return []
+                return [again]
+            # A router that has started again numbers its requests from the beginning.
+            self._servers.release(key, now_ms, is_unused=True)
+        if (queued := self._queue.find(key)) is not None:
+            return [queued.queued()]
         priority = min(max(0, request.priority), MAX_PRIORITY)
         self._demand.record(request.team, priority, now_ms)
         if now_ms >= self._shares_due_ms:
--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -78,6 +78,10 @@
         """Return whether some server outside a set may get requests."""
         return any(server not in excluded for server, _ in self._usable())
 
+    def is_usable(self, server: int, excluded: frozenset[int]) -> bool:
+        """Return whether a server may get a request that excludes some."""
+        return server not in excluded and self._servers[server].is_usable
+
     def set_servers(self, servers: Mapping[int, int]) -> bool:
         """Set the slots of the servers that may get requests now.
 
--- a/damaskrill/scheduling/_waiting.py
+++ b/damaskrill/scheduling/_waiting.py
@@ -144,10 +144,10 @@
     def __contains__(self, key: RequestKey) -> bool:
         return key in self._by_key
 
-    @property
-    def next_limit_ms(self) -> float:
-        """When the first limit ends; infinite if none waits."""
-        return min((each.limit_at_ms for each in self._ranks), default=math.inf)
+    def find(self, key: RequestKey) -> WaitingRequest | None:
+        """Return a request; None if it does not wait."""
+        rank = self._by_key.get(key)
+        return None if rank is None else self._by_rank[rank]
 
     def promote(self, now_ms: float) -> None:
         """Rank those as inside their teams' shares for which it is time."""
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -215,3 +215,16 @@
     And request 1 of 20 ms is released 1020 ms later
     And 1000 requests of priority 0 ask
     Then no more than 8 slots are in use
+
+  Scenario: a number that is used again does not get a slot at a server that may not run it
+    Given a service with 2 servers of 1 slots
+    When request 1 asks, which server 2 may not run
+    And request 1 asks, which server 1 may not run
+    Then request 1 is at server 2
+    And one slot is in use
+
+  Scenario: a waiting request that asks again is told that it waits
+    Given a service with 1 server of 1 slots
+    When requests 1 to 2 ask
+    And request 2 asks
+    Then request 2 has been told twice that it waits
