--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -96,6 +96,14 @@
     When a caller sends chunks of a byte without end, each 50 ms
     Then it gets 408 after 2 to 5 s, and no server ran it
 
+  Scenario: bodies that go through a peer count at both routers
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And 2 gateways that know each other
+    And the first gateway has no path to the servers
+    When 8 callers send bodies of 90 KB to the first gateway
+    Then each of them gets 200
+    And each of the 2 routers has held at least 180 KB, and holds nothing now
+
   Scenario: the interface for readiness is bounded too
     Given a platform with 2 app servers that answer with 300 KB
     And a router with 152 MB of memory
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -499,3 +499,29 @@
 def step_ready(context, n):
     assert context.n_open <= n, context.n_open
     assert context.reply.status == 200, context.reply.status
+
+
+@when("{n:d} callers send bodies of {n_kb:d} KB to the first gateway")
+def step_through_peer(context, n, n_kb):
+    address = context.testbed.gateways[0]._settings.caller_address
+
+    async def send():
+        caller = await Caller.open(address)
+        caller.send(build_request("/read/1", body=b"x" * n_kb * KB)[0])
+        reply = await caller.read_reply()
+        caller.close()
+        return reply.status
+
+    async def run():
+        return await asyncio.gather(*(send() for _ in range(n)))
+
+    context.statuses = context.testbed.call(run)
+
+
+@then("each of the 2 routers has held at least {n_kb:d} KB, and holds nothing now")
+def step_both(context, n_kb):
+    accounts = [each._guard.account for each in context.testbed.gateways]
+    assert all(each.max_bytes >= n_kb * KB for each in accounts)
+    assert context.testbed.wait_for(
+        lambda: not any(each.n_bytes for each in accounts), timeout_s=3
+    )
