Spend less time on bodies that arrive at once

The first bytes of a body are kept without a copy, small lengths are not asked for, and nothing is counted again when nothing has changed.

--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -146,7 +146,8 @@
         self._is_disconnected = self._is_dropped = True
         self._is_closing = True
         self._factory.connections.discard(self)
-        self._uncount()
+        if self._is_counted:
+            self._uncount()
         self._memory.release()
         self._clear_timer()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
@@ -227,9 +228,8 @@
         self._factory.handle_request(self, request)
 
     def _uncount(self) -> None:
-        if self._is_counted:
-            self._is_counted = False
-            self._shared.bound.n_busy -= 1
+        self._is_counted = False
+        self._shared.bound.n_busy -= 1
 
     @property
     def _answers_head_request(self) -> bool:
@@ -252,7 +252,8 @@
 
     def _finish(self) -> None:
         self.on_disconnect = None
-        self._uncount()
+        if self._is_counted:
+            self._uncount()
         if self._is_disconnected or self._is_closing:
             return
         self._send(h11.EndOfMessage())
--- a/damaskrill/http1/_caller_memory.py
+++ b/damaskrill/http1/_caller_memory.py
@@ -7,7 +7,7 @@
 from damaskrill.limits import Eviction, Hold, MemoryAccount
 from damaskrill.utils import monotonic_now_ms
 
-__all__ = ["COUNTED_BYTES", "CallerMemory"]
+__all__ = ["COUNTED_BYTES", "N_COPIES", "CallerMemory"]
 
 # A body is held once as received and once as it is sent to a server.
 N_COPIES = 2
@@ -69,14 +69,21 @@
         return self._hold.n_wanted > 0
 
     def announce(self, n_bytes: int) -> None:
-        """Ask for the space of a body whose length is known."""
-        if n_bytes * N_COPIES > COUNTED_BYTES:
-            self._hold.begin(monotonic_now_ms())
-            self._reserve(n_bytes * N_COPIES)
+        """Ask for the space of a body that counts, and whose length is known."""
+        self._hold.begin(monotonic_now_ms())
+        self._reserve(n_bytes * N_COPIES)
+
+    def append(self, data: bytearray) -> None:
+        """Add bytes of the body, and ask for more space if it is longer.
 
-    def append(self, data: bytes) -> None:
-        """Add bytes of the body, and ask for more space if it is longer."""
-        self._body += data
+        Notes
+        -----
+        The first ones are kept as they are, without a copy: most bodies come at once.
+        """
+        if self._body:
+            self._body += data
+        else:
+            self._body = data
         n_needed = len(self._body) * N_COPIES
         if self._n_reserved:
             self._hold.record_received(len(data), monotonic_now_ms())
@@ -92,9 +99,11 @@
             return b""
         body, self._body = bytes(self._body), bytearray()
         if self._n_reserved:
-            self._n_reserved = len(body) * N_COPIES
             self._hold.is_evictable = False
-            self._update()
+            n_needed = len(body) * N_COPIES
+            if n_needed != self._n_reserved:
+                self._n_reserved = n_needed
+                self._update()
         return body
 
     def note_ahead(self, n_bytes: int, *, is_paused: bool = False) -> None:
--- a/damaskrill/http1/_read_gate.py
+++ b/damaskrill/http1/_read_gate.py
@@ -12,20 +12,25 @@
     ----------
     transport : object
         Transport of the connection.
+
+    Attributes
+    ----------
+    is_open : bool
+        Whether it reads.
     """
 
     def __init__(self, transport: Any) -> None:
         self._transport = transport
-        self._is_open = True
+        self.is_open = True
 
     def close(self) -> None:
         """Read no further bytes."""
-        if self._is_open:
-            self._is_open = False
+        if self.is_open:
+            self.is_open = False
             self._transport.pauseProducing()
 
     def open(self) -> None:
         """Read on."""
-        if not self._is_open:
-            self._is_open = True
+        if not self.is_open:
+            self.is_open = True
             self._transport.resumeProducing()
--- a/damaskrill/http1/_request_reader.py
+++ b/damaskrill/http1/_request_reader.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from damaskrill.http1._caller_memory import CallerMemory
+from damaskrill.http1._caller_memory import COUNTED_BYTES, N_COPIES, CallerMemory
 from damaskrill.http1._read_gate import ReadGate
 from damaskrill.limits import EVENTS_PER_TURN, body_time_left_ms
 from damaskrill.utils import monotonic_now_ms
@@ -108,7 +108,7 @@
             return
         if self.n_unparsed:
             self._parse()
-        else:
+        elif not self._gate.is_open:
             self._read_on()
 
     def go_on(self) -> None:
@@ -159,7 +159,8 @@
         self._gate.open()
 
     def _wait_for_more(self) -> None:
-        self._read_on()
+        if not self._gate.is_open:
+            self._read_on()
         if self._is_discarding:
             return
         limits, now_ms = self._factory.limits, monotonic_now_ms()
@@ -188,7 +189,10 @@
                 if n_bytes > self._factory.limits.max_body_bytes:
                     self._refuse(413)
                     return False
-                self._memory.append(event.data)
+                data = event.data
+                self._memory.append(
+                    data if isinstance(data, bytearray) else bytearray(data)
+                )
             case h11.EndOfMessage() if self.head is not None:
                 self._handle_end(self.head, self._memory.take())
         return not self._memory.is_waiting and self._may_parse()
@@ -212,6 +216,7 @@
         if length > self._factory.limits.max_body_bytes:
             self._refuse(413)
             return False
-        if length > 0:
-            self._memory.announce(length)
+        if length * N_COPIES <= COUNTED_BYTES:
+            return True
+        self._memory.announce(length)
         return not self._memory.is_waiting and self._may_parse()
