Look at waiting requests once and only at those that may run where there is room

With 1,000 requests waiting that exclude the only server with room, one release took 80,043 calls of Python functions: each waiting request was compared with each server. Changed: servers with room are found once for each assignment, requests that exclude all of them are passed over, and the queue is iterated lazily unless some request is due. Test: scheduling_decisions.feature, "many requests wait that may not run at the only server with room", which failed before (80 calls for each waiting request, 3 allowed).

--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -303,19 +303,22 @@
 
     def _assign_waiting(self, now_ms: float) -> list[SlotDecision]:
         decisions: list[SlotDecision] = []
-        if not self._queue or not self._servers.has_room(now_ms):
+        if not self._queue or not (open_servers := self._servers.find_open(now_ms)):
             return decisions
         self._queue.promote(now_ms)
         n_before = 0
         for each in self._queue.in_order(now_ms):
-            server = self._choose(each, n_before, now_ms)
+            server = None
+            if not open_servers <= each.request.excluded:
+                server = self._choose(each, n_before, now_ms)
             if server is None:
                 n_before += 1
-                if not self._servers.has_room(now_ms):
-                    break
                 continue
             self._queue.remove(each.key)
             decisions.append(self._assign(each, server, now_ms))
+            open_servers = self._servers.find_open(now_ms)
+            if not open_servers:
+                break
         return decisions
 
     def _choose(
--- a/damaskrill/scheduling/_slot_servers.py
+++ b/damaskrill/scheduling/_slot_servers.py
@@ -255,12 +255,13 @@
             total += max(0.0, known.n_slots - n_others) / slowness(server)
         return 1_000 * total / self.work_ms
 
-    def has_room(self, now_ms: float) -> bool:
-        """Return whether some server may get one more request."""
-        return any(
-            known.n_requests(now_ms, self.work_ms) + 1
-            <= self._bound(server, known, now_ms)
+    def find_open(self, now_ms: float) -> frozenset[int]:
+        """Return the servers that may get one more request."""
+        return frozenset(
+            server
             for server, known in self._usable()
+            if known.n_requests(now_ms, self.work_ms) + 1
+            <= self._bound(server, known, now_ms)
         )
 
     def choose(
--- a/damaskrill/scheduling/_waiting.py
+++ b/damaskrill/scheduling/_waiting.py
@@ -133,13 +133,18 @@
         self._ranks: list[Rank] = []
         self._by_rank: dict[Rank, WaitingRequest] = {}
         self._by_key: dict[RequestKey, Rank] = {}
+        # No request is due, or counts as inside its team's share, before these times.
+        self._due_from_ms = math.inf
+        self._inside_from_ms = math.inf
 
     def __len__(self) -> int:
         return len(self._ranks)
 
     def __iter__(self) -> Iterator[WaitingRequest]:
-        """Iterate over a copy, in order of rank."""
-        return iter([self._by_rank[each] for each in self._ranks])
+        """Iterate over a copy, in order of rank, without those removed meanwhile."""
+        for rank in self._ranks.copy():
+            if (waiting := self._by_rank.get(rank)) is not None:
+                yield waiting
 
     def __contains__(self, key: RequestKey) -> bool:
         return key in self._by_key
@@ -151,14 +156,21 @@
 
     def promote(self, now_ms: float) -> None:
         """Rank those as inside their teams' shares for which it is time."""
-        for each in self:
-            if each.inside_at_ms <= now_ms and each.rank.share is not Share.INSIDE:
+        if now_ms < self._inside_from_ms:
+            return
+        self._inside_from_ms = math.inf
+        for each in list(self):
+            if each.rank.share is Share.INSIDE:
+                continue
+            if each.inside_at_ms <= now_ms:
                 self.remove(each.key)
                 rank = evolve(each.rank, share=Share.INSIDE)
-                self.add(evolve(each, rank=rank))
+                self.add(evolve(each, rank=rank, inside_at_ms=math.inf))
+            else:
+                self._inside_from_ms = min(self._inside_from_ms, each.inside_at_ms)
 
-    def in_order(self, now_ms: float) -> list[WaitingRequest]:
-        """Return the requests in the order in which they get slots.
+    def in_order(self, now_ms: float) -> Iterator[WaitingRequest]:
+        """Iterate over a copy, in the order in which requests get slots.
 
         Notes
         -----
@@ -166,13 +178,19 @@
         was too short is not overtaken until its limit ends, and more urgent ones do not
         pay for all of it.
         """
-        due = [each for each in self if each.due_at_ms <= now_ms]
+        if now_ms < self._due_from_ms:
+            return iter(self)
+        waiting = list(self._by_rank.values())
+        due = [each for each in waiting if each.due_at_ms <= now_ms]
         if not due:
-            return list(self)
-        due.sort(key=lambda each: each.due_at_ms)
+            self._due_from_ms = min(
+                (each.due_at_ms for each in waiting), default=math.inf
+            )
+            return iter(self)
+        due.sort(key=lambda each: (each.due_at_ms, each.rank))
         others = [each for each in self if each.due_at_ms > now_ms]
         pairs = itertools.zip_longest(due, others)
-        return [each for pair in pairs for each in pair if each is not None]
+        return (each for pair in pairs for each in pair if each is not None)
 
     def n_ahead(self, rank: Rank) -> int:
         """Return how many requests wait before one of this rank."""
@@ -183,6 +201,8 @@
         insort(self._ranks, waiting.rank)
         self._by_rank[waiting.rank] = waiting
         self._by_key[waiting.key] = waiting.rank
+        self._due_from_ms = min(self._due_from_ms, waiting.due_at_ms)
+        self._inside_from_ms = min(self._inside_from_ms, waiting.inside_at_ms)
 
     def remove(self, key: RequestKey) -> WaitingRequest | None:
         """Remove a request; return None if it does not wait."""
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -228,3 +228,11 @@
     When requests 1 to 2 ask
     And request 2 asks
     Then request 2 has been told twice that it waits
+
+  Scenario: many requests wait that may not run at the only server with room
+    Given a service with 6 servers of 4 slots
+    When 300 requests of 20 ms have run one after the other
+    And requests 1 to 24 ask
+    And 1000 requests ask, which server 1 may not run
+    And a request at server 1 ends
+    Then that takes at most 3 calls for each request that waits
--- a/features/steps/scheduling_recovery_steps.py
+++ b/features/steps/scheduling_recovery_steps.py
@@ -4,8 +4,11 @@
 
 from damaskrill.scheduling import SlotAssignment, SlotQueued
 from damaskrill.steering import ServerLoad
+from features.support.call_counter import CallCounter
 
 LONG_LIMIT_MS = 30_000.0
+FIRST_EXCLUDED = 1_000
+N_SLOTS = 24
 
 
 @when("{n_requests:d} requests of {duration_ms:d} ms have run one after the other")
@@ -84,3 +87,37 @@
     service = context.service
     assert isinstance(service.decisions[number], SlotQueued)
     assert service.n_decisions[number] == 2, service.n_decisions[number]
+
+
+@when("{n_requests:d} requests ask, which server {server:d} may not run")
+def step_ask_many_excluded(context, n_requests, server):
+    service = context.service
+    for number in range(FIRST_EXCLUDED, FIRST_EXCLUDED + n_requests):
+        service.request(
+            number,
+            excluded=frozenset({server}),
+            limit_left_ms=LONG_LIMIT_MS,
+            target_left_ms=LONG_LIMIT_MS,
+        )
+    context.n_waiting = service.core.status().n_waiting
+    assert context.n_waiting > n_requests // 4, context.n_waiting
+
+
+@when("a request at server {server:d} ends")
+def step_end_at(context, server):
+    service = context.service
+    ended = next(
+        number
+        for number in service.numbers(SlotAssignment)
+        if number > 0 and service.decisions[number].server == server
+    )
+    assert service.core.status().n_assigned == N_SLOTS
+    with CallCounter() as context.calls:
+        service.release(ended)
+    assert service.core.status().n_assigned == N_SLOTS - 1
+
+
+@then("that takes at most {n_calls:d} calls for each request that waits")
+def step_calls(context, n_calls):
+    found = context.calls.n_calls / context.n_waiting
+    assert found <= n_calls, found
