Let settings keep a router from asking for and assigning slots

Where slots are scheduled, a router does not choose among plain servers itself, so that the scenario on servers that it passes over saw no line. It runs with such a router now, with the same steps and checks.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -42,6 +42,7 @@
 from damaskrill.limits import LEAST_BOUNDS, CallerGuard, HostBounds
 from damaskrill.mesh import (
     ASSIGNS_SLOTS,
+    NO_SLOTS,
     Departure,
     FeedUpdate,
     MemberEntry,
@@ -205,7 +206,7 @@
             keeps_grants=True,
             tells_all=True,
             hop_proof=1 + secrets.randbits(HOP_PROOF_BITS),
-            slots=ASSIGNS_SLOTS,
+            slots=ASSIGNS_SLOTS if settings.schedules_slots else NO_SLOTS,
         )
         self._guard = CallerGuard(
             loop=asyncio.get_event_loop(),
--- a/damaskrill/gateway/_settings.py
+++ b/damaskrill/gateway/_settings.py
@@ -39,6 +39,9 @@
         requests, in milliseconds.
     cold_factor, cold_slack : float
         A cold server gets at most its rate times the factor plus the slack per second.
+    schedules_slots : bool
+        Whether this router asks for and assigns the slots of services with few of them.
+        If more than a tenth of the routers do not, each places requests on its own.
     store_history_ms : float
         Time for which the store keeps its changes, in milliseconds.
     memory_mb : float
@@ -65,5 +68,6 @@
     cold_factor: float = 1.0
     cold_slack: float = 0.0
     store_history_ms: float = 20_000
+    schedules_slots: bool = True
     memory_mb: float = 152
     max_descriptors: float = 2_870
--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -3,6 +3,7 @@
 from damaskrill.mesh._frames import (
     ASKS_FOR_SLOTS,
     ASSIGNS_SLOTS,
+    NO_SLOTS,
     Departure,
     DirectHello,
     FeedRequest,
@@ -40,6 +41,7 @@
     "ASSIGNS_SLOTS",
     "MAX_BATCH",
     "MAX_HELD",
+    "NO_SLOTS",
     "Departure",
     "DirectHello",
     "FeedRequest",
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -35,6 +35,7 @@
 __all__ = [
     "ASKS_FOR_SLOTS",
     "ASSIGNS_SLOTS",
+    "NO_SLOTS",
     "Departure",
     "DirectHello",
     "FeedRequest",
@@ -78,6 +79,7 @@
 MAX_UINT32 = 0xFFFF_FFFF
 PERCENT = 100
 # What a router says of slots in its entry.
+NO_SLOTS = 0
 ASKS_FOR_SLOTS = 1
 ASSIGNS_SLOTS = 2
 
@@ -124,7 +126,7 @@
     keeps_grants: bool = False
     tells_all: bool = False
     hop_proof: int = 0
-    slots: int = 0
+    slots: int = NO_SLOTS
 
 
 @frozen(kw_only=True)
--- a/damaskrill/platform/_settings.py
+++ b/damaskrill/platform/_settings.py
@@ -1,6 +1,7 @@
 """Settings file of the platform."""
 
 import math
+from typing import Any
 
 from damaskrill.gateway import GatewaySettings, UnreadableSettingsError
 from damaskrill.platform._fields import CALLER_ADDRESS, parse_address, read_fields
@@ -64,7 +65,7 @@
     )
 
 
-def _to_bounds(fields: dict[str, str]) -> dict[str, float]:
+def _to_bounds(fields: dict[str, str]) -> dict[str, Any]:
     # A bound is missing if the deployment does not have the rule that it belongs to.
     bounds = {
         "grace_ms": ("bounds.gracePeriodS", MS_PER_S),
--- a/features/steps/uneven_servers_steps.py
+++ b/features/steps/uneven_servers_steps.py
@@ -461,3 +461,9 @@
     text = gateway._metrics.render({}).decode()
     line = f'damaskrill_gateway_server_slowness{{server="a-1"}} {slowness}'
     assert line in text.splitlines(), text
+
+
+@given("a gateway that is ready and places requests on its own")
+def step_ready_without_slots(context):
+    context.testbed.add_gateway(schedules_slots=False)
+    context.testbed.wait_until_ready()
--- a/features/uneven_servers.feature
+++ b/features/uneven_servers.feature
@@ -143,7 +143,7 @@
 
   Scenario: operators see how long work takes at a server and why it was passed over
     Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
-    And a gateway that is ready
+    And a gateway that is ready and places requests on its own
     And the app servers state that work takes as usual
     And app server "a-1" states that work takes 9 times as long
     When 12 callers send a read
