Recheck from the last advance, and bar a server for the shortest time after a quiet one

Changed: the next recheck counts from the last `advance`; after 64 s without a rejection the time is 2 s again.

--- a/damaskrill/scheduling/_scheduler.py
+++ b/damaskrill/scheduling/_scheduler.py
@@ -234,7 +234,8 @@
         """Return when `advance` is to be called; None if nothing is due."""
         due_ms = self._servers.next_expiry_ms
         if self._queue:
-            due_ms = min(due_ms, self._now_ms + RECHECK_MS)
+            recheck_ms = self._advanced_at_ms + RECHECK_MS
+            due_ms = min(due_ms, max(self._now_ms, recheck_ms))
         return None if math.isinf(due_ms) else due_ms
 
     def status(self) -> SchedulerStatus:
--- a/damaskrill/scheduling/_slot_server.py
+++ b/damaskrill/scheduling/_slot_server.py
@@ -7,7 +7,8 @@
 __all__ = ["SlotLease", "SlotServer"]
 
 # Time for which a server that rejected a request beyond its slots gets no more than
-# them; it doubles with each further one, up to the longest.
+# them; it doubles with each further one, up to the longest, and is the shortest again
+# after as long without one.
 MIN_REJECTION_MS = 2_000
 MAX_REJECTION_MS = 64_000
 # Weight of one statement in the count of others' requests, since it is some messages
@@ -91,6 +92,8 @@
         if n_missing > 0:
             self.n_others = max(self.n_others, float(n_missing))
             self.others_at_ms = now_ms
+        if now_ms >= self.barred_until_ms + MAX_REJECTION_MS:
+            self.barred_ms = MIN_REJECTION_MS
         if now_ms >= self.barred_until_ms:
             self.barred_until_ms = now_ms + self.barred_ms
             self.barred_ms = min(MAX_REJECTION_MS, 2 * self.barred_ms)
--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -236,3 +236,13 @@
     And 1000 requests ask, which server 1 may not run
     And a request at server 1 ends
     Then that takes at most 3 calls for each request that waits
+
+  Scenario: what is due is done although loads are stated all the time
+    Given a service with 1 server of 1 slots
+    When requests 1 to 2 ask
+    And server 1 states 1 requests each 10 ms for 1600 ms
+    Then no request waits
+
+  Scenario: rejections of other days do not bar a server for longer
+    When a server rejects a request on each of 6 days
+    Then it gets no more than its slots for 2000 ms
--- a/features/steps/scheduling_recovery_steps.py
+++ b/features/steps/scheduling_recovery_steps.py
@@ -3,12 +3,14 @@
 from behave import then, when
 
 from damaskrill.scheduling import SlotAssignment, SlotQueued
+from damaskrill.scheduling._slot_server import SlotServer
 from damaskrill.steering import ServerLoad
 from features.support.call_counter import CallCounter
 
 LONG_LIMIT_MS = 30_000.0
 FIRST_EXCLUDED = 1_000
 N_SLOTS = 24
+DAY_MS = 86_400_000
 
 
 @when("{n_requests:d} requests of {duration_ms:d} ms have run one after the other")
@@ -121,3 +123,32 @@
 def step_calls(context, n_calls):
     found = context.calls.n_calls / context.n_waiting
     assert found <= n_calls, found
+
+
+@when("server {server:d} states {n_requests:d} requests each 10 ms for {n_ms:d} ms")
+def step_state_always(context, server, n_requests, n_ms):
+    service = context.service
+    for _ in range(n_ms // 10):
+        service.now_ms += 10
+        service.state(server, n_requests)
+        service.advance(0)
+
+
+@then("no request waits")
+def step_none_waits(context):
+    found = context.service.core.status().n_waiting
+    assert found == 0, found
+
+
+@when("a server rejects a request on each of {n_days:d} days")
+def step_reject_daily(context, n_days):
+    context.slot_server = SlotServer(n_slots=4)
+    for day in range(n_days):
+        context.now_ms = day * DAY_MS
+        context.slot_server.observe_rejection(context.now_ms)
+
+
+@then("it gets no more than its slots for {n_ms:d} ms")
+def step_barred(context, n_ms):
+    found = context.slot_server.barred_until_ms - context.now_ms
+    assert found == n_ms, found
