--- a/features/scheduling_decisions.feature
+++ b/features/scheduling_decisions.feature
@@ -153,11 +153,13 @@
     When slots are released for 600 ms
     Then no more than 6 slots are in use
 
-  Scenario: 44,000 teams
+  Scenario: 44,000 teams beside a hot one, far more than the servers can run
     Given a service with 2 servers of 2 slots
-    When 44000 teams send a request each within 10 s
+    When 44000 teams send a request of 20 ms each within 10 s beside a hot team
     Then at most 256 teams are remembered
-    And no request of them was refused for its team's share
+    And the hot team's refusals are for its share in 90 of 100 cases at least
+    And those of the others in 1 of 100 cases at most
+    And no request or release takes more than 6000 calls of functions
 
   Scenario: a short request on idle servers although most take longer than its limit
     Given a service with 1 server of 4 slots
--- a/features/scheduling_order.feature
+++ b/features/scheduling_order.feature
@@ -25,6 +25,12 @@
     Then the most urgent are in time in at least 98 of 100 cases
     And teams inside their share are served in at least 95 of 100 cases
 
+  Scenario: another team is the hot one every 7 s, and those inside their share notice little
+    Given 76 routers before 6 servers of 4 slots that queue 2 requests
+    And the hot team changes every 7000 ms
+    When six teams of three priorities send 110 requests for each 80 that they can serve
+    Then teams inside their share are served in at least 98 of 100 cases
+
   Scenario: a hot team hardly changes how many requests of the others are served
     Given 3 routers before 2 servers of 4 slots that queue 2 requests
     When six teams of three priorities send 110 requests for each 80 that they can serve
@@ -40,7 +46,7 @@
     And the routers ask two schedulers
     When six teams of three priorities send 110 requests for each 80 that they can serve
     Then the most urgent are in time more often than without scheduling
-    And teams inside their share are served in at least 95 of 100 cases
+    And teams inside their share are served in at least 98 of 100 cases
     And servers reject less than 5 of 100 arrivals
 
   Scenario: two schedulers in a split view keep the most urgent in time
@@ -54,7 +60,7 @@
     And another router takes over at 10000 ms and knows of no assigned slots
     When six teams of three priorities send 110 requests for each 80 that they can serve
     Then servers reject less than 5 of 100 arrivals in the second after
-    And within 4 s of it, teams inside their share are served in at least 95 of 100 cases
+    And within 4 s of it, teams inside their share are served in at least 98 of 100 cases
     And within 4 s of it, the most urgent are in time in at least 98 of 100 cases
 
   Scenario: one of 50 releases is lost
@@ -62,7 +68,7 @@
     And 2 of 100 releases are lost
     When six teams of three priorities send 110 requests for each 80 that they can serve
     Then the most urgent are in time in at least 98 of 100 cases
-    And teams inside their share are served in at least 95 of 100 cases
+    And teams inside their share are served in at least 98 of 100 cases
     And servers reject less than 5 of 100 arrivals
 
   Scenario: half of the routers have the build before and ask nobody
--- a/features/steps/scheduling_decisions_steps.py
+++ b/features/steps/scheduling_decisions_steps.py
@@ -212,15 +212,6 @@
                 service.core.observe_load(server, load, service.now_ms, -10.0)
 
 
-@when("{n_teams:d} teams send a request each within {duration_s:d} s")
-def step_teams(context, n_teams, duration_s):
-    service = context.service
-    for number in range(n_teams):
-        service.advance(1_000 * duration_s / n_teams)
-        service.request(number, team=f"team-{number}", target_left_ms=4_000.0)
-        service.release(number)
-
-
 @then("the requests {first:d} to {last:d} have slots and the others wait")
 def step_slots(context, first, last):
     service = context.service
@@ -332,10 +323,3 @@
 def step_bounded(context, n_teams):
     assert n_teams == MAX_CLASSES
     assert len(context.service.core._demand._counts) <= n_teams
-
-
-@then("no request of them was refused for its team's share")
-def step_not_for_share(context):
-    refused = context.service.numbers(SlotRefusal)
-    reasons = {context.service.decisions[n].reason for n in refused}
-    assert SlotRefusalReason.TEAM_SHARE not in reasons, reasons
