Tell engines the urgency where priorities differ, and weigh their room in large fleets

Urgency is stated now wherever the configuration has several priorities for a service, and the room of engines counts in fleets of more than 12 routers, where a router sees few of an engine's requests; both as before where engines state their speed. The scenario on several priorities failed before.

--- a/damaskrill/experiment/_fleet.py
+++ b/damaskrill/experiment/_fleet.py
@@ -10,6 +10,7 @@
 from damaskrill.experiment._plan import ExperimentPlan
 from damaskrill.steering import (
     DIRECT_BOUNDS,
+    MAX_DIRECT_ROUTERS,
     RELAYED_BOUNDS,
     Candidate,
     HotKeys,
@@ -22,8 +23,6 @@
 
 __all__ = ["EmulatedFleet", "EmulatedRouter", "Policy"]
 
-# The same limit as in the gateway: above it most loads are relayed, not direct.
-MAX_DIRECT_ROUTERS = 12
 # Key counts are exchanged in every second round only.
 ROUNDS_PER_KEY_COUNTS = 2
 
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -24,6 +24,7 @@
 from damaskrill.limits import MemoryAccount
 from damaskrill.steering import (
     DIRECT_BOUNDS,
+    MAX_DIRECT_ROUTERS,
     RELAYED_BOUNDS,
     AnswerMetadata,
     Candidate,
@@ -48,8 +49,6 @@
 
 # An engine registered for longer has processed the prefixes of its own keys.
 WARM_AFTER_MS = 10_000
-# With more routers, most reports of a load come from other routers.
-MAX_DIRECT_ROUTERS = 12
 # Time after the start of draining in which the balancer still sends new connections.
 ACCEPT_ALL_MS = 2_800
 
@@ -156,6 +155,7 @@
             loads=loads,
             prefix_index=prefix_index,
             data_centre=data_centre,
+            n_routers=n_routers,
             log=log,
             metrics=metrics,
         )
--- a/damaskrill/gateway/_engine_steering.py
+++ b/damaskrill/gateway/_engine_steering.py
@@ -1,7 +1,7 @@
 """What a router states to engines about a request, and what it knows of their room."""
 
 import secrets
-from collections.abc import Hashable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 
 from attrs import frozen
 
@@ -9,6 +9,7 @@
 from damaskrill.eventlog import DecisionLog
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.steering import (
+    MAX_DIRECT_ROUTERS,
     AnswerMetadata,
     EngineFigures,
     EngineRoom,
@@ -43,7 +44,7 @@
 
 
 class EngineSteering:
-    """Decisions on requests to engines that state how long work takes.
+    """Decisions on requests to engines: their urgency, and the engine's room.
 
     Parameters
     ----------
@@ -55,6 +56,8 @@
         Engines that hold prompt parts.
     data_centre : str
         Data centre of this router.
+    n_routers : callable
+        Returns the number of live routers.
     log : DecisionLog
         Log of decisions.
     metrics : GatewayMetrics
@@ -68,6 +71,7 @@
         loads: ServerLoads,
         prefix_index: PrefixIndex,
         data_centre: str,
+        n_routers: Callable[[], int],
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
@@ -76,6 +80,7 @@
         self._speeds = loads.speeds
         self._prefix_index = prefix_index
         self._data_centre = data_centre
+        self._n_routers = n_routers
         self._log = log
         self._metrics = metrics
         self._urgency = EngineUrgency(salt=secrets.token_hex(8))
@@ -119,7 +124,7 @@
     def find_figures(
         self, requirements: ServerRequirements, now_ms: float
     ) -> EngineFigures | None:
-        """Return what is known of a service's engines; None if they state no speed."""
+        """Return what is known of a service's engines; None to choose without it."""
         if not requirements.affinity_keys or not self._is_known(requirements.service):
             return None
         capacity = self._capacity_of(requirements.service)
@@ -195,7 +200,14 @@
         self._urgency.retain_only(services)
 
     def _is_known(self, service: str) -> bool:
-        return self._urgency.is_known(service) and self._is_engine(service)
+        # In a large fleet a router sees few of an engine's requests, so that its own
+        # counts say less than what it knows of prompts and memory.
+        if (
+            not self._urgency.is_known(service)
+            and self._n_routers() <= MAX_DIRECT_ROUTERS
+        ):
+            return False
+        return self._is_engine(service)
 
     def _is_engine(self, service: str) -> bool:
         configuration = self._catalog.configuration
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -20,7 +20,12 @@
 from damaskrill.steering._health import HealthTracker, ServerOutcome
 from damaskrill.steering._hot_keys import HotKeys, KeyCounts
 from damaskrill.steering._latency import AnswerTimings, LatencyCause, find_latency_cause
-from damaskrill.steering._load_bounds import DIRECT_BOUNDS, RELAYED_BOUNDS, LoadBounds
+from damaskrill.steering._load_bounds import (
+    DIRECT_BOUNDS,
+    MAX_DIRECT_ROUTERS,
+    RELAYED_BOUNDS,
+    LoadBounds,
+)
 from damaskrill.steering._loads import LoadReport, ServerLoads
 from damaskrill.steering._metadata import (
     AnswerMetadata,
@@ -79,6 +84,7 @@
 __all__ = [
     "DIRECT_BOUNDS",
     "FULL_RETRY_DELAY_MS",
+    "MAX_DIRECT_ROUTERS",
     "NEW_LINK",
     "NO_REQUEST",
     "RELAYED_BOUNDS",
--- a/damaskrill/steering/_load_bounds.py
+++ b/damaskrill/steering/_load_bounds.py
@@ -2,7 +2,10 @@
 
 from attrs import frozen
 
-__all__ = ["DIRECT_BOUNDS", "RELAYED_BOUNDS", "LoadBounds"]
+__all__ = ["DIRECT_BOUNDS", "MAX_DIRECT_ROUTERS", "RELAYED_BOUNDS", "LoadBounds"]
+
+# With more routers, most reports of a load come from other routers.
+MAX_DIRECT_ROUTERS = 12
 
 
 @frozen(kw_only=True)
--- a/damaskrill/steering/_urgency.py
+++ b/damaskrill/steering/_urgency.py
@@ -11,6 +11,8 @@
 
 # Urgencies that an engine distinguishes: 0 (first) to 9.
 N_URGENCIES = 10
+# Priorities of a service from which on the operators have said what goes first.
+MIN_RANKS = 2
 # One in so many new requests of a lower rank is as urgent as those of the first rank.
 # Engines that the first rank alone would keep full serve the others at this rate.
 FLOOR_INTERVAL = 8
@@ -165,7 +167,7 @@
             Whether the request or its stream has been at a server before.
         """
         spec = configuration.services.get(service)
-        if spec is None or not spec.is_engine or service not in self._services:
+        if spec is None or not spec.is_engine:
             return None
         if configuration is not self._configuration:
             self._configuration = configuration
@@ -174,6 +176,8 @@
         if ranks is None:
             ranks = PriorityRanks.from_configuration(configuration, service)
             self._ranks[service] = ranks
+        if len(ranks) < MIN_RANKS and service not in self._services:
+            return None
         rank = ranks.rank_of(effective_priority(route, team))
         if is_in_floor(request_id, self._salt):
             rank = 0
--- a/features/engine_urgency.feature
+++ b/features/engine_urgency.feature
@@ -36,7 +36,7 @@
     Given ranks of the priorities -7, 0, 3 and 9000000000000000
     Then the ranks of -7, 3, 4 and 9000000000000001 are 0, 2, 3 and 3
 
-  Scenario Outline: only engines that state how long work takes are told
+  Scenario Outline: with one priority, only engines that state how long work takes are told
     Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
     And a gateway that is ready
     And all its servers state the load "<load>"
@@ -54,6 +54,15 @@
       | 1,0          | no   |
       | 1,x,8,100    | no   |
 
+  Scenario: engines are told where the configuration has several priorities
+    Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
+    And the operators give the team priority 0
+    And a gateway that is ready
+    And all its servers state the load "1,0,8"
+    When the gateway gets 12 streams and 4 reads whose callers state urgency 0
+    Then all streams of the team are stated as urgent as 1
+    And app servers got no urgency
+
   Scenario: a stream that goes on at another engine is more urgent than new ones
     Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
     And a gateway that is ready
--- a/features/steps/engine_urgency_steps.py
+++ b/features/steps/engine_urgency_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from damaskrill.fakes.platform import build_configuration
 from damaskrill.steering import PriorityRanks, map_urgency
 from damaskrill.steering._urgency import is_in_floor
 from features.support.gateways import PROMPT
@@ -179,3 +180,16 @@
     for _, value, request in requests:
         by_target[request.target].add(value)
     assert by_target == {b"/chat/1": {b"1"}, b"/check/1": {b"0"}}, by_target
+
+
+@given("the operators give the team priority 0")
+def step_team_priority(context):
+    teams = build_configuration()["tenants"]
+    teams[0]["priority"] = 0
+    context.testbed.configure(tenants=teams)
+
+
+@then("all streams of the team are stated as urgent as 1")
+def step_team_stated(context):
+    values = [value for _, value, _ in stated_urgencies(context, "e-")]
+    assert values == [b"1"] * 12, values
