Review bodies that wait for memory although one review failed

A review raised 'Set changed size during iteration' when a measured or evicted hold changed the account, and no further review was scheduled: bodies waited for ever. The account iterates over a copy, and the guard schedules the next review in any case.

--- a/damaskrill/limits/_account.py
+++ b/damaskrill/limits/_account.py
@@ -178,7 +178,7 @@
         self._measure(now_ms)
         slow = [
             hold
-            for hold in self._holds
+            for hold in list(self._holds)
             if hold.is_evictable
             and hold.is_from_caller
             and not hold.n_wanted
@@ -193,7 +193,7 @@
         if others + n_bytes <= self._large_limit:
             return True
         return n_bytes > self._large_limit and not any(
-            each.n_bytes > SMALL_BYTES for each in self._holds if each is not hold
+            each.n_bytes > SMALL_BYTES for each in list(self._holds) if each is not hold
         )
 
     def _make_room(self, newcomer: Hold, now_ms: float) -> None:
@@ -201,7 +201,7 @@
         while max(newcomer.n_bytes, self._capacity) < self._n_bytes:
             victims = [
                 hold
-                for hold in self._holds
+                for hold in list(self._holds)
                 if hold.is_evictable
                 and (hold is not newcomer or hold.n_bytes > SMALL_BYTES)
             ]
--- a/damaskrill/limits/_guard.py
+++ b/damaskrill/limits/_guard.py
@@ -83,9 +83,11 @@
 
     def _review_now(self) -> None:
         self._is_review_due = False
-        self.account.review(monotonic_now_ms())
-        if self.account.n_waiting:
-            self.watch()
+        try:
+            self.account.review(monotonic_now_ms())
+        finally:
+            if self.account.n_waiting:
+                self.watch()
 
     def watch(self) -> None:
         """Review until no body waits and each event stands in a line."""
@@ -97,9 +99,11 @@
     def _review(self) -> None:
         self._timer = None
         now_ms = monotonic_now_ms()
-        self.account.review(now_ms)
-        for key, n_events in self._lines.flush(now_ms):
-            event, fields = self._fields[key]
-            self._report(event, n_events=n_events, **fields)
-        if self.account.n_waiting or self._lines.has_unlogged:
-            self.watch()
+        try:
+            self.account.review(now_ms)
+            for key, n_events in self._lines.flush(now_ms):
+                event, fields = self._fields[key]
+                self._report(event, n_events=n_events, **fields)
+        finally:
+            if self.account.n_waiting or self._lines.has_unlogged:
+                self.watch()
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -47,6 +47,11 @@
       | 300    | 4100        | 94400000  | 2925        |
       | 552    | 8192        | 195200000 | 5994        |
 
+  Scenario: reviews go on after one of them has failed
+    Given a guard whose account has a body that waits
+    When a review fails
+    Then another review is due
+
   Scenario: bounds that are no finite numbers are refused
     Then settings with a memory of "nan", "inf" or "much" are refused
 
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -8,6 +8,7 @@
 from damaskrill.fakes.platform import build_settings
 from damaskrill.gateway import UnreadableSettingsError
 from damaskrill.limits import (
+    CallerGuard,
     CauseLines,
     ConnectionBound,
     Eviction,
@@ -212,6 +213,47 @@
         raise AssertionError(value)
 
 
+class FakeLoop:
+    def __init__(self):
+        self.timers = []
+
+    def call_soon(self, action):
+        action()
+
+    def call_later(self, _delay_s, action):
+        self.timers.append(action)
+
+
+@given("a guard whose account has a body that waits")
+def step_guard(context):
+    context.loop = FakeLoop()
+    bounds = HostBounds(memory_mb=0, max_descriptors=0)
+    guard = CallerGuard(loop=context.loop, report=lambda *_, **__: None, bounds=bounds)
+    served = Hold(evict=lambda _: None, is_evictable=False)
+    guard.account.charge(served, 5 * MB, 0.0)
+    guard.account.request(Hold(evict=lambda _: None), 4 * MB, 0.0, lambda: None)
+    context.guard = guard
+
+
+@when("a review fails")
+def step_fail(context):
+    def fail(_now_ms):
+        raise ZeroDivisionError
+
+    context.guard.watch()
+    context.guard.account.review = fail
+    try:
+        context.loop.timers.pop()()
+    except ZeroDivisionError:
+        return
+    raise AssertionError("the review did not fail")
+
+
+@then("another review is due")
+def step_due(context):
+    assert len(context.loop.timers) == 1
+
+
 class FakeConnection:
     def __init__(self, since_ms):
         self.waits_since_ms = self.idle_since_ms = since_ms
