Disconnect a caller whose parsing turn raised an error

Twisted disconnects for an error in dataReceived, but not for one in a turn, which the event loop runs: the connection stayed open and counted as busy. Failed before: 'an error in a turn ends the connection'.

--- a/damaskrill/http1/_request_reader.py
+++ b/damaskrill/http1/_request_reader.py
@@ -65,6 +65,7 @@
         self._factory = factory
         self._memory = memory
         self._gate = ReadGate(transport)
+        self._abort = transport.abortConnection
         self._may_parse = may_parse
         self._handle_end = handle_end
         self._refuse = refuse
@@ -127,7 +128,12 @@
     def _take_turn(self) -> None:
         self._is_in_turn = False
         if not self._memory.is_waiting and self._may_parse():
-            self._parse(EVENTS_PER_TURN)
+            try:
+                self._parse(EVENTS_PER_TURN)
+            except BaseException:
+                # Twisted does so for an error in what it calls itself.
+                self._abort()
+                raise
 
     def _parse(self, n_parts: int = FIRST_PARTS) -> None:
         self._is_parsing = True
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -115,6 +115,12 @@
     When 100 connections to its readiness address are opened and send nothing
     Then at most 40 of them are open, and a readiness check is answered after 1.1 s
 
+  Scenario: an error in a turn ends the connection
+    Given a platform with 2 app servers that answer with 300 KB
+    And a router with 152 MB of memory
+    When its handler fails, and a caller sends a body of 100 chunks
+    Then the caller is disconnected, and no connection counts as busy
+
   Scenario: a caller that reads nothing of a whole answer is disconnected
     Given a platform with 2 app servers that answer with 7900 KB
     And a router with 152 MB of memory
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -518,6 +518,33 @@
     assert context.testbed.runs_of(context.reply.request_id) == 0
 
 
+@when("its handler fails, and a caller sends a body of {n:d} chunks")
+def step_handler_fails(context, n):
+    def fail(_connection, _request):
+        raise ZeroDivisionError
+
+    async def run():
+        context.gateway._callers.handle = fail
+        caller = await Caller.open(context.gateway._settings.caller_address)
+        head = build_request("/read/1")[0].partition(b"Content-Length")[0]
+        body = b"1\r\nx\r\n" * n + b"0\r\n\r\n"
+        caller.send(head + b"Transfer-Encoding: chunked\r\n\r\n" + body)
+        try:
+            context.end = await asyncio.wait_for(caller.reader.read(), 1)
+        except (ConnectionError, TimeoutError) as error:
+            context.end = error
+        context.n_busy = context.gateway._guard.bound.n_busy
+        caller.close()
+
+    context.testbed.call(run)
+
+
+@then("the caller is disconnected, and no connection counts as busy")
+def step_disconnected(context):
+    assert not isinstance(context.end, TimeoutError)
+    assert context.n_busy == 0, context.n_busy
+
+
 @when("{n:d} connections to its readiness address are opened and send nothing")
 def step_readiness(context, n):
     address = context.gateway._settings.readiness_address
