Notice a disconnect, and keep a running request, with bytes sent ahead

A caller with more than 4,096 bytes ahead was not read any more, so its disconnect was not noticed while its request ran; and its running request was dropped as a slow or large hold for those bytes. Bytes ahead of a running request are not evictable; a connection that the router does not read does not count as slow, and progress counts from when it is read on. Failed before: 'the end of a connection with bytes sent ahead is noticed', 'a running request is not dropped for bytes sent ahead'.

--- a/damaskrill/http1/_caller_memory.py
+++ b/damaskrill/http1/_caller_memory.py
@@ -54,6 +54,7 @@
         self._n_reserved = self._n_asked = 0
         self._n_ahead = 0
         self._n_unread = 0
+        self._is_running = False
         self._waits_since_ms = 0.0
         # Time that the body has waited for memory, in milliseconds.
         self.waited_ms = 0.0
@@ -63,6 +64,11 @@
         """Bytes of the body so far."""
         return len(self._body)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether more may be read than is needed now."""
+        return self._account.has_room
+
     @property
     def is_waiting(self) -> bool:
         """Whether the body waits for memory."""
@@ -95,11 +101,13 @@
 
     def take(self) -> bytes:
         """Return the complete body, which is kept while the request is served."""
+        # What counts now or is sent ahead meanwhile does not end a running request.
+        self._hold.is_evictable = False
+        self._is_running = True
         if not self._body:
             return b""
         body, self._body = bytes(self._body), bytearray()
         if self._n_reserved:
-            self._hold.is_evictable = False
             n_needed = len(body) * N_COPIES
             if n_needed != self._n_reserved:
                 self._n_reserved = n_needed
@@ -112,6 +120,9 @@
             n_bytes = 0
         if is_paused:
             n_bytes += SOCKET_BYTES
+        if is_paused is not self._hold.is_paused:
+            self._hold.is_paused = is_paused
+            self._hold.begin(monotonic_now_ms())
         if n_bytes != self._n_ahead:
             if not self._hold.n_bytes:
                 self._hold.begin(monotonic_now_ms())
@@ -136,9 +147,11 @@
             self._account.release(hold)
             if self._account.n_waiting:
                 self._review()
+        hold.is_evictable = True
+        self._is_running = False
         if hold.measure is not None or self._n_reserved or self._n_ahead:
             hold.measure = None
-            hold.is_evictable = True
+            hold.is_paused = False
             self._n_reserved = self._n_ahead = self._n_unread = 0
         self.waited_ms = 0.0
 
@@ -148,7 +161,11 @@
         self._go_on()
 
     def _measure(self) -> int:
-        return self._n_reserved + self._n_ahead + count_unsent_bytes(self._transport)
+        self._n_unread = count_unsent_bytes(self._transport)
+        if not self._n_unread and self._is_running:
+            self._hold.is_evictable = False
+            self._hold.measure = None
+        return self._n_reserved + self._n_ahead + self._n_unread
 
     def _reserve(self, n_bytes: int) -> None:
         n_all = n_bytes + self._n_ahead + self._n_unread
--- a/damaskrill/http1/_request_reader.py
+++ b/damaskrill/http1/_request_reader.py
@@ -16,8 +16,10 @@
 __all__ = ["RequestReader"]
 
 # Bytes sent ahead while a request is being answered, after which the others wait in the
-# socket. Less is read on, so that the end of the connection is noticed.
-MAX_AHEAD_BYTES = 4_096
+# socket: in calm, and if memory is short. Less is read on, so that the end of the
+# connection is noticed.
+MAX_AHEAD_BYTES = 262_144
+SHORT_AHEAD_BYTES = 4_096
 # Parts that are parsed as they arrive; an ordinary request has about five. Many
 # connections may have bytes in one iteration of the event loop; the rest has turns.
 FIRST_PARTS = 16
@@ -155,10 +157,17 @@
         self._keep_ahead()
 
     def _keep_ahead(self) -> None:
+        if self._is_discarding:
+            return
         n_unparsed = self.n_unparsed
-        if not self._is_discarding and (self.is_held or n_unparsed > MAX_AHEAD_BYTES):
+        if self.is_held or (
+            n_unparsed > SHORT_AHEAD_BYTES
+            and (n_unparsed > MAX_AHEAD_BYTES or not self._memory.has_room)
+        ):
             self._gate.close()
             self._memory.note_ahead(n_unparsed, is_paused=True)
+        else:
+            self._read_on()
 
     def _read_on(self) -> None:
         self._memory.note_ahead(self.n_unparsed)
--- a/damaskrill/limits/_account.py
+++ b/damaskrill/limits/_account.py
@@ -11,6 +11,8 @@
 SMALL_BYTES = 131_072
 # Fraction of the account that only small holds may use.
 RESERVE_FRACTION = 0.25
+# Fraction of the account up to which requests that are sent ahead are read.
+AHEAD_FRACTION = 0.5
 # A caller that sends nothing for this long while others wait goes first. Callers inside
 # the limits send a body without a pause.
 STALL_MS = 500
@@ -42,6 +44,8 @@
         Whether they can be given up; not those of a request that may run.
     is_from_caller : bool
         Whether a caller decides how fast they come or go.
+    is_paused : bool
+        Whether the router does not read what the caller sends.
     measure : callable or None
         Returns how many bytes are left of an answer that the caller reads.
     n_bytes : int
@@ -57,6 +61,7 @@
     evict: Callable[[Eviction], None]
     is_evictable: bool = True
     is_from_caller: bool = True
+    is_paused: bool = False
     measure: Callable[[], int] | None = None
     n_bytes: int = 0
     since_ms: float = 0.0
@@ -78,6 +83,8 @@
 
     def is_slow(self, now_ms: float) -> bool:
         """Return whether the caller has stopped, or sends slowly."""
+        if self.is_paused and self.measure is None:
+            return False
         if now_ms - self.progress_at_ms > STALL_MS:
             return True
         elapsed_ms = now_ms - self.since_ms
@@ -121,6 +128,11 @@
         """Largest number of bytes so far."""
         return self._max_bytes
 
+    @property
+    def has_room(self) -> bool:
+        """Whether no hold waits, and a good part is free."""
+        return not self._waiting and self._n_bytes < self._capacity * AHEAD_FRACTION
+
     @property
     def n_waiting(self) -> int:
         """Number of holds that wait for memory."""
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -121,6 +121,17 @@
     When its handler fails, and a caller sends a body of 100 chunks
     Then the caller is disconnected, and no connection counts as busy
 
+  Scenario: the end of a connection with bytes sent ahead is noticed
+    Given a platform with 2 app servers that answer with 300 KB
+    And a router with 152 MB of memory
+    When a caller sends a request and 100 KB ahead, and disconnects
+    Then its request's handler learns of it within 1 s
+
+  Scenario: a running request is not dropped for bytes sent ahead
+    Given an account of 40 MB
+    When a request runs with 100 KB sent ahead, and others need the memory
+    Then the others were given up, and not the running one
+
   Scenario: a caller that reads nothing of a whole answer is disconnected
     Given a platform with 2 app servers that answer with 7900 KB
     And a router with 152 MB of memory
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -7,6 +7,7 @@
 
 from damaskrill.fakes.platform import build_settings
 from damaskrill.gateway import UnreadableSettingsError
+from damaskrill.http1._caller_memory import CallerMemory
 from damaskrill.limits import (
     CallerGuard,
     CauseLines,
@@ -19,6 +20,7 @@
     body_time_left_ms,
 )
 from damaskrill.platform._settings import read_platform_settings
+from damaskrill.utils import monotonic_now_ms
 from features.support.gateways import Caller, GatewayTestbed, build_request
 
 MB, KB = 1_000_000, 1_000
@@ -545,6 +547,55 @@
     assert context.n_busy == 0, context.n_busy
 
 
+@when("a caller sends a request and {n_kb:d} KB ahead, and disconnects")
+def step_ahead_and_leave(context, n_kb):
+    data = build_request("/read/1", body=b"")[0]
+    context.ended = []
+
+    def handle(connection, _request):
+        connection.on_disconnect = lambda: context.ended.append(connection)
+
+    async def run():
+        context.gateway._callers.handle = handle
+        caller = await Caller.open(context.gateway._settings.caller_address)
+        caller.send(data * (1 + n_kb * KB // len(data)))
+        await asyncio.sleep(0.1)
+        caller.close()
+
+    context.testbed.call(run)
+
+
+@then("its request's handler learns of it within {n:d} s")
+def step_learns(context, n):
+    assert context.testbed.wait_for(lambda: context.ended, timeout_s=n)
+
+
+@when("a request runs with {n_kb:d} KB sent ahead, and others need the memory")
+def step_runs(context, n_kb):
+    ledger = context.ledger
+    context.dropped = []
+    memory = CallerMemory(
+        account=ledger.account,
+        transport=None,
+        evict=context.dropped.append,
+        go_on=lambda: None,
+        review=lambda: None,
+    )
+    memory.take()
+    memory.note_ahead(n_kb * KB, is_paused=True)
+    for _ in range(20):
+        ledger.request(2 * MB)
+    ledger.now_ms = monotonic_now_ms() + 1_000
+    ledger.account.review(ledger.now_ms)
+    for _ in range(400):
+        ledger.account.charge(ledger.build(), 120 * KB, ledger.now_ms)
+
+
+@then("the others were given up, and not the running one")
+def step_others_given_up(context):
+    assert context.ledger.evicted and not context.dropped
+
+
 @when("{n:d} connections to its readiness address are opened and send nothing")
 def step_readiness(context, n):
     address = context.gateway._settings.readiness_address
