Serve large uploads at ordinary speeds and in small chunks in calm

6 bodies of 4 MB in chunks of 500 bytes at 152 MB waited for each other and got 503, as did 8 by length at a few MB/s: two copies were reserved from the head on, each wait ended after a second, and a pause of 0.5 s counted as a stop. Now one copy is reserved while a body is received and the second when it is complete; one growing body at a time may use the reserve; a wait ends if no large body has made progress for a second, or after the idle timeout; a body is stalled after a third of the idle timeout, or after 0.5 s if small requests need the memory.

--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -119,6 +119,7 @@
             evict=self._evict,
             go_on=lambda: self._reader.go_on(),
             review=self._shared.review_soon,
+            idle_timeout_ms=factory.limits.idle_timeout_ms,
         )
         self._reader = RequestReader(
             http=self._http,
--- a/damaskrill/http1/_caller_memory.py
+++ b/damaskrill/http1/_caller_memory.py
@@ -34,6 +34,8 @@
         Called when the body that has waited may be read on.
     review : callable
         Called when a body begins to wait, or when others wait and memory is free.
+    idle_timeout_ms : float
+        Longest time without a byte of the caller.
     """
 
     def __init__(
@@ -44,12 +46,13 @@
         evict: Callable[[Eviction], None],
         go_on: Callable[[], None],
         review: Callable[[], None],
+        idle_timeout_ms: float = 15_000.0,
     ) -> None:
         self._account = account
         self._transport = transport
         self._go_on = go_on
         self._review = review
-        self._hold = Hold(evict=evict)
+        self._hold = Hold(evict=evict, patience_ms=idle_timeout_ms)
         self._body = bytearray()
         self._n_reserved = self._n_asked = 0
         self._n_ahead = 0
@@ -77,7 +80,8 @@
     def announce(self, n_bytes: int) -> None:
         """Ask for the space of a body that counts, and whose length is known."""
         self._hold.begin(monotonic_now_ms())
-        self._reserve(n_bytes * N_COPIES)
+        self._hold.n_later = n_bytes * (N_COPIES - 1)
+        self._reserve(n_bytes)
 
     def append(self, data: bytearray) -> None:
         """Add bytes of the body, and ask for more space if it is longer.
@@ -90,15 +94,22 @@
             self._body += data
         else:
             self._body = data
-        n_needed = len(self._body) * N_COPIES
+        n_needed = len(self._body)
         if self._n_reserved:
             self._hold.record_received(len(data), monotonic_now_ms())
-        if n_needed > max(COUNTED_BYTES, self._n_reserved):
+        if n_needed > max(COUNTED_BYTES // N_COPIES, self._n_reserved):
             if not self._n_reserved:
                 self._hold.begin(monotonic_now_ms())
             step = max(FIRST_STEP_BYTES, 2 * self._n_reserved)
             self._reserve(max(n_needed, step))
 
+    def complete(self) -> bool:
+        """Ask for the second copy of the body; return whether it has room now."""
+        n_needed = len(self._body) * N_COPIES
+        if n_needed > max(FIRST_STEP_BYTES, self._n_reserved):
+            self._reserve(n_needed)
+        return not self.is_waiting
+
     def take(self) -> bytes:
         """Return the complete body, which is kept while the request is served."""
         # What counts now or is sent ahead meanwhile does not end a running request.
@@ -122,7 +133,7 @@
             n_bytes += SOCKET_BYTES
         if is_paused is not self._hold.is_paused:
             self._hold.is_paused = is_paused
-            self._hold.begin(monotonic_now_ms())
+            self._hold.resume(monotonic_now_ms())
         if n_bytes != self._n_ahead:
             if not self._hold.n_bytes:
                 self._hold.begin(monotonic_now_ms())
--- a/damaskrill/http1/_request_reader.py
+++ b/damaskrill/http1/_request_reader.py
@@ -76,6 +76,8 @@
         self._is_parsing = False
         self._is_in_turn = False
         self._is_discarding = False
+        # Whether a body is complete that waits for the memory to be sent.
+        self._is_complete = False
         self._head_limit_at_ms: float | None = None
         self.head: h11.Request | None = None
         self.head_at_ms = 0.0
@@ -131,7 +133,12 @@
         self._is_in_turn = False
         if not self._memory.is_waiting and self._may_parse():
             try:
-                self._parse(EVENTS_PER_TURN)
+                if self._is_complete and self.head is not None:
+                    self._is_complete = False
+                    self._handle_end(self.head, self._memory.take())
+                    self._keep_ahead()
+                else:
+                    self._parse(EVENTS_PER_TURN)
             except BaseException:
                 # Twisted does so for an error in what it calls itself.
                 self._abort()
@@ -209,7 +216,9 @@
                     data if isinstance(data, bytearray) else bytearray(data)
                 )
             case h11.EndOfMessage() if self.head is not None:
-                self._handle_end(self.head, self._memory.take())
+                self._is_complete = not self._memory.complete()
+                if not self._is_complete:
+                    self._handle_end(self.head, self._memory.take())
         return not self._memory.is_waiting and self._may_parse()
 
     def _handle_head(self, head: h11.Request) -> bool:
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -5,7 +5,7 @@
     Given an account of 40 MB
     When 100 bodies of 2 MB are asked for, and none of them ends
     Then at most 30 MB are held, and 15 bodies have memory
-    When 600 ms have passed
+    When 1100 ms have passed
     Then the 15 bodies without progress were given up as "slow_caller"
     And 15 other bodies have memory
 
@@ -121,6 +121,18 @@
     When its handler fails, and a caller sends a body of 100 chunks
     Then the caller is disconnected, and no connection counts as busy
 
+  Scenario Outline: uploads in calm at ordinary speeds are all served
+    Given a platform with 2 app servers and bodies of up to 4 MB
+    And a router with <memory> MB of memory
+    When <n> callers send bodies of <size> KB in <framing>, with <pause> ms of pauses
+    Then each of them gets 200
+
+    Examples: chunks of 500 bytes, and links of 1 to 8 MB/s with a pause
+      | memory | n | size | framing             | pause |
+      | 152    | 6 | 4000 | chunks of 500 bytes | 0     |
+      | 152    | 8 | 4000 | parts of 64 KB      | 1500  |
+      | 152    | 8 | 4000 | parts with a stop   | 700   |
+
   Scenario: the end of a connection with bytes sent ahead is noticed
     Given a platform with 2 app servers that answer with 300 KB
     And a router with 152 MB of memory
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -30,6 +30,7 @@
     "headerTimeoutMs": 3_000,
     "idleTimeoutMs": 2_000,
 }
+CALM_LIMITS = {"maxBodyBytes": 4 * MB, "idleTimeoutMs": 15_000}
 
 
 class Ledger:
@@ -391,6 +392,12 @@
         context.testbed.servers[f"a-{number}"].n_body_bytes = n_kb * KB
 
 
+@given("a platform with {n:d} app servers and bodies of up to 4 MB")
+def step_calm_platform(context, n):
+    step_platform(context, n, 10)
+    context.testbed.configure(limits={**LIMITS, **CALM_LIMITS})
+
+
 @given("a router with {n_mb:d} MB of memory")
 def step_router(context, n_mb):
     context.gateway = context.testbed.add_gateway(memory_mb=n_mb)
@@ -596,6 +603,46 @@
     assert context.ledger.evicted and not context.dropped
 
 
+@when(
+    "{n:d} callers send bodies of {n_kb:d} KB in {framing}, with {pause:d} ms of pauses"
+)
+def step_framed(context, n, n_kb, framing, pause):
+    address = context.gateway._settings.caller_address
+    head = build_request("/read/1")[0].partition(b"Content-Length")[0]
+    n_bytes = n_kb * KB
+    length = head + b"Content-Length: %d\r\n\r\n" % n_bytes
+    parts, between_s = [], 0.0
+    if framing == "chunks of 500 bytes":
+        chunk = b"1f4\r\n" + b"x" * 500 + b"\r\n"
+        parts = [
+            head + b"Transfer-Encoding: chunked\r\n\r\n",
+            chunk * (n_bytes // 500) + b"0\r\n\r\n",
+        ]
+    elif framing == "parts of 64 KB":
+        part = b"x" * 64_000
+        parts = [length, *[part] * (n_bytes // 64_000), b"x" * (n_bytes % 64_000)]
+        between_s = pause / 1_000 / len(parts)
+    else:
+        parts = [length + b"x" * (n_bytes // 2), b"x" * (n_bytes // 2)]
+        between_s = pause / 1_000
+
+    async def send():
+        caller = await Caller.open(address)
+        for number, part in enumerate(parts):
+            if number:
+                await asyncio.sleep(between_s)
+            caller.send(part)
+            await caller.writer.drain()
+        reply = await caller.read_reply()
+        caller.close()
+        return reply.status
+
+    async def run():
+        return await asyncio.gather(*(send() for _ in range(n)))
+
+    context.statuses = context.testbed.call(run)
+
+
 @when("{n:d} connections to its readiness address are opened and send nothing")
 def step_readiness(context, n):
     address = context.gateway._settings.readiness_address
