--- a/damaskrill/limits/_rate.py
+++ b/damaskrill/limits/_rate.py
@@ -2,9 +2,9 @@
 
 __all__ = ["body_time_left_ms"]
 
-# Slowest average rate of a body, in bytes per second, after one idle timeout: a body of
-# 4 MB on a link of 10 Mbit/s that 70 callers share.
-MIN_BODY_RATE_BYTES_S = 16_384
+# Slowest average rate of a body, in bytes per second, after one idle timeout:
+# less than any link of a caller inside the limits.
+MIN_BODY_RATE_BYTES_S = 1_024
 MS_PER_S = 1_000
 
 
