Drop no connection that has become busy, and tell its handler

Between two looks an idle connection could get a request and was then dropped as if it had been closed; one just closed gracefully was dropped first. A drop did not call on_disconnect.

--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -200,8 +200,10 @@
     def drop(self) -> None:
         """Abort the connection to make room for others."""
         self._shared.record("caller_dropped", "idle")
-        self._is_dropped = True
-        self.abort()
+        # The handler of a request learns of it as of any other disconnect.
+        self._is_dropped = self._is_closing = self._is_disconnected = True
+        transport: Any = self.transport
+        transport.abortConnection()
 
     def _may_parse(self) -> bool:
         return not (self._is_busy or self._is_closing or self._unread is not None)
--- a/damaskrill/limits/_connections.py
+++ b/damaskrill/limits/_connections.py
@@ -45,8 +45,8 @@
         """Close it at once."""
 
 
-# A connection, and since when it has waited.
-Candidate = tuple[BoundedConnection, float | None]
+# A connection, since when it has waited, and whether it was idle.
+Candidate = tuple[BoundedConnection, float | None, bool]
 
 
 class ConnectionBound:
@@ -105,8 +105,9 @@
             idle = _pop_valid(self._idle)
             if idle is not None:
                 idle.close_if_idle()
-                self._n_lingering += 1
-                self._others.appendleft((idle, None))
+                if idle.is_lingering:
+                    self._n_lingering += 1
+                    self._others.append((idle, None, False))
         if n_counted < self._max:
             return True
         victim = _pop_valid(self._others)
@@ -120,16 +121,16 @@
         if now_ms - self._scanned_ms < SCAN_INTERVAL_MS:
             return
         self._scanned_ms = now_ms
-        lingering = [(each, None) for each in connections if each.is_lingering]
+        lingering = [(each, None, False) for each in connections if each.is_lingering]
         idle, waiting = [], []
         for each in connections:
             since_ms = each.waits_since_ms
             if since_ms is None:
                 continue
             if each.idle_since_ms is not None:
-                idle.append((each, since_ms))
+                idle.append((each, since_ms, True))
             elif now_ms - since_ms >= MIN_AGE_MS:
-                waiting.append((each, since_ms))
+                waiting.append((each, since_ms, False))
         idle.sort(key=lambda pair: pair[1])
         waiting.sort(key=lambda pair: pair[1])
         self._n_lingering = len(lingering)
@@ -140,8 +141,12 @@
 def _pop_valid(candidates: deque[Candidate]) -> BoundedConnection | None:
     """Return the first connection whose state is still that of the scan."""
     while candidates:
-        connection, since_ms = candidates.popleft()
+        connection, since_ms, was_idle = candidates.popleft()
         if connection.is_dropped or connection.waits_since_ms != since_ms:
             continue
+        if since_ms is None and not connection.is_lingering:
+            continue
+        if was_idle and connection.idle_since_ms is None:
+            continue
         return connection
     return None
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -61,6 +61,14 @@
     And 10 more are opened
     Then the 10 that were idle longest are closed, and no new one is
 
+  Scenario: a connection that has become busy is not dropped
+    Given a bound of 20 connections
+    When an idle connection becomes busy between two looks
+    Then it is not dropped
+
+  Scenario: a steady slow upload is served
+    Then 60 KB at 2 KB/s with an idle timeout of 5 s are read to the end
+
   Scenario: a body that comes a byte at a time ends
     When a caller sends a byte of its body each 1.9 s with an idle timeout of 2 s
     Then it is read for no more than 3 s
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -304,6 +304,38 @@
     assert not any(each.is_lingering for each in context.new)
 
 
+@when("an idle connection becomes busy between two looks")
+def step_becomes_busy(context):
+    bound, first = context.bound, FakeConnection(0.0)
+    others = [FakeConnection(None) for _ in range(9)]
+    bound.n_busy = 8
+    bound._scan([first, *others], 5_000.0)
+    # The first part of its request has come.
+    first.idle_since_ms = None
+    first.close_if_idle = lambda: None
+    bound.make_room([first, *others], 5_010.0)
+    first.waits_since_ms = None
+    bound.n_busy = 9
+    bound.make_room([first, *others, FakeConnection(None)], 5_020.0)
+    context.first = first
+
+
+@then("it is not dropped")
+def step_not_dropped(context):
+    assert not context.first.is_dropped
+
+
+@then("60 KB at 2 KB/s with an idle timeout of 5 s are read to the end")
+def step_steady(context):
+    for second in range(1, 31):
+        left_ms = body_time_left_ms(
+            elapsed_ms=second * 1_000.0,
+            n_received=second * 2_000,
+            idle_timeout_ms=5_000,
+        )
+        assert left_ms >= 1_000, (second, left_ms)
+
+
 @when("a caller sends a byte of its body each 1.9 s with an idle timeout of 2 s")
 def step_drip(context):
     now_ms, n_received = 0.0, 0
