--- a/damaskrill/http1/_caller_memory.py
+++ b/damaskrill/http1/_caller_memory.py
@@ -34,6 +34,8 @@
         Called when the body that has waited may be read on.
     review : callable
         Called when a body begins to wait, or when others wait and memory is free.
+    idle_timeout_ms : float
+        Longest time without a byte of the caller.
     """
 
     def __init__(
@@ -44,16 +46,18 @@
         evict: Callable[[Eviction], None],
         go_on: Callable[[], None],
         review: Callable[[], None],
+        idle_timeout_ms: float = 15_000.0,
     ) -> None:
         self._account = account
         self._transport = transport
         self._go_on = go_on
         self._review = review
-        self._hold = Hold(evict=evict)
+        self._hold = Hold(evict=evict, patience_ms=idle_timeout_ms)
         self._body = bytearray()
         self._n_reserved = self._n_asked = 0
         self._n_ahead = 0
         self._n_unread = 0
+        self._is_running = False
         self._waits_since_ms = 0.0
         # Time that the body has waited for memory, in milliseconds.
         self.waited_ms = 0.0
@@ -63,6 +67,11 @@
         """Bytes of the body so far."""
         return len(self._body)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether more may be read than is needed now."""
+        return self._account.has_room
+
     @property
     def is_waiting(self) -> bool:
         """Whether the body waits for memory."""
@@ -71,7 +80,8 @@
     def announce(self, n_bytes: int) -> None:
         """Ask for the space of a body that counts, and whose length is known."""
         self._hold.begin(monotonic_now_ms())
-        self._reserve(n_bytes * N_COPIES)
+        self._hold.n_later = n_bytes * (N_COPIES - 1)
+        self._reserve(n_bytes)
 
     def append(self, data: bytearray) -> None:
         """Add bytes of the body, and ask for more space if it is longer.
@@ -84,22 +94,31 @@
             self._body += data
         else:
             self._body = data
-        n_needed = len(self._body) * N_COPIES
+        n_needed = len(self._body)
         if self._n_reserved:
             self._hold.record_received(len(data), monotonic_now_ms())
-        if n_needed > max(COUNTED_BYTES, self._n_reserved):
+        if n_needed > max(COUNTED_BYTES // N_COPIES, self._n_reserved):
             if not self._n_reserved:
                 self._hold.begin(monotonic_now_ms())
             step = max(FIRST_STEP_BYTES, 2 * self._n_reserved)
             self._reserve(max(n_needed, step))
 
+    def complete(self) -> bool:
+        """Ask for the second copy of the body; return whether it has room now."""
+        n_needed = len(self._body) * N_COPIES
+        if n_needed > max(FIRST_STEP_BYTES, self._n_reserved):
+            self._reserve(n_needed)
+        return not self.is_waiting
+
     def take(self) -> bytes:
         """Return the complete body, which is kept while the request is served."""
+        # What counts now or is sent ahead meanwhile does not end a running request.
+        self._hold.is_evictable = False
+        self._is_running = True
         if not self._body:
             return b""
         body, self._body = bytes(self._body), bytearray()
         if self._n_reserved:
-            self._hold.is_evictable = False
             n_needed = len(body) * N_COPIES
             if n_needed != self._n_reserved:
                 self._n_reserved = n_needed
@@ -112,6 +131,9 @@
             n_bytes = 0
         if is_paused:
             n_bytes += SOCKET_BYTES
+        if is_paused is not self._hold.is_paused:
+            self._hold.is_paused = is_paused
+            self._hold.resume(monotonic_now_ms())
         if n_bytes != self._n_ahead:
             if not self._hold.n_bytes:
                 self._hold.begin(monotonic_now_ms())
@@ -136,9 +158,11 @@
             self._account.release(hold)
             if self._account.n_waiting:
                 self._review()
+        hold.is_evictable = True
+        self._is_running = False
         if hold.measure is not None or self._n_reserved or self._n_ahead:
             hold.measure = None
-            hold.is_evictable = True
+            hold.is_paused = False
             self._n_reserved = self._n_ahead = self._n_unread = 0
         self.waited_ms = 0.0
 
@@ -148,7 +172,11 @@
         self._go_on()
 
     def _measure(self) -> int:
-        return self._n_reserved + self._n_ahead + count_unsent_bytes(self._transport)
+        self._n_unread = count_unsent_bytes(self._transport)
+        if not self._n_unread and self._is_running:
+            self._hold.is_evictable = False
+            self._hold.measure = None
+        return self._n_reserved + self._n_ahead + self._n_unread
 
     def _reserve(self, n_bytes: int) -> None:
         n_all = n_bytes + self._n_ahead + self._n_unread
--- a/damaskrill/http1/_request_reader.py
+++ b/damaskrill/http1/_request_reader.py
@@ -16,8 +16,10 @@
 __all__ = ["RequestReader"]
 
 # Bytes sent ahead while a request is being answered, after which the others wait in the
-# socket. Less is read on, so that the end of the connection is noticed.
-MAX_AHEAD_BYTES = 4_096
+# socket: in calm, and if memory is short. Less is read on, so that the end of the
+# connection is noticed.
+MAX_AHEAD_BYTES = 262_144
+SHORT_AHEAD_BYTES = 4_096
 # Parts that are parsed as they arrive; an ordinary request has about five. Many
 # connections may have bytes in one iteration of the event loop; the rest has turns.
 FIRST_PARTS = 16
@@ -65,6 +67,7 @@
         self._factory = factory
         self._memory = memory
         self._gate = ReadGate(transport)
+        self._abort = transport.abortConnection
         self._may_parse = may_parse
         self._handle_end = handle_end
         self._refuse = refuse
@@ -73,6 +76,8 @@
         self._is_parsing = False
         self._is_in_turn = False
         self._is_discarding = False
+        # Whether a body is complete that waits for the memory to be sent.
+        self._is_complete = False
         self._head_limit_at_ms: float | None = None
         self.head: h11.Request | None = None
         self.head_at_ms = 0.0
@@ -127,7 +132,17 @@
     def _take_turn(self) -> None:
         self._is_in_turn = False
         if not self._memory.is_waiting and self._may_parse():
-            self._parse(EVENTS_PER_TURN)
+            try:
+                if self._is_complete and self.head is not None:
+                    self._is_complete = False
+                    self._handle_end(self.head, self._memory.take())
+                    self._keep_ahead()
+                else:
+                    self._parse(EVENTS_PER_TURN)
+            except BaseException:
+                # Twisted does so for an error in what it calls itself.
+                self._abort()
+                raise
 
     def _parse(self, n_parts: int = FIRST_PARTS) -> None:
         self._is_parsing = True
@@ -149,10 +164,17 @@
         self._keep_ahead()
 
     def _keep_ahead(self) -> None:
+        if self._is_discarding:
+            return
         n_unparsed = self.n_unparsed
-        if not self._is_discarding and (self.is_held or n_unparsed > MAX_AHEAD_BYTES):
+        if self.is_held or (
+            n_unparsed > SHORT_AHEAD_BYTES
+            and (n_unparsed > MAX_AHEAD_BYTES or not self._memory.has_room)
+        ):
             self._gate.close()
             self._memory.note_ahead(n_unparsed, is_paused=True)
+        else:
+            self._read_on()
 
     def _read_on(self) -> None:
         self._memory.note_ahead(self.n_unparsed)
@@ -194,7 +216,9 @@
                     data if isinstance(data, bytearray) else bytearray(data)
                 )
             case h11.EndOfMessage() if self.head is not None:
-                self._handle_end(self.head, self._memory.take())
+                self._is_complete = not self._memory.complete()
+                if not self._is_complete:
+                    self._handle_end(self.head, self._memory.take())
         return not self._memory.is_waiting and self._may_parse()
 
     def _handle_head(self, head: h11.Request) -> bool:
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -5,7 +5,7 @@
     Given an account of 40 MB
     When 100 bodies of 2 MB are asked for, and none of them ends
     Then at most 30 MB are held, and 15 bodies have memory
-    When 600 ms have passed
+    When 1100 ms have passed
     Then the 15 bodies without progress were given up as "slow_caller"
     And 15 other bodies have memory
 
@@ -47,6 +47,11 @@
       | 300    | 4100        | 94400000  | 2925        |
       | 552    | 8192        | 195200000 | 5994        |
 
+  Scenario: reviews go on after one of them has failed
+    Given a guard whose account has a body that waits
+    When a review fails
+    Then another review is due
+
   Scenario: bounds that are no finite numbers are refused
     Then settings with a memory of "nan", "inf" or "much" are refused
 
@@ -56,6 +61,14 @@
     And 10 more are opened
     Then the 10 that were idle longest are closed, and no new one is
 
+  Scenario: a connection that has become busy is not dropped
+    Given a bound of 20 connections
+    When an idle connection becomes busy between two looks
+    Then it is not dropped
+
+  Scenario: a steady slow upload is served
+    Then 60 KB at 2 KB/s with an idle timeout of 5 s are read to the end
+
   Scenario: a body that comes a byte at a time ends
     When a caller sends a byte of its body each 1.9 s with an idle timeout of 2 s
     Then it is read for no more than 3 s
@@ -110,6 +123,35 @@
     When 100 connections to its readiness address are opened and send nothing
     Then at most 40 of them are open, and a readiness check is answered after 1.1 s
 
+  Scenario: an error in a turn ends the connection
+    Given a platform with 2 app servers that answer with 300 KB
+    And a router with 152 MB of memory
+    When its handler fails, and a caller sends a body of 100 chunks
+    Then the caller is disconnected, and no connection counts as busy
+
+  Scenario Outline: uploads in calm at ordinary speeds are all served
+    Given a platform with 2 app servers and bodies of up to 4 MB
+    And a router with <memory> MB of memory
+    When <n> callers send bodies of <size> KB in <framing>, with <pause> ms of pauses
+    Then each of them gets 200
+
+    Examples: chunks of 500 bytes, and links of 1 to 8 MB/s with a pause
+      | memory | n | size | framing             | pause |
+      | 152    | 6 | 4000 | chunks of 500 bytes | 0     |
+      | 152    | 8 | 4000 | parts of 64 KB      | 1500  |
+      | 152    | 8 | 4000 | parts with a stop   | 700   |
+
+  Scenario: the end of a connection with bytes sent ahead is noticed
+    Given a platform with 2 app servers that answer with 300 KB
+    And a router with 152 MB of memory
+    When a caller sends a request and 100 KB ahead, and disconnects
+    Then its request's handler learns of it within 1 s
+
+  Scenario: a running request is not dropped for bytes sent ahead
+    Given an account of 40 MB
+    When a request runs with 100 KB sent ahead, and others need the memory
+    Then the others were given up, and not the running one
+
   Scenario: a caller that reads nothing of a whole answer is disconnected
     Given a platform with 2 app servers that answer with 7900 KB
     And a router with 152 MB of memory
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -7,7 +7,9 @@
 
 from damaskrill.fakes.platform import build_settings
 from damaskrill.gateway import UnreadableSettingsError
+from damaskrill.http1._caller_memory import CallerMemory
 from damaskrill.limits import (
+    CallerGuard,
     CauseLines,
     ConnectionBound,
     Eviction,
@@ -18,6 +20,7 @@
     body_time_left_ms,
 )
 from damaskrill.platform._settings import read_platform_settings
+from damaskrill.utils import monotonic_now_ms
 from features.support.gateways import Caller, GatewayTestbed, build_request
 
 MB, KB = 1_000_000, 1_000
@@ -27,6 +30,7 @@
     "headerTimeoutMs": 3_000,
     "idleTimeoutMs": 2_000,
 }
+CALM_LIMITS = {"maxBodyBytes": 4 * MB, "idleTimeoutMs": 15_000}
 
 
 class Ledger:
@@ -212,6 +216,47 @@
         raise AssertionError(value)
 
 
+class FakeLoop:
+    def __init__(self):
+        self.timers = []
+
+    def call_soon(self, action):
+        action()
+
+    def call_later(self, _delay_s, action):
+        self.timers.append(action)
+
+
+@given("a guard whose account has a body that waits")
+def step_guard(context):
+    context.loop = FakeLoop()
+    bounds = HostBounds(memory_mb=0, max_descriptors=0)
+    guard = CallerGuard(loop=context.loop, report=lambda *_, **__: None, bounds=bounds)
+    served = Hold(evict=lambda _: None, is_evictable=False)
+    guard.account.charge(served, 5 * MB, 0.0)
+    guard.account.request(Hold(evict=lambda _: None), 4 * MB, 0.0, lambda: None)
+    context.guard = guard
+
+
+@when("a review fails")
+def step_fail(context):
+    def fail(_now_ms):
+        raise ZeroDivisionError
+
+    context.guard.watch()
+    context.guard.account.review = fail
+    try:
+        context.loop.timers.pop()()
+    except ZeroDivisionError:
+        return
+    raise AssertionError("the review did not fail")
+
+
+@then("another review is due")
+def step_due(context):
+    assert len(context.loop.timers) == 1
+
+
 class FakeConnection:
     def __init__(self, since_ms):
         self.waits_since_ms = self.idle_since_ms = since_ms
@@ -259,6 +304,38 @@
     assert not any(each.is_lingering for each in context.new)
 
 
+@when("an idle connection becomes busy between two looks")
+def step_becomes_busy(context):
+    bound, first = context.bound, FakeConnection(0.0)
+    others = [FakeConnection(None) for _ in range(9)]
+    bound.n_busy = 8
+    bound._scan([first, *others], 5_000.0)
+    # The first part of its request has come.
+    first.idle_since_ms = None
+    first.close_if_idle = lambda: None
+    bound.make_room([first, *others], 5_010.0)
+    first.waits_since_ms = None
+    bound.n_busy = 9
+    bound.make_room([first, *others, FakeConnection(None)], 5_020.0)
+    context.first = first
+
+
+@then("it is not dropped")
+def step_not_dropped(context):
+    assert not context.first.is_dropped
+
+
+@then("60 KB at 2 KB/s with an idle timeout of 5 s are read to the end")
+def step_steady(context):
+    for second in range(1, 31):
+        left_ms = body_time_left_ms(
+            elapsed_ms=second * 1_000.0,
+            n_received=second * 2_000,
+            idle_timeout_ms=5_000,
+        )
+        assert left_ms >= 1_000, (second, left_ms)
+
+
 @when("a caller sends a byte of its body each 1.9 s with an idle timeout of 2 s")
 def step_drip(context):
     now_ms, n_received = 0.0, 0
@@ -347,6 +424,12 @@
         context.testbed.servers[f"a-{number}"].n_body_bytes = n_kb * KB
 
 
+@given("a platform with {n:d} app servers and bodies of up to 4 MB")
+def step_calm_platform(context, n):
+    step_platform(context, n, 10)
+    context.testbed.configure(limits={**LIMITS, **CALM_LIMITS})
+
+
 @given("a router with {n_mb:d} MB of memory")
 def step_router(context, n_mb):
     context.gateway = context.testbed.add_gateway(memory_mb=n_mb)
@@ -476,6 +559,122 @@
     assert context.testbed.runs_of(context.reply.request_id) == 0
 
 
+@when("its handler fails, and a caller sends a body of {n:d} chunks")
+def step_handler_fails(context, n):
+    def fail(_connection, _request):
+        raise ZeroDivisionError
+
+    async def run():
+        context.gateway._callers.handle = fail
+        caller = await Caller.open(context.gateway._settings.caller_address)
+        head = build_request("/read/1")[0].partition(b"Content-Length")[0]
+        body = b"1\r\nx\r\n" * n + b"0\r\n\r\n"
+        caller.send(head + b"Transfer-Encoding: chunked\r\n\r\n" + body)
+        try:
+            context.end = await asyncio.wait_for(caller.reader.read(), 1)
+        except (ConnectionError, TimeoutError) as error:
+            context.end = error
+        context.n_busy = context.gateway._guard.bound.n_busy
+        caller.close()
+
+    context.testbed.call(run)
+
+
+@then("the caller is disconnected, and no connection counts as busy")
+def step_disconnected(context):
+    assert not isinstance(context.end, TimeoutError)
+    assert context.n_busy == 0, context.n_busy
+
+
+@when("a caller sends a request and {n_kb:d} KB ahead, and disconnects")
+def step_ahead_and_leave(context, n_kb):
+    data = build_request("/read/1", body=b"")[0]
+    context.ended = []
+
+    def handle(connection, _request):
+        connection.on_disconnect = lambda: context.ended.append(connection)
+
+    async def run():
+        context.gateway._callers.handle = handle
+        caller = await Caller.open(context.gateway._settings.caller_address)
+        caller.send(data * (1 + n_kb * KB // len(data)))
+        await asyncio.sleep(0.1)
+        caller.close()
+
+    context.testbed.call(run)
+
+
+@then("its request's handler learns of it within {n:d} s")
+def step_learns(context, n):
+    assert context.testbed.wait_for(lambda: context.ended, timeout_s=n)
+
+
+@when("a request runs with {n_kb:d} KB sent ahead, and others need the memory")
+def step_runs(context, n_kb):
+    ledger = context.ledger
+    context.dropped = []
+    memory = CallerMemory(
+        account=ledger.account,
+        transport=None,
+        evict=context.dropped.append,
+        go_on=lambda: None,
+        review=lambda: None,
+    )
+    memory.take()
+    memory.note_ahead(n_kb * KB, is_paused=True)
+    for _ in range(20):
+        ledger.request(2 * MB)
+    ledger.now_ms = monotonic_now_ms() + 1_000
+    ledger.account.review(ledger.now_ms)
+    for _ in range(400):
+        ledger.account.charge(ledger.build(), 120 * KB, ledger.now_ms)
+
+
+@then("the others were given up, and not the running one")
+def step_others_given_up(context):
+    assert context.ledger.evicted and not context.dropped
+
+
+@when(
+    "{n:d} callers send bodies of {n_kb:d} KB in {framing}, with {pause:d} ms of pauses"
+)
+def step_framed(context, n, n_kb, framing, pause):
+    address = context.gateway._settings.caller_address
+    head = build_request("/read/1")[0].partition(b"Content-Length")[0]
+    n_bytes = n_kb * KB
+    length = head + b"Content-Length: %d\r\n\r\n" % n_bytes
+    parts, between_s = [], 0.0
+    if framing == "chunks of 500 bytes":
+        chunk = b"1f4\r\n" + b"x" * 500 + b"\r\n"
+        parts = [
+            head + b"Transfer-Encoding: chunked\r\n\r\n",
+            chunk * (n_bytes // 500) + b"0\r\n\r\n",
+        ]
+    elif framing == "parts of 64 KB":
+        part = b"x" * 64_000
+        parts = [length, *[part] * (n_bytes // 64_000), b"x" * (n_bytes % 64_000)]
+        between_s = pause / 1_000 / len(parts)
+    else:
+        parts = [length + b"x" * (n_bytes // 2), b"x" * (n_bytes // 2)]
+        between_s = pause / 1_000
+
+    async def send():
+        caller = await Caller.open(address)
+        for number, part in enumerate(parts):
+            if number:
+                await asyncio.sleep(between_s)
+            caller.send(part)
+            await caller.writer.drain()
+        reply = await caller.read_reply()
+        caller.close()
+        return reply.status
+
+    async def run():
+        return await asyncio.gather(*(send() for _ in range(n)))
+
+    context.statuses = context.testbed.call(run)
+
+
 @when("{n:d} connections to its readiness address are opened and send nothing")
 def step_readiness(context, n):
     address = context.gateway._settings.readiness_address
