--- a/damaskrill/http1/_caller_memory.py
+++ b/damaskrill/http1/_caller_memory.py
@@ -11,6 +11,10 @@
 
 # A body is held once as received and once as it is sent to a server.
 N_COPIES = 2
+# Objects of one header in the parser and in the request. Ordinary heads have some 30
+# headers at most, which the fixed cost of a connection covers.
+HEADER_BYTES = 256
+ORDINARY_HEADERS = 32
 # Less than this is covered by the fixed cost of a connection.
 COUNTED_BYTES = 8_192
 # Unread bytes in a socket that is not read count as memory on the platform.
@@ -56,7 +60,7 @@
         self._body = bytearray()
         self._n_reserved = self._n_asked = 0
         self._n_ahead = 0
-        self._n_unread = 0
+        self._n_unread = self._n_head = 0
         self._is_running = False
         self._waits_since_ms = 0.0
         # Time that the body has waited for memory, in milliseconds.
@@ -77,6 +81,14 @@
         """Whether the body waits for memory."""
         return self._hold.n_wanted > 0
 
+    def note_head(self, n_headers: int) -> None:
+        """Count the headers of a request, if they are many."""
+        if n_headers > ORDINARY_HEADERS:
+            if not self._hold.n_bytes:
+                self._hold.begin(monotonic_now_ms())
+            self._n_head = n_headers * HEADER_BYTES
+            self._update()
+
     def announce(self, n_bytes: int) -> None:
         """Ask for the space of a body that counts, and whose length is known."""
         self._hold.begin(monotonic_now_ms())
@@ -160,12 +172,17 @@
                 self._review()
         hold.is_evictable = True
         self._is_running = False
-        if hold.measure is not None or self._n_reserved or self._n_ahead:
+        if hold.measure is not None or hold.is_paused or hold.n_later or self._n_all:
             hold.measure = None
             hold.is_paused = False
-            self._n_reserved = self._n_ahead = self._n_unread = 0
+            hold.n_later = 0
+            self._n_reserved = self._n_ahead = self._n_unread = self._n_head = 0
         self.waited_ms = 0.0
 
+    @property
+    def _n_all(self) -> int:
+        return self._n_reserved + self._n_ahead + self._n_unread + self._n_head
+
     def _grant(self) -> None:
         self.waited_ms += monotonic_now_ms() - self._waits_since_ms
         self._n_reserved = self._n_asked
@@ -176,10 +193,10 @@
         if not self._n_unread and self._is_running:
             self._hold.is_evictable = False
             self._hold.measure = None
-        return self._n_reserved + self._n_ahead + self._n_unread
+        return self._n_all
 
     def _reserve(self, n_bytes: int) -> None:
-        n_all = n_bytes + self._n_ahead + self._n_unread
+        n_all = n_bytes + self._n_all - self._n_reserved
         now_ms = monotonic_now_ms()
         if n_bytes <= FIRST_STEP_BYTES:
             self._n_reserved = n_bytes
@@ -192,5 +209,4 @@
             self._review()
 
     def _update(self) -> None:
-        n_all = self._n_reserved + self._n_ahead + self._n_unread
-        self._account.charge(self._hold, n_all, monotonic_now_ms())
+        self._account.charge(self._hold, self._n_all, monotonic_now_ms())
--- a/damaskrill/http1/_request_reader.py
+++ b/damaskrill/http1/_request_reader.py
@@ -127,6 +127,7 @@
     def discard(self) -> None:
         """Parse no longer; what follows is only received."""
         self._is_discarding = True
+        self.head = None
         self._gate.open()
 
     def _take_turn(self) -> None:
@@ -240,6 +241,9 @@
         if length > self._factory.limits.max_body_bytes:
             self._refuse(413)
             return False
+        self._memory.note_head(len(head.headers))
+        if not self._may_parse():
+            return False
         if length * N_COPIES <= COUNTED_BYTES:
             return True
         self._memory.announce(length)
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -141,6 +141,12 @@
       | 152    | 8 | 4000 | parts of 64 KB      | 1500  |
       | 152    | 8 | 4000 | parts with a stop   | 700   |
 
+  Scenario: heads with very many headers count
+    Given a platform with 2 app servers and bodies of up to 4 MB
+    And a router with 152 MB of memory
+    When 10 callers send heads of 2200 headers and no body
+    Then at least 5 MB were held, and nothing is held when they have gone
+
   Scenario: the end of a connection with bytes sent ahead is noticed
     Given a platform with 2 app servers that answer with 300 KB
     And a router with 152 MB of memory
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -586,6 +586,29 @@
     assert context.n_busy == 0, context.n_busy
 
 
+@when("{n:d} callers send heads of {n_headers:d} headers and no body")
+def step_heads(context, n, n_headers):
+    async def run():
+        address = context.gateway._settings.caller_address
+        callers = [await Caller.open(address) for _ in range(n)]
+        lines = b"".join(b"%x:\r\n" % number for number in range(n_headers))
+        for caller in callers:
+            caller.send(b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n" + lines)
+            caller.send(b"\r\n")
+        await asyncio.sleep(0.5)
+        context.n_held = context.account.n_bytes
+        for caller in callers:
+            caller.close()
+
+    context.testbed.call(run)
+
+
+@then("at least {n_mb:d} MB were held, and nothing is held when they have gone")
+def step_heads_held(context, n_mb):
+    assert context.n_held >= n_mb * MB, context.n_held
+    assert context.testbed.wait_for(lambda: not context.account.n_bytes, timeout_s=2)
+
+
 @when("a caller sends a request and {n_kb:d} KB ahead, and disconnects")
 def step_ahead_and_leave(context, n_kb):
     data = build_request("/read/1", body=b"")[0]
