Let the servers of the soak state how long work takes

Slots were not scheduled in the soak, and engines were not told the urgency of requests, as its servers stated three figures. With the fourth, both run under all its faults.

--- a/damaskrill/soak/_servers.py
+++ b/damaskrill/soak/_servers.py
@@ -19,6 +19,8 @@
 N_PLAIN = 3
 EVENT_MS = 15
 WORK_MS = 20
+# With the fourth figure, slots are scheduled and engines are told the urgency.
+STATED_LOAD = b"1,0,8,100"
 # Time after which the entry of a crashed server expires and its successor starts.
 EXPIRY_S = 1.5
 RESTART_S = 2.0
@@ -170,6 +172,7 @@
             event_ms=EVENT_MS,
             work_ms=WORK_MS,
         )
+        server.stated_load = STATED_LOAD
         server.fatal_parts = self.fatal_parts
         server.fatal_requests = self.fatal_requests
         server.on_crash = lambda: self._handle_crash(server)
