Run features that measure real processes one at a time, after the others

Features with the tag @alone (slot_path, slot_failures, and the crowds of gateway_outside_limits) run one after the other now, when no other runs.

--- a/features/gateway_outside_limits.feature
+++ b/features/gateway_outside_limits.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Callers outside the limits end no router
   One router process, whose settings state a small host, and callers that keep to no
   limit. No step depends on how fast the machine is.
--- a/features/slot_failures.feature
+++ b/features/slot_failures.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Callers are served when the scheduling of slots fails halfway
   Each scenario has one failure. Callers of the routers that are left are served at least
   as on the same load without the scheduling, no action runs twice, no request reaches
--- a/features/slot_path.feature
+++ b/features/slot_path.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Requests get slots at services with few of them
   Scenario Outline: more requests than slots, of three priorities and six teams
     110 requests a second for the 80 that 8 slots serve, through three routers. One team
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -2,7 +2,8 @@
 
 The last line is ``N passed, N failed``. Failures of scenarios that are listed in
 ``KNOWN-RED.txt`` are printed but not counted. The exit status is non-zero on any other
-failure and if no scenario ran.
+failure and if no scenario ran. Features with the tag ``@alone`` measure memory or the
+order of requests of real processes, and run one at a time after the others.
 """
 
 import argparse
@@ -19,6 +20,7 @@
 FEATURE_TIMEOUT_S = 1200
 MAX_CONCURRENT_FEATURES = 4
 MAX_OUTPUT_CHARACTERS = 6_000
+ALONE_TAG = "@alone"
 
 LINT_STEPS = (
     ("ruff format", [sys.executable, "-m", "ruff", "format", "--check", "."]),
@@ -85,6 +87,21 @@
     ]
 
 
+def runs_alone(path):
+    """Return whether a feature runs apart from all others."""
+    return ALONE_TAG in path.read_text(encoding="utf-8").partition("Feature:")[0]
+
+
+def run_features(paths):
+    """Yield each path with its results, those that run alone last."""
+    shared = [path for path in paths if not runs_alone(path)]
+    alone = [path for path in paths if runs_alone(path)]
+    with concurrent.futures.ThreadPoolExecutor(MAX_CONCURRENT_FEATURES) as pool:
+        yield from zip(shared, pool.map(run_feature, shared), strict=True)
+    for path in alone:
+        yield path, run_feature(path)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("features", nargs="*", help="feature files; all by default")
@@ -100,21 +117,20 @@
     paths = paths or sorted((ROOT / "features").rglob("*.feature"))
     known_red = read_known_red()
     n_scenarios = 0
-    with concurrent.futures.ThreadPoolExecutor(MAX_CONCURRENT_FEATURES) as pool:
-        for path, (results, output) in zip(paths, pool.map(run_feature, paths)):
-            name = str(path.relative_to(ROOT))
-            failing = [each for each in results if each[1] != "passed"]
-            n_scenarios += len(results)
-            n_passed += len(results) - len(failing)
-            for scenario, status in failing:
-                if (name, scenario) in known_red:
-                    print(f"KNOWN RED {name}: {scenario}: {status}")
-                else:
-                    n_failed += 1
-                    print(f"FAILED {name}: {scenario}: {status}")
-            if any((name, each[0]) not in known_red for each in failing):
-                print(output[-MAX_OUTPUT_CHARACTERS:])
-            print(f"{name}: {len(results)} scenarios", flush=True)
+    for path, (results, output) in run_features(paths):
+        name = str(path.relative_to(ROOT))
+        failing = [each for each in results if each[1] != "passed"]
+        n_scenarios += len(results)
+        n_passed += len(results) - len(failing)
+        for scenario, status in failing:
+            if (name, scenario) in known_red:
+                print(f"KNOWN RED {name}: {scenario}: {status}")
+            else:
+                n_failed += 1
+                print(f"FAILED {name}: {scenario}: {status}")
+        if any((name, each[0]) not in known_red for each in failing):
+            print(output[-MAX_OUTPUT_CHARACTERS:])
+        print(f"{name}: {len(results)} scenarios", flush=True)
     if n_scenarios == 0:
         print("no scenario ran")
         n_failed += 1
