--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -17,6 +17,7 @@
 from damaskrill.gateway._buffers import AnswerBuffer
 from damaskrill.gateway._peer_relay import peer_key
 from damaskrill.gateway._peer_report import PeerReport
+from damaskrill.gateway._request_slots import RequestSlots
 from damaskrill.gateway._responder import Responder
 from damaskrill.gateway._sent_request import SentRequest
 from damaskrill.http1 import (
@@ -29,11 +30,13 @@
 )
 from damaskrill.mesh import MemberEntry
 from damaskrill.steering import (
+    AnswerMetadata,
     CrashGuard,
     RequestMetadata,
     ServerAllowance,
     ServerOutcome,
     ServerRequirements,
+    early_budget_fraction,
     short_server_id,
     silence_limit_ms,
 )
@@ -88,6 +91,8 @@
         Sender of the final answer.
     allowance : ServerAllowance
         Servers that the request has reached, also through peers, and may still reach.
+    slots : RequestSlots
+        Slots of the request.
 
     Attributes
     ----------
@@ -119,6 +124,7 @@
         progress: StreamProgress,
         responder: Responder,
         allowance: ServerAllowance,
+        slots: RequestSlots,
     ) -> None:
         self._dispatcher = dispatcher
         self._request = request
@@ -126,7 +132,10 @@
         self._progress = progress
         self._responder = responder
         self._reserved: BackendServer | None = None
+        # Whether the held attempt is at a server that is merely slow.
+        self._is_early = False
         self._allowance = allowance
+        self._slots = slots
         self.tried: set[tuple[str, int]] = set()
         self.sent_to: set[tuple[str, int]] = set()
         self.overloaded: set[tuple[str, int]] = set()
@@ -155,7 +164,10 @@
     @property
     def requirements(self) -> ServerRequirements:
         """Requirements on the next server."""
-        return self._requirements
+        may_follow = self._context.route.may_repeat and self._allowance.n_left > 1
+        if may_follow != self._requirements.is_last:
+            return self._requirements
+        return evolve(self._requirements, is_last=not may_follow)
 
     @property
     def is_held_revived(self) -> bool:
@@ -199,6 +211,7 @@
             if sent is None:
                 dispatcher.loads.end(server.key)
                 dispatcher.throttle.release(server, acquired_at_ms)
+                self._slots.discard(server)
         if sent is None:
             if connection is not None:
                 self._dispatcher.pool.release(server.key, connection)
@@ -296,14 +309,22 @@
     def _send(self, server: BackendServer, connection: ServerConnection) -> SentRequest:
         dispatcher, context = self._dispatcher, self._context
         is_stream = context.route.kind is RequestKind.STREAM
+
+        def read_metadata(metadata: AnswerMetadata) -> None:
+            dispatcher.engines.record_begun(attempt)
+            dispatcher.handle_metadata(server, metadata)
+
         attempt = Attempt(
             request_id=self._metadata.request_id,
             read_answer=dispatcher.binding.read_answer,
             progress=self._progress if is_stream else None,
-            on_metadata=lambda metadata: dispatcher.handle_metadata(server, metadata),
+            on_metadata=read_metadata,
             on_forward=lambda: self._bind_stream(server),
             buffer=AnswerBuffer(budget=dispatcher.buffer_budget),
         )
+        need = dispatcher.engines.find_need(
+            server, self._requirements, dispatcher.now_ms
+        )
         headers = dispatcher.binding.server_headers(
             self._request,
             server=server,
@@ -317,6 +338,13 @@
                 # An engine that failed or is silent may not send its cache either.
                 excluded=self.tried - {server.key},
             ),
+            urgency=dispatcher.engines.find_urgency(
+                server,
+                context.route,
+                context.team,
+                self._metadata,
+                was_sent=bool(self._allowance.reached),
+            ),
         )
         self.sent_to.add(server.key)
         self._allowance.record_sent(short_server_id(server.key))
@@ -330,6 +358,13 @@
         connection.start(
             self._build_request(headers), attempt, request_id=self._metadata.request_id
         )
+        dispatcher.engines.start(
+            attempt,
+            server,
+            need,
+            request_id=self._metadata.request_id,
+            now_ms=sent_at_ms,
+        )
         return SentRequest(
             server=server,
             attempt=attempt,
@@ -377,7 +412,8 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         if sent.is_accepted:
-            self._records.record_stalled(held)
+            if not self._is_early:
+                self._records.record_stalled(held)
             self.end_held()
         elif held.is_failed and not sent.is_refused:
             self.held = None
@@ -409,12 +445,15 @@
         if not sent.attempt.has_ended:
             sent.connection.abort()
         self._dispatcher.loads.end(sent.server.key)
+        self._dispatcher.engines.end(sent.attempt)
+        self._slots.end(sent)
 
     async def _wait_for_result(
         self, attempt: Attempt, *, may_hand_over: bool = True
     ) -> AttemptResult:
         dispatcher, limit_at_ms = self._dispatcher, self._context.limit_at_ms
         loop = asyncio.get_running_loop()
+        is_uneven = dispatcher.is_uneven(self._requirements.service)
         while not attempt.done.done():
             idle_ms = (loop.time() - attempt.progress_at) * 1_000
             remaining_ms = wait_ms = limit_at_ms - dispatcher.now_ms
@@ -427,8 +466,10 @@
                     self._context.route,
                     has_begun=self._progress.has_begun,
                     remaining_ms=remaining_ms + idle_ms,
+                    is_uneven=is_uneven,
                 )
-                if idle_ms >= silence_ms and self._reserve_server():
+                is_early = idle_ms < self._context.route.target_ms and is_uneven
+                if idle_ms >= silence_ms and self._reserve_server(is_early=is_early):
                     return Stalled(idle_ms=idle_ms)
                 wait_ms = min(wait_ms, max(silence_ms - idle_ms, SILENCE_POLL_MS))
             if wait_ms > 0:
@@ -446,17 +487,20 @@
     def _may_hand_over(self) -> bool:
         return self._context.route.may_repeat and self._allowance.n_left > 0
 
-    def _reserve_server(self) -> bool:
-        dispatcher, requirements = self._dispatcher, self._requirements
+    def _reserve_server(self, *, is_early: bool = False) -> bool:
+        dispatcher, requirements = self._dispatcher, self.requirements
         if self._guard.is_blocked(dispatcher.now_ms):
             return False
         # The selection counts a request for the prompt, so it comes second.
-        if not dispatcher.can_acquire_retry(requirements.service):
+        fraction = 1.0
+        if is_early:
+            fraction = early_budget_fraction(self._context.route.priority)
+        if not dispatcher.can_acquire_retry(requirements.service, fraction=fraction):
             return False
         server = dispatcher.select(requirements, tried=self.tried, only_healthy=True)
         if server is None or not dispatcher.try_acquire_retry(server.service):
             return False
-        self._reserved = server
+        self._reserved, self._is_early = server, is_early
         return True
 
     def _evaluate(
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -1,7 +1,7 @@
 """Dispatch of callers' requests, and state that all exchanges of a router share."""
 
 import asyncio
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Mapping, Set
 from random import Random
 from typing import Any
 
@@ -12,14 +12,19 @@
 from damaskrill.gateway._binding import PlatformBinding
 from damaskrill.gateway._buffers import BufferBudget
 from damaskrill.gateway._crash_blocking import CrashBlocking
+from damaskrill.gateway._engine_steering import EngineSteering
 from damaskrill.gateway._exchange import Exchange
 from damaskrill.gateway._metrics import GatewayMetrics
+from damaskrill.gateway._passed_over import log_passed_over
 from damaskrill.gateway._peer_relay import PeerRelay
 from damaskrill.gateway._server_throttle import ServerThrottle, ServiceWait
+from damaskrill.gateway._slots import SlotScheduling
 from damaskrill.gateway._stream_versions import StreamVersions
 from damaskrill.http1 import CallerConnection, CallerRequest, ServerPool
+from damaskrill.limits import MemoryAccount
 from damaskrill.steering import (
     DIRECT_BOUNDS,
+    MAX_DIRECT_ROUTERS,
     RELAYED_BOUNDS,
     AnswerMetadata,
     Candidate,
@@ -44,8 +49,6 @@
 
 # An engine registered for longer has processed the prefixes of its own keys.
 WARM_AFTER_MS = 10_000
-# With more routers, most reports of a load come from other routers.
-MAX_DIRECT_ROUTERS = 12
 # Time after the start of draining in which the balancer still sends new connections.
 ACCEPT_ALL_MS = 2_800
 
@@ -83,8 +86,12 @@
         Returns whether this router is the first one by rendezvous hash for a key.
     relay : PeerRelay
         Peers that requests go through while the path to the servers is cut.
+    account : MemoryAccount
+        Memory that requests and answers of callers take.
     streams : StreamVersions
         Software versions at which streams began.
+    slots : SlotScheduling
+        Slots of services with few of them.
     publish_reports : callable
         Publishes failures, crashes and limits to other routers after a short delay.
     publish_departure : callable
@@ -120,7 +127,9 @@
         crashes: CrashDetector,
         ranks_first: Callable[[str], bool],
         relay: PeerRelay,
+        account: MemoryAccount,
         streams: StreamVersions,
+        slots: SlotScheduling,
         publish_reports: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
         data_centre: str,
@@ -137,10 +146,20 @@
         self.log = log
         self.metrics = metrics
         self.loads = loads
-        self.buffer_budget = BufferBudget()
+        self.buffer_budget = BufferBudget(account)
         self.throttle = throttle
         self.relay = relay
         self.streams = streams
+        self.engines = EngineSteering(
+            catalog=catalog,
+            loads=loads,
+            prefix_index=prefix_index,
+            data_centre=data_centre,
+            n_routers=n_routers,
+            log=log,
+            metrics=metrics,
+        )
+        self.slots = slots
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
         self._failures = failures
@@ -163,6 +182,7 @@
             own_data_centre=data_centre,
             random_state=random_state,
             hot_keys=hot_keys,
+            failures=failures.shares,
         )
         self._tasks: set[asyncio.Task[Any]] = set()
         self._drain_times: tuple[float, float] | None = None
@@ -294,18 +314,47 @@
             holders = self._prefix_index.find_holders(
                 requirements.affinity_keys[-1], now_ms
             )
-        return self._selector.select(
+        n_routers = self._n_routers()
+        selected = self._selector.select(
             candidates,
             affinity_keys=requirements.affinity_keys,
             now_ms=now_ms,
             all_servers=self.catalog.find_all_servers(service),
-            bounds=RELAYED_BOUNDS
-            if self._n_routers() > MAX_DIRECT_ROUTERS
-            else DIRECT_BOUNDS,
+            bounds=RELAYED_BOUNDS if n_routers > MAX_DIRECT_ROUTERS else DIRECT_BOUNDS,
             has_prefix=(lambda server: short_server_id(server.key) in holders)
             if holders
             else None,
+            is_engine=configuration.services[service].is_engine,
+            n_routers=n_routers,
+            is_last=requirements.is_last,
+            figures=self.engines.find_figures(requirements, now_ms),
         )
+        for each in self._selector.take_passed_over():
+            log_passed_over(self.log, each)
+        return selected
+
+    def find_excluded(
+        self, requirements: ServerRequirements, tried: Set[tuple[str, int]]
+    ) -> frozenset[int]:
+        """Return the short hashes of a service's servers that may not run a request."""
+        is_restricted = requirements.is_restricted
+        return frozenset(
+            short_server_id(each.key)
+            for each in self.catalog.find_servers(requirements.service)
+            if each.key in tried
+            or (is_restricted and not self._is_allowed(requirements, each))
+        )
+
+    def has_healthy(self, requirements: ServerRequirements) -> bool:
+        """Return whether a server that is not left out after failures may be used."""
+        return self.select(requirements, tried=set(), only_healthy=True) is not None
+
+    def may_schedule(self, server: BackendServer) -> bool:
+        """Return whether a server is neither left out after failures nor paused."""
+        now_ms = self.now_ms
+        if self._health.is_ejected(server.key, now_ms):
+            return False
+        return not self.throttle.is_paused(server, now_ms)
 
     def find_wait(
         self,
@@ -388,9 +437,20 @@
         self._prefix_index.record_sent(metadata.prompt, server, now_ms)
         return source
 
-    def can_acquire_retry(self, service: str) -> bool:
-        """Return whether the budget allows a retry."""
-        return self.budget.can_acquire(service, self._n_routers(), self.now_ms)
+    def can_acquire_retry(self, service: str, *, fraction: float = 1.0) -> bool:
+        """Return whether a fraction of the budget allows a retry."""
+        return self.budget.can_acquire(
+            service, self._n_routers(), self.now_ms, fraction=fraction
+        )
+
+    def is_uneven(self, service: str) -> bool:
+        """Return whether plain servers of a service state how long work takes."""
+        configuration = self.catalog.configuration
+        spec = configuration.services.get(service) if configuration else None
+        if spec is None or spec.is_engine:
+            return False
+        servers = self.catalog.find_servers(service)
+        return self.loads.speeds.is_stated(short_server_id(s.key) for s in servers)
 
     def try_acquire_retry(self, service: str) -> bool:
         """Acquire one retry from the budget; return whether it allowed one."""
@@ -401,7 +461,10 @@
         now_ms = self.now_ms
         self.relay.record_heard()
         if metadata.load is not None:
-            self.loads.observe_load(server.key, metadata.load.n_requests, now_ms)
+            self.loads.observe_stated(server.key, metadata.load, now_ms)
+            self.engines.handle_metadata(server, metadata, now_ms)
+            self.slots.observe_load(server, metadata.load)
+            self.metrics.observe_slowness(server.server_id, metadata.load.slowness)
         if metadata.is_leaving and self.catalog.mark_leaving(
             server.key, cause="answer"
         ):
@@ -476,6 +539,7 @@
         for key in keys:
             self.loads.register_server(key)
         self.loads.retain_only(keys)
+        self.engines.retain_only(configuration.services)
         # Servers that are out of use for a moment return as they were.
         self._health.retain_only(self.catalog.registered_keys())
         self.throttle.discard_ended(self.now_ms)
--- a/damaskrill/gateway/_metrics.py
+++ b/damaskrill/gateway/_metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from damaskrill.gateway._slot_metrics import SlotMetrics
 from damaskrill.steering import AnswerTimings
 
 __all__ = ["GatewayMetrics"]
@@ -15,11 +16,19 @@
 # scraping stays cheap with a configuration of many services.
 MAX_SERVICES = 16
 OTHER_SERVICES = "other"
+# Number of servers whose slowness is shown, those that stated it first.
+MAX_SERVERS = 64
 MS_PER_S = 1_000
 
 
 class GatewayMetrics:
-    """Counters and gauges with small label sets."""
+    """Counters and gauges with small label sets.
+
+    Attributes
+    ----------
+    slots : SlotMetrics
+        Metrics of the scheduling of slots.
+    """
 
     def __init__(self) -> None:
         self._registry = Registry()
@@ -43,6 +52,16 @@
             "Requests that were blocked because servers crashed under them.",
             registry=self._registry,
         )
+        self._urgencies = Counter(
+            "damaskrill_gateway_engine_urgency_total",
+            "Requests sent to engines, by the urgency that was stated to them.",
+            registry=self._registry,
+        )
+        self._engine_choices = Counter(
+            "damaskrill_gateway_engine_choices_total",
+            "Requests sent to engines, by data centre and by whether they hold parts.",
+            registry=self._registry,
+        )
         self._wait_times = self._histogram("wait", "Arrival until the last sending.")
         self._first_answer_times = self._histogram(
             "first_answer", "Arrival until the first event."
@@ -50,7 +69,14 @@
         self._pause_times = self._histogram(
             "longest_pause", "Longest pause of a stream."
         )
+        self.slots = SlotMetrics(self._registry)
         self._services: set[str] = set()
+        self._slowness = Gauge(
+            "damaskrill_gateway_server_slowness",
+            "How long work takes at a backend server, relative to the usual time.",
+            registry=self._registry,
+        )
+        self._servers: set[str] = set()
         self._state = Gauge(
             "damaskrill_gateway_state",
             "Present numbers of this router by name.",
@@ -78,11 +104,32 @@
         """Record a failed attempt."""
         self._failures.inc({"cause": cause})
 
+    def observe_slowness(self, server_id: str, slowness: float | None) -> None:
+        """Record what a server stated; None if it does not say."""
+        if slowness is None:
+            return
+        if server_id not in self._servers and len(self._servers) < MAX_SERVERS:
+            self._servers.add(server_id)
+        if server_id in self._servers:
+            self._slowness.set({"server": server_id}, slowness)
+
     def record_blocked(self, *, is_request: bool) -> None:
         """Record that a request or a prompt part was blocked."""
         counter = self._blocked_requests if is_request else self._blocked_parts
         counter.inc({})
 
+    def record_urgency(self, urgency: int) -> None:
+        """Record the urgency that was stated to an engine for a request."""
+        self._urgencies.inc({"urgency": str(urgency)})
+
+    def record_engine_choice(self, *, is_local: bool, is_cached: bool) -> None:
+        """Record where a request was sent, and whether its parts are cached there."""
+        labels = {
+            "data_centre": "own" if is_local else "other",
+            "parts": "cached" if is_cached else "not_cached",
+        }
+        self._engine_choices.inc(labels)
+
     def _histogram(self, name: str, doc: str) -> Histogram:
         return Histogram(
             f"damaskrill_gateway_{name}_seconds",
--- a/damaskrill/mesh/__init__.py
+++ b/damaskrill/mesh/__init__.py
@@ -1,6 +1,9 @@
 """Links between routers: fleet membership, replication of the store and gossip."""
 
 from damaskrill.mesh._frames import (
+    ASKS_FOR_SLOTS,
+    ASSIGNS_SLOTS,
+    NO_SLOTS,
     Departure,
     DirectHello,
     FeedRequest,
@@ -24,8 +27,21 @@
 )
 from damaskrill.mesh._reader_role import ReaderRole
 from damaskrill.mesh._reports import ReportExchange
+from damaskrill.mesh._scheduler_choice import SchedulerChoice
+from damaskrill.mesh._slot_messages import (
+    MAX_BATCH,
+    MAX_HELD,
+    SlotBatch,
+    SlotMessage,
+    SlotsHeld,
+)
 
 __all__ = [
+    "ASKS_FOR_SLOTS",
+    "ASSIGNS_SLOTS",
+    "MAX_BATCH",
+    "MAX_HELD",
+    "NO_SLOTS",
     "Departure",
     "DirectHello",
     "FeedRequest",
@@ -38,6 +54,10 @@
     "Message",
     "ReaderRole",
     "ReportExchange",
+    "SchedulerChoice",
+    "SlotBatch",
+    "SlotMessage",
+    "SlotsHeld",
     "StreamNotice",
     "StreamQuery",
     "StreamRecords",
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -20,6 +20,7 @@
     decode_message,
     encode_message,
 )
+from damaskrill.mesh._slot_messages import SlotBatch
 from damaskrill.steering import (
     NO_REQUEST,
     CrashReport,
@@ -32,6 +33,9 @@
 )
 
 __all__ = [
+    "ASKS_FOR_SLOTS",
+    "ASSIGNS_SLOTS",
+    "NO_SLOTS",
     "Departure",
     "DirectHello",
     "FeedRequest",
@@ -53,23 +57,31 @@
 # a router does not know it ignores, and what a peer does not send has a default.
 PROTOCOL_VERSION = 6
 # Kinds of frames in which a field may be invalid.
-KNOWN_KINDS = frozenset("zhdurgfsqab")
+KNOWN_KINDS = frozenset("zhdurgfsqabk")
 # Reports of a frame that a peer does not send.
 NO_REPORTS: tuple[Any, ...] = (
     *([], [], [], b"", b"", b"", [], b"", b"", b"", None),
     NO_DIGEST,
+    b"",
 )
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
 MIN_COMPRESSED_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
 # Unsigned 32-bit numbers in a report of a load, a prefix or a limit, in one of
-# failures, in one of a served part, and in one of a crash before those of the parts.
+# failures, in one of a served part, in one of a server's speed, and in one of a crash
+# before those of the parts.
 N_REPORT_NUMBERS = 3
 N_FAILURE_NUMBERS = 7
 N_SERVED_NUMBERS = 4
+N_SPEED_NUMBERS = 3
 N_CRASH_NUMBERS = 6
 NUMBER_BYTES = 4
 MAX_UINT32 = 0xFFFF_FFFF
+PERCENT = 100
+# What a router says of slots in its entry.
+NO_SLOTS = 0
+ASKS_FOR_SLOTS = 1
+ASSIGNS_SLOTS = 2
 
 
 @frozen
@@ -99,6 +111,10 @@
     hop_proof : int
         Number that a request which comes from another router has to carry; 0 for a
         router of an earlier build, which takes any.
+    slots : int
+        0 for a router of an earlier build, which does not say so, nor pass it on;
+        `ASKS_FOR_SLOTS` for one that asks for slots; `ASSIGNS_SLOTS` for one that may
+        also be asked, which one that stops may not.
     """
 
     address: str
@@ -110,6 +126,7 @@
     keeps_grants: bool = False
     tells_all: bool = False
     hop_proof: int = 0
+    slots: int = NO_SLOTS
 
 
 @frozen(kw_only=True)
@@ -282,7 +299,13 @@
             content: list[Any] = ["h", PROTOCOL_VERSION, *astuple(frame.entry)]
         case DirectHello():
             content = ["d", PROTOCOL_VERSION, frame.address]
-        case StreamNotice() | StreamQuery() | StreamReply() | StreamRecords():
+        case (
+            StreamNotice()
+            | StreamQuery()
+            | StreamReply()
+            | StreamRecords()
+            | SlotBatch()
+        ):
             content = encode_message(frame)
         case Update():
             at = frame.position
@@ -368,6 +391,11 @@
         if counts is None
         else [counts.n_requests, [list(each) for each in counts.by_key.items()]],
         update.digest,
+        _pack(
+            (each.load_id, each.n_slots, round(each.slowness * PERCENT))
+            for each in update.loads
+            if each.slowness is not None
+        ),
     ]
 
 
@@ -389,6 +417,7 @@
             bytes(brittle),
             [float(), list(), *_] | None as counts,
             int(digest),
+            bytes(speeds),
         ]:
             return Update(
                 position=position,
@@ -396,7 +425,7 @@
                 entries=tuple(_to_entry(each) for each in entries),
                 suspicions=tuple(_to_suspicion(each) for each in suspicions),
                 departures=tuple(_to_departure(each) for each in departures),
-                loads=tuple(starmap(LoadReport, _unpack(loads, N_REPORT_NUMBERS))),
+                loads=_to_loads(loads, speeds),
                 prefixes=tuple(
                     starmap(PrefixReport, _unpack(prefixes, N_REPORT_NUMBERS))
                 ),
@@ -450,6 +479,18 @@
     return CrashReport(server, router, number, age_ms, waited_ms, request, tuple(parts))
 
 
+def _to_loads(loads: bytes, speeds: bytes) -> tuple[LoadReport, ...]:
+    # What builds before this one do not tell, or read, stands in a field of its own.
+    stated = {
+        load_id: (n_slots, percent / PERCENT)
+        for load_id, n_slots, percent in _unpack(speeds, N_SPEED_NUMBERS)
+    }
+    return tuple(
+        LoadReport(load_id, n_requests, age_ms, *stated.get(load_id, (0, None)))
+        for load_id, n_requests, age_ms in _unpack(loads, N_REPORT_NUMBERS)
+    )
+
+
 def _to_key_counts(fields: Any) -> KeyCounts | None:
     if fields is None:
         return None
@@ -478,6 +519,7 @@
                 later[:1] == [True],
                 later[1:2] == [True],
                 later[2] if len(later) > 2 and type(later[2]) is int else 0,
+                later[3] if len(later) > 3 and type(later[3]) is int else 0,
             )
         case _:
             raise ValueError("invalid membership entry")
--- a/damaskrill/mesh/_mesh.py
+++ b/damaskrill/mesh/_mesh.py
@@ -43,6 +43,7 @@
 )
 from damaskrill.mesh._replication import FeedReplication
 from damaskrill.mesh._reports import ReportExchange, has_reports
+from damaskrill.mesh._slot_messages import SlotBatch
 from damaskrill.steering import KeyCounts
 from damaskrill.utils import monotonic_now_ms
 
@@ -233,6 +234,12 @@
         others = [each for each in self._links.values() if each.address != source]
         self._replication.push(others, monotonic_now_ms())
 
+    def push_entries(self) -> None:
+        """Publish at once what has changed in this router's entry."""
+        now_ms = monotonic_now_ms()
+        for link in list(self._links.values()):
+            self._send(link, self._collect(link, now_ms, has_entries=True))
+
     def push_urgent_reports(self) -> None:
         """Publish failures and departures of servers after a short delay."""
         if self._urgent_timer is None:
@@ -464,7 +471,13 @@
             case Goodbye():
                 link.is_released = True
                 self._close_link(link, "link not needed")
-            case StreamNotice() | StreamQuery() | StreamReply() | StreamRecords():
+            case (
+                StreamNotice()
+                | StreamQuery()
+                | StreamReply()
+                | StreamRecords()
+                | SlotBatch()
+            ):
                 self._handle_message(link.address, frame)
             case Hello() | DirectHello() | UnknownFrame():
                 pass
--- a/damaskrill/platform/_settings.py
+++ b/damaskrill/platform/_settings.py
@@ -1,5 +1,8 @@
 """Settings file of the platform."""
 
+import math
+from typing import Any
+
 from damaskrill.gateway import GatewaySettings, UnreadableSettingsError
 from damaskrill.platform._fields import CALLER_ADDRESS, parse_address, read_fields
 
@@ -62,7 +65,7 @@
     )
 
 
-def _to_bounds(fields: dict[str, str]) -> dict[str, float]:
+def _to_bounds(fields: dict[str, str]) -> dict[str, Any]:
     # A bound is missing if the deployment does not have the rule that it belongs to.
     bounds = {
         "grace_ms": ("bounds.gracePeriodS", MS_PER_S),
@@ -73,9 +76,18 @@
         "cold_factor": ("bounds.coldFactor", 1),
         "cold_slack": ("bounds.coldSlack", 1),
         "store_history_ms": ("platform.historyTtlS", MS_PER_S),
+        "memory_mb": ("limits.memoryMb", 1),
+        "max_descriptors": ("limits.maxFds", 1),
     }
     return {
-        name: float(fields[field]) * unit
+        name: _parse_bound(field, fields[field]) * unit
         for name, (field, unit) in bounds.items()
         if fields.get(field)
     }
+
+
+def _parse_bound(field: str, text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"{field} is not a finite number")
+    return value
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -9,14 +9,23 @@
     CrashReport,
     ServedReport,
 )
+from damaskrill.steering._engine_choice import EngineChoice, EngineFigures
+from damaskrill.steering._engine_room import EngineRoom, expected_output
+from damaskrill.steering._expected_time import expected_time_ms
 from damaskrill.steering._failure_detector import FailureDetector, FailureReport
+from damaskrill.steering._failure_shares import FailureShares
 from damaskrill.steering._fleet_health import FleetHealth
 from damaskrill.steering._fleet_rate_limiter import FleetRateLimiter
 from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
 from damaskrill.steering._health import HealthTracker, ServerOutcome
 from damaskrill.steering._hot_keys import HotKeys, KeyCounts
 from damaskrill.steering._latency import AnswerTimings, LatencyCause, find_latency_cause
-from damaskrill.steering._load_bounds import DIRECT_BOUNDS, RELAYED_BOUNDS, LoadBounds
+from damaskrill.steering._load_bounds import (
+    DIRECT_BOUNDS,
+    MAX_DIRECT_ROUTERS,
+    RELAYED_BOUNDS,
+    LoadBounds,
+)
 from damaskrill.steering._loads import LoadReport, ServerLoads
 from damaskrill.steering._metadata import (
     AnswerMetadata,
@@ -48,8 +57,14 @@
     ServerGrant,
 )
 from damaskrill.steering._server_load import ServerLoad
+from damaskrill.steering._server_paces import ServerPaces
 from damaskrill.steering._server_path import ServerPath
-from damaskrill.steering._silence import caller_patience_ms, silence_limit_ms
+from damaskrill.steering._server_speeds import ServerSpeeds
+from damaskrill.steering._silence import (
+    caller_patience_ms,
+    early_budget_fraction,
+    silence_limit_ms,
+)
 from damaskrill.steering._stated_limits import LimitReport, StatedLimits
 from damaskrill.steering._stream_origins import (
     OriginEvidence,
@@ -58,10 +73,18 @@
     find_origins,
     is_absence_confirmed,
 )
+from damaskrill.steering._uneven_choice import ServerEstimate, UnevenChoice
+from damaskrill.steering._urgency import (
+    EngineUrgency,
+    PriorityRanks,
+    effective_priority,
+    map_urgency,
+)
 
 __all__ = [
     "DIRECT_BOUNDS",
     "FULL_RETRY_DELAY_MS",
+    "MAX_DIRECT_ROUTERS",
     "NEW_LINK",
     "NO_REQUEST",
     "RELAYED_BOUNDS",
@@ -75,9 +98,14 @@
     "CrashDetector",
     "CrashGuard",
     "CrashReport",
+    "EngineChoice",
+    "EngineFigures",
+    "EngineRoom",
+    "EngineUrgency",
     "ExecutionStatus",
     "FailureDetector",
     "FailureReport",
+    "FailureShares",
     "FleetHealth",
     "FleetRateLimiter",
     "FleetRetryBudget",
@@ -94,6 +122,7 @@
     "OriginEvidence",
     "PrefixIndex",
     "PrefixReport",
+    "PriorityRanks",
     "PromptPart",
     "RateLimit",
     "Refusal",
@@ -103,23 +132,32 @@
     "RetryState",
     "ServedReport",
     "ServerAllowance",
+    "ServerEstimate",
     "ServerGrant",
     "ServerLoad",
     "ServerLoads",
     "ServerOutcome",
+    "ServerPaces",
     "ServerPath",
     "ServerPauses",
     "ServerRequirements",
     "ServerSelector",
+    "ServerSpeeds",
     "StatedLimits",
     "StreamOrigins",
+    "UnevenChoice",
     "caller_patience_ms",
     "choose_origin",
     "cold_start_limit",
+    "early_budget_fraction",
+    "effective_priority",
+    "expected_output",
+    "expected_time_ms",
     "find_latency_cause",
     "find_origins",
     "is_absence_confirmed",
     "is_region_allowed",
+    "map_urgency",
     "may_retry",
     "may_retry_full",
     "short_id",
--- a/damaskrill/steering/_selector.py
+++ b/damaskrill/steering/_selector.py
@@ -6,9 +6,13 @@
 from attrs import frozen
 
 from damaskrill.catalog import BackendServer
+from damaskrill.steering._engine_choice import EngineChoice, EngineFigures
+from damaskrill.steering._failure_shares import FailureShares
 from damaskrill.steering._hot_keys import HotKeys
 from damaskrill.steering._load_bounds import DIRECT_BOUNDS, LoadBounds
 from damaskrill.steering._loads import ServerLoads
+from damaskrill.steering._metadata import PromptPart
+from damaskrill.steering._uneven_choice import ServerEstimate, UnevenChoice
 from damaskrill.utils import rank_by_rendezvous
 
 __all__ = ["Candidate", "ServerRequirements", "ServerSelector"]
@@ -47,6 +51,12 @@
         Regions to which the route and the team are restricted; None if unrestricted.
     origin : int or None
         Origin of the stream that goes on; None if it has not begun.
+    is_last : bool
+        Whether no other server may follow if the next one fails.
+    prompt : tuple of PromptPart
+        Parts of its prompt; empty if it has none.
+    n_output_tokens : int
+        Tokens of output to expect.
     """
 
     service: str
@@ -54,6 +64,14 @@
     route_regions: frozenset[str] | None = None
     team_regions: frozenset[str] | None = None
     origin: int | None = None
+    is_last: bool = False
+    prompt: tuple[PromptPart, ...] = ()
+    n_output_tokens: int = 0
+
+    @property
+    def n_tokens(self) -> int:
+        """Tokens of its prompt and of the output to expect."""
+        return sum(part.n_tokens for part in self.prompt) + self.n_output_tokens
 
     @property
     def is_restricted(self) -> bool:
@@ -74,6 +92,8 @@
         Source of randomness for ties.
     hot_keys : HotKeys, default=None
         Request counts that detect keys which need more than one engine.
+    failures : FailureShares, default=None
+        Share of its requests that each server fails.
 
     Notes
     -----
@@ -83,7 +103,8 @@
     prefix that would load one engine beyond its bound is spread over the first engines.
 
     Plain servers: the least loaded server is selected. Servers of the local data centre
-    are preferred while more than half of their slots are free.
+    are preferred while more than half of their slots are free. Where servers state how
+    long work takes there now, the choice is that of `UnevenChoice`.
     """
 
     def __init__(
@@ -93,11 +114,26 @@
         own_data_centre: str,
         random_state: Random,
         hot_keys: HotKeys | None = None,
+        failures: FailureShares | None = None,
     ) -> None:
         self._loads = loads
         self._hot_keys = hot_keys or HotKeys()
         self._own_data_centre = own_data_centre
         self._random = random_state
+        self._uneven = UnevenChoice(
+            loads=loads,
+            speeds=loads.speeds,
+            failures=failures or FailureShares(),
+            own_data_centre=own_data_centre,
+            random_state=random_state,
+        )
+        self._engine_choice = EngineChoice(
+            own_data_centre=own_data_centre, random_state=random_state
+        )
+
+    def take_passed_over(self) -> list[ServerEstimate]:
+        """Return plain servers that were passed over since the last call."""
+        return self._uneven.take_passed_over()
 
     def select(
         self,
@@ -108,6 +144,10 @@
         all_servers: Sequence[BackendServer] = (),
         bounds: LoadBounds = DIRECT_BOUNDS,
         has_prefix: Callable[[BackendServer], bool] | None = None,
+        is_engine: bool = False,
+        n_routers: int = 1,
+        is_last: bool = False,
+        figures: EngineFigures | None = None,
     ) -> BackendServer | None:
         """Return the best candidate; None if there is none.
 
@@ -127,6 +167,15 @@
             Bounds on the load of an engine.
         has_prefix : callable, default=None
             Returns whether an engine has processed the last shared part.
+        is_engine : bool, default=False
+            Whether the servers are engines, at which requests take seconds, so that how
+            long work takes at this moment says little.
+        n_routers : int, default=1
+            Number of live routers.
+        is_last : bool, default=False
+            Whether no other server may follow if this one fails.
+        figures : EngineFigures, default=None
+            Speed and room of the engines; None for engines that do not state them.
         """
         preferred = [each.server for each in candidates if each.is_preferred]
         servers = preferred or [each.server for each in candidates]
@@ -140,6 +189,15 @@
                 all_servers or servers,
                 bounds,
                 has_prefix,
+                figures,
+            )
+        if not is_engine and self._uneven.is_needed(servers):
+            return self._uneven.choose(
+                servers,
+                now_ms,
+                all_servers=all_servers,
+                n_routers=n_routers,
+                is_last=is_last,
             )
         return self._select_plain(servers, now_ms)
 
@@ -151,6 +209,7 @@
         all_servers: Sequence[BackendServer],
         bounds: LoadBounds,
         has_prefix: Callable[[BackendServer], bool] | None,
+        figures: EngineFigures | None,
     ) -> BackendServer:
         by_id = {each.server_id: each for each in servers}
         estimate = self._loads.estimate
@@ -167,6 +226,16 @@
             key, n_all=len(servers), mean_load=mean, bounds=bounds, now_ms=now_ms
         )
         order = rank_by_rendezvous(key, by_id)
+        if figures is not None:
+            return self._engine_choice.choose(
+                [by_id[each] for each in order],
+                figures=figures,
+                loads=loads,
+                bound=bound,
+                bounds=bounds,
+                n_primary=n_primary,
+                has_prefix=has_prefix or (lambda _: False),
+            )
         if has_prefix is not None:
             order.sort(key=lambda each: not has_prefix(by_id[each]))
         primary, others = order[:n_primary], order[n_primary:]
