Keep a router that asks for no slots from saying that it does when it stops

A router whose settings keep it from asking said at its stop that it asks, so that others counted it among those that do. Found by reading; the step on it failed before.

--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -151,7 +151,8 @@
 
     def stop_scheduling(self, now_ms: float) -> None:
         """Publish that this router is not to be asked for slots any more."""
-        self._own = evolve(self._own, slots=ASKS_FOR_SLOTS)
+        slots = min(self._own.slots, ASKS_FOR_SLOTS)
+        self._own = evolve(self._own, slots=slots)
         self._schedulers = None
         self._increment_heartbeat(now_ms)
 
--- a/features/slot_messages.feature
+++ b/features/slot_messages.feature
@@ -23,5 +23,6 @@
     Then over 200 services only itself and "a" are asked
     And the same router is asked by all that have the same view
     And once it stops it is not asked any more
+    And one that does not ask for slots does not say so when it stops either
     And no slots are asked for while over a tenth of the routers do not know them
     And entries of the former build say nothing of slots
--- a/features/steps/slot_messages_steps.py
+++ b/features/steps/slot_messages_steps.py
@@ -8,6 +8,7 @@
 from damaskrill.mesh import (
     ASKS_FOR_SLOTS,
     ASSIGNS_SLOTS,
+    NO_SLOTS,
     DirectHello,
     Hello,
     MemberEntry,
@@ -143,6 +144,13 @@
     assert set(_asked(other)) == {"a"}
 
 
+@then("one that does not ask for slots does not say so when it stops either")
+def step_stops_unasking(context):
+    table = MemberTable(own=MemberEntry("own", 5, "bole", 3, slots=NO_SLOTS))
+    table.stop_scheduling(NOW_MS)
+    assert table.own.slots == NO_SLOTS
+
+
 @then("no slots are asked for while over a tenth of the routers do not know them")
 def step_unaware(context):
     table = MemberTable(own=MemberEntry("own", 5, "bole", 3, slots=ASSIGNS_SLOTS))
