Find a request's priority in one place

The asking side of the slot scheduling worked out the priority of team and route by itself, and early second attempts went by the route's alone. Both call what the urgency at engines uses, so that a team's priority counts for early attempts too.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -37,6 +37,7 @@
     ServerOutcome,
     ServerRequirements,
     early_budget_fraction,
+    effective_priority,
     short_server_id,
     silence_limit_ms,
 )
@@ -494,7 +495,9 @@
         # The selection counts a request for the prompt, so it comes second.
         fraction = 1.0
         if is_early:
-            fraction = early_budget_fraction(self._context.route.priority)
+            fraction = early_budget_fraction(
+                effective_priority(self._context.route, self._context.team)
+            )
         if not dispatcher.can_acquire_retry(requirements.service, fraction=fraction):
             return False
         server = dispatcher.select(requirements, tried=self.tried, only_healthy=True)
--- a/damaskrill/gateway/_request_slots.py
+++ b/damaskrill/gateway/_request_slots.py
@@ -20,6 +20,7 @@
     RefusalCause,
     RequestMetadata,
     ServerRequirements,
+    effective_priority,
     short_server_id,
 )
 
@@ -88,9 +89,7 @@
             return None
         if not dispatcher.slots.is_scheduled(service):
             return None
-        priority = route.priority
-        if team is not None and team.priority is not None:
-            priority = team.priority
+        priority = effective_priority(route, team)
         excluded = dispatcher.find_excluded(requirements, tried)
         for _ in range(MAX_ASKED):
             question = SlotQuestion(
