State urgency to engines in small fleets only where engines state their speed

It is on now under the same condition as the choice by room: engines that state their speed, or more than 12 routers. The scenario has a fleet of 13 and one of 12 routers; the latter failed before.

--- a/damaskrill/gateway/_engine_steering.py
+++ b/damaskrill/gateway/_engine_steering.py
@@ -107,7 +107,7 @@
     ) -> int | None:
         """Return the urgency to state to an engine; None to state none."""
         configuration = self._catalog.configuration
-        if configuration is None:
+        if configuration is None or not self._is_known(server.service):
             return None
         urgency = self._urgency.find(
             configuration,
--- a/features/engine_urgency.feature
+++ b/features/engine_urgency.feature
@@ -54,15 +54,21 @@
       | 1,0          | no   |
       | 1,x,8,100    | no   |
 
-  Scenario: engines are told where the configuration has several priorities
+  Scenario Outline: large fleets tell engines where the configuration has several priorities
     Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
     And the operators give the team priority 0
     And a gateway that is ready
+    And it knows of <n> routers
     And all its servers state the load "1,0,8"
     When the gateway gets 12 streams and 4 reads whose callers state urgency 0
-    Then all streams of the team are stated as urgent as 1
+    Then all streams of the team are stated as urgent as "<urgency>"
     And app servers got no urgency
 
+    Examples:
+      | n  | urgency |
+      | 13 | 1       |
+      | 12 | none    |
+
   Scenario: a stream that goes on at another engine is more urgent than new ones
     Given a platform with engines "e-1" and "e-2" and app servers "a-1" and "a-2"
     And a gateway that is ready
