--- a/damaskrill/steering/_urgency.py
+++ b/damaskrill/steering/_urgency.py
@@ -115,8 +115,8 @@
     Notes
     -----
     Handles engines at which short prompts of the most urgent callers wait behind long
-    ones of the least urgent. Only engines that state how long work takes at present are
-    told: others are not known to handle urgency.
+    ones of the least urgent. A service is told nothing if it has one priority and its
+    servers do not state how long work takes.
     """
 
     def __init__(self, *, salt: str) -> None:
