--- a/features/steps/gateway_outside_limits_steps.py
+++ b/features/steps/gateway_outside_limits_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from features.support.crowds import (
+    LIMITS,
     MB,
     Crowd,
     LimitedRouter,
@@ -12,12 +13,6 @@
 )
 from features.support.gateways import GatewayTestbed
 
-LIMITS = {
-    "maxHeaderBytes": 16_384,
-    "maxBodyBytes": MB,
-    "headerTimeoutMs": 3_000,
-    "idleTimeoutMs": 15_000,
-}
 KB = 1_000
 # Descriptors that a host reserves for files; sockets share the others.
 FILE_DESCRIPTORS = 200
--- a/features/support/crowds.py
+++ b/features/support/crowds.py
@@ -14,6 +14,13 @@
 from features.support.gateways import Caller, build_request, free_addresses
 
 MB = 1_000_000
+# Limits of the configuration that the crowds meet.
+LIMITS = {
+    "maxHeaderBytes": 16_384,
+    "maxBodyBytes": MB,
+    "headerTimeoutMs": 3_000,
+    "idleTimeoutMs": 15_000,
+}
 SAMPLE_S = 0.02
 # How long a crowd sends at most, and how long its connections stay open.
 CROWD_S = 6
--- a/tools/outside_limits.py
+++ b/tools/outside_limits.py
@@ -9,6 +9,7 @@
 from collections import Counter
 
 from features.support.crowds import (
+    LIMITS,
     MB,
     Crowd,
     LimitedRouter,
@@ -18,12 +19,6 @@
 )
 from features.support.gateways import GatewayTestbed
 
-LIMITS = {
-    "maxHeaderBytes": 16_384,
-    "maxBodyBytes": MB,
-    "headerTimeoutMs": 3_000,
-    "idleTimeoutMs": 15_000,
-}
 HOLD_S = 10
 PAUSE_S = 0.1
 ANSWER_BYTES = 200_000
