--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -205,7 +205,7 @@
     result = NOT_RUN
     try:
         result = asyncio.run(asyncio.wait_for(run(), 110))
-    except (OSError, TimeoutError, asyncio.CancelledError) as error:
+    except Exception as error:
         record("could_not_run", type(error).__name__, reason=error)
     finally:
         for each in routers:
