--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """Servers fail a part of the requests that they have run with 503."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 from random import Random
@@ -75,4 +76,5 @@
     return BROKEN if refused else HELD
 
 
-main(FOLDER, N_ROUTERS, play)
+HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
+main(FOLDER / "record.txt", N_ROUTERS, play, has_trouble=HAS_TROUBLE)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 from pathlib import Path
 
@@ -137,4 +138,5 @@
     return BROKEN if is_counted and shares[1] < shares[0] / 2 else HELD
 
 
-main(FOLDER, N_ROUTERS, play)
+HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
+main(FOLDER / "record.txt", N_ROUTERS, play, has_trouble=HAS_TROUBLE)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -37,7 +37,7 @@
 
 
 class Record:
-    """Lines with the time in seconds since the start, in record.txt."""
+    """File of lines with the time in seconds since the start."""
 
     def __init__(self, path):
         self._file = path.open("w", encoding="utf-8")
@@ -174,23 +174,24 @@
     record("ready", f"{len(routers)} routers")
 
 
-def main(folder, n_routers, play):
+def main(record_path, n_routers, play, *, has_trouble):
     """Play a case and exit with its result.
 
     Parameters
     ----------
-    folder : pathlib.Path
-        Folder of the case, for record.txt.
+    record_path : pathlib.Path
+        File for what was sent, answered and run.
     n_routers : int
         Number of routers.
     play : callable
-        Called with the store, the routers, the record and whether there is a
-        disruption; returns `HELD` or `BROKEN`.
+        Called with the store, the routers, the record and `has_trouble`; returns `HELD`
+        or `BROKEN`.
+    has_trouble : bool
+        Whether there is a disruption.
     """
     from standins.store import Store
 
-    record = Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(record_path)
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     routers = []
 
