Answer 502 where a server's status would deny a run

Cause: a complete answer was forwarded with any status; whether a request has run was read from the header "not executed" for retries only. A sealed 421 without it counted as a rejection. Change: on routes that may not be repeated, 408, 421, 429 and 503 of a server that does not state that it has not executed the request become a 502 of the router's own, without seal, with the request's ID and a line that names the server's status. Others keep the server's status.

--- a/damaskrill/fakes/platform/_misbehaviour.py
+++ b/damaskrill/fakes/platform/_misbehaviour.py
@@ -12,6 +12,7 @@
     FULL = "full"
     MOVED = "moved"
     ERROR = "error"
+    FAILED_RUN = "failed_run"
     HANG = "hang"
     DEADLINE = "deadline"
     RESET = "reset"
--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -89,9 +89,15 @@
         Times of the refusals with that header, on the monotonic clock in seconds, and
         request IDs.
     failure_share : float
-        Share of the requests that a server with `Misbehaviour.FULL`, `ERROR` or `RESET`
-        fails, and of the streams that it breaks off, drawn at random; it serves the
-        others.
+        Share of the requests that a server with `Misbehaviour.FULL`, `ERROR`,
+        `FAILED_RUN` or `RESET` fails, and of the streams that it breaks off, drawn at
+        random; it serves the others.
+    failed_status : int
+        Status of the answers of a server with `Misbehaviour.FAILED_RUN`, which fails
+        requests, also those for a stream, after it has run them. These answers do not
+        state that the request was not run.
+    failed_headers : tuple of (bytes, bytes)
+        Headers of these answers besides the request's ID.
     silence_ms : int
         Time for which a server with `Misbehaviour.PAUSE` sends nothing before it goes
         on, in milliseconds.
@@ -159,6 +165,8 @@
         self.rate_limit: bytes | None = None
         self.pauses: list[tuple[float, str]] = []
         self.failure_share = 1.0
+        self.failed_status = 500
+        self.failed_headers: Headers = (SEAL,)
         self._random = Random(server_id)
         self.silence_ms = 1_500
         self.n_events_before_silence = 2
@@ -305,6 +313,13 @@
             await send_endless(connection, self.endless_part, headers)
         if self.misbehaviour in ENDLESS_PARTS:
             await send_endless(connection, ENDLESS_PARTS[self.misbehaviour], headers)
+        is_failing = self.misbehaviour is Misbehaviour.FAILED_RUN
+        if is_failing and not self._draw_is_spared():
+            await asyncio.sleep(self._work_ms / 1_000)
+            echo = (b"Damaskrill-Request-Id", request_id)
+            failed = (echo, *self.failed_headers)
+            connection.send_answer(self.failed_status, failed, b"failed")
+            return
         if request.find_header(b"damaskrill-prompt-prefix") is not None:
             await self._stream(connection, request, headers)
             return
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -70,6 +70,8 @@
         Returns whether a backend server itself has sent an answer.
     server_headers : callable
         Builds the headers of a request to a backend server.
+    echo_headers : callable
+        Builds the headers of an answer that name its request, given the request's ID.
     read_peer_answer : callable
         Extracts metadata from the headers of an answer of another router.
     peer_headers : callable
@@ -94,6 +96,7 @@
     read_answer: Callable[[AnswerHead], AnswerMetadata]
     is_server_answer: Callable[[AnswerHead], bool]
     server_headers: ServerHeaders
+    echo_headers: Callable[[str], Headers]
     read_peer_answer: Callable[[AnswerHead], AnswerMetadata]
     peer_headers: PeerHeaders
     read_peer_events: Callable[[bytes], tuple[bytes, ServerGrant | None]]
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -17,7 +17,7 @@
 )
 from damaskrill.gateway._attempts import AttemptContext, RequestAttempts
 from damaskrill.gateway._crash_blocking import build_refusal
-from damaskrill.gateway._outcomes import find_refusal
+from damaskrill.gateway._outcomes import find_refusal, find_run_refusal
 from damaskrill.gateway._request_slots import RequestSlots
 from damaskrill.gateway._responder import Responder
 from damaskrill.gateway._stream_versions import FoundOrigin
@@ -484,7 +484,7 @@
                 if self._progress.has_begun:
                     self._responder.abort(f"the resume was answered with {head.status}")
                     return True
-                self._responder.send_answer(result)
+                self._send_answer(result)
                 return True
             case StreamEnded():
                 self._responder.record_stream_end()
@@ -497,6 +497,16 @@
                 self._may_have_run = True
                 return False
 
+    def _send_answer(self, answer: CompleteAnswer) -> None:
+        route = self._responder.route
+        may_repeat = route is not None and route.may_repeat
+        refused = find_run_refusal(answer, may_repeat=may_repeat)
+        if refused is None:
+            self._responder.send_answer(answer)
+            return
+        echo = self._dispatcher.binding.echo_headers(self._metadata.request_id)
+        self._responder.refuse(*refused, extra_headers=echo)
+
     def _refuse_crashing(self, guard: CrashGuard) -> bool:
         rejection = guard.find_rejection(self._dispatcher.now_ms)
         if rejection is None or self._attempts.held is not None:
@@ -549,7 +559,7 @@
             return
         match result:
             case CompleteAnswer():
-                self._responder.send_answer(result)
+                self._send_answer(result)
             case NotRun() | BadAnswer() | Broken():
                 refusal, detail = find_refusal(
                     result,
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -12,6 +12,7 @@
 )
 from damaskrill.http1 import FailureKind
 from damaskrill.steering import (
+    NOT_RUN_STATUSES,
     Refusal,
     RefusalCause,
     RequestMetadata,
@@ -22,6 +23,7 @@
     "classify_outcome",
     "describe_request",
     "find_refusal",
+    "find_run_refusal",
     "has_crashed",
     "may_have_crashed",
     "shows_sound_prompt",
@@ -141,6 +143,36 @@
             return Refusal(status=504, cause=RefusalCause.TIME_LIMIT), ""
 
 
+def find_run_refusal(
+    answer: CompleteAnswer, *, may_repeat: bool
+) -> tuple[Refusal, str] | None:
+    """Return the refusal in place of an answer whose status is a false promise.
+
+    Parameters
+    ----------
+    answer : CompleteAnswer
+        Answer of a server that does not state that it has not run the request.
+    may_repeat : bool
+        Whether the request may run more than once.
+
+    Returns
+    -------
+    tuple of (Refusal, str) or None
+        The refusal and a detail to log; None if the answer is forwarded as it is.
+
+    Notes
+    -----
+    Load pattern: a server that is in trouble runs actions and fails them with 503.
+    Callers would send each of them again. Requests that may be repeated keep the
+    server's status, as a repetition does no harm.
+    """
+    status = answer.head.status
+    if may_repeat or status not in NOT_RUN_STATUSES:
+        return None
+    refusal = Refusal(status=502, cause=RefusalCause.MAY_HAVE_RUN)
+    return refusal, f"the server answered with status {status}"
+
+
 def describe_request(
     metadata: RequestMetadata, attempt: Attempt | None, *, team: str
 ) -> dict[str, object]:
--- a/damaskrill/gateway/_responder.py
+++ b/damaskrill/gateway/_responder.py
@@ -6,7 +6,7 @@
 
 from damaskrill.catalog import BackendServer, Route
 from damaskrill.gateway._attempt import CompleteAnswer, StreamProgress
-from damaskrill.http1 import CallerConnection, forwarded_headers
+from damaskrill.http1 import CallerConnection, Headers, forwarded_headers
 from damaskrill.steering import (
     AnswerTimings,
     LatencyCause,
@@ -127,15 +127,27 @@
         self._has_ended = True
         self._log(LoggedOutcome.CALLER_LEFT, cause=RefusalCause.CALLER_LEFT)
 
-    def refuse(self, refusal: Refusal, detail: str = "") -> None:
-        """Send a refusal, or abort a begun stream, unless the request has ended."""
+    def refuse(
+        self, refusal: Refusal, detail: str = "", *, extra_headers: Headers = ()
+    ) -> None:
+        """Send a refusal, or abort a begun stream, unless the request has ended.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            The refusal.
+        detail : str, default=""
+            Detail to log.
+        extra_headers : tuple, default=()
+            Headers besides those of each refusal.
+        """
         if self._has_ended:
             return
         if self.progress.has_begun:
             self.abort(refusal.cause.value)
             return
         self._has_ended = True
-        headers: list[tuple[bytes, bytes]] = []
+        headers: list[tuple[bytes, bytes]] = [*extra_headers]
         if refusal.retry_after_ms is not None:
             value = f"{refusal.retry_after_ms / 1_000:.3f}".encode()
             headers.append((b"Retry-After", value))
--- a/damaskrill/platform/_binding.py
+++ b/damaskrill/platform/_binding.py
@@ -6,6 +6,7 @@
 from damaskrill.platform._caches import cache_request, read_cache
 from damaskrill.platform._headers import (
     READINESS_PATH,
+    echo_headers,
     grant_event,
     grant_headers,
     is_server_answer,
@@ -34,6 +35,7 @@
         read_answer=read_answer,
         is_server_answer=is_server_answer,
         server_headers=server_headers,
+        echo_headers=echo_headers,
         read_peer_answer=read_peer_answer,
         peer_headers=peer_headers,
         read_peer_events=read_peer_events,
--- a/damaskrill/platform/_headers.py
+++ b/damaskrill/platform/_headers.py
@@ -8,6 +8,7 @@
 from damaskrill.catalog import BackendServer, Team
 from damaskrill.http1 import AnswerHead, CallerRequest, Headers, forwarded_headers
 from damaskrill.steering import (
+    NOT_RUN_STATUSES,
     AnswerMetadata,
     Hop,
     PromptPart,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "READINESS_PATH",
+    "echo_headers",
     "grant_event",
     "grant_headers",
     "is_server_answer",
@@ -58,8 +60,6 @@
 GRANT_COMMENTS = re.compile(
     rb"(?:\A|(?<=\n\n)|(?<=\r\n\r\n))" + re.escape(GRANT_COMMENT) + rb"([0-9 ]*)\n\n"
 )
-# Statuses with which a router promises that the request has not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Headers that only backend servers send.
 SERVER_MARKS = frozenset(
     {
@@ -248,6 +248,11 @@
     return tuple(headers)
 
 
+def echo_headers(request_id: str) -> Headers:
+    """Return the headers that name the request which an answer belongs to."""
+    return ((REQUEST_ID, request_id.encode("latin-1")),)
+
+
 def grant_headers(grant: ServerGrant) -> Headers:
     """Return the headers that tell another router about the servers of a request."""
     return ((SERVER_GRANT, _write_grant(grant)), (CONNECTION, SERVER_GRANT))
@@ -289,15 +294,25 @@
 
 
 def read_answer(head: AnswerHead) -> AnswerMetadata:
-    """Return the metadata of a backend server's answer from its headers."""
+    """Return the metadata of a backend server's answer from its headers.
+
+    Notes
+    -----
+    A server that is not the expected one rejects with 421. The seal on such an answer
+    is that of a run, so that it only counts if the server states that there was none.
+    """
     headers = {name.lower(): value for name, value in head.headers}
     request_id = headers.get(b"damaskrill-request-id")
-    is_other_server = head.status == STATUS_MISDIRECTED
+    is_sealed = b"damaskrill-response-seal" in headers
+    is_rejected = b"damaskrill-not-executed" in headers
+    is_other_server = head.status == STATUS_MISDIRECTED and (
+        is_rejected or not is_sealed
+    )
     return AnswerMetadata(
         request_id=None if request_id is None else request_id.decode("latin-1"),
-        is_not_run=is_other_server or b"damaskrill-not-executed" in headers,
+        is_not_run=is_other_server or is_rejected,
         is_other_server=is_other_server,
-        is_sealed=b"damaskrill-response-seal" in headers,
+        is_sealed=is_sealed,
         is_encoded=b"content-encoding" in headers,
         load=_read_load(headers.get(b"damaskrill-server-load", b"")),
         is_leaving=headers.get(LEAVING, b"").strip() == IS_LEAVING,
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -49,7 +49,12 @@
     cold_start_limit,
     stated_limit,
 )
-from damaskrill.steering._refusals import LoggedOutcome, Refusal, RefusalCause
+from damaskrill.steering._refusals import (
+    NOT_RUN_STATUSES,
+    LoggedOutcome,
+    Refusal,
+    RefusalCause,
+)
 from damaskrill.steering._regions import is_region_allowed
 from damaskrill.steering._retry import (
     FULL_RETRY_DELAY_MS,
@@ -95,6 +100,7 @@
     "FULL_RETRY_DELAY_MS",
     "MAX_DIRECT_ROUTERS",
     "NEW_LINK",
+    "NOT_RUN_STATUSES",
     "NO_REQUEST",
     "RELAYED_BOUNDS",
     "UNKNOWN_SENDER_GRANT",
--- a/damaskrill/steering/_refusals.py
+++ b/damaskrill/steering/_refusals.py
@@ -4,7 +4,10 @@
 
 from attrs import frozen
 
-__all__ = ["LoggedOutcome", "Refusal", "RefusalCause"]
+__all__ = ["NOT_RUN_STATUSES", "LoggedOutcome", "Refusal", "RefusalCause"]
+
+# Statuses that promise a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class LoggedOutcome(Enum):
@@ -38,6 +41,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     BAD_ANSWER = "bad_answer"
     SERVER_ERROR = "server_error"
+    MAY_HAVE_RUN = "may_have_run"
     STREAM_BROKEN = "stream_broken"
     STOPPING = "stopping"
     TIME_LIMIT = "time_limit"
@@ -103,6 +107,10 @@
         "the backend server's answer cannot be forwarded as the answer to this request"
     ),
     RefusalCause.SERVER_ERROR: ("the backend server ran the request and failed"),
+    RefusalCause.MAY_HAVE_RUN: (
+        "the backend server's status says that the request has not run, but the "
+        "server does not state that it has not executed it"
+    ),
     RefusalCause.STREAM_BROKEN: (
         "the stream from the backend server was interrupted before its end"
     ),
