Tell 408 and 421 of a server as unknown in the own interface

Callers saw: an action that its server ran and failed with 408 or 421 came back with that status and the outcome "completed"; ordinary clients take both for not run and send the action again. Cause: only statuses from 500 on counted as failures. Change: both count as failures that say nothing on the run, so that the answer is 502, "unknown". 429 stays: in this interface it states that the request was not run.

--- a/damaskrill/backends/_responses.py
+++ b/damaskrill/backends/_responses.py
@@ -12,6 +12,8 @@
 NOT_RUN_HEADER = "Not-Run"
 STATUS_TOO_MANY_REQUESTS = 429
 MIN_SERVER_ERROR_STATUS = 500
+# Statuses below it by which callers take a request for not run.
+DENYING_STATUSES = (408, 421)
 
 
 class DiscardingProtocol(Protocol):
@@ -40,7 +42,7 @@
     """Return why status and headers rule out the answer, or None."""
     if declares_not_run(response):
         return f"status {response.code}, the request was not run"
-    if response.code >= MIN_SERVER_ERROR_STATUS:
+    if response.code >= MIN_SERVER_ERROR_STATUS or response.code in DENYING_STATUSES:
         return f"status {response.code}"
     if effect.resume_offset:
         confirmed = read_header(response, "Resume-Offset")
--- a/damaskrill/fakes/_http_plain.py
+++ b/damaskrill/fakes/_http_plain.py
@@ -23,6 +23,8 @@
     ----------
     delay_ms : int
         Duration of a call, in milliseconds.
+    status : int
+        Status of the answers to calls that were run.
     drops_next_reply : bool
         Whether the next call is run and its connection then aborted, once.
     """
@@ -32,6 +34,7 @@
         self._service = service
         self._load = 0
         self.delay_ms = 5
+        self.status = 200
         self.drops_next_reply = False
 
     @property
@@ -74,4 +77,4 @@
             "n_runs": self._service.runs[key],
             "n_body_bytes": len(body),
         }
-        self.answer(request, 200, json.dumps(content).encode())
+        self.answer(request, self.status, json.dumps(content).encode())
--- a/features/broken_paths.feature
+++ b/features/broken_paths.feature
@@ -66,3 +66,18 @@
     Given a loopback fleet of 3 routers and 3 engines
     When a long stream is open at each router and all routers but the last are stopped
     Then each client has the byte-exact answer to its own chat
+
+  # Guards against statuses by which clients send an action again that has run.
+  Scenario Outline: an action that its server ran and fails is unknown
+    Given a loopback fleet of 3 routers and 1 engines
+    When the action server answers <status> to what it has run
+    And a client sends one action with a permit to 3 routers in turn
+    Then all 3 outcomes are "unknown"
+    And all 3 statuses are 502
+    And the action server has run 1 action
+
+    Examples:
+      | status |
+      | 408    |
+      | 421    |
+      | 503    |
--- a/features/steps/broken_paths_steps.py
+++ b/features/steps/broken_paths_steps.py
@@ -42,6 +42,16 @@
     context.fleet.action_server.drops_next_reply = True
 
 
+@when("the action server answers {status:d} to what it has run")
+def step_action_status(context, status):
+    context.fleet.action_server.status = status
+
+
+@then("all {n:d} statuses are {status:d}")
+def step_same_statuses(context, n, status):
+    assert [each.status for each in context.replies] == [status] * n, context.replies
+
+
 @when("a client closes the connection in the middle of a long stream")
 def step_caller_disconnects(context):
     connection = http.client.HTTPConnection("127.0.0.1", context.fleet.ports[0])
