Blame the least proven of the prompt parts that stand under the same crashes

Cause: among parts with the same crashes the one nearest to the end of the prompt was blocked; sound answers were forgotten after 2 s, and nothing decided between the parts for a minute. Change: routers count how often parts were served and tell each other of those in reports of crashes; the least proven one is blocked, after the number of crashes. Where the counts don't differ, some routers let a request through that lacks one of the parts, which decides it. The line of a block says what is known. The stand-in of an engine that comes back gets a new ID each time now, as two of its starts counted as one server.

--- a/damaskrill/gateway/_crash_blocking.py
+++ b/damaskrill/gateway/_crash_blocking.py
@@ -26,11 +26,19 @@
 
 # A retry does not help, and callers wait a third of their time at most.
 RETRY_AFTER_MS = 60_000
+# The same while other requests are about to show whether the request is sound.
+RETRY_AFTER_UNDECIDED_MS = 1_000
 
 
 def build_refusal(rejection: Rejection) -> Refusal:
     """Return the refusal of a request that no server has run."""
-    return Refusal(status=503, cause=rejection.cause, retry_after_ms=RETRY_AFTER_MS)
+    return Refusal(
+        status=503,
+        cause=rejection.cause,
+        retry_after_ms=RETRY_AFTER_UNDECIDED_MS
+        if rejection.is_undecided
+        else RETRY_AFTER_MS,
+    )
 
 
 class CrashBlocking:
@@ -42,8 +50,9 @@
         Crashes that all routers have reported.
     publish : callable
         Publishes reports to other routers after a short delay.
-    ranks_first : callable
-        Returns whether this router is the first one by rendezvous hash for a key.
+    find_rank : callable
+        Returns this router's rank by rendezvous hash for a key, from 0, and the number
+        of routers.
     log : DecisionLog
         Log of decisions.
     metrics : GatewayMetrics
@@ -55,13 +64,13 @@
         *,
         detector: CrashDetector,
         publish: Callable[[], None],
-        ranks_first: Callable[[str], bool],
+        find_rank: Callable[[str], tuple[int, int]],
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
         self._detector = detector
         self._publish = publish
-        self._ranks_first = ranks_first
+        self._find_rank = find_rank
         self._log = log
         self._metrics = metrics
 
@@ -71,7 +80,7 @@
             detector=self._detector,
             prompt=metadata.prompt,
             fingerprint=metadata.fingerprint_for(team.name if team else ""),
-            ranks_first=self._ranks_first,
+            find_rank=self._find_rank,
         )
 
     def record_attempt(
@@ -90,6 +99,14 @@
             is_news = True
         elif is_success or shows_sound_request(result):
             is_news |= guard.record_served(now_ms, is_success=is_success)
+        if guard.tried_part is not None:
+            self._log.write(
+                "prompt_part_tried",
+                part=f"{guard.tried_part:08x}",
+                backend_server=sent.server.server_id,
+                has_crashed=has_begun,
+                is_sound=is_success,
+            )
         if is_news:
             self._publish()
             self.log_changes()
@@ -102,9 +119,17 @@
             if part in changes.requests:
                 self._log.warn("request_blocked", fingerprint=f"{part:08x}")
             else:
-                self._log.warn("prompt_part_blocked", part=f"{part:08x}")
+                self._log_blocked(part)
         for part in sorted(changes.released):
             if part in changes.requests:
                 self._log.write("request_released", fingerprint=f"{part:08x}")
             else:
                 self._log.write("prompt_part_released", part=f"{part:08x}")
+
+    def _log_blocked(self, part: int) -> None:
+        fields: dict[str, object] = {}
+        for blocked in self._detector.find_blocked([part], monotonic_now_ms()):
+            fields["n_crashes"] = blocked.n_crashes
+            fields["n_served"] = blocked.n_served
+            fields["alternatives"] = [f"{each:08x}" for each in blocked.alternatives]
+        self._log.warn("prompt_part_blocked", part=f"{part:08x}", **fields)
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -82,8 +82,9 @@
         Failures of servers' requests observed by all routers.
     crashes : CrashDetector
         Requests and prompt parts that may crash servers.
-    ranks_first : callable
-        Returns whether this router is the first one by rendezvous hash for a key.
+    find_rank : callable
+        Returns this router's rank by rendezvous hash for a key, from 0, and the number
+        of routers.
     relay : PeerRelay
         Peers that requests go through while the path to the servers is cut.
     account : MemoryAccount
@@ -127,7 +128,7 @@
         prefix_index: PrefixIndex,
         failures: FailureDetector,
         crashes: CrashDetector,
-        ranks_first: Callable[[str], bool],
+        find_rank: Callable[[str], tuple[int, int]],
         relay: PeerRelay,
         account: MemoryAccount,
         streams: StreamVersions,
@@ -171,7 +172,7 @@
         self.crashes = CrashBlocking(
             detector=crashes,
             publish=publish_reports,
-            ranks_first=ranks_first,
+            find_rank=find_rank,
             log=log,
             metrics=metrics,
         )
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -393,7 +393,7 @@
             prefix_index=self._prefix_index,
             failures=self._failures,
             crashes=self._crashes,
-            ranks_first=self._ranks_first,
+            find_rank=self._find_rank,
             streams=self._streams,
             slots=self._slots,
             publish_reports=self._mesh.push_urgent_reports,
@@ -598,9 +598,9 @@
         self._members.set_path(may_relay, monotonic_now_ms())
         self._mesh.push_urgent_reports()
 
-    def _ranks_first(self, key: str) -> bool:
-        addresses = self._members.addresses()
-        return rank_by_rendezvous(key, addresses)[0] == self._members.own.address
+    def _find_rank(self, key: str) -> tuple[int, int]:
+        ranked = rank_by_rendezvous(key, self._members.addresses())
+        return ranked.index(self._members.own.address), len(ranked)
 
     def _apply_departure(self, departure: Departure) -> bool:
         key = (departure.server_id, departure.started_at_ms)
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -30,6 +30,7 @@
     LoadReport,
     PrefixReport,
     ServedReport,
+    SoundnessReport,
 )
 
 __all__ = [
@@ -63,18 +64,20 @@
     *([], [], [], b"", b"", b"", [], b"", b"", b"", None),
     NO_DIGEST,
     b"",
+    b"",
 )
 # Larger frames are compressed: a configuration with many routes shrinks tenfold.
 MIN_COMPRESSED_BYTES = 1_500
 MAX_FRAME_BYTES = 64_000_000
 # Unsigned 32-bit numbers in a report of a load, a prefix or a limit, in one of
-# failures, in one of a served part, in one of a server's speed, and in one of a crash
-# before those of the parts.
+# failures, in one of a served part, in one of a server's speed, in one of a crash
+# before those of the parts, and in one of a part's soundness.
 N_REPORT_NUMBERS = 3
 N_FAILURE_NUMBERS = 7
 N_SERVED_NUMBERS = 4
 N_SPEED_NUMBERS = 3
 N_CRASH_NUMBERS = 6
+N_SOUNDNESS_NUMBERS = 2
 NUMBER_BYTES = 4
 MAX_UINT32 = 0xFFFF_FFFF
 PERCENT = 100
@@ -218,6 +221,8 @@
         Answers that servers broke off shortly after their beginning.
     served : tuple of ServedReport
         Prompt parts in such reports that were served.
+    soundness : tuple of SoundnessReport
+        How often prompt parts in such reports were served.
     limits : tuple of LimitReport
         Rate limits that servers have stated.
     brittle : tuple of LimitReport
@@ -239,6 +244,7 @@
     failures: tuple[FailureReport, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     served: tuple[ServedReport, ...] = ()
+    soundness: tuple[SoundnessReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     brittle: tuple[LimitReport, ...] = ()
     key_counts: KeyCounts | None = None
@@ -406,6 +412,7 @@
             for each in update.loads
             if each.slowness is not None
         ),
+        _pack(astuple(each) for each in update.soundness),
     ]
 
 
@@ -428,6 +435,7 @@
             [float(), list(), *_] | None as counts,
             int(digest),
             bytes(speeds),
+            bytes(soundness),
         ]:
             return Update(
                 position=position,
@@ -444,6 +452,9 @@
                 ),
                 crashes=tuple(_to_crash(each) for each in crashes),
                 served=tuple(starmap(ServedReport, _unpack(served, N_SERVED_NUMBERS))),
+                soundness=tuple(
+                    starmap(SoundnessReport, _unpack(soundness, N_SOUNDNESS_NUMBERS))
+                ),
                 limits=tuple(starmap(LimitReport, _unpack(limits, N_REPORT_NUMBERS))),
                 brittle=tuple(starmap(LimitReport, _unpack(brittle, N_REPORT_NUMBERS))),
                 key_counts=_to_key_counts(counts),
--- a/damaskrill/mesh/_reports.py
+++ b/damaskrill/mesh/_reports.py
@@ -19,6 +19,7 @@
     PrefixIndex,
     ServedReport,
     ServerLoads,
+    SoundnessReport,
     StatedLimits,
 )
 
@@ -188,6 +189,9 @@
             failures=tuple(failures),
             crashes=tuple(each for each in crashes if isinstance(each, CrashReport)),
             served=tuple(each for each in crashes if isinstance(each, ServedReport)),
+            soundness=tuple(
+                each for each in crashes if isinstance(each, SoundnessReport)
+            ),
             limits=tuple(limits),
             brittle=tuple(brittle),
             key_counts=key_counts,
@@ -216,9 +220,9 @@
         )
         if servers:
             self.apply_failures(servers)
-        if update.crashes or update.served:
-            reports: list[CrashReport | ServedReport] = [*update.crashes]
-            reports += update.served
+        reports: list[CrashReport | ServedReport | SoundnessReport]
+        reports = [*update.crashes, *update.served, *update.soundness]
+        if reports:
             self.crashes.apply_reports(reports, now_ms=now_ms, source=source)
             self.apply_crashes()
         self.brittle.apply_reports(update.brittle, now_ms=now_ms, source=source)
@@ -238,6 +242,7 @@
         or update.failures
         or update.crashes
         or update.served
+        or update.soundness
         or update.limits
         or update.brittle
     )
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -16,6 +16,7 @@
     NO_REQUEST,
     CrashReport,
     ServedReport,
+    SoundnessReport,
 )
 from damaskrill.steering._engine_choice import EngineChoice, EngineFigures
 from damaskrill.steering._engine_room import EngineRoom, expected_output
@@ -163,6 +164,7 @@
     "ServerRequirements",
     "ServerSelector",
     "ServerSpeeds",
+    "SoundnessReport",
     "StatedLimits",
     "StreamOrigins",
     "UnevenChoice",
--- a/damaskrill/steering/_crash_detector.py
+++ b/damaskrill/steering/_crash_detector.py
@@ -12,6 +12,7 @@
     CrashReport,
     ServedReport,
     ServerCrash,
+    SoundnessReport,
     refutes_crash,
 )
 from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
@@ -20,6 +21,7 @@
 __all__ = ["NEW_LINK", "BlockChanges", "CrashDetector"]
 
 ServerKey = tuple[str, int]
+Report = CrashReport | ServedReport | SoundnessReport
 # A crash that no blocked part explains is forgotten after this time.
 RETENTION_MS = 30_000
 # A blocked part is forgotten after this time without a crash or a rejected request. In
@@ -63,7 +65,7 @@
 class _Timed:
     """Report with the local time of its event in milliseconds."""
 
-    report: CrashReport | ServedReport
+    report: Report
     at_ms: float
 
 
@@ -163,15 +165,15 @@
 
     def record_served(self, parts: Iterable[int], now_ms: float) -> bool:
         """Record a served request; return whether other routers must be told."""
-        n_before = self._number
+        n_before = self._log.n_reports
         for part in parts:
             self._served.record(part, now_ms, is_told=False)
             self._tell_served(part)
-        return self._number != n_before
+        return self._log.n_reports != n_before
 
     def apply_reports(
         self,
-        reports: Iterable[CrashReport | ServedReport],
+        reports: Iterable[Report],
         *,
         now_ms: float,
         source: str,
@@ -180,7 +182,7 @@
 
         Parameters
         ----------
-        reports : iterable of CrashReport or ServedReport
+        reports : iterable of CrashReport, ServedReport or SoundnessReport
             The received reports. Those that an earlier process of this router made
             count as well.
         now_ms : float
@@ -191,6 +193,9 @@
         is_news = False
         self._purge(now_ms)
         for each in reports:
+            if isinstance(each, SoundnessReport):
+                is_news |= self._add_soundness(each, now_ms, source)
+                continue
             at_ms = now_ms - each.age_ms
             if (each.router, each.number) in self._seen:
                 self._correct_time(each, at_ms)
@@ -274,7 +279,7 @@
         now_ms: float,
         exclude_link: str = "",
         include_relayed: bool = True,
-    ) -> tuple[list[CrashReport | ServedReport], int]:
+    ) -> tuple[list[Report], int]:
         """Return the reports to send over a link.
 
         Parameters
@@ -291,7 +296,7 @@
 
         Returns
         -------
-        reports : list of CrashReport and ServedReport
+        reports : list of CrashReport, ServedReport and SoundnessReport
             Oldest first.
         number : int
             Number for the next call.
@@ -311,12 +316,9 @@
                     for crash in self._crashes.values()
                     for report in crash.reports
                 ),
-                *(each for each in newest if isinstance(each.report, ServedReport)),
+                *(each for each in newest if not isinstance(each.report, CrashReport)),
             ]
-        return [
-            evolve(each.report, age_ms=max(0, round(now_ms - each.at_ms)))
-            for each in newest
-        ], number
+        return [_with_age(each, now_ms) for each in newest], number
 
     def _add_crash(
         self, report: CrashReport, at_ms: float, source: str, now_ms: float
@@ -352,13 +354,29 @@
 
     def _tell_served(self, part: int) -> None:
         # Only for parts in crash reports, which keeps the traffic small.
-        for crash in self._crashes.values():
-            if part not in crash.suspects:
-                continue
+        crashes = [each for each in self._crashes.values() if part in each.suspects]
+        if any(part in each.parts for each in crashes):
+            self._tell_soundness(part)
+        for crash in crashes:
             at_ms = self._served.find_untold(part, crash.at_ms)
             if at_ms is not None:
-                report = ServedReport(part, self._router, self._next_number(), 0)
-                self._add_served(report, at_ms, "")
+                served = ServedReport(part, self._router, self._next_number(), 0)
+                self._add_served(served, at_ms, "")
+
+    def _tell_soundness(self, part: int) -> None:
+        n_served = self._served.take_untold_count(part)
+        if n_served:
+            report = SoundnessReport(part, n_served)
+            self._log.add(_Timed(report, NEVER_MS), source="")
+
+    def _add_soundness(
+        self, report: SoundnessReport, now_ms: float, source: str
+    ) -> bool:
+        if not self._served.record_told_count(report.part, report.n_served):
+            return False
+        self._evaluated_ms = NEVER_MS
+        self._log.add(_Timed(report, now_ms), source=source)
+        return True
 
     def _correct_time(self, report: CrashReport | ServedReport, at_ms: float) -> None:
         # An age does not include the time on the links: the fastest way tells best.
@@ -402,7 +420,9 @@
         if now_ms - self._evaluated_ms < EVALUATION_INTERVAL_MS:
             return
         self._evaluated_ms = now_ms
-        found = find_crashing_parts(self._crashes.values(), self._served.is_sound)
+        found = find_crashing_parts(
+            self._crashes.values(), self._served.is_sound, self._served.count
+        )
         self._blocked = {
             part: each
             for part, each in found.items()
@@ -421,3 +441,9 @@
         self._seen[report.router, report.number] = None
         if len(self._seen) > MAX_SEEN:
             self._seen.popitem(last=False)
+
+
+def _with_age(timed: _Timed, now_ms: float) -> Report:
+    if isinstance(timed.report, SoundnessReport):
+        return timed.report
+    return evolve(timed.report, age_ms=max(0, round(now_ms - timed.at_ms)))
--- a/damaskrill/steering/_crash_guard.py
+++ b/damaskrill/steering/_crash_guard.py
@@ -14,6 +14,11 @@
 __all__ = ["CrashGuard", "Rejection"]
 
 ServerKey = tuple[str, int]
+# Routers that may send requests which decide what crashes servers, as a share of all,
+# and the least number, which grows from one in the first turn: some of them get such a
+# request soon, and few send one at the same moment.
+DECIDING_SHARE = 0.25
+MIN_DECIDING_ROUTERS = 3
 
 
 @frozen(kw_only=True)
@@ -26,10 +31,13 @@
         Whether servers crashed under the request or under a part of its prompt.
     detail : str
         Fingerprint of the request, or ID of the part.
+    is_undecided : bool, default=False
+        Whether the request may turn out to be sound soon.
     """
 
     cause: RefusalCause
     detail: str
+    is_undecided: bool = False
 
 
 class CrashGuard:
@@ -43,8 +51,9 @@
         Parts of the prompt; the last one is the request's own. Empty if it has none.
     fingerprint : int
         What the request has in common with itself when it comes again.
-    ranks_first : callable
-        Returns whether this router is the first one by rendezvous hash for a key.
+    find_rank : callable
+        Returns this router's rank by rendezvous hash for a key, from 0, and the number
+        of routers.
     """
 
     def __init__(
@@ -52,14 +61,14 @@
         *,
         detector: CrashDetector,
         prompt: Sequence[PromptPart],
-        ranks_first: Callable[[str], bool],
+        find_rank: Callable[[str], tuple[int, int]],
         fingerprint: int = NO_REQUEST,
     ) -> None:
         self._detector = detector
         self._names = {short_id(part.part_id): part.part_id for part in prompt[:-1]}
         self._fingerprint = fingerprint
         self._suspects = (*self._names, fingerprint) if fingerprint else (*self._names,)
-        self._ranks_first = ranks_first
+        self._find_rank = find_rank
         self._trial: int | None = None
         self._is_suspected = False
 
@@ -68,6 +77,11 @@
         """Whether the request probably crashed the server that it was sent to."""
         return self._is_suspected
 
+    @property
+    def tried_part(self) -> int | None:
+        """Blocked part that the request tries; None if it tries none."""
+        return self._trial
+
     def is_blocked(self, now_ms: float) -> bool:
         """Return whether the request, or a part of its prompt, is blocked.
 
@@ -94,6 +108,8 @@
             return Rejection(
                 cause=RefusalCause.CRASHING_PROMPT,
                 detail=f"prompt part {self._names[part]}",
+                is_undecided=len(blocked) == 1
+                and blocked[0].is_decided_by(self._names),
             )
         return Rejection(
             cause=RefusalCause.CRASHING_REQUEST, detail=f"fingerprint {part:08x}"
@@ -154,12 +170,27 @@
         if len(blocked) > 1:
             return False
         (only,) = blocked
+        is_deciding = only.is_decided_by(self._names)
         if self._trial == only.part:
-            return now_ms >= only.trial_at_ms
-        key = only.trial_key(now_ms)
-        if key is None or not self._ranks_first(key):
+            return is_deciding or now_ms >= only.trial_at_ms
+        may_try = self._may_try(only, now_ms) or (
+            is_deciding and self._may_decide(only, now_ms)
+        )
+        if not may_try:
             return False
         if not self._detector.try_begin_trial(only.part):
             return False
         self._trial = only.part
         return True
+
+    def _may_try(self, blocked: BlockedPart, now_ms: float) -> bool:
+        key = blocked.trial_key(now_ms)
+        return key is not None and self._find_rank(key)[0] == 0
+
+    def _may_decide(self, blocked: BlockedPart, now_ms: float) -> bool:
+        turn = blocked.deciding_turn(now_ms)
+        if turn is None:
+            return False
+        rank, n_routers = self._find_rank(f"{blocked.part} deciding {turn}")
+        least = min(turn + 1, MIN_DECIDING_ROUTERS)
+        return rank < max(least, DECIDING_SHARE * n_routers)
--- a/damaskrill/steering/_crash_reports.py
+++ b/damaskrill/steering/_crash_reports.py
@@ -10,6 +10,7 @@
     "CrashReport",
     "ServedReport",
     "ServerCrash",
+    "SoundnessReport",
     "find_instants",
     "refutes_crash",
 ]
@@ -91,6 +92,26 @@
     age_ms: int
 
 
+@frozen
+class SoundnessReport:
+    """How much is known of the soundness of a prompt part.
+
+    Parameters
+    ----------
+    part : int
+        Short hash of the part.
+    n_served : int
+        Number of requests with it that one router has seen served, at the least.
+
+    Notes
+    -----
+    It has neither a sender nor an age: of two reports on a part the larger one counts.
+    """
+
+    part: int
+    n_served: int
+
+
 @define
 class ServerCrash:
     """Crash of a server, with the requests that it was just beginning to run.
@@ -105,12 +126,15 @@
         The reports.
     suspects : set of int
         Fingerprints of all requests and short hashes of all prompt parts in them.
+    parts : set of int
+        Those of them that are prompt parts.
     """
 
     at_ms: float
     sent_ms: float = float("-inf")
     reports: list[CrashReport] = field(factory=list)
     suspects: set[int] = field(factory=set)
+    parts: set[int] = field(factory=set)
 
     def add(self, report: CrashReport, at_ms: float) -> None:
         """Add a report, with the local time of the crash in milliseconds."""
@@ -121,6 +145,7 @@
         if n_similar < MAX_REPORTS_PER_CRASH:
             self.reports.append(report)
             self.suspects.update(report.suspects)
+            self.parts.update(report.parts)
 
     def includes(self, report: CrashReport, at_ms: float) -> bool:
         """Return whether a report is of this crash, given its local time.
--- a/damaskrill/steering/_gossip.py
+++ b/damaskrill/steering/_gossip.py
@@ -80,6 +80,11 @@
         self._reports: deque[tuple[str, T]] = deque(maxlen=max_reports)
         self._n_reports = 0
 
+    @property
+    def n_reports(self) -> int:
+        """Number of reports that were ever added."""
+        return self._n_reports
+
     def add(self, report: T, *, source: str) -> None:
         """Add a report; the source is empty if this router created it."""
         self._reports.append((source, report))
--- a/features/gateway_crashing_prompts.feature
+++ b/features/gateway_crashing_prompts.feature
@@ -134,6 +134,26 @@
     And the metrics and the log of a gateway name the blocked part
     And each line of the log can be read
 
+  # Guards against the rejection of a document for the part before it.
+  Scenario: gateways serve a document that prompts with a blocked part share
+    Given a platform with 5 engines that crash on the part "bad" and come back
+    And 3 gateways that know each other
+    And each gateway has served 3 chats on a document, 2.5 s ago
+    When chats with the bad part before the document arrive until one is rejected
+    Then all gateways serve chats on the document
+    And all gateways reject further chats with the part as not run, without an engine
+    And the line of the blocked part tells what is known of it
+
+  # Guards against a block that lasts a minute where a sound request decides it.
+  Scenario: gateways that have just started find out which of two parts is bad
+    Given a platform with 5 engines that crash on the part "bad" and come back
+    And 3 gateways that know each other
+    When chats with the bad part before the document arrive until one is rejected
+    And chats on the document arrive at all gateways until each has served one
+    Then at most 5 engines have crashed
+    And all gateways serve chats on the document
+    And all gateways reject further chats with the part as not run, without an engine
+
   Scenario: a request that crashed a server like another one is not sent again
     Given a platform with 5 engines that crash on the part "bad" and come back
     And 3 gateways that know each other
@@ -183,6 +203,80 @@
       | bad aa, aa d#            |
       | aa bad, aa d#, aa e#, b# |
 
+  # Guards against sound prompts that are rejected for a document that they share with
+  # prompts which crash servers by another part.
+  Scenario Outline: a document that crashing prompts share goes on
+    Given <n> routers before <servers> engines that may crash under prompts
+    And the routers <history>
+    When prompts with a bad part <place> come every 5 s, and sound ones on the document every <s> s
+    Then at least half of the sound ones begin from 6 s after the fifth crash on
+    And at most 3 bad requests reach an engine later than 3 s after the fifth crash
+
+    Examples:
+      | n   | servers | s  | place                                     | history                         |
+      | 3   | 5       | 5  | before the document                       | have served the document        |
+      | 3   | 5       | 5  | before the document                       | have started                    |
+      | 3   | 5       | 12 | before the document                       | have served the document        |
+      | 3   | 5       | 12 | before the document                       | have started                    |
+      | 3   | 5       | 5  | before the document                       | have never served the document  |
+      | 3   | 5       | 5  | after the document                        | have started                    |
+      | 3   | 5       | 5  | before one of two documents in turn       | have started                    |
+      | 3   | 5       | 5  | between two parts that are always shared  | have started                    |
+      | 9   | 30      | 5  | before the document                       | have served the document        |
+      | 9   | 30      | 5  | before the document                       | have started                    |
+      | 9   | 30      | 12 | before the document                       | have served the document        |
+      | 112 | 30      | 5  | before the document                       | have served the document        |
+      | 112 | 30      | 12 | before the document                       | have served the document        |
+
+  # Guards against a memory of sound answers that protects a part for good.
+  Scenario Outline: a document that turns bad itself is blocked, also if it was served often
+    Given <n> routers before 5 engines that may crash under prompts
+    And the routers <history>
+    When the document itself turns bad and its prompts come every 5 s
+    Then at most <crashes> engines crash in 60 s
+    And at most 3 bad requests reach an engine later than 3 s after the fifth crash
+    And no request without the document is rejected
+
+    Examples:
+      | n  | crashes | history                        |
+      | 3  | 6       | have served the document       |
+      | 3  | 6       | have started                   |
+      | 3  | 6       | have never served the document |
+      | 9  | 6       | have served the document       |
+      | 77 | 6       | have served the document       |
+
+  Scenario Outline: of parts with the same crashes the one that was served less is blocked
+    Given a router that has seen no crash
+    And it has served part "aa" <n_aa> times and part "bb" <n_bb> times, 10 s before
+    When three servers crash while they begin answers to the prompts "<prompts>"
+    Then it blocks only the part "<blocked>"
+
+    Examples:
+      | n_aa | n_bb | prompts | blocked |
+      | 0    | 1    | aa bb   | aa      |
+      | 1    | 0    | aa bb   | bb      |
+      | 1    | 1000 | aa bb   | aa      |
+      | 1000 | 1    | bb aa   | bb      |
+      | 1000 | 900  | aa bb   | bb      |
+
+  Scenario: a router that has started learns from its peers how often parts were served
+    Given a router that has seen no crash
+    And it has served part "aa" 0 times and part "bb" 40 times, 10 s before
+    When three servers crash while they begin answers to the prompts "aa bb"
+    And a router starts that gets the reports of this one
+    Then it blocks only the part "aa"
+
+  # A router may send 5,000 bytes a second for control, of which these are a tenth.
+  Scenario: news about served parts are few and small
+    Given 112 routers before 30 engines that may crash under prompts
+    When two requests a second whose second part is bad arrive among sound ones for 40 s
+    Then no router sends more than 500 bytes a second of reports on soundness
+
+  Scenario: the memory of served parts is bounded
+    Given a router that has seen no crash
+    When it has served 20000 requests, each with a part of its own
+    Then it remembers at most 8192 parts
+
   Scenario: a part that was served again counts no earlier crash
     Given a router that has seen no crash
     When two servers crash under a part, it is served, and a third one crashes later
--- a/features/steps/crashing_fleet_steps.py
+++ b/features/steps/crashing_fleet_steps.py
@@ -14,6 +14,8 @@
 SEEDS = (1, 2, 3)
 N_BEFORE_MS = 5_000
 ARRIVAL_MS = 40_000
+# Time for which prompts with a bad part and sound ones share a document.
+SHARED_MS = 60_000
 # Far fewer requests than a real router gets, but each part is used several times a
 # second in the whole fleet.
 SOUND_PER_S = 40
@@ -96,6 +98,177 @@
     return fleet.crashes[min(FIFTH, len(fleet.crashes)) - 1]
 
 
+DOCUMENT = ("team-0", "document")
+# Time for which prompts on the document come before the first crash.
+HISTORY_MS = 40_000
+TOGETHER = 3
+PERIOD_MS = 5_000
+
+
+def shift(fleet, until_ms):
+    """Send what other teams ask, and let time pass."""
+    fleet.every(
+        4, lambda: fleet.send(choose_other(fleet), is_bad=False), until_ms=until_ms
+    )
+    fleet.run(until_ms)
+
+
+def choose_other(fleet):
+    return ("team-9", f"other-{fleet.random.randrange(7)}")
+
+
+@given("the routers have served the document")
+def step_served_before(context):
+    for fleet in context.fleets:
+        serve_document(fleet)
+
+
+def serve_document(fleet):
+    until_ms = fleet.now_ms + HISTORY_MS
+    fleet.send_together(
+        lambda _: [DOCUMENT] * TOGETHER,
+        every_ms=PERIOD_MS,
+        until_ms=until_ms,
+        is_bad=False,
+    )
+    shift(fleet, until_ms)
+
+
+@given("the routers have started")
+def step_just_started(context):
+    for fleet in context.fleets:
+        serve_document(fleet)
+        fleet.restart_routers()
+
+
+@given("the routers have never served the document")
+def step_never_served(context):
+    for fleet in context.fleets:
+        shift(fleet, fleet.now_ms + HISTORY_MS)
+
+
+BAD_PROMPTS = {
+    "before the document": lambda _: ("team-0", BAD, "document"),
+    "after the document": lambda _: ("team-0", "document", BAD),
+    "before one of two documents in turn": lambda number: (
+        "team-0",
+        BAD,
+        "document" if number % 2 else "document-2",
+    ),
+    "between two parts that are always shared": lambda _: (
+        "team-0",
+        "aa",
+        BAD,
+        "bb",
+        "document",
+    ),
+}
+
+
+@when(
+    "prompts with a bad part {place} come every 5 s, and sound ones on the document "
+    "every {s:d} s"
+)
+def step_bad_before_document(context, place, s):
+    build = BAD_PROMPTS[place]
+    for fleet in context.fleets:
+        until_ms = fleet.now_ms + SHARED_MS
+        fleet.bad_parts = {BAD}
+        fleet.send_together(
+            lambda number: [build(number)],
+            every_ms=PERIOD_MS,
+            until_ms=until_ms,
+            is_bad=True,
+            n_retries=1,
+        )
+        fleet.at(PERIOD_MS / 2, send_document, fleet, s, until_ms)
+        shift(fleet, until_ms)
+
+
+def send_document(fleet, s, until_ms):
+    fleet.on_document = fleet.send_together(
+        lambda _: [DOCUMENT] * TOGETHER,
+        every_ms=s * 1_000,
+        until_ms=until_ms,
+        is_bad=False,
+    )
+
+
+@then("at least half of the sound ones begin from {s:d} s after the fifth crash on")
+def step_half_begin(context, s):
+    for fleet in context.fleets:
+        from_ms = find_fifth_crash(fleet) + s * 1_000
+        counted = [each for each in fleet.on_document if each.arrived_ms > from_ms]
+        begun = [each for each in counted if each.has_begun]
+        assert counted and len(begun) >= len(counted) / 2, (len(begun), len(counted))
+
+
+@when("the document itself turns bad and its prompts come every 5 s")
+def step_document_bad(context):
+    for fleet in context.fleets:
+        until_ms = fleet.now_ms + SHARED_MS
+        fleet.bad_parts = {DOCUMENT[-1]}
+        fleet.send_together(
+            lambda _: [DOCUMENT],
+            every_ms=PERIOD_MS,
+            until_ms=until_ms,
+            is_bad=True,
+            n_retries=1,
+        )
+        fleet.sound_since = len(fleet.sound_rejected)
+        shift(fleet, until_ms)
+
+
+@then("at most {n:d} engines crash in 60 s")
+def step_few_crashes(context, n):
+    found = [len(fleet.crashes) for fleet in context.fleets]
+    assert all(0 < each <= n for each in found), found
+
+
+@then("no request without the document is rejected")
+def step_others_not_rejected(context):
+    for fleet in context.fleets:
+        rejected = fleet.sound_rejected[fleet.sound_since :]
+        assert not rejected, rejected[:5]
+
+
+@given(
+    'it has served part "{first}" {n_first:d} times and part "{second}" {n_second:d} '
+    "times, 10 s before"
+)
+def step_served_times(context, first, n_first, second, n_second):
+    from damaskrill.steering import short_id
+
+    for part, n_times in ((first, n_first), (second, n_second)):
+        for _ in range(n_times):
+            context.detector.record_served([short_id(part)], -10_000.0)
+
+
+@when("a router starts that gets the reports of this one")
+def step_peer_starts(context):
+    reports, _ = context.detector.reports_after(-1, now_ms=context.now_ms)
+    context.detector = build_detector("r-new", first_number=9)
+    context.detector.apply_reports(reports, now_ms=context.now_ms, source="r-1")
+
+
+@then("no router sends more than {n_bytes:d} bytes a second of reports on soundness")
+def step_soundness_bytes(context, n_bytes):
+    for fleet in context.fleets:
+        busiest = max(fleet.soundness_bytes.values())
+        assert busiest <= n_bytes, busiest
+
+
+@when("it has served {n:d} requests, each with a part of its own")
+def step_many_served(context, n):
+    for number in range(n):
+        context.detector.record_served([number], float(number))
+
+
+@then("it remembers at most {n:d} parts")
+def step_bounded_parts(context, n):
+    assert len(context.detector._served) <= n
+
+
 @then("at most {n:d} engines crash")
 def step_n_crashes(context, n):
     found = [len(fleet.crashes) for fleet in context.fleets]
--- a/features/steps/gateway_crashing_prompts_steps.py
+++ b/features/steps/gateway_crashing_prompts_steps.py
@@ -25,6 +25,8 @@
 # Time between two requests, so that the crashes are told apart.
 BETWEEN_S = 0.3
 MAX_CHATS = 8
+# The rule counts from twice this long after the last crash, which is 3 s.
+MAX_DECIDING_S = 6
 # No caller waits for so long.
 MIN_RETRY_AFTER_S = 10
 NUMBERS = itertools.count(1)
@@ -82,7 +84,9 @@
         loop.call_later(RESTART_S, restart)
 
     def restart():
-        fresh = FakeServer(reactor=testbed.reactor, server_id=f"{name}-again")
+        # Each start is a new incarnation.
+        number = len(context.crashed)
+        fresh = FakeServer(reactor=testbed.reactor, server_id=f"{name}-{number}")
         testbed.servers[fresh.server_id] = fresh
         fresh.fatal_parts, fresh.on_crash = server.fatal_parts, handle_crash
         entry = build_entry(service="pool", address=fresh.address)
@@ -128,6 +132,82 @@
         raise AssertionError("no chat was rejected")
 
 
+@given("each gateway has served {n:d} chats on a document, {seconds:g} s ago")
+def step_served_document(context, n, seconds):
+    for gateway in context.testbed.gateways * n:
+        reply = send_on_document(context, gateway=gateway)
+        assert reply.status == 200, reply
+    time.sleep(seconds)
+
+
+def send_on_document(context, *, gateway, bad_part=""):
+    parts = ["aa", *([bad_part] if bad_part else []), "document", f"q{next(NUMBERS)}"]
+    prompt = ",".join(parts)
+    return context.testbed.send(
+        "/chat/1",
+        gateway=gateway,
+        headers=[build_prompt_header(prompt)],
+        body=prompt.encode(),
+    )
+
+
+@when("chats with the bad part before the document arrive until one is rejected")
+def step_bad_before_document(context):
+    gateways = itertools.cycle(context.testbed.gateways)
+    for gateway in itertools.islice(gateways, MAX_CHATS):
+        reply = send_on_document(context, gateway=gateway, bad_part=context.part)
+        if reply.status == 503 and b"crashing_prompt" in reply.body:
+            break
+        time.sleep(BETWEEN_S)
+    else:
+        raise AssertionError("no chat was rejected")
+    time.sleep(LINK_S)
+
+
+@when("chats on the document arrive at all gateways until each has served one")
+def step_until_each_serves(context):
+    waiting = list(context.testbed.gateways)
+    ends_at = time.monotonic() + MAX_DECIDING_S
+    while waiting and time.monotonic() < ends_at:
+        replies = {
+            id(each): send_on_document(context, gateway=each) for each in waiting
+        }
+        for reply in replies.values():
+            assert reply.status in (200, 503), reply
+            if reply.status == 503:
+                assert float(reply.headers["retry-after"]) <= MAX_DECIDING_S, reply
+        waiting = [each for each in waiting if replies[id(each)].status != 200]
+        time.sleep(BETWEEN_S)
+    assert not waiting, replies
+
+
+@then("all gateways serve chats on the document")
+def step_document_served(context):
+    for gateway in context.testbed.gateways:
+        reply = send_on_document(context, gateway=gateway)
+        assert reply.status == 200 and reply.is_complete, reply
+
+
+@then("at most {n:d} engines have crashed")
+def step_crashed_at_most(context, n):
+    assert len(context.crashed) <= n, context.crashed
+
+
+@then("the line of the blocked part tells what is known of it")
+def step_blocked_line(context):
+    from damaskrill.steering import short_id
+
+    last = {}
+    for log in context.testbed.logs:
+        for line in log.lines:
+            if line["event"] == "prompt_part_blocked":
+                last[id(log)] = line
+    for line in last.values():
+        assert line["part"] == f"{short_id(context.part):08x}", line
+        assert line["n_crashes"] >= 3 and line["n_served"] == 0, line
+        assert isinstance(line["alternatives"], list), line
+
+
 @then("{least:d} to {most:d} engines have crashed")
 def step_crashed_range(context, least, most):
     assert least <= len(context.crashed) <= most, context.crashed
--- a/features/support/crashing_fleet.py
+++ b/features/support/crashing_fleet.py
@@ -2,11 +2,18 @@
 
 import heapq
 import itertools
+from collections import Counter
 from random import Random
 
-from attrs import define, field
+from attrs import astuple, define, field
 
-from damaskrill.steering import CrashDetector, CrashGuard, PromptPart, short_id
+from damaskrill.steering import (
+    CrashDetector,
+    CrashGuard,
+    PromptPart,
+    SoundnessReport,
+    short_id,
+)
 from damaskrill.utils import rank_by_rendezvous
 
 RESTART_MS = 4_000
@@ -29,6 +36,8 @@
 PUBLISH_MS = 50
 LINK_MS = (0, 150)
 MAX_SENT = 2
+# Time after which a caller sends a request again that has failed.
+RETRY_MS = 400
 BAD_PER_S = 2
 # Share of the sound requests that have the most popular first part.
 POPULAR_SHARE = 0.3
@@ -57,10 +66,13 @@
     is_bad: bool
     guard: CrashGuard
     is_plain: bool = False
+    arrived_ms: float = 0.0
     n_sent: int = 0
     sent_ms: float = 0.0
     begun_ms: float | None = None
     breaks_off: bool = False
+    # Whether the server of the first attempt has begun to answer.
+    has_begun: bool = False
 
 
 def neighbours(number, n):
@@ -84,6 +96,9 @@
         self.ever_blocked = set()
         self.n_served = 0
         self.break_share = 0.0
+        self._served = set()
+        # Bytes of reports on the soundness of parts, by router and second.
+        self.soundness_bytes = Counter()
         self._events = []
         self._order = itertools.count()
         self._names = [f"r-{number}" for number in range(n_routers)]
@@ -131,6 +146,44 @@
             is_regular=is_regular,
         )
 
+    def send_together(self, prompts, *, every_ms, until_ms, is_bad, n_retries=0):
+        """Send requests at the same moment again and again; return a list of them.
+
+        Parameters
+        ----------
+        prompts : callable
+            Returns the prompts of one moment, given its number.
+        n_retries : int, default=0
+            How often callers send a request again that has not begun.
+        """
+        requests = []
+
+        def send_next(number):
+            if self.now_ms >= until_ms:
+                return
+            for parts in prompts(number):
+                requests.append(self.send(parts, is_bad=is_bad))
+                for turn in range(n_retries):
+                    retry_ms = RETRY_MS * (turn + 1)
+                    self.at(retry_ms, self._retry, requests[-1], parts, is_bad)
+            self.at(every_ms, send_next, number + 1)
+
+        send_next(0)
+        return requests
+
+    def _retry(self, request, parts, is_bad):
+        if request not in self._served:
+            self.send(parts, is_bad=is_bad)
+
+    def restart_routers(self):
+        """Start all routers anew: they know nothing of before."""
+        first_number = round(self.now_ms)
+        self.detectors = [
+            CrashDetector(router=name, first_number=first_number)
+            for name in self._names
+        ]
+        self._cursors = [{} for _ in self._names]
+
     def send_sound(self):
         is_popular = self.random.random() < POPULAR_SHARE
         team = 0 if is_popular else self.random.randrange(N_TEAMS)
@@ -159,15 +212,17 @@
             detector=self.detectors[router],
             prompt=prompt,
             fingerprint=fingerprint or 1_000_000 + number,
-            ranks_first=lambda key: self._ranks_first(router, key),
+            find_rank=lambda key: self._find_rank(router, key),
         )
         request = SimRequest(router, tuple(parts), is_bad, guard, is_plain)
+        request.arrived_ms = self.now_ms
         request.breaks_off = self.random.random() < self.break_share
         self._try_send(request)
         return request
 
-    def _ranks_first(self, router, key):
-        return rank_by_rendezvous(key, self._names)[0] == self._names[router]
+    def _find_rank(self, router, key):
+        ranked = rank_by_rendezvous(key, self._names)
+        return ranked.index(self._names[router]), len(ranked)
 
     def _try_send(self, request):
         rejected = request.guard.find_rejection(self.now_ms)
@@ -205,6 +260,7 @@
         if request not in server.running:
             return
         request.begun_ms = self.now_ms
+        request.has_begun |= request.n_sent == 1
         if not self.bad_parts.isdisjoint(request.parts):
             self.at(self.random.uniform(*CRASH_MS), self._crash_under, server)
         elif request.breaks_off:
@@ -216,6 +272,7 @@
         if request in server.running:
             server.running.discard(request)
             self.n_served += 1
+            self._served.add(request)
             detector = self.detectors[request.router]
             if detector.record_answer(server.key, request.sent_ms):
                 self._publish_soon(request.router)
@@ -280,9 +337,18 @@
             )
             self._cursors[router][receiver] = cursor
             if reports:
+                self._count_soundness_bytes(router, reports)
                 delay_ms = self.random.uniform(*LINK_MS)
                 self.at(delay_ms, self._receive, router, receiver, reports)
 
+    def _count_soundness_bytes(self, router, reports):
+        # Packed numbers of 32 bits each.
+        n_numbers = sum(
+            len(astuple(each)) for each in reports if isinstance(each, SoundnessReport)
+        )
+        second = int(self.now_ms // 1_000)
+        self.soundness_bytes[router, second] += 4 * n_numbers
+
     def _receive(self, sender, receiver, reports):
         detector = self.detectors[receiver]
         if detector.apply_reports(reports, now_ms=self.now_ms, source=str(sender)):
