Pass on no status that HTTP does not know

Callers saw: answers of servers with status 600, 700 or 999 were passed on with the server's seal; in the own interface also 99. Cause: the parser takes three digits from 100 on, the own interface's client any integer. The soak counts such a status as a violation.

--- a/damaskrill/http1/_answer_bounds.py
+++ b/damaskrill/http1/_answer_bounds.py
@@ -2,7 +2,7 @@
 
 from damaskrill.http1._errors import InvalidAnswerError
 
-__all__ = ["MAX_ANSWER_HEAD_BYTES", "AnswerBounds", "check_head_start"]
+__all__ = ["MAX_ANSWER_HEAD_BYTES", "AnswerBounds", "check_head_start", "check_status"]
 
 # Bytes of one head, of one chunk line or of all trailers.
 MAX_ANSWER_HEAD_BYTES = 65_536
@@ -17,6 +17,8 @@
 # Interim answers such as 100 and 103; sound servers send one or two.
 MAX_INFORMATIONAL_HEADS = 32
 PROTOCOL_NAME = b"HTTP/"
+# Statuses of final answers (RFC 9110, section 15); the parser leaves out lower ones.
+MAX_STATUS = 599
 
 
 class AnswerBounds:
@@ -88,3 +90,15 @@
     start = data[: len(PROTOCOL_NAME)]
     if not PROTOCOL_NAME.startswith(start):
         raise InvalidAnswerError(reason=f"it begins with {start!r}")
+
+
+def check_status(status: int) -> None:
+    """Check the status of a final answer.
+
+    Raises
+    ------
+    InvalidAnswerError
+        If it is no status of HTTP.
+    """
+    if status > MAX_STATUS:
+        raise InvalidAnswerError(reason=f"its status is {status}")
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -17,6 +17,7 @@
     MAX_ANSWER_HEAD_BYTES,
     AnswerBounds,
     check_head_start,
+    check_status,
 )
 from damaskrill.http1._errors import InvalidAnswerError
 from damaskrill.http1._messages import (
@@ -239,6 +240,7 @@
             return
         match event:
             case h11.Response():
+                check_status(event.status_code)
                 headers = tuple(event.headers.raw_items())
                 head = AnswerHead(status=event.status_code, headers=headers)
                 self._read_idle_limit(head)
--- a/damaskrill/soak/_checks.py
+++ b/damaskrill/soak/_checks.py
@@ -20,6 +20,8 @@
 STREAM_PREFIXES = ("/chat/", "/check/")
 REPEATABLE_PATHS = ("/check/", "/read/", "/probe-")
 STATUS_OK = 200
+# Statuses of final answers (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
 # The users allow two requests from a router between half a second after the refusal and
 # the end of the pause.
 PAUSE_SLACK_S = 0.5
@@ -139,6 +141,8 @@
         violations.append(
             violation("at_most_once", f"{exchange.path} ran {n_runs} times")
         )
+    if exchange.status and exchange.status not in FINAL_STATUSES:
+        violations.append(violation("status", f"status {exchange.status}"))
     if exchange.status in NOT_RUN_STATUSES and n_runs and not is_repeatable:
         violations.append(
             violation("not_run", f"status {exchange.status}, ran {n_runs} times")
--- a/features/broken_paths.feature
+++ b/features/broken_paths.feature
@@ -81,3 +81,6 @@
       | 408    |
       | 421    |
       | 503    |
+      | 99     |
+      | 600    |
+      | 999    |
--- a/features/gateway_half_taken_requests.feature
+++ b/features/gateway_half_taken_requests.feature
@@ -50,3 +50,23 @@
     And a sound app server
     When a caller uploads 1000 kB as a read until the sound one was needed
     Then the answer is complete, with the whole body
+
+  # Guards against statuses that HTTP does not know.
+  Scenario Outline: an answer whose status is none is not passed on
+    Given the app servers read the upload and answer with status <status>
+    When a caller uploads 8 kB as an <request>
+    Then the caller gets status 502 without a seal
+
+    Examples:
+      | status | request |
+      | 000    | action  |
+      | 001    | action  |
+      | 099    | action  |
+      | 600    | action  |
+      | 700    | action  |
+      | 999    | action  |
+      | 1000   | action  |
+      | 20     | action  |
+      | 2x0    | action  |
+      | 600    | read    |
+      | 999    | stream  |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -45,6 +45,7 @@
     And a refusal of an action that has run is found
     And a read that ran at more servers than its route allows is found
     And an answer to another request is found
+    And an answer with a status that HTTP does not know is found
     And a stream with a missing event is found
     And an event that comes twice, or other bytes, in a stream are found
     And a stream that was taken up and does not go on where it ended is found
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -226,6 +226,12 @@
     assert find_violated(build_exchange(body=b"other"), 1) == ["own_answer"]
 
 
+@then("an answer with a status that HTTP does not know is found")
+def step_unknown_status(context):
+    for status in (99, 600, 999):
+        assert find_violated(build_exchange(status=status), 1) == ["status"]
+
+
 @then("a request at a server long after its leaving notice is found")
 def step_late(context):
     record = ServerRecord(server_id="a", runs={}, arrivals=((5.0, "q9"), (1.5, "p")))
