--- a/damaskrill/http1/_transport.py
+++ b/damaskrill/http1/_transport.py
@@ -69,7 +69,8 @@
     Returns
     -------
     int
-        Bytes that the socket has not taken, and those that it has sent in vain so far.
+        Bytes that the socket has not taken, and those that were sent and not
+        acknowledged.
     """
     try:
         empty = bytes(struct.calcsize(INT_FORMAT))
--- a/damaskrill/steering/_crash_cover.py
+++ b/damaskrill/steering/_crash_cover.py
@@ -28,10 +28,10 @@
 # prompts crashes servers. Reports of crashes and of served requests cross the fleet
 # within some tenths of a second.
 DECIDING_DELAY_MS = 500
-# A part that was served so many orders of magnitude more often than another one is no
-# alternative to it.
-MIN_LEVEL_LEAD = 2
 DECIDING_TURN_MS = 2_000
+# A part that was served more often than another one by this many powers of two, about
+# four times as often, is no alternative to it.
+MIN_LEVEL_LEAD = 2
 
 
 @frozen
@@ -130,7 +130,7 @@
     Notes
     -----
     The part with the most crashes is chosen first. Among parts with the same crashes,
-    it is the one that was served least often, by order of magnitude; then the one in
+    it is the one that was served least often, in powers of two; then the one in
     the fewest answers, since a crashing part has one answer a crash and widely shared
     ones may have several; then the one nearest to the end of the prompt, since parts at
     its beginning are shared with more requests. A request comes
--- a/damaskrill/steering/_served_parts.py
+++ b/damaskrill/steering/_served_parts.py
@@ -145,5 +145,5 @@
 
 
 def soundness_level(n_served: int) -> int:
-    """Return the order of magnitude of a number of served requests, to the base 2."""
+    """Return how many powers of two a number of served requests has reached."""
     return n_served.bit_length()
