Find the speeds in a frame by their place before the soundness of parts

Since updates end with reports on soundness, it cut these instead, and a part of them is valid. The frames are right; the steps now replace the field of the speeds and hold that it is the one. The new field has the same checks: cut reports are refused, and former builds send none.

--- a/features/gateway_crashing_prompts.feature
+++ b/features/gateway_crashing_prompts.feature
@@ -272,6 +272,12 @@
     When two requests a second whose second part is bad arrive among sound ones for 40 s
     Then no router sends more than 500 bytes a second of reports on soundness
 
+  Scenario: reports on soundness that are cut are refused, and former builds send none
+    Given an update with a report on the soundness of a part
+    Then it is the same after its way over a link
+    And with a report that is cut it is refused with a typed error
+    And an update of a former build, which has no such field, has no such report
+
   Scenario: the memory of served parts is bounded
     Given a router that has seen no crash
     When it has served 20000 requests, each with a part of its own
--- a/features/steps/crashing_fleet_steps.py
+++ b/features/steps/crashing_fleet_steps.py
@@ -2,8 +2,12 @@
 
 from itertools import pairwise
 
+import cbor2
 from behave import given, then, when
 
+from damaskrill.exceptions import PeerFrameError
+from damaskrill.mesh._frames import Update, decode, encode
+from damaskrill.steering import SoundnessReport
 from features.support.crash_reports import (
     BAD,
     build_detector,
@@ -258,6 +262,33 @@
         assert busiest <= n_bytes, busiest
 
 
+@given("an update with a report on the soundness of a part")
+def step_soundness_update(context):
+    context.update = Update(soundness=(SoundnessReport(part=5, n_served=9),))
+
+
+@then("it is the same after its way over a link")
+def step_update_unchanged(context):
+    assert decode(encode(context.update)) == context.update
+
+
+@then("with a report that is cut it is refused with a typed error")
+def step_cut_soundness(context):
+    *before, soundness = cbor2.loads(encode(context.update))
+    for cut in (soundness[:-1], soundness[:4], [1], "x", None, 7):
+        try:
+            decode(cbor2.dumps([*before, cut]))
+        except PeerFrameError:
+            continue
+        raise AssertionError(f"reports {cut} were accepted")
+
+
+@then("an update of a former build, which has no such field, has no such report")
+def step_former_update(context):
+    *former, _ = cbor2.loads(encode(context.update))
+    assert decode(cbor2.dumps(former)) == Update()
+
+
 @when("it has served {n:d} requests, each with a part of its own")
 def step_many_served(context, n):
     for number in range(n):
--- a/features/steps/uneven_servers_steps.py
+++ b/features/steps/uneven_servers_steps.py
@@ -159,9 +159,11 @@
 @then("speeds that are cut are refused with a typed error")
 def step_cut_speeds(context):
     content = cbor2.loads(encode(Update(loads=(LoadReport(5, 3, 90, 6, 2.5),))))
-    for speeds in (content[-1][:-1], content[-1][:4], [1], "x", None, 7):
+    *before, sound_speeds, soundness = content
+    assert sound_speeds and not soundness, content
+    for speeds in (sound_speeds[:-1], sound_speeds[:4], [1], "x", None, 7):
         try:
-            decode(cbor2.dumps([*content[:-1], speeds]))
+            decode(cbor2.dumps([*before, speeds, soundness]))
         except PeerFrameError:
             continue
         raise AssertionError(f"speeds {speeds} were accepted")
@@ -174,10 +176,10 @@
 def step_wrong_speeds(context):
     loads = ServerLoads()
     loads.register_server(KEY)
-    content = cbor2.loads(encode(Update(loads=(LoadReport(ID, 3, 90),))))
+    *before, _, soundness = cbor2.loads(encode(Update(loads=(LoadReport(ID, 3, 90),))))
     for percent in (0, 10_000_000):
         speeds = struct.pack("<6I", ID, 6, percent, ID + 1, 6, 250)
-        update = decode(cbor2.dumps([*content[:-1], speeds]))
+        update = decode(cbor2.dumps([*before, speeds, soundness]))
         assert len(update.loads) == 1
         loads.apply_reports(update.loads, now_ms=1_000.0, source="peer")
         assert not loads.speeds.is_stated([ID, ID + 1])
