Say once which statuses are answers, and how soundness is logged

In the own interface one range takes the place of two limits. Reports on soundness enter the log in one place, without a time that nothing reads.

--- a/damaskrill/backends/_responses.py
+++ b/damaskrill/backends/_responses.py
@@ -11,11 +11,10 @@
 # Header with which a backend server states that it has not run a refused request.
 NOT_RUN_HEADER = "Not-Run"
 STATUS_TOO_MANY_REQUESTS = 429
-MIN_SERVER_ERROR_STATUS = 500
-# Statuses below it by which callers take a request for not run.
+# Statuses of answers that are not failures; the HTTP client takes any integer.
+ANSWER_STATUSES = range(200, 500)
+# Those of them by which callers take a request for not run.
 DENYING_STATUSES = (408, 421)
-# Statuses of final answers; the HTTP client takes any integer.
-FINAL_STATUSES = range(200, 600)
 
 
 class DiscardingProtocol(Protocol):
@@ -44,9 +43,7 @@
     """Return why status and headers rule out the answer, or None."""
     if declares_not_run(response):
         return f"status {response.code}, the request was not run"
-    is_failure = response.code >= MIN_SERVER_ERROR_STATUS
-    is_valid = response.code in FINAL_STATUSES
-    if is_failure or not is_valid or response.code in DENYING_STATUSES:
+    if response.code not in ANSWER_STATUSES or response.code in DENYING_STATUSES:
         return f"status {response.code}"
     if effect.resume_offset:
         confirmed = read_header(response, "Resume-Offset")
--- a/damaskrill/steering/_crash_cover.py
+++ b/damaskrill/steering/_crash_cover.py
@@ -130,13 +130,13 @@
     Notes
     -----
     The part with the most crashes is chosen first. Among parts with the same crashes,
-    it is the one that was served least often, in powers of two; then the one in
-    the fewest answers, since a crashing part has one answer a crash and widely shared
-    ones may have several; then the one nearest to the end of the prompt, since parts at
-    its beginning are shared with more requests. A request comes
-    before its prompt parts; among requests it is the one that came most often. A crash
-    that is explained by one part does not count against the others, in whatever reports
-    they stand: those are of answers that were broken off by the same crash.
+    it is the one that was served least often, in powers of two; then the one in the
+    fewest answers, since a crashing part has one answer a crash and widely shared ones
+    may have several; then the one nearest to the end of the prompt, since parts at its
+    beginning are shared with more requests. A request comes before its prompt parts;
+    among requests it is the one that came most often. A crash that is explained by one
+    part does not count against the others, in whatever reports they stand: those are of
+    answers that were broken off by the same crash.
 
     Load pattern: prompts with a crashing part before a document that many sound prompts
     share. Both stand under the same crashes, of which all may come within some
--- a/damaskrill/steering/_crash_detector.py
+++ b/damaskrill/steering/_crash_detector.py
@@ -194,7 +194,7 @@
         self._purge(now_ms)
         for each in reports:
             if isinstance(each, SoundnessReport):
-                is_news |= self._add_soundness(each, now_ms, source)
+                is_news |= self._add_soundness(each, source)
                 continue
             at_ms = now_ms - each.age_ms
             if (each.router, each.number) in self._seen:
@@ -366,18 +366,19 @@
     def _tell_soundness(self, part: int) -> None:
         n_served = self._served.take_untold_count(part)
         if n_served:
-            report = SoundnessReport(part, n_served)
-            self._log.add(_Timed(report, NEVER_MS), source="")
+            self._log_soundness(SoundnessReport(part, n_served), "")
 
-    def _add_soundness(
-        self, report: SoundnessReport, now_ms: float, source: str
-    ) -> bool:
+    def _add_soundness(self, report: SoundnessReport, source: str) -> bool:
         if not self._served.record_told_count(report.part, report.n_served):
             return False
         self._evaluated_ms = NEVER_MS
-        self._log.add(_Timed(report, now_ms), source=source)
+        self._log_soundness(report, source)
         return True
 
+    def _log_soundness(self, report: SoundnessReport, source: str) -> None:
+        # Such a report is sent without an age.
+        self._log.add(_Timed(report, NEVER_MS), source=source)
+
     def _correct_time(self, report: CrashReport | ServedReport, at_ms: float) -> None:
         # An age does not include the time on the links: the fastest way tells best.
         if not isinstance(report, CrashReport):
--- a/features/steps/crashing_fleet_steps.py
+++ b/features/steps/crashing_fleet_steps.py
@@ -109,8 +109,8 @@
 PERIOD_MS = 5_000
 
 
-def shift(fleet, until_ms):
-    """Send what other teams ask, and let time pass."""
+def serve_others(fleet, until_ms):
+    """Send what other teams ask until a time, and let it come."""
     fleet.every(
         4, lambda: fleet.send(choose_other(fleet), is_bad=False), until_ms=until_ms
     )
@@ -135,7 +135,7 @@
         until_ms=until_ms,
         is_bad=False,
     )
-    shift(fleet, until_ms)
+    serve_others(fleet, until_ms)
 
 
 @given("the routers have started")
@@ -148,7 +148,7 @@
 @given("the routers have never served the document")
 def step_never_served(context):
     for fleet in context.fleets:
-        shift(fleet, fleet.now_ms + HISTORY_MS)
+        serve_others(fleet, fleet.now_ms + HISTORY_MS)
 
 
 BAD_PROMPTS = {
@@ -186,7 +186,7 @@
             n_retries=1,
         )
         fleet.at(PERIOD_MS / 2, send_document, fleet, s, until_ms)
-        shift(fleet, until_ms)
+        serve_others(fleet, until_ms)
 
 
 def send_document(fleet, s, until_ms):
@@ -220,7 +220,7 @@
             n_retries=1,
         )
         fleet.sound_since = len(fleet.sound_rejected)
-        shift(fleet, until_ms)
+        serve_others(fleet, until_ms)
 
 
 @then("at most {n:d} engines crash in 60 s")
--- a/features/steps/gateway_crashing_prompts_steps.py
+++ b/features/steps/gateway_crashing_prompts_steps.py
@@ -122,9 +122,13 @@
     'chats with the part "{part}" arrive at the gateways in turn until one is rejected'
 )
 def step_until_rejected(context, part):
+    send_until_rejected(context, lambda each: send_with_part(context, gateway=each))
+
+
+def send_until_rejected(context, send):
     gateways = itertools.cycle(context.testbed.gateways)
     for gateway in itertools.islice(gateways, MAX_CHATS):
-        reply = send_with_part(context, gateway=gateway)
+        reply = send(gateway)
         if reply.status == 503 and b"crashing_prompt" in reply.body:
             break
         time.sleep(BETWEEN_S)
@@ -153,14 +157,10 @@
 
 @when("chats with the bad part before the document arrive until one is rejected")
 def step_bad_before_document(context):
-    gateways = itertools.cycle(context.testbed.gateways)
-    for gateway in itertools.islice(gateways, MAX_CHATS):
-        reply = send_on_document(context, gateway=gateway, bad_part=context.part)
-        if reply.status == 503 and b"crashing_prompt" in reply.body:
-            break
-        time.sleep(BETWEEN_S)
-    else:
-        raise AssertionError("no chat was rejected")
+    send_until_rejected(
+        context,
+        lambda each: send_on_document(context, gateway=each, bad_part=context.part),
+    )
     time.sleep(LINK_S)
 
 
@@ -202,6 +202,7 @@
         for line in log.lines:
             if line["event"] == "prompt_part_blocked":
                 last[id(log)] = line
+    assert last
     for line in last.values():
         assert line["part"] == f"{short_id(context.part):08x}", line
         assert line["n_crashes"] >= 3 and line["n_served"] == 0, line
