Let no stream go on at a server that was upgraded in place unknown to the store

Cause: the version of a server was that of its entry, however old. While the store is away, another process may answer at the same address to the same ID.

It is not only the outage: an entry is old whenever its server does not reach the store.

Change: before a begun stream is sent over a connection, the server states its start time, asked after the connection was opened. A process that is not listed is an origin of its own. While the store is away, streams that begin on new connections count as of unknown version until the server has answered, and other routers are told so. New requests are not delayed.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import Any
 
+import orjson
+
 from damaskrill.fakes.platform._listener import Listener
 from damaskrill.fakes.platform._misbehaviour import (
     EndlessPart,
@@ -36,6 +38,8 @@
 DEADLINE_MARGIN_MS = 20
 # Path of health checks in the configurations of the builders.
 HEALTH_PATH = b"/health"
+# Path at which a server states what it is.
+REPORT_PATH = b"/damaskrill/report"
 # Time from the head of an answer to the crash that its prompt causes, and from the
 # beginning of a run to the crash that the request causes.
 CRASH_DELAY_MS = 30
@@ -66,6 +70,8 @@
         Time between events, in milliseconds.
     work_ms : int, default=5
         Duration of a request without a stream, in milliseconds.
+    port : int, default=0
+        Port on which it listens; if 0, a free one.
 
     Attributes
     ----------
@@ -138,11 +144,15 @@
     cache : PartCache
         Prompt parts that it has cached.
     started_at_ms : int
-        Start time that it states with these, in Unix milliseconds.
+        Start time that it states, also with these, in Unix milliseconds.
+    has_report : bool
+        Whether it states its start time when it is asked for a report.
+    n_reports : int
+        Number of times that it was asked.
     false_list : bytes or EndlessPart or None
         What it answers in place of the list of these parts; empty for no answer.
-    signs_events : bool
-        Whether the data of its events name it.
+    author : bytes
+        Name that the data of its events hold; empty for none.
     """
 
     def __init__(
@@ -153,6 +163,7 @@
         n_events: int = 5,
         event_ms: int = 5,
         work_ms: int = 5,
+        port: int = 0,
     ) -> None:
         self.server_id = server_id
         self.misbehaviour = Misbehaviour.NONE
@@ -186,8 +197,10 @@
         self.n_body_bytes = 0
         self.cache = PartCache()
         self.started_at_ms = 1_000
+        self.has_report = True
+        self.n_reports = 0
         self.false_list: bytes | EndlessPart | None = None
-        self.signs_events = False
+        self.author = b""
         self._n_active = 0
         self._rejections: list[float] = []
         self.arrivals: list[tuple[float, str]] = []
@@ -197,7 +210,9 @@
         self._late_answers: dict[CallerConnection, bytes] = {}
         self._refused: set[bytes] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._listener = Listener(reactor=reactor, handle=self._handle_request)
+        self._listener = Listener(
+            reactor=reactor, handle=self._handle_request, port=port
+        )
 
     @property
     def address(self) -> tuple[str, int]:
@@ -214,7 +229,7 @@
         self, connection: CallerConnection, request: CallerRequest
     ) -> None:
         request_id = request.find_header(ID_HEADER) or b""
-        if request.target not in (HEALTH_PATH, CACHE_LIST_PATH):
+        if request.target not in (HEALTH_PATH, CACHE_LIST_PATH, REPORT_PATH):
             self.requests.append(request)
             self.arrivals.append((time.monotonic(), request_id.decode()))
         task = asyncio.get_running_loop().create_task(self._run(connection, request))
@@ -238,6 +253,13 @@
         if request.target == CACHE_LIST_PATH:
             await self._answer_list(connection)
             return
+        if request.target == REPORT_PATH:
+            self.n_reports += 1
+            report = orjson.dumps({"phase": "unified", "born": self.started_at_ms})
+            connection.send_answer(
+                200 if self.has_report else 404, (JSON,), report * self.has_report
+            )
+            return
         is_full = self.capacity is not None and self._n_active >= self.capacity
         if self.slots is not None and self.slots.is_full:
             is_full = True
@@ -348,10 +370,6 @@
         self._late_answers[connection] = copy
         return True
 
-    @property
-    def _author(self) -> bytes:
-        return self.server_id.encode() if self.signs_events else b""
-
     def _draw_is_spared(self) -> bool:
         return self._random.random() >= self.failure_share
 
@@ -428,7 +446,7 @@
         is_spared = self._draw_is_spared()
         for number in range(first, self._n_events + 1):
             await asyncio.sleep(self._event_ms / 1_000)
-            event = build_event(number, self._author)
+            event = build_event(number, self.author)
             is_second_half = number > self._n_events // 2
             is_next = number == self.n_events_before_silence + 1
             if is_next and self.misbehaviour is Misbehaviour.PAUSE:
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -141,6 +141,9 @@
         self._reserved: BackendServer | None = None
         # Whether the held attempt is at a server that is merely slow.
         self._is_early = False
+        # Server at which the stream began, if its process may not be the listed one,
+        # and when its connection was opened.
+        self._uncertain: tuple[BackendServer, float] | None = None
         self._allowance = allowance
         self._slots = slots
         self.tried: set[tuple[str, int]] = set()
@@ -296,7 +299,7 @@
         request_id = self._metadata.request_id
         connection = dispatcher.pool.acquire_idle(server.key, request_id=request_id)
         if connection is not None:
-            return connection
+            return await self._check_process(server, connection)
         remaining_ms = max(1.0, self._context.limit_at_ms - dispatcher.now_ms)
         try:
             connection = await dispatcher.pool.open(
@@ -309,11 +312,37 @@
                 dispatcher.relay.record_failure(server)
             return None
         if dispatcher.catalog.is_usable(server.key):
-            return connection
+            return await self._check_process(server, connection)
         # It became unusable while the connection was being opened.
         connection.abort()
         return None
 
+    async def _check_process(
+        self, server: BackendServer, connection: ServerConnection
+    ) -> ServerConnection | None:
+        """Return the connection if a begun stream may go on there."""
+        if self._requirements.origin is None:
+            return connection
+        try:
+            has_origin = await self._has_origin(server, connection.opened_at_ms)
+        except BaseException:
+            connection.abort()
+            raise
+        is_usable = self._dispatcher.catalog.is_usable(server.key)
+        if has_origin and is_usable and connection.is_open:
+            return connection
+        connection.abort()
+        return None
+
+    async def _has_origin(self, server: BackendServer, opened_at_ms: float) -> bool:
+        """Return whether a connection leads to a process of the stream's version."""
+        dispatcher = self._dispatcher
+        if not await dispatcher.incarnations.is_known_process(server, opened_at_ms):
+            return False
+        # The process may have become known meanwhile.
+        origins = dispatcher.streams.origins_of(server.service)
+        return origins.get(server.key) == self._requirements.origin
+
     def _send(self, server: BackendServer, connection: ServerConnection) -> SentRequest:
         dispatcher, context = self._dispatcher, self._context
         is_stream = context.route.kind is RequestKind.STREAM
@@ -325,7 +354,7 @@
 
         def handle_events(events: bytes) -> None:
             nonlocal is_first
-            self._bind_stream(server)
+            self._bind_stream(server, connection)
             if is_first:
                 is_first = False
                 self._record_going_on(server, events)
@@ -393,18 +422,39 @@
         self._requirements = evolve(self._requirements, origin=found.origin)
         self._origin_source = found.source
 
-    def _bind_stream(self, server: BackendServer) -> None:
+    async def confirm_origin(self) -> bool:
+        """Return whether the origin of the begun stream is certain."""
+        if self._uncertain is not None:
+            if not await self._has_origin(*self._uncertain):
+                return False
+            self._uncertain = None
+        return True
+
+    def _bind_stream(self, server: BackendServer, connection: ServerConnection) -> None:
         # What two software versions write does not fit together.
         if self._progress.has_begun or not self._context.route.is_resumable:
             return
-        streams = self._dispatcher.streams
+        streams, stream_id = self._dispatcher.streams, self._metadata.stream_id
         origin = self._requirements.origin
+        is_certain = True
+
+        def record_known() -> None:
+            known = streams.origins_of(server.service).get(server.key)
+            if known is not None:
+                streams.record_begun(stream_id, server, known)
+
         if origin is None:
             origin = streams.origins_of(server.service).get(server.key)
             source = OriginSource.THIS_ROUTER
             self.bind_origin(FoundOrigin(origin=origin, source=source))
+            opened_at_ms = connection.opened_at_ms
+            is_certain = self._dispatcher.incarnations.watch(
+                server, opened_at_ms, record_known
+            )
+            if not is_certain:
+                self._uncertain = server, opened_at_ms
         if origin is not None:
-            streams.record_begun(self._metadata.stream_id, server, origin)
+            streams.record_begun(stream_id, server, origin, is_certain=is_certain)
 
     def _record_going_on(self, server: BackendServer, events: bytes) -> None:
         last_event = self._progress.last_id
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -85,6 +85,11 @@
         Builds the request for the prompt parts that an engine has cached.
     read_cache : callable
         Decodes the answer to it; raises `CacheAnswerError`.
+    statement_request : callable
+        Builds the request for what a server states about its own process.
+    read_statement : callable
+        Returns the start time that the answer states, in Unix milliseconds; raises
+        `StatementError`.
     store : BaseStoreClient
         Client of the store.
     """
@@ -104,4 +109,6 @@
     grant_event: Callable[[ServerGrant], bytes]
     cache_request: Callable[[BackendServer], OutgoingRequest]
     read_cache: Callable[[AnswerHead, bytes], CacheContent]
+    statement_request: Callable[[BackendServer], OutgoingRequest]
+    read_statement: Callable[[AnswerHead, bytes], int]
     store: BaseStoreClient
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -14,6 +14,7 @@
 from damaskrill.gateway._crash_blocking import CrashBlocking
 from damaskrill.gateway._engine_steering import EngineSteering
 from damaskrill.gateway._exchange import Exchange
+from damaskrill.gateway._incarnation_checks import IncarnationChecks
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._passed_over import log_passed_over
 from damaskrill.gateway._peer_relay import PeerRelay
@@ -91,6 +92,8 @@
         Memory that requests and answers of callers take.
     streams : StreamVersions
         Software versions at which streams began.
+    incarnations : IncarnationChecks
+        Whether connections lead to the listed processes of servers.
     slots : SlotScheduling
         Slots of services with few of them.
     publish_reports : callable
@@ -132,6 +135,7 @@
         relay: PeerRelay,
         account: MemoryAccount,
         streams: StreamVersions,
+        incarnations: IncarnationChecks,
         slots: SlotScheduling,
         publish_reports: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
@@ -154,6 +158,7 @@
         self.throttle = throttle
         self.relay = relay
         self.streams = streams
+        self.incarnations = incarnations
         self.engines = EngineSteering(
             catalog=catalog,
             loads=loads,
--- a/damaskrill/gateway/_errors.py
+++ b/damaskrill/gateway/_errors.py
@@ -2,7 +2,7 @@
 
 from damaskrill.exceptions import DamaskrillError
 
-__all__ = ["CacheAnswerError", "UnreadableSettingsError"]
+__all__ = ["CacheAnswerError", "StatementError", "UnreadableSettingsError"]
 
 
 class UnreadableSettingsError(DamaskrillError):
@@ -17,3 +17,10 @@
 
     code = "cache_answer_unreadable"
     template = "the engine's list of cached prompt parts cannot be used: {reason}"
+
+
+class StatementError(DamaskrillError):
+    """What a server states about its own process cannot be used."""
+
+    code = "statement_unreadable"
+    template = "the server's statement about itself cannot be used: {reason}"
--- a/damaskrill/gateway/_exchange.py
+++ b/damaskrill/gateway/_exchange.py
@@ -372,7 +372,7 @@
         if n_sent and guard.is_suspected:
             self._stop(SUSPECTED_REQUEST)
             return None
-        if not await self._bind_relayed_stream(route):
+        if not await self._bind_begun_stream(route):
             self._stop_reason = UNKNOWN_VERSION
             return None
         server = await self._choose_slot(route, team)
@@ -406,13 +406,15 @@
             limit_at_ms=self._limit_at_ms,
         )
 
-    async def _bind_relayed_stream(self, route: Route) -> bool:
-        """Find the origin of a stream that began at a peer, if it goes on here."""
+    async def _bind_begun_stream(self, route: Route) -> bool:
+        """Find the origin of a begun stream that goes on here, if it is not certain."""
         attempts = self._attempts
         requirements = attempts.requirements
         has_begun = self._progress.has_begun and route.is_resumable
-        if not has_begun or requirements.origin is not None:
+        if not has_begun:
             return True
+        if requirements.origin is not None:
+            return await attempts.confirm_origin()
         found = await self._dispatcher.streams.find_origin(
             self._metadata.stream_id,
             requirements.service,
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -28,6 +28,7 @@
 from damaskrill.gateway._cached_origins import CachedOrigins
 from damaskrill.gateway._change_applier import ChangeApplier
 from damaskrill.gateway._dispatcher import RequestDispatcher
+from damaskrill.gateway._incarnation_checks import IncarnationChecks
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._peer_relay import PeerRelay
 from damaskrill.gateway._server_history import read_server_history
@@ -273,6 +274,7 @@
                 history_ms=settings.store_history_ms,
                 log=self._log,
             ),
+            is_store_current=self._is_store_current,
             cached=CachedOrigins(
                 catalog=self._catalog,
                 reader=CacheReader(
@@ -286,6 +288,17 @@
                 log=self._log,
             ),
         )
+        self._incarnations = IncarnationChecks(
+            reactor=self._reactor,
+            pool=pool,
+            binding=self._binding,
+            catalog=self._catalog,
+            may_ask=lambda server: self._dispatcher.may_ask(server),
+            is_store_current=self._is_store_current,
+            n_routers=lambda: self._members.n_members,
+            record_successor=self._streams.record_successor,
+            log=self._log,
+        )
         self._reports = ReportExchange(
             members=self._members,
             loads=self._loads,
@@ -395,6 +408,7 @@
             crashes=self._crashes,
             find_rank=self._find_rank,
             streams=self._streams,
+            incarnations=self._incarnations,
             slots=self._slots,
             publish_reports=self._mesh.push_urgent_reports,
             publish_departure=self._publish_departure,
@@ -502,6 +516,9 @@
         age_ms = self._freshness.age_ms(round(monotonic_now_ms()))
         return -1 if age_ms is None else age_ms
 
+    def _is_store_current(self) -> bool:
+        return self._freshness.is_fresh(round(monotonic_now_ms()))
+
     def _should_read(self) -> bool:
         should_read = self._reader_role.should_read(round(monotonic_now_ms()))
         if should_read != self._is_reading:
@@ -631,6 +648,7 @@
                 self._handle_catalog_change()
             self._catalog.purge(now_ms)
             self._streams.observe_all()
+            self._incarnations.purge()
             self._relay.probe()
             self._slots.maintain()
             self._observe_fleet()
--- a/damaskrill/gateway/_stream_versions.py
+++ b/damaskrill/gateway/_stream_versions.py
@@ -18,6 +18,7 @@
     StreamReply,
 )
 from damaskrill.steering import (
+    UNLISTED_ORIGIN,
     OriginEvidence,
     StreamOrigins,
     choose_origin,
@@ -31,6 +32,9 @@
 REPLY_TIMEOUT_MS = 600
 # Many times the latency between data centres; then the next group is asked as well.
 NEXT_GROUP_MS = 150
+# Time for which the process that began a stream is awaited, and between two queries.
+UNLISTED_WAIT_MS = 600
+UNLISTED_POLL_MS = 100
 # Time after which a history that could not be read is sought again.
 HISTORY_RETRY_MS = 2_000
 
@@ -82,6 +86,8 @@
     read_history : callable
         Returns the servers that were listed before this router read the store, by
         service, and for how long they are known; None if the store did not answer.
+    is_store_current : callable
+        Returns whether a change in the store would be known by now.
     cached : CachedOrigins or None, default=None
         Finds out from engines where a stream began; None to ask none.
     """
@@ -96,6 +102,7 @@
         find_told_since: Callable[[str], float],
         send: Callable[[str, Message], None],
         read_history: Callable[[], Awaitable[ServerHistory | None]],
+        is_store_current: Callable[[], bool],
         cached: CachedOrigins | None = None,
     ) -> None:
         self._catalog = catalog
@@ -105,6 +112,7 @@
         self._find_told_since = find_told_since
         self._send = send
         self._read_history = read_history
+        self._is_store_current = is_store_current
         self._cached = cached
         self._history: asyncio.Task[None] | None = None
         self._history_sought_at_ms = 0.0
@@ -138,15 +146,41 @@
         servers = self._catalog.find_servers(service)
         return any(origins.get(server.key) == origin for server in servers)
 
-    def record_begun(self, stream_id: str, server: BackendServer, origin: int) -> None:
+    def record_successor(self, server: BackendServer, started_at_ms: int) -> None:
+        """Record that a server has become another process than the listed one."""
+        self._origins.record_successor(server, started_at_ms)
+        self._observe(server.service)
+
+    def record_begun(
+        self,
+        stream_id: str,
+        server: BackendServer,
+        origin: int,
+        *,
+        is_certain: bool = True,
+    ) -> None:
         """Record that a stream has begun or goes on, and tell the keepers.
 
+        Parameters
+        ----------
+        stream_id : str
+            Attempt that began the stream.
+        server : BackendServer
+            Server at which it begins.
+        origin : int
+            Its origin.
+        is_certain : bool, default=True
+            Whether the process of the server is known. Otherwise the stream goes on
+            nowhere until it is recorded again.
+
         Notes
         -----
         While only one version is known to have served, nobody needs to know.
         """
         now_ms = monotonic_now_ms()
-        if not self._origins.needs_records(server.service, now_ms):
+        if not is_certain:
+            origin = UNLISTED_ORIGIN
+        elif not self._origins.needs_records(server.service, now_ms):
             return
         stream = hash_to_int(stream_id)
         self._origins.record(stream, origin, now_ms)
@@ -166,7 +200,23 @@
             Service of the route that resumes it.
         part_id : str, default=""
             Last part of its prompt; empty if there is none.
+
+        Notes
+        -----
+        The router at which it began may still be asking the server.
         """
+        until_ms = monotonic_now_ms() + UNLISTED_WAIT_MS
+        while True:
+            found = await self._seek_origin(stream_id, service, part_id=part_id)
+            if found.origin != UNLISTED_ORIGIN:
+                return found
+            if monotonic_now_ms() >= until_ms:
+                return FoundOrigin()
+            await asyncio.sleep(UNLISTED_POLL_MS / 1_000)
+
+    async def _seek_origin(
+        self, stream_id: str, service: str, *, part_id: str
+    ) -> FoundOrigin:
         self._observe(service)
         own = self._find(stream_id, service)
         if self._origins.is_certain(service, own):
@@ -278,7 +328,9 @@
 
     def _observe(self, service: str) -> None:
         servers = self._catalog.find_all_servers(service)
-        self._origins.observe(service, servers, monotonic_now_ms())
+        self._origins.observe(
+            service, servers, monotonic_now_ms(), is_current=self._is_store_current()
+        )
         if self._cached is not None:
             self._cached.observe(service, servers)
 
--- a/damaskrill/http1/_pool.py
+++ b/damaskrill/http1/_pool.py
@@ -118,7 +118,7 @@
         connection = await connect(self._reactor, address, timeout_ms)
         self._n_opened += 1
 
-        connection.idle_since_ms = monotonic_now_ms()
+        connection.opened_at_ms = connection.idle_since_ms = monotonic_now_ms()
 
         def release(idle: ServerConnection) -> None:
             if not self._may_keep(key):
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -78,6 +78,7 @@
         self._started_at = 0.0
         self._user_timeout_ms = 0
         self._idle_limit_ms = DEFAULT_IDLE_TIMEOUT_MS
+        self.opened_at_ms = 0.0
         self.idle_since_ms = 0.0
         self.on_idle: Any = None
 
--- a/damaskrill/platform/_binding.py
+++ b/damaskrill/platform/_binding.py
@@ -18,6 +18,7 @@
     server_headers,
 )
 from damaskrill.platform._items import ItemDecoder, is_operator_item
+from damaskrill.platform._statements import read_statement, statement_request
 from damaskrill.platform._store import PlatformStore
 
 __all__ = ["build_platform_binding"]
@@ -42,6 +43,8 @@
         grant_headers=grant_headers,
         grant_event=grant_event,
         cache_request=cache_request,
+        statement_request=statement_request,
+        read_statement=read_statement,
         read_cache=read_cache,
         store=PlatformStore(reactor=reactor, address=address),
     )
--- a/damaskrill/platform/_caches.py
+++ b/damaskrill/platform/_caches.py
@@ -8,14 +8,13 @@
 from damaskrill.gateway import CacheAnswerError
 from damaskrill.http1 import AnswerHead, OutgoingRequest
 from damaskrill.platform._items import INVALID_VALUE
+from damaskrill.platform._statements import STARTED_AT
 from damaskrill.platform._values import check_text, read_number
 from damaskrill.steering import CacheContent
 
 __all__ = ["cache_request", "read_cache"]
 
 LIST_PATH = b"/damaskrill/kv-list"
-# Start time of the process, which each statement of a server about itself has.
-STARTED_AT = "born"
 # An entry of the list: an empty text, ID of the part, tokens, model.
 N_FIELDS = 4
 # More parts than the memory of any engine holds.
--- /dev/null
+++ b/damaskrill/platform/_statements.py
@@ -0,0 +1,52 @@
+"""What servers state about their own process."""
+
+import orjson
+
+from damaskrill.catalog import BackendServer
+from damaskrill.gateway import StatementError
+from damaskrill.http1 import AnswerHead, OutgoingRequest
+from damaskrill.platform._items import INVALID_VALUE
+from damaskrill.platform._values import read_number
+
+__all__ = ["STARTED_AT", "read_statement", "statement_request"]
+
+REPORT_PATH = b"/damaskrill/report"
+# Start time of the process, which each statement of a server about itself has.
+STARTED_AT = "born"
+STATUS_OK = 200
+
+
+def statement_request(server: BackendServer) -> OutgoingRequest:
+    """Return the request for what a server states about itself."""
+    host, port = server.address
+    return OutgoingRequest(
+        method=b"GET",
+        target=REPORT_PATH,
+        headers=(
+            (b"Host", f"{host}:{port}".encode()),
+            (b"Damaskrill-Expect-Instance", server.server_id.encode()),
+        ),
+    )
+
+
+def read_statement(head: AnswerHead, body: bytes) -> int:
+    """Return the start time of a server's process, in Unix milliseconds.
+
+    Raises
+    ------
+    StatementError
+        If the answer states none.
+    """
+    if head.status != STATUS_OK:
+        raise StatementError(reason=f"its status is {head.status}")
+    try:
+        content = orjson.loads(body)
+        if not isinstance(content, dict):
+            raise TypeError("it is not an object")
+        started_at_ms = read_number(content, STARTED_AT)
+        if type(started_at_ms) is not int:
+            raise TypeError("the start time is not an integer")
+    except INVALID_VALUE as error:
+        reason = f"{type(error).__name__}: {error}"
+        raise StatementError(reason=reason) from error
+    return started_at_ms
--- a/damaskrill/soak/_servers.py
+++ b/damaskrill/soak/_servers.py
@@ -221,7 +221,7 @@
             work_ms=WORK_MS,
         )
         server.stated_load = STATED_LOAD
-        server.signs_events = True
+        server.author = server_id.encode()
         server.fatal_parts = self.fatal_parts
         server.fatal_requests = self.fatal_requests
         server.on_crash = lambda: self._handle_crash(server)
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -29,6 +29,7 @@
 from damaskrill.steering._gossip import GossipLog, short_id, short_server_id
 from damaskrill.steering._health import HealthTracker, ServerOutcome
 from damaskrill.steering._hot_keys import HotKeys, KeyCounts
+from damaskrill.steering._incarnations import IncarnationProofs
 from damaskrill.steering._latency import AnswerTimings, LatencyCause, find_latency_cause
 from damaskrill.steering._load_bounds import (
     DIRECT_BOUNDS,
@@ -82,6 +83,7 @@
 )
 from damaskrill.steering._stated_limits import LimitReport, StatedLimits
 from damaskrill.steering._stream_origins import (
+    UNLISTED_ORIGIN,
     OriginEvidence,
     StreamOrigins,
     choose_origin,
@@ -105,6 +107,7 @@
     "NO_REQUEST",
     "RELAYED_BOUNDS",
     "UNKNOWN_SENDER_GRANT",
+    "UNLISTED_ORIGIN",
     "AnswerMetadata",
     "AnswerTimings",
     "BlockChanges",
@@ -133,6 +136,7 @@
     "HealthTracker",
     "Hop",
     "HotKeys",
+    "IncarnationProofs",
     "KeyCounts",
     "LatencyCause",
     "LimitReport",
--- a/damaskrill/steering/_stream_origins.py
+++ b/damaskrill/steering/_stream_origins.py
@@ -1,14 +1,16 @@
 """Software versions at which streams began, and where they may go on."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from types import MappingProxyType
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from damaskrill.catalog import BackendServer
 from damaskrill.steering._gossip import short_id
 
 __all__ = [
+    "UNLISTED_ORIGIN",
     "OriginEvidence",
     "StreamOrigins",
     "choose_origin",
@@ -19,6 +21,10 @@
 
 # Bounds the memory for records: at the largest fleets a router keeps about 50 a second.
 MAX_RECORDS = 20_000
+# Origin of streams that may have begun at processes which are not listed yet.
+UNLISTED_ORIGIN = short_id("unlisted process")
+# More servers than become other processes before the store lists these.
+MAX_SUCCESSORS = 1_000
 # Times that a caller may take for a stream and all its attempts, in time limits.
 RETENTION_LIMITS = 2
 # Routes without a limit on streams keep records for this time, in milliseconds.
@@ -28,13 +34,18 @@
 MAX_AGE_LIMITS = 1.25
 
 
-def find_origins(servers: Sequence[BackendServer]) -> dict[tuple[str, int], int]:
+def find_origins(
+    servers: Sequence[BackendServer],
+    successors: Mapping[tuple[str, int], int] = MappingProxyType({}),
+) -> dict[tuple[str, int], int]:
     """Return the origin of the streams that begin at each server of a service.
 
     Parameters
     ----------
     servers : sequence of BackendServer
         All servers of a service.
+    successors : mapping of (str, int) to int, default={}
+        Start times of the processes that servers have become since they were listed.
 
     Returns
     -------
@@ -45,12 +56,19 @@
     Notes
     -----
     A server whose entry names no version is an origin of its own, unless no entry of
-    the service names one: then nothing says that the servers differ.
+    the service names one: then nothing says that the servers differ. So is a process
+    that is not listed yet: its version is not known.
     """
     has_versions = any(server.version for server in servers)
-    return {
-        server.key: hash_origin(server, has_versions=has_versions) for server in servers
-    }
+    origins = {}
+    for server in servers:
+        if server.key in successors:
+            started_at_ms = successors[server.key]
+            process = evolve(server, version="", started_at_ms=started_at_ms)
+            origins[server.key] = hash_origin(process, has_versions=True)
+        else:
+            origins[server.key] = hash_origin(server, has_versions=has_versions)
+    return origins
 
 
 def hash_origin(server: BackendServer, *, has_versions: bool) -> int:
@@ -235,6 +253,7 @@
         self._histories: dict[str, _ServiceHistory] = {}
         self._servers: dict[str, Sequence[BackendServer]] = {}
         self._origins: dict[str, dict[tuple[str, int], int]] = {}
+        self._successors: dict[tuple[str, int], int] = {}
 
     @property
     def n_records(self) -> int:
@@ -257,19 +276,58 @@
         """Return the origins of a service's servers, by incarnation."""
         if self._servers.get(service) is not servers:
             self._servers[service] = servers
-            self._origins[service] = find_origins(servers)
+            self._origins[service] = find_origins(servers, self._successors)
         return self._origins[service]
 
+    def record_successor(self, server: BackendServer, started_at_ms: int) -> None:
+        """Record that a server has become another process than the listed one.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The server, as it is listed.
+        started_at_ms : int
+            Start time of the process, in Unix milliseconds; the listed one if the
+            process is the listed one again.
+        """
+        self._successors.pop(server.key, None)
+        if started_at_ms != server.started_at_ms:
+            self._successors[server.key] = started_at_ms
+        while len(self._successors) > MAX_SUCCESSORS:
+            del self._successors[next(iter(self._successors))]
+        self._servers.pop(server.service, None)
+
     def observe(
-        self, service: str, servers: Sequence[BackendServer], now_ms: float
+        self,
+        service: str,
+        servers: Sequence[BackendServer],
+        now_ms: float,
+        *,
+        is_current: bool = True,
     ) -> None:
-        """Record which servers a service has."""
+        """Record which servers a service has.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        servers : sequence of BackendServer
+            Its servers, as they are listed.
+        now_ms : float
+            Current time in milliseconds.
+        is_current : bool, default=True
+            Whether another process would be listed by now. Otherwise one of a version
+            that is not known may serve beside those that are listed.
+        """
         origins = self.origins_of(service, servers)
         if origins:
             history = self._histories.get(service)
             if history is None:
                 history = self._histories[service] = _ServiceHistory(since_ms=now_ms)
-            history.observe(set(origins.values()), now_ms, self._retention_ms)
+            serving = set(origins.values())
+            if not is_current:
+                serving.add(UNLISTED_ORIGIN)
+            history.observe(serving, now_ms, self._retention_ms)
 
     def add_history(
         self, service: str, servers: Sequence[BackendServer], since_ms: float
--- a/features/steps/gateway_stream_origins_steps.py
+++ b/features/steps/gateway_stream_origins_steps.py
@@ -189,6 +189,7 @@
                 find_told_since=members.find_told_since,
                 send=send,
                 read_history=read_nothing,
+                is_store_current=lambda: True,
             )
             server = CountingCatalog.servers[0]
             streams._observe("pool")
