Block requests and prompt parts that crash servers rarely but every time

Cause: a crash that no block explained was forgotten after 30 s, and three are needed for a block. Beside it: trials of a blocked request came after 60, 120, 240 s and so on, each of which is one more late request.

Change: crashes are remembered for half an hour, as blocks are. A crash older than 30 s keeps only what was not served since, and goes with the last of it: what is served clears itself for good, where the bounded table of served parts would forget it.

--- a/damaskrill/steering/_crash_cover.py
+++ b/damaskrill/steering/_crash_cover.py
@@ -1,5 +1,6 @@
 """Selection of the requests and prompt parts that explain the crashes of servers."""
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Collection, Mapping
 
@@ -16,10 +17,14 @@
 # Servers that crash at two distinct times before a part is blocked. In a burst of its
 # requests, many servers end within some hundred milliseconds.
 MIN_SERVERS = 5
-# Time from the last crash to the first trial of a blocked part. It is doubled whenever
-# a trial crashes a server.
+# Time from the last crash to the first trial of a blocked part, and the factor by which
+# it grows whenever a trial crashes a server.
 FIRST_TRIAL_MS = 60_000
+PART_TRIAL_FACTOR = 2
 MAX_TRIAL_INTERVAL_MS = 3_600_000
+# The same for requests, which may crash three servers after they have been blocked.
+REQUEST_TRIAL_FACTOR = 8
+MAX_REQUEST_TRIALS = 3
 # Time for which one router may try a part, until the turn of the next one: the first
 # may get no such requests. A trial that begins late would overlap with the next turn.
 TRIAL_TURN_MS = 60_000
@@ -104,8 +109,10 @@
         str or None
             None if no router may begin a trial now.
         """
+        if now_ms < self.trial_at_ms:
+            return None
         turn, since_ms = divmod(now_ms - self.trial_at_ms, TRIAL_TURN_MS)
-        if turn < 0 or since_ms > TRIAL_TURN_MS - TRIAL_MARGIN_MS:
+        if since_ms > TRIAL_TURN_MS - TRIAL_MARGIN_MS:
             return None
         return f"{self.part} {round(turn)}"
 
@@ -168,7 +175,7 @@
         found[part] = BlockedPart(
             part,
             instants[-1],
-            _find_trial_time(instants),
+            _find_trial_time(instants, is_request=is_request),
             is_request=is_request,
             n_crashes=len(remaining[part]),
             n_served=count_served(part),
@@ -231,11 +238,14 @@
     return any(part == report.request for crash in crashes for report in crash.reports)
 
 
-def _find_trial_time(instants: list[float]) -> float:
-    interval_ms = FIRST_TRIAL_MS
-    trial_at_ms = instants[:MIN_CRASHES][-1] + interval_ms
+def _find_trial_time(instants: list[float], *, is_request: bool) -> float:
+    factor = REQUEST_TRIAL_FACTOR if is_request else PART_TRIAL_FACTOR
+    max_trials = MAX_REQUEST_TRIALS if is_request else math.inf
+    interval_ms, n_trials = FIRST_TRIAL_MS, 0
+    trial_at_ms: float = instants[:MIN_CRASHES][-1] + interval_ms
     for at_ms in instants[MIN_CRASHES:]:
         if at_ms >= trial_at_ms:
-            interval_ms = min(2 * interval_ms, MAX_TRIAL_INTERVAL_MS)
+            n_trials += 1
+            interval_ms = min(factor * interval_ms, MAX_TRIAL_INTERVAL_MS)
         trial_at_ms = at_ms + interval_ms
-    return trial_at_ms
+    return trial_at_ms if n_trials < max_trials else math.inf
--- a/damaskrill/steering/_crash_detector.py
+++ b/damaskrill/steering/_crash_detector.py
@@ -22,11 +22,13 @@
 
 ServerKey = tuple[str, int]
 Report = CrashReport | ServedReport | SoundnessReport
-# A crash that no blocked part explains is forgotten after this time.
-RETENTION_MS = 30_000
-# A blocked part is forgotten after this time without a crash or a rejected request. In
-# a large fleet a router gets one of two requests a second within some minutes.
-BLOCK_RETENTION_MS = 1_800_000
+# Time after a crash in which a request of another server that crashed is not retried.
+# Afterwards the crash counts only against what was not served since.
+RECENT_MS = 30_000
+# A blocked part is forgotten after this time without a crash or a rejected request, and
+# a crash that no blocked part explains after the same time. In a large fleet a router
+# gets one of two requests a second within some minutes.
+RETENTION_MS = 1_800_000
 # Many times the crashes that a decision needs; more servers end only at once.
 MAX_CRASHES = 256
 N_EVICTED = 64
@@ -239,7 +241,7 @@
         return any(
             part in wanted and not self._served.is_sound(part, crash.at_ms)
             for each, crash in self._crashes.items()
-            if each != server and now_ms - crash.at_ms <= RETENTION_MS
+            if each != server and now_ms - crash.at_ms <= RECENT_MS
             for part in crash.suspects
         )
 
@@ -417,6 +419,16 @@
             if is_old and self._blocked.keys().isdisjoint(crash.suspects):
                 del self._crashes[server]
 
+    def _discard_sound(self, now_ms: float) -> None:
+        # The table of served parts forgets them sooner than the crashes.
+        for server, crash in list(self._crashes.items()):
+            is_recent = now_ms - crash.at_ms <= RECENT_MS
+            if is_recent or not self._blocked.keys().isdisjoint(crash.suspects):
+                continue
+            crash.discard_sound(self._served.is_sound)
+            if not crash.suspects:
+                del self._crashes[server]
+
     def _evaluate(self, now_ms: float) -> None:
         if now_ms - self._evaluated_ms < EVALUATION_INTERVAL_MS:
             return
@@ -428,9 +440,10 @@
             part: each
             for part, each in found.items()
             if now_ms - max(each.last_crash_ms, self._rejected_ms.get(part, NEVER_MS))
-            <= BLOCK_RETENTION_MS
+            <= RETENTION_MS
         }
         self._purge(now_ms)
+        self._discard_sound(now_ms)
         for part in self._rejected_ms.keys() - self._blocked.keys():
             del self._rejected_ms[part]
 
--- a/damaskrill/steering/_crash_reports.py
+++ b/damaskrill/steering/_crash_reports.py
@@ -1,8 +1,8 @@
 """Reports of crashes under requests and prompt parts, and of those that were served."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Set
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 __all__ = [
     "NO_REQUEST",
@@ -67,6 +67,14 @@
         own = () if self.request == NO_REQUEST else (self.request,)
         return (*self.parts, *own)
 
+    def without(self, suspects: Set[int]) -> "CrashReport":
+        """Return the report without some of its prompt parts, or its request."""
+        return evolve(
+            self,
+            request=NO_REQUEST if self.request in suspects else self.request,
+            parts=tuple(part for part in self.parts if part not in suspects),
+        )
+
 
 @frozen
 class ServedReport:
@@ -147,6 +155,22 @@
             self.suspects.update(report.suspects)
             self.parts.update(report.parts)
 
+    def discard_sound(self, is_sound: Callable[[int, float], bool]) -> None:
+        """Forget the suspects that did not cause the crash.
+
+        Parameters
+        ----------
+        is_sound : callable
+            Returns whether a suspect did not cause a crash at a time in milliseconds.
+        """
+        sound = {each for each in self.suspects if is_sound(each, self.at_ms)}
+        if not sound:
+            return
+        self.suspects -= sound
+        self.parts -= sound
+        reports = [each.without(sound) for each in self.reports]
+        self.reports = [each for each in reports if each.suspects]
+
     def includes(self, report: CrashReport, at_ms: float) -> bool:
         """Return whether a report is of this crash, given its local time.
 
--- a/features/gateway_crashing_prompts.feature
+++ b/features/gateway_crashing_prompts.feature
@@ -52,6 +52,28 @@
       | 100  |
       | 160  |
 
+  Scenario Outline: a bad part whose prompts come rarely is blocked
+    Given <n> routers before 16 engines with seed 1 that may crash under prompts
+    When prompts with a bad part come every <pause> s among sound ones, 9 times
+    Then at most 3 bad requests reach an engine later than 3 s after the fifth crash
+    And no sound request is rejected later than 0 s after the fifth crash
+
+    Examples:
+      | n  | pause |
+      | 3  | 15.4  |
+      | 7  | 40    |
+      | 77 | 31    |
+
+  Scenario Outline: engines that crash now and then block no part
+    Given <n> routers before 16 engines with seed 1 that may crash under prompts
+    When sound requests arrive for 1800 s, and an engine crashes every <pause> s
+    Then no part was ever blocked
+
+    Examples:
+      | n | pause |
+      | 3 | 7     |
+      | 7 | 60    |
+
   Scenario Outline: two bad parts at once are both blocked
     Given <n> routers before 30 engines that may crash under prompts
     When requests with two different bad parts arrive among sound ones for 40 s
--- a/features/gateway_crashing_requests.feature
+++ b/features/gateway_crashing_requests.feature
@@ -66,6 +66,38 @@
       | 77 | 30      | 1     |
       | 77 | 30      | 6     |
 
+  # Between two such requests the crash was forgotten, so that it was never the third.
+  Scenario Outline: a request that comes again rarely is blocked everywhere
+    Given <n> routers before 6 plain servers that may crash under requests
+    When a request that crashes servers comes every <pause> s among sound ones, 9 times
+    Then at most 3 such requests reach a server later than 3 s after the third crash
+    And no sound read is rejected later than 0 s after the third crash
+
+    Examples:
+      | n  | pause |
+      | 3  | 15.4  |
+      | 3  | 40    |
+      | 3  | 120   |
+      | 3  | 300   |
+      | 7  | 31    |
+      | 77 | 15.4  |
+
+  Scenario Outline: servers that crash now and then block no request
+    Given <n> routers before 6 plain servers that may crash under requests
+    When sound reads arrive for 1800 s, and a server crashes every <pause> s
+    Then no request was ever blocked
+
+    Examples:
+      | n | pause |
+      | 3 | 7     |
+      | 7 | 60    |
+
+  Scenario: a crash under requests that were all served since is forgotten soon
+    Given a router that has seen no crash
+    When a server crashes under 20 requests, 19 of which are served 10 s later
+    Then 40 s after the crash one crash with one request is remembered
+    And 40 s after the last of them is served none is remembered
+
   Scenario Outline: other failures of plain servers block no request
     Given <n> routers before 6 plain servers that may crash under requests
     When sound reads arrive for 40 s and <fault>
--- a/features/steps/crashing_fleet_steps.py
+++ b/features/steps/crashing_fleet_steps.py
@@ -7,7 +7,7 @@
 
 from damaskrill.exceptions import PeerFrameError
 from damaskrill.mesh._frames import Update, decode, encode
-from damaskrill.steering import SoundnessReport
+from damaskrill.steering import CrashReport, SoundnessReport
 from features.support.crash_reports import (
     BAD,
     build_detector,
@@ -389,6 +389,57 @@
         assert not fleet.ever_blocked and not fleet.sound_rejected
 
 
+# Requests a second while something happens rarely.
+RARE_PER_S = 4
+
+
+@when("prompts with a bad part come every {s:g} s among sound ones, {n:d} times")
+def step_rare_bad(context, s, n):
+    from features.support.crashing_fleet import choose_second_part
+
+    for fleet in context.fleets:
+        fleet.bad_parts = {BAD}
+        until_ms = fleet.now_ms + n * s * 1_000
+        fleet.send_all(sound_per_s=RARE_PER_S, until_ms=until_ms)
+        for number in range(n):
+            delay_ms = number * s * 1_000
+            fleet.at(delay_ms, send_bad_prompt, fleet, choose_second_part)
+        fleet.run(until_ms)
+
+
+def send_bad_prompt(fleet, choose):
+    fleet.send(choose(fleet.random), is_bad=True)
+
+
+@when("sound requests arrive for {s:d} s, and an engine crashes every {pause:d} s")
+def step_now_and_then(context, s, pause):
+    for fleet in context.fleets:
+        until_ms = fleet.now_ms + s * 1_000
+        fleet.send_all(sound_per_s=RARE_PER_S, until_ms=until_ms)
+        crash_now_and_then(fleet, pause, until_ms)
+
+
+def crash_now_and_then(fleet, pause, until_ms):
+    """Crash servers in the middle of what they run until a time."""
+    fleet.every(1 / pause, lambda: crash_busiest(fleet), until_ms=until_ms)
+    fleet.run(until_ms)
+
+
+def crash_busiest(fleet):
+    server = max(fleet.servers, key=lambda each: len(each.running))
+    if server.is_up:
+        fleet.crashes.append(fleet.now_ms)
+        fleet.crash(server)
+
+
+@then("no part was ever blocked")
+@then("no request was ever blocked")
+def step_never_blocked(context):
+    for fleet in context.fleets:
+        assert fleet.crashes and fleet.n_served
+        assert not fleet.ever_blocked and not fleet.sound_rejected
+
+
 @when("{s:d} s pass in which only bad requests arrive")
 def step_only_bad(context, s):
     for fleet in context.fleets:
@@ -636,3 +687,53 @@
 def step_blocks_only_request(context):
     changes = context.detector.take_changes(context.now_ms)
     assert changes.blocked == changes.requests == {BAD_REQUEST}, changes
+
+
+@when(
+    "a request that crashes servers comes every {s:g} s among sound ones, {n:d} times"
+)
+def step_rare_request(context, s, n):
+    for fleet in context.fleets:
+        until_ms = fleet.now_ms + n * s * 1_000
+        fleet.every(RARE_PER_S, fleet.send_sound_read, until_ms=until_ms)
+        for number in range(n):
+            fleet.at(number * s * 1_000, fleet.send_plain, BAD_REQUEST)
+        fleet.run(until_ms)
+
+
+@when("sound reads arrive for {s:d} s, and a server crashes every {pause:d} s")
+def step_reads_now_and_then(context, s, pause):
+    for fleet in context.fleets:
+        until_ms = fleet.now_ms + s * 1_000
+        fleet.every(SOUND_PER_S, fleet.send_sound_read, until_ms=until_ms)
+        crash_now_and_then(fleet, pause, until_ms)
+
+
+@when(
+    "a server crashes under {n:d} requests, {n_served:d} of which are served 10 s later"
+)
+def step_crash_under_many(context, n, n_served):
+    detector = context.detector
+    for request in range(1, n + 1):
+        detector.record_crash(("e-1", 0), (), 0.0, request=request, waited_ms=40)
+    context.last_request = n
+    for request in range(1, n_served + 1):
+        detector.record_served([request], 10_000.0)
+
+
+@then("{s:d} s after the crash one crash with one request is remembered")
+def step_one_remembered(context, s):
+    detector, now_ms = context.detector, s * 1_000.0
+    detector.take_changes(now_ms)
+    reports, _ = detector.reports_after(-1, now_ms=now_ms)
+    crashes = [each for each in reports if isinstance(each, CrashReport)]
+    assert [each.request for each in crashes] == [context.last_request], crashes
+    context.now_ms = now_ms
+
+
+@then("{s:d} s after the last of them is served none is remembered")
+def step_none_remembered(context, s):
+    detector, now_ms = context.detector, context.now_ms
+    detector.record_served([context.last_request], now_ms)
+    detector.take_changes(now_ms + s * 1_000)
+    assert detector.n_crashes == 0, detector.n_crashes
