Forget what refused callers had sent and a router had not parsed yet

Cause: a refused or dropped connection gave its bytes back in the account, and stayed in the queue of turns with up to 64 KB that were not parsed. The queue grew by each connection that came again.

Change: the queue can be left; a connection that ends leaves it and empties the buffer of its parser at once, as only a full garbage collection would find it.

--- a/damaskrill/http1/_caller.py
+++ b/damaskrill/http1/_caller.py
@@ -150,6 +150,7 @@
         if self._is_counted:
             self._uncount()
         self._memory.release()
+        self._reader.end()
         self._clear_timer()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if on_disconnect is not None:
--- a/damaskrill/http1/_request_reader.py
+++ b/damaskrill/http1/_request_reader.py
@@ -128,8 +128,20 @@
         """Parse no longer; what follows is only received."""
         self._is_discarding = True
         self.head = None
+        self._drop_unparsed()
         self._gate.open()
 
+    def end(self) -> None:
+        """Forget what was received, after the connection has ended."""
+        self._is_discarding = True
+        self._drop_unparsed()
+
+    def _drop_unparsed(self) -> None:
+        self._is_in_turn = False
+        self._factory.shared.turns.discard(self._take_turn)
+        # The connection is garbage that only a full collection finds.
+        self._http._receive_buffer.maybe_extract_at_most(self.n_unparsed)
+
     def _take_turn(self) -> None:
         self._is_in_turn = False
         if not self._memory.is_waiting and self._may_parse():
--- a/features/caller_bounds.feature
+++ b/features/caller_bounds.feature
@@ -79,6 +79,15 @@
     Then each iteration of the event loop ran one of them, in alternation
     And a body that has waited for memory goes before them
 
+  # The refused connections of a crowd waited for turns that came ever later.
+  Scenario: connections that were refused or dropped wait for no turn and keep nothing
+    Given a platform with 2 app servers that answer with 300 KB
+    And a router with 152 MB of memory
+    When 40 callers send bodies of 60 KB in chunks of a byte, and no turn comes
+    Then 40 turns are queued
+    When the router refuses half of these callers and drops the others
+    Then no turn is queued, and the connections keep no bytes
+
   Scenario: a cause gets one line a second with the count of the rest
     When a caller is rejected each 10 ms for 3 s
     Then there are 3 or 4 lines, which count 300 events
--- a/features/steps/caller_bounds_steps.py
+++ b/features/steps/caller_bounds_steps.py
@@ -21,6 +21,7 @@
 )
 from damaskrill.platform._settings import read_platform_settings
 from damaskrill.utils import monotonic_now_ms
+from features.support.crowds import send_chunked
 from features.support.gateways import Caller, GatewayTestbed, build_request
 
 MB, KB = 1_000_000, 1_000
@@ -747,3 +748,48 @@
     assert context.testbed.wait_for(
         lambda: not any(each.n_bytes for each in accounts), timeout_s=3
     )
+
+
+@when("{n:d} callers send bodies of {n_kb:d} KB in chunks of a byte, and no turn comes")
+def step_no_turn(context, n, n_kb):
+    gateway = context.gateway
+    context.turns = gateway._guard.turns
+
+    async def run():
+        # As if one were due that does not come.
+        context.turns._is_scheduled = True
+        data = send_chunked(n_kb * KB, chunk_bytes=1)
+        for _ in range(n):
+            caller = await Caller.open(gateway._settings.caller_address)
+            caller.send(data)
+
+    context.testbed.call(run)
+    assert context.testbed.wait_for(lambda: context.turns.n_queued >= n)
+    context.crowd = context.testbed.call(lambda: list(gateway._callers.connections))
+
+
+@then("{n:d} turns are queued")
+def step_n_queued(context, n):
+    assert context.turns.n_queued == n, context.turns.n_queued
+    assert all(each._reader.n_unparsed for each in context.crowd)
+
+
+@when("the router refuses half of these callers and drops the others")
+def step_refuse_half(context):
+    def run():
+        for number, connection in enumerate(context.crowd):
+            if number % 2:
+                connection._evict(Eviction.MEMORY_FULL)
+            else:
+                connection.drop()
+
+    context.testbed.call(run)
+
+
+@then("no turn is queued, and the connections keep no bytes")
+def step_nothing_kept(context):
+    def is_empty():
+        n_kept = sum(each._reader.n_unparsed for each in context.crowd)
+        return not context.turns.n_queued and not n_kept
+
+    assert context.testbed.wait_for(is_empty, timeout_s=0.5), context.turns.n_queued
