Build questions to servers and read their start time in one place

The requests for a server's cached parts and for its statement differed in their target only, and both answers read the start time alike.

--- a/damaskrill/platform/_caches.py
+++ b/damaskrill/platform/_caches.py
@@ -8,7 +8,7 @@
 from damaskrill.gateway import CacheAnswerError
 from damaskrill.http1 import AnswerHead, OutgoingRequest
 from damaskrill.platform._items import INVALID_VALUE
-from damaskrill.platform._statements import STARTED_AT
+from damaskrill.platform._statements import build_question, read_start
 from damaskrill.platform._values import check_text, read_number
 from damaskrill.steering import CacheContent
 
@@ -24,15 +24,7 @@
 
 def cache_request(server: BackendServer) -> OutgoingRequest:
     """Return the request for the prompt parts that an engine has cached."""
-    host, port = server.address
-    return OutgoingRequest(
-        method=b"GET",
-        target=LIST_PATH,
-        headers=(
-            (b"Host", f"{host}:{port}".encode()),
-            (b"Damaskrill-Expect-Instance", server.server_id.encode()),
-        ),
-    )
+    return build_question(server, LIST_PATH)
 
 
 def read_cache(head: AnswerHead, body: bytes) -> CacheContent:
@@ -49,9 +41,7 @@
         content = orjson.loads(body)
         if not isinstance(content, dict):
             raise TypeError("it is not an object")
-        started_at_ms = read_number(content, STARTED_AT)
-        if type(started_at_ms) is not int:
-            raise TypeError("the start time is not an integer")
+        started_at_ms = read_start(content)
         held = content["held"]
         if not isinstance(held, list) or len(held) > MAX_PARTS:
             raise TypeError("it has no list of parts")
--- a/damaskrill/platform/_statements.py
+++ b/damaskrill/platform/_statements.py
@@ -1,5 +1,7 @@
 """What servers state about their own process."""
 
+from typing import Any
+
 import orjson
 
 from damaskrill.catalog import BackendServer
@@ -8,7 +10,7 @@
 from damaskrill.platform._items import INVALID_VALUE
 from damaskrill.platform._values import read_number
 
-__all__ = ["STARTED_AT", "read_statement", "statement_request"]
+__all__ = ["build_question", "read_start", "read_statement", "statement_request"]
 
 REPORT_PATH = b"/damaskrill/report"
 # Start time of the process, which each statement of a server about itself has.
@@ -16,12 +18,12 @@
 STATUS_OK = 200
 
 
-def statement_request(server: BackendServer) -> OutgoingRequest:
-    """Return the request for what a server states about itself."""
+def build_question(server: BackendServer, target: bytes) -> OutgoingRequest:
+    """Return a request for something that only this server may answer."""
     host, port = server.address
     return OutgoingRequest(
         method=b"GET",
-        target=REPORT_PATH,
+        target=target,
         headers=(
             (b"Host", f"{host}:{port}".encode()),
             (b"Damaskrill-Expect-Instance", server.server_id.encode()),
@@ -29,6 +31,27 @@
     )
 
 
+def read_start(content: dict[str, Any]) -> int:
+    """Return the start time that a statement has, in Unix milliseconds.
+
+    Raises
+    ------
+    KeyError
+        If it has none.
+    TypeError, ValueError
+        If it is no integer, or out of range.
+    """
+    started_at_ms = read_number(content, STARTED_AT)
+    if type(started_at_ms) is not int:
+        raise TypeError("the start time is not an integer")
+    return started_at_ms
+
+
+def statement_request(server: BackendServer) -> OutgoingRequest:
+    """Return the request for what a server states about itself."""
+    return build_question(server, REPORT_PATH)
+
+
 def read_statement(head: AnswerHead, body: bytes) -> int:
     """Return the start time of a server's process, in Unix milliseconds.
 
@@ -43,10 +66,7 @@
         content = orjson.loads(body)
         if not isinstance(content, dict):
             raise TypeError("it is not an object")
-        started_at_ms = read_number(content, STARTED_AT)
-        if type(started_at_ms) is not int:
-            raise TypeError("the start time is not an integer")
+        return read_start(content)
     except INVALID_VALUE as error:
         reason = f"{type(error).__name__}: {error}"
         raise StatementError(reason=reason) from error
-    return started_at_ms
