Purge proofs of incarnations only where servers were asked

The maintenance of each quarter of a second built the set of all servers for it, also where no server has been asked, which is the usual case. A comment says what the short time after a crash is for.

--- a/damaskrill/gateway/_incarnation_checks.py
+++ b/damaskrill/gateway/_incarnation_checks.py
@@ -137,7 +137,7 @@
     def purge(self) -> None:
         """Forget servers that are not listed any more."""
         configuration = self._catalog.configuration
-        if configuration is None:
+        if configuration is None or not self._asked_at_ms:
             return
         listed = {
             server.key
--- a/damaskrill/steering/_crash_detector.py
+++ b/damaskrill/steering/_crash_detector.py
@@ -22,8 +22,8 @@
 
 ServerKey = tuple[str, int]
 Report = CrashReport | ServedReport | SoundnessReport
-# Time after a crash in which a request of another server that crashed is not retried.
-# Afterwards the crash counts only against what was not served since.
+# Time after a crash in which requests that crash another server and have a suspect in
+# common are not retried. Later it counts only against what was not served since.
 RECENT_MS = 30_000
 # A blocked part is forgotten after this time without a crash or a rejected request, and
 # a crash that no blocked part explains after the same time. In a large fleet a router
