Show that streams of a withdrawn version go on at another one

Shown on the code of this checkout: the entries of two servers of a new version are removed while requests wait there for their first event. These streams are recorded nowhere, and when the servers exit the routers let them go on at the old version.

--- a/review/loopback.py
+++ b/review/loopback.py
@@ -109,6 +109,11 @@
             self.send_data(body)
         self.end()
 
+    def answer_json(self, content: dict[str, Any]) -> None:
+        """Send an object as a complete answer."""
+        headers = [("Content-Type", "application/json")]
+        self.answer(200, headers, json.dumps(content).encode())
+
     def begin(self, status: int, headers: Headers) -> None:
         """Send the head of an answer; without a length it is sent in chunks."""
         self._send(h11.Response(status_code=status, headers=headers))
@@ -205,19 +210,22 @@
 
     def write(self, key: str, content: dict[str, Any]) -> bool:
         """Write an item; return whether the store has acknowledged it."""
+        value = base64.b64encode(json.dumps(content).encode()).decode()
+        return self._change({"key": key, "value": value, "leaseId": 0})
+
+    def delete(self, key: str) -> bool:
+        """Remove an item; return whether the store has acknowledged it."""
+        return self._change({"key": key, "deleted": True})
+
+    def _change(self, change: dict[str, Any]) -> bool:
         if self.is_down:
             return False
         self._revision += 1
-        value = base64.b64encode(json.dumps(content).encode()).decode()
-        item = {
-            "key": key,
-            "value": value,
-            "revision": self._revision,
-            "createdRev": self._revision,
-            "leaseId": 0,
-        }
-        self._items[key] = item
-        self._log.append(item)
+        change["revision"] = self._revision
+        self._items.pop(change["key"], None)
+        if "value" in change:
+            self._items[change["key"]] = change
+        self._log.append(change)
         self._changed.set()
         self._changed = asyncio.Event()
         return True
