Bind a stream to the version of the server that its request was sent to

Callers saw answers with events of two software versions of a service, ended as complete: streams that servers of a tried version were about to begin when their entries were removed went on at the version that stays.

Cause: the origin of a stream was looked up when its first event arrived, in the list as it was then. The entry had gone since the request was sent, so the stream was bound to no origin and recorded nowhere. When it broke off, the absence of a record was taken to show that it had begun before the second version came.

The origin is now found when the request is sent, from the server as it was listed, and recorded with the first event. What an answer from a process unknown to the store shows is kept with it.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -21,6 +21,7 @@
 from damaskrill.gateway._request_slots import RequestSlots
 from damaskrill.gateway._responder import Responder
 from damaskrill.gateway._sent_request import SentRequest
+from damaskrill.gateway._stream_binding import StreamBinding, StreamStart
 from damaskrill.gateway._stream_versions import FoundOrigin, OriginSource
 from damaskrill.http1 import (
     CallerRequest,
@@ -141,9 +142,11 @@
         self._reserved: BackendServer | None = None
         # Whether the held attempt is at a server that is merely slow.
         self._is_early = False
-        # Server at which the stream began, if its process may not be the listed one,
-        # and when its connection was opened.
-        self._uncertain: tuple[BackendServer, float] | None = None
+        self._binding = StreamBinding(
+            streams=dispatcher.streams,
+            incarnations=dispatcher.incarnations,
+            stream_id=metadata.stream_id,
+        )
         self._allowance = allowance
         self._slots = slots
         self.tried: set[tuple[str, int]] = set()
@@ -346,6 +349,10 @@
     def _send(self, server: BackendServer, connection: ServerConnection) -> SentRequest:
         dispatcher, context = self._dispatcher, self._context
         is_stream = context.route.kind is RequestKind.STREAM
+        start: StreamStart | None = None
+        if context.route.is_resumable:
+            origin = self._requirements.origin
+            start = self._binding.start(server, connection, origin)
         is_first = True
 
         def read_metadata(metadata: AnswerMetadata) -> None:
@@ -354,7 +361,8 @@
 
         def handle_events(events: bytes) -> None:
             nonlocal is_first
-            self._bind_stream(server, connection)
+            if start is not None and not self._progress.has_begun:
+                self._bind_stream(start)
             if is_first:
                 is_first = False
                 self._record_going_on(server, events)
@@ -424,37 +432,14 @@
 
     async def confirm_origin(self) -> bool:
         """Return whether the origin of the begun stream is certain."""
-        if self._uncertain is not None:
-            if not await self._has_origin(*self._uncertain):
-                return False
-            self._uncertain = None
-        return True
+        return await self._binding.confirm()
 
-    def _bind_stream(self, server: BackendServer, connection: ServerConnection) -> None:
+    def _bind_stream(self, start: StreamStart) -> None:
         # What two software versions write does not fit together.
-        if self._progress.has_begun or not self._context.route.is_resumable:
-            return
-        streams, stream_id = self._dispatcher.streams, self._metadata.stream_id
-        origin = self._requirements.origin
-        is_certain = True
-
-        def record_known() -> None:
-            known = streams.origins_of(server.service).get(server.key)
-            if known is not None:
-                streams.record_begun(stream_id, server, known)
-
-        if origin is None:
-            origin = streams.origins_of(server.service).get(server.key)
+        if not start.is_resumed:
             source = OriginSource.THIS_ROUTER
-            self.bind_origin(FoundOrigin(origin=origin, source=source))
-            opened_at_ms = connection.opened_at_ms
-            is_certain = self._dispatcher.incarnations.watch(
-                server, opened_at_ms, record_known
-            )
-            if not is_certain:
-                self._uncertain = server, opened_at_ms
-        if origin is not None:
-            streams.record_begun(stream_id, server, origin, is_certain=is_certain)
+            self.bind_origin(FoundOrigin(origin=start.origin, source=source))
+        self._binding.record_begun(start)
 
     def _record_going_on(self, server: BackendServer, events: bytes) -> None:
         last_event = self._progress.last_id
--- a/damaskrill/gateway/_stream_versions.py
+++ b/damaskrill/gateway/_stream_versions.py
@@ -140,6 +140,11 @@
         servers = self._catalog.find_all_servers(service)
         return self._origins.origins_of(service, servers)
 
+    def origin_of(self, server: BackendServer) -> int:
+        """Return the origin of a server, whether it is still listed or not."""
+        servers = self._catalog.find_all_servers(server.service)
+        return self._origins.origin_of(server, servers)
+
     def has_origin(self, service: str, origin: int) -> bool:
         """Return whether a server that may get requests has an origin."""
         origins = self.origins_of(service)
--- a/damaskrill/steering/_stream_origins.py
+++ b/damaskrill/steering/_stream_origins.py
@@ -279,6 +279,21 @@
             self._origins[service] = find_origins(servers, self._successors)
         return self._origins[service]
 
+    def origin_of(self, server: BackendServer, servers: Sequence[BackendServer]) -> int:
+        """Return the origin of a server of a service.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The server, which need not be listed any more.
+        servers : sequence of BackendServer
+            All servers of its service, as they are listed.
+        """
+        origin = self.origins_of(server.service, servers).get(server.key)
+        if origin is not None:
+            return origin
+        return find_origins([*servers, server], self._successors)[server.key]
+
     def record_successor(self, server: BackendServer, started_at_ms: int) -> None:
         """Record that a server has become another process than the listed one.
 
