Conclude nothing from missing records that an earlier build may not have made

What callers could see during an upgrade of the routers: streams that began at a router of the former build, at a server of a version that was withdrawn meanwhile, go on at the other version at a router of this build.

Cause: the former build records a stream with its first event, and not at all if the server's entry has gone by then. Routers of this build took that silence for a proof.

Routers now say in their membership entry that they record a stream with its request. While one that does not is known, or was known lately, the absence of a record counts only if no server of a second version has gone since it came, which a router knows that has watched for long enough. Streams from before the second version go on as long as none has gone; records and engines' caches count as before.

--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -226,6 +226,7 @@
             tells_all=True,
             hop_proof=1 + secrets.randbits(HOP_PROOF_BITS),
             slots=ASSIGNS_SLOTS if settings.schedules_slots else NO_SLOTS,
+            records_sent=True,
         )
         self._guard = CallerGuard(
             loop=asyncio.get_event_loop(),
@@ -267,6 +268,7 @@
             rank_keepers=self._members.rank_keepers,
             find_told=self._members.find_told,
             find_told_since=lambda key: self._mesh.find_told_since(key),
+            do_all_record_sent=self._members.do_all_record_sent,
             send=lambda address, message: self._mesh.send_message(address, message),
             read_history=lambda: read_server_history(
                 binding=self._binding,
--- a/damaskrill/gateway/_stream_versions.py
+++ b/damaskrill/gateway/_stream_versions.py
@@ -81,6 +81,8 @@
         Returns the routers that are told of a stream.
     find_told_since : callable
         Returns the time since which this router is told of each stream of an attempt.
+    do_all_record_sent : callable
+        Returns whether all routers record a stream when they send its request.
     send : callable
         Sends a message to the router with an address.
     read_history : callable
@@ -100,6 +102,7 @@
         rank_keepers: Callable[[str], list[list[str]]],
         find_told: Callable[[str], list[str]],
         find_told_since: Callable[[str], float],
+        do_all_record_sent: Callable[[], bool],
         send: Callable[[str, Message], None],
         read_history: Callable[[], Awaitable[ServerHistory | None]],
         is_store_current: Callable[[], bool],
@@ -110,6 +113,7 @@
         self._rank_keepers = rank_keepers
         self._find_told = find_told
         self._find_told_since = find_told_since
+        self._do_all_record_sent = do_all_record_sent
         self._send = send
         self._read_history = read_history
         self._is_store_current = is_store_current
@@ -248,7 +252,7 @@
         if not stream_id and self._origins.is_mixed(service):
             return FoundOrigin()
         query.own = self._find(stream_id, service)
-        origin = query.choose_origin()
+        origin = query.choose_origin(is_complete=self._are_records_complete(service))
         if origin is None and self._cached is not None and stream_id:
             origin = await self._cached.find(
                 stream_id=stream_id,
@@ -333,6 +337,13 @@
                 if future is not None and not future.done():
                     future.set_result(_to_evidence(message))
 
+    def _are_records_complete(self, service: str) -> bool:
+        """Return whether no stream beside a second version lacks a record."""
+        if self._do_all_record_sent():
+            return True
+        now_ms = monotonic_now_ms()
+        return not self._origins.may_have_lost_servers(service, now_ms)
+
     def _observe(self, service: str) -> None:
         servers = self._catalog.find_all_servers(service)
         self._origins.observe(
@@ -427,14 +438,20 @@
         """Whether a router has a record of the stream."""
         return any(each.is_recorded for each in self.evidence)
 
-    def choose_origin(self) -> int | None:
-        """Return the origin that follows from what is known so far."""
+    def choose_origin(self, *, is_complete: bool = True) -> int | None:
+        """Return the origin that follows from what is known so far.
+
+        Parameters
+        ----------
+        is_complete : bool, default=True
+            Whether the absence of a record shows anything at all.
+        """
         groups = [
             [each.result() for each in group if each.done()] for group in self.groups
         ]
         # This router belongs to the first group.
         groups[:1] = [[self.own, *replies] for replies in groups[:1]]
-        is_absent = is_absence_confirmed(groups, self.min_observed_ms)
+        is_absent = is_complete and is_absence_confirmed(groups, self.min_observed_ms)
         evidence = [self.own, *self.evidence]
         return choose_origin(evidence, self.min_observed_ms, is_absent=is_absent)
 
--- a/damaskrill/mesh/_frames.py
+++ b/damaskrill/mesh/_frames.py
@@ -122,6 +122,10 @@
     n_known : int
         Largest number of routers that it has known to be alive at a time; 0 for a
         router of an earlier build, which does not say so, nor pass it on.
+    records_sent : bool
+        Whether it records the version of a stream when it sends the request. Routers of
+        earlier builds do so with the first event, and not at all if the server has no
+        entry any more; they do not say so, nor pass it on.
     """
 
     address: str
@@ -135,6 +139,7 @@
     hop_proof: int = 0
     slots: int = NO_SLOTS
     n_known: int = 0
+    records_sent: bool = False
 
     @property
     def version(self) -> tuple[int, int]:
@@ -542,6 +547,7 @@
                 later[2] if len(later) > 2 and type(later[2]) is int else 0,
                 later[3] if len(later) > 3 and type(later[3]) is int else 0,
                 later[4] if len(later) > 4 and type(later[4]) is int else 0,
+                later[5:6] == [True],
             )
         case _:
             raise ValueError("invalid membership entry")
--- a/damaskrill/mesh/_members.py
+++ b/damaskrill/mesh/_members.py
@@ -414,12 +414,24 @@
         A router that is among the first of all that have been known lately was among
         the first of those that were known at any time in between.
         """
-        lately = [*self.entries(), *(each.entry for each in self._removed.values())]
-        group = self._groups(lately)[0]
+        group = self._groups(self._known_lately())[0]
         if key and self._own.address in rank_by_rendezvous(key, group)[:N_TOLD]:
             return float("-inf")
         return self._tells_few_at_ms
 
+    def do_all_record_sent(self) -> bool:
+        """Return whether no stream can lack a record since its server has no entry.
+
+        Notes
+        -----
+        Routers of earlier builds are taken to have ended such streams some time after
+        they were replaced.
+        """
+        return all(each.records_sent for each in self._known_lately())
+
+    def _known_lately(self) -> list[MemberEntry]:
+        return [*self.entries(), *(each.entry for each in self._removed.values())]
+
     def _groups(self, entries: Iterable[MemberEntry]) -> list[list[str]]:
         groups: dict[str, list[str]] = {self._group_of(self._own): []}
         for entry in entries:
--- a/damaskrill/steering/_stream_origins.py
+++ b/damaskrill/steering/_stream_origins.py
@@ -19,6 +19,7 @@
     "is_absence_confirmed",
 ]
 
+ServerKey = tuple[str, int]
 # Bounds the memory for records: at the largest fleets a router keeps about 50 a second.
 MAX_RECORDS = 20_000
 # Origin of streams that may have begun at processes which are not listed yet.
@@ -36,8 +37,8 @@
 
 def find_origins(
     servers: Sequence[BackendServer],
-    successors: Mapping[tuple[str, int], int] = MappingProxyType({}),
-) -> dict[tuple[str, int], int]:
+    successors: Mapping[ServerKey, int] = MappingProxyType({}),
+) -> dict[ServerKey, int]:
     """Return the origin of the streams that begin at each server of a service.
 
     Parameters
@@ -181,38 +182,65 @@
     seen_at_ms: dict[int, float] = field(factory=dict)
     mixed_since_ms: float | None = None
     origin_before: int | None = None
+    # Incarnations that are listed, and whether one with another origin than the one
+    # before has gone since several versions serve.
+    listed: Mapping[ServerKey, int] = field(factory=dict)
+    has_lost_servers: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.watched_since_ms = self.since_ms
 
-    def observe(self, origins: set[int], now_ms: float, retention_ms: float) -> None:
+    def observe(
+        self,
+        origins: Mapping[ServerKey, int],
+        now_ms: float,
+        retention_ms: float,
+        *,
+        is_current: bool,
+    ) -> None:
         known = set(self.seen_at_ms)
-        for origin in origins:
+        serving = set(origins.values())
+        if not is_current:
+            serving.add(UNLISTED_ORIGIN)
+        for origin in serving:
             self.seen_at_ms[origin] = now_ms
         for origin, seen_at_ms in list(self.seen_at_ms.items()):
             if now_ms - seen_at_ms > retention_ms:
                 del self.seen_at_ms[origin]
         if len(self.seen_at_ms) <= 1:
             self.mixed_since_ms = self.origin_before = None
+            self.has_lost_servers = False
         elif self.mixed_since_ms is None:
             self.mixed_since_ms = now_ms
             self.origin_before = next(iter(known)) if len(known) == 1 else None
+        self._compare_servers(self.listed, origins)
+        self.listed = origins
+
+    def _compare_servers(
+        self, before: Mapping[ServerKey, int], now: Mapping[ServerKey, int]
+    ) -> None:
+        gone = before.keys() - now.keys()
+        if self.mixed_since_ms is not None:
+            lost = (before[key] != self.origin_before for key in gone)
+            self.has_lost_servers = self.has_lost_servers or any(lost)
 
-    def extend(self, origins: set[int], since_ms: float) -> None:
+    def extend(self, servers: Mapping[ServerKey, int], since_ms: float) -> None:
         """Add what served before this router knew the servers.
 
         Parameters
         ----------
-        origins : set of int
-            Origins of the servers that were listed at some time.
+        servers : mapping of (str, int) to int
+            Origins of the servers that were listed at some time, by incarnation.
         since_ms : float
             Time from which on they are known, in milliseconds.
         """
+        origins = set(servers.values())
         for origin in origins:
             self.seen_at_ms.setdefault(origin, self.watched_since_ms)
         if len(self.seen_at_ms) > 1 and self.origin_before not in origins:
             self.mixed_since_ms, self.origin_before = since_ms, None
         self.since_ms = min(self.since_ms, since_ms)
+        self._compare_servers(servers, self.listed)
 
     def find_sole(self, now_ms: float, max_age_ms: float) -> int | None:
         """Return the only origin that streams of some age can have."""
@@ -252,8 +280,8 @@
         self._records: OrderedDict[int, tuple[int, float]] = OrderedDict()
         self._histories: dict[str, _ServiceHistory] = {}
         self._servers: dict[str, Sequence[BackendServer]] = {}
-        self._origins: dict[str, dict[tuple[str, int], int]] = {}
-        self._successors: dict[tuple[str, int], int] = {}
+        self._origins: dict[str, dict[ServerKey, int]] = {}
+        self._successors: dict[ServerKey, int] = {}
 
     @property
     def n_records(self) -> int:
@@ -272,7 +300,7 @@
 
     def origins_of(
         self, service: str, servers: Sequence[BackendServer]
-    ) -> dict[tuple[str, int], int]:
+    ) -> dict[ServerKey, int]:
         """Return the origins of a service's servers, by incarnation."""
         if self._servers.get(service) is not servers:
             self._servers[service] = servers
@@ -339,10 +367,7 @@
             history = self._histories.get(service)
             if history is None:
                 history = self._histories[service] = _ServiceHistory(since_ms=now_ms)
-            serving = set(origins.values())
-            if not is_current:
-                serving.add(UNLISTED_ORIGIN)
-            history.observe(serving, now_ms, self._retention_ms)
+            history.observe(origins, now_ms, self._retention_ms, is_current=is_current)
 
     def add_history(
         self, service: str, servers: Sequence[BackendServer], since_ms: float
@@ -360,7 +385,7 @@
         """
         history = self._histories.get(service)
         if history is not None:
-            history.extend(set(find_origins(servers).values()), since_ms)
+            history.extend(find_origins(servers), since_ms)
 
     def observed_ms(self, service: str, now_ms: float) -> float:
         """Return for how long the servers of a service have been known."""
@@ -394,6 +419,17 @@
         history = self._histories.get(service)
         return history is not None and history.mixed_since_ms is not None
 
+    def may_have_lost_servers(self, service: str, now_ms: float) -> bool:
+        """Return whether servers of a second version may have gone lately.
+
+        Notes
+        -----
+        Those of the version that served before do not count.
+        """
+        history = self._histories.get(service)
+        is_known = self.observed_ms(service, now_ms) >= self._max_age_ms
+        return history is None or not is_known or history.has_lost_servers
+
     def records(self, now_ms: float) -> Iterator[tuple[int, int, int]]:
         """Yield the stream, the origin and the age in milliseconds of each record."""
         for stream, (origin, recorded_at_ms) in self._records.items():
--- a/features/gateway_stream_records.feature
+++ b/features/gateway_stream_records.feature
@@ -61,3 +61,30 @@
       | is of the former build    | does not conclude |
       | has been lost             | does not conclude |
       | is not linked             | does not conclude |
+
+  Scenario Outline: which servers have gone since a second version came
+    Given servers of the versions "v1" are known from 0 ms on
+    And servers of the versions "v1 v2" are known from 30000 ms on
+    And servers of the versions "<then>" are known from 31000 ms on
+    Then servers of a second version <state> lately
+
+    Examples:
+      | then     | state              |
+      | v1 v2    | have not been lost |
+      | v1 v2 v3 | have not been lost |
+      | v1       | have been lost     |
+      | v2       | have not been lost |
+
+  Scenario: a router that has just started does not know which servers have gone
+    Given servers of the versions "v1 v2" are known from 0 ms on
+    Then servers of a second version have been lost lately
+
+  Scenario Outline: a record is sent with the request if all routers say so
+    Given 4 routers, of which one <state>
+    Then the table says that records are sent <how>
+
+    Examples:
+      | state                                        | how               |
+      | is as the others                             | with the requests |
+      | records streams with their first event       | later by some     |
+      | did so and has ended                         | later by some     |
--- a/features/gateway_withdrawn_versions.feature
+++ b/features/gateway_withdrawn_versions.feature
@@ -38,3 +38,19 @@
       | go                                                  |
       | lose their entries                                  |
       | stay as they are                                    |
+
+  Scenario: routers of an earlier build record no streams of a withdrawn version
+    # Guards against conclusions from the absence of records that nobody has made.
+    Given a router of a build that records streams with their first event joins them
+    When engines "e-3" and "e-4" of version "v2" are listed for 300 ms
+    And 48 callers send checks to that router, and before the first event the two lose their entries
+    And these callers break off after 1 event and resume at the others
+    Then no stream has events of two versions over its tries
+
+  Scenario: streams from before the second version go on beside that build
+    Given a router of a build that records streams with their first event joins them
+    When 24 callers break their checks off after 2 events
+    And engines "e-3" and "e-4" of version "v2" are listed for 300 ms
+    And these callers resume their checks at the next router
+    Then no stream has events of two versions
+    And at least 22 of these streams are complete
--- a/features/steps/gateway_stream_origins_steps.py
+++ b/features/steps/gateway_stream_origins_steps.py
@@ -252,6 +252,7 @@
                 rank_keepers=members.rank_keepers,
                 find_told=members.find_told,
                 find_told_since=members.find_told_since,
+                do_all_record_sent=members.do_all_record_sent,
                 send=send,
                 read_history=read_nothing,
                 is_store_current=lambda: True,
--- a/features/steps/gateway_stream_records_steps.py
+++ b/features/steps/gateway_stream_records_steps.py
@@ -79,7 +79,14 @@
 
 def build_entries(n, n_centres=1):
     return [
-        MemberEntry(f"10.0.0.{i}:7000", 1, f"dc-{i % n_centres}", 1, tells_all=True)
+        MemberEntry(
+            f"10.0.0.{i}:7000",
+            1,
+            f"dc-{i % n_centres}",
+            1,
+            tells_all=True,
+            records_sent=True,
+        )
         for i in range(n)
     ]
 
@@ -143,8 +150,15 @@
     own, *others = build_entries(4)
     if state == "is of the former build":
         others[0] = evolve(others[0], tells_all=False)
+    if state in ("records streams with their first event", "did so and has ended"):
+        others[0] = evolve(others[0], records_sent=False)
     table = build_table(own, others)
     table.advance_heartbeat(1_000.0)
+    if state == "did so and has ended":
+        for each in others[1:]:
+            table.merge(evolve(each, heartbeat=2), 20_000.0)
+        assert table.expire(20_000.0) == [others[0]]
+    context.table_of_members = table
     mesh = Mesh.__new__(Mesh)
     mesh._members = table
     mesh._lost_at_ms = {"10.0.0.9:7000": 500.0} if state == "has been lost" else {}
@@ -167,3 +181,15 @@
 @then("a router does not conclude from the absence of a record")
 def step_not_concludes(context):
     assert context.mesh.find_told_since(context.key) >= 1_000.0
+
+
+@then("the table says that records are sent {how}")
+def step_records_sent(context, how):
+    do_all = context.table_of_members.do_all_record_sent()
+    assert do_all == (how == "with the requests")
+
+
+@then("servers of a second version {state} lately")
+def step_lost_servers(context, state):
+    may_have = context.origins.may_have_lost_servers("pool", context.at_ms)
+    assert may_have == (state == "have been lost")
--- a/features/steps/gateway_upgrade_steps.py
+++ b/features/steps/gateway_upgrade_steps.py
@@ -111,7 +111,7 @@
         )
 
 
-class _Address:
+class Address:
     """Stands for a gateway where only its address for callers is needed."""
 
     def __init__(self, address):
@@ -120,7 +120,7 @@
 
 
 def by_build(context):
-    former = [_Address(each.callers) for each in context.former]
+    former = [Address(each.callers) for each in context.former]
     return context.testbed.gateways, former
 
 
--- a/features/steps/gateway_withdrawn_versions_steps.py
+++ b/features/steps/gateway_withdrawn_versions_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 import re
 
-from behave import then, when
+from behave import given, then, when
 
 from features.steps.gateway_stream_versions_steps import (
     N_EVENTS,
@@ -13,13 +13,17 @@
     send_check,
     settle,
 )
+from features.steps.gateway_upgrade_steps import Address
+from features.support.former_build import FormerRouter
 
 # Time from the head of an answer to its first event, and between two events.
-READ_MS = 300
-# Time after which the entries change, and then until the servers end.
-CHANGE_AFTER_S = 0.1
-END_AFTER_S = 0.45
+READ_MS = 400
+# Time from the last request until the servers end, between their first two events.
+END_AFTER_S = 0.6
+POLL_S = 0.01
 LATER_START_MS = 9_000
+# The last build that records a stream with its first event.
+FORMER_COMMIT = "f058e82274b23d5d9fb6a841090cf2444f1433dd"
 
 
 @when('engines "{one}" and "{other}" of version "{version}" are listed for {ms:d} ms')
@@ -53,8 +57,15 @@
             testbed.store.put(key, {**entry, **changes})
 
 
+async def wait_until_sent(context):
+    """Wait until servers have received the requests of all callers."""
+    servers = context.testbed.servers.values()
+    while sum(len(each.requests) for each in servers) < context.n_callers:
+        await asyncio.sleep(POLL_S)
+
+
 async def go(context, how):
-    await asyncio.sleep(CHANGE_AFTER_S)
+    await wait_until_sent(context)
     change_entries(context, how)
     match = re.search(r"after (\d+) ms", how)
     if match is not None:
@@ -73,7 +84,8 @@
     gateways = context.testbed.gateways
 
     async def end():
-        await asyncio.sleep(CHANGE_AFTER_S + END_AFTER_S)
+        await wait_until_sent(context)
+        await asyncio.sleep(END_AFTER_S)
         for engine in ending:
             context.testbed.servers[engine].close()
 
@@ -119,3 +131,39 @@
     assert lengths
     n_complete = sum(each == N_EVENTS for each in lengths)
     assert n_complete >= percent / 100 * len(lengths), (n_complete, len(lengths))
+
+
+@given("a router of a build that records streams with their first event joins them")
+def step_former(context):
+    testbed = context.testbed
+    seeds = ["{}:{}".format(*each._settings.peer_address) for each in testbed.gateways]
+    router = FormerRouter(
+        number=0,
+        seeds=",".join(seeds),
+        store=testbed.store.address,
+        commit=FORMER_COMMIT,
+    )
+    context.add_cleanup(router.close)
+    context.former = Address(router.callers)
+    for gateway in testbed.gateways:
+        assert testbed.wait_for(lambda each=gateway: each._mesh.n_links == 3)
+
+
+@when(
+    "{n:d} callers send checks to that router, and before the first event the two {how}"
+)
+def step_send_former(context, n, how):
+    context.n_callers, context.how = n, how
+
+
+@when("these callers break off after 1 event and resume at the others")
+def step_resume_others(context):
+    gateways = context.testbed.gateways
+
+    async def call(number):
+        first = await send_check(context.former, number, n_events=1)
+        reply = await resume_check(gateways[number % 3], number, first)
+        return (first, reply)
+
+    calls = [call(i) for i in range(context.n_callers)]
+    _, *context.streams = run_all(context, [go(context, context.how), *calls])
--- a/features/support/former_build.py
+++ b/features/support/former_build.py
@@ -1,4 +1,4 @@
-"""The build of the last landing, made from the repository's history."""
+"""Builds of earlier landings, made from the repository's history."""
 
 import atexit
 import io
@@ -34,12 +34,12 @@
 
 
 @cache
-def former_build():
-    """Return the folder of the former build's sources."""
+def former_build(commit=COMMIT):
+    """Return the folder of a former build's sources."""
     folder = tempfile.mkdtemp(prefix="former-build-")
     atexit.register(shutil.rmtree, folder, ignore_errors=True)
     archive = subprocess.run(
-        ["git", "archive", COMMIT, "damaskrill"],
+        ["git", "archive", commit, "damaskrill"],
         cwd=ROOT,
         capture_output=True,
         check=True,
@@ -73,9 +73,9 @@
 
 
 class FormerRouter:
-    """Process of a router of the former build."""
+    """Process of a router of a former build."""
 
-    def __init__(self, *, number, seeds, store):
+    def __init__(self, *, number, seeds, store, commit=COMMIT):
         host = f"127.201.{os.getpid() % 250}.{number + 1}"
         ports = tuple(port for _, port in free_addresses(host, 3))
         self.callers, self.peers = (host, ports[0]), (host, ports[2])
@@ -97,10 +97,10 @@
         with self.log.open("wb") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "damaskrill.platform"],
-                cwd=former_build(),
+                cwd=former_build(commit),
                 env={
                     **os.environ,
-                    "PYTHONPATH": former_build(),
+                    "PYTHONPATH": former_build(commit),
                     SETTINGS_VARIABLE: str(settings),
                 },
                 stdout=log,
