Keep the counts of a limited server while its entry lapses

What callers and operators could see: a server that states a limit, or that is cold, gets several times what it takes when its entry lapses for a moment and comes back.

Cause: FleetRateLimiter dropped the count of the requests sent to an incarnation as soon as it was not listed, so that every router had its share of the window anew when the same incarnation was listed again.

Counts are now kept until they are older than any window, as stated limits are kept.

--- a/damaskrill/gateway/_server_throttle.py
+++ b/damaskrill/gateway/_server_throttle.py
@@ -197,7 +197,7 @@
         """Discard what no longer counts."""
         registered = self._catalog.registered_keys()
         self._limits.retain_only(registered, now_ms)
-        self._limiter.retain_only(registered)
+        self._limiter.retain_only(registered, now_ms)
         configuration = self._catalog.configuration
         services = set(configuration.services) if configuration else set()
         self._brittle.retain_only(registered, services, now_ms)
--- a/damaskrill/steering/_fleet_rate_limiter.py
+++ b/damaskrill/steering/_fleet_rate_limiter.py
@@ -127,10 +127,17 @@
         if sent is not None and acquired_at_ms in sent:
             sent.remove(acquired_at_ms)
 
-    def retain_only(self, keys: set[ServerKey]) -> None:
-        """Discard the counts of all other incarnations."""
+    def retain_only(self, keys: set[ServerKey], now_ms: float) -> None:
+        """Discard the counts of all other incarnations that got no requests lately.
+
+        Notes
+        -----
+        An entry may lapse for a moment; the server has got what was sent before.
+        """
         for key in self._sent.keys() - keys:
-            del self._sent[key]
+            sent = self._sent[key]
+            if not sent or sent[-1] <= now_ms - RETENTION_MS:
+                del self._sent[key]
 
     def _rank(self, server_id: str) -> list[str]:
         ranked = self._rankings.get(server_id)
--- a/features/gateway_stated_limits.feature
+++ b/features/gateway_stated_limits.feature
@@ -32,6 +32,14 @@
     And "a-1" gets at least 5 requests in that time
     And all reads are answered
 
+  Scenario: the limit holds while the entry of its server lapses and comes back
+    # Guards against counts that are dropped with an entry, so that shares start anew.
+    Given engine "a-2" leaves
+    When server "a-1" states a limit of "1.5" requests a second
+    And both gateways get 20 reads a second for 7 s, and the entry of "a-1" lapses for 200 ms each second
+    Then "a-1" gets at most 14 requests in any 4 s from 0.5 s after its first answer on
+    And "a-1" gets at least 5 requests in that time
+
   Scenario: a router that starts hears of the limits from the others
     When server "a-1" states a limit of "0.25" requests a second
     And the first gateway gets reads until it has sent 1 to "a-1"
--- a/features/steps/gateway_stated_limits_steps.py
+++ b/features/steps/gateway_stated_limits_steps.py
@@ -37,13 +37,36 @@
 
 @when("both gateways get {per_s:d} reads a second for {seconds:d} s")
 def step_load(context, per_s, seconds):
+    context.replies = context.testbed.thread.run(send_reads(context, per_s, seconds))
+
+
+async def send_reads(context, per_s, seconds):
+    tasks = []
+    for _ in range(per_s * seconds):
+        for gateway in context.testbed.gateways:
+            tasks.append(asyncio.create_task(send_one(gateway)))
+        await asyncio.sleep(1 / per_s)
+    return await asyncio.gather(*tasks)
+
+
+@when(
+    "both gateways get {per_s:d} reads a second for {seconds:d} s, and the entry of "
+    '"{name}" lapses for {lapse_ms:d} ms each second'
+)
+def step_load_with_lapses(context, per_s, seconds, name, lapse_ms):
+    store, key = context.testbed.store, f"servers/{name}"
+    entry = context.testbed.entries[name]
+
+    async def lapse():
+        for _ in range(seconds):
+            await asyncio.sleep(1 - lapse_ms / 1_000)
+            store.delete(key)
+            await asyncio.sleep(lapse_ms / 1_000)
+            store.put(key, entry)
+
     async def run():
-        tasks = []
-        for _ in range(per_s * seconds):
-            for gateway in context.testbed.gateways:
-                tasks.append(asyncio.create_task(send_one(gateway)))
-            await asyncio.sleep(1 / per_s)
-        return await asyncio.gather(*tasks)
+        replies, _ = await asyncio.gather(send_reads(context, per_s, seconds), lapse())
+        return replies
 
     context.replies = context.testbed.thread.run(run())
 
