Leave out servers that another router has reached whenever they are listed

What callers could see: a request that went through a peer is sent again to a server that failed it there, if the server's entry lapsed meanwhile and is back.

Cause: the servers that other routers had reached were looked up in the list when the request came, or came back from a peer. One that had no entry at that moment was not excluded afterwards.

Which servers a request has reached elsewhere is kept by their short hashes, and applied to the list whenever a server is chosen. As before, servers of a peer that has failed itself do not count.

Test: "a server that another router has reached is listed again meanwhile": run there again before, refused now.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -103,9 +103,9 @@
 
     Attributes
     ----------
-    tried, sent_to, overloaded : set of tuple of (str, int)
-        Incarnations that were selected, and peers; of the former, those that received
-        the request from this router, and those that were full.
+    sent_to, overloaded : set of tuple of (str, int)
+        Incarnations that received the request from this router, and those that were
+        full.
     held : SentRequest or None
         Attempt at a silent server. It goes on unless another server accepts the
         request.
@@ -149,7 +149,9 @@
         )
         self._allowance = allowance
         self._slots = slots
-        self.tried: set[tuple[str, int]] = set()
+        self._tried: set[tuple[str, int]] = set()
+        # Short hashes of the servers that the request has reached at other routers.
+        self._reached_elsewhere: frozenset[int] = frozenset()
         self.sent_to: set[tuple[str, int]] = set()
         self.overloaded: set[tuple[str, int]] = set()
         self.held: SentRequest | None = None
@@ -160,20 +162,30 @@
         self._requirements = context.requirements
         self._origin_source = context.origin_source
         self._guard = guard
-        self._exclude_reached()
+        self._reached_elsewhere = self._allowance.reached
         self._records = AttemptRecords(
             dispatcher=self._dispatcher,
             metadata=self._metadata,
             team=context.team.name if context.team else "",
         )
 
-    def _exclude_reached(self) -> None:
-        reached = self._allowance.reached
-        if reached:
-            catalog = self._dispatcher.catalog
-            servers = catalog.find_all_servers(self._requirements.service)
-            keys = (server.key for server in servers)
-            self.tried.update(key for key in keys if short_server_id(key) in reached)
+    @property
+    def tried(self) -> set[tuple[str, int]]:
+        """Incarnations that were selected here or at another router, and peers.
+
+        Notes
+        -----
+        A server that another router has reached may be listed later than the request
+        comes.
+        """
+        if self._reached_elsewhere:
+            servers = self._dispatcher.catalog.find_all_servers(self._responder.service)
+            self._tried.update(
+                each.key
+                for each in servers
+                if short_server_id(each.key) in self._reached_elsewhere
+            )
+        return self._tried
 
     @property
     def requirements(self) -> ServerRequirements:
@@ -195,7 +207,7 @@
 
     def forget_overloaded(self) -> None:
         """Make the servers that were full eligible again."""
-        self.tried -= self.overloaded
+        self._tried -= self.overloaded
         self.overloaded.clear()
 
     async def try_server(self, server: BackendServer) -> AttemptResult | None:
@@ -208,7 +220,7 @@
             the server accepts the request, the result of the held attempt.
         """
         self._responder.record_server(server)
-        self.tried.add(server.key)
+        self._tried.add(server.key)
         dispatcher = self._dispatcher
         dispatcher.loads.start(server.key)
         # Other requests may be assigned while the connection is being opened.
@@ -244,7 +256,7 @@
     async def try_peer(self, peer: MemberEntry) -> AttemptResult | None:
         """Send the request through a peer; return None if it was not sent."""
         dispatcher, context = self._dispatcher, self._context
-        self.tried.add(peer_key(peer))
+        self._tried.add(peer_key(peer))
         remaining_ms = max(1, int(context.limit_at_ms - dispatcher.now_ms))
         connection = await dispatcher.relay.connect(peer, remaining_ms)
         if connection is None:
@@ -281,7 +293,8 @@
         self._allowance.settle(report.find_grant(result))
         if not isinstance(result, Broken):
             # Otherwise the peer has failed, and its servers may be sound.
-            self._exclude_reached()
+            own = {short_server_id(key) for key in self.sent_to}
+            self._reached_elsewhere = self._allowance.reached - own
         return result
 
     async def resume_held(self, held: SentRequest) -> AttemptResult:
--- a/features/gateway_hops.feature
+++ b/features/gateway_hops.feature
@@ -14,6 +14,12 @@
     When a read comes with the proof of the gateway and a grant of no server
     Then it is refused as the grant says
 
+  Scenario: a server that another router has reached is listed again meanwhile
+    # Guards against a list of servers to exclude that is made when the request comes.
+    Given a platform with a server of each service
+    When a read comes from a router that has reached "app-1", whose entry is back 20 ms later
+    Then it is refused, and no server has run it
+
   Scenario Outline: a request without a proof counts as a router's during an upgrade only
     Given a router that knows <peers>
     Then a request with <proof> <counts> as that of a router
--- a/features/steps/gateway_hops_steps.py
+++ b/features/steps/gateway_hops_steps.py
@@ -7,11 +7,12 @@
 from attrs import evolve
 from behave import given, then, when
 
+from damaskrill.catalog import ServerItem
 from damaskrill.eventlog import DecisionLog
 from damaskrill.gateway._peer_relay import PeerRelay
 from damaskrill.mesh import MemberEntry, MemberTable
-from damaskrill.steering import ServerAllowance
-from damaskrill.utils import FakeClock
+from damaskrill.steering import ServerAllowance, short_server_id
+from damaskrill.utils import FakeClock, monotonic_now_ms
 
 OWN_PROOF = 12_345
 FLEET_HEADERS = (
@@ -103,6 +104,40 @@
     )
 
 
+@when(
+    'a read comes from a router that has reached "{name}", whose entry is back '
+    "{delay_ms:d} ms later"
+)
+def step_listed_again(context, name, delay_ms):
+    testbed = context.testbed
+    gateway = testbed.gateways[0]
+    (server,) = (
+        each for each in gateway._catalog.find_servers("app") if each.server_id == name
+    )
+    headers = [
+        ("damaskrill-router-hop", "1"),
+        ("damaskrill-router-servers", f"2 {short_server_id(server.key)}"),
+        ("damaskrill-router-proof", str(gateway._members.own.hop_proof)),
+    ]
+    item, catalog = ServerItem(server_id=name, server=server), gateway._catalog
+
+    def change_entry():
+        now_ms = round(monotonic_now_ms())
+        catalog.remove(item, now_ms)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_ms / 1_000, catalog.put, item, now_ms)
+
+    testbed.call(change_entry)
+    context.reply = testbed.send("/read/1", method="GET", body=b"", headers=headers)
+    assert gateway._catalog.find_servers("app"), context.reply
+
+
+@then("it is refused, and no server has run it")
+def step_not_run(context):
+    assert context.reply.status == 503, context.reply
+    assert not context.testbed.runs_of(context.reply.request_id)
+
+
 @then("it is refused as the grant says")
 def step_grant(context):
     assert context.reply.status == 503, context.reply
