Send no action where a copy of a refusal without an ID may follow

Cause: a server sends a second, late copy of an answer where the next one is due, and the copy has no request ID, as the request had none. Such an answer counts as the one that is due. The same holds for the 503 with which servers shed load.

A copy without an ID can follow only an answer that had none, so it is the connection that cannot be trusted; a refusal without an ID on another one is still told as not run.

A connection is used no more after a request without an ID, or an answer without one that is no refusal or comes from another server. After other refusals without an ID it is used for requests that may be repeated, and closed when an action comes.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -153,6 +153,11 @@
         What it answers in place of the list of these parts; empty for no answer.
     author : bytes
         Name that the data of its events hold; empty for none.
+    names_refusals : bool
+        Whether its refusals carry the ID of their request.
+    copies_refusals : bool
+        Whether it sends each refusal once more, where the next answer on the connection
+        is due.
     """
 
     def __init__(
@@ -201,6 +206,8 @@
         self.n_reports = 0
         self.false_list: bytes | EndlessPart | None = None
         self.author = b""
+        self.names_refusals = True
+        self.copies_refusals = False
         self._n_active = 0
         self._rejections: list[float] = []
         self.arrivals: list[tuple[float, str]] = []
@@ -264,8 +271,12 @@
         if self.slots is not None and self.slots.is_full:
             is_full = True
             self.slots.n_rejected += 1
+        self._send_late_answer(connection)
+        if not request_id and not self.names_refusals:
+            self._refuse(connection, request_id, status=400)
+            return
         if is_full or self._fails_as(Misbehaviour.FULL):
-            connection.send_answer(503, self._refusal_headers(request_id), b"")
+            self._refuse(connection, request_id)
             self._count_rejection()
             return
         if self._refuses_once(connection, request_id):
@@ -354,6 +365,23 @@
             headers = (*headers, (b"Damaskrill-Server-Load", load))
         await self._answer(connection, request_id, headers)
 
+    def _refuse(
+        self, connection: CallerConnection, request_id: bytes, *, status: int = 503
+    ) -> None:
+        headers = self._refusal_headers(request_id)
+        connection.send_answer(status, headers, b"")
+        if self.copies_refusals:
+            lines = b"".join(b"%b: %b\r\n" % each for each in headers)
+            start = b"HTTP/1.1 %d Busy\r\n" % status
+            self._late_answers[connection] = (
+                start + lines + b"Content-Length: 0\r\n\r\n"
+            )
+
+    def _send_late_answer(self, connection: CallerConnection) -> None:
+        if self.copies_refusals:
+            transport: Any = connection.transport
+            transport.write(self._late_answers.pop(connection, b""))
+
     def _refuses_once(self, connection: CallerConnection, request_id: bytes) -> bool:
         """Refuse each request once, and send a late copy before the next answer."""
         if self.misbehaviour is not Misbehaviour.COPIED_REFUSAL:
@@ -398,11 +426,9 @@
             self._crash()
 
     def _refusal_headers(self, request_id: bytes) -> Headers:
-        headers: Headers = (
-            (b"Damaskrill-Request-Id", request_id),
-            (b"Damaskrill-Not-Executed", b"1"),
-            *self._state_headers,
-        )
+        headers: Headers = ((b"Damaskrill-Not-Executed", b"1"), *self._state_headers)
+        if self.names_refusals:
+            headers = ((b"Damaskrill-Request-Id", request_id), *headers)
         if self.slots is not None:
             load = self.slots.state_load()
             headers = (*headers, (b"Damaskrill-Server-Load", load))
--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -313,7 +313,11 @@
     async def _connect(self, server: BackendServer) -> ServerConnection | None:
         dispatcher = self._dispatcher
         request_id = self._metadata.request_id
-        connection = dispatcher.pool.acquire_idle(server.key, request_id=request_id)
+        connection = dispatcher.pool.acquire_idle(
+            server.key,
+            request_id=request_id,
+            may_repeat=self._context.route.may_repeat,
+        )
         if connection is not None:
             return await self._check_process(server, connection)
         remaining_ms = max(1.0, self._context.limit_at_ms - dispatcher.now_ms)
@@ -369,6 +373,8 @@
         is_first = True
 
         def read_metadata(metadata: AnswerMetadata) -> None:
+            if not metadata.request_id:
+                self._record_unnamed(connection, metadata)
             dispatcher.engines.record_begun(attempt)
             dispatcher.handle_metadata(server, metadata)
 
@@ -438,6 +444,15 @@
             sent_at_ms=sent_at_ms,
         )
 
+    def _record_unnamed(
+        self, connection: ServerConnection, metadata: AnswerMetadata
+    ) -> None:
+        # All answers to a request without an ID lack it, and an address that belongs to
+        # another server is of no use.
+        is_named = bool(self._metadata.request_id)
+        is_refusal = metadata.is_not_run and not metadata.is_other_server
+        connection.record_unnamed(is_refusal=is_named and is_refusal)
+
     def bind_origin(self, found: FoundOrigin) -> None:
         """Require servers at which a stream with this origin may go on."""
         self._requirements = evolve(self._requirements, origin=found.origin)
--- a/damaskrill/http1/_pool.py
+++ b/damaskrill/http1/_pool.py
@@ -66,7 +66,7 @@
         return self._n_opened
 
     def acquire_idle(
-        self, key: ServerKey, *, request_id: str = ""
+        self, key: ServerKey, *, request_id: str = "", may_repeat: bool = True
     ) -> ServerConnection | None:
         """Return an idle connection that the server has not closed, or None.
 
@@ -77,6 +77,10 @@
         request_id : str, default=""
             ID of the request to send. A connection that has carried it is not used: a
             late copy of the former answer could not be told from the answer.
+        may_repeat : bool, default=True
+            Whether the request may run more than once. Otherwise a connection that has
+            carried a refusal without an ID is closed: a late copy of it would say that
+            the request has not run.
         """
         now_ms = monotonic_now_ms()
         idle = self._idle.get(key, deque())
@@ -86,7 +90,8 @@
             connection = idle.pop()
             if not connection.is_open:
                 continue
-            if now_ms - connection.idle_since_ms >= connection.idle_limit_ms:
+            is_old = now_ms - connection.idle_since_ms >= connection.idle_limit_ms
+            if is_old or (connection.has_unnamed_refusal and not may_repeat):
                 connection.abort()
             elif request_id and connection.has_carried(request_id):
                 spared.appendleft(connection)
@@ -121,7 +126,7 @@
         connection.opened_at_ms = connection.idle_since_ms = monotonic_now_ms()
 
         def release(idle: ServerConnection) -> None:
-            if not self._may_keep(key):
+            if idle.is_last or not self._may_keep(key):
                 idle.close()
                 return
             idle.idle_since_ms = monotonic_now_ms()
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -62,6 +62,10 @@
 
     Bytes that belong to no request make the connection unusable: a second answer,
     bytes after the end of an answer, and bytes outside an exchange.
+
+    A late copy of an answer comes where the next answer is due, and is known by the ID
+    of its request. A connection that has carried an answer without an ID cannot tell a
+    copy of it from the next answer (`record_unnamed`).
     """
 
     def __init__(self) -> None:
@@ -72,6 +76,8 @@
         self._bounds = AnswerBounds()
         self._n_exchanges = 0
         self._request_ids: deque[str] = deque(maxlen=MAX_REQUEST_IDS)
+        self._has_unnamed_refusal = False
+        self._is_last = False
         self._has_answer = False
         self._is_open = False
         self._n_untaken = 0
@@ -101,6 +107,30 @@
         """Return whether a request with an ID has been sent on this connection."""
         return request_id in self._request_ids
 
+    @property
+    def is_last(self) -> bool:
+        """Whether the present exchange is the last one that it may carry."""
+        return self._is_last
+
+    @property
+    def has_unnamed_refusal(self) -> bool:
+        """Whether a copy of a refusal could be taken for that of the next request."""
+        return self._has_unnamed_refusal
+
+    def record_unnamed(self, *, is_refusal: bool) -> None:
+        """Record that the answer of the present exchange has no ID.
+
+        Parameters
+        ----------
+        is_refusal : bool
+            Whether a request that may be repeated cannot take a copy of it for more
+            than a refusal. Otherwise the connection carries no further request.
+        """
+        if is_refusal:
+            self._has_unnamed_refusal = True
+        else:
+            self._is_last = True
+
     def connectionMade(self) -> None:
         """Set the socket's options."""
         self._is_open = True
