Take a server that was lost while the store is away for a cold one until it states otherwise

Cause: only the entry in the store told that a server is cold, and the entry was that of the former process. What the server states in its health answers was read nowhere.

Servers whose connections were lost or refused count as cold while the store cannot tell of a new process. They are asked for their health within the share of the limit that a router has, and what they state counts from then on.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -153,6 +153,9 @@
         What it answers in place of the list of these parts; empty for no answer.
     author : bytes
         Name that the data of its events hold; empty for none.
+    cold_until : float
+        Until when it is cold, on the monotonic clock in seconds; its health answers say
+        so.
     names_refusals : bool
         Whether its refusals carry the ID of their request.
     copies_refusals : bool
@@ -206,6 +209,7 @@
         self.n_reports = 0
         self.false_list: bytes | EndlessPart | None = None
         self.author = b""
+        self.cold_until = 0.0
         self.names_refusals = True
         self.copies_refusals = False
         self._n_active = 0
@@ -298,7 +302,10 @@
         # A health check waits like a request, but runs none.
         if self.misbehaviour is Misbehaviour.HANG:
             await asyncio.sleep(60)
-        headers = ((b"Damaskrill-Instance-Id", self.server_id.encode()),)
+        headers: Headers = ((b"Damaskrill-Instance-Id", self.server_id.encode()),)
+        cold_ms = round((self.cold_until - time.monotonic()) * 1_000)
+        if cold_ms > 0:
+            headers = (*headers, (b"Damaskrill-Cold-Ms", b"%d" % cold_ms))
         connection.send_answer(503 if self.is_leaving else 200, headers, b"")
 
     async def _answer_list(self, connection: CallerConnection) -> None:
--- a/damaskrill/gateway/_binding.py
+++ b/damaskrill/gateway/_binding.py
@@ -85,6 +85,11 @@
         Builds the request for the prompt parts that an engine has cached.
     read_cache : callable
         Decodes the answer to it; raises `CacheAnswerError`.
+    health_request : callable
+        Builds the request for the health of a server, given its path.
+    read_cold_ms : callable
+        Reads from the head of its answer how long the server stays cold, in
+        milliseconds; None if it does not say.
     statement_request : callable
         Builds the request for what a server states about its own process.
     read_statement : callable
@@ -109,6 +114,8 @@
     grant_event: Callable[[ServerGrant], bytes]
     cache_request: Callable[[BackendServer], OutgoingRequest]
     read_cache: Callable[[AnswerHead, bytes], CacheContent]
+    health_request: Callable[[BackendServer, str], OutgoingRequest]
+    read_cold_ms: Callable[[AnswerHead, BackendServer], int | None]
     statement_request: Callable[[BackendServer], OutgoingRequest]
     read_statement: Callable[[AnswerHead, bytes], int]
     store: BaseStoreClient
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -18,6 +18,7 @@
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._passed_over import log_passed_over
 from damaskrill.gateway._peer_relay import PeerRelay
+from damaskrill.gateway._return_checks import ReturnChecks
 from damaskrill.gateway._server_throttle import ServerThrottle, ServiceWait
 from damaskrill.gateway._slots import SlotScheduling
 from damaskrill.gateway._stream_versions import StreamVersions
@@ -94,6 +95,8 @@
         Software versions at which streams began.
     incarnations : IncarnationChecks
         Whether connections lead to the listed processes of servers.
+    returns : ReturnChecks
+        Whether servers that were lost have returned cold.
     slots : SlotScheduling
         Slots of services with few of them.
     publish_reports : callable
@@ -136,6 +139,7 @@
         account: MemoryAccount,
         streams: StreamVersions,
         incarnations: IncarnationChecks,
+        returns: ReturnChecks,
         slots: SlotScheduling,
         publish_reports: Callable[[], None],
         publish_departure: Callable[[tuple[str, int]], None],
@@ -169,6 +173,7 @@
             metrics=metrics,
         )
         self.slots = slots
+        self._returns = returns
         self._health = FleetHealth(detector=failures)
         self._prefix_index = prefix_index
         self._failures = failures
@@ -515,6 +520,7 @@
         if self.relay.is_needed:
             # It is this router that has no path; the server is not at fault.
             return
+        self._returns.record_outcome(server, outcome)
         if self._health.record(server.key, outcome, self.now_ms):
             self._log_ejection(server, outcome.value)
         if self._failures.has_unpublished:
--- a/damaskrill/gateway/_process.py
+++ b/damaskrill/gateway/_process.py
@@ -31,6 +31,7 @@
 from damaskrill.gateway._incarnation_checks import IncarnationChecks
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._peer_relay import PeerRelay
+from damaskrill.gateway._return_checks import ReturnChecks
 from damaskrill.gateway._server_history import read_server_history
 from damaskrill.gateway._server_throttle import ServerThrottle
 from damaskrill.gateway._settings import Address, GatewaySettings
@@ -65,6 +66,7 @@
     FleetSize,
     HotKeys,
     PrefixIndex,
+    ReturningServers,
     ServerLoads,
     ServerPath,
     StatedLimits,
@@ -363,16 +365,29 @@
             started_at_ms=now_ms,
             has_predecessor=settings.has_predecessor,
         )
+        returning = ReturningServers()
         throttle = ServerThrottle(
             catalog=self._catalog,
             limiter=self._rate_limiter,
             limits=self._limits,
             brittle=self._brittle,
             loads=self._loads,
+            returning=returning,
+            is_store_current=self._is_store_current,
             cold_factor=settings.cold_factor,
             cold_slack=settings.cold_slack,
             log=self._log,
         )
+        self._returns = ReturnChecks(
+            reactor=self._reactor,
+            pool=pool,
+            binding=self._binding,
+            catalog=self._catalog,
+            throttle=throttle,
+            returning=returning,
+            is_store_current=self._is_store_current,
+            log=self._log,
+        )
         self._relay = PeerRelay(
             reactor=self._reactor,
             path=ServerPath(),
@@ -411,6 +426,7 @@
             find_rank=self._find_rank,
             streams=self._streams,
             incarnations=self._incarnations,
+            returns=self._returns,
             slots=self._slots,
             publish_reports=self._mesh.push_urgent_reports,
             publish_departure=self._publish_departure,
@@ -651,6 +667,7 @@
             self._catalog.purge(now_ms)
             self._streams.observe_all()
             self._incarnations.purge()
+            self._returns.maintain()
             self._relay.probe()
             self._slots.maintain()
             self._observe_fleet()
--- a/damaskrill/gateway/_server_throttle.py
+++ b/damaskrill/gateway/_server_throttle.py
@@ -1,6 +1,6 @@
 """Decides when servers that limit their requests may get the next one."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import frozen
 
@@ -12,6 +12,7 @@
     FleetRateLimiter,
     RateLimit,
     RefusalCause,
+    ReturningServers,
     ServerLoads,
     ServerOutcome,
     ServerPauses,
@@ -55,6 +56,10 @@
         Concurrent requests at servers that crash if they reject many.
     loads : ServerLoads
         Number of requests at each server.
+    returning : ReturningServers
+        Servers that may have started again while the store cannot tell.
+    is_store_current : callable
+        Returns whether a change in the store would be known by now.
     cold_factor, cold_slack : float
         A cold server can handle ``rate * cold_factor + cold_slack`` requests in any
         second.
@@ -70,6 +75,8 @@
         limits: StatedLimits,
         brittle: BrittleServices,
         loads: ServerLoads,
+        returning: ReturningServers,
+        is_store_current: Callable[[], bool],
         cold_factor: float,
         cold_slack: float,
         log: DecisionLog,
@@ -79,6 +86,8 @@
         self._limits = limits
         self._brittle = brittle
         self._loads = loads
+        self._returning = returning
+        self._is_store_current = is_store_current
         self._cold_factor = cold_factor
         self._cold_slack = cold_slack
         self._log = log
@@ -248,12 +257,20 @@
         self, server: BackendServer, now_ms: float
     ) -> ServiceSpec | None:
         at_ms = round(now_ms)
-        if not self._catalog.has_cold_servers(server.service, at_ms):
+        may_be_listed = self._catalog.has_cold_servers(server.service, at_ms)
+        if not may_be_listed and not self._returning.n_servers:
             return None
         configuration = self._catalog.configuration
-        if configuration is None or not self._catalog.is_cold(server, at_ms):
+        spec = configuration.services.get(server.service) if configuration else None
+        if spec is None or spec.cold_requests_per_s <= 0:
             return None
-        return configuration.services.get(server.service)
+        is_cold = self._catalog.is_cold(server, at_ms) or self._returning.is_cold(
+            server.key,
+            now_ms,
+            cold_duration_ms=spec.cold_duration_ms,
+            is_listed=self._is_store_current(),
+        )
+        return spec if is_cold else None
 
     def _log_limit(self, server_id: str, per_s: float | None, *, cause: str) -> None:
         self._log.warn(
--- a/damaskrill/platform/_binding.py
+++ b/damaskrill/platform/_binding.py
@@ -18,7 +18,12 @@
     server_headers,
 )
 from damaskrill.platform._items import ItemDecoder, is_operator_item
-from damaskrill.platform._statements import read_statement, statement_request
+from damaskrill.platform._statements import (
+    health_request,
+    read_cold_ms,
+    read_statement,
+    statement_request,
+)
 from damaskrill.platform._store import PlatformStore
 
 __all__ = ["build_platform_binding"]
@@ -43,6 +48,8 @@
         grant_headers=grant_headers,
         grant_event=grant_event,
         cache_request=cache_request,
+        health_request=health_request,
+        read_cold_ms=read_cold_ms,
         statement_request=statement_request,
         read_statement=read_statement,
         read_cache=read_cache,
--- a/damaskrill/steering/__init__.py
+++ b/damaskrill/steering/__init__.py
@@ -66,6 +66,7 @@
     may_retry_full,
 )
 from damaskrill.steering._retry_budget import FleetRetryBudget
+from damaskrill.steering._returning_servers import ReturningServers
 from damaskrill.steering._selector import Candidate, ServerRequirements, ServerSelector
 from damaskrill.steering._server_allowance import (
     UNKNOWN_SENDER_GRANT,
@@ -154,6 +155,7 @@
     "Rejection",
     "RequestMetadata",
     "RetryState",
+    "ReturningServers",
     "ServedReport",
     "ServedServers",
     "ServerAllowance",
