Count late crashes against requests and parts that were never served

Cause: a run that is broken off was evidence of a crash only within 2 s of its sending, 1 s of the head, or 500 ms of the first event.

A run that is broken off before its first event counts at any age now, against the request and those prompt parts of which no run is known to have come to its end. The number of served runs separates them from sound ones that a crash catches.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -124,6 +124,8 @@
     fatal_requests : set of (bytes, bytes)
         Targets and bodies of requests at which it crashes shortly after it has begun to
         run them.
+    crash_delay_ms : int
+        Time until such a crash, in milliseconds.
     on_crash : callable or None
         Called after such a crash.
     stated_load : bytes
@@ -195,6 +197,7 @@
         self.is_unframed = False
         self.fatal_parts: set[str] = set()
         self.fatal_requests: set[tuple[bytes, bytes]] = set()
+        self.crash_delay_ms = CRASH_DELAY_MS
         self.on_crash: Callable[[], None] | None = None
         self.states_load = True
         self.stated_load = b"1,0,8"
@@ -324,7 +327,7 @@
     ) -> None:
         self.runs[request_id.decode()] += 1
         if (request.target, request.body) in self.fatal_requests:
-            await asyncio.sleep(CRASH_DELAY_MS / 1_000)
+            await asyncio.sleep(self.crash_delay_ms / 1_000)
             self._crash()
             return
         if self.misbehaviour is Misbehaviour.HANG:
@@ -473,7 +476,7 @@
         stream.begin_stream(200, (*headers, EVENT_STREAM))
         self.cache.add_prompt(request)
         if self._has_fatal_part(request):
-            await asyncio.sleep(CRASH_DELAY_MS / 1_000)
+            await asyncio.sleep(self.crash_delay_ms / 1_000)
             self._crash()
             return
         is_spared = self._draw_is_spared()
--- a/damaskrill/gateway/_crash_blocking.py
+++ b/damaskrill/gateway/_crash_blocking.py
@@ -7,6 +7,7 @@
 from damaskrill.gateway._attempt import AttemptResult
 from damaskrill.gateway._metrics import GatewayMetrics
 from damaskrill.gateway._outcomes import (
+    broke_off_unserved,
     has_crashed,
     may_have_crashed,
     shows_sound_prompt,
@@ -97,6 +98,10 @@
         if has_begun or may_have_crashed(result, attempt, waited_ms=waited_ms):
             guard.record_crash(key, now_ms, waited_ms=waited_ms, has_begun=has_begun)
             is_news = True
+        elif broke_off_unserved(result, attempt):
+            is_news = guard.record_late_crash(
+                key, now_ms, waited_ms=waited_ms, has_begun=attempt.is_success
+            )
         elif is_success or shows_sound_request(result):
             is_news |= guard.record_served(now_ms, is_success=is_success)
         if guard.tried_part is not None:
--- a/damaskrill/gateway/_outcomes.py
+++ b/damaskrill/gateway/_outcomes.py
@@ -20,6 +20,7 @@
 )
 
 __all__ = [
+    "broke_off_unserved",
     "classify_outcome",
     "describe_request",
     "find_refusal",
@@ -249,6 +250,23 @@
             return False
 
 
+def broke_off_unserved(result: AttemptResult, attempt: Attempt) -> bool:
+    """Return whether the server broke off the request before any part of its result.
+
+    Notes
+    -----
+    However long that took, a request or prompt part of which no run has ever come to
+    its end may be the cause: a server whose memory runs out crashes late. Of a stream
+    with events nothing is concluded from its end.
+    """
+    match result:
+        case Broken(failure=failure):
+            is_cut = failure.kind in (FailureKind.CLOSED, FailureKind.RESET)
+        case _:
+            return False
+    return is_cut and attempt.first_event_ms is None
+
+
 def shows_sound_request(result: AttemptResult) -> bool:
     """Return whether the server has answered the request to the end."""
     return isinstance(result, CompleteAnswer | StreamEnded)
--- a/damaskrill/steering/_crash_detector.py
+++ b/damaskrill/steering/_crash_detector.py
@@ -210,6 +210,10 @@
                     is_news |= self._add_served(each, at_ms, source)
         return is_news
 
+    def find_unserved(self, parts: Iterable[int]) -> list[int]:
+        """Return the parts with which no request is known to have been served."""
+        return [part for part in parts if not self._served.count(part)]
+
     def find_blocked(
         self, parts: Iterable[int], now_ms: float
     ) -> tuple[BlockedPart, ...]:
--- a/damaskrill/steering/_crash_guard.py
+++ b/damaskrill/steering/_crash_guard.py
@@ -141,6 +141,44 @@
             now_ms=now_ms,
         )
 
+    def record_late_crash(
+        self, key: ServerKey, now_ms: float, *, waited_ms: float, has_begun: bool
+    ) -> bool:
+        """Record that a server broke off the request long after its beginning.
+
+        Parameters
+        ----------
+        key : tuple of (str, int)
+            Incarnation of the server.
+        now_ms : float
+            Current time in milliseconds.
+        waited_ms : float
+            Time since the request was sent, in milliseconds.
+        has_begun : bool
+            Whether an answer had begun, which alone tells of the prompt.
+
+        Returns
+        -------
+        bool
+            Whether other routers must be told.
+
+        Notes
+        -----
+        Load pattern: requests crash each server seconds after it has begun to run them.
+        A crash for another reason catches many that wait, or run for long. Only those
+        that have never been served may have caused it, and these are not taken for the
+        cause before several crashes have caught them.
+        """
+        detector = self._detector
+        parts = [] if not has_begun else detector.find_unserved(self._names)
+        request = self._fingerprint
+        if not detector.find_unserved([request]):
+            request = NO_REQUEST
+        if not parts and request == NO_REQUEST:
+            return False
+        detector.record_crash(key, parts, now_ms, request=request, waited_ms=waited_ms)
+        return True
+
     def record_served(self, now_ms: float, *, is_success: bool = True) -> bool:
         """Record that an answer shows the request to be sound.
 
--- a/features/gateway_crashing_requests.feature
+++ b/features/gateway_crashing_requests.feature
@@ -25,6 +25,35 @@
       | engine | /chat/bad  |
       | engine | /check/bad |
 
+  Scenario: a request that crashes servers late is not sent to more than four
+    # Guards against evidence that is dropped since a run was not young any more.
+    Given a platform with 6 app servers that crash on the request "/issue/bad" and come back
+    And they crash after 2300 ms
+    And 3 gateways that know each other
+    When the request arrives at the gateways in turn until one rejects it
+    Then 3 to 4 servers have crashed
+    And all gateways reject the request as not run, without a server
+
+  Scenario Outline: late crashes count against requests that were never served
+    When <n> servers break a request off late that was served <served> times
+    Then the request <state>
+
+    Examples:
+      | n | served | state           |
+      | 2 | 0      | may be sent      |
+      | 3 | 0      | must not be sent |
+      | 3 | 1      | may be sent      |
+      | 9 | 40     | may be sent      |
+
+  Scenario: a prompt part that crashes servers late is blocked
+    # Guards against the same for answers of which only the head had come.
+    Given a platform with 6 engine servers that crash on the part "bad" and come back
+    And they crash after 1300 ms
+    And 3 gateways that know each other
+    When chats with the parts "aa" and "bad" arrive at the gateways in turn until one is rejected
+    Then 3 to 5 servers have crashed
+    And chats with the part "aa" alone are served
+
   Scenario: the third server that a request crashes is the last although all end at once
     Given a platform with 6 app servers that crash on the request "/read/bad" and come back
     And 3 gateways that know each other
--- a/features/steps/gateway_crashing_requests_steps.py
+++ b/features/steps/gateway_crashing_requests_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from damaskrill.fakes.platform import FakeServer, build_entry
+from damaskrill.steering import CrashDetector, CrashGuard
 from features.steps.gateway_crashing_prompts_steps import (
     BETWEEN_S,
     LINK_S,
@@ -18,6 +19,7 @@
 
 MAX_REQUESTS = 10
 REJECTED = b"crashing_request"
+REJECTED_PROMPT = b"crashing_prompt"
 TENANTS = [
     {"name": "desk", "apiKeys": ["key-1", "key-2"], "priority": 1},
     {"name": "field", "apiKeys": ["key-3"], "priority": 1},
@@ -37,10 +39,79 @@
     context.target, context.body = target, b""
     if not target.startswith("/read"):
         context.body = b"bad"
+    context.fatal_parts = set()
     for number in range(n):
         add_crashing_server(context, f"s-{number}", SERVICES[kind])
 
 
+@given(
+    'a platform with {n:d} engine servers that crash on the part "{part}" and come back'
+)
+def step_part_platform(context, n, part):
+    step_platform(context, n, "engine", "/chat/unknown")
+    context.fatal_parts.add(part)
+
+
+@given("they crash after {delay_ms:d} ms")
+def step_crash_late(context, delay_ms):
+    context.crash_delay_ms = delay_ms
+    for server in context.testbed.servers.values():
+        server.crash_delay_ms = delay_ms
+
+
+def send_chat(context, number, parts):
+    prompt = ",".join(f"{part}:100" for part in (*parts, f"q{number}"))
+    gateway = context.testbed.gateways[number % len(context.testbed.gateways)]
+    return context.testbed.send(
+        "/chat/1",
+        gateway=gateway,
+        body=b"%d" % number,
+        headers=[("Damaskrill-Prompt-Prefix", prompt)],
+    )
+
+
+@when(
+    'chats with the parts "{one}" and "{other}" arrive at the gateways in turn until '
+    "one is rejected"
+)
+def step_chats(context, one, other):
+    for number in range(MAX_REQUESTS):
+        if REJECTED_PROMPT in send_chat(context, number, (one, other)).body:
+            return
+        time.sleep(BETWEEN_S)
+    raise AssertionError(f"none of {MAX_REQUESTS} was rejected")
+
+
+@when("{n:d} servers break a request off late that was served {n_served:d} times")
+def step_late(context, n, n_served):
+    detector = CrashDetector(router="r-1")
+    for number in range(n_served):
+        build_guard(detector).record_served(number * 10.0)
+    for number in range(n):
+        now_ms = 60_000.0 + number * 4_000.0
+        build_guard(detector).record_late_crash(
+            (f"s-{number}", 1), now_ms, waited_ms=2_500, has_begun=False
+        )
+    context.rejection = build_guard(detector).find_rejection(now_ms)
+
+
+def build_guard(detector):
+    return CrashGuard(
+        detector=detector, prompt=(), fingerprint=77, find_rank=lambda _: (0, 1)
+    )
+
+
+@then("the request {state} be sent")
+def step_may_be_sent(context, state):
+    assert (context.rejection is None) == (state == "may"), context.rejection
+
+
+@then('chats with the part "{part}" alone are served')
+def step_chats_served(context, part):
+    replies = [send_chat(context, 100 + number, (part,)) for number in range(6)]
+    assert {each.status for each in replies} == {200}, replies
+
+
 def add_crashing_server(context, name, service):
     # The restarts may outlast the scenario, and with it its context.
     testbed, crashed = context.testbed, context.crashed
@@ -60,6 +131,10 @@
 
     def prepare(server):
         server.fatal_requests = set(fatal)
+        server.fatal_parts = context.fatal_parts
+        server.crash_delay_ms = getattr(
+            context, "crash_delay_ms", server.crash_delay_ms
+        )
         server.on_crash = handle_crash
 
     prepare(testbed.servers[name])
