--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -142,7 +142,7 @@
         self._reserved: BackendServer | None = None
         # Whether the held attempt is at a server that is merely slow.
         self._is_early = False
-        self._binding = StreamBinding(
+        self._stream_binding = StreamBinding(
             streams=dispatcher.streams,
             incarnations=dispatcher.incarnations,
             stream_id=metadata.stream_id,
@@ -369,7 +369,7 @@
         start: StreamStart | None = None
         if context.route.is_resumable:
             origin = self._requirements.origin
-            start = self._binding.start(server, connection, origin)
+            start = self._stream_binding.start(server, connection, origin)
         is_first = True
 
         def read_metadata(metadata: AnswerMetadata) -> None:
@@ -460,14 +460,14 @@
 
     async def confirm_origin(self) -> bool:
         """Return whether the origin of the begun stream is certain."""
-        return await self._binding.confirm()
+        return await self._stream_binding.confirm()
 
     def _bind_stream(self, start: StreamStart) -> None:
         # What two software versions write does not fit together.
         if not start.is_resumed:
             source = OriginSource.THIS_ROUTER
             self.bind_origin(FoundOrigin(origin=start.origin, source=source))
-        self._binding.record_begun(start)
+        self._stream_binding.record_begun(start)
 
     def _record_going_on(self, server: BackendServer, events: bytes) -> None:
         last_event = self._progress.last_id
