--- a/features/steps/gateway_leaving_and_pauses_steps.py
+++ b/features/steps/gateway_leaving_and_pauses_steps.py
@@ -209,6 +209,7 @@
     is_open = True
     idle_since_ms = float("inf")
     idle_limit_ms = 1_000
+    has_unnamed_refusal = False
 
     def __init__(self, *request_ids):
         self.request_ids = request_ids
