Send no action on connections that routers have asked servers for their state on

Questions for a server's start time and for its cached parts carry no request ID, and their connections came back to the pool as if they had carried none. A late copy of a refusal to such a question could have been taken for that to an action. Only the probe of the path and the question for a server's health had marked theirs.

A connection marks itself now when a request without an ID is sent on it, and the two marks beside the calls are gone.

--- a/damaskrill/gateway/_peer_relay.py
+++ b/damaskrill/gateway/_peer_relay.py
@@ -225,7 +225,6 @@
         try:
             connection = await self._server_pool.open(server.key, server.address)
             # The pool takes the connection back when the answer has ended.
-            connection.record_unnamed(is_refusal=True)
             head, _, _ = await fetch(
                 self._reactor,
                 server.address,
--- a/damaskrill/gateway/_return_checks.py
+++ b/damaskrill/gateway/_return_checks.py
@@ -117,7 +117,6 @@
             # The server is still away; the next question tells.
             self._throttle.release(server, acquired_at_ms)
             return
-        connection.record_unnamed(is_refusal=True)
         try:
             head, _, _ = await fetch(
                 self._reactor,
--- a/damaskrill/http1/_server.py
+++ b/damaskrill/http1/_server.py
@@ -155,6 +155,9 @@
         self._sink = sink
         if request_id:
             self._request_ids.append(request_id)
+        else:
+            # A copy of its answer, which may be a refusal, has none either.
+            self._has_unnamed_refusal = True
         self._bounds = AnswerBounds()
         self._has_answer = False
         self._started_at = time.monotonic()
--- a/features/gateway_unnamed_answers.feature
+++ b/features/gateway_unnamed_answers.feature
@@ -23,6 +23,17 @@
     When a caller sends 12 reads, and a read without an ID before each
     Then each read is served with its own answer
 
+  Scenario Outline: actions after questions to a server about itself
+    # Guards against connections that come back to the pool after a call without an ID.
+    When the gateway asks "app-1" <question>, and the connection is idle again
+    Then an action does not get that connection, and a read gets it
+
+    Examples:
+      | question              |
+      | for its start         |
+      | for its cached parts  |
+      | whether it is reached |
+
   Scenario: reads go on to use connections that have carried such refusals
     Given server "app-1" repeats nothing
     When "app-1" is full for 12 reads, at first with request IDs and then without them
--- a/features/steps/gateway_unnamed_answers_steps.py
+++ b/features/steps/gateway_unnamed_answers_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from damaskrill.fakes.platform import Misbehaviour
+from damaskrill.utils import monotonic_now_ms
 from features.support.gateways import Caller, build_request
 
 
@@ -94,6 +95,36 @@
         context.n_opened.append(pool.n_opened - n_before)
 
 
+@when('the gateway asks "{name}" {question}, and the connection is idle again')
+def step_question(context, name, question):
+    testbed = context.testbed
+    (gateway,) = testbed.gateways
+    (server,) = gateway._catalog.find_servers("app")
+    context.key = server.key
+    match question:
+        case "for its start":
+            checks = gateway._incarnations
+            testbed.call(checks._ask, server, monotonic_now_ms())
+        case "for its cached parts":
+            testbed.call(gateway._streams._cached._reader._ask, server)
+        case "whether it is reached":
+            gateway._relay._catalog.find_servers = lambda service: (
+                (server,) if service == "app" else ()
+            )
+            testbed.call(gateway._relay._run_probe)
+
+
+@then("an action does not get that connection, and a read gets it")
+def step_not_got(context):
+    pool = context.testbed.gateways[0]._dispatcher.pool
+    (idle,) = pool._idle[context.key]
+    assert context.testbed.call(pool.acquire_idle, context.key) is idle
+    pool._idle[context.key].append(idle)
+    assert (
+        context.testbed.call(pool.acquire_idle, context.key, may_repeat=False) is None
+    )
+
+
 def check_not_twice(context):
     runs = context.server.runs
     assert max(runs[each.request_id] for each in context.replies) == 1, runs
