--- a/damaskrill/catalog/_catalog.py
+++ b/damaskrill/catalog/_catalog.py
@@ -299,7 +299,8 @@
             return 0
         return now_ms - entry.registered_since_ms
 
-    def _service_spec(self, service: str) -> ServiceSpec | None:
+    def find_service(self, service: str) -> ServiceSpec | None:
+        """Return the configuration of a service; None if it is not configured."""
         if self._configuration is None:
             return None
         return self._configuration.services.get(service)
@@ -354,7 +355,7 @@
         return known is None or server.service in known
 
     def _cold_until_ms(self, entry: _ServerEntry) -> int:
-        spec = self._service_spec(entry.server.service)
+        spec = self.find_service(entry.server.service)
         if spec is None or spec.cold_requests_per_s <= 0:
             return 0
         restored_at_ms = self._restored_at_ms.get(entry.server.data_centre)
--- a/damaskrill/gateway/_cached_origins.py
+++ b/damaskrill/gateway/_cached_origins.py
@@ -63,8 +63,7 @@
         max_age_ms : float
             Age of the oldest streams that are taken up, in milliseconds.
         """
-        configuration = self._catalog.configuration
-        spec = configuration.services.get(service) if configuration else None
+        spec = self._catalog.find_service(service)
         if spec is None or not spec.is_engine or not part_id:
             return None
         served = self._served.find(service, monotonic_now_ms(), max_age_ms)
--- a/damaskrill/gateway/_dispatcher.py
+++ b/damaskrill/gateway/_dispatcher.py
@@ -448,8 +448,7 @@
         -----
         Also records that the server processes the shared parts of the prompt.
         """
-        configuration = self.catalog.configuration
-        spec = configuration.services.get(server.service) if configuration else None
+        spec = self.catalog.find_service(server.service)
         if spec is None or not spec.is_engine or not route.has_prompt:
             return None
         now_ms = self.now_ms
@@ -482,8 +481,7 @@
 
     def is_uneven(self, service: str) -> bool:
         """Return whether plain servers of a service state how long work takes."""
-        configuration = self.catalog.configuration
-        spec = configuration.services.get(service) if configuration else None
+        spec = self.catalog.find_service(service)
         if spec is None or spec.is_engine:
             return False
         servers = self.catalog.find_servers(service)
--- a/damaskrill/gateway/_engine_steering.py
+++ b/damaskrill/gateway/_engine_steering.py
@@ -210,11 +210,9 @@
         return self._is_engine(service)
 
     def _is_engine(self, service: str) -> bool:
-        configuration = self._catalog.configuration
-        spec = configuration.services.get(service) if configuration else None
+        spec = self._catalog.find_service(service)
         return spec is not None and spec.is_engine
 
     def _capacity_of(self, service: str) -> int:
-        configuration = self._catalog.configuration
-        spec = configuration.services.get(service) if configuration else None
+        spec = self._catalog.find_service(service)
         return spec.n_memory_tokens if spec is not None else 0
--- a/damaskrill/gateway/_incarnation_checks.py
+++ b/damaskrill/gateway/_incarnation_checks.py
@@ -149,8 +149,7 @@
             del self._asked_at_ms[key]
 
     def _can_be_asked(self, server: BackendServer) -> bool:
-        configuration = self._catalog.configuration
-        spec = configuration.services.get(server.service) if configuration else None
+        spec = self._catalog.find_service(server.service)
         # Without a listed start time there is nothing to compare with.
         return spec is not None and spec.is_engine and server.started_at_ms > 0
 
--- a/damaskrill/gateway/_return_checks.py
+++ b/damaskrill/gateway/_return_checks.py
@@ -73,7 +73,7 @@
 
     def record_outcome(self, server: BackendServer, outcome: ServerOutcome) -> None:
         """Record the outcome of a request at a server."""
-        spec = self._find_spec(server.service)
+        spec = self._catalog.find_service(server.service)
         is_lost = outcome.is_unreachable or outcome is ServerOutcome.BROKEN
         if is_lost and spec is not None and spec.cold_requests_per_s > 0:
             self._returning.record_lost(server.key, monotonic_now_ms())
@@ -137,7 +137,3 @@
             self._log.write(
                 "server_returned", backend_server=server.server_id, cold_ms=cold_ms
             )
-
-    def _find_spec(self, service: str) -> ServiceSpec | None:
-        configuration = self._catalog.configuration
-        return configuration.services.get(service) if configuration else None
--- a/damaskrill/gateway/_server_throttle.py
+++ b/damaskrill/gateway/_server_throttle.py
@@ -260,8 +260,7 @@
         may_be_listed = self._catalog.has_cold_servers(server.service, at_ms)
         if not may_be_listed and not self._returning.n_servers:
             return None
-        configuration = self._catalog.configuration
-        spec = configuration.services.get(server.service) if configuration else None
+        spec = self._catalog.find_service(server.service)
         if spec is None or spec.cold_requests_per_s <= 0:
             return None
         is_cold = self._catalog.is_cold(server, at_ms) or self._returning.is_cold(
--- a/damaskrill/gateway/_slots.py
+++ b/damaskrill/gateway/_slots.py
@@ -94,8 +94,7 @@
         """Return whether requests for a service need slots."""
         if not self._stated or not self._members.do_most_ask:
             return False
-        configuration = self._catalog.configuration
-        spec = configuration.services.get(service) if configuration else None
+        spec = self._catalog.find_service(service)
         if spec is None or spec.is_engine:
             return False
         servers = self._catalog.find_servers(service)
