Ask in one place whether a connection leads to a stream's version

StreamBinding.confirm had become a copy of RequestAttempts._has_origin when it was taken out of it. The origin that is wanted is passed now; it was read again after the question before, and no other attempt changes it meanwhile. No behaviour changes.

--- a/damaskrill/gateway/_attempts.py
+++ b/damaskrill/gateway/_attempts.py
@@ -341,10 +341,13 @@
         self, server: BackendServer, connection: ServerConnection
     ) -> ServerConnection | None:
         """Return the connection if a begun stream may go on there."""
-        if self._requirements.origin is None:
+        origin = self._requirements.origin
+        if origin is None:
             return connection
         try:
-            has_origin = await self._has_origin(server, connection.opened_at_ms)
+            has_origin = await self._stream_binding.has_origin(
+                server, connection.opened_at_ms, origin
+            )
         except BaseException:
             connection.abort()
             raise
@@ -354,15 +357,6 @@
         connection.abort()
         return None
 
-    async def _has_origin(self, server: BackendServer, opened_at_ms: float) -> bool:
-        """Return whether a connection leads to a process of the stream's version."""
-        dispatcher = self._dispatcher
-        if not await dispatcher.incarnations.is_known_process(server, opened_at_ms):
-            return False
-        # The process may have become known meanwhile.
-        origins = dispatcher.streams.origins_of(server.service)
-        return origins.get(server.key) == self._requirements.origin
-
     def _send(self, server: BackendServer, connection: ServerConnection) -> SentRequest:
         dispatcher, context = self._dispatcher, self._context
         is_stream = context.route.kind is RequestKind.STREAM
--- a/damaskrill/gateway/_stream_binding.py
+++ b/damaskrill/gateway/_stream_binding.py
@@ -106,17 +106,33 @@
     async def confirm(self) -> bool:
         """Return whether the origin of the begun stream is certain."""
         start = self._uncertain
-        if start is not None:
-            is_known = await self._incarnations.is_known_process(
-                start.server, start.opened_at_ms
-            )
-            # The process may have become known meanwhile.
-            origins = self._streams.origins_of(start.server.service)
-            if not is_known or origins.get(start.server.key) != start.origin:
-                return False
-            self._uncertain = None
+        if start is None:
+            return True
+        if not await self.has_origin(start.server, start.opened_at_ms, start.origin):
+            return False
+        self._uncertain = None
         return True
 
+    async def has_origin(
+        self, server: BackendServer, opened_at_ms: float, origin: int
+    ) -> bool:
+        """Return whether a connection leads to a listed process of an origin.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The server.
+        opened_at_ms : float
+            Time at which the connection was opened, in milliseconds.
+        origin : int
+            The origin.
+        """
+        if not await self._incarnations.is_known_process(server, opened_at_ms):
+            return False
+        # The process may have become known meanwhile.
+        origins = self._streams.origins_of(server.service)
+        return origins.get(server.key) == origin
+
     def _record(self, start: StreamStart) -> None:
         is_certain = start.is_resumed or self._incarnations.watch(
             start.server, start.opened_at_ms, lambda: self._record_known(start)
