Build late copies of refusals in one place, and tidy the new steps

The stand-in built the copy of a refusal twice. Two steps differed only in what they send; a docstring told of a value that is not returned; an attribute was read nowhere. The assertions are as before.

--- a/damaskrill/fakes/platform/_server.py
+++ b/damaskrill/fakes/platform/_server.py
@@ -278,7 +278,8 @@
         if self.slots is not None and self.slots.is_full:
             is_full = True
             self.slots.n_rejected += 1
-        self._send_late_answer(connection)
+        if self.copies_refusals:
+            self._send_late_answer(connection)
         if not request_id and not self.names_refusals:
             self._refuse(connection, request_id, status=400)
             return
@@ -380,32 +381,24 @@
     ) -> None:
         headers = self._refusal_headers(request_id)
         connection.send_answer(status, headers, b"")
-        if self.copies_refusals:
+        if self.copies_refusals or self.misbehaviour is Misbehaviour.COPIED_REFUSAL:
             lines = b"".join(b"%b: %b\r\n" % each for each in headers)
-            start = b"HTTP/1.1 %d Busy\r\n" % status
-            self._late_answers[connection] = (
-                start + lines + b"Content-Length: 0\r\n\r\n"
-            )
+            copy = b"HTTP/1.1 %d Busy\r\n%bContent-Length: 0\r\n\r\n"
+            self._late_answers[connection] = copy % (status, lines)
 
     def _send_late_answer(self, connection: CallerConnection) -> None:
-        if self.copies_refusals:
-            transport: Any = connection.transport
-            transport.write(self._late_answers.pop(connection, b""))
+        transport: Any = connection.transport
+        transport.write(self._late_answers.pop(connection, b""))
 
     def _refuses_once(self, connection: CallerConnection, request_id: bytes) -> bool:
         """Refuse each request once, and send a late copy before the next answer."""
         if self.misbehaviour is not Misbehaviour.COPIED_REFUSAL:
             return False
-        transport: Any = connection.transport
-        transport.write(self._late_answers.pop(connection, b""))
+        self._send_late_answer(connection)
         if request_id in self._refused:
             return False
         self._refused.add(request_id)
-        headers = self._refusal_headers(request_id)
-        connection.send_answer(503, headers, b"")
-        lines = b"".join(b"%b: %b\r\n" % each for each in headers)
-        copy = b"HTTP/1.1 503 Busy\r\n%bContent-Length: 0\r\n\r\n" % lines
-        self._late_answers[connection] = copy
+        self._refuse(connection, request_id)
         return True
 
     def _draw_is_spared(self) -> bool:
--- a/features/steps/gateway_returning_servers_steps.py
+++ b/features/steps/gateway_returning_servers_steps.py
@@ -57,8 +57,7 @@
     _, port = testbed.servers[name].address
     server = FakeServer(reactor=testbed.reactor, server_id=name, port=port)
     server.started_at_ms = 5_000
-    context.cold_from = time.monotonic()
-    server.cold_until = context.cold_from + cold_ms / 1_000
+    server.cold_until = time.monotonic() + cold_ms / 1_000
     testbed.servers[name] = server
 
 
--- a/features/steps/gateway_unnamed_answers_steps.py
+++ b/features/steps/gateway_unnamed_answers_steps.py
@@ -46,20 +46,13 @@
     return testbed.thread.run(run())
 
 
-@when("a caller sends {n:d} actions, and a read without an ID before each")
-def step_actions(context, n):
+@when("a caller sends {n:d} {kind}, and a read without an ID before each")
+def step_after_unnamed(context, n, kind):
+    send = {"actions": send_action, "reads": send_read}[kind]
     context.replies = []
     for _ in range(n):
         send_read_without_id(context)
-        context.replies.append(send_action(context))
-
-
-@when("a caller sends {n:d} reads, and a read without an ID before each")
-def step_reads(context, n):
-    context.replies = []
-    for _ in range(n):
-        send_read_without_id(context)
-        context.replies.append(send_read(context))
+        context.replies.append(send(context))
 
 
 @when('"{name}" is full for each second of {n:d} actions')
--- a/features/steps/gateway_withdrawn_versions_steps.py
+++ b/features/steps/gateway_withdrawn_versions_steps.py
@@ -42,7 +42,7 @@
 
 
 def change_entries(context, how):
-    """Change the entries of the two; return those to write again later."""
+    """Let the two lose their entries, or name other processes in them."""
     testbed = context.testbed
     for engine in context.withdrawn:
         key, entry = f"servers/{engine}", testbed.entries[engine]
@@ -52,8 +52,7 @@
             (version,) = re.findall(r'"(\w+)"', how)
             changes = {"version": version, "born": LATER_START_MS}
             if how.endswith("elsewhere"):
-                stays = testbed.entries["e-1"]["address"]
-                changes["address"] = stays
+                changes["address"] = testbed.entries["e-1"]["address"]
             testbed.store.put(key, {**entry, **changes})
 
 
